--- /dev/null
+++ b/crates/flaxtide-core/src/call.rs
@@ -0,0 +1,196 @@
+//! The life cycle of a call, as types.
+//!
+//! A call that no backend server has seen can be refused, which promises "not run". From
+//! [`Dispatched`] on there is no `refuse`: the only way out without an answer is
+//! [`Call::fail`], which says "may have run". An untrue refusal doesn't compile:
+//!
+//! ```compile_fail
+//! use flaxtide_core::{Call, FailureReason};
+//! let call = Call::receive(1).queue().dispatch();
+//! call.refuse(FailureReason::Overloaded, "late", None); // no such method
+//! ```
+//!
+//! Only a claimed call keeps its attempt for the row in the table:
+//!
+//! ```
+//! use flaxtide_core::{Call, FailureReason, RanState};
+//! let body = Call::receive(1).queue().claim(7).refuse(FailureReason::Stopping, "x", None);
+//! assert_eq!(body.body.ran, RanState::No);
+//! ```
+
+use std::time::Duration;
+
+use crate::{
+    AttemptId, FailureBody, FailureReason, RanState, RequestId, format_request_id,
+};
+
+/// One request on its way through an entry instance, in one state of its life.
+#[derive(Debug)]
+pub struct Call<State> {
+    /// The request's id.
+    request: RequestId,
+    /// The state, with what belongs to it.
+    state: State,
+}
+
+/// The request has been read; nothing has been decided.
+#[derive(Debug)]
+pub struct Received;
+
+/// The request waits at this instance for a backend server.
+#[derive(Debug)]
+pub struct Queued;
+
+/// The row that lets this attempt alone run the request is in the table.
+#[derive(Debug)]
+pub struct Claimed {
+    /// The attempt that the row names.
+    attempt: AttemptId,
+}
+
+/// Bytes of the request may have gone to a backend server.
+#[derive(Debug)]
+pub struct Dispatched;
+
+/// The whole answer has been passed on.
+#[derive(Debug)]
+pub struct Answered;
+
+/// The call ended without a whole answer.
+#[derive(Debug)]
+pub struct Failed {
+    /// What the caller is told.
+    pub body: FailureBody,
+}
+
+/// How a call ended; each call ends in exactly one of these.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CallEnd {
+    /// The whole answer has been passed on.
+    Answered,
+    /// Refused: no backend server has seen it.
+    Refused,
+    /// Failed after dispatch: it may have run.
+    Failed,
+}
+
+impl Call<Received> {
+    /// Starts the life of a call.
+    #[must_use]
+    pub fn receive(request: RequestId) -> Self {
+        Self { request, state: Received }
+    }
+
+    /// Puts the call in the queue.
+    #[must_use]
+    pub fn queue(self) -> Call<Queued> {
+        Call { request: self.request, state: Queued }
+    }
+}
+
+impl Call<Queued> {
+    /// Records that the table holds a row for `attempt`.
+    #[must_use]
+    pub fn claim(self, attempt: AttemptId) -> Call<Claimed> {
+        Call { request: self.request, state: Claimed { attempt } }
+    }
+
+    /// Sends a call that may be repeated to a backend server. Must come before the
+    /// first byte.
+    #[must_use]
+    pub fn dispatch(self) -> Call<Dispatched> {
+        Call { request: self.request, state: Dispatched }
+    }
+}
+
+impl Call<Claimed> {
+    /// Returns the attempt that holds the row.
+    #[must_use]
+    pub fn attempt(&self) -> AttemptId {
+        self.state.attempt
+    }
+
+    /// Sends the call to a backend server. Must come before the first byte.
+    #[must_use]
+    pub fn dispatch(self) -> Call<Dispatched> {
+        Call { request: self.request, state: Dispatched }
+    }
+}
+
+impl Call<Dispatched> {
+    /// Ends the call with a whole answer.
+    #[must_use]
+    pub fn answer(self) -> Call<Answered> {
+        Call { request: self.request, state: Answered }
+    }
+
+    /// Ends the call without a whole answer. It may have run.
+    #[must_use]
+    pub fn fail(
+        self,
+        reason: FailureReason,
+        message: &str,
+        retry_after: Option<Duration>,
+    ) -> Failed {
+        end(self.request, RanState::Unknown, reason, message, retry_after)
+    }
+}
+
+/// States in which no byte has gone to a backend server.
+trait Unsent {}
+
+impl Unsent for Received {}
+
+impl Unsent for Queued {}
+
+impl Unsent for Claimed {}
+
+#[expect(private_bounds, reason = "the set of unsent states is closed")]
+impl<State: Unsent> Call<State> {
+    /// Ends the call with the promise that it hasn't run.
+    #[must_use]
+    pub fn refuse(
+        self,
+        reason: FailureReason,
+        message: &str,
+        retry_after: Option<Duration>,
+    ) -> Failed {
+        end(self.request, RanState::No, reason, message, retry_after)
+    }
+
+    /// Ends the call with the word that an earlier attempt under the same idempotency
+    /// key may have run.
+    #[must_use]
+    pub fn defer(self, message: &str, retry_after: Option<Duration>) -> Failed {
+        let reason = FailureReason::InProgress;
+        end(self.request, RanState::Unknown, reason, message, retry_after)
+    }
+}
+
+impl<State> Call<State> {
+    /// Returns the request's id.
+    #[must_use]
+    pub fn request(&self) -> RequestId {
+        self.request
+    }
+}
+
+/// Builds the final word on a call.
+fn end(
+    request: RequestId,
+    ran: RanState,
+    reason: FailureReason,
+    message: &str,
+    retry_after: Option<Duration>,
+) -> Failed {
+    Failed {
+        body: FailureBody {
+            reason,
+            ran,
+            message: message.to_owned(),
+            remedy: reason.remedy().to_owned(),
+            request_id: format_request_id(request),
+            retry_after_ms: retry_after.map(|span| span.as_millis() as u64),
+        },
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-core/src/id.rs
@@ -0,0 +1,77 @@
+//! Identifiers, given once for all packages.
+
+/// Identifies one request across all instances. The upper half is drawn at random by
+/// the instance when it starts; the lower half counts.
+pub type RequestId = u64;
+
+/// Identifies one attempt to run a request that may not be repeated.
+pub type AttemptId = u64;
+
+/// Identifies one edit of the settings, so that a lost answer can be resolved.
+pub type EditId = u64;
+
+/// The number of a settings version. Versions only grow.
+pub type SettingsVersion = u64;
+
+/// The name of a request class in the settings tree.
+pub type ClassName = String;
+
+/// The name of a service tier in the settings tree.
+pub type TierName = String;
+
+/// The name of an organisation in the settings tree.
+pub type OrganisationName = String;
+
+/// The name of a language model in the settings tree.
+pub type ModelName = String;
+
+/// The name of a data centre in the settings tree.
+pub type DataCentreName = String;
+
+/// The name of a region in the settings tree.
+pub type RegionName = String;
+
+/// The name of a backend server in the settings tree.
+pub type ServerName = String;
+
+/// The name of an entry instance in the platform's list.
+pub type InstanceName = String;
+
+/// The rank of a tier. Rank 0 is the highest.
+pub type TierRank = u8;
+
+/// A request class within one process.
+pub type ClassId = u16;
+
+/// An organisation within one process.
+pub type OrganisationId = u16;
+
+/// A pool of backend servers within one process: those of one model or plain service.
+pub type PoolId = u16;
+
+/// A backend server within one process.
+pub type ServerId = u32;
+
+/// Formats a request id the way callers and logs see it: sixteen hexadecimal digits.
+///
+/// ```
+/// assert_eq!(flaxtide_core::format_request_id(255), "00000000000000ff");
+/// ```
+#[must_use]
+pub fn format_request_id(request: RequestId) -> String {
+    format!("{request:016x}")
+}
+
+/// Parses what [`format_request_id`] printed.
+///
+/// ```
+/// assert_eq!(flaxtide_core::parse_request_id("00000000000000ff"), Some(255));
+/// assert_eq!(flaxtide_core::parse_request_id("ff"), None);
+/// ```
+#[must_use]
+pub fn parse_request_id(text: &str) -> Option<RequestId> {
+    if text.len() != 16 {
+        return None;
+    }
+    RequestId::from_str_radix(text, 16).ok()
+}
--- /dev/null
+++ b/crates/flaxtide-core/src/lib.rs
@@ -0,0 +1,32 @@
+//! The vocabulary that every other flaxtide package shares.
+//!
+//! Nothing in this package does input or output. It holds identifiers, the clock, the
+//! settings tree with its inheritance and checks, the life cycle of a call, and the
+//! answers that callers see when a request isn't served.
+
+mod call;
+mod clock;
+mod id;
+mod key;
+mod refusal;
+mod settings;
+mod span;
+
+pub use self::call::{
+    Answered, Call, CallEnd, Claimed, Dispatched, Failed, Queued, Received,
+};
+pub use self::clock::MilliClock;
+pub use self::id::{
+    AttemptId, ClassId, ClassName, DataCentreName, EditId, InstanceName, ModelName,
+    OrganisationId, OrganisationName, PoolId, RegionName, RequestId, ServerId,
+    ServerName, SettingsVersion, TierName, TierRank, format_request_id, parse_request_id,
+};
+pub use self::key::hash_key;
+pub use self::refusal::{FailureBody, FailureReason, RanState};
+pub use self::settings::{
+    ClassNode, ClassProfile, DataCentreNode, EffectiveValue, EngineNode, LimitNode,
+    ModelNode, OperatorAccess, OperatorNode, OrganisationNode, OrganisationProfile,
+    PlainServerNode, PolicyNode, ServiceNode, SettingsEdit, SettingsError, SettingsTree,
+    TargetNode, TierNode,
+};
+pub use self::span::{format_span, parse_span};
--- /dev/null
+++ b/crates/flaxtide-core/src/settings/locate.rs
@@ -0,0 +1,42 @@
+//! Finds the line of a node in the YAML text that it was read from.
+
+/// Returns the line (from 1) on which the deepest part of a dotted path stands that can
+/// be found in block style; 0 if not even its first part can be.
+pub(crate) fn locate(text: &str, path: &str) -> usize {
+    let mut found = 0;
+    let mut lines = text.lines().enumerate().peekable();
+    let mut parent_indent = None;
+    for part in path.split('.') {
+        let Some((line, indent)) = find_key(&mut lines, part, parent_indent) else {
+            return found;
+        };
+        found = line;
+        parent_indent = Some(indent);
+    }
+    found
+}
+
+/// Finds the next line that holds `key` below the parent's indentation.
+fn find_key<'a>(
+    lines: &mut impl Iterator<Item = (usize, &'a str)>,
+    key: &str,
+    parent_indent: Option<usize>,
+) -> Option<(usize, usize)> {
+    let mut child_indent = None;
+    for (index, line) in lines {
+        let content = line.trim_start();
+        if content.is_empty() || content.starts_with('#') {
+            continue;
+        }
+        let indent = line.len() - content.len();
+        if parent_indent.is_some_and(|parent| indent <= parent) {
+            return None;
+        }
+        let child = *child_indent.get_or_insert(indent);
+        let name = content.split(':').next().unwrap_or_default();
+        if indent == child && name.trim_matches(['"', '\'']) == key {
+            return Some((index + 1, indent));
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/flaxtide-core/src/span.rs
@@ -0,0 +1,63 @@
+//! Time spans as settings spell them, such as `1300ms` or `30s`.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Deserializer, Serializer};
+
+/// Parses a span such as `67ms` or `30s`. Fractions such as `1.3s` aren't taken.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(flaxtide_core::parse_span("1300ms"), Ok(Duration::from_millis(1300)));
+/// assert!(flaxtide_core::parse_span("soon").unwrap_err().contains("such as"));
+/// ```
+///
+/// # Errors
+///
+/// Returns a message that names a remedy when the text isn't a span.
+pub fn parse_span(text: &str) -> Result<Duration, String> {
+    humantime::parse_duration(text)
+        .map_err(|cause| format!("`{text}` is no time span ({cause}); write one such as `1300ms`, `30s` or `5m`"))
+}
+
+/// Formats a span so that [`parse_span`] reads it back.
+///
+/// ```
+/// use std::time::Duration;
+/// assert_eq!(flaxtide_core::format_span(Duration::from_millis(1300)), "1300ms");
+/// assert_eq!(flaxtide_core::format_span(Duration::from_secs(30)), "30s");
+/// ```
+#[must_use]
+pub fn format_span(span: Duration) -> String {
+    let millis = span.as_millis();
+    if millis >= 1000 && millis.is_multiple_of(1000) {
+        format!("{}s", millis / 1000)
+    } else {
+        format!("{millis}ms")
+    }
+}
+
+/// Serde glue for an optional span in a settings node.
+pub(crate) mod optional {
+    use super::*;
+
+    /// Writes the span as text.
+    pub(crate) fn serialize<S: Serializer>(
+        span: &Option<Duration>,
+        serializer: S,
+    ) -> Result<S::Ok, S::Error> {
+        match span {
+            Some(span) => serializer.serialize_str(&format_span(*span)),
+            None => serializer.serialize_none(),
+        }
+    }
+
+    /// Reads the span from text.
+    pub(crate) fn deserialize<'de, D: Deserializer<'de>>(
+        deserializer: D,
+    ) -> Result<Option<Duration>, D::Error> {
+        let text: Option<String> = Option::deserialize(deserializer)?;
+        text.map(|text| parse_span(&text).map_err(serde::de::Error::custom))
+            .transpose()
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
