--- a/crates/flaxtide-core/src/call.rs
+++ b/crates/flaxtide-core/src/call.rs
@@ -118,6 +118,13 @@
 }
 
 impl Call<Dispatched> {
+    /// Takes the call back into the queue. Only right where the backend server is known
+    /// not to have run it: the connection was refused, or the server said so.
+    #[must_use]
+    pub fn take_back(self) -> Call<Queued> {
+        Call { request: self.request, state: Queued }
+    }
+
     /// Ends the call with a whole answer.
     #[must_use]
     pub fn answer(self) -> Call<Answered> {
@@ -158,11 +165,15 @@
         end(self.request, RanState::No, reason, message, retry_after)
     }
 
-    /// Ends the call with the word that an earlier attempt under the same idempotency
-    /// key may have run.
+    /// Ends the call, which hasn't run itself, where another attempt under the same
+    /// idempotency key may have.
     #[must_use]
-    pub fn defer(self, message: &str, retry_after: Option<Duration>) -> Failed {
-        let reason = FailureReason::InProgress;
+    pub fn refuse_unverified(
+        self,
+        reason: FailureReason,
+        message: &str,
+        retry_after: Option<Duration>,
+    ) -> Failed {
         end(self.request, RanState::Unknown, reason, message, retry_after)
     }
 }
--- /dev/null
+++ b/crates/flaxtide-platform/src/client.rs
@@ -0,0 +1,151 @@
+//! The platform's contracts over HTTP.
+
+use std::io::ErrorKind as IoKind;
+use std::time::Duration;
+
+use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response};
+use serde::de::DeserializeOwned;
+use serde_json::json;
+
+use crate::contract::{
+    CommitResult, InstanceList, ListedInstance, ObjectStore, TableRow, TableService,
+    TableTransaction,
+};
+use crate::error::PlatformError;
+
+/// A client of the platform's table service, object store and instance list.
+#[derive(Debug, Clone)]
+pub struct PlatformClient {
+    /// The address, such as `http://127.0.0.1:9000`.
+    address: String,
+    /// How long one call may take.
+    timeout: Duration,
+}
+
+impl PlatformClient {
+    /// Makes a client. Nothing is sent yet.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flaxtide_platform::{InstanceList, PlatformClient};
+    /// let client = PlatformClient::new("http://127.0.0.1:1", Duration::from_secs(1));
+    /// assert!(client.list().is_err());
+    /// ```
+    #[must_use]
+    pub fn new(address: &str, timeout: Duration) -> Self {
+        Self {
+            address: address.trim_end_matches('/').to_owned(),
+            timeout,
+        }
+    }
+
+    /// Prepares a request with the client's timeout.
+    fn prepare<B>(&self, builder: RequestBuilder<B>) -> RequestBuilder<B> {
+        builder
+            .connect_timeout(self.timeout)
+            .read_timeout(self.timeout)
+            .timeout(self.timeout)
+            .proxy_settings(ProxySettings::builder().build())
+            .follow_redirects(false)
+    }
+
+    /// Returns the address of a path.
+    fn url(&self, path: &str) -> String {
+        format!("{}{path}", self.address)
+    }
+
+    /// Reads a JSON answer.
+    fn get_json<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        params: &[(&str, &str)],
+    ) -> Result<T, PlatformError> {
+        let request = self.prepare(attohttpc::get(self.url(path)).params(params));
+        let response = check_status(request.send().map_err(|cause| fault(&cause))?)?;
+        response.json().map_err(|cause| fault(&cause))
+    }
+}
+
+impl TableService for PlatformClient {
+    fn commit(
+        &self,
+        transactions: &[TableTransaction],
+    ) -> Result<Vec<CommitResult>, PlatformError> {
+        let request = attohttpc::post(self.url("/table/transactions"));
+        let request = self
+            .prepare(request)
+            .json(&json!({ "transactions": transactions }))
+            .map_err(|cause| fault(&cause))?;
+        let response = check_status(request.send().map_err(|cause| fault(&cause))?)?;
+        response.json().map_err(|cause| fault(&cause))
+    }
+
+    fn read(&self, key: &str) -> Result<Option<TableRow>, PlatformError> {
+        self.get_json("/table/row", &[("key", key)])
+    }
+
+    fn scan(
+        &self,
+        prefix: &str,
+        after: &str,
+        limit: usize,
+    ) -> Result<Vec<TableRow>, PlatformError> {
+        let limit = limit.to_string();
+        let params = [("prefix", prefix), ("after", after), ("limit", &limit)];
+        self.get_json("/table/rows", &params)
+    }
+}
+
+impl ObjectStore for PlatformClient {
+    fn put(&self, key: &str, content: &[u8]) -> Result<(), PlatformError> {
+        let request = attohttpc::put(self.url("/objects")).param("key", key);
+        let request = self.prepare(request.bytes(content));
+        check_status(request.send().map_err(|cause| fault(&cause))?)?;
+        Ok(())
+    }
+
+    fn get(&self, key: &str) -> Result<Option<Vec<u8>>, PlatformError> {
+        let request = attohttpc::get(self.url("/objects")).param("key", key);
+        let response = self.prepare(request).send().map_err(|cause| fault(&cause))?;
+        if response.status().as_u16() == 404 {
+            return Ok(None);
+        }
+        let response = check_status(response)?;
+        response.bytes().map(Some).map_err(|cause| fault(&cause))
+    }
+}
+
+impl InstanceList for PlatformClient {
+    fn list(&self) -> Result<Vec<ListedInstance>, PlatformError> {
+        self.get_json("/instances", &[])
+    }
+}
+
+/// Sorts answers by whether anything was done. Only 429 and 503 promise that nothing was.
+fn check_status(response: Response) -> Result<Response, PlatformError> {
+    let status = response.status().as_u16();
+    match status {
+        200..=299 => Ok(response),
+        429 | 503 => {
+            Err(PlatformError::NotDone { message: format!("it answered {status}") })
+        }
+        400..=499 => {
+            let text = response.text().unwrap_or_default();
+            Err(PlatformError::BadAnswer { message: format!("{status}: {text}") })
+        }
+        _ => Err(PlatformError::NoAnswer { message: format!("it answered {status}") }),
+    }
+}
+
+/// Sorts faults by whether the request can have reached the platform. Only a refused
+/// connection can't.
+fn fault(cause: &attohttpc::Error) -> PlatformError {
+    let message = cause.to_string();
+    match cause.kind() {
+        ErrorKind::Io(error) if error.kind() == IoKind::ConnectionRefused => {
+            PlatformError::NotDone { message }
+        }
+        ErrorKind::Json(_) => PlatformError::BadAnswer { message },
+        _ => PlatformError::NoAnswer { message },
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/core/admit.rs
@@ -0,0 +1,247 @@
+//! Admission: whether a request that comes may wait.
+
+use std::time::Duration;
+
+use flaxtide_core::{FailureReason, PoolId, RequestId, TierRank};
+use rand::Rng;
+
+use super::DecisionCore;
+use super::record::{CallPlace, CallRecord};
+use crate::action::PolicyAction;
+use crate::event::CallArrival;
+use crate::limit::RateLimit;
+use crate::queue::QueueEntry;
+
+/// The soonest that a refused caller is asked to come back.
+const SHORTEST_RETRY: Duration = Duration::from_millis(100);
+
+/// The latest that a refused caller is asked to come back.
+const LONGEST_RETRY: Duration = Duration::from_secs(60);
+
+/// Returning callers are spread over this part of the time that they are told.
+const RETRY_SPREAD: f64 = 0.25;
+
+/// The service time of a request before any has been seen, in seconds.
+const FIRST_SPAN: f64 = 1.0;
+
+/// How many tokens of prompt cost as much as one of the answer.
+const PROMPT_TOKENS_PER_TOKEN: f64 = 16.0;
+
+impl DecisionCore {
+    /// Decides about a request that comes.
+    pub(super) fn arrive(&mut self, arrival: CallArrival, now: Duration) {
+        let request = arrival.request;
+        match self.admit(&arrival, now) {
+            Ok(()) => {}
+            Err((reason, retry_after)) => {
+                self.refuse(request, reason, retry_after);
+                return;
+            }
+        }
+        let pool = arrival.pool;
+        let (tier, class) = (self.tier_of(&arrival), arrival.class);
+        let organisation = arrival.organisation;
+        self.enqueue(arrival, now);
+        self.pump(pool, now);
+        if self.calls.get(&request).is_some_and(|call| call.running().is_none()) {
+            let state = &self.pools[&pool];
+            let ahead = state.queue.ahead(tier, class, organisation);
+            let place = ahead.map(|(_, count)| count).sum::<usize>().saturating_sub(1);
+            let wait = self.predicted_wait(pool, tier, class, organisation);
+            let predicted = Duration::from_secs_f64(wait);
+            self.actions.push(PolicyAction::Wait { request, place, predicted });
+        }
+    }
+
+    /// Tells whether a request may wait; if not, why, and when to come back.
+    fn admit(
+        &mut self,
+        arrival: &CallArrival,
+        now: Duration,
+    ) -> Result<(), (FailureReason, Duration)> {
+        let Some(rule) = self.class_rule(arrival.class) else {
+            return Err((FailureReason::UnknownTarget, SHORTEST_RETRY));
+        };
+        let tier = rule.tier;
+        let give_up = arrival.give_up.unwrap_or(rule.give_up);
+        self.refresh(arrival.pool, now);
+        self.check_servers(arrival.pool, give_up, now)?;
+        self.check_overload(arrival, tier, give_up)?;
+        self.check_limit(arrival, now)?;
+        self.check_space(arrival.pool, tier)
+    }
+
+    /// Checks that a server of the pool is in service, or will be soon enough.
+    fn check_servers(
+        &self,
+        pool: PoolId,
+        give_up: Duration,
+        now: Duration,
+    ) -> Result<(), (FailureReason, Duration)> {
+        let members = self.pools.get(&pool).map(|state| &state.servers.members);
+        let mut staying = members
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.servers.get(id))
+            .filter(|server| !server.leaving);
+        let soonest = now + give_up;
+        if staying.any(|server| server.in_service(soonest)) {
+            return Ok(());
+        }
+        Err((FailureReason::NoServer, Duration::from_secs(1)))
+    }
+
+    /// Checks that the request would be served in time.
+    fn check_overload(
+        &mut self,
+        arrival: &CallArrival,
+        tier: TierRank,
+        give_up: Duration,
+    ) -> Result<(), (FailureReason, Duration)> {
+        let (pool, class) = (arrival.pool, arrival.class);
+        let wait = self.predicted_wait(pool, tier, class, arrival.organisation);
+        let wait = wait * self.options.admission_trust;
+        let first_token = self.typical_first_token(pool);
+        let spare = give_up.as_secs_f64() - first_token;
+        if wait <= 0.0 || wait <= spare {
+            return Ok(());
+        }
+        Err((FailureReason::Overloaded, self.retry_after(wait - spare.max(0.0))))
+    }
+
+    /// Checks the organisation's limit.
+    fn check_limit(
+        &mut self,
+        arrival: &CallArrival,
+        now: Duration,
+    ) -> Result<(), (FailureReason, Duration)> {
+        let organisation = arrival.organisation;
+        let rule = self.rules.organisations.get(&organisation);
+        let Some(rate) = rule.and_then(|rule| rule.requests_per_second) else {
+            return Ok(());
+        };
+        let live = self.live;
+        let limit = self
+            .limits
+            .entry(organisation)
+            .or_insert_with(|| RateLimit::new(f64::from(rate) / f64::from(live), now));
+        limit.admit(rate, live, now).map_err(|wait| {
+            let retry_after = self.retry_after(wait.as_secs_f64());
+            (FailureReason::LimitReached, retry_after)
+        })
+    }
+
+    /// Checks that the queue has space, and makes some at the cost of a lower tier.
+    fn check_space(
+        &mut self,
+        pool: PoolId,
+        tier: TierRank,
+    ) -> Result<(), (FailureReason, Duration)> {
+        let Some(state) = self.pools.get(&pool) else { return Ok(()) };
+        if state.queue.len() < self.options.queue_limit {
+            return Ok(());
+        }
+        let drain = self.drain_span(pool);
+        let Some(evicted) = state.queue.lowest_below(tier) else {
+            return Err((FailureReason::QueueFull, self.retry_after(drain)));
+        };
+        let retry_after = self.retry_after(drain);
+        self.remove_waiting(evicted);
+        self.refuse(evicted, FailureReason::Evicted, retry_after);
+        Ok(())
+    }
+
+    /// Puts an admitted request in its queue.
+    fn enqueue(&mut self, arrival: CallArrival, now: Duration) {
+        let tier = self.tier_of(&arrival);
+        let Some(rule) = self.rules.classes.get(&arrival.class) else { return };
+        let first_token = arrival.first_token.unwrap_or(rule.first_token);
+        let give_up = arrival.give_up.unwrap_or(rule.give_up);
+        let work = self.estimates.length(arrival.class, arrival.organisation)
+            + f64::from(arrival.prompt_tokens) / PROMPT_TOKENS_PER_TOKEN;
+        let entry = QueueEntry {
+            request: arrival.request,
+            arrived: now,
+            urgency: now + first_token / rule.priority.max(1),
+            work,
+        };
+        let expiry = now + give_up;
+        self.expiries.insert((expiry, arrival.request));
+        let state = self.pools.entry(arrival.pool).or_default();
+        state
+            .queue
+            .push(tier, arrival.class, arrival.organisation, entry, now);
+        let call = CallRecord {
+            arrival,
+            tier,
+            arrived: now,
+            expiry,
+            place: CallPlace::Queued,
+            attempts: 0,
+            excluded: vec![],
+            may_have_run: false,
+        };
+        self.calls.insert(call.arrival.request, call);
+    }
+
+    /// Predicts how long a request that comes now would wait, in seconds, with the work
+    /// of all lower tiers taken away.
+    pub(super) fn predicted_wait(
+        &self,
+        pool: PoolId,
+        tier: TierRank,
+        class: flaxtide_core::ClassId,
+        organisation: flaxtide_core::OrganisationId,
+    ) -> f64 {
+        let Some(state) = self.pools.get(&pool) else { return 0.0 };
+        let capacity = f64::from(state.capacity.max(1));
+        let free = capacity - f64::from(state.running_up_to(tier));
+        let mut ahead = 0.0;
+        let mut work = 0.0;
+        for (other, count) in state.queue.ahead(tier, class, organisation) {
+            ahead += count as f64;
+            work += count as f64 * self.span_of(other);
+        }
+        let span = if ahead > 0.0 { work / ahead } else { self.span_of(class) };
+        (ahead + 1.0 - free).max(0.0) * span / capacity
+    }
+
+    /// Returns the expected service time of a class, in seconds.
+    fn span_of(&self, class: flaxtide_core::ClassId) -> f64 {
+        self.estimates.span(class).unwrap_or(FIRST_SPAN)
+    }
+
+    /// Returns how long a whole queue takes to drain, in seconds.
+    pub(super) fn drain_span(&self, pool: PoolId) -> f64 {
+        let Some(state) = self.pools.get(&pool) else { return 1.0 };
+        let all = state.queue.ahead(TierRank::MAX, u16::MAX, u16::MAX);
+        let work: f64 =
+            all.map(|(class, count)| count as f64 * self.span_of(class)).sum();
+        work / f64::from(state.capacity.max(1))
+    }
+
+    /// Turns a time after which there will be room into what the caller is told: bounded,
+    /// and spread so that those refused together don't come back together.
+    pub(super) fn retry_after(&mut self, seconds: f64) -> Duration {
+        let spread = 1.0 + RETRY_SPREAD * self.random.random::<f64>();
+        let span = Duration::from_secs_f64((seconds * spread).clamp(0.0, 3600.0));
+        let span = span.clamp(SHORTEST_RETRY, LONGEST_RETRY);
+        Duration::from_millis(span.as_millis() as u64)
+    }
+
+    /// Refuses a request that no server has seen.
+    pub(super) fn refuse(
+        &mut self,
+        request: RequestId,
+        reason: FailureReason,
+        retry_after: Duration,
+    ) {
+        self.actions
+            .push(PolicyAction::Refuse { request, reason, retry_after });
+    }
+
+    /// Returns the tier of a request's class.
+    fn tier_of(&self, arrival: &CallArrival) -> TierRank {
+        self.class_rule(arrival.class).map_or(TierRank::MAX, |rule| rule.tier)
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/core/dispatch.rs
@@ -0,0 +1,227 @@
+//! Dispatch: which waiting request goes to which server.
+
+use std::time::Duration;
+
+use flaxtide_core::{ClassId, FailureReason, PoolId, RequestId, TierRank};
+
+use super::DecisionCore;
+use super::record::{CallPlace, RunningCall};
+use crate::action::{PolicyAction, ServerChoice};
+use crate::choice::{ChoiceQuery, choose_server};
+use crate::queue::QueueHead;
+
+/// The tier whose slots and priority a starved class's turn gets.
+const TOP_TIER: TierRank = 0;
+
+impl DecisionCore {
+    /// Dispatches from every pool while there are slots.
+    pub(super) fn pump_all(&mut self, now: Duration) {
+        let pools: Vec<PoolId> = self.pools.keys().copied().collect();
+        for pool in pools {
+            self.pump(pool, now);
+        }
+    }
+
+    /// Dispatches from a pool while there are slots.
+    pub(super) fn pump(&mut self, pool: PoolId, now: Duration) {
+        self.refresh(pool, now);
+        self.pump_retries(pool, now);
+        while self.pump_starved(pool, now) || self.pump_next(pool, now) {}
+    }
+
+    /// Dispatches what failed at one server to another.
+    fn pump_retries(&mut self, pool: PoolId, now: Duration) {
+        let Some(state) = self.pools.get_mut(&pool) else { return };
+        if state.retries.is_empty() {
+            return;
+        }
+        let waiting = std::mem::take(&mut state.retries);
+        let mut left = vec![];
+        for request in waiting {
+            let Some(call) = self.calls.get(&request) else { continue };
+            let tier = call.tier;
+            match self.choose(pool, request, tier, now) {
+                Some(choice) => self.dispatch(request, choice, tier, now),
+                None => left.push(request),
+            }
+        }
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.retries = left;
+        }
+    }
+
+    /// Gives a turn to a class past its starvation bound, if one is due: at most one in
+    /// so many turns. For this turn the class counts as of the top tier.
+    fn pump_starved(&mut self, pool: PoolId, now: Duration) -> bool {
+        let Some(state) = self.pools.get(&pool) else { return false };
+        if state.turns < self.options.starvation_turns {
+            return false;
+        }
+        let bound = |class| {
+            let rule = self.rules.classes.get(&class);
+            rule.map_or(Duration::MAX, |rule| rule.starvation_bound)
+        };
+        let Some(head) = state.queue.starved(now, bound) else { return false };
+        if !self.pump_head(pool, &head, TOP_TIER, now) {
+            return false;
+        }
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.turns = 0;
+        }
+        true
+    }
+
+    /// Gives the next turn in order.
+    fn pump_next(&mut self, pool: PoolId, now: Duration) -> bool {
+        let Some(state) = self.pools.get(&pool) else { return false };
+        let Some(head) = state.queue.next() else { return false };
+        if self.would_miss(pool, &head, now) {
+            self.remove_waiting(head.entry.request);
+            self.refuse_late(head.entry.request, pool);
+            return true;
+        }
+        self.pump_head(pool, &head, head.tier, now)
+    }
+
+    /// Dispatches the head of a queue, if a server has a slot for it.
+    fn pump_head(
+        &mut self,
+        pool: PoolId,
+        head: &QueueHead,
+        tier: TierRank,
+        now: Duration,
+    ) -> bool {
+        let request = head.entry.request;
+        let Some(choice) = self.choose(pool, request, tier, now) else { return false };
+        let organisation = self.rules.organisations.get(&head.organisation);
+        let weight = organisation.map_or(1, |rule| rule.priority);
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.queue.pop(head, weight, now);
+            state.turns = state.turns.saturating_add(1);
+        }
+        self.dispatch(request, choice, tier, now);
+        true
+    }
+
+    /// Tells whether a request that has waited would be answered too late to be of use.
+    fn would_miss(&self, pool: PoolId, head: &QueueHead, now: Duration) -> bool {
+        if now == head.entry.arrived {
+            return false;
+        }
+        let Some(call) = self.calls.get(&head.entry.request) else { return false };
+        let first_token = Duration::from_secs_f64(self.typical_first_token(pool));
+        now + first_token > call.expiry
+    }
+
+    /// Chooses a server for a request.
+    fn choose(
+        &mut self,
+        pool: PoolId,
+        request: RequestId,
+        tier: TierRank,
+        now: Duration,
+    ) -> Option<ServerChoice> {
+        let call = self.calls.get(&request)?;
+        let state = self.pools.get(&pool)?;
+        let query = ChoiceQuery {
+            tier,
+            excluded: &call.excluded,
+            prefix: call.arrival.prefix,
+            now,
+        };
+        let (servers, options) = (&self.servers, &self.options);
+        choose_server(&query, &state.servers, servers, options, &mut self.random)
+    }
+
+    /// Sends a request to a server.
+    fn dispatch(
+        &mut self,
+        request: RequestId,
+        choice: ServerChoice,
+        tier: TierRank,
+        now: Duration,
+    ) {
+        let Some(call) = self.calls.get_mut(&request) else { return };
+        self.expiries.remove(&(call.expiry, request));
+        let since = now;
+        let server = choice.server;
+        call.place =
+            CallPlace::Running(RunningCall { server, tier, since, first_token: None });
+        call.attempts += 1;
+        let attempt = call.attempts;
+        let may_move = call.arrival.repeatable && attempt < self.options.attempt_limit;
+        let (pool, class) = (call.arrival.pool, call.arrival.class);
+        if let Some(server) = self.servers.get_mut(&server) {
+            server.start(tier, now);
+        }
+        if let Some(state) = self.pools.get_mut(&pool) {
+            *state.running.entry(tier).or_default() += 1;
+        }
+        let patience = may_move.then(|| self.patience(pool, class, tier)).flatten();
+        let priority = tier;
+        self.actions.push(PolicyAction::Dispatch {
+            request,
+            choice,
+            priority,
+            patience,
+            attempt,
+        });
+    }
+
+    /// Returns how long a server may be silent before the request goes elsewhere, once it
+    /// is known what is usual.
+    fn patience(&self, pool: PoolId, class: ClassId, tier: TierRank) -> Option<Duration> {
+        let usual = self.pools.get(&pool)?.first_token.get()?;
+        let patience = Duration::from_secs_f64(usual * self.options.patience_factor);
+        let patience = patience.max(self.options.patience_floor);
+        if tier == TOP_TIER {
+            return Some(patience);
+        }
+        // A lower tier's request may be silent while higher tiers preempt it.
+        let bound = self.class_rule(class)?.starvation_bound;
+        Some(patience.max(bound))
+    }
+
+    /// Gives up every waiting request whose time is over.
+    pub(super) fn expire(&mut self, now: Duration) {
+        while let Some((expiry, request)) = self.expiries.first().copied() {
+            if expiry > now {
+                return;
+            }
+            let Some(call) = self.calls.get(&request) else {
+                self.expiries.remove(&(expiry, request));
+                continue;
+            };
+            let (pool, may_have_run) = (call.arrival.pool, call.may_have_run);
+            self.remove_waiting(request);
+            if may_have_run {
+                let retry_after = self.backlog_retry(pool);
+                self.actions.push(PolicyAction::GiveUp { request, retry_after });
+            } else {
+                self.refuse_late(request, pool);
+            }
+        }
+    }
+
+    /// Refuses a request that waited too long.
+    fn refuse_late(&mut self, request: RequestId, pool: PoolId) {
+        let retry_after = self.backlog_retry(pool);
+        self.refuse(request, FailureReason::DeadlinePassed, retry_after);
+    }
+
+    /// Takes a waiting request out of its queue and forgets it.
+    pub(super) fn remove_waiting(&mut self, request: RequestId) {
+        let Some(call) = self.calls.remove(&request) else { return };
+        self.expiries.remove(&(call.expiry, request));
+        let Some(state) = self.pools.get_mut(&call.arrival.pool) else { return };
+        match call.place {
+            CallPlace::Queued => {
+                let (class, organisation) =
+                    (call.arrival.class, call.arrival.organisation);
+                state.queue.remove(call.tier, class, organisation, request);
+            }
+            CallPlace::Retrying => state.retries.retain(|other| *other != request),
+            CallPlace::Running(_) => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/core/mod.rs
@@ -0,0 +1,225 @@
+//! The decision core: events and the time go in, actions come out.
+
+mod admit;
+mod dispatch;
+mod outcome;
+mod pool;
+mod record;
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use flaxtide_core::{ClassId, OrganisationId, PoolId, RequestId, ServerId, TierRank};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::pool::PoolState;
+use self::record::CallRecord;
+use crate::action::PolicyAction;
+use crate::budget::RetryBudget;
+use crate::estimate::WorkEstimates;
+use crate::event::PolicyEvent;
+use crate::limit::RateLimit;
+use crate::options::PolicyOptions;
+use crate::rule::{ClassRule, RuleSet};
+use crate::server::BackendServer;
+
+/// Decides about every request of one entry instance.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_policy::{DecisionCore, PolicyEvent, PolicyOptions};
+/// let mut core = DecisionCore::new(PolicyOptions::default(), 1);
+/// assert!(core.handle(PolicyEvent::Tick, Duration::ZERO).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct DecisionCore {
+    /// The tunable constants.
+    options: PolicyOptions,
+    /// The rules in force.
+    rules: RuleSet,
+    /// The backend servers.
+    servers: BTreeMap<ServerId, BackendServer>,
+    /// The pools with their queues.
+    pools: BTreeMap<PoolId, PoolState>,
+    /// The requests that have neither been answered nor given up.
+    calls: HashMap<RequestId, CallRecord>,
+    /// When each waiting request is given up.
+    expiries: BTreeSet<(Duration, RequestId)>,
+    /// The limits of organisations.
+    limits: HashMap<OrganisationId, RateLimit>,
+    /// Estimates of answer lengths and service times.
+    estimates: WorkEstimates,
+    /// What may be spent on retries.
+    budget: RetryBudget,
+    /// The source of randomness.
+    random: ChaCha8Rng,
+    /// How many instances of the data centre are alive, this one included.
+    live: u32,
+    /// What has been decided in the current event.
+    actions: Vec<PolicyAction>,
+}
+
+/// What a pool looks like from outside.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct PoolSummary {
+    /// Waiting requests by tier.
+    pub waiting: BTreeMap<TierRank, usize>,
+    /// This instance's requests at servers, by tier.
+    pub running: BTreeMap<TierRank, u32>,
+    /// This instance's share of the pool's slots.
+    pub capacity: u32,
+}
+
+impl DecisionCore {
+    /// Starts a core without any rules.
+    #[must_use]
+    pub fn new(options: PolicyOptions, seed: u64) -> Self {
+        let budget = RetryBudget::new(options.retry_ratio, options.retry_burst);
+        Self {
+            options,
+            rules: RuleSet::default(),
+            servers: BTreeMap::new(),
+            pools: BTreeMap::new(),
+            calls: HashMap::new(),
+            expiries: BTreeSet::new(),
+            limits: HashMap::new(),
+            estimates: WorkEstimates::default(),
+            budget,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            live: 1,
+            actions: vec![],
+        }
+    }
+
+    /// Takes in what happened at `now` and returns what is to be done, in order.
+    pub fn handle(&mut self, event: PolicyEvent, now: Duration) -> Vec<PolicyAction> {
+        self.expire(now);
+        match event {
+            PolicyEvent::Rules(rules) => self.set_rules(rules, now),
+            PolicyEvent::Arrive(arrival) => self.arrive(arrival, now),
+            PolicyEvent::FirstToken { request } => self.first_token(request, now),
+            PolicyEvent::Progress { request, tokens, span } => {
+                self.progress(request, tokens, span);
+            }
+            PolicyEvent::Finish { request, tokens } => self.finish(request, tokens, now),
+            PolicyEvent::Fail { request, fault, passed_on } => {
+                self.fail(request, fault, passed_on, now);
+            }
+            PolicyEvent::Abandon { request } | PolicyEvent::Leave { request } => {
+                self.drop_call(request, now);
+            }
+            PolicyEvent::Report(report) => {
+                if let Some(server) = self.servers.get_mut(&report.server) {
+                    server.report(report);
+                }
+            }
+            PolicyEvent::Leaving { server, leaving } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.leaving = leaving;
+                }
+                self.refresh_all(now);
+                self.pump_all(now);
+            }
+            PolicyEvent::Share { server, slots, until } => {
+                if let Some(server) = self.servers.get_mut(&server) {
+                    server.set_share(slots, until);
+                }
+            }
+            PolicyEvent::Peers { live } => self.set_live(live, now),
+            PolicyEvent::RateShare { organisation, part, until } => {
+                self.set_rate_part(organisation, part, until, now);
+            }
+            PolicyEvent::Tick => {
+                self.refresh_all(now);
+                self.pump_all(now);
+            }
+        }
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Returns when [`PolicyEvent::Tick`] is next needed, if any request waits.
+    #[must_use]
+    pub fn next_expiry(&self) -> Option<Duration> {
+        self.expiries.first().map(|(at, _)| *at)
+    }
+
+    /// Returns how each pool stands.
+    #[must_use]
+    pub fn summary(&self) -> BTreeMap<PoolId, PoolSummary> {
+        self.pools
+            .iter()
+            .map(|(pool, state)| (*pool, state.summary()))
+            .collect()
+    }
+
+    /// Returns this instance's share of each server's slots, and how many it uses.
+    #[must_use]
+    pub fn slots(&self, now: Duration) -> BTreeMap<ServerId, (u32, u32)> {
+        let entry = |server: &BackendServer| (server.share(now), server.running());
+        self.servers.iter().map(|(id, server)| (*id, entry(server))).collect()
+    }
+
+    /// Returns how many requests are waiting or at servers.
+    #[must_use]
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Puts new rules in force. Requests keep what was in force when they came.
+    fn set_rules(&mut self, rules: RuleSet, now: Duration) {
+        self.servers.retain(|id, _| rules.servers.contains_key(id));
+        for (id, rule) in &rules.servers {
+            let server = self
+                .servers
+                .entry(*id)
+                .or_insert_with(|| BackendServer::new(*id, rule));
+            server.pools.clone_from(&rule.pools);
+            server.slots = rule.slots;
+        }
+        for state in self.pools.values_mut() {
+            state.servers.members.clear();
+        }
+        for (id, server) in &self.servers {
+            for pool in &server.pools {
+                self.pools.entry(*pool).or_default().servers.members.push(*id);
+            }
+        }
+        self.rules = rules;
+        self.set_live(self.live, now);
+    }
+
+    /// Sets how many instances are alive, and so the shares that hold without news.
+    fn set_live(&mut self, live: u32, now: Duration) {
+        self.live = live.max(1);
+        for server in self.servers.values_mut() {
+            // Rounded up: a slot too many is a short wait at the engine, a slot too few
+            // on every instance is capacity that nobody uses.
+            server.fallback = server.slots.div_ceil(self.live);
+        }
+        self.refresh_all(now);
+        self.pump_all(now);
+    }
+
+    /// Sets this instance's part of an organisation's rate.
+    fn set_rate_part(
+        &mut self,
+        organisation: OrganisationId,
+        part: f64,
+        until: Duration,
+        now: Duration,
+    ) {
+        let Some(rule) = self.rules.organisations.get(&organisation) else { return };
+        let Some(rate) = rule.requests_per_second else { return };
+        let limit = self
+            .limits
+            .entry(organisation)
+            .or_insert_with(|| RateLimit::new(f64::from(rate) * part, now));
+        limit.set_part(part, until);
+    }
+
+    /// Returns a class's rule, if it has one.
+    fn class_rule(&self, class: ClassId) -> Option<&ClassRule> {
+        self.rules.classes.get(&class)
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -0,0 +1,126 @@
+//! The state of one pool.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flaxtide_core::{RequestId, ServerId, TierRank};
+
+use super::{DecisionCore, PoolSummary};
+use crate::choice::ServerPool;
+use crate::estimate::DecayedMean;
+use crate::options::PolicyOptions;
+use crate::queue::PoolQueue;
+use crate::server::BackendServer;
+
+/// How often what is typical of a pool is worked out.
+const REFRESH_PERIOD: Duration = Duration::from_millis(100);
+
+/// A pool of servers with its queue.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PoolState {
+    /// The servers.
+    pub(crate) servers: ServerPool,
+    /// The waiting requests.
+    pub(crate) queue: PoolQueue,
+    /// The requests that wait to be tried at another server.
+    pub(crate) retries: Vec<RequestId>,
+    /// Seconds from dispatch to the first token.
+    pub(crate) first_token: DecayedMean,
+    /// This instance's share of the slots of the servers in service.
+    pub(crate) capacity: u32,
+    /// This instance's requests at servers, by tier.
+    pub(crate) running: BTreeMap<TierRank, u32>,
+    /// How many turns there have been since a starved class had one.
+    pub(crate) turns: u32,
+    /// When what is typical was last worked out.
+    refreshed: Option<Duration>,
+}
+
+impl PoolState {
+    /// Returns how the pool stands.
+    pub(crate) fn summary(&self) -> PoolSummary {
+        PoolSummary {
+            waiting: self.queue.by_tier(),
+            running: self.running.clone(),
+            capacity: self.capacity,
+        }
+    }
+
+    /// Returns this instance's requests of the tier and above at servers.
+    pub(crate) fn running_up_to(&self, tier: TierRank) -> u32 {
+        self.running.range(..=tier).map(|(_, count)| count).sum()
+    }
+
+    /// Works out what is typical of the pool's servers, and which are on probation.
+    fn refresh(
+        &mut self,
+        servers: &mut BTreeMap<ServerId, BackendServer>,
+        options: &PolicyOptions,
+        now: Duration,
+    ) {
+        self.refreshed = Some(now);
+        let mut paces = vec![];
+        let mut loads = vec![];
+        self.capacity = 0;
+        for id in &self.servers.members {
+            let Some(server) = servers.get(id) else { continue };
+            if !server.in_service(now) {
+                continue;
+            }
+            paces.extend(server.pace().map(|pace| (pace, *id)));
+            loads.extend(server.reported_load());
+            if !server.probation {
+                self.capacity += server.share(now);
+            }
+        }
+        self.servers.typical_load = match loads.len() {
+            0 => 0.0,
+            count => loads.iter().sum::<f64>() / count as f64,
+        };
+        paces.sort_by(|one, other| one.0.total_cmp(&other.0));
+        self.servers.typical_pace = paces.get(paces.len() / 2).map_or(0.0, |pace| pace.0);
+        self.set_probation(servers, options, &paces);
+    }
+
+    /// Puts the slowest servers on probation, but not too many.
+    fn set_probation(
+        &self,
+        servers: &mut BTreeMap<ServerId, BackendServer>,
+        options: &PolicyOptions,
+        paces: &[(f64, ServerId)],
+    ) {
+        let limit = self.servers.typical_pace * options.probation_factor;
+        let most = (self.servers.members.len() as f64 * options.probation_part) as usize;
+        for (rank, (pace, id)) in paces.iter().rev().enumerate() {
+            if let Some(server) = servers.get_mut(id) {
+                server.probation = rank < most && *pace > limit;
+            }
+        }
+    }
+}
+
+impl DecisionCore {
+    /// Works out what is typical of a pool, unless that was done a moment ago.
+    pub(super) fn refresh(&mut self, pool: flaxtide_core::PoolId, now: Duration) {
+        let Some(state) = self.pools.get_mut(&pool) else { return };
+        if state.refreshed.is_some_and(|at| now < at + REFRESH_PERIOD) {
+            return;
+        }
+        state.refresh(&mut self.servers, &self.options, now);
+    }
+
+    /// Works out at once what is typical of every pool.
+    pub(super) fn refresh_all(&mut self, now: Duration) {
+        for state in self.pools.values_mut() {
+            state.refresh(&mut self.servers, &self.options, now);
+        }
+    }
+
+    /// Returns the servers' typical time to a first token in a pool, in seconds.
+    pub(super) fn typical_first_token(&self, pool: flaxtide_core::PoolId) -> f64 {
+        self.pools
+            .get(&pool)
+            .and_then(|state| state.first_token.get())
+            .unwrap_or(0.0)
+    }
+}
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -1,1 +1,34 @@
-//! Placeholder.
+//! The routing decisions of flaxtide, without any input or output.
+//!
+//! A [`DecisionCore`] is fed [`PolicyEvent`]s with the time at which they happened and
+//! returns [`PolicyAction`]s. It starts no thread, opens no socket, reads no clock and
+//! draws from no global random source: the same events and seed give the same actions.
+//!
+//! Beside it stand the pure parts of what instances do together: [`divide_slots`] and
+//! [`rendezvous_order`], and the [`ClaimAttempt`] that lets a request run at most once.
+
+mod action;
+mod budget;
+mod choice;
+mod claim;
+mod core;
+mod estimate;
+mod event;
+mod limit;
+mod options;
+mod queue;
+mod rendezvous;
+mod rule;
+mod server;
+mod share;
+
+pub use self::action::{ChoiceRule, PolicyAction, ServerChoice};
+pub use self::claim::{
+    ClaimAttempt, ClaimRow, ClaimSettlement, ClaimStep, RowPhase, TableReply,
+};
+pub use self::core::{DecisionCore, PoolSummary};
+pub use self::event::{CallArrival, LoadReport, PolicyEvent, ServerFault};
+pub use self::options::PolicyOptions;
+pub use self::rendezvous::{rendezvous_order, rendezvous_owner};
+pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
+pub use self::share::{SlotDemand, divide_slots, equal_share};
--- /dev/null
+++ b/crates/flaxtide-policy/src/limit.rs
@@ -0,0 +1,60 @@
+//! Limits of organisations, held across instances.
+
+use std::time::Duration;
+
+/// How much of its rate an organisation may use at once after a pause.
+const BURST: Duration = Duration::from_secs(1);
+
+/// A token bucket for one organisation at one instance.
+#[derive(Debug, Clone)]
+pub(crate) struct RateLimit {
+    /// How many requests may start now.
+    saved: f64,
+    /// When `saved` was worked out.
+    at: Duration,
+    /// This instance's part of the rate, and until when it holds.
+    part: Option<(f64, Duration)>,
+}
+
+impl RateLimit {
+    /// Starts a limit with a full bucket for the given rate a second.
+    pub(crate) fn new(rate: f64, now: Duration) -> Self {
+        Self {
+            saved: (rate * BURST.as_secs_f64()).max(1.0),
+            at: now,
+            part: None,
+        }
+    }
+
+    /// Sets this instance's part of the rate.
+    pub(crate) fn set_part(&mut self, part: f64, until: Duration) {
+        self.part = Some((part, until));
+    }
+
+    /// Lets a request through, or says after how long one will be.
+    ///
+    /// `rate` is for all instances; without an unexpired part, each of `live` instances
+    /// takes an equal one.
+    pub(crate) fn admit(
+        &mut self,
+        rate: u32,
+        live: u32,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        let part = match self.part {
+            Some((part, until)) if now < until => part,
+            _ => 1.0 / f64::from(live.max(1)),
+        };
+        let rate = f64::from(rate) * part;
+        let elapsed = now.saturating_sub(self.at).as_secs_f64();
+        let burst = (rate * BURST.as_secs_f64()).max(1.0);
+        self.saved = (self.saved + rate * elapsed).min(burst);
+        self.at = now;
+        if self.saved >= 1.0 {
+            self.saved -= 1.0;
+            return Ok(());
+        }
+        let wait = (1.0 - self.saved) / rate.max(1e-3);
+        Err(Duration::from_secs_f64(wait.min(60.0)))
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/queue.rs
@@ -0,0 +1,245 @@
+//! The queue of one pool: tiers, then classes, then organisations.
+//!
+//! Across tiers the order is strict, but for starvation turns. Within a tier the class
+//! whose head is most urgent goes first. Within a class, organisations share by start-time
+//! fair queueing (Goyal, Vin and Cheng, 1996) over expected tokens; within an
+//! organisation, first in first out.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use flaxtide_core::{ClassId, OrganisationId, RequestId, TierRank};
+
+/// Tokens are counted in this many parts in virtual time, so that it can be an integer.
+const VIRTUAL_SCALE: f64 = 1024.0;
+
+/// A waiting request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct QueueEntry {
+    /// The request.
+    pub(crate) request: RequestId,
+    /// When it arrived.
+    pub(crate) arrived: Duration,
+    /// When it is more urgent than others; see [`PoolQueue::next`].
+    pub(crate) urgency: Duration,
+    /// Its expected work, in tokens.
+    pub(crate) work: f64,
+}
+
+/// The waiting requests of one pool.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct PoolQueue {
+    /// The classes with their waiting requests.
+    lanes: BTreeMap<(TierRank, ClassId), ClassLane>,
+    /// How many requests wait.
+    len: usize,
+}
+
+/// The waiting requests of one class.
+#[derive(Debug, Clone, Default)]
+struct ClassLane {
+    /// The organisations with waiting requests, by the virtual time of their turn.
+    turns: BTreeSet<(u64, OrganisationId)>,
+    /// The waiting requests of each organisation, and its virtual time.
+    flows: BTreeMap<OrganisationId, Flow>,
+    /// The virtual time of the last turn.
+    virtual_time: u64,
+    /// How many requests wait.
+    len: usize,
+    /// When the class last had a turn, or its first request since came.
+    last_turn: Duration,
+}
+
+/// The waiting requests of one organisation in one class.
+#[derive(Debug, Clone, Default)]
+struct Flow {
+    /// The requests, oldest first.
+    entries: VecDeque<QueueEntry>,
+    /// The virtual time at which it may have its next turn.
+    start: u64,
+}
+
+/// The place of the next request in a queue.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct QueueHead {
+    /// The tier.
+    pub(crate) tier: TierRank,
+    /// The class.
+    pub(crate) class: ClassId,
+    /// The organisation.
+    pub(crate) organisation: OrganisationId,
+    /// The request.
+    pub(crate) entry: QueueEntry,
+}
+
+impl PoolQueue {
+    /// Returns how many requests wait.
+    pub(crate) fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Adds a request.
+    pub(crate) fn push(
+        &mut self,
+        tier: TierRank,
+        class: ClassId,
+        organisation: OrganisationId,
+        entry: QueueEntry,
+        now: Duration,
+    ) {
+        let lane = self.lanes.entry((tier, class)).or_default();
+        if lane.len == 0 {
+            lane.last_turn = now;
+        }
+        lane.len += 1;
+        self.len += 1;
+        let flow = lane.flows.entry(organisation).or_default();
+        if flow.entries.is_empty() {
+            flow.start = flow.start.max(lane.virtual_time);
+            lane.turns.insert((flow.start, organisation));
+        }
+        flow.entries.push_back(entry);
+    }
+
+    /// Returns the next request in order: of the highest tier that has any, that of the
+    /// class whose head is most urgent.
+    pub(crate) fn next(&self) -> Option<QueueHead> {
+        let mut best: Option<QueueHead> = None;
+        for (&(tier, class), lane) in &self.lanes {
+            if best.is_some_and(|best| best.tier < tier) {
+                break;
+            }
+            let Some(head) = lane.head(tier, class) else { continue };
+            if best.is_none_or(|best| head.entry.urgency < best.entry.urgency) {
+                best = Some(head);
+            }
+        }
+        best
+    }
+
+    /// Returns the head of the class that has gone longest over its starvation bound,
+    /// among classes below the highest tier that has waiting requests.
+    pub(crate) fn starved(
+        &self,
+        now: Duration,
+        bound: impl Fn(ClassId) -> Duration,
+    ) -> Option<QueueHead> {
+        let top = self.next()?.tier;
+        let late = |class: ClassId, lane: &ClassLane| {
+            now.saturating_sub(lane.last_turn).checked_sub(bound(class))
+        };
+        let lanes = self.lanes.iter().filter(|((tier, _), _)| *tier > top);
+        let (&(tier, class), lane) = lanes
+            .filter(|((_, class), lane)| lane.len > 0 && late(*class, lane).is_some())
+            .max_by_key(|((_, class), lane)| late(*class, lane))?;
+        lane.head(tier, class)
+    }
+
+    /// Takes out a head that [`next`](Self::next) or [`starved`](Self::starved) returned,
+    /// and charges its organisation by `weight`.
+    pub(crate) fn pop(&mut self, head: &QueueHead, weight: u32, now: Duration) {
+        let Some(lane) = self.lanes.get_mut(&(head.tier, head.class)) else { return };
+        let Some(flow) = lane.flows.get_mut(&head.organisation) else { return };
+        lane.turns.remove(&(flow.start, head.organisation));
+        lane.virtual_time = lane.virtual_time.max(flow.start);
+        flow.entries.pop_front();
+        flow.start += (head.entry.work * VIRTUAL_SCALE) as u64 / u64::from(weight.max(1));
+        if !flow.entries.is_empty() {
+            lane.turns.insert((flow.start, head.organisation));
+        }
+        lane.len -= 1;
+        lane.last_turn = now;
+        self.len -= 1;
+        lane.forget_idle();
+    }
+
+    /// Takes out a request that isn't to be served, wherever it stands.
+    pub(crate) fn remove(
+        &mut self,
+        tier: TierRank,
+        class: ClassId,
+        organisation: OrganisationId,
+        request: RequestId,
+    ) -> bool {
+        let Some(lane) = self.lanes.get_mut(&(tier, class)) else { return false };
+        let Some(flow) = lane.flows.get_mut(&organisation) else { return false };
+        let Some(place) = flow.entries.iter().position(|entry| entry.request == request)
+        else {
+            return false;
+        };
+        flow.entries.remove(place);
+        if flow.entries.is_empty() {
+            lane.turns.remove(&(flow.start, organisation));
+        }
+        lane.len -= 1;
+        self.len -= 1;
+        true
+    }
+
+    /// Returns the youngest request of the lowest tier below `tier`.
+    pub(crate) fn lowest_below(&self, tier: TierRank) -> Option<RequestId> {
+        let lowest = self
+            .lanes
+            .iter()
+            .filter(|((rank, _), lane)| *rank > tier && lane.len > 0)
+            .map(|((rank, _), _)| *rank)
+            .max()?;
+        let lanes = self.lanes.iter().filter(|((rank, _), _)| *rank == lowest);
+        let flows = lanes.flat_map(|(_, lane)| lane.flows.values());
+        let youngest = flows.filter_map(|flow| flow.entries.back());
+        youngest
+            .max_by_key(|entry| (entry.arrived, entry.request))
+            .map(|entry| entry.request)
+    }
+
+    /// Returns how many requests of each class are to be served before one of the given
+    /// class and organisation that comes now.
+    pub(crate) fn ahead(
+        &self,
+        tier: TierRank,
+        class: ClassId,
+        organisation: OrganisationId,
+    ) -> impl Iterator<Item = (ClassId, usize)> + '_ {
+        let lanes = self.lanes.range(..=(tier, ClassId::MAX));
+        lanes
+            .filter(|(_, lane)| lane.len > 0)
+            .map(move |(&(_, other), lane)| {
+                if other != class {
+                    return (other, lane.len);
+                }
+                // Organisations take turns, so a short flow isn't held up by a long one.
+                let own =
+                    lane.flows.get(&organisation).map_or(0, |flow| flow.entries.len());
+                (other, lane.len.min((own + 1) * lane.turns.len()))
+            })
+    }
+
+    /// Returns how many requests wait in each tier.
+    pub(crate) fn by_tier(&self) -> BTreeMap<TierRank, usize> {
+        let mut counts = BTreeMap::new();
+        for ((tier, _), lane) in &self.lanes {
+            *counts.entry(*tier).or_default() += lane.len;
+        }
+        counts
+    }
+}
+
+impl ClassLane {
+    /// Returns the next request of the class.
+    fn head(&self, tier: TierRank, class: ClassId) -> Option<QueueHead> {
+        let (_, organisation) = *self.turns.first()?;
+        let entry = *self.flows.get(&organisation)?.entries.front()?;
+        Some(QueueHead { tier, class, organisation, entry })
+    }
+
+    /// Drops flows that have nothing waiting and owe nothing, once there are many.
+    fn forget_idle(&mut self) {
+        const MANY: usize = 64;
+        if self.flows.len() <= MANY.max(2 * self.turns.len()) {
+            return;
+        }
+        let time = self.virtual_time;
+        self.flows
+            .retain(|_, flow| !flow.entries.is_empty() || flow.start > time);
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/server.rs
@@ -0,0 +1,175 @@
+//! What the decision core knows of one backend server.
+
+use std::time::Duration;
+
+use flaxtide_core::{PoolId, ServerId, TierRank};
+
+use crate::estimate::DecayedMean;
+use crate::event::LoadReport;
+use crate::rule::ServerRule;
+
+/// A backend server, as seen from one instance.
+#[derive(Debug, Clone)]
+pub(crate) struct BackendServer {
+    /// The server.
+    pub(crate) server: ServerId,
+    /// The pools that it serves.
+    pub(crate) pools: Vec<PoolId>,
+    /// How many requests it works on at once, for all instances together.
+    pub(crate) slots: u32,
+    /// This instance's share of the slots, and until when it holds.
+    share: Option<(u32, Duration)>,
+    /// The share when none holds.
+    pub(crate) fallback: u32,
+    /// Requests of this instance at the server, by tier.
+    running: [u32; TIERS],
+    /// When each of this instance's dispatches since the last report was made.
+    recent: Vec<Duration>,
+    /// The last load report.
+    report: Option<LoadReport>,
+    /// Seconds for each token, as this instance sees it.
+    pace: DecayedMean,
+    /// Whether the server is leaving.
+    pub(crate) leaving: bool,
+    /// Until when it gets no work after a failure.
+    paused_until: Duration,
+    /// Whether it is much slower than its pool.
+    pub(crate) probation: bool,
+}
+
+/// The most tiers that are told apart; lower ones count as the last.
+const TIERS: usize = 8;
+
+impl BackendServer {
+    /// Starts to know a server.
+    pub(crate) fn new(server: ServerId, rule: &ServerRule) -> Self {
+        Self {
+            server,
+            pools: rule.pools.clone(),
+            slots: rule.slots,
+            share: None,
+            fallback: rule.slots,
+            running: [0; TIERS],
+            recent: vec![],
+            report: None,
+            pace: DecayedMean::default(),
+            leaving: false,
+            paused_until: Duration::ZERO,
+            probation: false,
+        }
+    }
+
+    /// Tells whether the server may get work at all.
+    pub(crate) fn in_service(&self, now: Duration) -> bool {
+        !self.leaving && now >= self.paused_until
+    }
+
+    /// Returns this instance's share of the slots.
+    pub(crate) fn share(&self, now: Duration) -> u32 {
+        match self.share {
+            Some((slots, until)) if now < until => slots,
+            _ => self.fallback,
+        }
+    }
+
+    /// Sets this instance's share of the slots.
+    pub(crate) fn set_share(&mut self, slots: u32, until: Duration) {
+        self.share = Some((slots, until));
+    }
+
+    /// Tells whether a request of the tier may go to the server now.
+    ///
+    /// Lower tiers' work doesn't stand in the way, as the engine honours priorities; but
+    /// the engine shouldn't hold more than twice its slots.
+    pub(crate) fn has_slot(&self, tier: TierRank, now: Duration) -> bool {
+        if !self.in_service(now) {
+            return false;
+        }
+        if self.probation {
+            return self.running() == 0;
+        }
+        let share = self.share(now);
+        self.running_up_to(tier) < share && self.running() < 2 * share
+    }
+
+    /// Returns how many of this instance's requests are at the server.
+    pub(crate) fn running(&self) -> u32 {
+        self.running.iter().sum()
+    }
+
+    /// Returns how many of this instance's requests of the tier and above are there.
+    pub(crate) fn running_up_to(&self, tier: TierRank) -> u32 {
+        self.running[..=tier_index(tier)].iter().sum()
+    }
+
+    /// Records a dispatch.
+    pub(crate) fn start(&mut self, tier: TierRank, now: Duration) {
+        self.running[tier_index(tier)] += 1;
+        self.recent.push(now);
+    }
+
+    /// Records the end of a dispatch, however it ended.
+    pub(crate) fn end(&mut self, tier: TierRank) {
+        let count = &mut self.running[tier_index(tier)];
+        *count = count.saturating_sub(1);
+    }
+
+    /// Takes in a load report, unless a newer one has been.
+    pub(crate) fn report(&mut self, report: LoadReport) {
+        if self.report.is_some_and(|last| last.at >= report.at) {
+            return;
+        }
+        self.recent.retain(|at| *at > report.at);
+        if self.pace.get().is_none() && !report.step.is_zero() {
+            self.pace.add(report.step.as_secs_f64());
+        }
+        self.report = Some(report);
+    }
+
+    /// Takes in the pace of tokens seen by this instance.
+    pub(crate) fn add_pace(&mut self, seconds_per_token: f64) {
+        self.pace.add(seconds_per_token);
+    }
+
+    /// Returns the seconds for each token, if any has been seen.
+    pub(crate) fn pace(&self) -> Option<f64> {
+        self.pace.get()
+    }
+
+    /// Gives the server no work until the given time.
+    pub(crate) fn pause(&mut self, until: Duration) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
+    /// Ends a pause: the server has answered.
+    pub(crate) fn resume(&mut self) {
+        self.paused_until = Duration::ZERO;
+    }
+
+    /// Returns the load in requests for each slot: the last report, aged towards
+    /// `typical`, with this instance's dispatches since.
+    pub(crate) fn load(&self, now: Duration, half_life: Duration, typical: f64) -> f64 {
+        let slots = f64::from(self.slots.max(1));
+        let own = f64::from(self.running());
+        let Some(report) = self.report else {
+            return (own / slots).max(typical);
+        };
+        let age = now.saturating_sub(report.at).as_secs_f64() / half_life.as_secs_f64();
+        let trust = 0.5f64.powf(age);
+        let reported = f64::from(report.running + report.waiting) / slots;
+        let aged = trust * reported + (1.0 - trust) * typical;
+        let since = self.recent.len() as f64 / slots;
+        (aged + since).max(own / slots)
+    }
+
+    /// Returns the reported load in requests for each slot, if there is a report.
+    pub(crate) fn reported_load(&self) -> Option<f64> {
+        let report = self.report?;
+        Some(f64::from(report.running + report.waiting) / f64::from(self.slots.max(1)))
+    }
+}
+
+/// Returns the index that counts a tier.
+fn tier_index(tier: TierRank) -> usize {
+    usize::from(tier).min(TIERS - 1)
+}
