--- a/crates/flaxtide-core/src/settings/edit.rs
+++ b/crates/flaxtide-core/src/settings/edit.rs
@@ -47,7 +47,16 @@
                 return Err(SettingsError::NoSuchPath { path: edit.path.clone() });
             }
         }
-        let tree: Self = serde_json::from_value(root).map_err(|cause| syntax(&cause))?;
+        Self::from_value(root)
+    }
+
+    /// Reads and checks a tree from a JSON value.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first fault.
+    pub fn from_value(value: Value) -> Result<Self, SettingsError> {
+        let tree: Self = serde_json::from_value(value).map_err(|cause| syntax(&cause))?;
         tree.check("")?;
         Ok(tree)
     }
--- /dev/null
+++ b/crates/flaxtide/src/call/outcome.rs
@@ -0,0 +1,121 @@
+//! How a call ends: exactly once, and counted.
+
+use flaxtide_core::{Call, CallEnd, Dispatched, FailureBody, format_request_id};
+use flaxtide_policy::PolicyEvent;
+
+use super::CallDuty;
+use crate::explain::StepKind;
+use crate::link::WholeAnswer;
+use crate::request::CallPayload;
+
+impl CallDuty<'_> {
+    /// Ends a call whose answer is whole. A stream has been passed on already.
+    pub(super) fn answered(
+        &mut self,
+        call: Call<Dispatched>,
+        answer: Option<&WholeAnswer>,
+    ) {
+        let tokens = self.progress.tokens;
+        let now = self.shared.now();
+        self.progress.first_token.get_or_insert(now);
+        self.shared.tell(PolicyEvent::Finish { request: self.id, tokens });
+        let whole = match (answer, &self.request.payload) {
+            (Some(answer), _) => answer.clone(),
+            (None, CallPayload::Completion(payload)) => WholeAnswer {
+                status: 200,
+                content_type: "application/json".into(),
+                body: self.progress.whole(self.id, payload).to_string().into_bytes(),
+            },
+            (None, CallPayload::Plain(_)) => return,
+        };
+        self.record(&whole);
+        if answer.is_some() && self.progress.answer(&whole).is_err() {
+            self.caller_gone(call);
+            return;
+        }
+        let _ = call.answer();
+        let met_target = self.met_target();
+        self.count_answer(met_target);
+        self.end(CallEnd::Answered, StepKind::Answered { tokens, met_target });
+    }
+
+    /// Ends a call that was refused.
+    pub(super) fn end_refused(&mut self, body: &FailureBody) {
+        let metrics = &self.shared.metrics;
+        metrics.refusals.with_label_values(&[body.reason.name()]).inc();
+        let labels = [self.request.profile.name.as_str(), "refused"];
+        metrics.attainment.with_label_values(&labels).inc();
+        // A caller that has gone needs no answer.
+        let _ = self.progress.fail(body);
+        let (reason, retry_after_ms) = (body.reason, body.retry_after_ms);
+        self.end(CallEnd::Refused, StepKind::Refused { reason, retry_after_ms });
+    }
+
+    /// Ends a call that may have run, without a whole answer.
+    pub(super) fn end_failed(&mut self, body: &FailureBody) {
+        let metrics = &self.shared.metrics;
+        metrics.wasted_tokens.inc_by(u64::from(self.progress.tokens));
+        let labels = [self.request.profile.name.as_str(), "failed"];
+        metrics.attainment.with_label_values(&labels).inc();
+        // A caller that has gone needs no answer.
+        let _ = self.progress.fail(body);
+        self.end(CallEnd::Failed, StepKind::Failed { reason: body.reason });
+    }
+
+    /// Ends a call whose caller has gone. Its stream at the engine is cancelled, as the
+    /// connection closes.
+    pub(super) fn caller_gone(&mut self, call: Call<Dispatched>) {
+        let reason = flaxtide_core::FailureReason::CallerGone;
+        let _ = call.fail(reason, "the caller has gone", None);
+        self.shared.tell(PolicyEvent::Leave { request: self.id });
+        let tokens = u64::from(self.progress.tokens);
+        self.shared.metrics.wasted_tokens.inc_by(tokens);
+        self.end(CallEnd::Failed, StepKind::CallerGone);
+    }
+
+    /// Tells whether the answer met its latency target.
+    fn met_target(&self) -> bool {
+        let profile = &self.request.profile;
+        let Some(first) = self.progress.first_token else { return false };
+        if first.saturating_sub(self.arrived) > profile.first_token {
+            return false;
+        }
+        let Some(last) = self.progress.last_token else { return true };
+        let further = self.progress.tokens.saturating_sub(1);
+        last.saturating_sub(first) <= profile.between_tokens * further
+    }
+
+    /// Counts an answer.
+    fn count_answer(&self, met_target: bool) {
+        let metrics = &self.shared.metrics;
+        let class = self.request.profile.name.as_str();
+        let met = if met_target { "yes" } else { "no" };
+        metrics.attainment.with_label_values(&[class, met]).inc();
+        if met_target {
+            metrics.good_tokens.inc_by(u64::from(self.progress.tokens));
+        }
+        if let Some(first) = self.progress.first_token {
+            let span = first.saturating_sub(self.arrived).as_secs_f64();
+            metrics.first_token.with_label_values(&[class]).observe(span);
+        }
+    }
+
+    /// Counts and records the end of the call.
+    fn end(&self, end: CallEnd, step: StepKind) {
+        let name = match end {
+            CallEnd::Answered => "answered",
+            CallEnd::Refused => "refused",
+            CallEnd::Failed => "failed",
+        };
+        let class = self.request.profile.name.as_str();
+        self.shared.metrics.requests.with_label_values(&[class, name]).inc();
+        self.shared.log.add(self.id, self.shared.now(), step);
+        log::info!(
+            request_id = format_request_id(self.id),
+            organisation = self.request.organisation_name.as_str(),
+            class = class,
+            tokens = self.progress.tokens;
+            "{name}"
+        );
+    }
+}
--- /dev/null
+++ b/crates/flaxtide/src/decide.rs
@@ -0,0 +1,213 @@
+//! The decision thread: it owns the decision core.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use flaxtide_core::{FailureReason, PoolId, RequestId, ServerId, TierRank};
+use flaxtide_policy::{
+    CallArrival, DecisionCore, PolicyAction, PolicyEvent, PolicyOptions, PoolSummary,
+    ServerChoice,
+};
+use rand::Rng;
+
+use crate::explain::{StepKind, rule_name};
+use crate::shared::SharedState;
+
+/// The longest time between two looks at the clock.
+const TICK_PERIOD: Duration = Duration::from_millis(50);
+
+/// A message to the decision thread.
+pub(crate) enum DecisionMessage {
+    /// A request came; orders for it go to the ring.
+    Arrive(CallArrival, Sender<CallOrder>),
+    /// Something happened.
+    Event(PolicyEvent),
+    /// Somebody asks how things stand.
+    Summarise(Sender<DecisionSummary>),
+}
+
+/// An order to the thread of a call.
+#[derive(Debug)]
+pub(crate) enum CallOrder {
+    /// Send the request to a server.
+    Dispatch(CallDispatch),
+    /// Refuse it: it hasn't run.
+    Refuse(FailureReason, Duration),
+    /// Give it up: it may have run.
+    GiveUp(Duration),
+}
+
+/// Where and how to send a request.
+#[derive(Debug)]
+pub(crate) struct CallDispatch {
+    /// The server.
+    pub(crate) server: ServerId,
+    /// The priority for the engine.
+    pub(crate) priority: TierRank,
+    /// How long the server may be silent.
+    pub(crate) patience: Option<Duration>,
+}
+
+/// How things stand in the decision core.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct DecisionSummary {
+    /// The pools.
+    pub(crate) pools: BTreeMap<PoolId, PoolSummary>,
+    /// This instance's share of each server's slots, and how many it uses.
+    pub(crate) slots: BTreeMap<ServerId, (u32, u32)>,
+}
+
+/// Runs the decision thread until every sender is gone or the instance stops.
+pub(crate) fn decide(shared: &Arc<SharedState>, messages: &Receiver<DecisionMessage>) {
+    let seed = shared.config.seed.unwrap_or_else(|| rand::rng().random());
+    let mut duty = DecisionDuty {
+        shared: shared.clone(),
+        core: DecisionCore::new(PolicyOptions::default(), seed),
+        orders: HashMap::new(),
+    };
+    while !shared.stopped() {
+        match messages.recv_timeout(duty.wait()) {
+            Ok(message) => duty.take(message),
+            Err(RecvTimeoutError::Timeout) => duty.happen(PolicyEvent::Tick),
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+    }
+}
+
+/// The state of the decision thread.
+struct DecisionDuty {
+    /// What all threads share.
+    shared: Arc<SharedState>,
+    /// The decision core.
+    core: DecisionCore,
+    /// The rings to the threads of the calls.
+    orders: HashMap<RequestId, Sender<CallOrder>>,
+}
+
+impl DecisionDuty {
+    /// Returns how long to wait for a message.
+    fn wait(&self) -> Duration {
+        let Some(expiry) = self.core.next_expiry() else { return TICK_PERIOD };
+        expiry.saturating_sub(self.shared.now()).min(TICK_PERIOD)
+    }
+
+    /// Takes in a message.
+    fn take(&mut self, message: DecisionMessage) {
+        match message {
+            DecisionMessage::Arrive(arrival, orders) => {
+                self.orders.insert(arrival.request, orders);
+                self.happen(PolicyEvent::Arrive(arrival));
+            }
+            DecisionMessage::Event(event) => {
+                let ended = ended_request(&event);
+                self.happen(event);
+                if let Some(request) = ended {
+                    self.orders.remove(&request);
+                }
+            }
+            DecisionMessage::Summarise(reply) => {
+                let now = self.shared.now();
+                let summary = DecisionSummary {
+                    pools: self.core.summary(),
+                    slots: self.core.slots(now),
+                };
+                self.show_queue(&summary);
+                // Whoever asked may have stopped waiting.
+                let _ = reply.send(summary);
+            }
+        }
+    }
+
+    /// Tells the core what happened and does what it decides.
+    fn happen(&mut self, event: PolicyEvent) {
+        let now = self.shared.now();
+        for action in self.core.handle(event, now) {
+            self.act(action, now);
+        }
+    }
+
+    /// Does what the core has decided.
+    fn act(&mut self, action: PolicyAction, now: Duration) {
+        let log = &self.shared.log;
+        match action {
+            PolicyAction::Wait { request, place, predicted } => {
+                let predicted_ms = predicted.as_millis() as u64;
+                log.add(request, now, StepKind::Queued { place, predicted_ms });
+            }
+            PolicyAction::Dispatch { request, choice, priority, patience, attempt } => {
+                let step = self.describe(&choice, priority, attempt);
+                log.add(request, now, step);
+                if attempt > 1 {
+                    self.shared.metrics.retries.inc();
+                }
+                let server = choice.server;
+                let dispatch = CallDispatch { server, priority, patience };
+                self.order(request, CallOrder::Dispatch(dispatch));
+            }
+            PolicyAction::Refuse { request, reason, retry_after } => {
+                self.order(request, CallOrder::Refuse(reason, retry_after));
+                self.orders.remove(&request);
+            }
+            PolicyAction::GiveUp { request, retry_after } => {
+                self.order(request, CallOrder::GiveUp(retry_after));
+                self.orders.remove(&request);
+            }
+        }
+    }
+
+    /// Sends an order to the thread of a call.
+    fn order(&self, request: RequestId, order: CallOrder) {
+        let Some(orders) = self.orders.get(&request) else { return };
+        // A call has at most one order that it hasn't taken yet, so its ring has room.
+        if orders.try_send(order).is_err() {
+            log::error!(request_id = request; "an order found no taker");
+        }
+    }
+
+    /// Describes a choice for the record.
+    fn describe(
+        &self,
+        choice: &ServerChoice,
+        priority: TierRank,
+        attempt: u8,
+    ) -> StepKind {
+        let view = self.shared.view();
+        let name = |server: ServerId| view.server_name(server).to_owned();
+        StepKind::Dispatched {
+            server: name(choice.server),
+            rule: rule_name(choice.rule).to_owned(),
+            load: choice.load,
+            runner_up: choice.runner_up.map(|(server, _)| name(server)),
+            runner_up_load: choice.runner_up.map(|(_, load)| load),
+            eligible: choice.eligible,
+            attempt,
+            priority,
+        }
+    }
+
+    /// Shows the queues in the metrics.
+    fn show_queue(&self, summary: &DecisionSummary) {
+        let mut waiting: BTreeMap<TierRank, usize> = BTreeMap::new();
+        for pool in summary.pools.values() {
+            for (tier, count) in &pool.waiting {
+                *waiting.entry(*tier).or_default() += count;
+            }
+        }
+        for (tier, count) in waiting {
+            let gauge = &self.shared.metrics.queue;
+            gauge.with_label_values(&[&tier.to_string()]).set(count as i64);
+        }
+    }
+}
+
+/// Returns the request that an event ends, whatever the core decides.
+fn ended_request(event: &PolicyEvent) -> Option<RequestId> {
+    match event {
+        PolicyEvent::Finish { request, .. }
+        | PolicyEvent::Abandon { request }
+        | PolicyEvent::Leave { request } => Some(*request),
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/flaxtide/src/exchange/completion.rs
@@ -0,0 +1,283 @@
+//! An exchange with a model engine.
+
+use std::time::Duration;
+
+use flaxtide_core::{FailureBody, RequestId, format_request_id};
+use flaxtide_policy::{PolicyEvent, ServerFault};
+use serde_json::{Value, json};
+
+use super::event::{CompletionChunk, EventReader, ServerEvent};
+use super::{AttemptEnd, ServerAttempt, connect_fault, read_fault, refusal_of};
+use crate::explain::StepKind;
+use crate::link::{CallerLink, REQUEST_ID_HEADER, StreamLink, WholeAnswer};
+use crate::request::CompletionPayload;
+
+/// The decision core hears of an answer's pace every so many tokens.
+const PACE_TOKENS: u32 = 16;
+
+/// The data that ends a stream.
+const DONE: &str = "[DONE]";
+
+/// What has come of an answer so far, over all attempts.
+pub(crate) struct AnswerProgress {
+    /// The link to the caller, until a stream begins.
+    link: Option<CallerLink>,
+    /// The stream to the caller, once it has begun.
+    stream: Option<StreamLink>,
+    /// Whether the caller wants a stream.
+    wants_stream: bool,
+    /// The text so far.
+    text: String,
+    /// Whether the text is kept: for a whole answer, or for the record of an outcome.
+    keeps_text: bool,
+    /// How many tokens have come.
+    pub(crate) tokens: u32,
+    /// When the first token came.
+    pub(crate) first_token: Option<Duration>,
+    /// When the last token came.
+    pub(crate) last_token: Option<Duration>,
+    /// When the decision core last heard of the pace, and at how many tokens.
+    pace_mark: (Duration, u32),
+}
+
+impl AnswerProgress {
+    /// Starts without any token.
+    pub(crate) fn new(link: CallerLink, wants_stream: bool, keeps_text: bool) -> Self {
+        Self {
+            link: Some(link),
+            stream: None,
+            wants_stream,
+            text: String::new(),
+            keeps_text: keeps_text || !wants_stream,
+            tokens: 0,
+            first_token: None,
+            last_token: None,
+            pace_mark: (Duration::ZERO, 0),
+        }
+    }
+
+    /// Returns how many tokens the caller has received.
+    pub(crate) fn passed_on(&self) -> u32 {
+        if self.stream.is_some() { self.tokens } else { 0 }
+    }
+
+    /// Gives the caller a whole answer, or its record as a stream.
+    pub(crate) fn answer(&mut self, answer: &WholeAnswer) -> std::io::Result<()> {
+        match self.link.take() {
+            Some(link) => link.answer(answer),
+            None => Ok(()),
+        }
+    }
+
+    /// Gives the caller the final word on a request that isn't answered whole.
+    pub(crate) fn fail(&mut self, body: &FailureBody) -> std::io::Result<()> {
+        if let Some(stream) = self.stream.take() {
+            return stream.fail(body);
+        }
+        self.link.take().map_or(Ok(()), |link| link.fail(body))
+    }
+
+    /// Passes on one token.
+    fn pass(&mut self, data: &str, text: &str, now: Duration) -> std::io::Result<()> {
+        self.tokens += 1;
+        self.last_token = Some(now);
+        self.first_token.get_or_insert(now);
+        if self.keeps_text {
+            self.text.push_str(text);
+        }
+        if !self.wants_stream {
+            return Ok(());
+        }
+        if let Some(link) = self.link.take() {
+            self.stream = Some(link.stream()?);
+        }
+        self.stream.as_mut().map_or(Ok(()), |stream| stream.event(data))
+    }
+
+    /// Passes on the last chunk and ends the stream.
+    fn finish(&mut self, data: &str) -> std::io::Result<()> {
+        if let Some(link) = self.link.take() {
+            // An answer without any token.
+            self.stream = Some(link.stream()?);
+        }
+        let Some(mut stream) = self.stream.take() else { return Ok(()) };
+        stream.event(data)?;
+        stream.finish()
+    }
+
+    /// Builds the whole answer.
+    pub(crate) fn whole(&self, request: RequestId, payload: &CompletionPayload) -> Value {
+        let chat = payload.path.ends_with("/chat/completions");
+        let choice = if chat {
+            json!({
+                "index": 0,
+                "message": { "role": "assistant", "content": self.text },
+                "finish_reason": "stop",
+            })
+        } else {
+            json!({ "index": 0, "text": self.text, "finish_reason": "stop" })
+        };
+        json!({
+            "id": format_request_id(request),
+            "object": if chat { "chat.completion" } else { "text_completion" },
+            "model": payload.model,
+            "choices": [choice],
+            "usage": {
+                "prompt_tokens": payload.prompt_tokens,
+                "completion_tokens": self.tokens,
+                "total_tokens": payload.prompt_tokens + self.tokens,
+            },
+        })
+    }
+}
+
+/// Sends a request to an engine and passes the answer on as it comes.
+///
+/// Every chunk must carry the request's id, and the tokens must come in order and without
+/// a gap. An answer that was broken off is resumed after the last token received.
+pub(crate) fn exchange_completion(
+    attempt: &ServerAttempt<'_>,
+    payload: &CompletionPayload,
+    progress: &mut AnswerProgress,
+) -> AttemptEnd {
+    let response = match send(attempt, payload, progress.tokens) {
+        Ok(response) => response,
+        Err(fault) => return AttemptEnd::Fault(fault),
+    };
+    let mut events = EventReader::new(response);
+    progress.pace_mark = (attempt.shared.now(), progress.tokens);
+    let mut last_chunk = None;
+    loop {
+        let event = match events.next() {
+            Ok(Some(event)) => event,
+            Ok(None) => return AttemptEnd::Fault(ServerFault::Broken),
+            Err(cause) => return AttemptEnd::Fault(read_fault(&cause)),
+        };
+        if event.data == DONE {
+            return end(attempt, payload, progress, last_chunk.as_deref());
+        }
+        match take_event(attempt, &event, progress) {
+            Ok(true) => last_chunk = Some(event.data),
+            Ok(false) => {}
+            Err(end) => return end,
+        }
+    }
+}
+
+/// Sends the request.
+fn send(
+    attempt: &ServerAttempt<'_>,
+    payload: &CompletionPayload,
+    received: u32,
+) -> Result<attohttpc::Response, ServerFault> {
+    let mut body = payload.body.clone();
+    body["stream"] = json!(true);
+    body["priority"] = json!(attempt.priority);
+    let url = format!("http://{}{}", attempt.address, payload.path);
+    let text = serde_json::to_vec(&body).unwrap_or_default();
+    let request = attohttpc::post(url)
+        .header("Content-Type", "application/json")
+        .header(REQUEST_ID_HEADER, format_request_id(attempt.request));
+    let request = match received.checked_sub(1) {
+        Some(last) => request.header("Last-Event-ID", last.to_string()),
+        None => request,
+    };
+    let request = attempt.prepare(request.bytes(text));
+    let response = request.send().map_err(|cause| connect_fault(&cause))?;
+    if let Some(fault) = refusal_of(&response) {
+        return Err(fault);
+    }
+    if !response.is_success() {
+        return Err(ServerFault::Broken);
+    }
+    Ok(response)
+}
+
+/// Takes in one event. Returns whether it is the chunk that ends the answer.
+fn take_event(
+    attempt: &ServerAttempt<'_>,
+    event: &ServerEvent,
+    progress: &mut AnswerProgress,
+) -> Result<bool, AttemptEnd> {
+    let broken = || AttemptEnd::Fault(ServerFault::Broken);
+    let chunk: CompletionChunk =
+        serde_json::from_str(&event.data).map_err(|_| broken())?;
+    if chunk.id != format_request_id(attempt.request) {
+        log::warn!(
+            request_id = format_request_id(attempt.request);
+            "an engine sent the answer to another request"
+        );
+        return Err(broken());
+    }
+    if chunk.ends() {
+        let said = chunk.usage.as_ref().map(|usage| usage.completion_tokens);
+        if said.is_some_and(|said| said != progress.tokens) {
+            return Err(broken());
+        }
+        return Ok(true);
+    }
+    let Some(text) = chunk.text() else { return Ok(false) };
+    if let Some(index) = event.id.as_ref().and_then(|id| id.parse::<u32>().ok()) {
+        if index < progress.tokens {
+            // Sent twice; the caller has it already.
+            return Ok(false);
+        }
+        if index > progress.tokens {
+            return Err(broken());
+        }
+    }
+    let now = attempt.shared.now();
+    let first = progress.tokens == 0;
+    progress
+        .pass(&event.data, text, now)
+        .map_err(|_| AttemptEnd::CallerGone)?;
+    tell_pace(attempt, progress, first, now);
+    Ok(false)
+}
+
+/// Tells the decision core of the first token, and now and then of the pace.
+fn tell_pace(
+    attempt: &ServerAttempt<'_>,
+    progress: &mut AnswerProgress,
+    first: bool,
+    now: Duration,
+) {
+    let (shared, request) = (attempt.shared, attempt.request);
+    if first {
+        shared.log.add(request, now, StepKind::FirstToken);
+        shared.tell(PolicyEvent::FirstToken { request });
+        progress.pace_mark = (now, progress.tokens);
+        return;
+    }
+    let (since, mark) = progress.pace_mark;
+    let tokens = progress.tokens - mark;
+    if tokens >= PACE_TOKENS {
+        let span = now.saturating_sub(since);
+        shared.tell(PolicyEvent::Progress { request, tokens, span });
+        progress.pace_mark = (now, progress.tokens);
+    }
+}
+
+/// Ends an answer, if its last chunk has come.
+fn end(
+    attempt: &ServerAttempt<'_>,
+    payload: &CompletionPayload,
+    progress: &mut AnswerProgress,
+    last_chunk: Option<&str>,
+) -> AttemptEnd {
+    let Some(last_chunk) = last_chunk else {
+        return AttemptEnd::Fault(ServerFault::Broken);
+    };
+    if !progress.wants_stream {
+        let body = progress.whole(attempt.request, payload);
+        return AttemptEnd::Whole(WholeAnswer {
+            status: 200,
+            content_type: "application/json".into(),
+            body: serde_json::to_vec(&body).unwrap_or_default(),
+        });
+    }
+    match progress.finish(last_chunk) {
+        Ok(()) => AttemptEnd::Streamed,
+        Err(_) => AttemptEnd::CallerGone,
+    }
+}
--- /dev/null
+++ b/crates/flaxtide/src/settle.rs
@@ -0,0 +1,78 @@
+//! The settle thread: it sees claims to their last phase, however long the platform is out.
+
+use std::collections::VecDeque;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
+use flaxtide_policy::ClaimSettlement;
+
+use crate::claim::write_row;
+use crate::shared::SharedState;
+
+/// How long to wait after the table failed.
+const RETRY_PERIOD: Duration = Duration::from_millis(250);
+
+/// How often the thread looks whether it is to end.
+const STOP_PERIOD: Duration = Duration::from_millis(50);
+
+/// The most claims that wait to be settled. Beyond it, rows stay held, which is safe:
+/// whoever repeats the request is told that it may have run.
+const OPEN_LIMIT: usize = 4096;
+
+/// A claim to be settled.
+pub(crate) struct SettleJob {
+    /// The row's key.
+    pub(crate) key: String,
+    /// The settlement.
+    pub(crate) settlement: ClaimSettlement,
+    /// Hears when the row is settled.
+    pub(crate) done: Option<Sender<()>>,
+}
+
+/// Runs the settle thread until the instance stops.
+pub(crate) fn settle_claims(shared: &Arc<SharedState>, jobs: &Receiver<SettleJob>) {
+    let mut open: VecDeque<SettleJob> = VecDeque::new();
+    while !shared.stopped() {
+        let wait = if open.is_empty() { STOP_PERIOD } else { Duration::ZERO };
+        match jobs.recv_timeout(wait) {
+            Ok(job) => open.push_back(job),
+            Err(RecvTimeoutError::Timeout) => {}
+            Err(RecvTimeoutError::Disconnected) => return,
+        }
+        let room = OPEN_LIMIT.saturating_sub(open.len());
+        open.extend(jobs.try_iter().take(room));
+        let Some(mut job) = open.pop_front() else { continue };
+        if settle(shared, &mut job) {
+            shared.unsettled.fetch_sub(1, Ordering::SeqCst);
+            if let Some(done) = job.done {
+                let _ = done.try_send(());
+            }
+        } else {
+            open.push_back(job);
+            std::thread::sleep(RETRY_PERIOD);
+        }
+    }
+}
+
+/// Hands a settlement to the settle thread.
+pub(crate) fn hand_over(shared: &SharedState, job: SettleJob) {
+    shared.unsettled.fetch_add(1, Ordering::SeqCst);
+    if let Err(cause) = shared.settle_jobs.try_send(job) {
+        shared.unsettled.fetch_sub(1, Ordering::SeqCst);
+        log::error!("a claim stays held, as too many wait to be settled: {cause}");
+    }
+}
+
+/// Tries to settle a row. Returns whether it is settled.
+fn settle(shared: &SharedState, job: &mut SettleJob) -> bool {
+    /// How many conditions may fail in a row before it is tried later.
+    const TRIES: usize = 3;
+    for _ in 0..TRIES {
+        let Some(expected) = job.settlement.next_write() else { return true };
+        let row = job.settlement.row().clone();
+        job.settlement.reply(&write_row(shared, &job.key, expected, row));
+    }
+    job.settlement.next_write().is_none()
+}
