--- a/crates/flaxctl/src/demo.rs
+++ b/crates/flaxctl/src/demo.rs
@@ -1,6 +1,6 @@
 //! `flaxctl demo`: all of it in one process, on loopback.
 
-use std::net::{SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use clap::ArgMatches;
@@ -52,7 +52,7 @@
 /// The parts of the demo; they run until it is dropped.
 struct DemoFleet {
     /// The platform.
-    _platform: PlatformStandin,
+    platform: PlatformStandin,
     /// The engines, by data centre.
     engines: Vec<EngineStandin>,
     /// The plain service's servers, one in each data centre.
@@ -121,7 +121,7 @@
             services.push(ServiceStandin::start(any).map_err(started("a service"))?);
         }
         let mut fleet = Self {
-            _platform: platform,
+            platform,
             engines,
             services,
             instances: vec![],
@@ -138,25 +138,23 @@
         for data_centre in DATA_CENTRES {
             for number in 0..INSTANCES {
                 let name = format!("{data_centre}-{number}");
-                let config = instance_config(&name, data_centre, &self._platform.url());
-                self.entries.push(config.listen);
-                self.admins.push(config.admin);
+                let config = instance_config(&name, data_centre, &self.platform.url());
+                let instance = EntryInstance::start(config)
+                    .map_err(|fault| CommandFault::start("an entry instance", &fault))?;
+                let addresses = instance.addresses();
+                self.entries.push(addresses.listen);
+                self.admins.push(addresses.admin);
                 listed.push(ListedInstance {
                     name,
                     data_centre: data_centre.into(),
                     role: InstanceRole::Entry,
                     state: InstanceState::Live,
-                    address: config.fleet,
+                    address: addresses.fleet,
                 });
-                self._platform.set_instances(listed.clone());
-                let instance = EntryInstance::start(config);
-                self.instances.push(
-                    instance.map_err(|fault| {
-                        CommandFault::start("an entry instance", &fault)
-                    })?,
-                );
+                self.instances.push(instance);
             }
         }
+        self.platform.set_instances(listed);
         let client = AdminClient::new(&self.admins[0].to_string(), OPERATOR_KEY);
         client.change::<Value>("/settings", 0, &self.settings()?)?;
         let start = Instant::now();
@@ -233,12 +231,9 @@
 /// Builds the instance file of one instance.
 fn instance_config(name: &str, data_centre: &str, platform: &str) -> InstanceConfig {
     let text = format!(
-        "name: {name}\ndata_centre: {data_centre}\nlisten: '{}'\nadmin: '{}'\nfleet: '{}'\n\
-         platform: {platform}\noperator_key_hashes: ['{}']\nsettings_poll: 500ms\n\
+        "name: {name}\ndata_centre: {data_centre}\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
+         fleet: 127.0.0.1:0\nplatform: {platform}\noperator_key_hashes: ['{}']\nsettings_poll: 500ms\n\
          beat_period: 500ms\nstop_notice: 100ms\n",
-        free_address(),
-        free_address(),
-        free_address(),
         hash_key(OPERATOR_KEY),
     );
     InstanceConfig::parse(&text).expect("the file is written right above")
@@ -296,11 +291,3 @@
 fn loopback(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
-
-/// Finds a free address of loopback.
-fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind(loopback(0));
-    listener
-        .and_then(|listener| listener.local_addr())
-        .unwrap_or(loopback(0))
-}
--- a/crates/flaxctl/src/load/mod.rs
+++ b/crates/flaxctl/src/load/mod.rs
@@ -19,8 +19,8 @@
 /// Runs `flaxctl load`.
 pub(crate) fn run(matches: &ArgMatches) -> Result<(), CommandFault> {
     let path = matches.get_one::<String>("plan").map_or("", String::as_str);
-    let text =
-        std::fs::read_to_string(path).map_err(|cause| CommandFault::file(path, &cause))?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|cause| CommandFault::file(path, &cause))?;
     let plan: LoadPlan = serde_saphyr::from_str(&text).map_err(|cause| {
         let cause = cause.to_string();
         let line = cause.lines().next().unwrap_or_default();
--- a/crates/flaxctl/src/settings.rs
+++ b/crates/flaxctl/src/settings.rs
@@ -85,8 +85,8 @@
 /// Replaces the whole tree.
 fn edit(matches: &ArgMatches) -> Result<(), CommandFault> {
     let path = matches.get_one::<String>("file").map_or("", String::as_str);
-    let text =
-        std::fs::read_to_string(path).map_err(|cause| CommandFault::file(path, &cause))?;
+    let text = std::fs::read_to_string(path)
+        .map_err(|cause| CommandFault::file(path, &cause))?;
     let tree = SettingsTree::parse(&text).map_err(|fault| CommandFault::Argument {
         message: format!("{path}: {fault}"),
     })?;
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -1,1 +1,27 @@
-//! Placeholder.
+//! What entry instances say to each other.
+//!
+//! A [`FleetNode`] is the pure part: what one instance knows of its peers, which backend
+//! servers it watches, and how it divides their slots and the rates of organisations. All
+//! of it is soft state: it is heard again within a few periods, and what isn't heard
+//! expires. [`FleetThread`] carries the messages over tarpc.
+
+mod counted;
+mod key;
+mod node;
+mod peer;
+mod rate;
+mod thread;
+mod wire;
+
+pub use self::counted::LinkBytes;
+pub use self::key::{FleetKey, fleet_key};
+pub use self::node::{
+    FleetNews, FleetNode, FleetServer, FleetTiming, NodeDemand, OutgoingBeat,
+};
+pub use self::peer::PeerInfo;
+pub use self::rate::rate_part;
+pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
+pub use self::wire::{
+    BeatReply, FleetBeat, PoolDemand, RatePart, ServerDigest, ServerShare, SettingsCopy,
+    UsageCount,
+};
--- /dev/null
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -0,0 +1,109 @@
+//! What an instance knows of one peer.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::key::FleetKey;
+use crate::wire::{FleetBeat, PoolDemand};
+
+/// Who a peer is.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerInfo {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Where it hears its peers.
+    pub address: SocketAddr,
+}
+
+/// A peer, as last heard.
+#[derive(Debug, Clone)]
+pub(crate) struct PeerRecord {
+    /// Who it is.
+    pub(crate) info: PeerInfo,
+    /// Whether the platform's list has it.
+    pub(crate) listed: bool,
+    /// Its epoch, once heard.
+    pub(crate) epoch: Option<u32>,
+    /// When it was last heard, by a beat or a reply.
+    pub(crate) heard: Option<Duration>,
+    /// Whether it is stopping.
+    pub(crate) leaving: bool,
+    /// Its settings version.
+    pub(crate) version: SettingsVersion,
+    /// Its requests for each pool.
+    pub(crate) demands: Vec<PoolDemand>,
+    /// The use of organisations whose rate this instance keeps, in requests a second.
+    pub(crate) usage: BTreeMap<FleetKey, f64>,
+    /// When its last beat came.
+    beat_at: Option<Duration>,
+}
+
+impl PeerRecord {
+    /// Starts to know a peer.
+    pub(crate) fn new(info: PeerInfo, listed: bool) -> Self {
+        Self {
+            info,
+            listed,
+            epoch: None,
+            heard: None,
+            leaving: false,
+            version: 0,
+            demands: vec![],
+            usage: BTreeMap::new(),
+            beat_at: None,
+        }
+    }
+
+    /// Takes in that the peer is there, with a new life if its epoch is another.
+    pub(crate) fn hear(
+        &mut self,
+        epoch: u32,
+        leaving: bool,
+        version: SettingsVersion,
+        now: Duration,
+    ) {
+        if self.epoch != Some(epoch) {
+            self.demands.clear();
+            self.usage.clear();
+            self.beat_at = None;
+        }
+        self.epoch = Some(epoch);
+        self.heard = Some(now);
+        self.leaving = leaving;
+        self.version = version;
+    }
+
+    /// Takes in what the peer says of itself.
+    pub(crate) fn take_beat(&mut self, beat: &FleetBeat, now: Duration) {
+        /// The part that the newest count has in the rate of use.
+        const NEWEST: f64 = 0.5;
+        /// Beats may come in bunches; counts of a shorter time than this say little.
+        const SHORTEST: Duration = Duration::from_millis(100);
+        self.hear(beat.epoch, beat.leaving, beat.version, now);
+        self.demands.clone_from(&beat.demands);
+        let since = self
+            .beat_at
+            .map_or(Duration::from_secs(1), |at| now.saturating_sub(at));
+        self.beat_at = Some(now);
+        let seconds = since.max(SHORTEST).as_secs_f64();
+        for rate in self.usage.values_mut() {
+            *rate *= 1.0 - NEWEST;
+        }
+        for usage in &beat.usage {
+            let rate = f64::from(usage.count) / seconds;
+            *self.usage.entry(usage.organisation).or_default() += NEWEST * rate;
+        }
+        self.usage.retain(|_, rate| *rate > 1e-3);
+    }
+
+    /// Tells whether the peer has been heard lately and isn't stopping.
+    pub(crate) fn alive(&self, now: Duration, silence: Duration) -> bool {
+        !self.leaving && self.heard.is_some_and(|heard| now < heard + silence)
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -0,0 +1,345 @@
+//! The fleet thread: it carries messages over tarpc. Nothing else in flaxtide is async.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use crossbeam::channel::{Receiver, TryRecvError};
+use flaxtide_core::{MilliClock, SettingsVersion};
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::{client, context};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::runtime::{Builder, Runtime};
+
+use crate::counted::{CountedStream, LinkBytes};
+use crate::node::{FleetNews, FleetNode, OutgoingBeat};
+use crate::wire::{BeatReply, FleetBeat, PeerLink, PeerLinkClient, SettingsCopy};
+
+/// How often the thread looks at its rings.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// How long a peer may take to answer.
+const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long a peer may take to send the settings.
+const SETTINGS_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// The shortest time between two rounds of beats that don't wait for their period.
+const URGENT_PERIOD: Duration = Duration::from_millis(200);
+
+/// What the fleet thread is told.
+#[derive(Debug)]
+pub enum FleetEvent {
+    /// The node is to be changed.
+    Update(FleetUpdate),
+    /// Everyone is to hear at once.
+    Urgent,
+    /// The settings are to be fetched from a peer that has a newer version.
+    Fetch,
+    /// The thread is to end.
+    Stop,
+}
+
+/// A change of the node, made on the fleet thread.
+pub struct FleetUpdate(NodeChange);
+
+/// What changes a node.
+type NodeChange = Box<dyn FnOnce(&mut FleetNode, Duration) + Send>;
+
+impl FleetUpdate {
+    /// Makes a change.
+    #[must_use]
+    pub fn new(change: impl FnOnce(&mut FleetNode, Duration) + Send + 'static) -> Self {
+        Self(Box::new(change))
+    }
+}
+
+impl std::fmt::Debug for FleetUpdate {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.write_str("FleetUpdate")
+    }
+}
+
+/// What the fleet thread tells: news for this instance, or a settings version.
+pub(crate) enum FleetOutput {
+    /// News.
+    News(FleetNews),
+    /// The settings that a peer sent.
+    Settings(SettingsCopy),
+}
+
+/// The fleet thread, before it runs.
+pub struct FleetThread {
+    /// The listener for peers.
+    listener: std::net::TcpListener,
+    /// The async runtime, of one thread.
+    runtime: Runtime,
+    /// What all tasks share.
+    shared: Arc<FleetShared>,
+}
+
+/// What all tasks of the fleet thread share.
+struct FleetShared {
+    /// The node.
+    node: Mutex<FleetNode>,
+    /// The clock.
+    clock: MilliClock,
+    /// The bytes that went over the links.
+    bytes: LinkBytes,
+    /// Takes what is heard.
+    output: Box<dyn Fn(FleetOutput) + Send + Sync>,
+    /// Gives the settings in force to peers.
+    settings: Box<dyn Fn(SettingsVersion) -> Option<SettingsCopy> + Send + Sync>,
+    /// The open links to peers.
+    links: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
+}
+
+impl FleetThread {
+    /// Listens for peers. `news` takes what is heard, `adopt` takes settings that a peer
+    /// sent, and `settings` gives the settings in force if newer than a version.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if it can't listen on the address.
+    pub fn listen(
+        address: SocketAddr,
+        clock: MilliClock,
+        news: impl Fn(FleetNews) + Send + Sync + 'static,
+        adopt: impl Fn(SettingsCopy) + Send + Sync + 'static,
+        settings: impl Fn(SettingsVersion) -> Option<SettingsCopy> + Send + Sync + 'static,
+        node: impl FnOnce(SocketAddr) -> FleetNode,
+    ) -> io::Result<Self> {
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let node = node(listener.local_addr()?);
+        let runtime = Builder::new_current_thread().enable_all().build()?;
+        let output = move |output: FleetOutput| match output {
+            FleetOutput::News(heard) => news(heard),
+            FleetOutput::Settings(copy) => adopt(copy),
+        };
+        let shared = Arc::new(FleetShared {
+            node: Mutex::new(node),
+            clock,
+            bytes: LinkBytes::default(),
+            output: Box::new(output),
+            settings: Box::new(settings),
+            links: Mutex::default(),
+        });
+        Ok(Self { listener, runtime, shared })
+    }
+
+    /// Returns where it listens.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if the address can't be told.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    /// Returns the count of the bytes on its links.
+    #[must_use]
+    pub fn bytes(&self) -> LinkBytes {
+        self.shared.bytes.clone()
+    }
+
+    /// Carries messages until told to stop.
+    pub fn run(self, events: &Receiver<FleetEvent>) {
+        let Self { listener, runtime, shared } = self;
+        runtime.block_on(async {
+            match TcpListener::from_std(listener) {
+                Ok(listener) => {
+                    tokio::spawn(serve(listener, shared.clone()));
+                    lead(&shared, events).await;
+                }
+                Err(cause) => log::error!("no listener for peers: {cause}"),
+            }
+        });
+        // Links that are still open are dropped, not waited for.
+        runtime.shutdown_background();
+    }
+}
+
+impl FleetShared {
+    /// Locks the node. A panic elsewhere doesn't spoil it.
+    fn node(&self) -> MutexGuard<'_, FleetNode> {
+        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Locks the links.
+    fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerLinkClient>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Passes on what has been heard.
+    fn tell(&self, news: Vec<FleetNews>) {
+        for news in news {
+            (self.output)(FleetOutput::News(news));
+        }
+    }
+}
+
+/// Takes events and sends beats until told to stop.
+async fn lead(shared: &Arc<FleetShared>, events: &Receiver<FleetEvent>) {
+    let mut urgent_at: Option<Duration> = None;
+    let mut urgent = false;
+    loop {
+        loop {
+            match events.try_recv() {
+                Ok(FleetEvent::Update(FleetUpdate(update))) => {
+                    let now = shared.clock.now();
+                    update(&mut shared.node(), now);
+                }
+                Ok(FleetEvent::Urgent) => urgent = true,
+                Ok(FleetEvent::Fetch) => drop(tokio::spawn(fetch(shared.clone()))),
+                Err(TryRecvError::Empty) => break,
+                Ok(FleetEvent::Stop) | Err(TryRecvError::Disconnected) => return,
+            }
+        }
+        let now = shared.clock.now();
+        let mut beats = shared.node().due_beats(now);
+        if beats.is_empty()
+            && urgent
+            && urgent_at.is_none_or(|at| now >= at + URGENT_PERIOD)
+        {
+            urgent = false;
+            urgent_at = Some(now);
+            beats = shared.node().beats(now);
+        }
+        for beat in beats {
+            tokio::spawn(send(shared.clone(), beat));
+        }
+        tokio::time::sleep(LOOK_PERIOD).await;
+    }
+}
+
+/// Sends one beat and takes in the reply.
+async fn send(shared: Arc<FleetShared>, outgoing: OutgoingBeat) {
+    let address = outgoing.to.address;
+    let Some(link) = link_to(&shared, address).await else { return };
+    match link.beat(deadline(ANSWER_TIMEOUT), outgoing.beat).await {
+        Ok(reply) => {
+            let now = shared.clock.now();
+            let news = shared.node().hear_reply(&outgoing.to.name, &reply, now);
+            shared.tell(news);
+        }
+        Err(cause) => {
+            log::debug!("no answer from {}: {cause}", outgoing.to.name);
+            shared.links().remove(&address);
+        }
+    }
+}
+
+/// Fetches the settings from a peer that has a newer version.
+async fn fetch(shared: Arc<FleetShared>) {
+    let (peers, version) = {
+        let node = shared.node();
+        (node.newer_peers(), node.version())
+    };
+    for peer in peers {
+        let Some(link) = link_to(&shared, peer.address).await else { continue };
+        if let Ok(Some(copy)) = link.settings(deadline(SETTINGS_TIMEOUT), version).await {
+            (shared.output)(FleetOutput::Settings(copy));
+            return;
+        }
+    }
+}
+
+/// Returns the link to a peer, opening it if need be.
+async fn link_to(
+    shared: &Arc<FleetShared>,
+    address: SocketAddr,
+) -> Option<PeerLinkClient> {
+    let open = shared.links().get(&address).cloned();
+    if open.is_some() {
+        return open;
+    }
+    let opened = tokio::time::timeout(ANSWER_TIMEOUT, TcpStream::connect(address)).await;
+    let stream = opened.ok()?.ok()?;
+    let _ = stream.set_nodelay(true);
+    let transport = transport(stream, &shared.bytes);
+    let link = PeerLinkClient::new(client::Config::default(), transport).spawn();
+    shared.links().insert(address, link.clone());
+    Some(link)
+}
+
+/// Answers peers.
+async fn serve(listener: TcpListener, shared: Arc<FleetShared>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            tokio::time::sleep(LOOK_PERIOD).await;
+            continue;
+        };
+        let _ = stream.set_nodelay(true);
+        let channel = BaseChannel::with_defaults(transport(stream, &shared.bytes));
+        let server = PeerServer { shared: shared.clone() };
+        tokio::spawn(answer(channel.execute(server.serve())));
+    }
+}
+
+/// Answers the requests of one link, one after the other.
+async fn answer<Response: Future<Output = ()>>(
+    requests: impl futures::Stream<Item = Response>,
+) {
+    let mut requests = std::pin::pin!(requests);
+    while let Some(response) = requests.next().await {
+        response.await;
+    }
+}
+
+/// The part that answers peers.
+#[derive(Clone)]
+struct PeerServer {
+    /// What all tasks share.
+    shared: Arc<FleetShared>,
+}
+
+impl PeerLink for PeerServer {
+    async fn beat(self, _: Context, beat: FleetBeat) -> BeatReply {
+        let now = self.shared.clock.now();
+        let (reply, news) = self.shared.node().hear_beat(&beat, now);
+        self.shared.tell(news);
+        reply
+    }
+
+    async fn settings(
+        self,
+        _: Context,
+        newer_than: SettingsVersion,
+    ) -> Option<SettingsCopy> {
+        (self.shared.settings)(newer_than)
+    }
+}
+
+/// The transport of a link.
+type LinkTransport<Item, SinkItem> =
+    serde_transport::Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+
+/// Makes the transport of a link.
+fn transport<Item, SinkItem>(
+    stream: TcpStream,
+    bytes: &LinkBytes,
+) -> LinkTransport<Item, SinkItem>
+where
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    let stream = CountedStream::new(stream, bytes.clone());
+    let framed = LengthDelimitedCodec::builder().new_framed(stream);
+    serde_transport::new(framed, Bincode::default())
+}
+
+/// Returns the context of a call that has so long to be answered.
+fn deadline(timeout: Duration) -> Context {
+    let mut context = context::current();
+    context.deadline = Instant::now() + timeout;
+    context
+}
--- /dev/null
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -0,0 +1,123 @@
+//! The messages between instances.
+
+use std::net::SocketAddr;
+
+use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
+use serde::{Deserialize, Serialize};
+
+use crate::key::FleetKey;
+
+/// What an instance answers its peers.
+#[tarpc::service]
+pub(crate) trait PeerLink {
+    /// Takes in what a peer says of itself, and answers with what the peer should know.
+    async fn beat(beat: FleetBeat) -> BeatReply;
+
+    /// Returns the settings in force, if newer than a version.
+    async fn settings(newer_than: SettingsVersion) -> Option<SettingsCopy>;
+}
+
+/// What an instance says of itself, once a period, to each peer of its data centre and to
+/// one of each other data centre.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FleetBeat {
+    /// Its name.
+    pub from: InstanceName,
+    /// Its data centre.
+    pub data_centre: DataCentreName,
+    /// Where it hears its peers.
+    pub address: SocketAddr,
+    /// Drawn at random at its start.
+    pub epoch: u32,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// The settings version in force.
+    pub version: SettingsVersion,
+    /// Its requests for each pool.
+    pub demands: Vec<PoolDemand>,
+    /// The backend servers that it watches.
+    pub servers: Vec<ServerDigest>,
+    /// The use of organisations whose rate the receiver keeps.
+    pub usage: Vec<UsageCount>,
+    /// Whether it wants to be told of other instances, as it can't read the list.
+    pub wants_peers: bool,
+}
+
+/// The answer to a beat.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct BeatReply {
+    /// The epoch of the instance that answers.
+    pub epoch: u32,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Its settings version in force.
+    pub version: SettingsVersion,
+    /// The sender's shares of the servers that the answering instance watches.
+    pub shares: Vec<ServerShare>,
+    /// The sender's parts of the rates that the answering instance keeps.
+    pub parts: Vec<RatePart>,
+    /// The instances that it knows of, if that was asked for.
+    pub peers: Vec<crate::peer::PeerInfo>,
+}
+
+/// An instance's requests for one pool, running or waiting.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PoolDemand {
+    /// The pool.
+    pub pool: FleetKey,
+    /// The requests of each tier, from the highest.
+    pub tiers: Vec<u16>,
+}
+
+/// The last load report of a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerDigest {
+    /// The server.
+    pub server: FleetKey,
+    /// How many requests it works on.
+    pub running: u16,
+    /// How many requests wait in it.
+    pub waiting: u16,
+    /// How long a step takes, in units of 10 microseconds.
+    pub step: u16,
+    /// How old the report is, in units of 10 milliseconds.
+    pub age: u16,
+    /// Whether the server is leaving.
+    pub leaving: bool,
+}
+
+/// How many requests of an organisation came since the last beat.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageCount {
+    /// The organisation.
+    pub organisation: FleetKey,
+    /// How many requests.
+    pub count: u16,
+}
+
+/// A share of a server's slots.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServerShare {
+    /// The server.
+    pub server: FleetKey,
+    /// How many slots.
+    pub slots: u16,
+}
+
+/// A part of an organisation's rate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RatePart {
+    /// The organisation.
+    pub organisation: FleetKey,
+    /// The part, in units of 1/65535.
+    pub part: u16,
+}
+
+/// A settings version as it travels between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsCopy {
+    /// The version.
+    pub version: SettingsVersion,
+    /// The tree, as JSON.
+    pub tree: String,
+}
--- a/crates/flaxtide-policy/src/core/mod.rs
+++ b/crates/flaxtide-policy/src/core/mod.rs
@@ -48,6 +48,8 @@
     expiries: BTreeSet<(Duration, RequestId)>,
     /// The limits of organisations.
     limits: HashMap<OrganisationId, RateLimit>,
+    /// How many requests of each limited organisation came.
+    usage: BTreeMap<OrganisationId, u32>,
     /// Estimates of answer lengths and service times.
     estimates: WorkEstimates,
     /// What may be spent on retries.
@@ -84,6 +86,7 @@
             calls: HashMap::new(),
             expiries: BTreeSet::new(),
             limits: HashMap::new(),
+            usage: BTreeMap::new(),
             estimates: WorkEstimates::default(),
             budget,
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -126,7 +129,9 @@
                     server.set_share(slots, until);
                 }
             }
-            PolicyEvent::Peers { live } => self.set_live(live, now),
+            PolicyEvent::Peers { live, fallbacks } => {
+                self.set_peers(live, &fallbacks, now);
+            }
             PolicyEvent::RateShare { organisation, part, until } => {
                 self.set_rate_part(organisation, part, until, now);
             }
@@ -186,16 +191,23 @@
             }
         }
         self.rules = rules;
-        self.set_live(self.live, now);
+        self.refresh_all(now);
+        self.pump_all(now);
     }
 
-    /// Sets how many instances are alive, and so the shares that hold without news.
-    fn set_live(&mut self, live: u32, now: Duration) {
+    /// Returns how many requests of each limited organisation came since the last call,
+    /// refused ones included.
+    pub fn take_usage(&mut self) -> BTreeMap<OrganisationId, u32> {
+        std::mem::take(&mut self.usage)
+    }
+
+    /// Sets how many instances are alive, and the shares that hold without news.
+    fn set_peers(&mut self, live: u32, fallbacks: &[(ServerId, u32)], now: Duration) {
         self.live = live.max(1);
-        for server in self.servers.values_mut() {
-            // Rounded up: a slot too many is a short wait at the engine, a slot too few
-            // on every instance is capacity that nobody uses.
-            server.fallback = server.slots.div_ceil(self.live);
+        for (server, slots) in fallbacks {
+            if let Some(server) = self.servers.get_mut(server) {
+                server.fallback = *slots;
+            }
         }
         self.refresh_all(now);
         self.pump_all(now);
--- a/crates/flaxtide-policy/src/event.rs
+++ b/crates/flaxtide-policy/src/event.rs
@@ -71,11 +71,12 @@
         /// Until when the share holds.
         until: Duration,
     },
-    /// This instance's place among the live instances of its data centre, by server.
-    /// Without an unexpired share, the slots are divided equally.
+    /// The live instances of the data centre are others than before.
     Peers {
         /// How many instances are alive, this one included.
         live: u32,
+        /// This instance's share of each server's slots while no share is in force.
+        fallbacks: Vec<(ServerId, u32)>,
     },
     /// This instance's part of an organisation's rate.
     RateShare {
@@ -86,7 +87,7 @@
         /// Until when it holds.
         until: Duration,
     },
-    /// The instance is stopping: what waits is still served.
+    /// Time has passed.
     Tick,
 }
 
--- a/crates/flaxtide-policy/src/server.rs
+++ b/crates/flaxtide-policy/src/server.rs
@@ -37,6 +37,9 @@
     pub(crate) probation: bool,
 }
 
+/// The highest tier.
+const TOP_TIER: TierRank = 0;
+
 /// The most tiers that are told apart; lower ones count as the last.
 const TIERS: usize = 8;
 
@@ -89,6 +92,11 @@
             return self.running() == 0;
         }
         let share = self.share(now);
+        if tier == TOP_TIER && self.running() == 0 {
+            // An instance that was idle has no share until its watcher hears of its
+            // demand; the first request of the top tier doesn't wait for that.
+            return true;
+        }
         self.running_up_to(tier) < share && self.running() < 2 * share
     }
 
--- a/crates/flaxtide-policy/src/share.rs
+++ b/crates/flaxtide-policy/src/share.rs
@@ -2,11 +2,12 @@
 
 use crate::rendezvous::rendezvous_order;
 
-/// How many requests an instance has, running or waiting, by tier from the highest.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+/// How many requests an instance has for a server, running or waiting, by tier from the
+/// highest. Requests that several servers could take count in part for each.
+#[derive(Debug, Clone, PartialEq, Default)]
 pub struct SlotDemand {
     /// The requests of each tier.
-    pub tiers: Vec<u32>,
+    pub tiers: Vec<f64>,
 }
 
 /// Divides `slots` among instances with the given demands.
@@ -18,8 +19,8 @@
 ///
 /// ```
 /// use flaxtide_policy::{SlotDemand, divide_slots};
-/// let high = SlotDemand { tiers: vec![8, 0] };
-/// let low = SlotDemand { tiers: vec![0, 100] };
+/// let high = SlotDemand { tiers: vec![8.0, 0.0] };
+/// let low = SlotDemand { tiers: vec![0.0, 100.0] };
 /// assert_eq!(divide_slots(10, 1, &["a", "b"], &[high, low]), [8, 2]);
 /// ```
 #[must_use]
@@ -35,7 +36,7 @@
     for tier in 0..tiers {
         let wanted: Vec<f64> = demands
             .iter()
-            .map(|demand| demand.tiers.get(tier).map_or(0.0, |count| f64::from(*count)))
+            .map(|demand| demand.tiers.get(tier).copied().unwrap_or(0.0))
             .collect();
         let total: f64 = wanted.iter().sum();
         if total <= 0.0 {
--- a/crates/flaxtide/src/admin/status.rs
+++ b/crates/flaxtide/src/admin/status.rs
@@ -1,18 +1,13 @@
 //! How an instance stands.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use crossbeam::channel::bounded;
 use flaxtide_core::TierRank;
 use serde::{Deserialize, Serialize};
 
-use crate::decide::{DecisionMessage, DecisionSummary};
+use crate::decide::summarise;
 use crate::shared::SharedState;
 
-/// How long the decision thread may take to answer.
-const SUMMARY_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// How an instance stands.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct InstanceStatus {
@@ -58,7 +53,7 @@
 
 /// Returns how the instance stands.
 pub(super) fn status(shared: &SharedState) -> InstanceStatus {
-    let summary = summarise(shared);
+    let summary = summarise(shared, false);
     let view = shared.view();
     let pools = summary.pools.into_iter().map(|(pool, summary)| {
         let status = PoolStatus {
@@ -86,14 +81,16 @@
 
 /// Has the metrics of the decision thread brought up to date.
 pub(super) fn refresh(shared: &SharedState) {
-    summarise(shared);
-}
-
-/// Asks the decision thread how things stand.
-fn summarise(shared: &SharedState) -> DecisionSummary {
-    let (reply, replies) = bounded(1);
-    if shared.decisions.send(DecisionMessage::Summarise(reply)).is_err() {
-        return DecisionSummary::default();
-    }
-    replies.recv_timeout(SUMMARY_TIMEOUT).unwrap_or_default()
+    summarise(shared, false);
+    let bytes = shared.link_bytes.read().map(|bytes| bytes.get()).unwrap_or_default();
+    shared
+        .metrics
+        .link_bytes
+        .with_label_values(&["received"])
+        .set(bytes.0 as i64);
+    shared
+        .metrics
+        .link_bytes
+        .with_label_values(&["sent"])
+        .set(bytes.1 as i64);
 }
--- a/crates/flaxtide/src/config.rs
+++ b/crates/flaxtide/src/config.rs
@@ -23,6 +23,9 @@
     pub admin: SocketAddr,
     /// Where its peers reach it.
     pub fleet: SocketAddr,
+    /// Where other instances hear their peers, for a start while the platform is out.
+    #[serde(default)]
+    pub peers: Vec<SocketAddr>,
     /// The platform's address, such as `http://10.0.0.5:9000`.
     pub platform: String,
     /// Hashes of keys that may change the settings before there are any.
@@ -34,7 +37,7 @@
     /// How often the load of a backend server is asked for.
     #[serde(default = "load_poll", deserialize_with = "span")]
     pub load_poll: Duration,
-    /// How often peers are told of this instance.
+    /// The longest time between two beats to one peer.
     #[serde(default = "beat_period", deserialize_with = "span")]
     pub beat_period: Duration,
     /// How long the platform may take to answer.
--- a/crates/flaxtide/src/decide.rs
+++ b/crates/flaxtide/src/decide.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use flaxtide_core::{FailureReason, PoolId, RequestId, ServerId, TierRank};
+use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use flaxtide_core::{
+    FailureReason, OrganisationId, PoolId, RequestId, ServerId, TierRank,
+};
 use flaxtide_policy::{
     CallArrival, DecisionCore, PolicyAction, PolicyEvent, PolicyOptions, PoolSummary,
     ServerChoice,
@@ -24,8 +26,13 @@
     Arrive(CallArrival, Sender<CallOrder>),
     /// Something happened.
     Event(PolicyEvent),
-    /// Somebody asks how things stand.
-    Summarise(Sender<DecisionSummary>),
+    /// Somebody asks how things stand. Only the fleet takes the counted use.
+    Summarise {
+        /// Whether the counted use is taken.
+        take_usage: bool,
+        /// Where the answer goes.
+        reply: Sender<DecisionSummary>,
+    },
 }
 
 /// An order to the thread of a call.
@@ -57,6 +64,8 @@
     pub(crate) pools: BTreeMap<PoolId, PoolSummary>,
     /// This instance's share of each server's slots, and how many it uses.
     pub(crate) slots: BTreeMap<ServerId, (u32, u32)>,
+    /// How many requests of each limited organisation came, where that was asked for.
+    pub(crate) usage: BTreeMap<OrganisationId, u32>,
 }
 
 /// Runs the decision thread until every sender is gone or the instance stops.
@@ -107,12 +116,14 @@
                     self.orders.remove(&request);
                 }
             }
-            DecisionMessage::Summarise(reply) => {
+            DecisionMessage::Summarise { take_usage, reply } => {
                 let now = self.shared.now();
-                let summary = DecisionSummary {
-                    pools: self.core.summary(),
-                    slots: self.core.slots(now),
+                let usage = match take_usage {
+                    true => self.core.take_usage(),
+                    false => BTreeMap::new(),
                 };
+                let (pools, slots) = (self.core.summary(), self.core.slots(now));
+                let summary = DecisionSummary { pools, slots, usage };
                 self.show_queue(&summary);
                 // Whoever asked may have stopped waiting.
                 let _ = reply.send(summary);
@@ -202,6 +213,18 @@
     }
 }
 
+/// Asks the decision thread how things stand. Nothing if it doesn't answer.
+pub(crate) fn summarise(shared: &SharedState, take_usage: bool) -> DecisionSummary {
+    /// How long the decision thread may take to answer.
+    const SUMMARY_TIMEOUT: Duration = Duration::from_secs(1);
+    let (reply, replies) = bounded(1);
+    let question = DecisionMessage::Summarise { take_usage, reply };
+    if shared.decisions.send(question).is_err() {
+        return DecisionSummary::default();
+    }
+    replies.recv_timeout(SUMMARY_TIMEOUT).unwrap_or_default()
+}
+
 /// Returns the request that an event ends, whatever the core decides.
 fn ended_request(event: &PolicyEvent) -> Option<RequestId> {
     match event {
--- /dev/null
+++ b/crates/flaxtide/src/fleet.rs
@@ -0,0 +1,246 @@
+//! The instance's part in the fleet: what it tells its peers, and what it hears from them.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxtide_core::SettingsTree;
+use flaxtide_fleet::{
+    FleetNews, FleetNode, FleetServer, FleetThread, FleetTiming, NodeDemand, PeerInfo,
+    PoolDemand, ServerDigest, SettingsCopy, UsageCount,
+};
+use flaxtide_policy::{LoadReport, PolicyEvent};
+
+use crate::decide::{DecisionSummary, summarise};
+use crate::error::InstanceError;
+use crate::shared::SharedState;
+use crate::view::SettingsView;
+
+/// How often the fleet's node is brought up to date.
+const FEED_PERIOD: Duration = Duration::from_millis(100);
+
+/// How many tiers peers are told of.
+const TOLD_TIERS: usize = 3;
+
+/// A digest counts steps in units of so many microseconds.
+const STEP_UNIT_US: u64 = 10;
+
+/// A digest counts ages in units of so many milliseconds.
+const AGE_UNIT_MS: u64 = 10;
+
+/// Opens the instance's links.
+pub(crate) fn open_fleet(
+    shared: &Arc<SharedState>,
+) -> Result<FleetThread, InstanceError> {
+    let config = &shared.config;
+    let (heard, adopted, given) = (shared.clone(), shared.clone(), shared.clone());
+    let opened = FleetThread::listen(
+        config.fleet,
+        shared.clock.clone(),
+        move |news| hear(&heard, &news),
+        move |copy| adopt(&adopted, &copy),
+        move |newer_than| give_settings(&given, newer_than),
+        |address| {
+            let own = PeerInfo {
+                name: config.name.clone(),
+                data_centre: config.data_centre.clone(),
+                address,
+            };
+            let longest_period = config.beat_period;
+            let timing = FleetTiming { longest_period, ..FleetTiming::default() };
+            let mut node = FleetNode::new(own, shared.epoch, timing);
+            for address in &config.peers {
+                // The peer's name is learnt from its beats; until then its address stands
+                // in for it.
+                let name = address.to_string();
+                let data_centre = config.data_centre.clone();
+                node.meet(PeerInfo { name, data_centre, address: *address }, false);
+            }
+            node
+        },
+    );
+    let thread = opened.map_err(|cause| InstanceError::Listen {
+        field: "fleet",
+        address: config.fleet,
+        cause,
+    })?;
+    if let Ok(mut bytes) = shared.link_bytes.write() {
+        *bytes = thread.bytes();
+    }
+    Ok(thread)
+}
+
+/// Runs the feed thread until the instance stops.
+pub(crate) fn feed_fleet(shared: &Arc<SharedState>) {
+    let mut fed_version = None;
+    let mut last = NodeState::default();
+    while !shared.stopped() {
+        let view = shared.view();
+        if fed_version != Some(view.version) {
+            fed_version = Some(view.version);
+            let servers = fleet_servers(&view);
+            shared.update_fleet(move |node, _| node.set_servers(servers));
+        }
+        let summary = summarise(shared, true);
+        let demand = node_demand(shared, &view, &summary);
+        let (owned, state) = (shared.clone(), std::mem::take(&mut last));
+        let (reply, replies) = crossbeam::channel::bounded(1);
+        shared.update_fleet(move |node, now| {
+            node.set_demand(demand, now);
+            // The feed thread may have ended.
+            let _ = reply.try_send(read_node(&owned, node, &state, now));
+        });
+        last = replies.recv_timeout(Duration::from_secs(1)).unwrap_or_default();
+        std::thread::sleep(FEED_PERIOD);
+    }
+}
+
+/// What was last read from the node, so that only changes are told.
+#[derive(Debug, Default, PartialEq)]
+struct NodeState {
+    /// The live instances of the data centre.
+    live: Vec<String>,
+    /// The settings version of the servers known then.
+    servers: usize,
+}
+
+/// Reads what has changed in the node: whom it sees alive, and so what to watch and which
+/// shares hold without news.
+fn read_node(
+    shared: &SharedState,
+    node: &FleetNode,
+    last: &NodeState,
+    now: Duration,
+) -> NodeState {
+    for news in node.own_news(now) {
+        hear(shared, &news);
+    }
+    let live: Vec<String> = node.live(now).into_iter().map(str::to_owned).collect();
+    let view = shared.view();
+    let state = NodeState { live, servers: view.servers.len() };
+    if state == *last {
+        return state;
+    }
+    let watched = node.watched(now).into_iter();
+    let watched = watched.filter_map(|key| view.server_with_key(key)).collect();
+    shared.watched.set_own(watched);
+    let shares = node.fallback_shares(now).into_iter();
+    let fallbacks = shares.filter_map(|share| {
+        Some((view.server_with_key(share.server)?, u32::from(share.slots)))
+    });
+    let fallbacks = fallbacks.collect();
+    let live = state.live.len() as u32;
+    shared.metrics.live_peers.set(i64::from(live) - 1);
+    shared.tell(PolicyEvent::Peers { live, fallbacks });
+    state
+}
+
+/// Returns the servers of the data centre as the node needs them.
+fn fleet_servers(view: &SettingsView) -> BTreeMap<u32, FleetServer> {
+    let servers = view.servers.values().map(|entry| {
+        let pools = entry.pools.iter().map(|pool| view.pool_key(*pool)).collect();
+        (entry.key, FleetServer { slots: entry.slots, pools })
+    });
+    servers.collect()
+}
+
+/// Returns what this instance has to say of itself.
+fn node_demand(
+    shared: &SharedState,
+    view: &SettingsView,
+    summary: &DecisionSummary,
+) -> NodeDemand {
+    let demands = summary.pools.iter().map(|(pool, summary)| {
+        let mut tiers = vec![0u16; TOLD_TIERS];
+        let waiting = summary.waiting.iter().map(|(tier, count)| (*tier, *count as u32));
+        let running = summary.running.iter().map(|(tier, count)| (*tier, *count));
+        for (tier, count) in waiting.chain(running) {
+            let tier = usize::from(tier).min(TOLD_TIERS - 1);
+            tiers[tier] = tiers[tier].saturating_add(count as u16);
+        }
+        PoolDemand { pool: view.pool_key(*pool), tiers }
+    });
+    let usage = summary.usage.iter().map(|(organisation, count)| UsageCount {
+        organisation: view.organisation_key(*organisation),
+        count: u16::try_from(*count).unwrap_or(u16::MAX),
+    });
+    NodeDemand {
+        demands: demands.collect(),
+        servers: server_digests(shared, view),
+        usage: usage.collect(),
+    }
+}
+
+/// Returns the last reports of the servers that this instance watches.
+fn server_digests(shared: &SharedState, view: &SettingsView) -> Vec<ServerDigest> {
+    let now = shared.now();
+    let digests = shared.watched.reports().into_iter().filter_map(|(server, last)| {
+        let age = now.saturating_sub(last.at).as_millis() as u64;
+        Some(ServerDigest {
+            server: view.servers.get(&server)?.key,
+            running: last.running as u16,
+            waiting: last.waiting as u16,
+            step: u16::try_from(last.step.as_micros() as u64 / STEP_UNIT_US)
+                .unwrap_or(u16::MAX),
+            age: u16::try_from(age / AGE_UNIT_MS).unwrap_or(u16::MAX),
+            leaving: shared.watched.leaving(server),
+        })
+    });
+    digests.collect()
+}
+
+/// Takes in what has been heard.
+fn hear(shared: &SharedState, news: &FleetNews) {
+    let view = shared.view();
+    match *news {
+        FleetNews::Load(digest) => {
+            let Some(server) = view.server_with_key(digest.server) else { return };
+            let age = Duration::from_millis(u64::from(digest.age) * AGE_UNIT_MS);
+            shared.tell(PolicyEvent::Report(LoadReport {
+                server,
+                running: u32::from(digest.running),
+                waiting: u32::from(digest.waiting),
+                step: Duration::from_micros(u64::from(digest.step) * STEP_UNIT_US),
+                at: shared.now().saturating_sub(age),
+            }));
+            shared.watched.take_told(shared, server, digest.leaving);
+        }
+        FleetNews::Share(share, until) => {
+            let Some(server) = view.server_with_key(share.server) else { return };
+            let slots = u32::from(share.slots);
+            shared.tell(PolicyEvent::Share { server, slots, until });
+        }
+        FleetNews::Rate(rate, until) => {
+            let organisation = view.limited_with_key(rate.organisation);
+            let Some(organisation) = organisation else { return };
+            let part = f64::from(rate.part) / f64::from(u16::MAX);
+            shared.tell(PolicyEvent::RateShare { organisation, part, until });
+        }
+        FleetNews::Version(version, ref _peer) => {
+            // A full ring wakes the thread as well.
+            let _ = shared.settings_news.try_send(version);
+        }
+    }
+}
+
+/// Puts settings in force that a peer sent.
+fn adopt(shared: &SharedState, copy: &SettingsCopy) {
+    let tree: Option<SettingsTree> = serde_json::from_str(&copy.tree).ok();
+    let Some(tree) = tree else {
+        log::warn!("a peer sent settings that can't be read");
+        return;
+    };
+    if shared.adopt(copy.version, tree) {
+        log::info!(version = copy.version; "settings taken from a peer");
+    }
+}
+
+/// Gives the settings in force to a peer whose version is older.
+fn give_settings(shared: &SharedState, newer_than: u64) -> Option<SettingsCopy> {
+    let view = shared.view();
+    if view.version <= newer_than {
+        return None;
+    }
+    let tree = serde_json::to_string(&view.tree).ok()?;
+    Some(SettingsCopy { version: view.version, tree })
+}
--- a/crates/flaxtide/src/lib.rs
+++ b/crates/flaxtide/src/lib.rs
@@ -9,6 +9,7 @@
 //! - `claim` writes claims in group commits, and `settle` sees them to their last phase;
 //! - `settings` follows the versions of the settings;
 //! - `watch` polls the load of backend servers and the platform's list;
+//! - `fleet` talks with peers, and `feed` keeps it up to date;
 //! - `admin` answers operators.
 
 mod accept;
@@ -20,6 +21,7 @@
 mod error;
 mod exchange;
 mod explain;
+mod fleet;
 mod instance;
 mod link;
 mod logging;
@@ -36,5 +38,5 @@
 pub use self::config::InstanceConfig;
 pub use self::error::InstanceError;
 pub use self::explain::{DecisionRecord, DecisionStep, StepKind};
-pub use self::instance::EntryInstance;
+pub use self::instance::{EntryInstance, InstanceAddresses};
 pub use self::logging::init_logging;
--- a/crates/flaxtide/src/main.rs
+++ b/crates/flaxtide/src/main.rs
@@ -57,6 +57,9 @@
     let mut signals = Signals::new([SIGTERM, SIGINT])
         .map_err(|cause| format!("no signals: {cause}"))?;
     let instance = EntryInstance::start(config).map_err(|fault| fault.to_string())?;
+    // Whoever started the process learns here which free ports it was given.
+    let addresses = serde_json::to_string(&instance.addresses());
+    println!("{}", addresses.unwrap_or_default());
     signals.forever().next();
     instance.stop();
     Ok(())
--- a/crates/flaxtide/src/metrics.rs
+++ b/crates/flaxtide/src/metrics.rs
@@ -34,6 +34,8 @@
     pub(crate) settings_version: IntGauge,
     /// Peers seen alive in the data centre.
     pub(crate) live_peers: IntGauge,
+    /// Bytes on the links to peers, by direction.
+    pub(crate) link_bytes: IntGaugeVec,
     /// Calls to the platform, by kind and result.
     pub(crate) platform_calls: IntCounterVec,
     /// Seconds to the first token, by class.
@@ -68,6 +70,7 @@
             received: counter("received", "Requests that came."),
             settings_version: gauge("settings_version", "The settings version in force."),
             live_peers: gauge("live_peers", "Peers seen alive in the data centre."),
+            link_bytes: gauges("link_bytes", "Bytes on links to peers.", &["direction"]),
             platform_calls: counters(
                 "platform_calls",
                 "Calls to the platform.",
@@ -83,7 +86,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(self.requests.clone()),
             Box::new(self.attainment.clone()),
             Box::new(self.refusals.clone()),
@@ -96,6 +99,7 @@
             Box::new(self.received.clone()),
             Box::new(self.settings_version.clone()),
             Box::new(self.live_peers.clone()),
+            Box::new(self.link_bytes.clone()),
             Box::new(self.platform_calls.clone()),
             Box::new(self.first_token.clone()),
         ];
--- a/crates/flaxtide/src/settings.rs
+++ b/crates/flaxtide/src/settings.rs
@@ -5,6 +5,7 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use flaxtide_core::{SettingsEdit, SettingsTree, SettingsVersion};
+use flaxtide_fleet::FleetEvent;
 use flaxtide_platform::{AuditRecord, PlatformError};
 use rand::Rng;
 
@@ -39,7 +40,9 @@
         let result = match look(shared) {
             Ok(()) => "ok",
             Err(cause) => {
-                log::warn!("the settings can't be read: {cause}");
+                log::warn!("the settings can't be read from the platform: {cause}");
+                // A peer may have them; without any news of one this does nothing.
+                let _ = shared.fleet.try_send(FleetEvent::Fetch);
                 "failed"
             }
         };
--- a/crates/flaxtide/src/shared.rs
+++ b/crates/flaxtide/src/shared.rs
@@ -7,6 +7,7 @@
 use crossbeam::channel::Sender;
 use crossbeam::sync::ShardedLock;
 use flaxtide_core::{AttemptId, MilliClock, RequestId, SettingsTree, SettingsVersion};
+use flaxtide_fleet::{FleetEvent, FleetUpdate, LinkBytes};
 use flaxtide_platform::{ClaimStore, PlatformClient, SettingsStore};
 use flaxtide_policy::PolicyEvent;
 use rand::Rng;
@@ -18,6 +19,7 @@
 use crate::metrics::InstanceMetrics;
 use crate::settle::SettleJob;
 use crate::view::SettingsView;
+use crate::watch::WatchState;
 
 /// How long a refusal waits for a look at the claims.
 const QUICK_TIMEOUT: Duration = Duration::from_millis(250);
@@ -50,6 +52,12 @@
     pub(crate) settle_jobs: Sender<SettleJob>,
     /// Wakes the settings thread; holds the version that is known to exist.
     pub(crate) settings_news: Sender<SettingsVersion>,
+    /// The ring to the fleet thread.
+    pub(crate) fleet: Sender<FleetEvent>,
+    /// The bytes that went over the links to peers.
+    pub(crate) link_bytes: ShardedLock<LinkBytes>,
+    /// What is known of backend servers.
+    pub(crate) watched: WatchState,
     /// The settings in force.
     view: ShardedLock<Arc<SettingsView>>,
     /// How many requests have come.
@@ -76,6 +84,8 @@
     pub(crate) settle_jobs: Sender<SettleJob>,
     /// To the settings thread.
     pub(crate) settings_news: Sender<SettingsVersion>,
+    /// To the fleet thread.
+    pub(crate) fleet: Sender<FleetEvent>,
 }
 
 impl SharedState {
@@ -97,6 +107,9 @@
             claim_jobs: rings.claim_jobs,
             settle_jobs: rings.settle_jobs,
             settings_news: rings.settings_news,
+            fleet: rings.fleet,
+            link_bytes: ShardedLock::default(),
+            watched: WatchState::default(),
             view: ShardedLock::default(),
             counter: AtomicU64::new(0),
             open_calls: AtomicUsize::new(0),
@@ -131,7 +144,10 @@
         // Sent under the lock, so that the decision core sees versions in their order.
         self.tell(PolicyEvent::Rules(rules));
         self.metrics.settings_version.set(version as i64);
+        drop(view);
         log::info!(version = version; "settings in force");
+        self.update_fleet(move |node, _| node.set_version(version));
+        self.hurry_fleet();
         true
     }
 
@@ -141,6 +157,23 @@
         let _ = self.decisions.send(DecisionMessage::Event(event));
     }
 
+    /// Has the fleet thread change its node.
+    pub(crate) fn update_fleet(
+        &self,
+        change: impl FnOnce(&mut flaxtide_fleet::FleetNode, Duration) + Send + 'static,
+    ) {
+        let update = FleetUpdate::new(change);
+        if self.fleet.try_send(FleetEvent::Update(update)).is_err() {
+            log::warn!("the fleet thread is behind");
+        }
+    }
+
+    /// Has all peers hear of this instance at once.
+    pub(crate) fn hurry_fleet(&self) {
+        // A full ring holds enough to wake the thread anyway.
+        let _ = self.fleet.try_send(FleetEvent::Urgent);
+    }
+
     /// Returns the id of a new request.
     pub(crate) fn next_request(&self) -> RequestId {
         let count = self.counter.fetch_add(1, Ordering::Relaxed) as u32;
--- a/crates/flaxtide/src/view.rs
+++ b/crates/flaxtide/src/view.rs
@@ -7,6 +7,7 @@
     ClassId, ClassProfile, OperatorAccess, OrganisationId, OrganisationProfile, PoolId,
     ServerId, SettingsTree, SettingsVersion,
 };
+use flaxtide_fleet::{FleetKey, fleet_key};
 use flaxtide_policy::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 
 use crate::names::NameTable;
@@ -26,6 +27,10 @@
     pub(crate) classes: BTreeMap<ClassId, ClassProfile>,
     /// The backend servers of this data centre.
     pub(crate) servers: BTreeMap<ServerId, ServerEntry>,
+    /// The backend servers by their keys.
+    server_keys: HashMap<FleetKey, ServerId>,
+    /// The limited organisations by their keys.
+    limited: HashMap<FleetKey, OrganisationId>,
     /// The numbers of names.
     names: ViewNames,
 }
@@ -46,8 +51,8 @@
 /// A backend server of this data centre.
 #[derive(Debug, Clone)]
 pub(crate) struct ServerEntry {
-    /// Its name.
-    pub(crate) name: String,
+    /// Its key on the links between instances.
+    pub(crate) key: FleetKey,
     /// Where it listens.
     pub(crate) address: SocketAddr,
     /// The pools that it serves.
@@ -77,6 +82,12 @@
         for (name, node) in &tree.organisations {
             let organisation = view.names.organisations.number(name) as OrganisationId;
             let profile = tree.organisation_profile(name);
+            if profile
+                .as_ref()
+                .is_some_and(|profile| profile.requests_per_second.is_some())
+            {
+                view.limited.insert(fleet_key(name), organisation);
+            }
             view.organisations
                 .extend(profile.map(|profile| (organisation, profile)));
             let hashes = node.key_hashes.iter().cloned();
@@ -111,9 +122,15 @@
         slots: u32,
     ) {
         let server = self.names.servers.number(name) as ServerId;
-        let name = name.to_owned();
+        let key = fleet_key(name);
+        if let Some(other) = self.server_keys.insert(key, server)
+            && other != server
+        {
+            let other = self.names.servers.name(other as usize);
+            log::error!("{name} and {other} share a key; rename one of them");
+        }
         self.servers
-            .insert(server, ServerEntry { name, address, pools, slots });
+            .insert(server, ServerEntry { key, address, pools, slots });
     }
 
     /// Returns the rules for the decision core.
@@ -195,15 +212,24 @@
         self.servers.contains_key(&server).then_some(server)
     }
 
-    /// Returns an organisation's name.
-    pub(crate) fn organisation_name(&self, organisation: OrganisationId) -> &str {
-        self.names.organisations.name(usize::from(organisation))
+    /// Returns the backend server with a key.
+    pub(crate) fn server_with_key(&self, key: FleetKey) -> Option<ServerId> {
+        self.server_keys.get(&key).copied()
+    }
+
+    /// Returns the limited organisation with a key.
+    pub(crate) fn limited_with_key(&self, key: FleetKey) -> Option<OrganisationId> {
+        self.limited.get(&key).copied()
+    }
+
+    /// Returns the key of an organisation.
+    pub(crate) fn organisation_key(&self, organisation: OrganisationId) -> FleetKey {
+        fleet_key(self.names.organisations.name(usize::from(organisation)))
     }
 
-    /// Returns the number of an organisation that the settings hold.
-    pub(crate) fn organisation_id(&self, name: &str) -> Option<OrganisationId> {
-        let organisation = self.names.organisations.find(name)? as OrganisationId;
-        self.organisations.contains_key(&organisation).then_some(organisation)
+    /// Returns the key of a pool.
+    pub(crate) fn pool_key(&self, pool: PoolId) -> FleetKey {
+        fleet_key(self.pool_name(pool))
     }
 
     /// Returns what the operator with a key may do.
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -1,29 +1,40 @@
-//! The watch thread: it polls the load of backend servers and the platform's list.
+//! The watch thread: it polls the load of the backend servers that this instance watches,
+//! and reads the platform's list.
 
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use attohttpc::ProxySettings;
 use flaxtide_core::ServerId;
+use flaxtide_fleet::PeerInfo;
 use flaxtide_platform::{InstanceList, InstanceRole, InstanceState, ListedInstance};
 use flaxtide_policy::{LoadReport, PolicyEvent};
 use serde::Deserialize;
 
 use crate::shared::SharedState;
+use crate::view::SettingsView;
 
 /// How long a server may take to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// How often the platform's list is read.
+/// How often the platform's list is read while few instances share the platform.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 
-/// How often the thread looks whether it is to end.
-const STOP_PERIOD: Duration = Duration::from_millis(20);
+/// Reads of the list that all instances together may make each second.
+const LIST_READS: f64 = 60.0;
+
+/// How often the thread looks whether anything is due.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+
+/// What is known of a server's leaving is told again after this time: a server that
+/// refused once as leaving may have come back.
+const RETELL_PERIOD: Duration = Duration::from_secs(5);
 
 /// What a backend server reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
-pub(crate) struct ServerReport {
+struct ServerReport {
     /// How many requests it works on.
     running: u32,
     /// How many requests wait in it.
@@ -39,6 +50,96 @@
     leaving: bool,
 }
 
+/// What is known of backend servers, beside the decision core.
+#[derive(Debug, Default)]
+pub(crate) struct WatchState {
+    /// The record.
+    record: Mutex<WatchRecord>,
+}
+
+/// The record of a [`WatchState`].
+#[derive(Debug, Default)]
+struct WatchRecord {
+    /// The servers that this instance watches; nothing before its peers are known.
+    own: Option<BTreeSet<ServerId>>,
+    /// The last reports of watched servers.
+    reports: BTreeMap<ServerId, LoadReport>,
+    /// The servers that the platform's list calls leaving.
+    listed: BTreeSet<ServerId>,
+    /// The servers that their watcher calls leaving.
+    reported: BTreeSet<ServerId>,
+    /// What the decision core was told of each server's leaving, and when.
+    told: BTreeMap<ServerId, (bool, Duration)>,
+}
+
+impl WatchState {
+    /// Sets the servers that this instance watches.
+    pub(crate) fn set_own(&self, own: BTreeSet<ServerId>) {
+        let mut record = self.lock();
+        record.reports.retain(|server, _| own.contains(server));
+        record.own = Some(own);
+    }
+
+    /// Returns the last reports of watched servers.
+    pub(crate) fn reports(&self) -> BTreeMap<ServerId, LoadReport> {
+        self.lock().reports.clone()
+    }
+
+    /// Tells whether a server is leaving, by the list or by its own report.
+    pub(crate) fn leaving(&self, server: ServerId) -> bool {
+        let record = self.lock();
+        record.listed.contains(&server) || record.reported.contains(&server)
+    }
+
+    /// Takes in whether a server is leaving, as its watcher says.
+    pub(crate) fn take_told(
+        &self,
+        shared: &SharedState,
+        server: ServerId,
+        leaving: bool,
+    ) {
+        {
+            let mut record = self.lock();
+            if leaving {
+                record.reported.insert(server);
+            } else {
+                record.reported.remove(&server);
+            }
+        }
+        self.tell_leaving(shared, server);
+    }
+
+    /// Tells the decision core whether a server is leaving, if that is news.
+    fn tell_leaving(&self, shared: &SharedState, server: ServerId) -> bool {
+        let leaving = self.leaving(server);
+        let now = shared.now();
+        let last = self.lock().told.get(&server).copied();
+        let changed = last.map_or(leaving, |(told, _)| told != leaving);
+        let due = last.is_some_and(|(_, at)| now >= at + RETELL_PERIOD);
+        if !changed && !due {
+            return false;
+        }
+        self.lock().told.insert(server, (leaving, now));
+        shared.tell(PolicyEvent::Leaving { server, leaving });
+        changed
+    }
+
+    /// Returns the servers to poll.
+    fn to_poll(&self, view: &SettingsView) -> Vec<(ServerId, SocketAddr)> {
+        let record = self.lock();
+        let own = |server: &ServerId| {
+            record.own.as_ref().is_none_or(|own| own.contains(server))
+        };
+        let servers = view.servers.iter().filter(|(server, _)| own(server));
+        servers.map(|(server, entry)| (*server, entry.address)).collect()
+    }
+
+    /// Locks the record. A panic elsewhere doesn't spoil it.
+    fn lock(&self) -> MutexGuard<'_, WatchRecord> {
+        self.record.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
 /// Runs the watch thread until the instance stops.
 pub(crate) fn watch(shared: &Arc<SharedState>) {
     let mut list_due = Duration::ZERO;
@@ -46,41 +147,53 @@
     while !shared.stopped() {
         let now = shared.now();
         if now >= list_due {
-            list_due = now + LIST_PERIOD;
-            read_list(shared);
+            let known = read_list(shared);
+            let spread = Duration::from_secs_f64(known as f64 / LIST_READS);
+            list_due = now + LIST_PERIOD.max(spread);
         }
         if now >= poll_due {
             poll_due = now + shared.config.load_poll;
             poll_servers(shared);
         }
-        std::thread::sleep(STOP_PERIOD);
+        std::thread::sleep(LOOK_PERIOD);
     }
 }
 
-/// Polls every server of the data centre once.
+/// Polls every watched server once.
 fn poll_servers(shared: &SharedState) {
     let view = shared.view();
-    for (server, entry) in &view.servers {
+    for (server, address) in shared.watched.to_poll(&view) {
         if shared.stopped() {
             return;
         }
-        let Some(report) = ask_load(entry.address) else { continue };
-        take_report(shared, *server, &report);
+        if let Some(report) = ask_load(address) {
+            take_report(shared, server, &report);
+        }
     }
 }
 
-/// Tells the decision core what a server reports.
+/// Takes in what a server reports, and tells peers at once if it is leaving.
 fn take_report(shared: &SharedState, server: ServerId, report: &ServerReport) {
     let age = Duration::from_millis(report.age_ms);
-    shared.tell(PolicyEvent::Report(LoadReport {
+    let load = LoadReport {
         server,
         running: report.running,
         waiting: report.waiting,
         step: Duration::from_micros(report.step_us),
         at: shared.now().saturating_sub(age),
-    }));
-    if report.leaving {
-        shared.tell(PolicyEvent::Leaving { server, leaving: true });
+    };
+    shared.tell(PolicyEvent::Report(load));
+    {
+        let mut record = shared.watched.lock();
+        record.reports.insert(server, load);
+        if report.leaving {
+            record.reported.insert(server);
+        } else {
+            record.reported.remove(&server);
+        }
+    }
+    if shared.watched.tell_leaving(shared, server) {
+        shared.hurry_fleet();
     }
 }
 
@@ -93,26 +206,55 @@
     request.send().ok()?.json().ok()
 }
 
-/// Reads the platform's list and takes in which servers are leaving.
-fn read_list(shared: &SharedState) {
-    let list = match shared.platform.list() {
+/// Reads the platform's list. Returns how many entry instances it has.
+fn read_list(shared: &Arc<SharedState>) -> usize {
+    let list = shared.platform.list();
+    let result = if list.is_ok() { "ok" } else { "failed" };
+    shared
+        .metrics
+        .platform_calls
+        .with_label_values(&["list", result])
+        .inc();
+    let list = match list {
         Ok(list) => list,
         Err(cause) => {
             log::warn!("the list of instances can't be read: {cause}");
-            return;
+            shared.update_fleet(|node, now| node.set_list(None, now));
+            return 0;
         }
     };
-    for listed in list.iter().filter(|listed| listed.role == InstanceRole::Backend) {
-        take_listed(shared, listed);
-    }
+    let entries = list.iter().filter(|listed| listed.role == InstanceRole::Entry);
+    let entries: Vec<PeerInfo> = entries.map(peer_of).collect();
+    let known = entries.len();
+    shared.update_fleet(move |node, now| node.set_list(Some(entries), now));
+    take_listed(shared, &list);
+    known
 }
 
-/// Tells the decision core that a listed server is leaving.
-fn take_listed(shared: &SharedState, listed: &ListedInstance) {
-    if listed.state != InstanceState::Leaving {
-        return;
+/// Takes in which backend servers the list calls leaving.
+fn take_listed(shared: &SharedState, list: &[ListedInstance]) {
+    let view = shared.view();
+    let leaving = list
+        .iter()
+        .filter(|listed| listed.role == InstanceRole::Backend)
+        .filter(|listed| listed.state == InstanceState::Leaving)
+        .filter_map(|listed| view.server(&listed.name));
+    let leaving: BTreeSet<ServerId> = leaving.collect();
+    let before = std::mem::replace(&mut shared.watched.lock().listed, leaving.clone());
+    let mut changed = false;
+    for server in before.union(&leaving) {
+        changed |= shared.watched.tell_leaving(shared, *server);
+    }
+    if changed {
+        shared.hurry_fleet();
     }
-    if let Some(server) = shared.view().server(&listed.name) {
-        shared.tell(PolicyEvent::Leaving { server, leaving: true });
+}
+
+/// Returns a listed entry instance as a peer.
+fn peer_of(listed: &ListedInstance) -> PeerInfo {
+    PeerInfo {
+        name: listed.name.clone(),
+        data_centre: listed.data_centre.clone(),
+        address: listed.address,
     }
 }
