--- a/crates/flaxtide-policy/src/core/admit.rs
+++ b/crates/flaxtide-policy/src/core/admit.rs
@@ -99,6 +99,10 @@
         give_up: Duration,
     ) -> Result<(), (FailureReason, Duration)> {
         let (pool, class) = (arrival.pool, arrival.class);
+        if self.estimates.span(class).is_none() {
+            // Nothing is known of the class yet: a guess is no reason to refuse.
+            return Ok(());
+        }
         let wait = self.predicted_wait(pool, tier, class, arrival.organisation);
         let wait = wait * self.options.admission_trust;
         let first_token = self.typical_first_token(pool);
--- a/crates/flaxtide-policy/src/core/dispatch.rs
+++ b/crates/flaxtide-policy/src/core/dispatch.rs
@@ -179,7 +179,7 @@
         }
         // A lower tier's request may be silent while higher tiers preempt it.
         let bound = self.class_rule(class)?.starvation_bound;
-        Some(patience.max(bound))
+        Some(patience.max(bound.min(self.options.preempted_patience)))
     }
 
     /// Gives up every waiting request whose time is over.
--- a/crates/flaxtide-policy/src/core/outcome.rs
+++ b/crates/flaxtide-policy/src/core/outcome.rs
@@ -68,7 +68,7 @@
         self.punish(running, fault, now);
         let ran = matches!(fault, ServerFault::Broken | ServerFault::Stalled);
         call.may_have_run |= ran;
-        call.excluded.push(running.server);
+        self.exclude(&mut call, running);
         let freed = (call.clone(), running);
         if self.may_retry(&call, ran) {
             self.requeue(call, passed_on, now);
@@ -105,6 +105,22 @@
         }
     }
 
+    /// Keeps a request from the server that failed it, unless every server of the pool
+    /// has: then another try at the first is better than none.
+    fn exclude(&self, call: &mut CallRecord, running: RunningCall) {
+        call.excluded.push(running.server);
+        let members =
+            self.pools.get(&call.arrival.pool).map(|state| &state.servers.members);
+        let mut staying = members
+            .into_iter()
+            .flatten()
+            .filter_map(|id| self.servers.get(id))
+            .filter(|server| !server.leaving);
+        if staying.all(|server| call.excluded.contains(&server.server)) {
+            call.excluded.clear();
+        }
+    }
+
     /// Tells whether a failed request may be tried again.
     fn may_retry(&mut self, call: &CallRecord, ran: bool) -> bool {
         if call.attempts >= self.options.attempt_limit {
--- a/crates/flaxtide-policy/src/core/pool.rs
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -70,7 +70,9 @@
             paces.extend(server.pace().map(|pace| (pace, *id)));
             loads.extend(server.reported_load());
             if !server.probation {
-                self.capacity += server.share(now);
+                // Shares follow demand within a few periods, so a small one that is left
+                // from quieter times says little of what can be served soon.
+                self.capacity += server.share(now).max(server.fallback);
             }
         }
         self.servers.typical_load = match loads.len() {
--- a/crates/flaxtide-policy/src/options.rs
+++ b/crates/flaxtide-policy/src/options.rs
@@ -32,6 +32,9 @@
     pub patience_factor: f64,
     /// The shortest silence after which a request goes elsewhere.
     pub patience_floor: Duration,
+    /// A server may be silent for this long about a request of a lower tier, which may be
+    /// preempted there.
+    pub preempted_patience: Duration,
     /// After this age a load report counts for half of its weight.
     pub report_half_life: Duration,
     /// The part of the waiting time that admission predicts and believes.
@@ -53,6 +56,7 @@
             attempt_limit: 4,
             patience_factor: 4.0,
             patience_floor: Duration::from_millis(400),
+            preempted_patience: Duration::from_secs(5),
             report_half_life: Duration::from_secs(2),
             admission_trust: 1.0,
         }
--- /dev/null
+++ b/crates/flaxtide/tests/whole_answer.rs
@@ -0,0 +1,102 @@
+//! Each caller gets the whole answer to its own request, or an explicit error.
+
+mod common;
+
+use common::{FleetShape, ORGANISATION_KEYS, TestFleet, together};
+use flaxtide_standin::EngineFaults;
+
+#[test]
+fn faults_in_an_answer_are_mended_before_the_caller_sees_them() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    let faults = EngineFaults { break_after: 3, ..EngineFaults::default() };
+    let cases = [
+        ("crossed", EngineFaults { crossings: 1, ..faults.clone() }),
+        ("repeated token", EngineFaults { repeats: 1, ..faults.clone() }),
+        ("cut off", EngineFaults { breaks: 1, ..faults.clone() }),
+        (
+            "cut off before the first token",
+            EngineFaults { breaks: 1, break_after: 0, ..faults.clone() },
+        ),
+        ("ends as if complete", EngineFaults { truncations: 1, ..faults.clone() }),
+        ("falls silent", EngineFaults { stalls: 1, ..faults.clone() }),
+    ];
+    // What is usual must be known before a silent engine can be told from a slow one.
+    let warm = fleet.instances[0].ask(ORGANISATION_KEYS[0], "clerk", "warm");
+    assert!(warm.whole(), "{warm:?}");
+    for (name, faults) in cases {
+        for stream in [true, false] {
+            for engine in &fleet.engines {
+                engine.set_faults(faults.clone());
+            }
+            let prompt = format!("{name} {stream}");
+            let answer = fleet.instances[0].ask_for(
+                ORGANISATION_KEYS[0],
+                "clerk",
+                &prompt,
+                30,
+                stream,
+            );
+            assert!(answer.whole(), "{name}, stream {stream}: {answer:?}");
+            for engine in &fleet.engines {
+                engine.set_faults(EngineFaults::default());
+            }
+        }
+    }
+}
+
+#[test]
+fn an_answer_that_cannot_be_mended_ends_with_an_explicit_error() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    for faults in [
+        EngineFaults {
+            breaks: 1000,
+            break_after: 2,
+            ..EngineFaults::default()
+        },
+        EngineFaults {
+            truncations: 1000,
+            break_after: 0,
+            ..EngineFaults::default()
+        },
+        EngineFaults { crossings: 1000, ..EngineFaults::default() },
+    ] {
+        for engine in &fleet.engines {
+            engine.set_faults(faults.clone());
+        }
+        for stream in [true, false] {
+            let answer = fleet.instances[0].ask_for(
+                ORGANISATION_KEYS[0],
+                "clerk",
+                &format!("{faults:?}"),
+                30,
+                stream,
+            );
+            assert!(!answer.done, "{answer:?}");
+            assert!(answer.failure.is_some(), "{answer:?}");
+        }
+    }
+}
+
+#[test]
+fn many_callers_at_once_get_their_own_answers() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    for engine in &fleet.engines {
+        engine.set_faults(EngineFaults {
+            crossings: 5,
+            repeats: 5,
+            breaks: 5,
+            break_after: 4,
+            ..EngineFaults::default()
+        });
+    }
+    let answers = together(60, |index| {
+        let instance = &fleet.instances[index % 2];
+        instance.ask(ORGANISATION_KEYS[index % 2], "question", &format!("caller {index}"))
+    });
+    for answer in &answers {
+        assert!(answer.whole() || answer.failure.is_some(), "{answer:?}");
+        assert!(!answer.done || answer.own, "{answer:?}");
+    }
+    let whole = answers.iter().filter(|answer| answer.whole()).count();
+    assert!(whole >= 50, "{whole} of 60 whole");
+}
