--- a/crates/flaxtide-core/tests/settings.rs
+++ b/crates/flaxtide-core/tests/settings.rs
@@ -118,7 +118,7 @@
     ];
     let report: Vec<String> = cases
         .iter()
-        .map(|edit| tree.apply(&[edit.clone()]).unwrap_err().to_string())
+        .map(|edit| tree.apply(std::slice::from_ref(edit)).unwrap_err().to_string())
         .collect();
     insta::assert_snapshot!(report.join("\n"));
 }
--- a/crates/flaxtide/tests/common/mod.rs
+++ b/crates/flaxtide/tests/common/mod.rs
@@ -311,7 +311,8 @@
     }
 
     /// Sets one value. Returns the status and the answer.
-    pub fn set(&self, base: u64, path: &str, value: Value) -> (u16, Value) {
+    pub fn set(&self, base: u64, path: &str, value: impl Into<Value>) -> (u16, Value) {
+        let value: Value = value.into();
         let body = json!({ "edits": [{ "path": path, "value": value }] });
         self.change("/settings/edits", base, &body)
     }
