--- /dev/null
+++ b/crates/flaxtide-policy/benches/lab/mod.rs
@@ -0,0 +1,18 @@
+//! A bench of decisions: the real decision core on a manual clock against fake engines.
+//!
+//! Time goes in steps of a millisecond; everything follows from the seed.
+#![allow(
+    dead_code,
+    unreachable_pub,
+    reason = "the bench and the regression test use a part each"
+)]
+
+mod baseline;
+mod engine;
+mod scenario;
+mod score;
+mod world;
+
+pub use self::scenario::{SCENARIOS, Scenario};
+pub use self::score::RunScore;
+pub use self::world::{PolicyKind, run};
