Use some idle slots while no share holds

Cause: an instance that hears no peers fell back on an equal part of each engine, though reports showed slots idle. Proofs that fail now end their load threads instead of hanging.

--- a/crates/flaxtide-policy/src/choice.rs
+++ b/crates/flaxtide-policy/src/choice.rs
@@ -51,7 +51,7 @@
         .members
         .iter()
         .filter_map(|server| servers.get(server))
-        .filter(|server| server.has_slot(query.tier, query.now))
+        .filter(|server| server.has_slot(query.tier, query.now, options.idle_part))
         .filter(|server| !query.excluded.contains(&server.server))
         .collect();
     let cost = |server: &BackendServer| server_cost(server, pool, options, query.now);
--- a/crates/flaxtide-policy/src/core/pool.rs
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -72,7 +72,8 @@
             if !server.probation {
                 // Shares follow demand within a few periods, so a small one that is left
                 // from quieter times says little of what can be served soon.
-                self.capacity += server.share(now).max(server.fallback);
+                let usable = server.usable(now, options.idle_part);
+                self.capacity += usable.max(server.fallback);
             }
         }
         self.servers.typical_load = match loads.len() {
--- a/crates/flaxtide-policy/src/options.rs
+++ b/crates/flaxtide-policy/src/options.rs
@@ -37,6 +37,9 @@
     pub preempted_patience: Duration,
     /// After this age a load report counts for half of its weight.
     pub report_half_life: Duration,
+    /// The part of a server's idle slots, by its last report, that one instance may use
+    /// while no share holds.
+    pub idle_part: f64,
     /// The part of the waiting time that admission predicts and believes.
     pub admission_trust: f64,
 }
@@ -58,6 +61,7 @@
             patience_floor: Duration::from_millis(400),
             preempted_patience: Duration::from_secs(5),
             report_half_life: Duration::from_secs(2),
+            idle_part: 0.5,
             admission_trust: 1.0,
         }
     }
--- a/crates/flaxtide-policy/src/server.rs
+++ b/crates/flaxtide-policy/src/server.rs
@@ -37,6 +37,9 @@
     pub(crate) probation: bool,
 }
 
+/// An older report says nothing of idle slots.
+const REPORT_LIFE: Duration = Duration::from_secs(5);
+
 /// The highest tier.
 const TOP_TIER: TierRank = 0;
 
@@ -84,14 +87,14 @@
     ///
     /// Lower tiers' work doesn't stand in the way, as the engine honours priorities; but
     /// the engine shouldn't hold more than twice its slots.
-    pub(crate) fn has_slot(&self, tier: TierRank, now: Duration) -> bool {
+    pub(crate) fn has_slot(&self, tier: TierRank, now: Duration, idle_part: f64) -> bool {
         if !self.in_service(now) {
             return false;
         }
         if self.probation {
             return self.running() == 0;
         }
-        let share = self.share(now);
+        let share = self.usable(now, idle_part);
         if tier == TOP_TIER && self.running() == 0 {
             // An instance that was idle has no share until its watcher hears of its
             // demand; the first request of the top tier doesn't wait for that.
@@ -100,6 +103,24 @@
         self.running_up_to(tier) < share && self.running() < 2 * share
     }
 
+    /// Returns how many slots this instance may use: its share; where no share holds, as
+    /// its watcher isn't heard, its equal part and some of what the last report shows idle.
+    /// Only some of it, as others see the same report.
+    pub(crate) fn usable(&self, now: Duration, idle_part: f64) -> u32 {
+        if let Some((slots, until)) = self.share
+            && now < until
+        {
+            return slots;
+        }
+        let Some(report) = self.report else { return self.fallback };
+        if now > report.at + REPORT_LIFE {
+            return self.fallback;
+        }
+        let busy = report.running + report.waiting + self.recent.len() as u32;
+        let idle = f64::from(self.slots.saturating_sub(busy));
+        self.fallback + (idle * idle_part) as u32
+    }
+
     /// Returns how many of this instance's requests are at the server.
     pub(crate) fn running(&self) -> u32 {
         self.running.iter().sum()
--- a/crates/flaxtide/tests/common/mod.rs
+++ b/crates/flaxtide/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -446,6 +446,16 @@
     }
 }
 
+/// Tells load threads to stop when it is dropped, also by a panic: a proof that fails
+/// ends.
+pub struct StopGuard<'a>(pub &'a AtomicBool);
+
+impl Drop for StopGuard<'_> {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::SeqCst);
+    }
+}
+
 /// Waits for a condition, up to [`PATIENCE`].
 pub fn wait_for(what: &str, mut holds: impl FnMut() -> bool) {
     let start = Instant::now();
--- a/crates/flaxtide/tests/graceful_shutdown.rs
+++ b/crates/flaxtide/tests/graceful_shutdown.rs
@@ -5,7 +5,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
-use common::{FleetShape, ORGANISATION_KEYS, TestAnswer, TestFleet, wait_for};
+use common::{FleetShape, ORGANISATION_KEYS, StopGuard, TestAnswer, TestFleet, wait_for};
 use flaxtide_standin::{PlatformFaults, ServiceFaults};
 
 /// Asks one instance until told to stop or refused, as callers behind a balancer do that
@@ -32,6 +32,7 @@
     let mut fleet = TestFleet::start(&FleetShape::default());
     let stop = AtomicBool::new(false);
     let answers = thread::scope(|scope| {
+        let _guard = StopGuard(&stop);
         let callers: Vec<_> = (0..12)
             .map(|caller| {
                 let (fleet, stop) = (&fleet, &stop);
--- a/crates/flaxtide/tests/no_starvation.rs
+++ b/crates/flaxtide/tests/no_starvation.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::{FleetShape, ORGANISATION_KEYS, TestFleet, together, wait_for};
+use common::{FleetShape, ORGANISATION_KEYS, StopGuard, TestFleet, together, wait_for};
 use flaxtide_standin::EngineOptions;
 
 #[test]
@@ -15,6 +15,7 @@
     let fleet = TestFleet::start(&FleetShape { engine, ..FleetShape::default() });
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _guard = StopGuard(&stop);
         for caller in 0..48 {
             let (fleet, stop) = (&fleet, &stop);
             scope.spawn(move || {
@@ -67,6 +68,7 @@
     let fleet = TestFleet::start(&FleetShape { engine, ..FleetShape::default() });
     let stop = AtomicBool::new(false);
     thread::scope(|scope| {
+        let _guard = StopGuard(&stop);
         for caller in 0..60 {
             let (fleet, stop) = (&fleet, &stop);
             scope.spawn(move || {
--- a/crates/flaxtide/tests/settings_never_revert.rs
+++ b/crates/flaxtide/tests/settings_never_revert.rs
@@ -5,7 +5,9 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread;
 
-use common::{FleetShape, TestFleet, TestInstance, dead_address, together, wait_for};
+use common::{
+    FleetShape, StopGuard, TestFleet, TestInstance, dead_address, together, wait_for,
+};
 use flaxtide_standin::{PlatformFaults, RelayFault};
 use serde_json::{Value, json};
 
@@ -91,6 +93,7 @@
     let stop = AtomicBool::new(false);
     let mut base = 1;
     thread::scope(|scope| {
+        let _guard = StopGuard(&stop);
         let watched = &fleet.instances[..2];
         let stop = &stop;
         let watchers: Vec<_> = watched
--- a/crates/flaxtide/tests/tier_order.rs
+++ b/crates/flaxtide/tests/tier_order.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::{FleetShape, ORGANISATION_KEYS, TestFleet, together, wait_for};
+use common::{FleetShape, ORGANISATION_KEYS, StopGuard, TestFleet, together, wait_for};
 use flaxtide_core::FailureReason;
 use flaxtide_policy::{
     CallArrival, ClassRule, DecisionCore, PolicyAction, PolicyEvent, PolicyOptions,
@@ -20,6 +20,7 @@
     let fleet = TestFleet::start(&FleetShape { engine, ..FleetShape::default() });
     let stop = AtomicBool::new(false);
     let clerks = thread::scope(|scope| {
+        let _guard = StopGuard(&stop);
         for caller in 0..40 {
             let (fleet, stop) = (&fleet, &stop);
             scope.spawn(move || {
