--- a/crates/flaxtide-policy/src/claim.rs
+++ b/crates/flaxtide-policy/src/claim.rs
@@ -295,7 +295,14 @@
         match reply {
             TableReply::Written { .. } => self.settled = true,
             TableReply::Found(Some((row, version))) => {
-                let open = row.attempt == self.row.attempt && row.phase == RowPhase::Held;
+                let own = row.attempt == self.row.attempt;
+                let open = match row.phase {
+                    RowPhase::Held => own,
+                    // This attempt's write may still be under way to take over another
+                    // one's released row: only a new version keeps it out.
+                    RowPhase::Released => !own && self.row.phase == RowPhase::Released,
+                    RowPhase::Done { .. } => false,
+                };
                 self.expected = Some(*version);
                 self.settled = !open;
             }
