--- a/crates/flaxtide-fleet/src/node.rs
+++ b/crates/flaxtide-fleet/src/node.rs
@@ -269,10 +269,20 @@
     }
 
     /// Returns this instance's share of each server's slots while nothing is heard of
-    /// demands: an equal one.
+    /// demands: an equal one. Listed peers count even if they aren't heard, as an instance
+    /// that is cut off from its peers isn't alone at the engines.
     #[must_use]
     pub fn fallback_shares(&self, now: Duration) -> Vec<ServerShare> {
-        let live = self.live(now);
+        let silence = self.silence();
+        let counts = |peer: &&PeerRecord| {
+            self.is_near(peer)
+                && !peer.leaving
+                && (peer.listed || peer.alive(now, silence))
+        };
+        let peers = self.peers.values().filter(counts);
+        let mut live: Vec<&str> = peers.map(|peer| peer.info.name.as_str()).collect();
+        live.push(&self.own.name);
+        live.sort_unstable();
         let Some(index) = live.iter().position(|name| *name == self.own.name) else {
             return vec![];
         };
--- a/crates/flaxtide/tests/common/mod.rs
+++ b/crates/flaxtide/tests/common/mod.rs
@@ -44,8 +44,12 @@
     pub engines: usize,
     /// How each engine works.
     pub engine: EngineOptions,
-    /// What the settings say beside the usual; see [`settings_text`].
+    /// The tiers and classes.
     pub classes: &'static str,
+    /// How many further organisations there are, each with a limit.
+    pub organisations: usize,
+    /// What instance files say of time.
+    pub timing: &'static str,
 }
 
 impl Default for FleetShape {
@@ -57,10 +61,16 @@
             engines: 2,
             engine,
             classes: CLASSES,
+            organisations: 0,
+            timing: QUICK,
         }
     }
 }
 
+/// Times that make proofs quick.
+pub const QUICK: &str = "settings_poll: 300ms\nload_poll: 200ms\nbeat_period: 300ms\n\
+                         platform_timeout: 500ms\nstop_notice: 200ms\n";
+
 /// The usual classes: clerks, questions, batches, and filings that may not be repeated.
 pub const CLASSES: &str = "
 tiers:
@@ -93,6 +103,8 @@
     pub instances: Vec<TestInstance>,
     /// What the platform lists.
     pub listed: Vec<ListedInstance>,
+    /// What instance files say of time.
+    timing: &'static str,
 }
 
 /// An entry process.
@@ -120,6 +132,7 @@
             services: vec![],
             instances: vec![],
             listed: vec![],
+            timing: shape.timing,
         };
         for _ in 0..shape.data_centres {
             for _ in 0..shape.engines {
@@ -150,7 +163,8 @@
     /// Starts one more entry instance and has the platform list it.
     pub fn add_instance(&mut self, name: &str, data_centre: usize, extra: &str) -> usize {
         let platform = format!("http://{}", self.platform_relay.address());
-        let instance = TestInstance::start(name, data_centre, &platform, extra);
+        let extra = format!("{}{extra}", self.timing);
+        let instance = TestInstance::start(name, data_centre, &platform, &extra);
         self.listed.retain(|listed| listed.name != name);
         self.listed.push(ListedInstance {
             name: name.to_owned(),
@@ -188,6 +202,13 @@
                 "  {name}: {{key_hashes: ['{hash}'], class: clerk}}\n"
             ));
         }
+        for number in 0..shape.organisations {
+            let hash = hash_key(&format!("key-{number}"));
+            text.push_str(&format!(
+                "  org-{number}: {{key_hashes: ['{hash}'], class: clerk, \
+                 policy: {{limits: {{requests_per_second: 100}}}}}}\n"
+            ));
+        }
         text.push_str("data_centres:\n");
         for data_centre in 0..shape.data_centres {
             text.push_str(&format!("  dc{data_centre}:\n    engines:\n"));
@@ -230,8 +251,7 @@
         let text = format!(
             "name: {name}\ndata_centre: dc{data_centre}\nlisten: 127.0.0.1:0\n\
              admin: 127.0.0.1:0\nfleet: 127.0.0.1:0\nplatform: {platform}\n\
-             operator_key_hashes: ['{}']\nsettings_poll: 300ms\nload_poll: 200ms\n\
-             beat_period: 300ms\nplatform_timeout: 500ms\nstop_notice: 200ms\n{extra}",
+             operator_key_hashes: ['{}']\n{extra}",
             hash_key(OPERATOR_KEY)
         );
         let path = config_path(name);
@@ -261,6 +281,11 @@
         assert!(status.unwrap().success());
     }
 
+    /// Returns the process's id.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Kills the process.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/crates/flaxtide/tests/settings_never_revert.rs
+++ b/crates/flaxtide/tests/settings_never_revert.rs
@@ -6,7 +6,8 @@
 use std::thread;
 
 use common::{
-    FleetShape, StopGuard, TestFleet, TestInstance, dead_address, together, wait_for,
+    FleetShape, QUICK, StopGuard, TestFleet, TestInstance, dead_address, together,
+    wait_for,
 };
 use flaxtide_standin::{PlatformFaults, RelayFault};
 use serde_json::{Value, json};
@@ -143,7 +144,8 @@
     // From here on nobody reaches the platform; the old hands go on serving.
     fleet.platform_relay.set_fault(RelayFault::Cut);
     let nowhere = format!("http://{}", dead_address());
-    let seeds = format!("peers: ['{}']\n", fleet.instances[2].addresses.fleet);
+    let seed = fleet.instances[2].addresses.fleet;
+    let seeds = format!("{QUICK}peers: ['{seed}']\n");
     let fresh = TestInstance::start("dc1-9", 1, &nowhere, &seeds);
     wait_for("the fresh instance is ready", || {
         fresh.status().is_some_and(|status| status.ready)
@@ -152,7 +154,7 @@
     let answer = fresh.ask(common::ORGANISATION_KEYS[0], "clerk", "from the fresh one");
     assert!(answer.whole(), "{answer:?}");
     // One with neither a platform nor peers isn't ready, and says so.
-    let lost = TestInstance::start("dc1-8", 1, &nowhere, "");
+    let lost = TestInstance::start("dc1-8", 1, &nowhere, QUICK);
     let answer = lost.ask(common::ORGANISATION_KEYS[0], "clerk", "too early");
     assert_eq!(answer.failure.unwrap().reason, flaxtide_core::FailureReason::NotReady);
 }
