Keep servers side by side for choices

Cause: a choice looks at every server of a pool through a map, and hashes the prefix even where no server has a slot. Ruled out: the queue, whose part doesn't grow with its length.

--- a/crates/flaxtide-policy/benches/lab/mod.rs
+++ b/crates/flaxtide-policy/benches/lab/mod.rs
@@ -10,10 +10,12 @@
 
 mod baseline;
 mod engine;
+mod plot;
 mod scenario;
 mod score;
 mod world;
 
+pub use self::plot::draw_goodput;
 pub use self::scenario::{SCENARIOS, Scenario};
 pub use self::score::RunScore;
 pub use self::world::{PolicyKind, run};
--- a/crates/flaxtide-policy/benches/policy.rs
+++ b/crates/flaxtide-policy/benches/policy.rs
@@ -2,6 +2,7 @@
 //!
 //! `cargo bench -p flaxtide-policy --bench policy -- --seed 1` prints a table, and as its
 //! last line a JSON object: by scenario and policy, attainment, goodput and wasted work.
+//! `--plot FILE.svg` draws goodput.
 
 mod lab;
 
@@ -10,10 +11,10 @@
 use flaxtide_policy::PolicyOptions;
 use serde_json::{Map, Value};
 
-use self::lab::{PolicyKind, RunScore, SCENARIOS, Scenario, run};
+use self::lab::{PolicyKind, RunScore, SCENARIOS, Scenario, draw_goodput, run};
 
 fn main() {
-    let seed = read_seed();
+    let seed = read_word("--seed").and_then(|word| word.parse().ok()).unwrap_or(1);
     println!("seed {seed}; attainment by class, in per cent, and tokens a second");
     println!(
         "| {:<26} | {:<12} | grid | counter | question | notes | batch | goodput | of ideal | wasted | worst t0 wait | small org. |",
@@ -21,6 +22,7 @@
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|");
     let mut all = Map::new();
+    let mut rows = vec![];
     for scenario in &SCENARIOS {
         let scores = run_all(scenario, seed);
         let ideal = scores.last().map_or(1.0, |(_, score)| score.goodput());
@@ -30,6 +32,10 @@
             row.insert(kind.name().into(), score.to_json());
         }
         all.insert(scenario.name.into(), Value::Object(row));
+        rows.push(scores);
+    }
+    if let Some(file) = read_word("--plot") {
+        draw_goodput(&file, &rows).expect("the plot can be written");
     }
     println!("{}", Value::Object(all));
 }
@@ -67,8 +73,7 @@
     );
 }
 
-/// Reads the seed from the command line.
-fn read_seed() -> u64 {
-    let mut words = std::env::args().skip_while(|word| word != "--seed").skip(1);
-    words.next().and_then(|word| word.parse().ok()).unwrap_or(1)
+/// Reads the word after a flag on the command line.
+fn read_word(flag: &str) -> Option<String> {
+    std::env::args().skip_while(|word| word != flag).nth(1)
 }
--- a/crates/flaxtide-policy/src/choice.rs
+++ b/crates/flaxtide-policy/src/choice.rs
@@ -1,6 +1,5 @@
 //! The choice of a server for one request.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use flaxtide_core::{ServerId, TierRank};
@@ -10,7 +9,7 @@
 use crate::action::{ChoiceRule, ServerChoice};
 use crate::options::PolicyOptions;
 use crate::rendezvous::numbered_weight;
-use crate::server::BackendServer;
+use crate::server::{BackendServer, ServerTable};
 
 /// What a choice is made for.
 pub(crate) struct ChoiceQuery<'a> {
@@ -29,6 +28,8 @@
 pub(crate) struct ServerPool {
     /// The servers.
     pub(crate) members: Vec<ServerId>,
+    /// Their places in the table.
+    pub(crate) places: Vec<usize>,
     /// The mean reported load, in requests for each slot.
     pub(crate) typical_load: f64,
     /// The median of seconds for each token.
@@ -43,17 +44,18 @@
 pub(crate) fn choose_server(
     query: &ChoiceQuery<'_>,
     pool: &ServerPool,
-    servers: &BTreeMap<ServerId, BackendServer>,
+    servers: &ServerTable,
     options: &PolicyOptions,
     random: &mut ChaCha8Rng,
 ) -> Option<ServerChoice> {
-    let eligible: Vec<&BackendServer> = pool
-        .members
-        .iter()
-        .filter_map(|server| servers.get(server))
+    let eligible: Vec<&BackendServer> = servers
+        .at(&pool.places)
         .filter(|server| server.has_slot(query.tier, query.now, options.idle_part))
         .filter(|server| !query.excluded.contains(&server.server))
         .collect();
+    if eligible.is_empty() {
+        return None;
+    }
     let cost = |server: &BackendServer| server_cost(server, pool, options, query.now);
     if let Some(choice) = choose_by_prefix(query, pool, &eligible, options, &cost) {
         return Some(choice);
--- a/crates/flaxtide-policy/src/core/admit.rs
+++ b/crates/flaxtide-policy/src/core/admit.rs
@@ -82,7 +82,7 @@
         let mut staying = members
             .into_iter()
             .flatten()
-            .filter_map(|id| self.servers.get(id))
+            .filter_map(|id| self.servers.get(*id))
             .filter(|server| !server.leaving);
         let soonest = now + give_up;
         if staying.any(|server| server.in_service(soonest)) {
--- a/crates/flaxtide-policy/src/core/dispatch.rs
+++ b/crates/flaxtide-policy/src/core/dispatch.rs
@@ -151,7 +151,7 @@
         let attempt = call.attempts;
         let may_move = call.arrival.repeatable && attempt < self.options.attempt_limit;
         let (pool, class) = (call.arrival.pool, call.arrival.class);
-        if let Some(server) = self.servers.get_mut(&server) {
+        if let Some(server) = self.servers.get_mut(server) {
             server.start(tier, now);
         }
         if let Some(state) = self.pools.get_mut(&pool) {
--- a/crates/flaxtide-policy/src/core/mod.rs
+++ b/crates/flaxtide-policy/src/core/mod.rs
@@ -22,7 +22,7 @@
 use crate::limit::RateLimit;
 use crate::options::PolicyOptions;
 use crate::rule::{ClassRule, RuleSet};
-use crate::server::BackendServer;
+use crate::server::{BackendServer, ServerTable};
 
 /// Decides about every request of one entry instance.
 ///
@@ -39,7 +39,7 @@
     /// The rules in force.
     rules: RuleSet,
     /// The backend servers.
-    servers: BTreeMap<ServerId, BackendServer>,
+    servers: ServerTable,
     /// The pools with their queues.
     pools: BTreeMap<PoolId, PoolState>,
     /// The requests that have neither been answered nor given up.
@@ -81,7 +81,7 @@
         Self {
             options,
             rules: RuleSet::default(),
-            servers: BTreeMap::new(),
+            servers: ServerTable::default(),
             pools: BTreeMap::new(),
             calls: HashMap::new(),
             expiries: BTreeSet::new(),
@@ -113,19 +113,19 @@
                 self.drop_call(request, now);
             }
             PolicyEvent::Report(report) => {
-                if let Some(server) = self.servers.get_mut(&report.server) {
+                if let Some(server) = self.servers.get_mut(report.server) {
                     server.report(report);
                 }
             }
             PolicyEvent::Leaving { server, leaving } => {
-                if let Some(server) = self.servers.get_mut(&server) {
+                if let Some(server) = self.servers.get_mut(server) {
                     server.leaving = leaving;
                 }
                 self.refresh_all(now);
                 self.pump_all(now);
             }
             PolicyEvent::Share { server, slots, until } => {
-                if let Some(server) = self.servers.get_mut(&server) {
+                if let Some(server) = self.servers.get_mut(server) {
                     server.set_share(slots, until);
                 }
             }
@@ -159,7 +159,10 @@
     #[must_use]
     pub fn slots(&self, now: Duration) -> BTreeMap<ServerId, (u32, u32)> {
         let entry = |server: &BackendServer| (server.share(now), server.running());
-        self.servers.iter().map(|(id, server)| (*id, entry(server))).collect()
+        self.servers
+            .iter()
+            .map(|(_, server)| (server.server, entry(server)))
+            .collect()
     }
 
     /// Returns how many requests are waiting or at servers.
@@ -170,21 +173,16 @@
 
     /// Puts new rules in force. Requests keep what was in force when they came.
     fn set_rules(&mut self, rules: RuleSet, now: Duration) {
-        self.servers.retain(|id, _| rules.servers.contains_key(id));
-        for (id, rule) in &rules.servers {
-            let server = self
-                .servers
-                .entry(*id)
-                .or_insert_with(|| BackendServer::new(*id, rule));
-            server.pools.clone_from(&rule.pools);
-            server.slots = rule.slots;
-        }
+        self.servers.set_rules(&rules.servers);
         for state in self.pools.values_mut() {
             state.servers.members.clear();
+            state.servers.places.clear();
         }
-        for (id, server) in &self.servers {
+        for (place, server) in self.servers.iter() {
             for pool in &server.pools {
-                self.pools.entry(*pool).or_default().servers.members.push(*id);
+                let pool = &mut self.pools.entry(*pool).or_default().servers;
+                pool.members.push(server.server);
+                pool.places.push(place);
             }
         }
         self.rules = rules;
@@ -202,7 +200,7 @@
     fn set_peers(&mut self, live: u32, fallbacks: &[(ServerId, u32)], now: Duration) {
         self.live = live.max(1);
         for (server, slots) in fallbacks {
-            if let Some(server) = self.servers.get_mut(server) {
+            if let Some(server) = self.servers.get_mut(*server) {
                 server.fallback = *slots;
             }
         }
--- a/crates/flaxtide-policy/src/core/outcome.rs
+++ b/crates/flaxtide-policy/src/core/outcome.rs
@@ -23,7 +23,7 @@
         if let Some(state) = self.pools.get_mut(&pool) {
             state.first_token.add(now.saturating_sub(since).as_secs_f64());
         }
-        if let Some(server) = self.servers.get_mut(&server) {
+        if let Some(server) = self.servers.get_mut(server) {
             server.resume();
         }
     }
@@ -36,7 +36,7 @@
         if running.tier > 0 || tokens == 0 {
             return;
         }
-        if let Some(server) = self.servers.get_mut(&running.server) {
+        if let Some(server) = self.servers.get_mut(running.server) {
             server.add_pace(span.as_secs_f64() / f64::from(tokens));
         }
     }
@@ -93,7 +93,7 @@
     /// Lets a server that failed rest, or lowers its standing.
     fn punish(&mut self, running: RunningCall, fault: ServerFault, now: Duration) {
         let pause = self.options.failure_pause;
-        let Some(server) = self.servers.get_mut(&running.server) else { return };
+        let Some(server) = self.servers.get_mut(running.server) else { return };
         match fault {
             ServerFault::NotRun | ServerFault::Broken => server.pause(now + pause),
             ServerFault::Leaving => server.leaving = true,
@@ -115,7 +115,7 @@
         let mut staying = members
             .into_iter()
             .flatten()
-            .filter_map(|id| self.servers.get(id))
+            .filter_map(|id| self.servers.get(*id))
             .filter(|server| !server.leaving);
         if staying.all(|server| call.excluded.contains(&server.server)) {
             call.excluded.clear();
@@ -163,7 +163,7 @@
 
     /// Frees the slot of a request and gives it to the next.
     fn free_slot(&mut self, call: &CallRecord, running: RunningCall, now: Duration) {
-        if let Some(server) = self.servers.get_mut(&running.server) {
+        if let Some(server) = self.servers.get_mut(running.server) {
             server.end(running.tier);
         }
         let pool = call.arrival.pool;
@@ -177,7 +177,7 @@
 
     /// Dispatches from every pool that the freed server serves.
     fn pump_around(&mut self, pool: PoolId, running: RunningCall, now: Duration) {
-        let server = self.servers.get(&running.server);
+        let server = self.servers.get(running.server);
         let pools = server.map_or_else(|| vec![pool], |server| server.pools.clone());
         for pool in pools {
             self.pump(pool, now);
--- a/crates/flaxtide-policy/src/core/pool.rs
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -10,7 +10,7 @@
 use crate::estimate::DecayedMean;
 use crate::options::PolicyOptions;
 use crate::queue::PoolQueue;
-use crate::server::BackendServer;
+use crate::server::ServerTable;
 
 /// How often what is typical of a pool is worked out.
 const REFRESH_PERIOD: Duration = Duration::from_millis(100);
@@ -54,7 +54,7 @@
     /// Works out what is typical of the pool's servers, and which are on probation.
     fn refresh(
         &mut self,
-        servers: &mut BTreeMap<ServerId, BackendServer>,
+        servers: &mut ServerTable,
         options: &PolicyOptions,
         now: Duration,
     ) {
@@ -62,12 +62,11 @@
         let mut paces = vec![];
         let mut loads = vec![];
         self.capacity = 0;
-        for id in &self.servers.members {
-            let Some(server) = servers.get(id) else { continue };
+        for server in servers.at(&self.servers.places) {
             if !server.in_service(now) {
                 continue;
             }
-            paces.extend(server.pace().map(|pace| (pace, *id)));
+            paces.extend(server.pace().map(|pace| (pace, server.server)));
             loads.extend(server.reported_load());
             if !server.probation {
                 // Shares follow demand within a few periods, so a small one that is left
@@ -88,14 +87,14 @@
     /// Puts the slowest servers on probation, but not too many.
     fn set_probation(
         &self,
-        servers: &mut BTreeMap<ServerId, BackendServer>,
+        servers: &mut ServerTable,
         options: &PolicyOptions,
         paces: &[(f64, ServerId)],
     ) {
         let limit = self.servers.typical_pace * options.probation_factor;
         let most = (self.servers.members.len() as f64 * options.probation_part) as usize;
         for (rank, (pace, id)) in paces.iter().rev().enumerate() {
-            if let Some(server) = servers.get_mut(id) {
+            if let Some(server) = servers.get_mut(*id) {
                 server.probation = rank < most && *pace > limit;
             }
         }
--- a/crates/flaxtide-policy/src/server.rs
+++ b/crates/flaxtide-policy/src/server.rs
@@ -1,5 +1,6 @@
 //! What the decision core knows of one backend server.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use flaxtide_core::{PoolId, ServerId, TierRank};
@@ -40,6 +41,60 @@
 /// An older report says nothing of idle slots.
 const REPORT_LIFE: Duration = Duration::from_secs(5);
 
+/// The backend servers of a data centre, in the order of their numbers.
+///
+/// Choices look at every server of a pool, so they stand side by side; a map costs half of
+/// the time of a decision.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct ServerTable {
+    /// The servers.
+    servers: Vec<BackendServer>,
+}
+
+impl ServerTable {
+    /// Returns a server.
+    pub(crate) fn get(&self, server: ServerId) -> Option<&BackendServer> {
+        self.place(server).ok().map(|place| &self.servers[place])
+    }
+
+    /// Returns a server to be changed.
+    pub(crate) fn get_mut(&mut self, server: ServerId) -> Option<&mut BackendServer> {
+        self.place(server).ok().map(|place| &mut self.servers[place])
+    }
+
+    /// Returns the servers at some places.
+    pub(crate) fn at<'a>(
+        &'a self,
+        places: &'a [usize],
+    ) -> impl Iterator<Item = &'a BackendServer> {
+        places.iter().filter_map(|place| self.servers.get(*place))
+    }
+
+    /// Returns all servers, with their places.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (usize, &BackendServer)> {
+        self.servers.iter().enumerate()
+    }
+
+    /// Takes over new rules: known servers keep what is known of them.
+    pub(crate) fn set_rules(&mut self, rules: &BTreeMap<ServerId, ServerRule>) {
+        self.servers.retain(|server| rules.contains_key(&server.server));
+        for (id, rule) in rules {
+            match self.place(*id) {
+                Ok(place) => {
+                    self.servers[place].pools.clone_from(&rule.pools);
+                    self.servers[place].slots = rule.slots;
+                }
+                Err(place) => self.servers.insert(place, BackendServer::new(*id, rule)),
+            }
+        }
+    }
+
+    /// Returns the place of a server, or where it would be.
+    fn place(&self, server: ServerId) -> Result<usize, usize> {
+        self.servers.binary_search_by_key(&server, |entry| entry.server)
+    }
+}
+
 /// The highest tier.
 const TOP_TIER: TierRank = 0;
 
