Look at every pool with any event, so that ticks can't be starved

Cause: retries and starved classes wait for a tick, and the decision thread ticked only when no message had come for 100 ms; load reports and shares come more often than that. Ruled out: the pause of failed servers and the exclusion, which end on time, and the budget of retries.

--- a/crates/flaxtide-policy/src/core/mod.rs
+++ b/crates/flaxtide-policy/src/core/mod.rs
@@ -24,6 +24,9 @@
 use crate::rule::{ClassRule, RuleSet};
 use crate::server::{BackendServer, ServerTable};
 
+/// How often every pool is looked at, whatever happens.
+const PUMP_PERIOD: Duration = Duration::from_millis(50);
+
 /// Decides about every request of one entry instance.
 ///
 /// ```
@@ -54,6 +57,8 @@
     estimates: WorkEstimates,
     /// What may be spent on retries.
     budget: RetryBudget,
+    /// When every pool was last looked at.
+    pumped: Duration,
     /// The source of randomness.
     random: ChaCha8Rng,
     /// How many instances of the data centre are alive, this one included.
@@ -90,6 +95,7 @@
             estimates: WorkEstimates::default(),
             budget,
             random: ChaCha8Rng::seed_from_u64(seed),
+            pumped: Duration::ZERO,
             live: 1,
             actions: vec![],
         }
@@ -135,11 +141,21 @@
             PolicyEvent::RateShare { organisation, part, until } => {
                 self.set_rate_part(organisation, part, until, now);
             }
-            PolicyEvent::Tick => self.pump_all(now),
+            PolicyEvent::Tick => {}
         }
+        self.pump_due(now);
         std::mem::take(&mut self.actions)
     }
 
+    /// Dispatches what time alone makes possible, such as a retry whose server is back:
+    /// with every event, but not too often. Ticks may be starved by other events.
+    fn pump_due(&mut self, now: Duration) {
+        if now >= self.pumped + PUMP_PERIOD {
+            self.pumped = now;
+            self.pump_all(now);
+        }
+    }
+
     /// Returns when [`PolicyEvent::Tick`] is next needed, if any request waits.
     #[must_use]
     pub fn next_expiry(&self) -> Option<Duration> {
