Take slots from lower tiers where a server tells them apart

Cause: cut off from its peers, an instance saw slots as busy that the engine would take from lower tiers for the top tier. Load reports may now say how many requests are of the top tier (`urgent`, which may be left out).

--- a/crates/flaxtide-policy/benches/decision.rs
+++ b/crates/flaxtide-policy/benches/decision.rs
@@ -36,6 +36,7 @@
             server,
             running: server % 8,
             waiting: 0,
+            urgent: None,
             step,
             at: Duration::ZERO,
         };
--- a/crates/flaxtide-policy/benches/lab/engine.rs
+++ b/crates/flaxtide-policy/benches/lab/engine.rs
@@ -126,10 +126,12 @@
         }
         let running = self.batch.len().min(self.slots) as u32;
         let waiting = self.batch.len() as u32 - running;
+        let urgent = self.batch.iter().filter(|call| call.priority == 0).count() as u32;
         let report = LoadReport {
             server: self.number,
             running,
             waiting,
+            urgent: Some(urgent),
             step: Duration::from_millis(self.step_ms),
             at: Duration::from_millis(now),
         };
--- a/crates/flaxtide-policy/src/core/pool.rs
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -15,6 +15,9 @@
 /// How often what is typical of a pool is worked out.
 const REFRESH_PERIOD: Duration = Duration::from_millis(100);
 
+/// The tier by whose slots the capacity is told.
+const TOP_TIER: TierRank = 0;
+
 /// A pool of servers with its queue.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct PoolState {
@@ -71,7 +74,7 @@
             if !server.probation {
                 // Shares follow demand within a few periods, so a small one that is left
                 // from quieter times says little of what can be served soon.
-                let usable = server.usable(now, options.idle_part);
+                let usable = server.usable(TOP_TIER, now, options.idle_part);
                 self.capacity += usable.max(server.fallback);
             }
         }
--- a/crates/flaxtide-policy/src/event.rs
+++ b/crates/flaxtide-policy/src/event.rs
@@ -123,6 +123,8 @@
     pub running: u32,
     /// How many requests wait in it.
     pub waiting: u32,
+    /// How many of both have the top tier's priority, if the server tells.
+    pub urgent: Option<u32>,
     /// How long one step, and so one token, takes.
     pub step: Duration,
     /// When the report was true, on this instance's clock.
--- a/crates/flaxtide-policy/src/server.rs
+++ b/crates/flaxtide-policy/src/server.rs
@@ -149,7 +149,7 @@
         if self.probation {
             return self.running() == 0;
         }
-        let share = self.usable(now, idle_part);
+        let share = self.usable(tier, now, idle_part);
         if tier == TOP_TIER && self.running() == 0 {
             // An instance that was idle has no share until its watcher hears of its
             // demand; the first request of the top tier doesn't wait for that.
@@ -161,7 +161,7 @@
     /// Returns how many slots this instance may use: its share; where no share holds, as
     /// its watcher isn't heard, its equal part and some of what the last report shows idle.
     /// Only some of it, as others see the same report.
-    pub(crate) fn usable(&self, now: Duration, idle_part: f64) -> u32 {
+    pub(crate) fn usable(&self, tier: TierRank, now: Duration, idle_part: f64) -> u32 {
         if let Some((slots, until)) = self.share
             && now < until
         {
@@ -171,7 +171,12 @@
         if now > report.at + REPORT_LIFE {
             return self.fallback;
         }
-        let busy = report.running + report.waiting + self.recent.len() as u32;
+        // The top tier takes slots from lower ones, where the server tells them apart.
+        let reported = match report.urgent {
+            Some(urgent) if tier == TOP_TIER => urgent,
+            _ => report.running + report.waiting,
+        };
+        let busy = reported + self.recent.len() as u32;
         let idle = f64::from(self.slots.saturating_sub(busy));
         self.fallback + (idle * idle_part) as u32
     }
--- a/crates/flaxtide-policy/tests/invariants.rs
+++ b/crates/flaxtide-policy/tests/invariants.rs
@@ -237,6 +237,7 @@
                     server,
                     running: load.min(SLOTS),
                     waiting: load.saturating_sub(SLOTS),
+                    urgent: None,
                     step: Duration::from_millis(4),
                     at: self.now,
                 };
--- a/crates/flaxtide-policy/tests/retries.rs
+++ b/crates/flaxtide-policy/tests/retries.rs
@@ -51,7 +51,14 @@
     let again = (1..300).find(|round| {
         let now = Duration::from_millis(10 + round * 10);
         let step = Duration::from_millis(4);
-        let report = LoadReport { server: 0, running: 0, waiting: 0, step, at: now };
+        let report = LoadReport {
+            server: 0,
+            running: 0,
+            waiting: 0,
+            urgent: None,
+            step,
+            at: now,
+        };
         dispatched(&core.handle(PolicyEvent::Report(report), now))
     });
     let again = Duration::from_millis(again.expect("it is tried again") * 10);
--- a/crates/flaxtide-standin/src/engine.rs
+++ b/crates/flaxtide-standin/src/engine.rs
@@ -218,7 +218,9 @@
         }
         batch.retain(|entry| entry.next < entry.length);
         let running = batch.len().min(self.options.slots);
+        let urgent = batch.iter().filter(|entry| entry.priority == 0).count();
         let report = json!({
+            "urgent": urgent,
             "running": running,
             "waiting": batch.len() - running,
             "step_us": (self.options.step * slowness).as_micros() as u64,
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -233,6 +233,8 @@
         server,
         running: u32::from(digest.running),
         waiting: u32::from(digest.waiting),
+        // Only needed where no watcher is heard, and then the server is polled.
+        urgent: None,
         step: Duration::from_micros(u64::from(digest.step) * STEP_UNIT_US),
         at: now.saturating_sub(age),
     }
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -39,6 +39,9 @@
     running: u32,
     /// How many requests wait in it.
     waiting: u32,
+    /// How many of both have the top tier's priority, if the server tells.
+    #[serde(default)]
+    urgent: Option<u32>,
     /// How long a step takes, in microseconds.
     #[serde(default)]
     step_us: u64,
@@ -179,6 +182,7 @@
         server,
         running: report.running,
         waiting: report.waiting,
+        urgent: report.urgent,
         step: Duration::from_micros(report.step_us),
         at: shared.now().saturating_sub(age),
     };
