--- a/crates/flaxtide-fleet/src/node.rs
+++ b/crates/flaxtide-fleet/src/node.rs
@@ -390,7 +390,10 @@
         self.forget_seed(&info);
         self.meet(info.clone(), false);
         if let Some(peer) = self.peers.get_mut(&beat.from) {
-            peer.info = info.clone();
+            if !peer.listed {
+                // The platform knows best where a listed peer is reached from here.
+                peer.info = info.clone();
+            }
             peer.take_beat(beat, now);
         }
         self.refresh(now);
--- a/crates/flaxtide-standin/src/platform.rs
+++ b/crates/flaxtide-standin/src/platform.rs
@@ -50,15 +50,22 @@
     pub writes: u64,
 }
 
-/// What a platform stand-in holds.
+/// What a platform holds, whichever door it is asked at.
 #[derive(Default)]
-struct PlatformState {
+struct PlatformData {
     /// The table.
     table: ShardedLock<BTreeMap<String, TableRow>>,
     /// The number of the last write.
     version: AtomicU64,
     /// The object store.
     objects: ShardedLock<BTreeMap<String, Vec<u8>>>,
+}
+
+/// One door of a platform.
+#[derive(Default)]
+struct PlatformState {
+    /// What the platform holds.
+    data: Arc<PlatformData>,
     /// The instance list.
     instances: ShardedLock<Vec<ListedInstance>>,
     /// The faults in force.
@@ -87,7 +94,23 @@
     ///
     /// Returns the fault if it can't listen on the address.
     pub fn start(address: SocketAddr) -> io::Result<Self> {
-        let state = Arc::new(PlatformState::default());
+        Self::open(address, PlatformState::default())
+    }
+
+    /// Opens another door to the same table and objects, with faults and a list of its
+    /// own: what another data centre sees of the platform.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if it can't listen on the address.
+    pub fn open_door(&self, address: SocketAddr) -> io::Result<Self> {
+        let data = self.state.data.clone();
+        Self::open(address, PlatformState { data, ..PlatformState::default() })
+    }
+
+    /// Opens a door.
+    fn open(address: SocketAddr, state: PlatformState) -> io::Result<Self> {
+        let state = Arc::new(state);
         let (late, writes) = sync_channel(LATE_WRITES);
         let applied = state.clone();
         thread::spawn(move || apply_late(&applied, &writes));
@@ -158,7 +181,7 @@
             (Method::Get, "/table/row") => {
                 self.reads.fetch_add(1, Ordering::SeqCst);
                 let key = query_param(&url, "key").unwrap_or_default();
-                let row = read(&self.table).get(&key).cloned();
+                let row = read(&self.data.table).get(&key).cloned();
                 respond_json(request, 200, &row);
             }
             (Method::Get, "/table/rows") => {
@@ -218,7 +241,7 @@
 
     /// Commits one transaction.
     fn commit(&self, transaction: &TableTransaction) -> CommitResult {
-        let mut table = write(&self.table);
+        let mut table = write(&self.data.table);
         let holds = transaction.conditions.iter().all(|condition| {
             table.get(&condition.key).map(|row| row.version) == condition.version
         });
@@ -228,7 +251,7 @@
                 rows: keys.map(|key| table.get(key).cloned()).collect(),
             };
         }
-        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+        let version = self.data.version.fetch_add(1, Ordering::SeqCst) + 1;
         for put in &transaction.puts {
             let row = TableRow {
                 key: put.key.clone(),
@@ -245,7 +268,7 @@
         let prefix = query_param(url, "prefix").unwrap_or_default();
         let after = query_param(url, "after").unwrap_or_default();
         let limit = query_param(url, "limit").and_then(|text| text.parse().ok());
-        let table = read(&self.table);
+        let table = read(&self.data.table);
         let rows = table.range(prefix.clone()..).map(|(_, row)| row);
         let rows = rows.take_while(|row| row.key.starts_with(&prefix));
         let rows = rows.filter(|row| row.key > after);
@@ -257,7 +280,7 @@
         let key = query_param(url, "key").unwrap_or_default();
         if *request.method() == Method::Get {
             self.reads.fetch_add(1, Ordering::SeqCst);
-            let object = read(&self.objects).get(&key).cloned();
+            let object = read(&self.data.objects).get(&key).cloned();
             let Some(object) = object else {
                 return respond_json(request, 404, &json!({ "error": "no such object" }));
             };
@@ -267,7 +290,7 @@
         self.writes.fetch_add(1, Ordering::SeqCst);
         let mut content = vec![];
         if request.as_reader().read_to_end(&mut content).is_ok() {
-            write(&self.objects).insert(key, content);
+            write(&self.data.objects).insert(key, content);
         }
         respond_json(request, 200, &json!({}));
     }
--- a/crates/flaxtide/tests/common/mod.rs
+++ b/crates/flaxtide/tests/common/mod.rs
@@ -17,8 +17,8 @@
 use flaxtide_core::{FailureBody, hash_key};
 use flaxtide_platform::{InstanceRole, InstanceState, ListedInstance};
 use flaxtide_standin::{
-    EngineOptions, EngineStandin, NetworkRelay, PlatformStandin, ServiceStandin,
-    answer_text,
+    EngineOptions, EngineStandin, NetworkRelay, PlatformFaults, PlatformStandin,
+    RelayFault, ServiceStandin, answer_text,
 };
 use serde_json::{Value, json};
 
@@ -50,6 +50,8 @@
     pub organisations: usize,
     /// What instance files say of time.
     pub timing: &'static str,
+    /// Whether data centres may be cut off from the platform and from each other.
+    pub apart: bool,
 }
 
 impl Default for FleetShape {
@@ -63,6 +65,7 @@
             classes: CLASSES,
             organisations: 0,
             timing: QUICK,
+            apart: false,
         }
     }
 }
@@ -95,6 +98,10 @@
     pub platform: PlatformStandin,
     /// The relay between the instances and the platform.
     pub platform_relay: NetworkRelay,
+    /// What further data centres see of the platform, if they may be cut off.
+    pub doors: Vec<PlatformStandin>,
+    /// The links from other data centres to each instance, if they may be cut off.
+    pub links: Vec<NetworkRelay>,
     /// The engines, those of the first data centre first.
     pub engines: Vec<EngineStandin>,
     /// The plain service's servers, one in each data centre.
@@ -128,6 +135,8 @@
         let mut fleet = Self {
             platform,
             platform_relay,
+            doors: vec![],
+            links: vec![],
             engines: vec![],
             services: vec![],
             instances: vec![],
@@ -141,6 +150,11 @@
             }
             fleet.services.push(ServiceStandin::start(any).unwrap());
         }
+        if shape.apart {
+            let door = || fleet.platform.open_door(any).unwrap();
+            let doors = (1..shape.data_centres).map(|_| door()).collect();
+            fleet.doors = doors;
+        }
         for data_centre in 0..shape.data_centres {
             for number in 0..shape.instances {
                 fleet.add_instance(&format!("dc{data_centre}-{number}"), data_centre, "");
@@ -162,7 +176,9 @@
 
     /// Starts one more entry instance and has the platform list it.
     pub fn add_instance(&mut self, name: &str, data_centre: usize, extra: &str) -> usize {
-        let platform = format!("http://{}", self.platform_relay.address());
+        let door = data_centre.checked_sub(1).and_then(|index| self.doors.get(index));
+        let relay = format!("http://{}", self.platform_relay.address());
+        let platform = door.map_or(relay, PlatformStandin::url);
         let extra = format!("{}{extra}", self.timing);
         let instance = TestInstance::start(name, data_centre, &platform, &extra);
         self.listed.retain(|listed| listed.name != name);
@@ -173,11 +189,41 @@
             state: InstanceState::Live,
             address: instance.addresses.fleet,
         });
-        self.platform.set_instances(self.listed.clone());
+        if !self.doors.is_empty() {
+            self.links
+                .push(NetworkRelay::start(instance.addresses.fleet).unwrap());
+        }
         self.instances.push(instance);
+        self.publish_list();
         self.instances.len() - 1
     }
 
+    /// Has every door of the platform list the instances: those of other data centres by
+    /// the links that may be cut.
+    fn publish_list(&self) {
+        let doors = std::iter::once(&self.platform).chain(&self.doors);
+        for (data_centre, door) in doors.enumerate() {
+            let near = format!("dc{data_centre}");
+            let seen = self.listed.iter().enumerate().map(|(index, listed)| {
+                let link = self.links.get(index).filter(|_| listed.data_centre != near);
+                let address = link.map_or(listed.address, NetworkRelay::address);
+                ListedInstance { address, ..listed.clone() }
+            });
+            door.set_instances(seen.collect());
+        }
+    }
+
+    /// Cuts the second data centre off from the platform and from the first, or joins it
+    /// again.
+    pub fn cut(&self, cut: bool) {
+        for door in &self.doors {
+            door.set_faults(PlatformFaults { down: cut, ..PlatformFaults::default() });
+        }
+        for link in &self.links {
+            link.set_fault(if cut { RelayFault::Cut } else { RelayFault::None });
+        }
+    }
+
     /// Has the platform list a backend server as leaving.
     pub fn list_leaving(&mut self, server: &str) {
         self.listed.push(ListedInstance {
