--- /dev/null
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -0,0 +1,298 @@
+//! The pure part of an instance's place in the fleet: messages and the time go in,
+//! messages and news come out.
+
+mod divide;
+mod talk;
+mod timing;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flaxtide_core::{InstanceName, SettingsVersion};
+use flaxtide_policy::{bounded_owners, rendezvous_owner};
+
+pub use self::timing::FleetTiming;
+use crate::key::FleetKey;
+use crate::peer::{PeerInfo, PeerRecord};
+use crate::wire::{
+    FleetBeat, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
+};
+
+/// The part that the newest count of use has in its rate.
+const NEWEST_USE: f64 = 0.2;
+
+/// An instance watches at most this part more than its even part of the servers, as it
+/// tells every peer of each.
+const WATCH_SLACK: f64 = 0.05;
+
+/// A use below this rate is forgotten, in requests a second.
+const LEAST_USE: f64 = 1e-3;
+
+/// Counts of a shorter time than this say little.
+const SHORTEST_COUNT: Duration = Duration::from_millis(50);
+
+/// A backend server of the data centre.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FleetServer {
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// The pools that it serves.
+    pub pools: Vec<FleetKey>,
+}
+
+/// What this instance has to say of itself.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct NodeDemand {
+    /// Its requests for each pool.
+    pub demands: Vec<PoolDemand>,
+    /// The last reports of the servers that it watches.
+    pub servers: Vec<ServerDigest>,
+    /// How many requests of each limited organisation came since the last time.
+    pub usage: Vec<UsageCount>,
+}
+
+/// A beat on its way to a peer.
+#[derive(Debug, Clone, PartialEq)]
+pub struct OutgoingBeat {
+    /// The peer.
+    pub to: PeerInfo,
+    /// The beat.
+    pub beat: FleetBeat,
+}
+
+/// What has been heard that concerns this instance.
+#[derive(Debug, Clone, PartialEq)]
+pub enum FleetNews {
+    /// A server's load, and how old the report is.
+    Load(ServerDigest),
+    /// This instance's share of a server's slots, and until when it holds.
+    Share(ServerShare, Duration),
+    /// This instance's part of an organisation's rate, and until when it holds.
+    Rate(RatePart, Duration),
+    /// A newer settings version exists; this peer has it.
+    Version(SettingsVersion, PeerInfo),
+}
+
+/// One instance's place in the fleet.
+#[derive(Debug)]
+pub struct FleetNode {
+    /// Who it is.
+    own: PeerInfo,
+    /// Its epoch.
+    epoch: u32,
+    /// How often things happen.
+    timing: FleetTiming,
+    /// Whether it is stopping.
+    leaving: bool,
+    /// Its settings version.
+    version: SettingsVersion,
+    /// The peers that it knows of, by name.
+    peers: BTreeMap<InstanceName, PeerRecord>,
+    /// The backend servers of its data centre.
+    servers: BTreeMap<FleetKey, FleetServer>,
+    /// The slots of each pool, over all its servers.
+    pool_slots: BTreeMap<FleetKey, u32>,
+    /// Its own requests and use.
+    demand: NodeDemand,
+    /// Its use of organisations that keepers haven't been told of.
+    untold: BTreeMap<FleetKey, u32>,
+    /// Its own use of organisations, in requests a second.
+    usage: BTreeMap<FleetKey, f64>,
+    /// When its use was last counted.
+    counted: Option<Duration>,
+    /// When it last sent beats, and how often it has.
+    beat_at: Option<Duration>,
+    /// How many rounds of beats it has sent.
+    rounds: u64,
+    /// Whether the list couldn't be read lately.
+    list_failed: bool,
+    /// The live instances of the data centre, this one included, in order.
+    live: Vec<InstanceName>,
+    /// The servers that this instance watches.
+    watched: Vec<FleetKey>,
+}
+
+impl FleetNode {
+    /// Starts an instance's place, with no peers.
+    #[must_use]
+    pub fn new(own: PeerInfo, epoch: u32, timing: FleetTiming) -> Self {
+        Self {
+            own,
+            epoch,
+            timing,
+            leaving: false,
+            version: 0,
+            peers: BTreeMap::new(),
+            servers: BTreeMap::new(),
+            pool_slots: BTreeMap::new(),
+            demand: NodeDemand::default(),
+            untold: BTreeMap::new(),
+            usage: BTreeMap::new(),
+            counted: None,
+            beat_at: None,
+            rounds: 0,
+            list_failed: true,
+            live: vec![],
+            watched: vec![],
+        }
+    }
+
+    /// Takes in the platform's list of entry instances; nothing if it can't be read. The
+    /// list lags: a peer that it lacks is kept while it is heard.
+    pub fn set_list(&mut self, list: Option<Vec<PeerInfo>>, now: Duration) {
+        self.list_failed = list.is_none();
+        let Some(list) = list else { return };
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
+        for info in list {
+            self.meet(info, true);
+        }
+        let silence = self.silence();
+        self.peers.retain(|_, peer| peer.listed || peer.alive(now, silence));
+    }
+
+    /// Takes in that an instance may be there.
+    pub fn meet(&mut self, info: PeerInfo, listed: bool) {
+        if info.name == self.own.name {
+            return;
+        }
+        let peer = self
+            .peers
+            .entry(info.name.clone())
+            .or_insert_with(|| PeerRecord::new(info.clone(), listed));
+        peer.listed |= listed;
+        if listed || peer.heard.is_none() {
+            peer.info = info;
+        }
+    }
+
+    /// Forgets a peer that was known by its address only, now that its name is.
+    fn forget_seed(&mut self, info: &PeerInfo) {
+        self.peers.remove(&info.address.to_string());
+    }
+
+    /// Sets the backend servers of the data centre.
+    pub fn set_servers(&mut self, servers: BTreeMap<FleetKey, FleetServer>) {
+        self.pool_slots.clear();
+        for server in servers.values() {
+            for pool in &server.pools {
+                *self.pool_slots.entry(*pool).or_default() += server.slots;
+            }
+        }
+        self.servers = servers;
+        self.assign();
+    }
+
+    /// Sets the settings version in force.
+    pub fn set_version(&mut self, version: SettingsVersion) {
+        self.version = self.version.max(version);
+    }
+
+    /// Returns the settings version in force.
+    #[must_use]
+    pub fn version(&self) -> SettingsVersion {
+        self.version
+    }
+
+    /// Says that this instance is stopping.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    /// Takes in what this instance has to say of itself.
+    pub fn set_demand(&mut self, demand: NodeDemand, now: Duration) {
+        let since = self
+            .counted
+            .map_or(Duration::from_secs(1), |at| now.saturating_sub(at));
+        let seconds = since.max(SHORTEST_COUNT).as_secs_f64();
+        self.counted = Some(now);
+        for rate in self.usage.values_mut() {
+            *rate *= 1.0 - NEWEST_USE;
+        }
+        for usage in &demand.usage {
+            let rate = f64::from(usage.count) / seconds;
+            *self.usage.entry(usage.organisation).or_default() += NEWEST_USE * rate;
+            *self.untold.entry(usage.organisation).or_default() += u32::from(usage.count);
+        }
+        self.usage.retain(|_, rate| *rate > LEAST_USE);
+        self.demand = demand;
+        self.refresh(now);
+    }
+
+    /// Returns the time between two rounds of beats.
+    #[must_use]
+    pub fn period(&self) -> Duration {
+        let known =
+            self.peers.values().filter(|peer| self.is_near(peer)).count() as u32 + 1;
+        let timing = &self.timing;
+        let period = timing.period_per_instance * known;
+        period.clamp(
+            timing.shortest_period.min(timing.longest_period),
+            timing.longest_period,
+        )
+    }
+
+    /// Works out whom this instance sees alive, and so what it watches. No vote is taken:
+    /// each instance works it out from whom it hears.
+    fn refresh(&mut self, now: Duration) {
+        let silence = self.silence();
+        let peers = self.peers.values();
+        let peers = peers.filter(|peer| self.is_near(peer) && peer.alive(now, silence));
+        let mut live: Vec<&InstanceName> = peers.map(|peer| &peer.info.name).collect();
+        live.push(&self.own.name);
+        live.sort_unstable();
+        if live.iter().copied().eq(&self.live) {
+            return;
+        }
+        self.live = live.into_iter().cloned().collect();
+        self.assign();
+    }
+
+    /// Works out which servers this instance watches.
+    fn assign(&mut self) {
+        let keys: Vec<u64> =
+            self.servers.keys().map(|server| u64::from(*server)).collect();
+        let owners = bounded_owners(&keys, &self.live, WATCH_SLACK);
+        let own = self.live.iter().position(|name| *name == self.own.name);
+        let servers = self.servers.keys().copied().zip(owners);
+        let watched = servers.filter(|(_, owner)| Some(*owner) == own);
+        self.watched = watched.map(|(server, _)| server).collect();
+    }
+
+    /// Tells whether a live instance is the one that a key belongs to.
+    fn owns(&self, key: FleetKey, name: &str) -> bool {
+        let owner = rendezvous_owner(u64::from(key), &self.live);
+        owner.is_some_and(|owner| self.live[owner] == name)
+    }
+
+    /// Returns the names of the live instances of the data centre, this one included, in
+    /// order, as of the last event.
+    #[must_use]
+    pub fn live(&self) -> &[InstanceName] {
+        &self.live
+    }
+
+    /// Returns the servers that this instance watches, as of the last event.
+    #[must_use]
+    pub fn watched(&self) -> &[FleetKey] {
+        &self.watched
+    }
+
+    /// Returns the peers that are known to have a version newer than this instance's.
+    #[must_use]
+    pub fn newer_peers(&self) -> Vec<PeerInfo> {
+        let peers = self.peers.values().filter(|peer| peer.version > self.version);
+        peers.map(|peer| peer.info.clone()).collect()
+    }
+
+    /// Tells whether a peer stands in this data centre.
+    fn is_near(&self, peer: &PeerRecord) -> bool {
+        peer.info.data_centre == self.own.data_centre
+    }
+
+    /// Returns after which silence a peer isn't alive, and a share doesn't hold.
+    fn silence(&self) -> Duration {
+        self.period() * self.timing.silent_periods
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -0,0 +1,162 @@
+//! Beats and replies: what a node says, and what it takes in.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flaxtide_core::InstanceName;
+use flaxtide_policy::{rendezvous_order, rendezvous_owner};
+
+use super::{FleetNews, FleetNode, OutgoingBeat};
+use crate::key::FleetKey;
+use crate::peer::{PeerInfo, PeerRecord};
+use crate::wire::{BeatReply, FleetBeat, UsageCount};
+
+impl FleetNode {
+    /// Returns the beats that are due.
+    pub fn due_beats(&mut self, now: Duration) -> Vec<OutgoingBeat> {
+        if self.beat_at.is_some_and(|at| now < at + self.period()) {
+            return vec![];
+        }
+        self.beat_at = Some(now);
+        self.rounds += 1;
+        self.refresh(now);
+        self.beats()
+    }
+
+    /// Returns beats to everyone who should hear at once, such as of a server that is
+    /// leaving or a new settings version.
+    pub fn beats(&mut self) -> Vec<OutgoingBeat> {
+        let beats = self.build_beats();
+        self.untold.clear();
+        beats
+    }
+
+    /// Builds the beats to all peers of the data centre, and to one of each other.
+    fn build_beats(&self) -> Vec<OutgoingBeat> {
+        let mut usage: BTreeMap<usize, Vec<UsageCount>> = BTreeMap::new();
+        for (organisation, count) in &self.untold {
+            let keeper = rendezvous_owner(u64::from(*organisation), &self.live);
+            let count = u16::try_from(*count).unwrap_or(u16::MAX);
+            let told = UsageCount { organisation: *organisation, count };
+            usage.entry(keeper.unwrap_or_default()).or_default().push(told);
+        }
+        let near = self.peers.values().filter(|peer| self.is_near(peer));
+        let far = self.far_peers();
+        let beats = near.chain(far).map(|peer| OutgoingBeat {
+            to: peer.info.clone(),
+            beat: self.beat_to(peer, &usage),
+        });
+        beats.collect()
+    }
+
+    /// Takes in a peer's beat. Returns the reply, and what it has told.
+    pub fn hear_beat(
+        &mut self,
+        beat: &FleetBeat,
+        now: Duration,
+    ) -> (BeatReply, Vec<FleetNews>) {
+        let info = PeerInfo {
+            name: beat.from.clone(),
+            data_centre: beat.data_centre.clone(),
+            address: beat.address,
+        };
+        self.forget_seed(&info);
+        self.meet(info.clone(), false);
+        if let Some(peer) = self.peers.get_mut(&beat.from) {
+            if !peer.listed {
+                // The platform knows best where a listed peer is reached from here.
+                peer.info = info.clone();
+            }
+            peer.take_beat(beat, now);
+        }
+        self.refresh(now);
+        let mut news = vec![];
+        if beat.data_centre == self.own.data_centre {
+            news.extend(beat.servers.iter().copied().map(FleetNews::Load));
+        }
+        if beat.version > self.version {
+            news.push(FleetNews::Version(beat.version, info));
+        }
+        (self.reply_to(beat), news)
+    }
+
+    /// Takes in a peer's reply. Returns what it has told.
+    pub fn hear_reply(
+        &mut self,
+        from: &InstanceName,
+        reply: &BeatReply,
+        now: Duration,
+    ) -> Vec<FleetNews> {
+        for info in &reply.peers {
+            self.forget_seed(info);
+            self.meet(info.clone(), false);
+        }
+        let until = now + self.silence();
+        let Some(peer) = self.peers.get_mut(from) else { return vec![] };
+        peer.hear(reply.epoch, reply.leaving, reply.version, now);
+        let info = peer.info.clone();
+        let shares = reply.shares.iter().map(|share| FleetNews::Share(*share, until));
+        let parts = reply.parts.iter().map(|part| FleetNews::Rate(*part, until));
+        let mut news: Vec<_> = shares.chain(parts).collect();
+        if reply.version > self.version {
+            news.push(FleetNews::Version(reply.version, info));
+        }
+        self.refresh(now);
+        news
+    }
+
+    /// Builds the beat to a peer.
+    fn beat_to(
+        &self,
+        peer: &PeerRecord,
+        usage: &BTreeMap<usize, Vec<UsageCount>>,
+    ) -> FleetBeat {
+        let near = self.is_near(peer);
+        let place = self.live.binary_search(&peer.info.name).ok();
+        let kept = place.and_then(|place| usage.get(&place));
+        FleetBeat {
+            from: self.own.name.clone(),
+            data_centre: self.own.data_centre.clone(),
+            address: self.own.address,
+            epoch: self.epoch,
+            leaving: self.leaving,
+            version: self.version,
+            demands: if near { self.demand.demands.clone() } else { vec![] },
+            servers: if near { self.demand.servers.clone() } else { vec![] },
+            usage: kept.cloned().unwrap_or_default(),
+            wants_peers: self.list_failed,
+        }
+    }
+
+    /// Builds the reply to a beat.
+    fn reply_to(&self, beat: &FleetBeat) -> BeatReply {
+        let near = beat.data_centre == self.own.data_centre;
+        let used: Vec<FleetKey> =
+            beat.usage.iter().map(|usage| usage.organisation).collect();
+        let peers = self.peers.values().map(|peer| peer.info.clone());
+        let peers = peers.chain([self.own.clone()]);
+        let from = &beat.from;
+        BeatReply {
+            epoch: self.epoch,
+            leaving: self.leaving,
+            version: self.version,
+            shares: if near { self.shares_of(from) } else { vec![] },
+            parts: if near { self.parts_of(from, &used) } else { vec![] },
+            peers: if beat.wants_peers { peers.collect() } else { vec![] },
+        }
+    }
+
+    /// Returns one peer of each other data centre, another one each round.
+    fn far_peers(&self) -> impl Iterator<Item = &PeerRecord> {
+        let mut by_data_centre: BTreeMap<&str, Vec<&PeerRecord>> = BTreeMap::new();
+        for peer in self.peers.values().filter(|peer| !self.is_near(peer)) {
+            by_data_centre.entry(&peer.info.data_centre).or_default().push(peer);
+        }
+        let key = self.rounds ^ u64::from(self.epoch);
+        by_data_centre.into_values().filter_map(move |peers| {
+            let names: Vec<&str> =
+                peers.iter().map(|peer| peer.info.name.as_str()).collect();
+            rendezvous_order(key, &names).first().map(|index| peers[*index])
+        })
+    }
+}
--- a/crates/flaxtide-policy/benches/lab/world.rs
+++ b/crates/flaxtide-policy/benches/lab/world/mod.rs
@@ -1,5 +1,8 @@
 //! One run of a scenario under a policy.
 
+mod news;
+mod trouble;
+
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -22,9 +25,6 @@
 /// How often load is reported and shares are divided, in milliseconds.
 const PERIOD_MS: u64 = 280;
 
-/// A caller without any token hangs up after so many times its target.
-const CALLER_PATIENCE: u64 = 3;
-
 /// Where a skewed balancer sends the drafts.
 const SKEWED_TO: usize = 2;
 
@@ -35,9 +35,6 @@
 /// milliseconds.
 const BETWEEN_MS: u64 = 67;
 
-/// How long a crashed engine is down, in milliseconds.
-const DOWN_MS: u64 = 3000;
-
 /// A policy.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum PolicyKind {
@@ -308,33 +305,6 @@
         }
     }
 
-    /// Has engines crash and an instance be lost, as the scenario says.
-    fn strike(&mut self) {
-        let first = self.scenario.stragglers;
-        for number in first..first + self.scenario.crashes {
-            let engine = &mut self.engines[number as usize];
-            engine.down_until = self.now + DOWN_MS;
-            for lost in std::mem::take(&mut engine.batch) {
-                self.break_off(lost.request, lost.attempt, ServerFault::Broken);
-            }
-        }
-        if self.scenario.instance_lost && self.kind != PolicyKind::Ideal {
-            self.routers[0] = None;
-            let lost: Vec<u64> = self
-                .calls
-                .iter()
-                .filter(|(_, call)| call.instance == 0)
-                .map(|(request, _)| *request)
-                .collect();
-            for request in lost {
-                self.calls.remove(&request);
-                for engine in &mut self.engines {
-                    engine.cancel(request);
-                }
-            }
-        }
-    }
-
     /// Tells the owner of a request that its engine failed.
     fn break_off(&mut self, request: u64, attempt: u32, fault: ServerFault) {
         let Some(call) = self.calls.get_mut(&request) else { return };
@@ -396,43 +366,6 @@
         self.tell(call.instance, PolicyEvent::Finish { request, tokens });
     }
 
-    /// Has callers hang up, and instances give up on silent engines.
-    fn lose_patience(&mut self) {
-        let now = self.now;
-        let gone = |call: &LabCall| {
-            let target = CLASSES[usize::from(call.arrival.arrival.class)].first_token_ms;
-            call.first.is_none() && now > call.arrival.at + CALLER_PATIENCE * target
-        };
-        let left: Vec<u64> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| gone(call))
-            .map(|(id, _)| *id)
-            .collect();
-        for request in left {
-            let Some(call) = self.calls.remove(&request) else { continue };
-            // The plain policy doesn't cancel what nobody waits for.
-            if self.kind != PolicyKind::Plain {
-                self.cancel(request);
-            }
-            self.tell(call.instance, PolicyEvent::Leave { request });
-        }
-        let silent = |call: &LabCall| {
-            call.engine.is_some()
-                && call.patience.is_some_and(|(from, span)| now > from + span)
-        };
-        let silent: Vec<(u64, u32)> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| silent(call))
-            .map(|(id, call)| (*id, call.attempt))
-            .collect();
-        for (request, attempt) in silent {
-            self.cancel(request);
-            self.break_off(request, attempt, ServerFault::Stalled);
-        }
-    }
-
     /// Drops a request at every engine.
     fn cancel(&mut self, request: u64) {
         for engine in &mut self.engines {
@@ -440,48 +373,6 @@
         }
     }
 
-    /// Has load reports and shares reach the instances.
-    fn spread_news(&mut self) {
-        let lag = self.scenario.report_lag;
-        let now = self.now;
-        let reports: Vec<_> = self
-            .engines
-            .iter_mut()
-            .filter_map(|engine| engine.report(now, lag))
-            .collect();
-        for index in 0..self.routers.len() {
-            for report in &reports {
-                self.tell(index, PolicyEvent::Report(*report));
-            }
-        }
-        if self.kind != PolicyKind::Flaxtide || self.scenario.peers_cut {
-            return;
-        }
-        let live: Vec<usize> = (0..INSTANCES)
-            .filter(|index| self.routers[*index].is_some())
-            .collect();
-        let names: Vec<&str> = live.iter().map(|index| NAMES[*index]).collect();
-        // Each engine is divided by what its watcher heard a period ago.
-        let told = std::mem::take(&mut self.told);
-        let part = f64::from(1u16) / f64::from(ENGINES);
-        let until = Duration::from_millis(now + 3 * PERIOD_MS);
-        for server in 0..ENGINES {
-            let demands: Vec<SlotDemand> =
-                live.iter().map(|index| told[*index].clone()).collect();
-            let shares = divide_slots(SLOTS as u32, u64::from(server), &names, &demands);
-            for (index, slots) in live.iter().zip(shares) {
-                self.tell(*index, PolicyEvent::Share { server, slots, until });
-            }
-        }
-        let demand = |router: &Option<Box<dyn Router>>| {
-            let tiers = router.as_ref().map_or(vec![], |router| router.demand());
-            SlotDemand {
-                tiers: tiers.iter().map(|count| count * part).collect(),
-            }
-        };
-        self.told = self.routers.iter().map(demand).collect();
-    }
-
     /// Ends the run. Requests whose time isn't over count for nobody.
     fn close(mut self) -> RunScore {
         for call in self.calls.values() {
--- a/crates/flaxtide/src/request.rs
+++ b/crates/flaxtide/src/request.rs
@@ -105,122 +105,125 @@
     pub(crate) message: String,
 }
 
+/// What a request is for, before its class is known.
+struct CallTarget<'a> {
+    /// The pool that can serve it.
+    pool: PoolId,
+    /// The class that the target names.
+    class: Option<&'a str>,
+    /// Whether it may run more than once, if the target says.
+    repeatable: Option<bool>,
+    /// What is to be sent.
+    payload: CallPayload,
+    /// The hash of all that is to be sent.
+    body_hash: u64,
+}
+
 impl CallRequest {
     /// Reads a request.
     pub(crate) fn read(
         request: &mut Request,
         view: &SettingsView,
     ) -> Result<Self, RequestFault> {
-        let (organisation, profile) = authenticate(request, view)?;
-        let body = read_body(request, profile)?;
+        let (organisation, owner) = authenticate(request, view)?;
+        let body = read_body(request, owner)?;
         let (path, _) = split_url(request.url());
-        match path {
+        let target = match path {
             "/v1/chat/completions" | "/v1/completions" => {
-                Self::completion(request, view, organisation, profile, &body)
+                read_completion(request, view, organisation, &body)?
             }
-            _ if path.starts_with("/services/") => {
-                Self::plain(request, view, organisation, profile, body)
-            }
-            _ => fault(
-                FailureReason::UnknownTarget,
-                format!(
+            _ if path.starts_with("/services/") => read_plain(request, view, body)?,
+            _ => {
+                let message = format!(
                     "there is no `{path}`; there are /v1/chat/completions, \
                      /v1/completions and /services/NAME/..."
-                ),
-            ),
-        }
-    }
-
-    /// Reads a request to a language model.
-    fn completion(
-        request: &Request,
-        view: &SettingsView,
-        organisation: OrganisationId,
-        owner: &OrganisationProfile,
-        body: &[u8],
-    ) -> Result<Self, RequestFault> {
-        let path = split_url(request.url()).0.to_owned();
-        if *request.method() != Method::Post {
-            return fault(FailureReason::BadRequest, format!("`{path}` takes POST only"));
-        }
-        let parsed: Value = serde_json::from_slice(body).or_else(|cause| {
-            fault(FailureReason::BadRequest, format!("the body isn't JSON: {cause}"))
-        })?;
-        let Some(model) = parsed["model"].as_str() else {
-            return fault(FailureReason::BadRequest, "the body names no `model`".into());
-        };
-        let Some(pool) = view.model(model) else {
-            let names: Vec<_> = view.tree.models.keys().map(String::as_str).collect();
-            let message = format!("no model `{model}`; there are: {}", names.join(", "));
-            return fault(FailureReason::UnknownTarget, message);
-        };
-        let prompt = prompt_text(&parsed)?;
-        let (class, profile) = find_class(request, view, owner, None)?;
-        let repeatable = profile.repeatable;
-        let key = read_key(request, repeatable)?;
-        let prefix = prompt.as_bytes().get(..PREFIX_BYTES);
-        let payload = CompletionPayload {
-            path,
-            model: model.to_owned(),
-            stream: parsed["stream"].as_bool().unwrap_or(false),
-            prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
-            prefix: prefix.map(|text| xxh3_64(text) ^ u64::from(organisation)),
-            body: parsed,
+                );
+                return fault(FailureReason::UnknownTarget, message);
+            }
         };
+        let (class, profile) = find_class(request, view, owner, target.class)?;
+        let repeatable = target.repeatable.unwrap_or(profile.repeatable);
         Ok(Self {
             organisation,
             organisation_name: owner.name.clone(),
             class,
             profile,
-            pool,
-            key,
+            pool: target.pool,
+            key: read_key(request, repeatable)?,
             repeatable,
             deadline: read_deadline(request)?,
-            payload: CallPayload::Completion(payload),
-            body_hash: xxh3_64(body),
+            payload: target.payload,
+            body_hash: target.body_hash,
         })
     }
+}
 
-    /// Reads a call of a plain service.
-    fn plain(
-        request: &Request,
-        view: &SettingsView,
-        organisation: OrganisationId,
-        owner: &OrganisationProfile,
-        body: Vec<u8>,
-    ) -> Result<Self, RequestFault> {
-        let rest = request.url().trim_start_matches("/services/");
-        let end = rest.find(['/', '?']).unwrap_or(rest.len());
-        let (name, path) = rest.split_at(end);
-        let Some(pool) = view.service(name) else {
-            let names: Vec<_> = view.tree.services.keys().map(String::as_str).collect();
-            let message = format!("no service `{name}`; there are: {}", names.join(", "));
-            return fault(FailureReason::UnknownTarget, message);
-        };
-        let node = &view.tree.services[name];
-        let (class, profile) = find_class(request, view, owner, node.class.as_deref())?;
-        let reads = matches!(request.method(), Method::Get | Method::Head);
-        let repeatable = reads || node.repeatable.unwrap_or(profile.repeatable);
-        let key = read_key(request, repeatable)?;
-        let method = request.method().to_string();
-        let mut hashed = format!("{method} {path}\n").into_bytes();
-        hashed.extend(&body);
-        let path = if path.starts_with('/') { path.into() } else { format!("/{path}") };
-        let content_type = header(request, "Content-Type");
-        let payload = PlainPayload { method, path, content_type, body };
-        Ok(Self {
-            organisation,
-            organisation_name: owner.name.clone(),
-            class,
-            profile,
-            pool,
-            key,
-            repeatable,
-            deadline: read_deadline(request)?,
-            payload: CallPayload::Plain(payload),
-            body_hash: xxh3_64(&hashed),
-        })
+/// Reads what a request to a language model is for.
+fn read_completion<'a>(
+    request: &Request,
+    view: &'a SettingsView,
+    organisation: OrganisationId,
+    body: &[u8],
+) -> Result<CallTarget<'a>, RequestFault> {
+    let path = split_url(request.url()).0.to_owned();
+    if *request.method() != Method::Post {
+        return fault(FailureReason::BadRequest, format!("`{path}` takes POST only"));
     }
+    let parsed: Value = serde_json::from_slice(body).or_else(|cause| {
+        fault(FailureReason::BadRequest, format!("the body isn't JSON: {cause}"))
+    })?;
+    let Some(model) = parsed["model"].as_str() else {
+        return fault(FailureReason::BadRequest, "the body names no `model`".into());
+    };
+    let Some(pool) = view.model(model) else {
+        return unknown("model", model, view.tree.models.keys());
+    };
+    let prompt = prompt_text(&parsed)?;
+    let prefix = prompt.as_bytes().get(..PREFIX_BYTES);
+    let payload = CompletionPayload {
+        path,
+        model: model.to_owned(),
+        stream: parsed["stream"].as_bool().unwrap_or(false),
+        prompt_tokens: (prompt.len() / BYTES_PER_TOKEN) as u32,
+        prefix: prefix.map(|text| xxh3_64(text) ^ u64::from(organisation)),
+        body: parsed,
+    };
+    Ok(CallTarget {
+        pool,
+        class: None,
+        repeatable: None,
+        payload: CallPayload::Completion(payload),
+        body_hash: xxh3_64(body),
+    })
+}
+
+/// Reads what a call of a plain service is for.
+fn read_plain<'a>(
+    request: &Request,
+    view: &'a SettingsView,
+    body: Vec<u8>,
+) -> Result<CallTarget<'a>, RequestFault> {
+    let rest = request.url().trim_start_matches("/services/");
+    let end = rest.find(['/', '?']).unwrap_or(rest.len());
+    let (name, path) = rest.split_at(end);
+    let Some(pool) = view.service(name) else {
+        return unknown("service", name, view.tree.services.keys());
+    };
+    let node = &view.tree.services[name];
+    let reads = matches!(request.method(), Method::Get | Method::Head);
+    let method = request.method().to_string();
+    let mut hashed = format!("{method} {path}\n").into_bytes();
+    hashed.extend(&body);
+    let path = if path.starts_with('/') { path.into() } else { format!("/{path}") };
+    let content_type = header(request, "Content-Type");
+    let payload = PlainPayload { method, path, content_type, body };
+    Ok(CallTarget {
+        pool,
+        class: node.class.as_deref(),
+        repeatable: if reads { Some(true) } else { node.repeatable },
+        payload: CallPayload::Plain(payload),
+        body_hash: xxh3_64(&hashed),
+    })
 }
 
 /// Returns a header's value.
@@ -288,9 +291,7 @@
         return fault(FailureReason::BadRequest, message);
     };
     let Some((class, profile)) = view.class(name) else {
-        let names: Vec<_> = view.tree.classes.keys().map(String::as_str).collect();
-        let message = format!("no class `{name}`; there are: {}", names.join(", "));
-        return fault(FailureReason::UnknownTarget, message);
+        return unknown("class", name, view.tree.classes.keys());
     };
     let mut profile = profile.clone();
     if let Some(first_token) = owner.first_token {
@@ -345,6 +346,17 @@
     Ok(texts.collect::<Vec<_>>().join("\n"))
 }
 
+/// Builds the fault of a name that the settings lack.
+fn unknown<'a, T>(
+    kind: &str,
+    name: &str,
+    known: impl Iterator<Item = &'a String>,
+) -> Result<T, RequestFault> {
+    let known: Vec<&str> = known.map(String::as_str).collect();
+    let message = format!("no {kind} `{name}`; there are: {}", known.join(", "));
+    fault(FailureReason::UnknownTarget, message)
+}
+
 /// Builds a fault.
 fn fault<T>(reason: FailureReason, message: String) -> Result<T, RequestFault> {
     Err(RequestFault { reason, message })
