--- a/crates/flaxtide-policy/benches/lab/world/mod.rs
+++ b/crates/flaxtide-policy/benches/lab/world/mod.rs
@@ -141,6 +141,11 @@
         let engines =
             (0..ENGINES).map(|number| FakeEngine::new(number, SLOTS, step(number)));
         let count = if kind == PolicyKind::Ideal { 1 } else { INSTANCES };
+        let mut options = options.clone();
+        if kind == PolicyKind::EqualSplit {
+            // The plain form: an equal part, and nothing beyond it.
+            options.idle_part = 0.0;
+        }
         let routers = (0..count).map(|index| -> Option<Box<dyn Router>> {
             Some(match kind {
                 PolicyKind::Plain => Box::new(PlainRouter::default()),
--- a/crates/flaxtide-policy/src/core/admit.rs
+++ b/crates/flaxtide-policy/src/core/admit.rs
@@ -124,6 +124,7 @@
         let Some(rate) = rule.and_then(|rule| rule.requests_per_second) else {
             return Ok(());
         };
+        *self.usage.entry(organisation).or_default() += 1;
         let live = self.live;
         let limit = self
             .limits
