--- a/crates/flaxtide-core/src/lib.rs
+++ b/crates/flaxtide-core/src/lib.rs
@@ -25,8 +25,8 @@
 pub use self::refusal::{FailureBody, FailureReason, RanState};
 pub use self::settings::{
     ClassNode, ClassProfile, DataCentreNode, EffectiveValue, EngineNode, LimitNode,
-    ModelNode, OperatorAccess, OperatorNode, OrganisationNode, OrganisationProfile,
-    PlainServerNode, PolicyNode, ServiceNode, SettingsEdit, SettingsError, SettingsTree,
-    TargetNode, TierNode,
+    ModelNode, OperatorAccess, OperatorNode, OrderMode, OrganisationNode,
+    OrganisationProfile, PlainServerNode, PolicyNode, ServiceNode, SettingsEdit,
+    SettingsError, SettingsTree, TargetNode, TierNode,
 };
 pub use self::span::{format_span, parse_span};
--- a/crates/flaxtide-core/src/settings/mod.rs
+++ b/crates/flaxtide-core/src/settings/mod.rs
@@ -16,6 +16,6 @@
 pub use self::inherit::{ClassProfile, EffectiveValue, OrganisationProfile};
 pub use self::node::{
     ClassNode, DataCentreNode, EngineNode, LimitNode, ModelNode, OperatorAccess,
-    OperatorNode, OrganisationNode, PlainServerNode, PolicyNode, ServiceNode,
+    OperatorNode, OrderMode, OrganisationNode, PlainServerNode, PolicyNode, ServiceNode,
     SettingsTree, TargetNode, TierNode,
 };
--- a/crates/flaxtide-core/src/settings/node.rs
+++ b/crates/flaxtide-core/src/settings/node.rs
@@ -180,6 +180,22 @@
     pub models: Vec<ModelName>,
     /// How many requests it works on at once.
     pub slots: u32,
+    /// Whether it takes orders, and whether it refuses those with an old fencing number.
+    #[serde(default)]
+    pub orders: OrderMode,
+}
+
+/// How an engine takes orders to load models.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum OrderMode {
+    /// It takes none: its models are loaded by others.
+    #[default]
+    None,
+    /// It refuses an order with an old fencing number.
+    Fenced,
+    /// It takes any order.
+    Unfenced,
 }
 
 /// A server of a plain service.
--- a/crates/flaxtide-platform/src/lib.rs
+++ b/crates/flaxtide-platform/src/lib.rs
@@ -9,6 +9,7 @@
 mod client;
 mod contract;
 mod error;
+mod lease;
 mod settings;
 
 pub use self::claims::{ClaimStore, claim_key};
@@ -18,6 +19,7 @@
     RowCondition, RowPut, TableRow, TableService, TableTransaction,
 };
 pub use self::error::PlatformError;
+pub use self::lease::LeaseStore;
 pub use self::settings::{
     AuditRecord, CommitFault, SettingsHead, SettingsStore, SettingsVersioned,
 };
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -5,7 +5,8 @@
 //! draws from no global random source: the same events and seed give the same actions.
 //!
 //! Beside it stand the pure parts of what instances do together: [`divide_slots`] and
-//! [`rendezvous_order`], and the [`ClaimAttempt`] that lets a request run at most once.
+//! [`rendezvous_order`], the [`ClaimAttempt`] that lets a request run at most once, and the [`LeaseWatch`] under which
+//! one instance gives orders to engines.
 
 mod action;
 mod budget;
@@ -14,6 +15,7 @@
 mod core;
 mod estimate;
 mod event;
+mod lease;
 mod limit;
 mod options;
 mod queue;
@@ -28,6 +30,7 @@
 };
 pub use self::core::{DecisionCore, PoolSummary};
 pub use self::event::{CallArrival, LoadReport, PolicyEvent, ServerFault};
+pub use self::lease::{LeaseRow, LeaseStep, LeaseWatch};
 pub use self::options::PolicyOptions;
 pub use self::rendezvous::{bounded_owners, rendezvous_order, rendezvous_owner};
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
--- a/crates/flaxtide-standin/src/engine/mod.rs
+++ b/crates/flaxtide-standin/src/engine/mod.rs
@@ -32,6 +32,8 @@
     pub prefill: Duration,
     /// How old its load reports are.
     pub report_lag: Duration,
+    /// Whether it refuses orders with an old fencing number.
+    pub checks_fences: bool,
 }
 
 impl Default for EngineOptions {
@@ -42,6 +44,7 @@
             step: Duration::from_millis(4),
             prefill: Duration::from_millis(8),
             report_lag: Duration::from_millis(200),
+            checks_fences: true,
         }
     }
 }
@@ -69,6 +72,15 @@
     pub leaving: bool,
 }
 
+/// An order to an engine, or what it has loaded by orders.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineOrder {
+    /// The fencing number of who gave it.
+    pub fence: u64,
+    /// The models to be loaded.
+    pub models: Vec<String>,
+}
+
 /// What an engine has done for one request.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RunRecord {
@@ -100,6 +112,8 @@
     batch: Mutex<Vec<BatchEntry>>,
     /// What has been done, by request id.
     records: Mutex<BTreeMap<String, RunRecord>>,
+    /// The orders that it took, in order.
+    orders: Mutex<Vec<EngineOrder>>,
     /// Load reports, oldest first, with the time at which each was true.
     reports: Mutex<VecDeque<(Instant, Value)>>,
     /// Whether it is to stop.
@@ -143,6 +157,7 @@
             faults: Mutex::default(),
             batch: Mutex::default(),
             records: Mutex::default(),
+            orders: Mutex::default(),
             reports: Mutex::default(),
             stopped: AtomicBool::new(false),
         });
@@ -171,6 +186,12 @@
         lock(&self.state.records).clone()
     }
 
+    /// Returns the orders that it took, in order.
+    #[must_use]
+    pub fn orders(&self) -> Vec<EngineOrder> {
+        lock(&self.state.orders).clone()
+    }
+
     /// Returns how many requests are in work or waiting.
     #[must_use]
     pub fn open(&self) -> usize {
@@ -249,6 +270,11 @@
                 let records = lock(&self.records).clone();
                 respond_json(request, 200, &records);
             }
+            (Method::Get, "/orders") => {
+                let last = lock(&self.orders).last().cloned().unwrap_or_default();
+                respond_json(request, 200, &last);
+            }
+            (Method::Put, "/orders") => self.answer_order(request),
             (Method::Get, "/load") => respond_json(request, 200, &self.load()),
             (Method::Post, "/v1/chat/completions" | "/v1/completions") => {
                 self.answer_completion(request);
@@ -275,6 +301,21 @@
         report
     }
 
+    /// Takes an order, unless its fencing number is old and that is checked.
+    fn answer_order(&self, mut request: Request) {
+        let Some(order) = read_json::<EngineOrder>(&mut request) else {
+            return respond_json(request, 400, &json!({ "error": "not an order" }));
+        };
+        let mut orders = lock(&self.orders);
+        let newest = orders.iter().map(|order| order.fence).max().unwrap_or_default();
+        if self.options.checks_fences && order.fence < newest {
+            return respond_json(request, 409, &json!({ "newest": newest }));
+        }
+        orders.push(order);
+        drop(orders);
+        respond_json(request, 200, &json!({}));
+    }
+
     /// Answers a completion as a stream of server-sent events.
     fn answer_completion(&self, mut request: Request) {
         if lock(&self.faults).leaving {
--- a/crates/flaxtide-standin/src/lib.rs
+++ b/crates/flaxtide-standin/src/lib.rs
@@ -11,7 +11,9 @@
 mod service;
 mod text;
 
-pub use self::engine::{EngineFaults, EngineOptions, EngineStandin, RunRecord};
+pub use self::engine::{
+    EngineFaults, EngineOptions, EngineOrder, EngineStandin, RunRecord,
+};
 pub use self::platform::{PlatformCounts, PlatformFaults, PlatformStandin};
 pub use self::relay::{NetworkRelay, RelayFault};
 pub use self::service::{ServiceFaults, ServiceRun, ServiceStandin};
--- a/crates/flaxtide/src/instance.rs
+++ b/crates/flaxtide/src/instance.rs
@@ -18,6 +18,7 @@
 use crate::decide::decide;
 use crate::error::InstanceError;
 use crate::fleet::{feed_fleet, open_fleet};
+use crate::orders::give_orders;
 use crate::settings::follow_settings;
 use crate::settle::settle_claims;
 use crate::shared::{SharedRings, SharedState};
@@ -102,6 +103,7 @@
         instance.spawn("fleet", move |_| fleet.run(&fleet_ring))?;
         instance.spawn("feed", feed_fleet)?;
         instance.spawn("watch", watch)?;
+        instance.spawn("orders", give_orders)?;
         instance.spawn("admin", move |shared| administrate(shared, &operators))?;
         instance.spawn("accept", move |shared| accept(shared, &callers))?;
         Ok(instance)
--- a/crates/flaxtide/src/lib.rs
+++ b/crates/flaxtide/src/lib.rs
@@ -10,6 +10,7 @@
 //! - `settings` follows the versions of the settings;
 //! - `watch` polls the load of backend servers and the platform's list;
 //! - `fleet` talks with peers, and `feed` keeps it up to date;
+//! - `orders` has engines load models, under a lease of the data centre;
 //! - `admin` answers operators.
 
 mod accept;
@@ -27,6 +28,7 @@
 mod logging;
 mod metrics;
 mod names;
+mod orders;
 mod request;
 mod settings;
 mod settle;
--- a/crates/flaxtide/src/shared.rs
+++ b/crates/flaxtide/src/shared.rs
@@ -8,7 +8,7 @@
 use crossbeam::sync::ShardedLock;
 use flaxtide_core::{AttemptId, MilliClock, RequestId, SettingsTree, SettingsVersion};
 use flaxtide_fleet::{FleetEvent, FleetUpdate, LinkBytes};
-use flaxtide_platform::{ClaimStore, PlatformClient, SettingsStore};
+use flaxtide_platform::{ClaimStore, LeaseStore, PlatformClient, SettingsStore};
 use flaxtide_policy::PolicyEvent;
 use rand::Rng;
 
@@ -42,6 +42,8 @@
     pub(crate) settings: SettingsStore,
     /// The claims.
     pub(crate) claims: ClaimStore,
+    /// The leases.
+    pub(crate) leases: LeaseStore,
     /// The claims, for a look that a refusal waits for.
     pub(crate) quick_claims: ClaimStore,
     /// The ring to the decision thread.
@@ -100,6 +102,7 @@
             metrics: InstanceMetrics::new(),
             log: DecisionLog::default(),
             settings: SettingsStore::new(table.clone()),
+            leases: LeaseStore::new(table.clone()),
             claims: ClaimStore::new(table),
             quick_claims: ClaimStore::new(Arc::new(quick)),
             platform,
--- a/crates/flaxtide/src/view.rs
+++ b/crates/flaxtide/src/view.rs
@@ -4,8 +4,8 @@
 use std::net::SocketAddr;
 
 use flaxtide_core::{
-    ClassId, ClassProfile, OperatorAccess, OrganisationId, OrganisationProfile, PoolId,
-    ServerId, SettingsTree, SettingsVersion,
+    ClassId, ClassProfile, OperatorAccess, OrderMode, OrganisationId,
+    OrganisationProfile, PoolId, ServerId, SettingsTree, SettingsVersion,
 };
 use flaxtide_fleet::{FleetKey, fleet_key};
 use flaxtide_policy::{ClassRule, OrganisationRule, RuleSet, ServerRule};
@@ -61,6 +61,17 @@
     pub(crate) slots: u32,
 }
 
+/// An engine that takes orders.
+#[derive(Debug, Clone)]
+pub(crate) struct OrderedEngine {
+    /// Where it listens.
+    pub(crate) address: SocketAddr,
+    /// The models that it is to have loaded.
+    pub(crate) models: Vec<String>,
+    /// Whether it checks fencing numbers.
+    pub(crate) fenced: bool,
+}
+
 impl SettingsView {
     /// Compiles a version for a data centre. Names keep the numbers that `self` gave them.
     pub(crate) fn next(
@@ -133,6 +144,19 @@
             .insert(server, ServerEntry { key, address, pools, slots });
     }
 
+    /// Returns the engines of a data centre that take orders.
+    pub(crate) fn ordered_engines(&self, data_centre: &str) -> Vec<OrderedEngine> {
+        let node = self.tree.data_centres.get(data_centre);
+        let engines = node.into_iter().flat_map(|node| node.engines.values());
+        let engines = engines.filter(|engine| engine.orders != OrderMode::None);
+        let ordered = engines.map(|engine| OrderedEngine {
+            address: engine.address,
+            models: engine.models.clone(),
+            fenced: engine.orders == OrderMode::Fenced,
+        });
+        ordered.collect()
+    }
+
     /// Returns the rules for the decision core.
     pub(crate) fn rules(&self) -> RuleSet {
         let classes = self.classes.iter().map(|(class, profile)| {
