--- a/crates/flaxtide-core/src/settings/error.rs
+++ b/crates/flaxtide-core/src/settings/error.rs
@@ -6,9 +6,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Display, Error)]
 pub enum SettingsError {
     /// The text isn't YAML, or not of the tree's shape.
-    #[display(
-        "line {line}: {message}; correct the line, or see the settings reference in docs/OPERATING.md"
-    )]
+    #[display("{}{message}; correct it, or see the settings reference in docs/OPERATING.md", start_of(*line))]
     Syntax {
         /// The line, counted from 1; 0 if unknown.
         line: usize,
@@ -16,7 +14,7 @@
         message: String,
     },
     /// A value can't be meant.
-    #[display("{path} (line {line}): {message}; {remedy}")]
+    #[display("{path}{}: {message}; {remedy}", behind(*line))]
     Value {
         /// The dotted path of the node.
         path: String,
@@ -36,3 +34,13 @@
         path: String,
     },
 }
+
+/// Names a line before a message; an edit has none.
+fn start_of(line: usize) -> String {
+    if line == 0 { String::new() } else { format!("line {line}: ") }
+}
+
+/// Names a line behind a path; an edit has none.
+fn behind(line: usize) -> String {
+    if line == 0 { String::new() } else { format!(" (line {line})") }
+}
--- a/crates/flaxtide-policy/src/core/admit.rs
+++ b/crates/flaxtide-policy/src/core/admit.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use flaxtide_core::{FailureReason, PoolId, RequestId, TierRank};
+use flaxtide_core::{
+    ClassId, FailureReason, OrganisationId, PoolId, RequestId, TierRank,
+};
 use rand::Rng;
 
 use super::DecisionCore;
@@ -195,8 +197,8 @@
         &self,
         pool: PoolId,
         tier: TierRank,
-        class: flaxtide_core::ClassId,
-        organisation: flaxtide_core::OrganisationId,
+        class: ClassId,
+        organisation: OrganisationId,
     ) -> f64 {
         let Some(state) = self.pools.get(&pool) else { return 0.0 };
         let capacity = f64::from(state.capacity.max(1));
@@ -212,7 +214,7 @@
     }
 
     /// Returns the expected service time of a class, in seconds.
-    fn span_of(&self, class: flaxtide_core::ClassId) -> f64 {
+    fn span_of(&self, class: ClassId) -> f64 {
         self.estimates.span(class).unwrap_or(FIRST_SPAN)
     }
 
--- a/crates/flaxtide-policy/src/core/pool.rs
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use flaxtide_core::{RequestId, ServerId, TierRank};
+use flaxtide_core::{PoolId, RequestId, ServerId, TierRank};
 
 use super::{DecisionCore, PoolSummary};
 use crate::choice::ServerPool;
@@ -106,7 +106,7 @@
 
 impl DecisionCore {
     /// Works out what is typical of a pool, unless that was done a moment ago.
-    pub(super) fn refresh(&mut self, pool: flaxtide_core::PoolId, now: Duration) {
+    pub(super) fn refresh(&mut self, pool: PoolId, now: Duration) {
         let Some(state) = self.pools.get_mut(&pool) else { return };
         if state.refreshed.is_some_and(|at| now < at + REFRESH_PERIOD) {
             return;
@@ -122,7 +122,7 @@
     }
 
     /// Returns the servers' typical time to a first token in a pool, in seconds.
-    pub(super) fn typical_first_token(&self, pool: flaxtide_core::PoolId) -> f64 {
+    pub(super) fn typical_first_token(&self, pool: PoolId) -> f64 {
         self.pools
             .get(&pool)
             .and_then(|state| state.first_token.get())
--- a/crates/flaxtide/src/call/outcome.rs
+++ b/crates/flaxtide/src/call/outcome.rs
@@ -1,6 +1,8 @@
 //! How a call ends: exactly once, and counted.
 
-use flaxtide_core::{Call, CallEnd, Dispatched, FailureBody, format_request_id};
+use flaxtide_core::{
+    Call, CallEnd, Dispatched, FailureBody, FailureReason, format_request_id,
+};
 use flaxtide_policy::PolicyEvent;
 
 use super::CallDuty;
@@ -65,7 +67,7 @@
     /// Ends a call whose caller has gone. Its stream at the engine is cancelled, as the
     /// connection closes.
     pub(super) fn caller_gone(&mut self, call: Call<Dispatched>) {
-        let reason = flaxtide_core::FailureReason::CallerGone;
+        let reason = FailureReason::CallerGone;
         let _ = call.fail(reason, "the caller has gone", None);
         self.shared.tell(PolicyEvent::Leave { request: self.id });
         let tokens = u64::from(self.progress.tokens);
--- a/crates/flaxtide/src/settings.rs
+++ b/crates/flaxtide/src/settings.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
-use flaxtide_core::{SettingsEdit, SettingsTree, SettingsVersion};
+use flaxtide_core::{SettingsEdit, SettingsError, SettingsTree, SettingsVersion};
 use flaxtide_fleet::FleetEvent;
 use flaxtide_platform::{AuditRecord, PlatformError};
 use rand::Rng;
@@ -99,7 +99,7 @@
 pub(crate) fn apply_change(
     tree: &SettingsTree,
     edits: &[SettingsEdit],
-) -> Result<SettingsTree, flaxtide_core::SettingsError> {
+) -> Result<SettingsTree, SettingsError> {
     match edits {
         // A whole tree in place of the old one.
         [SettingsEdit { path, value: Some(value) }] if path.is_empty() => {
--- a/crates/flaxtide/src/shared.rs
+++ b/crates/flaxtide/src/shared.rs
@@ -7,7 +7,7 @@
 use crossbeam::channel::Sender;
 use crossbeam::sync::ShardedLock;
 use flaxtide_core::{AttemptId, MilliClock, RequestId, SettingsTree, SettingsVersion};
-use flaxtide_fleet::{FleetEvent, FleetUpdate, LinkBytes};
+use flaxtide_fleet::{FleetEvent, FleetNode, FleetUpdate, LinkBytes};
 use flaxtide_platform::{ClaimStore, LeaseStore, PlatformClient, SettingsStore};
 use flaxtide_policy::PolicyEvent;
 use rand::Rng;
@@ -163,7 +163,7 @@
     /// Has the fleet thread change its node.
     pub(crate) fn update_fleet(
         &self,
-        change: impl FnOnce(&mut flaxtide_fleet::FleetNode, Duration) + Send + 'static,
+        change: impl FnOnce(&mut FleetNode, Duration) + Send + 'static,
     ) {
         let update = FleetUpdate::new(change);
         if self.fleet.try_send(FleetEvent::Update(update)).is_err() {
