Take back what a refusal said of leaving, once the server's report says otherwise

Cause: a server that refused one request as leaving and came back before its next report stayed out of service for ever: the watch thread told only changes of what it had itself seen. Found on a clean checkout in a debug build (true_refusal: the server isn't back after 30 s). Ruled out: the pause of failed servers, which ends by itself.

--- a/crates/flaxtide-policy/src/core/mod.rs
+++ b/crates/flaxtide-policy/src/core/mod.rs
@@ -124,11 +124,7 @@
                 }
             }
             PolicyEvent::Leaving { server, leaving } => {
-                if let Some(server) = self.servers.get_mut(server) {
-                    server.leaving = leaving;
-                }
-                self.refresh_all(now);
-                self.pump_all(now);
+                self.set_leaving(server, leaving, now);
             }
             PolicyEvent::Share { server, slots, until } => {
                 if let Some(server) = self.servers.get_mut(server) {
@@ -212,6 +208,17 @@
         std::mem::take(&mut self.usage)
     }
 
+    /// Takes in whether a server is leaving.
+    fn set_leaving(&mut self, server: ServerId, leaving: bool, now: Duration) {
+        let Some(server) = self.servers.get_mut(server) else { return };
+        if server.leaving == leaving {
+            return;
+        }
+        server.leaving = leaving;
+        self.refresh_all(now);
+        self.pump_all(now);
+    }
+
     /// Sets how many instances are alive, and the shares that hold without news.
     fn set_peers(&mut self, live: u32, fallbacks: &[(ServerId, u32)], now: Duration) {
         self.live = live.max(1);
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -112,18 +112,21 @@
         self.tell_leaving(shared, server);
     }
 
-    /// Tells the decision core whether a server is leaving, if that is news.
+    /// Tells the decision core whether a server is leaving, if that is news. What isn't
+    /// news is told again now and then, as the core may have been told otherwise by a
+    /// refusal. Returns whether it is news.
     fn tell_leaving(&self, shared: &SharedState, server: ServerId) -> bool {
         let leaving = self.leaving(server);
         let now = shared.now();
         let last = self.lock().told.get(&server).copied();
         let changed = last.map_or(leaving, |(told, _)| told != leaving);
         let due = last.is_some_and(|(_, at)| now >= at + RETELL_PERIOD);
-        if !changed && !due {
-            return false;
+        if changed || due {
+            shared.tell(PolicyEvent::Leaving { server, leaving });
+        }
+        if changed || due || last.is_none() {
+            self.lock().told.insert(server, (leaving, now));
         }
-        self.lock().told.insert(server, (leaving, now));
-        shared.tell(PolicyEvent::Leaving { server, leaving });
         changed
     }
 
