Watch anew whenever the node's generation changes

Cause: an instance read from its node what to watch only when the live instances or the number of servers had changed. Settings that came between telling the node its servers and reading it made it remember the new number with the old, empty, list: it then watched nothing for ever, so nobody polled its servers or saw them come back.

--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -110,6 +110,8 @@
     live: Vec<InstanceName>,
     /// The servers that this instance watches.
     watched: Vec<FleetKey>,
+    /// Grows whenever what this instance watches or falls back on may have changed.
+    generation: u64,
 }
 
 impl FleetNode {
@@ -134,6 +136,7 @@
             list_failed: true,
             live: vec![],
             watched: vec![],
+            generation: 0,
         }
     }
 
@@ -142,6 +145,7 @@
     pub fn set_list(&mut self, list: Option<Vec<PeerInfo>>, now: Duration) {
         self.list_failed = list.is_none();
         let Some(list) = list else { return };
+        let before = self.listed_near();
         for peer in self.peers.values_mut() {
             peer.listed = false;
         }
@@ -150,6 +154,16 @@
         }
         let silence = self.silence();
         self.peers.retain(|_, peer| peer.listed || peer.alive(now, silence));
+        if self.listed_near() != before {
+            self.generation += 1;
+        }
+    }
+
+    /// Returns the listed peers of the data centre.
+    fn listed_near(&self) -> Vec<InstanceName> {
+        let peers = self.peers.values();
+        let peers = peers.filter(|peer| peer.listed && self.is_near(peer));
+        peers.map(|peer| peer.info.name.clone()).collect()
     }
 
     /// Takes in that an instance may be there.
@@ -258,6 +272,7 @@
         let servers = self.servers.keys().copied().zip(owners);
         let watched = servers.filter(|(_, owner)| Some(*owner) == own);
         self.watched = watched.map(|(server, _)| server).collect();
+        self.generation += 1;
     }
 
     /// Tells whether a live instance is the one that a key belongs to.
@@ -273,6 +288,13 @@
         &self.live
     }
 
+    /// Returns a number that grows whenever what this instance watches or falls back on may
+    /// have changed.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
     /// Returns the servers that this instance watches, as of the last event.
     #[must_use]
     pub fn watched(&self) -> &[FleetKey] {
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -4,7 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flaxtide_core::{ServerId, SettingsTree};
+use flaxtide_core::{ServerId, SettingsTree, SettingsVersion};
 use flaxtide_fleet::{
     FleetNews, FleetNode, FleetServer, FleetThread, FleetTiming, NodeDemand, PeerInfo,
     PoolDemand, ServerDigest, SettingsCopy, UsageCount,
@@ -95,13 +95,13 @@
     }
 }
 
-/// What was last read from the node, so that only changes are told.
+/// Of what the node was last read, so that only changes are told.
 #[derive(Debug, Default, PartialEq)]
 struct NodeState {
-    /// The live instances of the data centre.
-    live: Vec<String>,
-    /// The settings version of the servers known then.
-    servers: usize,
+    /// The node's generation.
+    generation: u64,
+    /// The settings version, whose servers the node's keys were looked up in.
+    version: SettingsVersion,
 }
 
 /// Reads what has changed in the node: whom it sees alive, and so what to watch and which
@@ -113,9 +113,11 @@
     now: Duration,
 ) -> NodeState {
     hear(shared, &node.own_news(now));
-    let live = node.live().to_vec();
     let view = shared.view();
-    let state = NodeState { live, servers: view.servers.len() };
+    let state = NodeState {
+        generation: node.generation(),
+        version: view.version,
+    };
     if state == *last {
         return state;
     }
@@ -127,7 +129,7 @@
         Some((view.server_with_key(share.server)?, u32::from(share.slots)))
     });
     let fallbacks = fallbacks.collect();
-    let live = state.live.len() as u32;
+    let live = node.live().len() as u32;
     shared.metrics.live_peers.set(i64::from(live) - 1);
     shared.tell(PolicyEvent::Peers { live, fallbacks });
     state
