End a failed request at once if its time is over, and draw the same cases on every run

Cause: a request whose server failed it after its time was put among the retries, and its final answer waited for the next event. Found by the property tests on a clean checkout: the caller left in that moment and was refused as well. Ruled out: a second end of a request that had one.

--- a/crates/flaxtide-policy/src/core/outcome.rs
+++ b/crates/flaxtide-policy/src/core/outcome.rs
@@ -71,7 +71,9 @@
         call.may_have_run |= ran;
         self.exclude(&mut call, running);
         let freed = (call.clone(), running);
-        if self.may_retry(&call, ran) {
+        // Its time may be over by now; then its final answer isn't left to the next event.
+        let in_time = passed_on > 0 || now < call.expiry;
+        if in_time && self.may_retry(&call, ran) {
             self.requeue(call, passed_on, now);
         } else {
             self.end_failed(&call);
--- a/crates/flaxtide-policy/tests/invariants.rs
+++ b/crates/flaxtide-policy/tests/invariants.rs
@@ -9,6 +9,7 @@
     PolicyEvent, PolicyOptions, RuleSet, ServerFault, ServerRule,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// How many servers there are.
 const SERVERS: u32 = 4;
@@ -276,8 +277,19 @@
     }
 }
 
+/// The same cases on every run: CI gives the same verdict each time.
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 3000,
+        max_shrink_iters: 200_000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(1),
+        ..ProptestConfig::default()
+    }
+}
+
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 300, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(config())]
 
     #[test]
     fn no_request_is_lost_doubled_or_untruly_refused(steps in steps()) {
