Show that a keyed refusal without a look at the table isn't called not run

With the look taken out where the table doesn't answer, no proof failed; the new case does (No instead of Unknown).

--- a/crates/flaxtide/tests/true_refusal.rs
+++ b/crates/flaxtide/tests/true_refusal.rs
@@ -70,6 +70,13 @@
     let answer = fleet.instances[0].file("k1", "a");
     assert!(answer.refused(), "{answer:?}");
     assert_eq!(fleet.runs_of("k1"), 0);
+    // The same while the table doesn't answer: nobody can have looked.
+    fleet
+        .platform
+        .set_faults(PlatformFaults { down: true, ..PlatformFaults::default() });
+    let answer = fleet.instances[0].file("k5", "a");
+    assert_eq!(answer.failure.expect("a final word").ran, RanState::Unknown);
+    fleet.platform.set_faults(PlatformFaults::default());
     // The platform is out, so nobody can know of earlier attempts.
     service.set_faults(ServiceFaults::default());
     wait_for("the server is back", || fleet.instances[0].file("k0", "a").status == 200);
