Build a recorded answer only where one is recorded; look up staying servers in one place

Every answered call built its whole answer as JSON or copied it, though only calls that may not be repeated record one. The whole answer was put together in two places, and the servers of a pool that aren't leaving were looked up in two; one piece serves each now.

--- a/crates/flaxtide-policy/src/core/admit.rs
+++ b/crates/flaxtide-policy/src/core/admit.rs
@@ -80,14 +80,8 @@
         give_up: Duration,
         now: Duration,
     ) -> Result<(), (FailureReason, Duration)> {
-        let members = self.pools.get(&pool).map(|state| &state.servers.members);
-        let mut staying = members
-            .into_iter()
-            .flatten()
-            .filter_map(|id| self.servers.get(*id))
-            .filter(|server| !server.leaving);
         let soonest = now + give_up;
-        if staying.any(|server| server.in_service(soonest)) {
+        if self.staying(pool).any(|server| server.in_service(soonest)) {
             return Ok(());
         }
         Err((FailureReason::NoServer, Duration::from_secs(1)))
--- a/crates/flaxtide-policy/src/core/outcome.rs
+++ b/crates/flaxtide-policy/src/core/outcome.rs
@@ -112,13 +112,7 @@
     /// has: then another try at the first is better than none.
     fn exclude(&self, call: &mut CallRecord, running: RunningCall) {
         call.excluded.push(running.server);
-        let members =
-            self.pools.get(&call.arrival.pool).map(|state| &state.servers.members);
-        let mut staying = members
-            .into_iter()
-            .flatten()
-            .filter_map(|id| self.servers.get(*id))
-            .filter(|server| !server.leaving);
+        let mut staying = self.staying(call.arrival.pool);
         if staying.all(|server| call.excluded.contains(&server.server)) {
             call.excluded.clear();
         }
--- a/crates/flaxtide-policy/src/core/pool.rs
+++ b/crates/flaxtide-policy/src/core/pool.rs
@@ -10,7 +10,7 @@
 use crate::estimate::DecayedMean;
 use crate::options::PolicyOptions;
 use crate::queue::PoolQueue;
-use crate::server::ServerTable;
+use crate::server::{BackendServer, ServerTable};
 
 /// How often what is typical of a pool is worked out.
 const REFRESH_PERIOD: Duration = Duration::from_millis(100);
@@ -114,6 +114,13 @@
         state.refresh(&mut self.servers, &self.options, now);
     }
 
+    /// Returns the servers of a pool that aren't leaving.
+    pub(super) fn staying(&self, pool: PoolId) -> impl Iterator<Item = &BackendServer> {
+        let places = self.pools.get(&pool).map(|state| state.servers.places.as_slice());
+        let servers = self.servers.at(places.unwrap_or_default());
+        servers.filter(|server| !server.leaving)
+    }
+
     /// Works out at once what is typical of every pool.
     pub(super) fn refresh_all(&mut self, now: Duration) {
         for state in self.pools.values_mut() {
--- a/crates/flaxtide/src/call/outcome.rs
+++ b/crates/flaxtide/src/call/outcome.rs
@@ -21,17 +21,8 @@
         let now = self.shared.now();
         self.progress.first_token.get_or_insert(now);
         self.shared.tell(PolicyEvent::Finish { request: self.id, tokens });
-        let whole = match (answer, &self.request.payload) {
-            (Some(answer), _) => answer.clone(),
-            (None, CallPayload::Completion(payload)) => WholeAnswer {
-                status: 200,
-                content_type: "application/json".into(),
-                body: self.progress.whole(self.id, payload).to_string().into_bytes(),
-            },
-            (None, CallPayload::Plain(_)) => return,
-        };
-        self.record(&whole);
-        if answer.is_some() && self.progress.answer(&whole).is_err() {
+        self.record_answer(answer);
+        if answer.is_some_and(|answer| self.progress.answer(answer).is_err()) {
             self.caller_gone(call);
             return;
         }
@@ -41,6 +32,22 @@
         self.end(CallEnd::Answered, StepKind::Answered { tokens, met_target });
     }
 
+    /// Records the answer of a call that may not be repeated; others keep none.
+    fn record_answer(&mut self, answer: Option<&WholeAnswer>) {
+        if self.held.is_none() {
+            return;
+        }
+        match (answer, &self.request.payload) {
+            (Some(answer), _) => self.record(answer),
+            (None, CallPayload::Completion(payload)) => {
+                let answer = self.progress.whole_answer(self.id, payload);
+                self.record(&answer);
+            }
+            // A plain service's answer is never streamed.
+            (None, CallPayload::Plain(_)) => {}
+        }
+    }
+
     /// Ends a call that was refused.
     pub(super) fn end_refused(&mut self, body: &FailureBody) {
         let metrics = &self.shared.metrics;
--- a/crates/flaxtide/src/exchange/completion.rs
+++ b/crates/flaxtide/src/exchange/completion.rs
@@ -106,7 +106,21 @@
     }
 
     /// Builds the whole answer.
-    pub(crate) fn whole(&self, request: RequestId, payload: &CompletionPayload) -> Value {
+    pub(crate) fn whole_answer(
+        &self,
+        request: RequestId,
+        payload: &CompletionPayload,
+    ) -> WholeAnswer {
+        let body = self.whole(request, payload);
+        WholeAnswer {
+            status: 200,
+            content_type: "application/json".into(),
+            body: serde_json::to_vec(&body).unwrap_or_default(),
+        }
+    }
+
+    /// Builds the body of the whole answer.
+    fn whole(&self, request: RequestId, payload: &CompletionPayload) -> Value {
         let chat = payload.path.ends_with("/chat/completions");
         let choice = if chat {
             json!({
@@ -269,12 +283,7 @@
         return AttemptEnd::Fault(ServerFault::Broken);
     };
     if !progress.wants_stream {
-        let body = progress.whole(attempt.request, payload);
-        return AttemptEnd::Whole(WholeAnswer {
-            status: 200,
-            content_type: "application/json".into(),
-            body: serde_json::to_vec(&body).unwrap_or_default(),
-        });
+        return AttemptEnd::Whole(progress.whole_answer(attempt.request, payload));
     }
     match progress.finish(last_chunk) {
         Ok(()) => AttemptEnd::Streamed,
