--- /dev/null
+++ b/crates/flaxtide-entry/src/call.rs
@@ -0,0 +1,463 @@
+//! One request, from its head to the start of its answer.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use flaxtide_core::RequestId;
+use flaxtide_policy::{
+    RefusalCause, RetryVerdict, RouteAction, RouteCall, RouteChoice, RouteFault,
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::{Request, Response, StatusCode};
+
+use crate::contract::{CallKind, RequestHead};
+use crate::exchange::{AnswerStart, CallerRequest, exchange, strip_hop_headers};
+use crate::relay::{StreamRelay, relay_body};
+use crate::reply::{CallerAnswer, OwnReply, whole};
+use crate::routes::{CallerIdentity, ClassMatch, RouteTable};
+use crate::state::{LifePhase, TrafficState};
+
+/// When a caller is asked to come back while there are no rules.
+const NO_RULES_RETRY: Duration = Duration::from_secs(1);
+
+/// An organisation's number for requests without one.
+const NO_ORGANISATION: u16 = u16::MAX;
+
+/// The part of the time that is left after which a caller is told at the latest to come
+/// back, so that its next try has time.
+const RETRY_PART: u32 = 4;
+
+/// A request that is being answered. Dropping it tells the router that it has ended.
+pub(crate) struct OpenCall {
+    /// The state of the traffic thread.
+    pub(crate) state: Rc<TrafficState>,
+    /// The request.
+    pub(crate) request: RequestId,
+    /// What identifies it to its caller.
+    pub(crate) attempt: String,
+    /// Its class.
+    pub(crate) class: ClassMatch,
+    /// When it came.
+    pub(crate) received: Duration,
+    /// When its caller, or its class, stops waiting.
+    pub(crate) deadline: Duration,
+    /// Whether it may have run at a server.
+    pub(crate) may_have_run: Cell<bool>,
+    /// Whether its end has been logged.
+    ended: Cell<bool>,
+}
+
+/// What became of one try.
+pub(crate) enum TryEnd {
+    /// The answer has started.
+    Started(AnswerStart),
+    /// A server failed it.
+    Fault(RouteFault),
+    /// Its time is over.
+    TimeOver,
+}
+
+impl OpenCall {
+    /// Logs how the request ended, once.
+    pub(crate) fn end(&self, end: &'static str, status: u16) {
+        if self.ended.replace(true) {
+            return;
+        }
+        let state = &self.state;
+        state.metrics.ends.with_label_values(&[end]).inc();
+        let spent = state.now().saturating_sub(self.received).as_millis() as u64;
+        log::info!(
+            request = self.attempt, class = self.class.class().name, outcome = end,
+            status, spent_ms = spent, may_have_run = self.may_have_run.get();
+            "end"
+        );
+    }
+
+    /// Returns how much time is left.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_sub(self.state.now())
+    }
+
+    /// Makes an answer of the instance's own, which ends the request.
+    fn reply(&self, reply: OwnReply, retry_after: Option<Duration>) -> CallerAnswer {
+        let answer = reply.answer(retry_after);
+        self.end(reply.name(), answer.status().as_u16());
+        answer
+    }
+
+    /// Answers a request that a server failed and that isn't tried again.
+    fn give_up(&self, fault: RouteFault) -> CallerAnswer {
+        if self.may_have_run.get() {
+            let reply = match fault {
+                RouteFault::Silent => OwnReply::TimedOut,
+                _ => OwnReply::ServerFailed,
+            };
+            return self.reply(reply, None);
+        }
+        let retry_after = self.left() / RETRY_PART;
+        self.reply(OwnReply::NoServer, Some(retry_after.min(NO_RULES_RETRY)))
+    }
+
+    /// Answers a request whose time is over.
+    fn time_over(&self) -> CallerAnswer {
+        if self.may_have_run.get() {
+            return self.reply(OwnReply::TimedOut, None);
+        }
+        self.reply(OwnReply::TooLate, Some(NO_RULES_RETRY))
+    }
+
+    /// Sends the request to a server and waits for the start of the answer, as long as the
+    /// router is patient.
+    pub(crate) async fn try_server(
+        &self,
+        request: &CallerRequest,
+        choice: &RouteChoice,
+        patience: Option<Duration>,
+        last_event: Option<u64>,
+    ) -> TryEnd {
+        let left = self.left();
+        if left.is_zero() {
+            return TryEnd::TimeOver;
+        }
+        log::info!(
+            request = self.attempt, class = self.class.class().name,
+            server = self.state.server_name(choice.server).unwrap_or_default(),
+            reason:? = choice.reason, cost_ms = choice.cost_ms as u64,
+            running = choice.running, uncached = choice.uncached,
+            eligible = choice.eligible, left_ms = left.as_millis() as u64,
+            resume = last_event.unwrap_or_default();
+            "dispatch"
+        );
+        let reason = format!("{:?}", choice.reason);
+        self.state.metrics.dispatches.with_label_values(&[&reason]).inc();
+        let sent = exchange(&self.state, request, choice.server, left, last_event);
+        let wait = patience.map_or(left, |patience| patience.min(left));
+        let fault = match tokio::time::timeout(wait, sent).await {
+            Ok(Ok(start)) => return TryEnd::Started(start),
+            Ok(Err(fault)) => fault,
+            Err(_) if wait < left => RouteFault::Silent,
+            Err(_) => {
+                self.may_have_run.set(true);
+                return TryEnd::TimeOver;
+            }
+        };
+        TryEnd::Fault(fault)
+    }
+
+    /// Tells the router of a fault. Returns whether the request is tried again.
+    pub(crate) fn fail(&self, fault: RouteFault, resumable: bool) -> RetryVerdict {
+        if !fault.not_run() {
+            self.may_have_run.set(true);
+        }
+        let mut verdict = RetryVerdict::End;
+        self.state.decide(|core, now| {
+            let (decided, actions) = core.fail(self.request, fault, resumable, now);
+            verdict = decided;
+            actions
+        });
+        let label = format!("{fault:?}");
+        self.state.metrics.faults.with_label_values(&[&label]).inc();
+        log::info!(
+            request = self.attempt, fault = label, again = verdict == RetryVerdict::Again,
+            left_ms = self.left().as_millis() as u64;
+            "fault"
+        );
+        verdict
+    }
+}
+
+impl Drop for OpenCall {
+    fn drop(&mut self) {
+        self.end("caller_left", 0);
+        self.state.forget(self.request);
+        self.state.decide(|core, now| core.leave(self.request, now));
+        self.state.open.set(self.state.open.get() - 1);
+        self.state.metrics.open_calls.set(self.state.open.get() as i64);
+    }
+}
+
+/// Answers one request of a caller.
+pub(crate) async fn serve(
+    state: Rc<TrafficState>,
+    request: Request<Incoming>,
+) -> CallerAnswer {
+    let mut answer = match answer(&state, request).await {
+        Ok(answer) => answer,
+        Err((reply, attempt)) => {
+            state.metrics.ends.with_label_values(&[reply.name()]).inc();
+            let version = state.table().map(|table| table.rules.version);
+            log::info!(
+                request = attempt, outcome = reply.name(), rules_version = version.unwrap_or_default();
+                "turned away"
+            );
+            reply.answer((reply == OwnReply::NoRules).then_some(NO_RULES_RETRY))
+        }
+    };
+    if state.phase() >= LifePhase::Closing {
+        answer
+            .headers_mut()
+            .insert(CONNECTION, HeaderValue::from_static("close"));
+    }
+    answer
+}
+
+/// A request that is turned away before it is a call: why, and what identifies it.
+type TurnedAway = (OwnReply, String);
+
+/// Reads a request, and has it served.
+async fn answer(
+    state: &Rc<TrafficState>,
+    request: Request<Incoming>,
+) -> Result<CallerAnswer, TurnedAway> {
+    let received = state.now();
+    let (parts, body) = request.into_parts();
+    let head = state.dialect.read_request(&parts.headers);
+    let attempt = head.attempt.clone().unwrap_or_default();
+    let turn_away = |reply| (reply, attempt.clone());
+    let table = state.table().ok_or_else(|| turn_away(OwnReply::NoRules))?;
+    let headers = &parts.headers;
+    if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
+        return Err(turn_away(OwnReply::Malformed));
+    }
+    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.ok_or_else(|| turn_away(OwnReply::Malformed))?;
+    let class = RouteTable::find(&table, host, parts.uri.path())
+        .ok_or_else(|| turn_away(OwnReply::UnknownTarget))?;
+    let caller =
+        identify(&table, &class, &head).ok_or_else(|| turn_away(OwnReply::UnknownKey))?;
+    let most = table.rules.limits.body_bytes;
+    let wait = head.deadline.unwrap_or(class.class().timeout);
+    let body = tokio::time::timeout(wait, read_body(body, most)).await;
+    let body = body.unwrap_or(Err(OwnReply::BodyTooSlow)).map_err(turn_away)?;
+    let mut headers = parts.headers;
+    strip_hop_headers(&mut headers);
+    let tier = caller.tier.unwrap_or(class.class().tier);
+    let service = class.draw_service(&mut *state.random.borrow_mut()).map(str::to_owned);
+    let Some(service) = service else { return Err(turn_away(OwnReply::UnknownTarget)) };
+    let is_engine = table
+        .rules
+        .services
+        .iter()
+        .any(|known| known.name == service && known.engine.is_some());
+    let request = CallerRequest {
+        method: parts.method,
+        uri: parts.uri,
+        headers,
+        body,
+        attempt: head.attempt.clone(),
+        organisation: caller.name.clone(),
+        tier: is_engine.then_some(tier),
+        streams: class.class().kind.streams(),
+    };
+    let call = open(state, class, attempt, &head, received);
+    let order = RouteCall {
+        request: call.request,
+        pool: state.pool(&service),
+        class: call.class.id,
+        organisation: caller.organisation.unwrap_or(NO_ORGANISATION),
+        tier,
+        target: call.class.class().target,
+        give_up: call.deadline,
+        deadline: call.deadline,
+        repeatable: call.class.class().kind.repeatable(),
+        run_limit: call.class.class().attempt_limit,
+        prompt: head.prompt,
+    };
+    Ok(lead(call, request, order).await)
+}
+
+/// Tells who a caller is; nothing if it must have a key and has none that is in force.
+fn identify(
+    table: &RouteTable,
+    class: &ClassMatch,
+    head: &RequestHead,
+) -> Option<CallerIdentity> {
+    let known = table.identify(head.key.as_deref());
+    if known.is_some() {
+        return known;
+    }
+    let open = class.class().anonymous || table.rules.organisations.is_empty();
+    open.then(CallerIdentity::default)
+}
+
+/// Reads a body whole.
+async fn read_body(body: Incoming, most: usize) -> Result<Bytes, OwnReply> {
+    let read = Limited::new(body, most).collect().await;
+    let collected =
+        read.map_err(|fault| match fault.is::<http_body_util::LengthLimitError>() {
+            true => OwnReply::BodyTooLarge,
+            false => OwnReply::Malformed,
+        })?;
+    Ok(collected.to_bytes())
+}
+
+/// Opens a call.
+fn open(
+    state: &Rc<TrafficState>,
+    class: ClassMatch,
+    attempt: String,
+    head: &RequestHead,
+    received: Duration,
+) -> OpenCall {
+    let timeout = class.class().timeout;
+    let wait = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
+    state.open.set(state.open.get() + 1);
+    state.metrics.open_calls.set(state.open.get() as i64);
+    OpenCall {
+        state: state.clone(),
+        request: state.number(),
+        attempt,
+        class,
+        received,
+        deadline: received + wait,
+        may_have_run: Cell::new(false),
+        ended: Cell::new(false),
+    }
+}
+
+/// Leads a call through its tries to the start of its answer.
+async fn lead(call: OpenCall, request: CallerRequest, order: RouteCall) -> CallerAnswer {
+    let state = call.state.clone();
+    let mut decision = state.await_decision(call.request);
+    state.decide(|core, now| core.arrive(order, now));
+    loop {
+        let decided = tokio::time::timeout(call.left(), decision).await;
+        let (choice, patience) = match decided {
+            Ok(Ok(RouteAction::Dispatch { choice, patience, .. })) => (choice, patience),
+            Ok(Ok(RouteAction::Refuse { reason, retry_after, .. })) => {
+                return refuse(&call, reason, retry_after);
+            }
+            // The router forgets nobody, but an answer is owed all the same.
+            Ok(Err(_)) | Err(_) => return call.time_over(),
+        };
+        // Whoever is told to try again waits for the next decision.
+        decision = state.await_decision(call.request);
+        let fault = match call.try_server(&request, &choice, patience, None).await {
+            TryEnd::Started(start) => match receive(&call, &request, start).await {
+                Ok(Received::Whole(answer)) => return answer,
+                Ok(Received::Stream(start, first)) => {
+                    return begin_stream(call, request, start, first);
+                }
+                Ok(Received::Again) => continue,
+                Err(TryEnd::Fault(fault)) => fault,
+                Err(_) => return call.time_over(),
+            },
+            TryEnd::Fault(fault) => fault,
+            TryEnd::TimeOver => return call.time_over(),
+        };
+        if call.fail(fault, false) == RetryVerdict::End {
+            return call.give_up(fault);
+        }
+    }
+}
+
+/// Answers a request that the router refuses.
+fn refuse(call: &OpenCall, cause: RefusalCause, retry_after: Duration) -> CallerAnswer {
+    if call.may_have_run.get() {
+        return call.reply(OwnReply::ServerFailed, None);
+    }
+    let reply = match cause {
+        RefusalCause::NoServer | RefusalCause::Spent => OwnReply::NoServer,
+        RefusalCause::TooLate => OwnReply::TooLate,
+    };
+    call.reply(reply, Some(retry_after.min(call.left() / RETRY_PART)))
+}
+
+/// An answer that has come, or has started to.
+enum Received {
+    /// It is whole.
+    Whole(CallerAnswer),
+    /// It is a stream, whose first bytes these are.
+    Stream(AnswerStart, Bytes),
+    /// It is a server's error, and the router tries the request elsewhere.
+    Again,
+}
+
+/// Receives an answer: all of it, or the first bytes of a stream.
+async fn receive(
+    call: &OpenCall,
+    request: &CallerRequest,
+    mut start: AnswerStart,
+) -> Result<Received, TryEnd> {
+    let state = &call.state;
+    if start.status.is_server_error() && call.class.class().kind == CallKind::Idempotent {
+        // Another server may answer it. If none may, this answer is lost, so it is kept.
+        return Ok(receive_failure(call, start).await);
+    }
+    let streams = request.streams && start.status.is_success();
+    let mut collected = BytesMut::new();
+    loop {
+        let next = tokio::time::timeout(call.left(), start.body.next(state)).await;
+        let Ok(next) = next else {
+            call.may_have_run.set(true);
+            return Err(TryEnd::TimeOver);
+        };
+        match next.map_err(TryEnd::Fault)? {
+            Some(bytes) if streams => {
+                state.decide(|core, now| {
+                    core.heard(call.request, now);
+                    vec![]
+                });
+                return Ok(Received::Stream(start, bytes));
+            }
+            Some(bytes) => collected.extend_from_slice(&bytes),
+            None => break,
+        }
+    }
+    state.decide(|core, now| core.finish(call.request, now));
+    Ok(Received::Whole(deliver(call, start.status, start.headers, collected.freeze())))
+}
+
+/// Receives a server's own error for a request that may be tried elsewhere.
+async fn receive_failure(call: &OpenCall, mut start: AnswerStart) -> Received {
+    let mut collected = BytesMut::new();
+    while let Ok(Ok(Some(bytes))) =
+        tokio::time::timeout(call.left(), start.body.next(&call.state)).await
+    {
+        collected.extend_from_slice(&bytes);
+    }
+    if call.fail(RouteFault::Failed, false) == RetryVerdict::Again {
+        return Received::Again;
+    }
+    let (status, headers) = (start.status, start.headers);
+    Received::Whole(deliver(call, status, headers, collected.freeze()))
+}
+
+/// Makes an answer out of a server's whole one.
+fn deliver(
+    call: &OpenCall,
+    status: StatusCode,
+    headers: hyper::HeaderMap,
+    body: Bytes,
+) -> CallerAnswer {
+    let spent = call.state.now().saturating_sub(call.received);
+    call.state.metrics.latency.observe(spent.as_secs_f64());
+    let mut answer = Response::new(whole(body));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    call.may_have_run.set(true);
+    call.end("answered", status.as_u16());
+    answer
+}
+
+/// Starts to pass a stream on.
+fn begin_stream(
+    call: OpenCall,
+    request: CallerRequest,
+    start: AnswerStart,
+    first: Bytes,
+) -> CallerAnswer {
+    let spent = call.state.now().saturating_sub(call.received);
+    call.state.metrics.latency.observe(spent.as_secs_f64());
+    call.may_have_run.set(true);
+    let (status, headers) = (start.status, start.headers);
+    let relay = StreamRelay::new(call, request, start.body, first);
+    let mut answer = Response::new(relay_body(relay));
+    *answer.status_mut() = status;
+    *answer.headers_mut() = headers;
+    answer
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/config.rs
@@ -0,0 +1,96 @@
+//! The instance file of the traffic path.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use flaxtide_core::{DataCentreName, InstanceName, parse_span};
+use serde::{Deserialize, Deserializer};
+
+use crate::error::EntryError;
+
+/// What an entry instance is told at its start, and again when the file changes.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntryConfig {
+    /// The instance's name.
+    pub name: InstanceName,
+    /// The data centre in which it stands.
+    pub data_centre: DataCentreName,
+    /// Its own address, from which it calls.
+    pub ip: IpAddr,
+    /// Where callers reach it.
+    pub callers: SocketAddr,
+    /// Where the balancer asks whether it is ready.
+    pub ready: SocketAddr,
+    /// On which path the balancer asks.
+    pub ready_path: String,
+    /// Where its peers reach it.
+    pub fleet: SocketAddr,
+    /// Where it shows its metrics.
+    pub metrics: SocketAddr,
+    /// Instances that may be there.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Where the platform's store is.
+    pub platform: SocketAddr,
+    /// How long a planned stop may take.
+    #[serde(deserialize_with = "span")]
+    pub stop_within: Duration,
+    /// Within what time a leaving server may get no more work.
+    #[serde(deserialize_with = "span")]
+    pub leave_within: Duration,
+    /// How many repeats each request pays for, over all instances.
+    pub retry_ratio: f64,
+    /// How many repeats in ten seconds are free, over all instances.
+    pub retry_slack: f64,
+    /// The bytes of memory that the process may take, in megabytes.
+    pub memory_mb: u64,
+    /// How many descriptors the process may open.
+    pub descriptors: u64,
+}
+
+impl EntryConfig {
+    /// Reads an instance file.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault with its file, line and remedy.
+    pub fn read(path: &Path) -> Result<Self, EntryError> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|cause| EntryError::ReadConfig { path: path.to_owned(), cause })?;
+        Self::parse(&text)
+            .map_err(|message| EntryError::BadConfig { path: path.to_owned(), message })
+    }
+
+    /// Parses the text of an instance file.
+    ///
+    /// ```
+    /// use flaxtide_entry::EntryConfig;
+    /// assert!(EntryConfig::parse("nmae: a").unwrap_err().contains("nmae"));
+    /// ```
+    ///
+    /// # Errors
+    ///
+    /// Returns what is wrong, with the line.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let config: Self = serde_saphyr::from_str(text)
+            .map_err(|cause| first_line(&cause.to_string()))?;
+        if !(0.0..=1.0).contains(&config.retry_ratio) {
+            return Err("`retry_ratio` must lie between 0 and 1".into());
+        }
+        Ok(config)
+    }
+}
+
+/// Returns the first line of a parser's message.
+fn first_line(message: &str) -> String {
+    let line = message.lines().next().unwrap_or_default();
+    line.strip_prefix("error: ").unwrap_or(line).to_owned()
+}
+
+/// Reads a span.
+fn span<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_span(&text).map_err(serde::de::Error::custom)
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/contract/mod.rs
@@ -0,0 +1,13 @@
+//! What the traffic path needs of the platform that it runs on: its rules, its servers, and
+//! the words of its requests and answers. An adapter implements the traits.
+
+mod dialect;
+mod feed;
+mod rules;
+
+pub use self::dialect::{AnswerHead, RequestHead, SendHead, WireDialect};
+pub use self::feed::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
+pub use self::rules::{
+    BackendService, CallKind, CallerLimits, EntryRules, OrganisationRules, RequestClass,
+    ServerEntry, ServiceEngine, TargetService,
+};
--- /dev/null
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -0,0 +1,239 @@
+//! One try at one server: the request goes out, the head of the answer comes in and is
+//! checked.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flaxtide_core::{ServerId, TierRank};
+use flaxtide_policy::RouteFault;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::header::{
+    CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
+    TRANSFER_ENCODING, UPGRADE,
+};
+use hyper::{Method, Request, Response, StatusCode, Uri};
+
+use crate::contract::SendHead;
+use crate::state::TrafficState;
+use crate::upstream::{ServerLink, connect};
+
+/// Headers that concern one connection only, besides those that `Connection` names.
+const HOP_HEADERS: [HeaderName; 8] = [
+    CONNECTION,
+    CONTENT_LENGTH,
+    EXPECT,
+    TE,
+    TRAILER,
+    TRANSFER_ENCODING,
+    UPGRADE,
+    HeaderName::from_static("keep-alive"),
+];
+
+/// How often a request is written anew because a kept connection turned out to be closed
+/// before any byte of it was written.
+const STALE_LINKS: usize = 3;
+
+/// A caller's request, read whole.
+#[derive(Debug)]
+pub(crate) struct CallerRequest {
+    /// The method.
+    pub(crate) method: Method,
+    /// The path and query.
+    pub(crate) uri: Uri,
+    /// The headers, without those that concern one connection only.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: Bytes,
+    /// What identifies it.
+    pub(crate) attempt: Option<String>,
+    /// The caller's organisation, as servers are told.
+    pub(crate) organisation: Option<String>,
+    /// The tier, as engines are told.
+    pub(crate) tier: Option<TierRank>,
+    /// Whether the answer is a stream of events.
+    pub(crate) streams: bool,
+}
+
+/// The start of an answer that passes for right.
+pub(crate) struct AnswerStart {
+    /// The server.
+    pub(crate) server: ServerId,
+    /// The status.
+    pub(crate) status: StatusCode,
+    /// The headers, without those that concern one connection only.
+    pub(crate) headers: HeaderMap,
+    /// The body.
+    pub(crate) body: AnswerSource,
+}
+
+/// The body of an answer, as it comes over its connection.
+pub(crate) struct AnswerSource {
+    /// The body.
+    body: Incoming,
+    /// Its connection.
+    link: Option<ServerLink>,
+    /// The server.
+    server: ServerId,
+    /// For how long the server keeps the connection.
+    keep_alive: Option<Duration>,
+}
+
+impl AnswerSource {
+    /// Returns the next bytes of the body; nothing at its end.
+    ///
+    /// # Errors
+    ///
+    /// [`RouteFault::Broken`] if the connection broke before the end.
+    pub(crate) async fn next(
+        &mut self,
+        state: &TrafficState,
+    ) -> Result<Option<Bytes>, RouteFault> {
+        loop {
+            match self.body.frame().await {
+                Some(Ok(frame)) => {
+                    if let Ok(bytes) = frame.into_data() {
+                        return Ok(Some(bytes));
+                    }
+                }
+                Some(Err(_)) => {
+                    self.link = None;
+                    return Err(RouteFault::Broken);
+                }
+                None => {
+                    if let Some(link) = self.link.take() {
+                        state.links.keep(self.server, link, self.keep_alive, state.now());
+                    }
+                    return Ok(None);
+                }
+            }
+        }
+    }
+}
+
+/// Sends a request to a server and checks the head of the answer.
+///
+/// # Errors
+///
+/// Returns what went wrong; [`RouteFault::not_run`] tells whether it promises that the
+/// request hasn't run.
+pub(crate) async fn exchange(
+    state: &Rc<TrafficState>,
+    request: &CallerRequest,
+    server: ServerId,
+    left: Duration,
+    last_event: Option<u64>,
+) -> Result<AnswerStart, RouteFault> {
+    let name = state.server_name(server).ok_or(RouteFault::Unreachable)?;
+    let address = {
+        let directory = state.directory.borrow();
+        directory.get(&name).map(|listed| listed.entry.address)
+    };
+    let address = address.ok_or(RouteFault::Unreachable)?;
+    let mut outgoing = build(state, request, &name, left, last_event);
+    for _ in 0..STALE_LINKS {
+        let mut link = match state.links.take(server, state.now()) {
+            Some(link) => link,
+            None => connect(address).await.map_err(|_| RouteFault::Unreachable)?,
+        };
+        let kind = if link.used { "kept" } else { "new" };
+        link.used = true;
+        state.metrics.connections.with_label_values(&[kind]).inc();
+        match link.sender.try_send_request(outgoing).await {
+            Ok(answer) => return check(state, request, server, link, answer),
+            Err(mut fault) => match fault.take_message() {
+                // Nothing of it was written.
+                Some(unsent) => outgoing = unsent,
+                None => return Err(RouteFault::Broken),
+            },
+        }
+    }
+    Err(RouteFault::Unreachable)
+}
+
+/// Builds the request for a server.
+fn build(
+    state: &TrafficState,
+    request: &CallerRequest,
+    server: &str,
+    left: Duration,
+    last_event: Option<u64>,
+) -> Request<Full<Bytes>> {
+    let mut outgoing = Request::new(Full::new(request.body.clone()));
+    *outgoing.method_mut() = request.method.clone();
+    *outgoing.uri_mut() = request.uri.clone();
+    let mut headers = request.headers.clone();
+    let organisation = request.organisation.as_deref();
+    let head = SendHead { left, server, organisation, tier: request.tier };
+    state.dialect.write_request(&mut headers, &head);
+    if let Some(event) = last_event {
+        state.dialect.write_resume(&mut headers, event);
+    }
+    if !request.body.is_empty() || request.method == Method::POST {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(request.body.len()));
+    }
+    *outgoing.headers_mut() = headers;
+    outgoing
+}
+
+/// Checks the head of an answer.
+fn check(
+    state: &TrafficState,
+    request: &CallerRequest,
+    server: ServerId,
+    link: ServerLink,
+    answer: Response<Incoming>,
+) -> Result<AnswerStart, RouteFault> {
+    let (parts, body) = answer.into_parts();
+    let head = state.dialect.read_answer(parts.status.as_u16(), &parts.headers);
+    if head.replaced {
+        return Err(RouteFault::Replaced);
+    }
+    // Another request's answer is that of a connection which can't be trusted any more.
+    let ours = head.attempt == request.attempt;
+    if head.not_run && (ours || head.attempt.is_none()) {
+        keep_refusing(state, server, link, body, head.keep_alive);
+        return Err(RouteFault::Full);
+    }
+    if !ours || (parts.status.is_success() && !head.sealed) {
+        return Err(RouteFault::Broken);
+    }
+    let promises = [429, 503, 408, 421].contains(&parts.status.as_u16());
+    if promises || parts.status.is_redirection() {
+        // A server's own word for it that doesn't say that it hasn't run.
+        return Err(RouteFault::Failed);
+    }
+    let mut headers = parts.headers;
+    strip_hop_headers(&mut headers);
+    let keep_alive = head.keep_alive;
+    let body = AnswerSource { body, link: Some(link), server, keep_alive };
+    Ok(AnswerStart { server, status: parts.status, headers, body })
+}
+
+/// Reads the rest of a refusal in the background, and keeps its connection.
+fn keep_refusing(
+    state: &TrafficState,
+    server: ServerId,
+    link: ServerLink,
+    body: Incoming,
+    keep_alive: Option<Duration>,
+) {
+    if hyper::body::Body::is_end_stream(&body) {
+        state.links.keep(server, link, keep_alive, state.now());
+    }
+}
+
+/// Takes away the headers that concern one connection only.
+pub(crate) fn strip_hop_headers(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| HeaderName::from_bytes(name.trim().as_bytes()).ok())
+        .collect();
+    for name in named.iter().chain(&HOP_HEADERS) {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -0,0 +1,233 @@
+//! What the platform tells, followed on a thread for each topic, and taken in on the
+//! traffic thread.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use flaxtide_core::{ServerName, SettingsVersion};
+use tokio::sync::mpsc::{Receiver, Sender};
+
+use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
+use crate::fleet::RulesCopy;
+use crate::metrics::EntryMetrics;
+use crate::state::TrafficState;
+
+/// How long one call waits for changes: the longest that platforms commonly allow, as each
+/// call has its price.
+const FOLLOW_WAIT: Duration = Duration::from_secs(25);
+
+/// How long the first pause after a failed call is.
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// The longest such pause. A configuration must be in force within seconds of the
+/// platform's return.
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
+
+/// The shortest time between two calls for the list of servers, whose rows change often:
+/// a leaving server must get no work after two seconds, and each call has its price.
+const SERVERS_PACE: Duration = Duration::from_millis(400);
+
+/// Something that a feed thread tells the traffic thread.
+#[derive(Debug)]
+pub(crate) enum FeedEvent {
+    /// Rows have been read.
+    Batch {
+        /// The topic.
+        topic: FeedTopic,
+        /// The rows.
+        batch: FeedBatch,
+        /// Whether these are all rows of the topic.
+        whole: bool,
+    },
+    /// The platform doesn't answer.
+    Lost(FeedTopic),
+    /// It answers again.
+    Regained(FeedTopic),
+    /// A peer has sent rules.
+    PeerRules(RulesCopy),
+}
+
+/// Follows a topic until nobody listens.
+pub(crate) fn follow_topic(
+    feed: &Arc<dyn PlatformFeed>,
+    topic: FeedTopic,
+    events: &Sender<FeedEvent>,
+    metrics: &EntryMetrics,
+) {
+    let mut after = None;
+    let mut pause = None;
+    loop {
+        let read = match after {
+            None => feed.read(topic),
+            Some(version) => feed.follow(topic, version, FOLLOW_WAIT),
+        };
+        let result = if read.is_ok() { "ok" } else { "failed" };
+        let topic_name = topic.to_string();
+        metrics
+            .platform
+            .with_label_values(&[topic_name.as_str(), result])
+            .inc();
+        let told = match read {
+            Ok(batch) => {
+                let whole = after.is_none();
+                after = Some(batch.version);
+                let regained = pause.take().is_some();
+                if regained {
+                    note_dependency(topic, true, None, metrics);
+                }
+                let told =
+                    !regained || events.blocking_send(FeedEvent::Regained(topic)).is_ok();
+                let news = whole || !batch.rows.is_empty();
+                told && (!news
+                    || events
+                        .blocking_send(FeedEvent::Batch { topic, batch, whole })
+                        .is_ok())
+            }
+            Err(FeedError::HistoryGone) => {
+                log::info!(topic = topic_name; "history gone, everything is read anew");
+                after = None;
+                true
+            }
+            Err(fault) => {
+                let first = pause.is_none();
+                let span: Duration = pause.map_or(FIRST_PAUSE, |span: Duration| span * 2);
+                let span = span.min(LONGEST_PAUSE);
+                pause = Some(span);
+                if first {
+                    note_dependency(topic, false, Some(&fault), metrics);
+                }
+                let told = !first || events.blocking_send(FeedEvent::Lost(topic)).is_ok();
+                thread::sleep(span);
+                told
+            }
+        };
+        if !told {
+            return;
+        }
+        if topic == FeedTopic::Servers {
+            thread::sleep(SERVERS_PACE);
+        }
+    }
+}
+
+/// Logs that the platform is lost or regained.
+fn note_dependency(
+    topic: FeedTopic,
+    up: bool,
+    fault: Option<&FeedError>,
+    metrics: &EntryMetrics,
+) {
+    let name = topic.to_string();
+    metrics
+        .dependencies
+        .with_label_values(&[name.as_str()])
+        .set(i64::from(up));
+    let event = if up { "dependency regained" } else { "dependency lost" };
+    let cause = fault.map(ToString::to_string).unwrap_or_default();
+    log::info!(dependency = format!("platform {name}"), cause; "{event}");
+}
+
+/// Takes in what the feed threads and the peers tell, until they have ended.
+pub(crate) async fn take_feed(
+    state: Rc<TrafficState>,
+    feed: Arc<dyn PlatformFeed>,
+    shared: Arc<crate::fleet::SharedRules>,
+    mut events: Receiver<FeedEvent>,
+) {
+    while let Some(event) = events.recv().await {
+        let now = state.now();
+        match event {
+            FeedEvent::Batch { topic: FeedTopic::Rules, batch, .. } => {
+                for text in batch.rows.into_iter().filter_map(|row| row.text) {
+                    take_rules(&state, &*feed, &shared, text, "platform");
+                }
+            }
+            FeedEvent::Batch { topic: FeedTopic::Servers, batch, whole } => {
+                take_servers(&state, &*feed, batch, whole);
+            }
+            FeedEvent::Lost(_) => state.directory.borrow_mut().trouble(now),
+            FeedEvent::Regained(_) => state.directory.borrow_mut().trouble(now),
+            FeedEvent::PeerRules(copy) => {
+                take_rules(&state, &*feed, &shared, copy.text, "peer");
+            }
+        }
+    }
+}
+
+/// Puts rules in force.
+fn take_rules(
+    state: &TrafficState,
+    feed: &dyn PlatformFeed,
+    shared: &crate::fleet::SharedRules,
+    text: String,
+    source: &'static str,
+) {
+    let rules = match feed.parse_rules(&text) {
+        Ok(rules) => rules,
+        Err(fault) => {
+            log::error!(source, fault = fault.to_string(); "rules rejected");
+            return;
+        }
+    };
+    let version: SettingsVersion = rules.version;
+    let counts = (rules.classes.len() as u64, rules.keys.len() as u64);
+    if !state.adopt(rules) {
+        return;
+    }
+    shared.put(RulesCopy { version, text });
+    log::info!(source, version, classes = counts.0, keys = counts.1; "rules in force");
+}
+
+/// Takes in rows of servers.
+fn take_servers(
+    state: &TrafficState,
+    feed: &dyn PlatformFeed,
+    batch: FeedBatch,
+    whole: bool,
+) {
+    let now = state.now();
+    let mut changed = false;
+    let names: Vec<ServerName> = batch.rows.iter().map(|row| row.name.clone()).collect();
+    for row in batch.rows {
+        changed |= take_server(state, feed, row, now);
+    }
+    if whole {
+        changed |= state.directory.borrow_mut().keep_only(&names, now);
+    }
+    let first = !state.listed.replace(true);
+    if changed || first {
+        state.tell_servers();
+    }
+}
+
+/// Takes in the row of one server. Returns whether it changes anything.
+fn take_server(
+    state: &TrafficState,
+    feed: &dyn PlatformFeed,
+    row: FeedRow,
+    now: Duration,
+) -> bool {
+    let mut directory = state.directory.borrow_mut();
+    let Some(text) = row.text else {
+        let changed = directory.remove(&row.name, now);
+        if changed {
+            log::info!(server = row.name; "server not listed any more");
+        }
+        return changed;
+    };
+    let entry = match feed.parse_server(&row.name, &text) {
+        Ok(entry) => entry,
+        Err(fault) => {
+            log::warn!(server = row.name, fault = fault.to_string(); "server's row ignored");
+            return false;
+        }
+    };
+    let (service, leaving) = (entry.service.clone(), entry.leaving);
+    let changed = directory.put(entry);
+    if changed {
+        log::info!(server = row.name, service, leaving; "server listed");
+    }
+    changed
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -0,0 +1,172 @@
+//! An entry instance: its threads, their start and their end.
+
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use tokio::runtime::Builder;
+use tokio::sync::mpsc::{Receiver, Sender, channel};
+use tokio::task::LocalSet;
+
+use crate::config::EntryConfig;
+use crate::contract::{FeedTopic, PlatformFeed, WireDialect};
+use crate::error::EntryError;
+use crate::feed::{FeedEvent, follow_topic, take_feed};
+use crate::fleet::SharedRules;
+use crate::listen::{accept_callers, accept_probes, listen};
+use crate::logging::settle_log;
+use crate::metrics::EntryMetrics;
+use crate::state::TrafficState;
+use crate::stop::{SignalEvent, obey_signals, register_signals, reload, watch_signals};
+
+/// The length of the ring from the feed threads.
+const FEED_RING: usize = 64;
+
+/// The length of the ring from the signal thread.
+const SIGNAL_RING: usize = 8;
+
+/// How often requests that wait are looked at, whatever happens.
+const TICK: Duration = Duration::from_millis(100);
+
+/// How often idle connections, missing servers and the instance file are looked at, in
+/// ticks.
+const TICKS_PER_ROUND: u64 = 5;
+
+/// The stack of a thread that does one small duty.
+const SMALL_STACK: usize = 256 * 1024;
+
+/// An entry instance of the traffic path.
+pub struct EntryInstance {
+    /// Where the instance file is.
+    path: PathBuf,
+    /// What it says.
+    config: EntryConfig,
+    /// The words of requests and answers.
+    dialect: Arc<dyn WireDialect>,
+    /// What the platform tells.
+    feed: Arc<dyn PlatformFeed>,
+}
+
+impl EntryInstance {
+    /// Makes an instance that hasn't started.
+    #[must_use]
+    pub fn new(
+        path: PathBuf,
+        config: EntryConfig,
+        dialect: Arc<dyn WireDialect>,
+        feed: Arc<dyn PlatformFeed>,
+    ) -> Self {
+        Self { path, config, dialect, feed }
+    }
+
+    /// Serves callers on this thread until a signal has stopped it.
+    ///
+    /// # Errors
+    ///
+    /// Returns the fault if it can't listen on its addresses or start its threads.
+    pub fn run(self) -> Result<(), EntryError> {
+        let runtime = Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .map_err(|cause| EntryError::Spawn { duty: "the runtime", cause })?;
+        let (signal_events, signals) = channel(SIGNAL_RING);
+        spawn_signals(signal_events)?;
+        let served = LocalSet::new().block_on(&runtime, self.serve(signals));
+        settle_log();
+        served
+    }
+
+    /// Serves callers until a signal has stopped it.
+    async fn serve(self, mut signals: Receiver<SignalEvent>) -> Result<(), EntryError> {
+        let Self { path, config, dialect, feed } = self;
+        let callers = open("callers", config.callers)?;
+        let ready = open("the balancer", config.ready)?;
+        let metrics_door = open("metrics", config.metrics)?;
+        log::info!(
+            instance = config.name, data_centre = config.data_centre,
+            callers = config.callers.to_string(), version = env!("CARGO_PKG_VERSION");
+            "started"
+        );
+        let metrics = Arc::new(EntryMetrics::new());
+        let shared = Arc::new(SharedRules::default());
+        let (events, feed_ring) = channel(FEED_RING);
+        for topic in [FeedTopic::Rules, FeedTopic::Servers] {
+            spawn_feed(topic, &feed, &events, &metrics)?;
+        }
+        let state = Rc::new(TrafficState::new(config, dialect, metrics));
+        tokio::task::spawn_local(accept_callers(state.clone(), callers));
+        tokio::task::spawn_local(accept_probes(state.clone(), ready));
+        tokio::task::spawn_local(accept_probes(state.clone(), metrics_door));
+        tokio::task::spawn_local(take_feed(state.clone(), feed, shared, feed_ring));
+        tokio::task::spawn_local(keep_house(state.clone(), path.clone()));
+        obey_signals(&state, &path, &mut signals).await;
+        Ok(())
+    }
+}
+
+/// Opens a listener.
+fn open(
+    purpose: &'static str,
+    address: std::net::SocketAddr,
+) -> Result<tokio::net::TcpListener, EntryError> {
+    listen(address).map_err(|cause| EntryError::Listen { purpose, address, cause })
+}
+
+/// Starts the thread that waits for signals.
+fn spawn_signals(events: Sender<SignalEvent>) -> Result<(), EntryError> {
+    let refused = |cause| EntryError::Spawn { duty: "the signal thread", cause };
+    let signals = register_signals().map_err(refused)?;
+    let thread = thread::Builder::new().name("signals".into()).stack_size(SMALL_STACK);
+    thread
+        .spawn(move || watch_signals(signals, &events))
+        .map_err(refused)?;
+    Ok(())
+}
+
+/// Starts the thread that follows a topic.
+fn spawn_feed(
+    topic: FeedTopic,
+    feed: &Arc<dyn PlatformFeed>,
+    events: &Sender<FeedEvent>,
+    metrics: &Arc<EntryMetrics>,
+) -> Result<(), EntryError> {
+    let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
+    let thread = thread::Builder::new().name(topic.to_string()).stack_size(SMALL_STACK);
+    thread
+        .spawn(move || follow_topic(&feed, topic, &events, &metrics))
+        .map_err(|cause| EntryError::Spawn { duty: "a feed thread", cause })?;
+    Ok(())
+}
+
+/// Looks, now and then, at what time alone changes.
+async fn keep_house(state: Rc<TrafficState>, path: PathBuf) {
+    let mut ticks = 0u64;
+    loop {
+        tokio::time::sleep(TICK).await;
+        ticks += 1;
+        if state.ask(|core, _| core.waits()) {
+            state.decide(|core, now| core.tick(now));
+        }
+        if ticks.is_multiple_of(TICKS_PER_ROUND) {
+            go_round(&state, &path);
+        }
+    }
+}
+
+/// Looks at idle connections, missing servers and the instance file.
+fn go_round(state: &TrafficState, path: &Path) {
+    let now = state.now();
+    state.links.expire(now);
+    if state.directory.borrow().misses_any() {
+        let gone = state.directory.borrow_mut().expire(now);
+        for server in &gone {
+            log::info!(server; "server gone");
+        }
+        if !gone.is_empty() {
+            state.tell_servers();
+        }
+    }
+    reload(state, path, "changed file");
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -0,0 +1,41 @@
+//! The traffic path of an entry instance: callers in, backend servers out.
+//!
+//! One thread carries the traffic, on a runtime of its own, and owns the router; the other
+//! duties have a thread each, and bounded rings join them:
+//!
+//! - `traffic`: listens to callers, decides, talks to servers ([`EntryInstance`]);
+//! - `rules` and `servers`: follow what the platform tells ([`PlatformFeed`]);
+//! - `fleet`: talks with peers;
+//! - `log`: writes the log lines that the others have put into a ring.
+//!
+//! What the platform's words mean is not known here: an adapter implements
+//! [`WireDialect`] and [`PlatformFeed`].
+
+mod call;
+mod config;
+mod contract;
+mod directory;
+mod error;
+mod exchange;
+mod feed;
+mod fleet;
+mod instance;
+mod listen;
+mod logging;
+mod metrics;
+mod relay;
+mod reply;
+mod routes;
+mod state;
+mod stop;
+mod upstream;
+
+pub use self::config::EntryConfig;
+pub use self::contract::{
+    AnswerHead, BackendService, CallKind, CallerLimits, EntryRules, FeedBatch, FeedError,
+    FeedRow, FeedTopic, OrganisationRules, PlatformFeed, RequestClass, RequestHead,
+    SendHead, ServerEntry, ServiceEngine, TargetService, WireDialect,
+};
+pub use self::error::EntryError;
+pub use self::instance::EntryInstance;
+pub use self::logging::init_entry_logging;
--- /dev/null
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -0,0 +1,120 @@
+//! Metrics for Prometheus.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
+};
+
+/// The upper ends of the buckets of latencies, in seconds: around the targets of classes.
+const LATENCY_BUCKETS: [f64; 11] =
+    [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
+
+/// The metrics of an instance.
+pub(crate) struct EntryMetrics {
+    /// Where they are registered.
+    registry: Registry,
+    /// Ended requests by how they ended.
+    pub(crate) ends: IntCounterVec,
+    /// Requests sent to servers, by why the server was chosen.
+    pub(crate) dispatches: IntCounterVec,
+    /// Faults of servers, by kind.
+    pub(crate) faults: IntCounterVec,
+    /// Connections to servers, by whether they were new.
+    pub(crate) connections: IntCounterVec,
+    /// Calls to the platform, by topic and result.
+    pub(crate) platform: IntCounterVec,
+    /// Dependencies, 1 while they answer.
+    pub(crate) dependencies: IntGaugeVec,
+    /// Requests in the instance.
+    pub(crate) open_calls: IntGauge,
+    /// The version of the rules in force.
+    pub(crate) rules_version: IntGauge,
+    /// Servers that may be used.
+    pub(crate) servers: IntGauge,
+    /// Instances seen alive.
+    pub(crate) instances: IntGauge,
+    /// Seconds to the first event of a stream, or to an answer.
+    pub(crate) latency: Histogram,
+}
+
+impl EntryMetrics {
+    /// Registers all metrics.
+    pub(crate) fn new() -> Self {
+        let latency = HistogramOpts::new(
+            "flaxtide_entry_latency_seconds",
+            "Seconds to the first event of a stream, or to an answer.",
+        )
+        .buckets(LATENCY_BUCKETS.to_vec());
+        let metrics = Self {
+            registry: Registry::new(),
+            ends: counters("ends", "Ended requests.", &["end"]),
+            dispatches: counters("dispatches", "Requests sent to servers.", &["reason"]),
+            faults: counters("faults", "Faults of servers.", &["fault"]),
+            connections: counters("connections", "Connections used.", &["kind"]),
+            platform: counters(
+                "platform_calls",
+                "Calls to the platform.",
+                &["topic", "result"],
+            ),
+            dependencies: gauges("dependency_up", "1 while it answers.", &["dependency"]),
+            open_calls: gauge("open_calls", "Requests in the instance."),
+            rules_version: gauge("rules_version", "The version of the rules in force."),
+            servers: gauge("servers", "Servers that may be used."),
+            instances: gauge("instances", "Instances seen alive."),
+            latency: Histogram::with_opts(latency)
+                .expect("the name of a metric is valid"),
+        };
+        metrics.register();
+        metrics
+    }
+
+    /// Registers every metric.
+    fn register(&self) {
+        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+            Box::new(self.ends.clone()),
+            Box::new(self.dispatches.clone()),
+            Box::new(self.faults.clone()),
+            Box::new(self.connections.clone()),
+            Box::new(self.platform.clone()),
+            Box::new(self.dependencies.clone()),
+            Box::new(self.open_calls.clone()),
+            Box::new(self.rules_version.clone()),
+            Box::new(self.servers.clone()),
+            Box::new(self.instances.clone()),
+            Box::new(self.latency.clone()),
+        ];
+        for collector in collectors {
+            self.registry
+                .register(collector)
+                .expect("each metric has its own name");
+        }
+    }
+
+    /// Writes all metrics in the text format of Prometheus.
+    pub(crate) fn render(&self) -> Vec<u8> {
+        let mut text = vec![];
+        let families = self.registry.gather();
+        if let Err(cause) = TextEncoder::new().encode(&families, &mut text) {
+            log::warn!(cause = cause.to_string(); "metrics can't be written");
+        }
+        text
+    }
+}
+
+/// Makes a counter with labels.
+fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let opts = Opts::new(format!("flaxtide_entry_{name}_total"), help);
+    IntCounterVec::new(opts, labels).expect("the name of a metric is valid")
+}
+
+/// Makes a gauge.
+fn gauge(name: &str, help: &str) -> IntGauge {
+    let name = format!("flaxtide_entry_{name}");
+    IntGauge::new(name, help).expect("the name of a metric is valid")
+}
+
+/// Makes a gauge with labels.
+fn gauges(name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+    let opts = Opts::new(format!("flaxtide_entry_{name}"), help);
+    IntGaugeVec::new(opts, labels).expect("the name of a metric is valid")
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -0,0 +1,213 @@
+//! A stream of events on its way to a caller. Only whole events are passed on, so that
+//! another server can go on after the last.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use flaxtide_policy::{RetryVerdict, RouteAction, RouteFault};
+use futures::StreamExt;
+use futures::stream;
+use http_body_util::{Either, StreamBody};
+use hyper::body::Frame;
+
+use crate::call::{OpenCall, TryEnd};
+use crate::contract::CallKind;
+use crate::exchange::{AnswerSource, CallerRequest};
+use crate::reply::AnswerBody;
+
+/// A server that is silent for this long in the midst of a stream that another one can go
+/// on with is left. Callers wait two seconds at least.
+const STALLED: Duration = Duration::from_millis(1000);
+
+/// A stream that is passed on.
+pub(crate) struct StreamRelay {
+    /// The request.
+    call: OpenCall,
+    /// What the caller sent, to be sent again if the stream breaks.
+    request: CallerRequest,
+    /// The server's answer.
+    source: Option<AnswerSource>,
+    /// What has come of an event that isn't whole.
+    events: EventCutter,
+    /// What came before the first poll.
+    first: Option<Bytes>,
+    /// Whether the end has been passed on.
+    ended: bool,
+}
+
+impl StreamRelay {
+    /// Starts with the first bytes of a stream.
+    pub(crate) fn new(
+        call: OpenCall,
+        request: CallerRequest,
+        source: AnswerSource,
+        first: Bytes,
+    ) -> Self {
+        Self {
+            call,
+            request,
+            source: Some(source),
+            events: EventCutter::default(),
+            first: Some(first),
+            ended: false,
+        }
+    }
+
+    /// Tells whether another server may go on.
+    fn resumable(&self) -> bool {
+        self.call.class.class().kind == (CallKind::Stream { resumable: true })
+    }
+
+    /// Returns the next whole events; nothing at the end.
+    async fn next(&mut self) -> io::Result<Option<Bytes>> {
+        loop {
+            let bytes = match self.first.take() {
+                Some(bytes) => Ok(Some(bytes)),
+                None => self.receive().await,
+            };
+            match bytes {
+                Ok(Some(bytes)) => {
+                    let whole = self.events.push(&bytes);
+                    if !whole.is_empty() {
+                        return Ok(Some(whole));
+                    }
+                }
+                Ok(None) => return Ok(self.finish()),
+                Err(TryEnd::Fault(fault)) => self.resume(fault).await?,
+                Err(_) => return Err(self.cut("timed_out")),
+            }
+        }
+    }
+
+    /// Receives the next bytes.
+    async fn receive(&mut self) -> Result<Option<Bytes>, TryEnd> {
+        let left = self.call.left();
+        let wait = if self.resumable() { left.min(STALLED) } else { left };
+        let Some(source) = &mut self.source else {
+            return Err(TryEnd::Fault(RouteFault::Broken));
+        };
+        let state = self.call.state.clone();
+        match tokio::time::timeout(wait, source.next(&state)).await {
+            Ok(Ok(Some(bytes))) => {
+                state.decide(|core, now| {
+                    core.heard(self.call.request, now);
+                    vec![]
+                });
+                Ok(Some(bytes))
+            }
+            Ok(Ok(None)) => Ok(None),
+            Ok(Err(fault)) => Err(TryEnd::Fault(fault)),
+            Err(_) if wait < left => Err(TryEnd::Fault(RouteFault::Silent)),
+            Err(_) => Err(TryEnd::TimeOver),
+        }
+    }
+
+    /// Ends a whole stream. Returns what is left of it.
+    fn finish(&mut self) -> Option<Bytes> {
+        self.call
+            .state
+            .decide(|core, now| core.finish(self.call.request, now));
+        self.call.end("streamed", 200);
+        self.ended = true;
+        let rest = self.events.take_rest();
+        (!rest.is_empty()).then_some(rest)
+    }
+
+    /// Has another server go on after the last whole event.
+    async fn resume(&mut self, fault: RouteFault) -> io::Result<()> {
+        self.source = None;
+        self.events.drop_rest();
+        let state = self.call.state.clone();
+        let mut fault = fault;
+        loop {
+            let decision = state.await_decision(self.call.request);
+            if self.call.fail(fault, self.resumable()) == RetryVerdict::End {
+                return Err(self.cut("stream_broken"));
+            }
+            let decided = tokio::time::timeout(self.call.left(), decision).await;
+            let Ok(Ok(RouteAction::Dispatch { choice, patience, .. })) = decided else {
+                return Err(self.cut("stream_broken"));
+            };
+            let last = self.events.last_event;
+            match self.call.try_server(&self.request, &choice, patience, last).await {
+                TryEnd::Started(start) if start.status.is_success() => {
+                    self.source = Some(start.body);
+                    return Ok(());
+                }
+                TryEnd::Started(_) => fault = RouteFault::Failed,
+                TryEnd::Fault(next) => fault = next,
+                TryEnd::TimeOver => return Err(self.cut("timed_out")),
+            }
+        }
+    }
+
+    /// Breaks the stream off, so that it doesn't look complete.
+    fn cut(&mut self, end: &'static str) -> io::Error {
+        self.source = None;
+        self.ended = true;
+        self.call.end(end, 200);
+        io::Error::other("the stream broke")
+    }
+}
+
+/// Makes the body of an answer out of a stream.
+pub(crate) fn relay_body(relay: StreamRelay) -> AnswerBody {
+    let pieces = stream::unfold(relay, |mut relay| async move {
+        if relay.ended {
+            return None;
+        }
+        let piece = match relay.next().await {
+            Ok(Some(bytes)) => Ok(Frame::data(bytes)),
+            Ok(None) => return None,
+            Err(fault) => Err(fault),
+        };
+        Some((piece, relay))
+    });
+    Either::Right(StreamBody::new(pieces.boxed_local()))
+}
+
+/// Cuts a stream into whole events.
+#[derive(Debug, Default)]
+struct EventCutter {
+    /// What has come of an event that isn't whole.
+    rest: BytesMut,
+    /// The number of the last whole event.
+    last_event: Option<u64>,
+}
+
+impl EventCutter {
+    /// Takes in bytes. Returns the events that are whole now.
+    fn push(&mut self, bytes: &[u8]) -> Bytes {
+        self.rest.extend_from_slice(bytes);
+        let Some(end) = last_boundary(&self.rest) else { return Bytes::new() };
+        let whole = self.rest.split_to(end).freeze();
+        if let Some(number) = last_number(&whole) {
+            self.last_event = Some(number);
+        }
+        whole
+    }
+
+    /// Drops what isn't whole.
+    fn drop_rest(&mut self) {
+        self.rest.clear();
+    }
+
+    /// Returns what isn't whole.
+    fn take_rest(&mut self) -> Bytes {
+        std::mem::take(&mut self.rest).freeze()
+    }
+}
+
+/// Returns where the last whole event ends.
+fn last_boundary(bytes: &[u8]) -> Option<usize> {
+    let place = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
+    Some(place + 2)
+}
+
+/// Returns the number of the last event.
+fn last_number(events: &[u8]) -> Option<u64> {
+    let lines = events.split(|byte| *byte == b'\n').rev();
+    let number = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
+    std::str::from_utf8(number).ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/state.rs
@@ -0,0 +1,288 @@
+//! What the traffic thread knows, and the router that it owns.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxtide_core::{MilliClock, PoolId, RequestId, ServerId, ServerName};
+use flaxtide_policy::{EngineShape, RouteAction, RouteCore, RouteOptions, RoutedServer};
+use rand::SeedableRng;
+use rand::rngs::SmallRng;
+use tokio::sync::{Notify, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::EntryConfig;
+use crate::contract::{CallerLimits, EntryRules, WireDialect};
+use crate::directory::ServerDirectory;
+use crate::metrics::EntryMetrics;
+use crate::routes::RouteTable;
+use crate::upstream::ServerLinks;
+
+/// The part of the memory limit under which new callers are taken.
+const SLOTS_OF_PLAIN_SERVICE: u32 = 6;
+
+/// How far a stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum LifePhase {
+    /// It takes requests.
+    Serving,
+    /// It isn't ready, but the balancer may not have noticed.
+    Leaving,
+    /// It closes connections once their requests are answered.
+    Closing,
+}
+
+/// What the traffic thread knows.
+pub(crate) struct TrafficState {
+    /// The instance file.
+    pub(crate) config: RefCell<Rc<EntryConfig>>,
+    /// The clock.
+    pub(crate) clock: MilliClock,
+    /// The words of requests and answers.
+    pub(crate) dialect: Arc<dyn WireDialect>,
+    /// The metrics.
+    pub(crate) metrics: Arc<EntryMetrics>,
+    /// The open connections to servers.
+    pub(crate) links: ServerLinks,
+    /// The rules in force.
+    table: RefCell<Option<Rc<RouteTable>>>,
+    /// The servers that may be used.
+    pub(crate) directory: RefCell<ServerDirectory>,
+    /// Whether the platform's list of servers has been read.
+    pub(crate) listed: Cell<bool>,
+    /// The router.
+    core: RefCell<RouteCore>,
+    /// Who waits for the router's decision.
+    waiters: RefCell<HashMap<RequestId, oneshot::Sender<RouteAction>>>,
+    /// Numbers for names.
+    names: RefCell<NameTable>,
+    /// The number of the next request.
+    next_request: Cell<RequestId>,
+    /// The source of randomness for weights.
+    pub(crate) random: RefCell<SmallRng>,
+    /// How far a stop has come.
+    phase: Cell<LifePhase>,
+    /// Wakes connections when the phase changes.
+    pub(crate) phase_changed: Notify,
+    /// How many requests are being answered.
+    pub(crate) open: Cell<usize>,
+}
+
+/// Numbers for the names of services and servers. A name keeps its number.
+#[derive(Debug, Default)]
+struct NameTable {
+    /// Services.
+    pools: HashMap<String, PoolId>,
+    /// Servers.
+    servers: HashMap<ServerName, ServerId>,
+    /// The names of servers, by number.
+    server_names: Vec<ServerName>,
+}
+
+impl NameTable {
+    /// Returns the number of a service.
+    fn pool(&mut self, service: &str) -> PoolId {
+        if let Some(pool) = self.pools.get(service) {
+            return *pool;
+        }
+        let pool = self.pools.len() as PoolId;
+        self.pools.insert(service.to_owned(), pool);
+        pool
+    }
+
+    /// Returns the number of a server.
+    fn server(&mut self, name: &str) -> ServerId {
+        if let Some(server) = self.servers.get(name) {
+            return *server;
+        }
+        let server = self.server_names.len() as ServerId;
+        self.servers.insert(name.to_owned(), server);
+        self.server_names.push(name.to_owned());
+        server
+    }
+}
+
+impl TrafficState {
+    /// Starts with nothing known.
+    pub(crate) fn new(
+        config: EntryConfig,
+        dialect: Arc<dyn WireDialect>,
+        metrics: Arc<EntryMetrics>,
+    ) -> Self {
+        let options = RouteOptions {
+            retry_ratio: config.retry_ratio,
+            retry_slack: config.retry_slack,
+            ..RouteOptions::default()
+        };
+        let seed = xxh3_64(config.name.as_bytes());
+        Self {
+            config: RefCell::new(Rc::new(config)),
+            clock: MilliClock::real(),
+            dialect,
+            metrics,
+            links: ServerLinks::default(),
+            table: RefCell::new(None),
+            directory: RefCell::default(),
+            listed: Cell::new(false),
+            core: RefCell::new(RouteCore::new(options)),
+            waiters: RefCell::default(),
+            names: RefCell::default(),
+            next_request: Cell::new(1),
+            random: RefCell::new(SmallRng::seed_from_u64(seed)),
+            phase: Cell::new(LifePhase::Serving),
+            phase_changed: Notify::new(),
+            open: Cell::new(0),
+        }
+    }
+
+    /// Returns the time.
+    pub(crate) fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// Returns the instance file.
+    pub(crate) fn config(&self) -> Rc<EntryConfig> {
+        self.config.borrow().clone()
+    }
+
+    /// Returns the rules in force.
+    pub(crate) fn table(&self) -> Option<Rc<RouteTable>> {
+        self.table.borrow().clone()
+    }
+
+    /// Returns what callers may send.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        let table = self.table.borrow();
+        table
+            .as_ref()
+            .map_or_else(CallerLimits::default, |table| table.rules.limits)
+    }
+
+    /// Returns how far a stop has come.
+    pub(crate) fn phase(&self) -> LifePhase {
+        self.phase.get()
+    }
+
+    /// Goes on with a stop.
+    pub(crate) fn enter(&self, phase: LifePhase) {
+        self.phase.set(phase);
+        self.phase_changed.notify_waiters();
+    }
+
+    /// Tells whether the balancer may send callers.
+    pub(crate) fn ready(&self) -> bool {
+        self.phase.get() == LifePhase::Serving
+            && self.table.borrow().is_some()
+            && self.listed.get()
+    }
+
+    /// Returns the number of a new request.
+    pub(crate) fn number(&self) -> RequestId {
+        let request = self.next_request.get();
+        self.next_request.set(request + 1);
+        request
+    }
+
+    /// Returns the number of a service.
+    pub(crate) fn pool(&self, service: &str) -> PoolId {
+        self.names.borrow_mut().pool(service)
+    }
+
+    /// Returns the number of a server.
+    pub(crate) fn server_number(&self, name: &str) -> ServerId {
+        self.names.borrow_mut().server(name)
+    }
+
+    /// Returns the name of a server.
+    pub(crate) fn server_name(&self, server: ServerId) -> Option<ServerName> {
+        self.names.borrow().server_names.get(server as usize).cloned()
+    }
+
+    /// Puts rules in force, unless newer ones are. Returns whether it did.
+    pub(crate) fn adopt(&self, rules: EntryRules) -> bool {
+        let known = self.table.borrow().as_ref().map(|table| table.rules.version);
+        if known.is_some_and(|known| known >= rules.version) {
+            return false;
+        }
+        self.metrics.rules_version.set(rules.version as i64);
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(rules)));
+        self.tell_servers();
+        true
+    }
+
+    /// Tells the router which servers each service has.
+    pub(crate) fn tell_servers(&self) {
+        let Some(table) = self.table() else { return };
+        let home = self.config().data_centre.clone();
+        for service in &table.rules.services {
+            let engine = service.engine;
+            let directory = self.directory.borrow();
+            let servers = directory.of_service(&service.name).map(|listed| {
+                let entry = &listed.entry;
+                let slots = engine.map_or(entry.slots, |engine| engine.slots);
+                RoutedServer {
+                    server: self.server_number(&entry.name),
+                    rank: xxh3_64(entry.name.as_bytes()),
+                    slots: if slots == 0 { SLOTS_OF_PLAIN_SERVICE } else { slots },
+                    engine: engine.map(|engine| EngineShape {
+                        memory_tokens: engine.memory_tokens,
+                    }),
+                    near: entry.data_centre == home,
+                    leaving: entry.leaving,
+                    lapsed: listed.lapsed(),
+                }
+            });
+            let servers: Vec<RoutedServer> = servers.collect();
+            drop(directory);
+            let pool = self.pool(&service.name);
+            self.decide(|core, now| core.set_servers(pool, &servers, now));
+        }
+        self.metrics.servers.set(self.directory.borrow().len() as i64);
+    }
+
+    /// Has the router decide, and tells those who wait what it has decided.
+    pub(crate) fn decide(
+        &self,
+        ask: impl FnOnce(&mut RouteCore, Duration) -> Vec<RouteAction>,
+    ) {
+        let now = self.now();
+        let actions = ask(&mut self.core.borrow_mut(), now);
+        for action in actions {
+            let request = match &action {
+                RouteAction::Dispatch { request, .. }
+                | RouteAction::Refuse { request, .. } => *request,
+            };
+            let waiter = self.waiters.borrow_mut().remove(&request);
+            // A caller who left meanwhile has told the router, so nobody is missed.
+            if let Some(waiter) = waiter {
+                let _ = waiter.send(action);
+            }
+        }
+    }
+
+    /// Asks the router something that decides nothing.
+    pub(crate) fn ask<Answer>(
+        &self,
+        ask: impl FnOnce(&mut RouteCore, Duration) -> Answer,
+    ) -> Answer {
+        let now = self.now();
+        ask(&mut self.core.borrow_mut(), now)
+    }
+
+    /// Waits for the router's next decision about a request.
+    pub(crate) fn await_decision(
+        &self,
+        request: RequestId,
+    ) -> oneshot::Receiver<RouteAction> {
+        let (waiter, decision) = oneshot::channel();
+        self.waiters.borrow_mut().insert(request, waiter);
+        decision
+    }
+
+    /// Forgets a request that waits for a decision.
+    pub(crate) fn forget(&self, request: RequestId) {
+        self.waiters.borrow_mut().remove(&request);
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -0,0 +1,139 @@
+//! Connections to servers: opened, kept while idle, closed after any doubt.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use flaxtide_core::ServerId;
+use http_body_util::Full;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+/// How long a connection may take to open. A server in reach takes a few milliseconds; one
+/// behind a cut never answers.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// After so long without acknowledgement, the system gives a connection up.
+const SILENT_PEER: Duration = Duration::from_secs(4);
+
+/// How long an idle connection is used if the server doesn't say how long it keeps it.
+const IDLE_LIFE: Duration = Duration::from_secs(4);
+
+/// The part of the server's own idle time for which a connection is used.
+const IDLE_PART: f64 = 0.6;
+
+/// The most idle connections that are kept to one server.
+const MOST_IDLE: usize = 32;
+
+/// The idle connections to all servers.
+#[derive(Default)]
+pub(crate) struct ServerLinks {
+    /// By server, the one used last at the end.
+    idle: RefCell<HashMap<ServerId, Vec<IdleLink>>>,
+}
+
+/// A connection that is idle.
+struct IdleLink {
+    /// The connection.
+    link: ServerLink,
+    /// Until when it may be used.
+    until: Duration,
+}
+
+/// A connection to a server. Dropping it closes it at once, which cancels what the server
+/// is doing for it.
+pub(crate) struct ServerLink {
+    /// Sends requests.
+    pub(crate) sender: SendRequest<Full<Bytes>>,
+    /// The task that drives the connection.
+    task: AbortHandle,
+    /// Whether it has been used before.
+    pub(crate) used: bool,
+}
+
+impl Drop for ServerLink {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl ServerLinks {
+    /// Returns an idle connection to a server, if one is open.
+    pub(crate) fn take(&self, server: ServerId, now: Duration) -> Option<ServerLink> {
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.get_mut(&server)?;
+        let mut waiting = vec![];
+        let mut found = None;
+        while let Some(entry) = links.pop() {
+            if entry.link.sender.is_closed() || now >= entry.until {
+                continue;
+            }
+            if entry.link.sender.is_ready() {
+                found = Some(entry.link);
+                break;
+            }
+            // Its last request is still being written.
+            waiting.push(entry);
+        }
+        links.extend(waiting);
+        found
+    }
+
+    /// Keeps a connection whose last answer was whole and right.
+    pub(crate) fn keep(
+        &self,
+        server: ServerId,
+        link: ServerLink,
+        keep_alive: Option<Duration>,
+        now: Duration,
+    ) {
+        if link.sender.is_closed() {
+            return;
+        }
+        let life = keep_alive.map_or(IDLE_LIFE, |span| span.mul_f64(IDLE_PART));
+        let mut idle = self.idle.borrow_mut();
+        let links = idle.entry(server).or_default();
+        if links.len() < MOST_IDLE {
+            links.push(IdleLink { link, until: now + life });
+        }
+    }
+
+    /// Closes connections that have been idle for too long.
+    pub(crate) fn expire(&self, now: Duration) {
+        let mut idle = self.idle.borrow_mut();
+        for links in idle.values_mut() {
+            links.retain(|entry| now < entry.until && !entry.link.sender.is_closed());
+        }
+        idle.retain(|_, links| !links.is_empty());
+    }
+}
+
+/// Opens a connection to a server.
+///
+/// # Errors
+///
+/// Returns the fault if none could be opened in time; nothing was sent then.
+pub(crate) async fn connect(address: SocketAddr) -> io::Result<ServerLink> {
+    let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+    let stream = opened.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    stream.set_nodelay(true)?;
+    watch_peer(&stream)?;
+    let shaken = http1::handshake(TokioIo::new(stream)).await;
+    let (sender, connection) = shaken.map_err(io::Error::other)?;
+    let task = tokio::task::spawn_local(async move {
+        // Whoever waits for the answer is told of the fault by the sender.
+        let _ = connection.await;
+    });
+    Ok(ServerLink { sender, task: task.abort_handle(), used: false })
+}
+
+/// Has the system end a connection whose peer is out of reach.
+pub(crate) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    let socket = socket2::SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENT_PEER))
+}
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod options;
 mod queue;
 mod rendezvous;
+mod router;
 mod rule;
 mod server;
 mod share;
@@ -33,5 +34,10 @@
 pub use self::lease::{LeaseRow, LeaseStep, LeaseWatch};
 pub use self::options::PolicyOptions;
 pub use self::rendezvous::{bounded_owners, rendezvous_order, rendezvous_owner};
+pub use self::router::{
+    EngineShape, PeerLoad, PromptPart, PromptShape, RefusalCause, RetryVerdict,
+    RouteAction, RouteCall, RouteChoice, RouteCore, RouteFault, RouteOptions,
+    RouteReason, RoutedServer, ServerLoad,
+};
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::share::{SlotDemand, divide_slots, equal_share};
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -0,0 +1,164 @@
+//! What the router knows of a request.
+
+use std::time::Duration;
+
+use flaxtide_core::{ClassId, OrganisationId, PoolId, RequestId, ServerId, TierRank};
+
+/// How many prompt tokens cost an engine as much time as one token of the answer.
+const PROMPT_TOKENS_PER_TOKEN: f64 = 10.0;
+
+/// A part of a prompt that other requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PromptPart {
+    /// What identifies its content.
+    pub key: u64,
+    /// How many tokens it has.
+    pub tokens: u32,
+}
+
+/// The prompt of a request, and how long its answer may be.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PromptShape {
+    /// Tokens of the whole prompt; 0 for a call that isn't for a model.
+    pub tokens: u32,
+    /// Tokens of the answer, at most.
+    pub answer: u32,
+    /// The parts in order. The last belongs to the request or its session.
+    pub parts: Vec<PromptPart>,
+}
+
+impl PromptShape {
+    /// Returns the work in tokens of an answer, for the order of organisations.
+    #[must_use]
+    pub fn work(&self) -> f64 {
+        f64::from(self.tokens) / PROMPT_TOKENS_PER_TOKEN + f64::from(self.answer) + 1.0
+    }
+
+    /// Returns the key of the longest chain that other requests may share.
+    #[must_use]
+    pub fn shared_key(&self) -> Option<u64> {
+        let shared = self.parts.len().checked_sub(2)?;
+        Some(self.parts[shared].key)
+    }
+}
+
+/// A request, as the router needs it. Times are on the router's clock.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteCall {
+    /// The request.
+    pub request: RequestId,
+    /// The pool that serves it.
+    pub pool: PoolId,
+    /// Its class.
+    pub class: ClassId,
+    /// Its organisation.
+    pub organisation: OrganisationId,
+    /// Its tier; 0 is the highest.
+    pub tier: TierRank,
+    /// Its prompt.
+    pub prompt: PromptShape,
+    /// Within what time its answer, or the answer's first token, is on time.
+    pub target: Duration,
+    /// When it is refused if it still waits.
+    pub give_up: Duration,
+    /// When its caller stops waiting.
+    pub deadline: Duration,
+    /// Whether it may run more than once.
+    pub repeatable: bool,
+    /// On how many servers it may run.
+    pub run_limit: u32,
+}
+
+/// What went wrong at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum RouteFault {
+    /// No connection could be opened: it hasn't run.
+    Unreachable,
+    /// The server had no room and said that it hasn't run.
+    Full,
+    /// Another server has the address now: it hasn't run.
+    Replaced,
+    /// The connection broke, or the answer wasn't a whole and right one.
+    Broken,
+    /// The server answered with an error of its own.
+    Failed,
+    /// Nothing came for too long.
+    Silent,
+}
+
+impl RouteFault {
+    /// Tells whether the fault promises that the request hasn't run.
+    #[must_use]
+    pub fn not_run(self) -> bool {
+        matches!(self, Self::Unreachable | Self::Full | Self::Replaced)
+    }
+}
+
+/// A request that waits or runs.
+#[derive(Debug, Clone)]
+pub(crate) struct RoutedCall {
+    /// What came.
+    pub(crate) call: RouteCall,
+    /// Where it is.
+    pub(crate) place: CallPlace,
+    /// The servers that have failed it.
+    pub(crate) excluded: Vec<ServerId>,
+    /// How often it was sent.
+    pub(crate) sends: u32,
+    /// On how many servers it may have run, the present one not counted.
+    pub(crate) runs: u32,
+    /// How many prompt tokens the present server must read, about.
+    pub(crate) uncached: u32,
+}
+
+/// Where a request is.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum CallPlace {
+    /// It waits for a server.
+    Waiting,
+    /// It was sent to a server.
+    Running {
+        /// The server.
+        server: ServerId,
+        /// When it was sent.
+        since: Duration,
+        /// When the first of the answer came.
+        heard: Option<Duration>,
+    },
+}
+
+impl RoutedCall {
+    /// Starts with a request that waits.
+    pub(crate) fn new(call: RouteCall) -> Self {
+        Self {
+            call,
+            place: CallPlace::Waiting,
+            excluded: vec![],
+            sends: 0,
+            runs: 0,
+            uncached: 0,
+        }
+    }
+
+    /// Takes in that something came. Returns whether it was the first.
+    pub(crate) fn hear(&mut self, now: Duration) -> bool {
+        match &mut self.place {
+            CallPlace::Running { heard: heard @ None, .. } => {
+                *heard = Some(now);
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Returns how many prompt tokens are still to be read at its server, if it was sent
+    /// to one and nothing has come.
+    pub(crate) fn unread(&self, tokens_per_ms: f64, now: Duration) -> f64 {
+        let CallPlace::Running { since, heard: None, .. } = self.place else {
+            return 0.0;
+        };
+        let elapsed = now.saturating_sub(since).as_secs_f64() * 1000.0;
+        // The server reads several prompts in turns, so one isn't read faster than this.
+        (f64::from(self.uncached) - elapsed * tokens_per_ms).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -0,0 +1,244 @@
+//! The choice of a server for one request.
+
+use std::time::Duration;
+
+use flaxtide_core::{PoolId, RequestId, ServerId};
+
+use super::RouteCore;
+use super::health::FAILING_PART;
+use super::lane::{PromptLane, in_lane};
+use super::server::ServerState;
+use crate::rendezvous::numbered_weight;
+
+/// What a server that isn't listed just now costs more, in milliseconds.
+const LAPSED_COST_MS: f64 = 500.0;
+
+/// The time of a plain call before any is known, in milliseconds.
+const PLAIN_CALL_MS: f64 = 60.0;
+
+/// The seed of the order in which engines are given to long prompts.
+const LANE_SEED: u64 = 0x6c61_6e65;
+
+/// A chosen server.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteChoice {
+    /// The server.
+    pub server: ServerId,
+    /// Why.
+    pub reason: RouteReason,
+    /// Its predicted cost, in milliseconds.
+    pub cost_ms: f64,
+    /// How long until the first token or the answer, about.
+    pub expected: Duration,
+    /// How many prompt tokens it must read, about.
+    pub uncached: u32,
+    /// The requests known to be at it.
+    pub running: u32,
+    /// How many servers could have been chosen.
+    pub eligible: usize,
+}
+
+/// Why a server was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RouteReason {
+    /// It has read a part of the prompt.
+    Cached,
+    /// It is where the shared part of the prompt belongs.
+    Home,
+    /// It costs least.
+    Cheapest,
+    /// All others are kept from work.
+    LastResort,
+}
+
+/// A server with its predicted cost.
+struct Candidate<'a> {
+    /// The server.
+    server: &'a ServerState,
+    /// Its cost, in milliseconds.
+    cost_ms: f64,
+    /// How many prompt tokens it must read.
+    uncached: u32,
+    /// How long until the first token, in milliseconds.
+    expected_ms: f64,
+}
+
+impl RouteCore {
+    /// Chooses a server for a request, if there is room for it at one.
+    pub(super) fn choose(
+        &self,
+        pool: PoolId,
+        request: RequestId,
+        now: Duration,
+    ) -> Option<RouteChoice> {
+        let call = self.calls.get(&request)?;
+        let state = self.pools.get(&pool)?;
+        let staying: Vec<&ServerState> = self.staying(pool);
+        let usable: Vec<&ServerState> = staying
+            .iter()
+            .copied()
+            .filter(|server| !call.excluded.contains(&server.facts.server))
+            .collect();
+        let lane = state.split.lane(call.call.prompt.tokens, &self.options, now);
+        let well = self.well(&usable, now);
+        let laned = self.laned(&staying, &well, lane);
+        for group in [&laned, &well] {
+            let best = self.cheapest(group, request, now);
+            if let Some((best, reason)) = best {
+                return Some(answer(&best, reason, group.len()));
+            }
+        }
+        if !well.is_empty() {
+            return None;
+        }
+        let (best, _) = self.cheapest(&usable, request, now)?;
+        Some(answer(&best, RouteReason::LastResort, usable.len()))
+    }
+
+    /// Returns the servers of a pool that may get work, in the order that all instances
+    /// agree on.
+    fn staying(&self, pool: PoolId) -> Vec<&ServerState> {
+        let Some(state) = self.pools.get(&pool) else { return vec![] };
+        let servers = state.servers.values();
+        let mut staying: Vec<&ServerState> =
+            servers.filter(|server| server.facts.in_service()).collect();
+        staying.sort_by_key(|server| numbered_weight(LANE_SEED, server.facts.rank));
+        staying
+    }
+
+    /// Returns the servers that answer as their pool does; all of them if too many don't.
+    fn well<'a>(
+        &self,
+        usable: &[&'a ServerState],
+        now: Duration,
+    ) -> Vec<&'a ServerState> {
+        let mut failures: Vec<f64> =
+            usable.iter().map(|server| server.health.failures()).collect();
+        failures.sort_by(f64::total_cmp);
+        let typical = failures.get(failures.len() / 2).copied().unwrap_or_default();
+        let is_well = |server: &&ServerState| {
+            let expected = Duration::from_secs_f64(self.backlog_ms(server, now) / 1000.0);
+            server.health.is_well(expected, now, &self.options)
+                && server.health.failures() <= typical + FAILING_PART
+        };
+        usable.iter().copied().filter(|server| is_well(server)).collect()
+    }
+
+    /// Returns those servers that belong to a lane.
+    fn laned<'a>(
+        &self,
+        staying: &[&'a ServerState],
+        well: &[&'a ServerState],
+        lane: PromptLane,
+    ) -> Vec<&'a ServerState> {
+        let count = staying.len();
+        let part = self.options.long_part;
+        let places = staying.iter().enumerate();
+        let members = places.filter(|(place, _)| in_lane(lane, *place, count, part));
+        let wells = |server: &ServerState| {
+            well.iter().any(|other| other.facts.server == server.facts.server)
+        };
+        members
+            .map(|(_, server)| *server)
+            .filter(|server| wells(server))
+            .collect()
+    }
+
+    /// Returns the cheapest server with room among some.
+    fn cheapest<'a>(
+        &self,
+        servers: &[&'a ServerState],
+        request: RequestId,
+        now: Duration,
+    ) -> Option<(Candidate<'a>, RouteReason)> {
+        let call = &self.calls.get(&request)?.call;
+        let home = call.prompt.shared_key().and_then(|key| {
+            let weight = |server: &&&ServerState| numbered_weight(key, server.facts.rank);
+            servers.iter().max_by_key(weight).map(|server| server.facts.server)
+        });
+        let shared: u32 = match call.prompt.parts.split_last() {
+            Some((_, shared)) => shared.iter().map(|part| part.tokens).sum(),
+            None => 0,
+        };
+        let candidates =
+            servers.iter().filter(|server| self.has_room(server)).map(|server| {
+                let read = server.uncached(&call.prompt, self.options.cache_life, now);
+                let at_home = home == Some(server.facts.server);
+                // Peers send what shares a prompt's parts to the same home.
+                let uncached = match at_home {
+                    true => read.min(call.prompt.tokens.saturating_sub(shared)),
+                    false => read,
+                };
+                self.candidate(server, uncached, now)
+            });
+        let best =
+            candidates.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))?;
+        let reason = if home == Some(best.server.facts.server) {
+            RouteReason::Home
+        } else if best.uncached < call.prompt.tokens {
+            RouteReason::Cached
+        } else {
+            RouteReason::Cheapest
+        };
+        Some((best, reason))
+    }
+
+    /// Works out what a server costs that must read so many tokens.
+    fn candidate<'a>(
+        &self,
+        server: &'a ServerState,
+        uncached: u32,
+        now: Duration,
+    ) -> Candidate<'a> {
+        let running = f64::from(server.load.running());
+        let mut cost_ms = 0.0;
+        if !server.facts.near {
+            cost_ms += self.options.far_cost_ms;
+        }
+        if server.facts.lapsed {
+            cost_ms += LAPSED_COST_MS;
+        }
+        let expected_ms = match server.facts.engine {
+            Some(_) => {
+                let read_ms = f64::from(uncached) / self.options.prefill_tokens_per_ms;
+                cost_ms += running * self.options.running_cost_ms;
+                self.backlog_ms(server, now) + read_ms
+            }
+            None => {
+                let slots = f64::from(server.facts.slots.max(1));
+                PLAIN_CALL_MS * (running + 1.0) / slots
+            }
+        };
+        cost_ms += expected_ms;
+        Candidate { server, cost_ms, uncached, expected_ms }
+    }
+
+    /// Returns how long a server reads what it was sent, in milliseconds.
+    fn backlog_ms(&self, server: &ServerState, now: Duration) -> f64 {
+        let rate = self.options.prefill_tokens_per_ms;
+        server.load.unread(&self.calls, rate, now) / rate
+    }
+
+    /// Tells whether a server has room for one more request.
+    fn has_room(&self, server: &ServerState) -> bool {
+        let most = f64::from(server.facts.slots) * self.options.fill;
+        f64::from(server.load.running()) < most.max(1.0)
+    }
+}
+
+/// Makes the choice of a candidate.
+fn answer(
+    candidate: &Candidate<'_>,
+    reason: RouteReason,
+    eligible: usize,
+) -> RouteChoice {
+    RouteChoice {
+        server: candidate.server.facts.server,
+        reason,
+        cost_ms: candidate.cost_ms,
+        expected: Duration::from_secs_f64(candidate.expected_ms / 1000.0),
+        uncached: candidate.uncached,
+        running: candidate.server.load.running(),
+        eligible,
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -0,0 +1,121 @@
+//! Whether a backend server answers, as this instance's own requests show it.
+
+use std::time::Duration;
+
+use super::call::RouteFault;
+use super::options::RouteOptions;
+
+/// How much the newest outcome moves the part of failures.
+const NEWEST_OUTCOME: f64 = 0.15;
+
+/// A server that fails more than this part of its requests above its pool's median rests.
+pub(crate) const FAILING_PART: f64 = 0.3;
+
+/// How a server has answered.
+#[derive(Debug, Clone)]
+pub(crate) struct ServerHealth {
+    /// Until when it gets no work.
+    paused_until: Duration,
+    /// How long the next pause is.
+    pause: Duration,
+    /// When anything last came from it.
+    heard: Duration,
+    /// When something was first sent to it that nothing has followed.
+    unanswered: Option<Duration>,
+    /// The decayed part of its requests that failed.
+    failures: f64,
+}
+
+impl ServerHealth {
+    /// Starts with a server that is taken to be well.
+    pub(crate) fn new(now: Duration) -> Self {
+        Self {
+            paused_until: Duration::ZERO,
+            pause: Duration::ZERO,
+            heard: now,
+            unanswered: None,
+            failures: 0.0,
+        }
+    }
+
+    /// Records a request that is sent.
+    pub(crate) fn send(&mut self, now: Duration) {
+        self.unanswered.get_or_insert(now);
+    }
+
+    /// Records that something came.
+    pub(crate) fn hear(&mut self, now: Duration) {
+        self.heard = now;
+        self.unanswered = None;
+    }
+
+    /// Records a whole answer.
+    pub(crate) fn succeed(&mut self, now: Duration) {
+        self.hear(now);
+        self.pause = Duration::ZERO;
+        self.failures *= 1.0 - NEWEST_OUTCOME;
+    }
+
+    /// Records a fault.
+    pub(crate) fn fail(
+        &mut self,
+        fault: RouteFault,
+        now: Duration,
+        options: &RouteOptions,
+    ) {
+        match fault {
+            RouteFault::Full => {
+                self.hear(now);
+                self.paused_until = self.paused_until.max(now + options.full_pause);
+            }
+            RouteFault::Replaced => self.rest(now, options.longest_pause, options),
+            RouteFault::Unreachable | RouteFault::Silent => {
+                self.count_failure();
+                self.rest(now, options.pause, options);
+            }
+            RouteFault::Broken => {
+                self.hear(now);
+                self.count_failure();
+            }
+            RouteFault::Failed => {
+                self.hear(now);
+                self.count_failure();
+            }
+        }
+    }
+
+    /// Gives the server no work for a while, longer each time.
+    fn rest(&mut self, now: Duration, first: Duration, options: &RouteOptions) {
+        if now < self.paused_until {
+            return;
+        }
+        self.pause = (self.pause * 2).clamp(first, options.longest_pause);
+        self.paused_until = now + self.pause;
+        self.unanswered = None;
+    }
+
+    /// Counts a failed request.
+    fn count_failure(&mut self) {
+        self.failures += (1.0 - self.failures) * NEWEST_OUTCOME;
+    }
+
+    /// Returns the decayed part of failed requests.
+    pub(crate) fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    /// Tells whether the server may get work by what it has answered, where `expected` is
+    /// how long its first answer may take.
+    pub(crate) fn is_well(
+        &self,
+        expected: Duration,
+        now: Duration,
+        options: &RouteOptions,
+    ) -> bool {
+        if now < self.paused_until {
+            return false;
+        }
+        let Some(since) = self.unanswered else { return true };
+        now < since.max(self.heard) + options.silence + expected
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/lane.rs
@@ -0,0 +1,74 @@
+//! Long and short prompts apart: each chunk of a long prompt delays every token that the
+//! same engine makes beside it, so long prompts are kept to a part of the engines.
+
+use std::time::Duration;
+
+use super::call::RouteCall;
+use super::options::RouteOptions;
+
+/// The demand of the moment, by long and short prompts.
+#[derive(Debug, Default)]
+pub(crate) struct LaneSplit {
+    /// Whether long prompts were seen lately.
+    long_seen: Option<Duration>,
+    /// Whether short prompts were seen lately.
+    short_seen: Option<Duration>,
+}
+
+/// For how long a kind of prompts counts as there after it was last seen.
+const SEEN_LIFE: Duration = Duration::from_secs(3);
+
+/// Which engines a prompt may use first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PromptLane {
+    /// The engines for long prompts.
+    Long,
+    /// The engines for short ones.
+    Short,
+    /// Any.
+    Any,
+}
+
+impl LaneSplit {
+    /// Takes in a request that came.
+    pub(crate) fn arrive(
+        &mut self,
+        call: &RouteCall,
+        options: &RouteOptions,
+        now: Duration,
+    ) {
+        if call.prompt.tokens == 0 {
+            return;
+        }
+        if call.prompt.tokens > options.long_prompt {
+            self.long_seen = Some(now);
+        } else {
+            self.short_seen = Some(now);
+        }
+    }
+
+    /// Returns which engines a prompt may use first.
+    pub(crate) fn lane(
+        &self,
+        tokens: u32,
+        options: &RouteOptions,
+        now: Duration,
+    ) -> PromptLane {
+        let seen = |at: Option<Duration>| at.is_some_and(|at| now < at + SEEN_LIFE);
+        if tokens == 0 || !seen(self.long_seen) || !seen(self.short_seen) {
+            return PromptLane::Any;
+        }
+        if tokens > options.long_prompt { PromptLane::Long } else { PromptLane::Short }
+    }
+}
+
+/// Tells whether a server at `place` of `count`, in the order that all instances agree on,
+/// belongs to a lane.
+pub(crate) fn in_lane(lane: PromptLane, place: usize, count: usize, part: f64) -> bool {
+    let long = ((count as f64 * part).round() as usize).clamp(1, count.max(2) - 1);
+    match lane {
+        PromptLane::Any => true,
+        PromptLane::Long => place < long || count < 2,
+        PromptLane::Short => place >= long || count < 2,
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -0,0 +1,453 @@
+//! The router: which backend server gets a request, and when one is tried again.
+//!
+//! A [`RouteCore`] is told what comes in and what becomes of it, each with the time, and
+//! returns [`RouteAction`]s. It does no input or output, so a day can be replayed.
+
+mod budget;
+mod call;
+mod choose;
+mod health;
+mod lane;
+mod load;
+mod options;
+mod server;
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use flaxtide_core::{PoolId, RequestId, ServerId};
+
+pub use self::call::{PromptPart, PromptShape, RouteCall, RouteFault};
+pub use self::choose::{RouteChoice, RouteReason};
+pub use self::load::{PeerLoad, ServerLoad};
+pub use self::options::RouteOptions;
+pub use self::server::{EngineShape, RoutedServer};
+
+use self::budget::RetryWindow;
+use self::call::{CallPlace, RoutedCall};
+use self::lane::LaneSplit;
+use self::server::ServerState;
+use crate::queue::{PoolQueue, QueueEntry};
+
+/// Something to be done about a request.
+#[derive(Debug, Clone, PartialEq)]
+pub enum RouteAction {
+    /// Send it to a server.
+    Dispatch {
+        /// The request.
+        request: RequestId,
+        /// Which server, and why.
+        choice: RouteChoice,
+        /// How long the server may be silent before the request goes elsewhere; without
+        /// it, the request stays.
+        patience: Option<Duration>,
+    },
+    /// Refuse it: it hasn't run.
+    Refuse {
+        /// The request.
+        request: RequestId,
+        /// Why.
+        reason: RefusalCause,
+        /// When to come back.
+        retry_after: Duration,
+    },
+}
+
+/// Why a request is refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RefusalCause {
+    /// No server of the pool can be used.
+    NoServer,
+    /// It would be too late for its caller.
+    TooLate,
+    /// The retry budget is spent, or every server has been tried.
+    Spent,
+}
+
+/// What is decided after a request failed at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// It waits for another server; an action follows.
+    Again,
+    /// It ends here.
+    End,
+}
+
+/// A pool of servers.
+#[derive(Debug, Default)]
+struct RoutePool {
+    /// The servers, by their identifiers.
+    servers: BTreeMap<ServerId, ServerState>,
+    /// The requests that wait for a server.
+    queue: PoolQueue,
+    /// The requests that wait for another try.
+    retries: Vec<RequestId>,
+    /// What may be spent on further tries.
+    budget: RetryWindow,
+    /// How the servers are shared between long and short prompts.
+    split: LaneSplit,
+    /// The mean time from dispatch to the end of an answer, in seconds.
+    span: crate::estimate::DecayedMean,
+}
+
+/// Decides about the requests of one entry instance.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_policy::{RouteCore, RouteOptions};
+/// let mut core = RouteCore::new(RouteOptions::default());
+/// assert!(core.tick(Duration::ZERO).is_empty());
+/// ```
+#[derive(Debug)]
+pub struct RouteCore {
+    /// The tunable constants.
+    options: RouteOptions,
+    /// The pools.
+    pools: BTreeMap<PoolId, RoutePool>,
+    /// The requests that wait or run.
+    calls: HashMap<RequestId, RoutedCall>,
+    /// How many instances share the retry budget; the most that were seen alive.
+    instances: u32,
+    /// What has been decided in the current event.
+    actions: Vec<RouteAction>,
+}
+
+impl RouteCore {
+    /// Starts a core that knows no server.
+    #[must_use]
+    pub fn new(options: RouteOptions) -> Self {
+        let instances = options.assumed_instances;
+        Self {
+            options,
+            pools: BTreeMap::new(),
+            calls: HashMap::new(),
+            instances,
+            actions: vec![],
+        }
+    }
+
+    /// Sets the servers of a pool. Servers that stay keep what is known of them.
+    pub fn set_servers(
+        &mut self,
+        pool: PoolId,
+        servers: &[RoutedServer],
+        now: Duration,
+    ) -> Vec<RouteAction> {
+        let state = self.pools.entry(pool).or_default();
+        state
+            .servers
+            .retain(|id, _| servers.iter().any(|server| server.server == *id));
+        for server in servers {
+            match state.servers.get_mut(&server.server) {
+                Some(known) => known.facts = server.clone(),
+                None => {
+                    let fresh = ServerState::new(server.clone(), now);
+                    state.servers.insert(server.server, fresh);
+                }
+            }
+        }
+        self.pump(pool, now);
+        self.take_actions()
+    }
+
+    /// Takes in how many instances are alive. The retry budget is divided by the most
+    /// that were seen, so that a cut never lets both sides spend all of it.
+    pub fn set_instances(&mut self, live: u32) {
+        self.instances = self.instances.max(live);
+    }
+
+    /// Takes in what the peers have at the servers of a pool.
+    pub fn set_peer_loads(&mut self, pool: PoolId, loads: &[PeerLoad], now: Duration) {
+        let Some(state) = self.pools.get_mut(&pool) else { return };
+        for server in state.servers.values_mut() {
+            server.load.clear_peers();
+        }
+        for load in loads {
+            if let Some(server) = state.servers.get_mut(&load.server) {
+                server.load.add_peer(load, now);
+            }
+        }
+    }
+
+    /// Returns what this instance has at the servers of a pool.
+    #[must_use]
+    pub fn own_loads(&self, pool: PoolId, now: Duration) -> Vec<ServerLoad> {
+        let Some(state) = self.pools.get(&pool) else { return vec![] };
+        let rate = self.options.prefill_tokens_per_ms;
+        let servers = state.servers.iter();
+        let loads = servers
+            .map(|(id, server)| server.load.own_summary(*id, &self.calls, rate, now));
+        loads.filter(|load| load.running > 0).collect()
+    }
+
+    /// Decides about a request that came.
+    pub fn arrive(&mut self, call: RouteCall, now: Duration) -> Vec<RouteAction> {
+        let pool = call.pool;
+        let request = call.request;
+        let state = self.pools.entry(pool).or_default();
+        state.budget.arrive(now);
+        state.split.arrive(&call, &self.options, now);
+        if !state.servers.values().any(|server| server.facts.in_service()) {
+            let retry_after = self.options.no_server_retry;
+            let reason = RefusalCause::NoServer;
+            return vec![RouteAction::Refuse { request, reason, retry_after }];
+        }
+        let entry = QueueEntry {
+            request,
+            arrived: now,
+            urgency: now + call.target,
+            work: call.prompt.work(),
+        };
+        state.queue.push(call.tier, call.class, call.organisation, entry, now);
+        self.calls.insert(request, RoutedCall::new(call));
+        self.pump(pool, now);
+        self.take_actions()
+    }
+
+    /// Takes in that anything came from the server of a request.
+    pub fn heard(&mut self, request: RequestId, now: Duration) {
+        let Some(call) = self.calls.get_mut(&request) else { return };
+        let CallPlace::Running { server, .. } = call.place else { return };
+        let first = call.hear(now);
+        let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
+        let Some(server) = state.servers.get_mut(&server) else { return };
+        server.health.hear(now);
+        if first {
+            server.remember(&call.call.prompt, now);
+        }
+    }
+
+    /// Takes in the end of a whole answer.
+    pub fn finish(&mut self, request: RequestId, now: Duration) -> Vec<RouteAction> {
+        let Some(call) = self.calls.remove(&request) else { return vec![] };
+        let pool = call.call.pool;
+        if let CallPlace::Running { server, since, .. } = call.place
+            && let Some(state) = self.pools.get_mut(&pool)
+        {
+            state.span.add(now.saturating_sub(since).as_secs_f64());
+            if let Some(server) = state.servers.get_mut(&server) {
+                server.load.end(request);
+                server.health.succeed(now);
+            }
+        }
+        self.pump(pool, now);
+        self.take_actions()
+    }
+
+    /// Takes in that a request ended without an answer of use to the router: its caller
+    /// has gone, or its time is over.
+    pub fn leave(&mut self, request: RequestId, now: Duration) -> Vec<RouteAction> {
+        let Some(call) = self.calls.remove(&request) else { return vec![] };
+        self.free(&call, now);
+        self.take_actions()
+    }
+
+    /// Takes in that a server failed a request, and decides whether it is tried again.
+    /// `resumable` tells whether it may go on although it may have run.
+    pub fn fail(
+        &mut self,
+        request: RequestId,
+        fault: RouteFault,
+        resumable: bool,
+        now: Duration,
+    ) -> (RetryVerdict, Vec<RouteAction>) {
+        let Some(mut call) = self.calls.remove(&request) else {
+            return (RetryVerdict::End, vec![]);
+        };
+        let pool = call.call.pool;
+        self.blame(&call, fault, now);
+        if let CallPlace::Running { server, .. } = call.place {
+            call.excluded.push(server);
+        }
+        if !fault.not_run() {
+            call.runs += 1;
+        }
+        let again = self.may_repeat(&call, fault, resumable, now);
+        self.free(&call, now);
+        if !again {
+            return (RetryVerdict::End, self.take_actions());
+        }
+        call.place = CallPlace::Waiting;
+        self.calls.insert(request, call);
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.retries.push(request);
+        }
+        self.pump(pool, now);
+        (RetryVerdict::Again, self.take_actions())
+    }
+
+    /// Lets time pass: requests that wait may have a server by now, or be too late.
+    pub fn tick(&mut self, now: Duration) -> Vec<RouteAction> {
+        let pools: Vec<PoolId> = self.pools.keys().copied().collect();
+        for pool in pools {
+            self.expire(pool, now);
+            self.pump(pool, now);
+        }
+        self.take_actions()
+    }
+
+    /// Tells whether any request waits for a server.
+    #[must_use]
+    pub fn waits(&self) -> bool {
+        self.pools
+            .values()
+            .any(|pool| pool.queue.len() > 0 || !pool.retries.is_empty())
+    }
+
+    /// Returns how many requests wait or run.
+    #[must_use]
+    pub fn open_calls(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Tells whether a further try is within the budget and of use, and pays for it.
+    fn may_repeat(
+        &mut self,
+        call: &RoutedCall,
+        fault: RouteFault,
+        resumable: bool,
+        now: Duration,
+    ) -> bool {
+        let order = &call.call;
+        if !fault.not_run() && !(order.repeatable || resumable) {
+            return false;
+        }
+        if call.runs >= order.run_limit.max(1) || call.sends >= self.options.send_limit {
+            return false;
+        }
+        if now + self.options.least_time >= order.deadline {
+            return false;
+        }
+        let (ratio, slack) = (self.options.retry_ratio, self.options.retry_slack);
+        let part = slack * self.options.budget_part / f64::from(self.instances.max(1));
+        let Some(state) = self.pools.get_mut(&order.pool) else { return false };
+        state.budget.spend(ratio * self.options.budget_part, part, now)
+    }
+
+    /// Holds a fault against the server.
+    fn blame(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
+        let CallPlace::Running { server, .. } = call.place else { return };
+        let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
+        let Some(server) = state.servers.get_mut(&server) else { return };
+        server.health.fail(fault, now, &self.options);
+    }
+
+    /// Frees what a request has taken.
+    fn free(&mut self, call: &RoutedCall, now: Duration) {
+        let order = &call.call;
+        let Some(state) = self.pools.get_mut(&order.pool) else { return };
+        match call.place {
+            CallPlace::Running { server, .. } => {
+                if let Some(server) = state.servers.get_mut(&server) {
+                    server.load.end(order.request);
+                }
+            }
+            CallPlace::Waiting => {
+                state.queue.remove(
+                    order.tier,
+                    order.class,
+                    order.organisation,
+                    order.request,
+                );
+                state.retries.retain(|request| *request != order.request);
+            }
+        }
+        self.pump(order.pool, now);
+    }
+
+    /// Refuses what has waited too long to be served in time.
+    fn expire(&mut self, pool: PoolId, now: Duration) {
+        let late = |call: &RoutedCall| {
+            call.call.pool == pool
+                && matches!(call.place, CallPlace::Waiting)
+                && now >= call.call.give_up
+        };
+        let mut requests: Vec<RequestId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| late(call))
+            .map(|(request, _)| *request)
+            .collect();
+        requests.sort_unstable();
+        for request in requests {
+            let retry_after = self.drain_time(pool);
+            if let Some(call) = self.calls.remove(&request) {
+                self.free(&call, now);
+            }
+            let reason = RefusalCause::TooLate;
+            self.actions
+                .push(RouteAction::Refuse { request, reason, retry_after });
+        }
+    }
+
+    /// Returns how long the queue of a pool takes to drain, as callers are told.
+    fn drain_time(&self, pool: PoolId) -> Duration {
+        let Some(state) = self.pools.get(&pool) else {
+            return self.options.no_server_retry;
+        };
+        let slots: u32 = state
+            .servers
+            .values()
+            .filter(|server| server.facts.in_service())
+            .map(|server| server.facts.slots)
+            .sum();
+        let span = state.span.get().unwrap_or(1.0);
+        let seconds = span * state.queue.len() as f64 / f64::from(slots.max(1));
+        Duration::from_secs_f64(seconds)
+            .clamp(self.options.shortest_retry, self.options.longest_retry)
+    }
+
+    /// Gives servers to the requests that wait, in order, while there is room.
+    fn pump(&mut self, pool: PoolId, now: Duration) {
+        self.pump_retries(pool, now);
+        loop {
+            let Some(state) = self.pools.get(&pool) else { return };
+            let Some(head) = state.queue.next() else { return };
+            let request = head.entry.request;
+            let Some(choice) = self.choose(pool, request, now) else { return };
+            if let Some(state) = self.pools.get_mut(&pool) {
+                state.queue.pop(&head, 1, now);
+            }
+            self.dispatch(request, choice, now);
+        }
+    }
+
+    /// Gives servers to the requests that are tried again.
+    fn pump_retries(&mut self, pool: PoolId, now: Duration) {
+        let Some(state) = self.pools.get_mut(&pool) else { return };
+        for request in std::mem::take(&mut state.retries) {
+            if let Some(choice) = self.choose(pool, request, now) {
+                self.dispatch(request, choice, now);
+            } else if let Some(state) = self.pools.get_mut(&pool) {
+                state.retries.push(request);
+            }
+        }
+    }
+
+    /// Sends a request to a server.
+    fn dispatch(&mut self, request: RequestId, choice: RouteChoice, now: Duration) {
+        let Some(call) = self.calls.get_mut(&request) else { return };
+        let server = choice.server;
+        call.place = CallPlace::Running { server, since: now, heard: None };
+        call.sends += 1;
+        call.uncached = choice.uncached;
+        let movable = call.call.repeatable && call.runs + 1 < call.call.run_limit;
+        let expected = choice.expected;
+        let patience = movable.then(|| {
+            let usual = expected.mul_f64(self.options.patience_factor);
+            usual.max(self.options.shortest_patience)
+        });
+        if let Some(state) = self.pools.get_mut(&call.call.pool)
+            && let Some(server) = state.servers.get_mut(&server)
+        {
+            server.load.start(request);
+            server.health.send(now);
+        }
+        self.actions.push(RouteAction::Dispatch { request, choice, patience });
+    }
+
+    /// Returns what has been decided.
+    fn take_actions(&mut self) -> Vec<RouteAction> {
+        std::mem::take(&mut self.actions)
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -0,0 +1,84 @@
+//! What can be turned on the router.
+
+use std::time::Duration;
+
+/// The tunable constants of the router; `docs/design/router.md` says what chose them.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RouteOptions {
+    /// How many prompt tokens an engine reads in a millisecond, until measured.
+    pub prefill_tokens_per_ms: f64,
+    /// What one more running request adds to the time of others, in milliseconds.
+    pub running_cost_ms: f64,
+    /// A prompt with more unread tokens than this is a long one.
+    pub long_prompt: u32,
+    /// The part of the engines that long prompts are kept to.
+    pub long_part: f64,
+    /// How many times its slots a server may have requests, running and waiting.
+    pub fill: f64,
+    /// The time that a server of another data centre costs, in milliseconds.
+    pub far_cost_ms: f64,
+    /// For how long a prompt part is taken to stay in an engine's memory.
+    pub cache_life: Duration,
+    /// How often a request may be sent in all.
+    pub send_limit: u32,
+    /// A further try needs at least this much time before the deadline.
+    pub least_time: Duration,
+    /// How many repeats each request pays for, over all instances.
+    pub retry_ratio: f64,
+    /// How many repeats in a window are free, over all instances.
+    pub retry_slack: f64,
+    /// The part of the budget that is used, so that edges of windows stay within it.
+    pub budget_part: f64,
+    /// How many instances are taken to share the budget before peers are heard.
+    pub assumed_instances: u32,
+    /// A server may be silent for so many times the expected time.
+    pub patience_factor: f64,
+    /// The shortest silence after which a request goes elsewhere.
+    pub shortest_patience: Duration,
+    /// After so long a silence with work at it, a server gets no more work.
+    pub silence: Duration,
+    /// How long an unreachable or failing server gets no work, at first.
+    pub pause: Duration,
+    /// The longest such pause.
+    pub longest_pause: Duration,
+    /// How long a full server gets no work.
+    pub full_pause: Duration,
+    /// At most this part of a pool is kept from work for its faults.
+    pub ejected_part: f64,
+    /// When a caller without any server is asked to come back.
+    pub no_server_retry: Duration,
+    /// The soonest that a refused caller is asked to come back.
+    pub shortest_retry: Duration,
+    /// The latest.
+    pub longest_retry: Duration,
+}
+
+impl Default for RouteOptions {
+    fn default() -> Self {
+        Self {
+            prefill_tokens_per_ms: 60.0,
+            running_cost_ms: 3.0,
+            long_prompt: 3000,
+            long_part: 0.6,
+            fill: 1.5,
+            far_cost_ms: 2.0,
+            cache_life: Duration::from_secs(20),
+            send_limit: 4,
+            least_time: Duration::from_millis(50),
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            budget_part: 0.7,
+            assumed_instances: 8,
+            patience_factor: 3.0,
+            shortest_patience: Duration::from_millis(700),
+            silence: Duration::from_millis(800),
+            pause: Duration::from_millis(500),
+            longest_pause: Duration::from_secs(4),
+            full_pause: Duration::from_millis(150),
+            ejected_part: 0.5,
+            no_server_retry: Duration::from_millis(500),
+            shortest_retry: Duration::from_millis(100),
+            longest_retry: Duration::from_secs(5),
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -0,0 +1,100 @@
+//! What the router knows of a backend server.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use flaxtide_core::ServerId;
+
+use super::call::PromptShape;
+use super::health::ServerHealth;
+use super::load::LoadCount;
+
+/// How many prompt parts are remembered of one server.
+const REMEMBERED_PARTS: usize = 512;
+
+/// A backend server, as the platform tells of it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct RoutedServer {
+    /// The server.
+    pub server: ServerId,
+    /// A number that is the same on every instance, from its name.
+    pub rank: u64,
+    /// How many requests it works on at once.
+    pub slots: u32,
+    /// What its engine can do; nothing for a plain service.
+    pub engine: Option<EngineShape>,
+    /// Whether it stands in this instance's data centre.
+    pub near: bool,
+    /// Whether it is leaving.
+    pub leaving: bool,
+    /// Whether the platform doesn't list it just now, though nobody said that it left.
+    pub lapsed: bool,
+}
+
+impl RoutedServer {
+    /// Tells whether it may get work.
+    #[must_use]
+    pub fn in_service(&self) -> bool {
+        !self.leaving
+    }
+}
+
+/// What an engine can do.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct EngineShape {
+    /// Tokens of prompts and answers that fit its memory.
+    pub memory_tokens: u32,
+}
+
+/// A backend server with what this instance has seen of it.
+#[derive(Debug)]
+pub(crate) struct ServerState {
+    /// What the platform tells.
+    pub(crate) facts: RoutedServer,
+    /// The requests at it.
+    pub(crate) load: LoadCount,
+    /// How it has answered.
+    pub(crate) health: ServerHealth,
+    /// The prompt parts that it has read, and when last.
+    parts: HashMap<u64, Duration>,
+}
+
+impl ServerState {
+    /// Starts to know a server.
+    pub(crate) fn new(facts: RoutedServer, now: Duration) -> Self {
+        Self {
+            facts,
+            load: LoadCount::default(),
+            health: ServerHealth::new(now),
+            parts: HashMap::new(),
+        }
+    }
+
+    /// Records that the server has read a prompt.
+    pub(crate) fn remember(&mut self, prompt: &PromptShape, now: Duration) {
+        if self.parts.len() > REMEMBERED_PARTS {
+            let mut times: Vec<Duration> = self.parts.values().copied().collect();
+            times.sort_unstable();
+            let middle = times[times.len() / 2];
+            self.parts.retain(|_, read| *read > middle);
+        }
+        for part in &prompt.parts {
+            self.parts.insert(part.key, now);
+        }
+    }
+
+    /// Returns how many tokens of a prompt the server must read, if `life` is how long it
+    /// keeps what it has read. A part counts only if all before it are there.
+    pub(crate) fn uncached(
+        &self,
+        prompt: &PromptShape,
+        life: Duration,
+        now: Duration,
+    ) -> u32 {
+        let known = prompt.parts.iter().take_while(|part| {
+            self.parts.get(&part.key).is_some_and(|read| now < *read + life)
+        });
+        let cached: u32 = known.map(|part| part.tokens).sum();
+        prompt.tokens.saturating_sub(cached)
+    }
+}
--- a/crates/flaxtide/src/main.rs
+++ b/crates/flaxtide/src/main.rs
@@ -2,10 +2,13 @@
 
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use clap::{Arg, ArgMatches, Command};
-use flaxtide::{EntryInstance, InstanceConfig, init_logging};
+use flaxtide::{InstanceConfig, init_logging};
+use flaxtide_adapter::{PlatformDialect, TableFeed};
 use flaxtide_core::SettingsTree;
+use flaxtide_entry::{EntryConfig, EntryInstance, init_entry_logging};
 use signal_hook::consts::{SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 
@@ -13,6 +16,7 @@
     let matches = command().get_matches();
     let result = match matches.subcommand() {
         Some(("serve", matches)) => serve(matches),
+        Some(("enter", matches)) => enter(matches),
         Some(("check", matches)) => check(matches),
         _ => Err("no subcommand; see `flaxtide --help`".into()),
     };
@@ -33,13 +37,12 @@
         .subcommand(
             Command::new("serve")
                 .about("Runs an entry instance until SIGTERM")
-                .arg(
-                    Arg::new("config")
-                        .long("config")
-                        .required(true)
-                        .value_name("FILE")
-                        .help("The instance file"),
-                ),
+                .arg(config_argument()),
+        )
+        .subcommand(
+            Command::new("enter")
+                .about("Runs an entry instance on the users' platform until SIGTERM")
+                .arg(config_argument()),
         )
         .subcommand(
             Command::new("check")
@@ -48,6 +51,27 @@
         )
 }
 
+/// Describes the argument that names an instance file.
+fn config_argument() -> Arg {
+    Arg::new("config")
+        .long("config")
+        .required(true)
+        .value_name("FILE")
+        .help("The instance file")
+}
+
+/// Runs an entry instance on the users' platform.
+fn enter(matches: &ArgMatches) -> Result<(), String> {
+    let file = path(matches, "config");
+    let config = EntryConfig::read(&file).map_err(|fault| fault.to_string())?;
+    init_entry_logging();
+    let feed = TableFeed::new(config.platform)
+        .map_err(|cause| format!("no runtime for the platform's store: {cause}"))?;
+    let dialect = Arc::new(PlatformDialect);
+    let instance = EntryInstance::new(file, config, dialect, Arc::new(feed));
+    instance.run().map_err(|fault| fault.to_string())
+}
+
 /// Runs an entry instance.
 fn serve(matches: &ArgMatches) -> Result<(), String> {
     let config = InstanceConfig::read(&path(matches, "config"))
@@ -56,7 +80,8 @@
     // Registered before anything starts, so that no signal is missed.
     let mut signals = Signals::new([SIGTERM, SIGINT])
         .map_err(|cause| format!("no signals: {cause}"))?;
-    let instance = EntryInstance::start(config).map_err(|fault| fault.to_string())?;
+    let instance =
+        flaxtide::EntryInstance::start(config).map_err(|fault| fault.to_string())?;
     // Whoever started the process learns here which free ports it was given.
     let addresses = serde_json::to_string(&instance.addresses());
     println!("{}", addresses.unwrap_or_default());
