--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -127,7 +127,7 @@
             request = self.attempt, class = self.class.class().name,
             server = self.state.server_name(choice.server).unwrap_or_default(),
             reason:? = choice.reason, cost_ms = choice.cost_ms as u64,
-            running = choice.running, uncached = choice.uncached,
+            running = choice.running, uncached = choice.uncached, tokens = request.tokens, tier = request.tier.unwrap_or_default(),
             eligible = choice.eligible, left_ms = left.as_millis() as u64,
             resume = last_event.unwrap_or_default();
             "dispatch"
@@ -194,7 +194,12 @@
                 request = attempt, outcome = reply.name(), rules_version = version.unwrap_or_default();
                 "turned away"
             );
-            reply.answer((reply == OwnReply::NoRules).then_some(NO_RULES_RETRY))
+            let retry_after = match reply {
+                OwnReply::NoRules => Some(NO_RULES_RETRY),
+                OwnReply::Stopping => Some(Duration::ZERO),
+                _ => None,
+            };
+            reply.answer(retry_after)
         }
     };
     if state.phase() >= LifePhase::Closing {
@@ -229,13 +234,16 @@
         .ok_or_else(|| turn_away(OwnReply::UnknownTarget))?;
     let caller =
         identify(&table, &class, &head).ok_or_else(|| turn_away(OwnReply::UnknownKey))?;
+    if state.ends_too_soon(class.class().kind.streams()) {
+        return Err(turn_away(OwnReply::Stopping));
+    }
     let most = table.rules.limits.body_bytes;
     let wait = head.deadline.unwrap_or(class.class().timeout);
     let body = tokio::time::timeout(wait, read_body(body, most)).await;
     let body = body.unwrap_or(Err(OwnReply::BodyTooSlow)).map_err(turn_away)?;
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
-    let tier = caller.tier.unwrap_or(class.class().tier);
+    let tier = table.tier(&caller, class.class());
     let service = class.draw_service(&mut *state.random.borrow_mut()).map(str::to_owned);
     let Some(service) = service else { return Err(turn_away(OwnReply::UnknownTarget)) };
     let is_engine = table
@@ -251,6 +259,7 @@
         attempt: head.attempt.clone(),
         organisation: caller.name.clone(),
         tier: is_engine.then_some(tier),
+        tokens: head.prompt.tokens,
         streams: class.class().kind.streams(),
     };
     let call = open(state, class, attempt, &head, received);
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -52,6 +52,8 @@
     pub(crate) organisation: Option<String>,
     /// The tier, as engines are told.
     pub(crate) tier: Option<TierRank>,
+    /// Tokens of its prompt.
+    pub(crate) tokens: u32,
     /// Whether the answer is a stream of events.
     pub(crate) streams: bool,
 }
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -33,6 +33,8 @@
     UnknownTarget,
     /// There are no rules yet.
     NoRules,
+    /// The instance stops before it could be answered.
+    Stopping,
     /// No server can take it.
     NoServer,
     /// It would be too late for its caller.
@@ -52,7 +54,7 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownTarget => StatusCode::NOT_FOUND,
-            Self::NoRules | Self::NoServer | Self::TooLate => {
+            Self::NoRules | Self::Stopping | Self::NoServer | Self::TooLate => {
                 StatusCode::SERVICE_UNAVAILABLE
             }
             Self::ServerFailed => StatusCode::BAD_GATEWAY,
@@ -69,6 +71,7 @@
             Self::UnknownKey => "unknown_key",
             Self::UnknownTarget => "unknown_target",
             Self::NoRules => "no_rules",
+            Self::Stopping => "stopping",
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
             Self::ServerFailed => "server_failed",
@@ -84,7 +87,7 @@
             Self::BodyTooSlow => "it hasn't run; send the whole body in time",
             Self::UnknownKey => "send a key that is in force",
             Self::UnknownTarget => "check the host and the path",
-            Self::NoRules | Self::NoServer | Self::TooLate => {
+            Self::NoRules | Self::Stopping | Self::NoServer | Self::TooLate => {
                 "it hasn't run; come back after the time in Retry-After"
             }
             Self::ServerFailed | Self::TimedOut => {
--- a/crates/flaxtide-entry/src/routes.rs
+++ b/crates/flaxtide-entry/src/routes.rs
@@ -1,6 +1,6 @@
 //! Which class a request belongs to.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
 use flaxtide_core::{ClassId, OrganisationId, TierRank};
@@ -15,8 +15,14 @@
     pub(crate) rules: EntryRules,
     /// The classes of each host, those with longer prefixes first.
     hosts: HashMap<String, Vec<ClassId>>,
+    /// The pairs of a class's tier and an organisation's, most urgent first.
+    ranks: Vec<TierPair>,
 }
 
+/// The tier of a class, which goes first, and that of an organisation. Where an
+/// organisation has none, the class's stands in for it.
+type TierPair = (TierRank, TierRank);
+
 /// The class of a request, and the rules that it stands in.
 #[derive(Debug, Clone)]
 pub(crate) struct ClassMatch {
@@ -49,7 +55,16 @@
                 std::cmp::Reverse(rules.classes[usize::from(*class)].prefix.len())
             });
         }
-        Self { rules, hosts }
+        let ranks = rank_tiers(&rules);
+        Self { rules, hosts, ranks }
+    }
+
+    /// Returns the tier of a request: its place among all pairs of a class's tier and an
+    /// organisation's. Requests of one class are still told apart by organisation.
+    pub(crate) fn tier(&self, caller: &CallerIdentity, class: &RequestClass) -> TierRank {
+        let pair = (class.tier, caller.tier.unwrap_or(class.tier));
+        let place = self.ranks.binary_search(&pair).unwrap_or(self.ranks.len());
+        TierRank::try_from(place).unwrap_or(TierRank::MAX)
     }
 
     /// Returns the class of the longest prefix that a path begins with.
@@ -98,6 +113,18 @@
     }
 }
 
+/// Returns all pairs of tiers that requests can have, most urgent first.
+fn rank_tiers(rules: &EntryRules) -> Vec<TierPair> {
+    let organisations = rules.organisations.iter().filter_map(|known| known.tier);
+    let organisations: BTreeSet<TierRank> = organisations.collect();
+    let mut pairs = BTreeSet::new();
+    for class in &rules.classes {
+        pairs.insert((class.tier, class.tier));
+        pairs.extend(organisations.iter().map(|tier| (class.tier, *tier)));
+    }
+    pairs.into_iter().collect()
+}
+
 /// Returns a host without its port.
 fn host_name(host: &str) -> &str {
     match host.rsplit_once(':') {
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -18,9 +18,10 @@
 use crate::directory::ServerDirectory;
 use crate::metrics::EntryMetrics;
 use crate::routes::RouteTable;
+use crate::stop::LAST_CALLS;
 use crate::upstream::ServerLinks;
 
-/// The part of the memory limit under which new callers are taken.
+/// How many requests a plain server works on at once if nobody says.
 const SLOTS_OF_PLAIN_SERVICE: u32 = 6;
 
 /// How far a stop has come.
@@ -68,6 +69,8 @@
     pub(crate) phase_changed: Notify,
     /// How many requests are being answered.
     pub(crate) open: Cell<usize>,
+    /// When the process ends at the latest, once that is near.
+    pub(crate) end_by: Cell<Option<Duration>>,
 }
 
 /// Numbers for the names of services and servers. A name keeps its number.
@@ -134,6 +137,7 @@
             phase: Cell::new(LifePhase::Serving),
             phase_changed: Notify::new(),
             open: Cell::new(0),
+            end_by: Cell::new(None),
         }
     }
 
@@ -178,6 +182,12 @@
             && self.listed.get()
     }
 
+    /// Tells whether a request that comes now may not end before the process must.
+    pub(crate) fn ends_too_soon(&self, streams: bool) -> bool {
+        let Some(end) = self.end_by.get() else { return false };
+        streams || self.now() + LAST_CALLS > end
+    }
+
     /// Returns the number of a new request.
     pub(crate) fn number(&self) -> RequestId {
         let request = self.next_request.get();
--- a/crates/flaxtide-entry/src/stop.rs
+++ b/crates/flaxtide-entry/src/stop.rs
@@ -13,7 +13,13 @@
 
 /// How long a stopping instance goes on as before, so that the balancer, which asks once a
 /// second and believes the second miss, has noticed.
-const BALANCER_NOTICE: Duration = Duration::from_millis(2500);
+const BALANCER_NOTICE: Duration = Duration::from_millis(2300);
+
+/// A stream that starts later than this may not end before the process must.
+const LAST_STREAMS: Duration = Duration::from_millis(2800);
+
+/// A call that starts with less time than this before the process must end is refused.
+pub(crate) const LAST_CALLS: Duration = Duration::from_millis(2000);
 
 /// What is left of the time for a stop when the last requests are cut.
 const STOP_SLACK: Duration = Duration::from_millis(350);
@@ -88,6 +94,8 @@
     state.enter(LifePhase::Leaving);
     tokio::time::sleep(BALANCER_NOTICE).await;
     state.enter(LifePhase::Closing);
+    tokio::time::sleep(LAST_STREAMS - BALANCER_NOTICE).await;
+    state.end_by.set(Some(most));
     while state.open.get() > 0 && state.now() < most {
         tokio::time::sleep(DRAIN_PERIOD).await;
     }
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -151,6 +151,11 @@
         }
     }
 
+    /// Tells whether anything of the answer has come.
+    pub(crate) fn begun(&self) -> bool {
+        matches!(self.place, CallPlace::Running { heard: Some(_), .. })
+    }
+
     /// Returns how many prompt tokens are still to be read at its server, if it was sent
     /// to one and nothing has come.
     pub(crate) fn unread(&self, tokens_per_ms: f64, now: Duration) -> f64 {
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -106,22 +106,36 @@
         staying
     }
 
-    /// Returns the servers that answer as their pool does; all of them if too many don't.
+    /// Returns the servers that answer as their pool does. Servers that fail more than
+    /// others are used all the same where too many do.
     fn well<'a>(
         &self,
         usable: &[&'a ServerState],
         now: Duration,
     ) -> Vec<&'a ServerState> {
+        let answering: Vec<&ServerState> = usable
+            .iter()
+            .copied()
+            .filter(|server| self.answers(server, now))
+            .collect();
         let mut failures: Vec<f64> =
-            usable.iter().map(|server| server.health.failures()).collect();
+            answering.iter().map(|server| server.health.failures()).collect();
         failures.sort_by(f64::total_cmp);
         let typical = failures.get(failures.len() / 2).copied().unwrap_or_default();
-        let is_well = |server: &&ServerState| {
-            let expected = Duration::from_secs_f64(self.backlog_ms(server, now) / 1000.0);
-            server.health.is_well(expected, now, &self.options)
-                && server.health.failures() <= typical + FAILING_PART
-        };
-        usable.iter().copied().filter(|server| is_well(server)).collect()
+        let right: Vec<&ServerState> = answering
+            .iter()
+            .copied()
+            .filter(|server| server.health.failures() <= typical + FAILING_PART)
+            .collect();
+        let least = usable.len() as f64 * (1.0 - self.options.ejected_part);
+        if (right.len() as f64) < least { answering } else { right }
+    }
+
+    /// Tells whether a server answers at all.
+    fn answers(&self, server: &ServerState, now: Duration) -> bool {
+        let expected = Duration::from_secs_f64(self.backlog_ms(server, now) / 1000.0);
+        let streams = server.load.streams(&self.calls);
+        server.health.is_well(streams, expected, now, &self.options)
     }
 
     /// Returns those servers that belong to a lane.
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -105,9 +105,11 @@
     }
 
     /// Tells whether the server may get work by what it has answered, where `expected` is
-    /// how long its first answer may take.
+    /// how long its first answer may take. A server that has streams under way says
+    /// something all the time; one that only reads prompts may be silent for longer.
     pub(crate) fn is_well(
         &self,
+        streams: bool,
         expected: Duration,
         now: Duration,
         options: &RouteOptions,
@@ -115,7 +117,10 @@
         if now < self.paused_until {
             return false;
         }
+        if streams && now > self.heard + options.silence {
+            return false;
+        }
         let Some(since) = self.unanswered else { return true };
-        now < since.max(self.heard) + options.silence + expected
+        now < since.max(self.heard) + options.long_silence + expected * 2
     }
 }
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -63,6 +63,12 @@
         }
     }
 
+    /// Tells whether any of this instance's requests there has begun to be answered.
+    pub(crate) fn streams(&self, calls: &HashMap<RequestId, RoutedCall>) -> bool {
+        let mut own = self.own.iter().filter_map(|request| calls.get(request));
+        own.any(RoutedCall::begun)
+    }
+
     /// Returns how many requests are at the server.
     pub(crate) fn running(&self) -> u32 {
         let peers: u32 = self.peers.iter().map(|load| load.running).sum();
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -35,8 +35,11 @@
     pub patience_factor: f64,
     /// The shortest silence after which a request goes elsewhere.
     pub shortest_patience: Duration,
-    /// After so long a silence with work at it, a server gets no more work.
+    /// After so long a silence with streams under way, a server gets no more work.
     pub silence: Duration,
+    /// After so long a silence with nothing but unanswered work at it, and twice the time
+    /// that its prompts take, a server gets no more work.
+    pub long_silence: Duration,
     /// How long an unreachable or failing server gets no work, at first.
     pub pause: Duration,
     /// The longest such pause.
@@ -71,7 +74,8 @@
             assumed_instances: 8,
             patience_factor: 3.0,
             shortest_patience: Duration::from_millis(700),
-            silence: Duration::from_millis(800),
+            silence: Duration::from_millis(700),
+            long_silence: Duration::from_millis(1500),
             pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
             full_pause: Duration::from_millis(150),
