Have instances tell each other what they have at servers, and hand on rules

Peers are found through seeds; the node forgets unlisted peers that are silent and turns back to the seeds when alone.

--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 use std::time::Duration;
 
-use flaxtide_core::{DataCentreName, InstanceName, parse_span};
+use flaxtide_core::{DataCentreName, InstanceName, RegionName, parse_span};
 use serde::{Deserialize, Deserializer};
 
 use crate::error::EntryError;
@@ -17,6 +17,8 @@
     pub name: InstanceName,
     /// The data centre in which it stands.
     pub data_centre: DataCentreName,
+    /// The region around it, whose instances it tells everything.
+    pub region: RegionName,
     /// Its own address, from which it calls.
     pub ip: IpAddr,
     /// Where callers reach it.
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -60,8 +60,6 @@
 
 /// The start of an answer that passes for right.
 pub(crate) struct AnswerStart {
-    /// The server.
-    pub(crate) server: ServerId,
     /// The status.
     pub(crate) status: StatusCode,
     /// The headers, without those that concern one connection only.
@@ -210,7 +208,7 @@
     strip_hop_headers(&mut headers);
     let keep_alive = head.keep_alive;
     let body = AnswerSource { body, link: Some(link), server, keep_alive };
-    Ok(AnswerStart { server, status: parts.status, headers, body })
+    Ok(AnswerStart { status: parts.status, headers, body })
 }
 
 /// Reads the rest of a refusal in the background, and keeps its connection.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -6,11 +6,12 @@
 use std::thread;
 use std::time::Duration;
 
-use flaxtide_core::{ServerName, SettingsVersion};
+use flaxtide_core::{InstanceName, ServerName, SettingsVersion};
+use flaxtide_fleet::OwnLoad;
 use tokio::sync::mpsc::{Receiver, Sender};
 
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
-use crate::fleet::RulesCopy;
+use crate::fleet::{RulesCopy, SharedRules, take_peer_loads};
 use crate::metrics::EntryMetrics;
 use crate::state::TrafficState;
 
@@ -42,11 +43,15 @@
         whole: bool,
     },
     /// The platform doesn't answer.
-    Lost(FeedTopic),
+    Lost,
     /// It answers again.
-    Regained(FeedTopic),
+    Regained,
     /// A peer has sent rules.
     PeerRules(RulesCopy),
+    /// A peer has said what it has at servers.
+    PeerLoads(InstanceName, Vec<OwnLoad>),
+    /// So many instances are alive.
+    Instances(u32),
 }
 
 /// Follows a topic until nobody listens.
@@ -77,8 +82,7 @@
                 if regained {
                     note_dependency(topic, true, None, metrics);
                 }
-                let told =
-                    !regained || events.blocking_send(FeedEvent::Regained(topic)).is_ok();
+                let told = !regained || events.blocking_send(FeedEvent::Regained).is_ok();
                 let news = whole || !batch.rows.is_empty();
                 told && (!news
                     || events
@@ -98,7 +102,7 @@
                 if first {
                     note_dependency(topic, false, Some(&fault), metrics);
                 }
-                let told = !first || events.blocking_send(FeedEvent::Lost(topic)).is_ok();
+                let told = !first || events.blocking_send(FeedEvent::Lost).is_ok();
                 thread::sleep(span);
                 told
             }
@@ -133,7 +137,7 @@
 pub(crate) async fn take_feed(
     state: Rc<TrafficState>,
     feed: Arc<dyn PlatformFeed>,
-    shared: Arc<crate::fleet::SharedRules>,
+    shared: Arc<SharedRules>,
     mut events: Receiver<FeedEvent>,
 ) {
     while let Some(event) = events.recv().await {
@@ -147,11 +151,17 @@
             FeedEvent::Batch { topic: FeedTopic::Servers, batch, whole } => {
                 take_servers(&state, &*feed, batch, whole);
             }
-            FeedEvent::Lost(_) => state.directory.borrow_mut().trouble(now),
-            FeedEvent::Regained(_) => state.directory.borrow_mut().trouble(now),
+            FeedEvent::Lost | FeedEvent::Regained => {
+                state.directory.borrow_mut().trouble(now);
+            }
             FeedEvent::PeerRules(copy) => {
                 take_rules(&state, &*feed, &shared, copy.text, "peer");
             }
+            FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
+            FeedEvent::Instances(live) => {
+                state.metrics.instances.set(i64::from(live));
+                state.ask(|core, _| core.set_instances(live));
+            }
         }
     }
 }
@@ -160,7 +170,7 @@
 fn take_rules(
     state: &TrafficState,
     feed: &dyn PlatformFeed,
-    shared: &crate::fleet::SharedRules,
+    shared: &SharedRules,
     text: String,
     source: &'static str,
 ) {
@@ -177,6 +187,7 @@
         return;
     }
     shared.put(RulesCopy { version, text });
+    state.fleet.announce(version);
     log::info!(source, version, classes = counts.0, keys = counts.1; "rules in force");
 }
 
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -1,8 +1,31 @@
-//! The instance's part in the fleet: it hands on rules, and tells its load.
+//! The instance's part in the fleet: it hands on rules, and tells what it has at servers.
+//!
+//! What peers tell is soft state. Without it an instance goes on, with its own requests as
+//! all that it knows of the servers' load.
 
-use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 
-use flaxtide_core::SettingsVersion;
+use crossbeam::channel::{Receiver, Sender, bounded};
+use flaxtide_core::{InstanceName, MilliClock, SettingsVersion};
+use flaxtide_fleet::{
+    FleetEvent, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate, NodeDemand,
+    OwnLoad, PeerInfo, SettingsCopy, fleet_key,
+};
+use flaxtide_policy::{PeerLoad, ServerLoad};
+use tokio::sync::mpsc;
+
+use crate::config::EntryConfig;
+use crate::error::EntryError;
+use crate::feed::FeedEvent;
+use crate::state::TrafficState;
+
+/// The length of the ring to the fleet thread.
+const FLEET_RING: usize = 64;
+
+/// How many prompt tokens one unit of a load stands for.
+const TOKENS_PER_UNIT: u32 = 16;
 
 /// Rules as they travel between instances: as the platform spells them.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -27,7 +50,7 @@
     }
 
     /// Returns the rules if they are newer than a version.
-    pub(crate) fn newer_than(&self, version: SettingsVersion) -> Option<RulesCopy> {
+    fn newer_than(&self, version: SettingsVersion) -> Option<RulesCopy> {
         self.lock().clone().filter(|copy| copy.version > version)
     }
 
@@ -36,3 +59,156 @@
         self.copy.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// The ring to the fleet thread.
+#[derive(Debug, Clone)]
+pub(crate) struct FleetLink {
+    /// The ring.
+    events: Sender<FleetEvent>,
+}
+
+impl FleetLink {
+    /// Makes a ring. The receiver is the fleet thread's.
+    pub(crate) fn new() -> (Self, Receiver<FleetEvent>) {
+        let (events, ring) = bounded(FLEET_RING);
+        (Self { events }, ring)
+    }
+
+    /// Tells peers of a new version of the rules.
+    pub(crate) fn announce(&self, version: SettingsVersion) {
+        self.update(move |node, _| node.set_version(version));
+        self.send(FleetEvent::Urgent);
+    }
+
+    /// Tells peers that this instance is stopping.
+    pub(crate) fn leave(&self) {
+        self.update(|node, _| node.leave());
+        self.send(FleetEvent::Urgent);
+    }
+
+    /// Changes the node on its thread.
+    fn update(&self, change: impl FnOnce(&mut FleetNode, Duration) + Send + 'static) {
+        self.send(FleetEvent::Update(FleetUpdate::new(change)));
+    }
+
+    /// Puts an event into the ring. A full ring loses it: the thread is behind, and all
+    /// that it is told is told again soon.
+    fn send(&self, event: FleetEvent) {
+        if self.events.try_send(event).is_err() {
+            log::warn!("fleet thread is behind, an event is lost");
+        }
+    }
+}
+
+/// Opens the instance's links to its peers.
+///
+/// # Errors
+///
+/// Returns the fault if it can't listen.
+pub(crate) fn open_fleet(
+    config: &EntryConfig,
+    link: &FleetLink,
+    shared: &Arc<SharedRules>,
+    events: &mpsc::Sender<FeedEvent>,
+) -> Result<FleetThread, EntryError> {
+    let own = PeerInfo {
+        name: config.name.clone(),
+        data_centre: config.region.clone(),
+        address: config.fleet,
+    };
+    let (heard, adopted, fetch) = (events.clone(), events.clone(), link.clone());
+    let given = shared.clone();
+    let seeds = config.seeds.clone();
+    let opened = FleetThread::listen(
+        config.fleet,
+        MilliClock::real(),
+        move |news| hear(&heard, &fetch, news),
+        move |copy| {
+            let copy = RulesCopy { version: copy.version, text: copy.tree };
+            tell(&adopted, FeedEvent::PeerRules(copy));
+        },
+        move |version| {
+            let copy = given.newer_than(version)?;
+            Some(SettingsCopy { version: copy.version, tree: copy.text })
+        },
+        |_| {
+            let mut node = FleetNode::new(own, rand::random(), FleetTiming::default());
+            node.set_list(None, Duration::ZERO);
+            node.set_seeds(seeds);
+            node
+        },
+    );
+    opened.map_err(|cause| EntryError::Listen {
+        purpose: "peers",
+        address: config.fleet,
+        cause,
+    })
+}
+
+/// Passes on what peers have told.
+fn hear(events: &mpsc::Sender<FeedEvent>, link: &FleetLink, news: Vec<FleetNews>) {
+    for news in news {
+        match news {
+            FleetNews::PeerLoads(peer, loads) => {
+                tell(events, FeedEvent::PeerLoads(peer, loads));
+            }
+            FleetNews::Version(..) => link.send(FleetEvent::Fetch),
+            // Slots and rates aren't shared out here: every instance may use every server.
+            FleetNews::Load(_) | FleetNews::Share(..) | FleetNews::Rate(..) => {}
+        }
+    }
+}
+
+/// Puts an event into the ring to the traffic thread. A full ring loses it; peers say the
+/// same again within a period.
+fn tell(events: &mpsc::Sender<FeedEvent>, event: FeedEvent) {
+    if events.try_send(event).is_err() {
+        log::warn!("traffic thread is behind, a peer's word is lost");
+    }
+}
+
+/// Tells peers what this instance has at servers, and hears how many instances are alive.
+pub(crate) fn tell_peers(
+    state: &Rc<TrafficState>,
+    link: &FleetLink,
+    events: &mpsc::Sender<FeedEvent>,
+) {
+    let loads = state.ask(|core, now| core.own_loads(now));
+    let loads = loads.iter().filter_map(|load| own_load(state, load)).collect();
+    let events = events.clone();
+    link.update(move |node, now| {
+        node.set_demand(NodeDemand { loads, ..NodeDemand::default() }, now);
+        let live = node.live().len() as u32;
+        // Told again with the next update.
+        let _ = events.try_send(FeedEvent::Instances(live));
+    });
+}
+
+/// Spells a load as peers are told.
+fn own_load(state: &TrafficState, load: &ServerLoad) -> Option<OwnLoad> {
+    let name = state.server_name(load.server)?;
+    Some(OwnLoad {
+        server: fleet_key(&name),
+        running: u16::try_from(load.running).unwrap_or(u16::MAX),
+        unread: u16::try_from(load.unread / TOKENS_PER_UNIT).unwrap_or(u16::MAX),
+    })
+}
+
+/// Takes in what a peer has at servers.
+pub(crate) fn take_peer_loads(
+    state: &TrafficState,
+    peer: &InstanceName,
+    loads: &[OwnLoad],
+) {
+    let peer = fleet_key(peer);
+    let known = loads.iter().filter_map(|load| {
+        let server = state.server_with_key(load.server)?;
+        Some(PeerLoad {
+            server,
+            running: u32::from(load.running),
+            unread: u32::from(load.unread) * TOKENS_PER_UNIT,
+        })
+    });
+    let known: Vec<PeerLoad> = known.collect();
+    state.ask(|core, now| core.hear_peer(peer, &known, now));
+}
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -14,7 +14,7 @@
 use crate::contract::{FeedTopic, PlatformFeed, WireDialect};
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, follow_topic, take_feed};
-use crate::fleet::SharedRules;
+use crate::fleet::{FleetLink, SharedRules, open_fleet, tell_peers};
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
@@ -95,12 +95,15 @@
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
             spawn_feed(topic, &feed, &events, &metrics)?;
         }
-        let state = Rc::new(TrafficState::new(config, dialect, metrics));
+        let (link, fleet_ring) = FleetLink::new();
+        let fleet = open_fleet(&config, &link, &shared, &events)?;
+        spawn("the fleet thread", move || fleet.run(&fleet_ring))?;
+        let state = Rc::new(TrafficState::new(config, dialect, metrics, link));
         tokio::task::spawn_local(accept_callers(state.clone(), callers));
         tokio::task::spawn_local(accept_probes(state.clone(), ready));
         tokio::task::spawn_local(accept_probes(state.clone(), metrics_door));
         tokio::task::spawn_local(take_feed(state.clone(), feed, shared, feed_ring));
-        tokio::task::spawn_local(keep_house(state.clone(), path.clone()));
+        tokio::task::spawn_local(keep_house(state.clone(), path.clone(), events));
         obey_signals(&state, &path, &mut signals).await;
         Ok(())
     }
@@ -114,15 +117,23 @@
     listen(address).map_err(|cause| EntryError::Listen { purpose, address, cause })
 }
 
+/// Starts the thread of a duty.
+fn spawn(
+    duty: &'static str,
+    run: impl FnOnce() + Send + 'static,
+) -> Result<(), EntryError> {
+    let name = duty.trim_start_matches("the ").trim_end_matches(" thread");
+    let thread = thread::Builder::new().name(name.into()).stack_size(SMALL_STACK);
+    let spawned = thread.spawn(run);
+    spawned.map(drop).map_err(|cause| EntryError::Spawn { duty, cause })
+}
+
 /// Starts the thread that waits for signals.
 fn spawn_signals(events: Sender<SignalEvent>) -> Result<(), EntryError> {
-    let refused = |cause| EntryError::Spawn { duty: "the signal thread", cause };
-    let signals = register_signals().map_err(refused)?;
-    let thread = thread::Builder::new().name("signals".into()).stack_size(SMALL_STACK);
-    thread
-        .spawn(move || watch_signals(signals, &events))
-        .map_err(refused)?;
-    Ok(())
+    let duty = "the signal thread";
+    let signals =
+        register_signals().map_err(|cause| EntryError::Spawn { duty, cause })?;
+    spawn(duty, move || watch_signals(signals, &events))
 }
 
 /// Starts the thread that follows a topic.
@@ -133,15 +144,15 @@
     metrics: &Arc<EntryMetrics>,
 ) -> Result<(), EntryError> {
     let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
-    let thread = thread::Builder::new().name(topic.to_string()).stack_size(SMALL_STACK);
-    thread
-        .spawn(move || follow_topic(&feed, topic, &events, &metrics))
-        .map_err(|cause| EntryError::Spawn { duty: "a feed thread", cause })?;
-    Ok(())
+    let duty = match topic {
+        FeedTopic::Rules => "the rules thread",
+        FeedTopic::Servers => "the servers thread",
+    };
+    spawn(duty, move || follow_topic(&feed, topic, &events, &metrics))
 }
 
 /// Looks, now and then, at what time alone changes.
-async fn keep_house(state: Rc<TrafficState>, path: PathBuf) {
+async fn keep_house(state: Rc<TrafficState>, path: PathBuf, events: Sender<FeedEvent>) {
     let mut ticks = 0u64;
     loop {
         tokio::time::sleep(TICK).await;
@@ -149,6 +160,7 @@
         if state.ask(|core, _| core.waits()) {
             state.decide(|core, now| core.tick(now));
         }
+        tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
         }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use flaxtide_core::{MilliClock, PoolId, RequestId, ServerId, ServerName};
+use flaxtide_fleet::{FleetKey, fleet_key};
 use flaxtide_policy::{EngineShape, RouteAction, RouteCore, RouteOptions, RoutedServer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -16,6 +17,7 @@
 use crate::config::EntryConfig;
 use crate::contract::{CallerLimits, EntryRules, WireDialect};
 use crate::directory::ServerDirectory;
+use crate::fleet::FleetLink;
 use crate::metrics::EntryMetrics;
 use crate::routes::RouteTable;
 use crate::stop::LAST_CALLS;
@@ -47,6 +49,8 @@
     pub(crate) metrics: Arc<EntryMetrics>,
     /// The open connections to servers.
     pub(crate) links: ServerLinks,
+    /// The ring to the fleet thread.
+    pub(crate) fleet: FleetLink,
     /// The rules in force.
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The servers that may be used.
@@ -80,6 +84,8 @@
     pools: HashMap<String, PoolId>,
     /// Servers.
     servers: HashMap<ServerName, ServerId>,
+    /// Servers by what stands for them between instances.
+    keys: HashMap<FleetKey, ServerId>,
     /// The names of servers, by number.
     server_names: Vec<ServerName>,
 }
@@ -102,6 +108,7 @@
         }
         let server = self.server_names.len() as ServerId;
         self.servers.insert(name.to_owned(), server);
+        self.keys.insert(fleet_key(name), server);
         self.server_names.push(name.to_owned());
         server
     }
@@ -113,6 +120,7 @@
         config: EntryConfig,
         dialect: Arc<dyn WireDialect>,
         metrics: Arc<EntryMetrics>,
+        fleet: FleetLink,
     ) -> Self {
         let options = RouteOptions {
             retry_ratio: config.retry_ratio,
@@ -126,6 +134,7 @@
             dialect,
             metrics,
             links: ServerLinks::default(),
+            fleet,
             table: RefCell::new(None),
             directory: RefCell::default(),
             listed: Cell::new(false),
@@ -210,6 +219,11 @@
         self.names.borrow().server_names.get(server as usize).cloned()
     }
 
+    /// Returns the server that a key stands for.
+    pub(crate) fn server_with_key(&self, key: FleetKey) -> Option<ServerId> {
+        self.names.borrow().keys.get(&key).copied()
+    }
+
     /// Puts rules in force, unless newer ones are. Returns whether it did.
     pub(crate) fn adopt(&self, rules: EntryRules) -> bool {
         let known = self.table.borrow().as_ref().map(|table| table.rules.version);
--- a/crates/flaxtide-entry/src/stop.rs
+++ b/crates/flaxtide-entry/src/stop.rs
@@ -92,6 +92,7 @@
     let most = start + state.config().stop_within.saturating_sub(STOP_SLACK);
     log::info!(open = state.open.get() as u64; "stopping: not ready any more");
     state.enter(LifePhase::Leaving);
+    state.fleet.leave();
     tokio::time::sleep(BALANCER_NOTICE).await;
     state.enter(LifePhase::Closing);
     tokio::time::sleep(LAST_STREAMS - BALANCER_NOTICE).await;
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -22,6 +22,6 @@
 pub use self::rate::rate_part;
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
-    BeatReply, FleetBeat, PoolDemand, RatePart, ServerDigest, ServerShare, SettingsCopy,
-    UsageCount,
+    BeatReply, FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare,
+    SettingsCopy, UsageCount,
 };
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -6,6 +6,7 @@
 mod timing;
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, SettingsVersion};
@@ -15,7 +16,7 @@
 use crate::key::FleetKey;
 use crate::peer::{PeerInfo, PeerRecord};
 use crate::wire::{
-    FleetBeat, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
+    FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
 };
 
 /// The part that the newest count of use has in its rate.
@@ -28,6 +29,10 @@
 /// A use below this rate is forgotten, in requests a second.
 const LEAST_USE: f64 = 1e-3;
 
+/// An unlisted peer that is silent for so many times the silence after which it isn't
+/// alive is forgotten.
+const FORGOTTEN_SILENCES: u32 = 12;
+
 /// Counts of a shorter time than this say little.
 const SHORTEST_COUNT: Duration = Duration::from_millis(50);
 
@@ -47,6 +52,8 @@
     pub demands: Vec<PoolDemand>,
     /// The last reports of the servers that it watches.
     pub servers: Vec<ServerDigest>,
+    /// Its own requests at backend servers.
+    pub loads: Vec<OwnLoad>,
     /// How many requests of each limited organisation came since the last time.
     pub usage: Vec<UsageCount>,
 }
@@ -69,6 +76,8 @@
     Share(ServerShare, Duration),
     /// This instance's part of an organisation's rate, and until when it holds.
     Rate(RatePart, Duration),
+    /// What a peer has at backend servers; all of it.
+    PeerLoads(InstanceName, Vec<OwnLoad>),
     /// A newer settings version exists; this peer has it.
     Version(SettingsVersion, PeerInfo),
 }
@@ -88,6 +97,8 @@
     version: SettingsVersion,
     /// The peers that it knows of, by name.
     peers: BTreeMap<InstanceName, PeerRecord>,
+    /// Where peers may be heard if nobody is known.
+    seeds: Vec<SocketAddr>,
     /// The backend servers of its data centre.
     servers: BTreeMap<FleetKey, FleetServer>,
     /// The slots of each pool, over all its servers.
@@ -125,6 +136,7 @@
             leaving: false,
             version: 0,
             peers: BTreeMap::new(),
+            seeds: vec![],
             servers: BTreeMap::new(),
             pool_slots: BTreeMap::new(),
             demand: NodeDemand::default(),
@@ -159,6 +171,39 @@
         }
     }
 
+    /// Sets where peers may be heard. A seed's name is learnt from its beats; until then
+    /// its address stands in for it.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
+        self.seeds = seeds;
+        self.meet_seeds();
+    }
+
+    /// Meets the seeds.
+    fn meet_seeds(&mut self) {
+        for address in self.seeds.clone() {
+            let known = self.peers.values().any(|peer| peer.info.address == address);
+            if known || address == self.own.address {
+                continue;
+            }
+            let name = address.to_string();
+            let data_centre = self.own.data_centre.clone();
+            self.meet(PeerInfo { name, data_centre, address }, false);
+        }
+    }
+
+    /// Forgets peers that no list has and that have been silent for long, and turns to the
+    /// seeds if nobody is left.
+    fn forget_silent(&mut self, now: Duration) {
+        let silence = self.silence() * FORGOTTEN_SILENCES;
+        let gone = |peer: &PeerRecord| {
+            !peer.listed && peer.heard.is_some_and(|heard| now >= heard + silence)
+        };
+        self.peers.retain(|_, peer| !gone(peer));
+        if !self.peers.values().any(|peer| peer.heard.is_some()) {
+            self.meet_seeds();
+        }
+    }
+
     /// Returns the listed peers of the data centre.
     fn listed_near(&self) -> Vec<InstanceName> {
         let peers = self.peers.values();
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -19,6 +19,7 @@
         }
         self.beat_at = Some(now);
         self.rounds += 1;
+        self.forget_silent(now);
         self.refresh(now);
         self.beats()
     }
@@ -73,11 +74,12 @@
         let mut news = vec![];
         if beat.data_centre == self.own.data_centre {
             news.extend(beat.servers.iter().copied().map(FleetNews::Load));
+            news.push(FleetNews::PeerLoads(beat.from.clone(), beat.loads.clone()));
         }
         if beat.version > self.version {
             news.push(FleetNews::Version(beat.version, info));
         }
-        (self.reply_to(beat), news)
+        (self.reply_to(beat, now), news)
     }
 
     /// Takes in a peer's reply. Returns what it has told.
@@ -123,17 +125,21 @@
             version: self.version,
             demands: if near { self.demand.demands.clone() } else { vec![] },
             servers: if near { self.demand.servers.clone() } else { vec![] },
+            loads: if near { self.demand.loads.clone() } else { vec![] },
             usage: kept.cloned().unwrap_or_default(),
             wants_peers: self.list_failed,
         }
     }
 
     /// Builds the reply to a beat.
-    fn reply_to(&self, beat: &FleetBeat) -> BeatReply {
+    fn reply_to(&self, beat: &FleetBeat, now: Duration) -> BeatReply {
         let near = beat.data_centre == self.own.data_centre;
         let used: Vec<FleetKey> =
             beat.usage.iter().map(|usage| usage.organisation).collect();
-        let peers = self.peers.values().map(|peer| peer.info.clone());
+        let silence = self.silence();
+        let known = self.peers.values();
+        let known = known.filter(|peer| peer.listed || peer.alive(now, silence));
+        let peers = known.map(|peer| peer.info.clone());
         let peers = peers.chain([self.own.clone()]);
         let from = &beat.from;
         BeatReply {
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -37,6 +37,8 @@
     pub demands: Vec<PoolDemand>,
     /// The backend servers that it watches.
     pub servers: Vec<ServerDigest>,
+    /// Its own requests at backend servers.
+    pub loads: Vec<OwnLoad>,
     /// The use of organisations whose rate the receiver keeps.
     pub usage: Vec<UsageCount>,
     /// Whether it wants to be told of other instances, as it can't read the list.
@@ -86,6 +88,17 @@
     pub leaving: bool,
 }
 
+/// What one instance has at a backend server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnLoad {
+    /// The server.
+    pub server: FleetKey,
+    /// How many of the instance's requests are there.
+    pub running: u16,
+    /// How many prompt tokens of them are still to be read, in units of 16.
+    pub unread: u16,
+}
+
 /// How many requests of an organisation came since the last beat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageCount {
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -118,6 +118,7 @@
     NodeDemand {
         demands: demands.collect(),
         servers: servers.collect(),
+        loads: vec![],
         usage: usage.collect(),
     }
 }
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -35,7 +35,7 @@
 pub use self::options::PolicyOptions;
 pub use self::rendezvous::{bounded_owners, rendezvous_order, rendezvous_owner};
 pub use self::router::{
-    EngineShape, PeerLoad, PromptPart, PromptShape, RefusalCause, RetryVerdict,
+    EngineShape, PeerKey, PeerLoad, PromptPart, PromptShape, RefusalCause, RetryVerdict,
     RouteAction, RouteCall, RouteChoice, RouteCore, RouteFault, RouteOptions,
     RouteReason, RoutedServer, ServerLoad,
 };
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -61,6 +61,8 @@
     uncached: u32,
     /// How long until the first token, in milliseconds.
     expected_ms: f64,
+    /// The requests known to be at it.
+    running: u32,
 }
 
 impl RouteCore {
@@ -175,16 +177,20 @@
             None => 0,
         };
         let candidates =
-            servers.iter().filter(|server| self.has_room(server)).map(|server| {
-                let read = server.uncached(&call.prompt, self.options.cache_life, now);
-                let at_home = home == Some(server.facts.server);
-                // Peers send what shares a prompt's parts to the same home.
-                let uncached = match at_home {
-                    true => read.min(call.prompt.tokens.saturating_sub(shared)),
-                    false => read,
-                };
-                self.candidate(server, uncached, now)
-            });
+            servers
+                .iter()
+                .filter(|server| self.has_room(server, now))
+                .map(|server| {
+                    let read =
+                        server.uncached(&call.prompt, self.options.cache_life, now);
+                    let at_home = home == Some(server.facts.server);
+                    // Peers send what shares a prompt's parts to the same home.
+                    let uncached = match at_home {
+                        true => read.min(call.prompt.tokens.saturating_sub(shared)),
+                        false => read,
+                    };
+                    self.candidate(server, uncached, now)
+                });
         let best =
             candidates.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))?;
         let reason = if home == Some(best.server.facts.server) {
@@ -204,7 +210,8 @@
         uncached: u32,
         now: Duration,
     ) -> Candidate<'a> {
-        let running = f64::from(server.load.running());
+        let count = server.load.running(&self.options, now);
+        let running = f64::from(count);
         let mut cost_ms = 0.0;
         if !server.facts.near {
             cost_ms += self.options.far_cost_ms;
@@ -224,19 +231,25 @@
             }
         };
         cost_ms += expected_ms;
-        Candidate { server, cost_ms, uncached, expected_ms }
+        Candidate {
+            server,
+            cost_ms,
+            uncached,
+            expected_ms,
+            running: count,
+        }
     }
 
     /// Returns how long a server reads what it was sent, in milliseconds.
     fn backlog_ms(&self, server: &ServerState, now: Duration) -> f64 {
-        let rate = self.options.prefill_tokens_per_ms;
-        server.load.unread(&self.calls, rate, now) / rate
+        let unread = server.load.unread(&self.calls, &self.options, now);
+        unread / self.options.prefill_tokens_per_ms
     }
 
     /// Tells whether a server has room for one more request.
-    fn has_room(&self, server: &ServerState) -> bool {
+    fn has_room(&self, server: &ServerState, now: Duration) -> bool {
         let most = f64::from(server.facts.slots) * self.options.fill;
-        f64::from(server.load.running()) < most.max(1.0)
+        f64::from(server.load.running(&self.options, now)) < most.max(1.0)
     }
 }
 
@@ -252,7 +265,7 @@
         cost_ms: candidate.cost_ms,
         expected: Duration::from_secs_f64(candidate.expected_ms / 1000.0),
         uncached: candidate.uncached,
-        running: candidate.server.load.running(),
+        running: candidate.running,
         eligible,
     }
 }
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -1,11 +1,12 @@
 //! Requests at a backend server: this instance's own, and what its peers tell.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
 
 use super::call::RoutedCall;
+use super::options::RouteOptions;
 
 /// What this instance has at a server, as peers are told.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -18,26 +19,19 @@
     pub unread: u32,
 }
 
-/// What one peer has at a server.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct PeerLoad {
-    /// The server.
-    pub server: ServerId,
-    /// The peer's requests there.
-    pub running: u32,
-    /// Prompt tokens of them that are still to be read.
-    pub unread: u32,
-    /// When that was true, on this instance's clock.
-    pub at: Duration,
-}
+/// What a peer has at a server.
+pub type PeerLoad = ServerLoad;
+
+/// Stands for the name of a peer.
+pub type PeerKey = u32;
 
 /// The requests at one server.
 #[derive(Debug, Default)]
 pub(crate) struct LoadCount {
     /// This instance's requests.
     own: BTreeSet<RequestId>,
-    /// What the peers have.
-    peers: Vec<PeerLoad>,
+    /// What each peer has, and when it said so.
+    peers: BTreeMap<PeerKey, (PeerLoad, Duration)>,
 }
 
 impl LoadCount {
@@ -51,15 +45,20 @@
         self.own.remove(&request);
     }
 
-    /// Forgets what peers have told.
-    pub(crate) fn clear_peers(&mut self) {
-        self.peers.clear();
-    }
-
-    /// Takes in what a peer has.
-    pub(crate) fn add_peer(&mut self, load: &PeerLoad, now: Duration) {
-        if load.at <= now {
-            self.peers.push(*load);
+    /// Takes in what a peer has; nothing if it has nothing here.
+    pub(crate) fn hear_peer(
+        &mut self,
+        peer: PeerKey,
+        load: Option<PeerLoad>,
+        now: Duration,
+    ) {
+        match load {
+            Some(load) => {
+                self.peers.insert(peer, (load, now));
+            }
+            None => {
+                self.peers.remove(&peer);
+            }
         }
     }
 
@@ -70,34 +69,24 @@
     }
 
     /// Returns how many requests are at the server.
-    pub(crate) fn running(&self) -> u32 {
-        let peers: u32 = self.peers.iter().map(|load| load.running).sum();
-        self.own.len() as u32 + peers
+    pub(crate) fn running(&self, options: &RouteOptions, now: Duration) -> u32 {
+        let peers = self.heard(options, now).map(|(load, _)| load.running);
+        self.own.len() as u32 + peers.sum::<u32>()
     }
 
     /// Returns the prompt tokens that are still to be read there.
     pub(crate) fn unread(
         &self,
         calls: &HashMap<RequestId, RoutedCall>,
-        tokens_per_ms: f64,
+        options: &RouteOptions,
         now: Duration,
     ) -> f64 {
-        let peers = self.peers.iter().map(|load| {
-            let age = now.saturating_sub(load.at).as_secs_f64() * 1000.0;
-            (f64::from(load.unread) - age * tokens_per_ms).max(0.0)
+        let rate = options.prefill_tokens_per_ms;
+        let peers = self.heard(options, now).map(|(load, age)| {
+            let read = age.as_secs_f64() * 1000.0 * rate;
+            (f64::from(load.unread) - read).max(0.0)
         });
-        self.own_unread(calls, tokens_per_ms, now) + peers.sum::<f64>()
-    }
-
-    /// Returns this instance's prompt tokens that are still to be read there.
-    fn own_unread(
-        &self,
-        calls: &HashMap<RequestId, RoutedCall>,
-        tokens_per_ms: f64,
-        now: Duration,
-    ) -> f64 {
-        let own = self.own.iter().filter_map(|request| calls.get(request));
-        own.map(|call| call.unread(tokens_per_ms, now)).sum()
+        self.own_unread(calls, rate, now) + peers.sum::<f64>()
     }
 
     /// Returns what this instance has there.
@@ -105,13 +94,38 @@
         &self,
         server: ServerId,
         calls: &HashMap<RequestId, RoutedCall>,
-        tokens_per_ms: f64,
+        options: &RouteOptions,
         now: Duration,
     ) -> ServerLoad {
+        let unread = self.own_unread(calls, options.prefill_tokens_per_ms, now);
         ServerLoad {
             server,
             running: self.own.len() as u32,
-            unread: self.own_unread(calls, tokens_per_ms, now) as u32,
+            unread: unread as u32,
         }
     }
+
+    /// Returns what peers have said lately, and how long ago.
+    fn heard(
+        &self,
+        options: &RouteOptions,
+        now: Duration,
+    ) -> impl Iterator<Item = (PeerLoad, Duration)> {
+        let life = options.peer_life;
+        let peers = self.peers.values();
+        peers
+            .map(move |(load, at)| (*load, now.saturating_sub(*at)))
+            .filter(move |(_, age)| *age < life)
+    }
+
+    /// Returns this instance's prompt tokens that are still to be read there.
+    fn own_unread(
+        &self,
+        calls: &HashMap<RequestId, RoutedCall>,
+        tokens_per_ms: f64,
+        now: Duration,
+    ) -> f64 {
+        let own = self.own.iter().filter_map(|request| calls.get(request));
+        own.map(|call| call.unread(tokens_per_ms, now)).sum()
+    }
 }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -19,7 +19,7 @@
 
 pub use self::call::{PromptPart, PromptShape, RouteCall, RouteFault};
 pub use self::choose::{RouteChoice, RouteReason};
-pub use self::load::{PeerLoad, ServerLoad};
+pub use self::load::{PeerKey, PeerLoad, ServerLoad};
 pub use self::options::RouteOptions;
 pub use self::server::{EngineShape, RoutedServer};
 
@@ -156,27 +156,23 @@
         self.instances = self.instances.max(live);
     }
 
-    /// Takes in what the peers have at the servers of a pool.
-    pub fn set_peer_loads(&mut self, pool: PoolId, loads: &[PeerLoad], now: Duration) {
-        let Some(state) = self.pools.get_mut(&pool) else { return };
-        for server in state.servers.values_mut() {
-            server.load.clear_peers();
-        }
-        for load in loads {
-            if let Some(server) = state.servers.get_mut(&load.server) {
-                server.load.add_peer(load, now);
+    /// Takes in what a peer has at servers: all of it.
+    pub fn hear_peer(&mut self, peer: PeerKey, loads: &[PeerLoad], now: Duration) {
+        for pool in self.pools.values_mut() {
+            for (id, server) in &mut pool.servers {
+                let load = loads.iter().find(|load| load.server == *id);
+                server.load.hear_peer(peer, load.copied(), now);
             }
         }
     }
 
-    /// Returns what this instance has at the servers of a pool.
+    /// Returns what this instance has at servers.
     #[must_use]
-    pub fn own_loads(&self, pool: PoolId, now: Duration) -> Vec<ServerLoad> {
-        let Some(state) = self.pools.get(&pool) else { return vec![] };
-        let rate = self.options.prefill_tokens_per_ms;
-        let servers = state.servers.iter();
-        let loads = servers
-            .map(|(id, server)| server.load.own_summary(*id, &self.calls, rate, now));
+    pub fn own_loads(&self, now: Duration) -> Vec<ServerLoad> {
+        let servers = self.pools.values().flat_map(|pool| &pool.servers);
+        let loads = servers.map(|(id, server)| {
+            server.load.own_summary(*id, &self.calls, &self.options, now)
+        });
         loads.filter(|load| load.running > 0).collect()
     }
 
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -17,6 +17,8 @@
     pub fill: f64,
     /// The time that a server of another data centre costs, in milliseconds.
     pub far_cost_ms: f64,
+    /// For how long a peer's word of its load counts.
+    pub peer_life: Duration,
     /// For how long a prompt part is taken to stay in an engine's memory.
     pub cache_life: Duration,
     /// How often a request may be sent in all.
@@ -65,6 +67,7 @@
             long_part: 0.6,
             fill: 1.5,
             far_cost_ms: 2.0,
+            peer_life: Duration::from_secs(2),
             cache_life: Duration::from_secs(20),
             send_limit: 4,
             least_time: Duration::from_millis(50),
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -49,13 +49,7 @@
             let longest_period = config.beat_period;
             let timing = FleetTiming { longest_period, ..FleetTiming::default() };
             let mut node = FleetNode::new(own, shared.epoch, timing);
-            for address in &config.peers {
-                // The peer's name is learnt from its beats; until then its address stands
-                // in for it.
-                let name = address.to_string();
-                let data_centre = config.data_centre.clone();
-                node.meet(PeerInfo { name, data_centre, address: *address }, false);
-            }
+            node.set_seeds(config.peers.clone());
             node
         },
     );
@@ -167,6 +161,7 @@
     NodeDemand {
         demands: demands.collect(),
         servers: server_digests(shared, view),
+        loads: vec![],
         usage: usage.collect(),
     }
 }
@@ -216,6 +211,8 @@
                 let part = f64::from(rate.part) / f64::from(u16::MAX);
                 events.push(PolicyEvent::RateShare { organisation, part, until });
             }
+            // The shares of slots already count what peers have at servers.
+            FleetNews::PeerLoads(..) => {}
             FleetNews::Version(version, ref _peer) => {
                 // A full ring wakes the thread as well.
                 let _ = shared.settings_news.try_send(version);
