--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -8,10 +8,11 @@
 use flaxtide_core::RequestId;
 use flaxtide_policy::{
     RefusalCause, RetryVerdict, RouteAction, RouteCall, RouteChoice, RouteFault,
+    WAIT_PART,
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::{Request, Response, StatusCode};
 
 use crate::contract::{CallKind, RequestHead};
@@ -185,6 +186,9 @@
     state: Rc<TrafficState>,
     request: Request<Incoming>,
 ) -> CallerAnswer {
+    // The HTTP library drops a length beside chunks. What follows such a request may be a
+    // part of its body to whoever sent it, so it is never read as another request.
+    let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut answer = match answer(&state, request).await {
         Ok(answer) => answer,
         Err((reply, attempt)) => {
@@ -202,7 +206,7 @@
             reply.answer(retry_after)
         }
     };
-    if state.phase() >= LifePhase::Closing {
+    if chunked || state.phase() >= LifePhase::Closing {
         answer
             .headers_mut()
             .insert(CONNECTION, HeaderValue::from_static("close"));
@@ -225,9 +229,6 @@
     let turn_away = |reply| (reply, attempt.clone());
     let table = state.table().ok_or_else(|| turn_away(OwnReply::NoRules))?;
     let headers = &parts.headers;
-    if headers.contains_key(TRANSFER_ENCODING) && headers.contains_key(CONTENT_LENGTH) {
-        return Err(turn_away(OwnReply::Malformed));
-    }
     let host = headers.get(HOST).and_then(|host| host.to_str().ok());
     let host = host.ok_or_else(|| turn_away(OwnReply::Malformed))?;
     let class = RouteTable::find(&table, host, parts.uri.path())
@@ -270,7 +271,7 @@
         organisation: caller.organisation.unwrap_or(NO_ORGANISATION),
         tier,
         target: call.class.class().target,
-        give_up: call.deadline,
+        give_up: call.deadline.min(received + call.class.class().target / WAIT_PART),
         deadline: call.deadline,
         repeatable: call.class.class().kind.repeatable(),
         run_limit: call.class.class().attempt_limit,
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -47,6 +47,23 @@
     dialect: Arc<dyn WireDialect>,
     /// What the platform tells.
     feed: Arc<dyn PlatformFeed>,
+    /// The ring of signals: where they come in, and where they are obeyed.
+    signals: (Sender<SignalEvent>, Receiver<SignalEvent>),
+}
+
+/// Stops an instance that runs on another thread, as SIGTERM would.
+#[derive(Debug, Clone)]
+pub struct StopHandle {
+    /// The ring of signals.
+    signals: Sender<SignalEvent>,
+}
+
+impl StopHandle {
+    /// Has the instance stop in order. It goes on until its requests are answered.
+    pub fn stop(&self) {
+        // An instance whose ring is full or gone is stopping already.
+        let _ = self.signals.try_send(SignalEvent::Stop);
+    }
 }
 
 impl EntryInstance {
@@ -58,7 +75,19 @@
         dialect: Arc<dyn WireDialect>,
         feed: Arc<dyn PlatformFeed>,
     ) -> Self {
-        Self { path, config, dialect, feed }
+        Self {
+            path,
+            config,
+            dialect,
+            feed,
+            signals: channel(SIGNAL_RING),
+        }
+    }
+
+    /// Returns what stops the instance.
+    #[must_use]
+    pub fn stop_handle(&self) -> StopHandle {
+        StopHandle { signals: self.signals.0.clone() }
     }
 
     /// Serves callers on this thread until a signal has stopped it.
@@ -71,16 +100,21 @@
             .enable_all()
             .build()
             .map_err(|cause| EntryError::Spawn { duty: "the runtime", cause })?;
-        let (signal_events, signals) = channel(SIGNAL_RING);
-        spawn_signals(signal_events)?;
-        let served = LocalSet::new().block_on(&runtime, self.serve(signals));
+        spawn_signals(self.signals.0.clone())?;
+        let served = LocalSet::new().block_on(&runtime, self.serve());
         settle_log();
         served
     }
 
     /// Serves callers until a signal has stopped it.
-    async fn serve(self, mut signals: Receiver<SignalEvent>) -> Result<(), EntryError> {
-        let Self { path, config, dialect, feed } = self;
+    async fn serve(self) -> Result<(), EntryError> {
+        let Self {
+            path,
+            config,
+            dialect,
+            feed,
+            signals: (_, mut signals),
+        } = self;
         let callers = open("callers", config.callers)?;
         let ready = open("the balancer", config.ready)?;
         let metrics_door = open("metrics", config.metrics)?;
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -37,5 +37,5 @@
     SendHead, ServerEntry, ServiceEngine, TargetService, WireDialect,
 };
 pub use self::error::EntryError;
-pub use self::instance::EntryInstance;
+pub use self::instance::{EntryInstance, StopHandle};
 pub use self::logging::init_entry_logging;
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -37,7 +37,7 @@
 pub use self::router::{
     EngineShape, PeerKey, PeerLoad, PromptPart, PromptShape, RefusalCause, RetryVerdict,
     RouteAction, RouteCall, RouteChoice, RouteCore, RouteFault, RouteOptions,
-    RouteReason, RoutedServer, ServerLoad,
+    RouteReason, RoutedServer, ServerLoad, WAIT_PART,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::share::{SlotDemand, divide_slots, equal_share};
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -34,6 +34,13 @@
         f64::from(self.tokens) / PROMPT_TOKENS_PER_TOKEN + f64::from(self.answer) + 1.0
     }
 
+    /// Returns the tokens of the parts that other requests may share.
+    #[must_use]
+    pub fn shared_tokens(&self) -> u32 {
+        let Some((_, shared)) = self.parts.split_last() else { return 0 };
+        shared.iter().map(|part| part.tokens).sum()
+    }
+
     /// Returns the key of the longest chain that other requests may share.
     #[must_use]
     pub fn shared_key(&self) -> Option<u64> {
@@ -155,15 +162,4 @@
     pub(crate) fn begun(&self) -> bool {
         matches!(self.place, CallPlace::Running { heard: Some(_), .. })
     }
-
-    /// Returns how many prompt tokens are still to be read at its server, if it was sent
-    /// to one and nothing has come.
-    pub(crate) fn unread(&self, tokens_per_ms: f64, now: Duration) -> f64 {
-        let CallPlace::Running { since, heard: None, .. } = self.place else {
-            return 0.0;
-        };
-        let elapsed = now.saturating_sub(since).as_secs_f64() * 1000.0;
-        // The server reads several prompts in turns, so one isn't read faster than this.
-        (f64::from(self.uncached) - elapsed * tokens_per_ms).max(0.0)
-    }
 }
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -5,6 +5,7 @@
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
 use super::RouteCore;
+use super::call::PromptShape;
 use super::health::FAILING_PART;
 use super::lane::{PromptLane, in_lane};
 use super::server::ServerState;
@@ -168,14 +169,9 @@
         now: Duration,
     ) -> Option<(Candidate<'a>, RouteReason)> {
         let call = &self.calls.get(&request)?.call;
-        let home = call.prompt.shared_key().and_then(|key| {
-            let weight = |server: &&&ServerState| numbered_weight(key, server.facts.rank);
-            servers.iter().max_by_key(weight).map(|server| server.facts.server)
-        });
-        let shared: u32 = match call.prompt.parts.split_last() {
-            Some((_, shared)) => shared.iter().map(|part| part.tokens).sum(),
-            None => 0,
-        };
+        let homes = homes(&call.prompt, servers);
+        let shared = call.prompt.shared_tokens();
+        let own = call.prompt.tokens.saturating_sub(shared);
         let candidates =
             servers
                 .iter()
@@ -183,17 +179,24 @@
                 .map(|server| {
                     let read =
                         server.uncached(&call.prompt, self.options.cache_life, now);
-                    let at_home = home == Some(server.facts.server);
-                    // Peers send what shares a prompt's parts to the same home.
-                    let uncached = match at_home {
-                        true => read.min(call.prompt.tokens.saturating_sub(shared)),
-                        false => read,
+                    // Peers send what shares a prompt's parts to the same homes.
+                    let uncached = match homes
+                        .iter()
+                        .position(|home| *home == server.facts.server)
+                    {
+                        Some(0) => read.min(own),
+                        Some(_) => read.min(own + shared / 2),
+                        None => read,
                     };
-                    self.candidate(server, uncached, now)
+                    let mut candidate = self.candidate(server, uncached, now);
+                    let again = f64::from(uncached.saturating_sub(own));
+                    let again_ms = again / self.options.prefill_tokens_per_ms;
+                    candidate.cost_ms += self.options.reread_weight * again_ms;
+                    candidate
                 });
         let best =
             candidates.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))?;
-        let reason = if home == Some(best.server.facts.server) {
+        let reason = if homes.first() == Some(&best.server.facts.server) {
             RouteReason::Home
         } else if best.uncached < call.prompt.tokens {
             RouteReason::Cached
@@ -253,6 +256,22 @@
     }
 }
 
+/// How many servers are taken to keep the shared parts of a prompt: where it belongs, and
+/// where it goes while that one is busy.
+const HOMES: usize = 2;
+
+/// Returns the servers to which prompts with the same shared parts go first.
+fn homes(prompt: &PromptShape, servers: &[&ServerState]) -> Vec<ServerId> {
+    let Some(key) = prompt.shared_key() else { return vec![] };
+    let mut ranked: Vec<(u64, ServerId)> = servers
+        .iter()
+        .map(|server| (numbered_weight(key, server.facts.rank), server.facts.server))
+        .collect();
+    ranked.sort_unstable_by(|one, other| other.cmp(one));
+    ranked.truncate(HOMES);
+    ranked.into_iter().map(|(_, server)| server).collect()
+}
+
 /// Makes the choice of a candidate.
 fn answer(
     candidate: &Candidate<'_>,
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -30,21 +30,45 @@
 pub(crate) struct LoadCount {
     /// This instance's requests.
     own: BTreeSet<RequestId>,
+    /// Since when the server has read the prompt that it was sent first of those that wait.
+    reading_since: Duration,
     /// What each peer has, and when it said so.
     peers: BTreeMap<PeerKey, (PeerLoad, Duration)>,
 }
 
 impl LoadCount {
     /// Records a request that is sent.
-    pub(crate) fn start(&mut self, request: RequestId) {
+    pub(crate) fn start(
+        &mut self,
+        request: RequestId,
+        calls: &HashMap<RequestId, RoutedCall>,
+        now: Duration,
+    ) {
+        if self.unanswered(calls).next().is_none() {
+            self.reading_since = now;
+        }
         self.own.insert(request);
     }
 
+    /// Records that a prompt has been read: the server goes on with the next.
+    pub(crate) fn read(&mut self, now: Duration) {
+        self.reading_since = now;
+    }
+
     /// Records a request that has ended.
     pub(crate) fn end(&mut self, request: RequestId) {
         self.own.remove(&request);
     }
 
+    /// Returns this instance's requests there of which nothing has come.
+    fn unanswered<'a>(
+        &'a self,
+        calls: &'a HashMap<RequestId, RoutedCall>,
+    ) -> impl Iterator<Item = &'a RoutedCall> {
+        let own = self.own.iter().filter_map(|request| calls.get(request));
+        own.filter(|call| !call.begun())
+    }
+
     /// Takes in what a peer has; nothing if it has nothing here.
     pub(crate) fn hear_peer(
         &mut self,
@@ -82,11 +106,17 @@
         now: Duration,
     ) -> f64 {
         let rate = options.prefill_tokens_per_ms;
-        let peers = self.heard(options, now).map(|(load, age)| {
-            let read = age.as_secs_f64() * 1000.0 * rate;
-            (f64::from(load.unread) - read).max(0.0)
-        });
-        self.own_unread(calls, rate, now) + peers.sum::<f64>()
+        let mut told = 0.0;
+        let mut ages = 0.0;
+        let mut count = 0.0f64;
+        for (load, age) in self.heard(options, now) {
+            told += f64::from(load.unread);
+            ages += age.as_secs_f64() * 1000.0;
+            count += 1.0;
+        }
+        // The server has gone on reading since, for all of them together.
+        let read = ages / count.max(1.0) * rate;
+        self.own_unread(calls, rate, now) + (told - read).max(0.0)
     }
 
     /// Returns what this instance has there.
@@ -125,7 +155,11 @@
         tokens_per_ms: f64,
         now: Duration,
     ) -> f64 {
-        let own = self.own.iter().filter_map(|request| calls.get(request));
-        own.map(|call| call.unread(tokens_per_ms, now)).sum()
+        // An engine reads one prompt after the other, about, in the order of requests.
+        let mut waiting = self.unanswered(calls).map(|call| f64::from(call.uncached));
+        let Some(first) = waiting.next() else { return 0.0 };
+        let elapsed = now.saturating_sub(self.reading_since).as_secs_f64() * 1000.0;
+        let read = (elapsed * tokens_per_ms).min(first);
+        first - read + waiting.sum::<f64>()
     }
 }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -29,6 +29,10 @@
 use self::server::ServerState;
 use crate::queue::{PoolQueue, QueueEntry};
 
+/// A request that waits for a server is refused after this part of its target: the rest is
+/// left for its caller's next try.
+pub const WAIT_PART: u32 = 2;
+
 /// Something to be done about a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RouteAction {
@@ -209,6 +213,7 @@
         let Some(server) = state.servers.get_mut(&server) else { return };
         server.health.hear(now);
         if first {
+            server.load.read(now);
             server.remember(&call.call.prompt, now);
         }
     }
@@ -264,6 +269,8 @@
             return (RetryVerdict::End, self.take_actions());
         }
         call.place = CallPlace::Waiting;
+        let patience = now + call.call.target / WAIT_PART;
+        call.call.give_up = call.call.give_up.max(patience).min(call.call.deadline);
         self.calls.insert(request, call);
         if let Some(state) = self.pools.get_mut(&pool) {
             state.retries.push(request);
@@ -314,12 +321,24 @@
         if now + self.options.least_time >= order.deadline {
             return false;
         }
+        if !self.has_other(call) {
+            return false;
+        }
         let (ratio, slack) = (self.options.retry_ratio, self.options.retry_slack);
         let part = slack * self.options.budget_part / f64::from(self.instances.max(1));
         let Some(state) = self.pools.get_mut(&order.pool) else { return false };
         state.budget.spend(ratio * self.options.budget_part, part, now)
     }
 
+    /// Tells whether there is a server that hasn't failed the request.
+    fn has_other(&self, call: &RoutedCall) -> bool {
+        let Some(state) = self.pools.get(&call.call.pool) else { return false };
+        state
+            .servers
+            .iter()
+            .any(|(id, server)| server.facts.in_service() && !call.excluded.contains(id))
+    }
+
     /// Holds a fault against the server.
     fn blame(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
         let CallPlace::Running { server, .. } = call.place else { return };
@@ -436,7 +455,7 @@
         if let Some(state) = self.pools.get_mut(&call.call.pool)
             && let Some(server) = state.servers.get_mut(&server)
         {
-            server.load.start(request);
+            server.load.start(request, &self.calls, now);
             server.health.send(now);
         }
         self.actions.push(RouteAction::Dispatch { request, choice, patience });
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -7,6 +7,9 @@
 pub struct RouteOptions {
     /// How many prompt tokens an engine reads in a millisecond, until measured.
     pub prefill_tokens_per_ms: f64,
+    /// How many times the time to read a shared part again counts: it costs the others at
+    /// the server as well, and the memory of what is dropped for it.
+    pub reread_weight: f64,
     /// What one more running request adds to the time of others, in milliseconds.
     pub running_cost_ms: f64,
     /// A prompt with more unread tokens than this is a long one.
@@ -62,7 +65,8 @@
     fn default() -> Self {
         Self {
             prefill_tokens_per_ms: 60.0,
-            running_cost_ms: 3.0,
+            reread_weight: 3.0,
+            running_cost_ms: 1.5,
             long_prompt: 3000,
             long_part: 0.6,
             fill: 1.5,
