Bound how long a server is used whose row goes soon after the store's return

Ruled out: a late feed (the row's end was heard 90 ms after it). Now the time runs from the return for rows that went before it, and is bounded by 1.4 s for rows that go while the store answers; missing servers are looked at every 100 ms, not 500.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -16,11 +16,18 @@
 const GONE_GRACE: Duration = Duration::from_millis(800);
 
 /// Servers write their rows anew within two seconds of the platform's return.
-const RETURN_GRACE: Duration = Duration::from_millis(2500);
+const RETURN_GRACE: Duration = Duration::from_millis(2200);
+
+/// A row that goes while the platform answers is used for no longer than this, whatever
+/// was before: a server that leaves may get no work after two seconds.
+const LONGEST_GRACE: Duration = Duration::from_millis(1400);
 
 /// For how long a row that went together with many others is missed.
 const LAPSE_GRACE: Duration = Duration::from_secs(8);
 
+/// Rows that are missing this soon after the platform's return went while it was out.
+const AT_RETURN: Duration = Duration::from_millis(500);
+
 /// Rows that go within this time of each other go together.
 const TOGETHER: Duration = Duration::from_millis(1500);
 
@@ -99,7 +106,7 @@
     pub(crate) fn expire(&mut self, now: Duration) -> Vec<ServerName> {
         let expired = self.servers.iter().filter(|(_, server)| {
             let Some(missing) = server.missing else { return false };
-            now >= missing + self.grace(&server.entry.service, missing)
+            now >= self.gone_at(&server.entry.service, missing)
         });
         let expired: Vec<ServerName> = expired.map(|(name, _)| name.clone()).collect();
         for name in &expired {
@@ -108,8 +115,8 @@
         expired
     }
 
-    /// Returns for how long a server of a service is used after its row has gone.
-    fn grace(&self, service: &str, missing: Duration) -> Duration {
+    /// Returns until when a server of a service is used whose row has gone.
+    fn gone_at(&self, service: &str, missing: Duration) -> Duration {
         let members = || {
             let servers = self.servers.values();
             servers.filter(|server| server.entry.service == service)
@@ -119,10 +126,14 @@
         });
         let together = together.count();
         if together >= 2 && together as f64 >= LAPSE_PART * members().count() as f64 {
-            return LAPSE_GRACE;
+            return missing + LAPSE_GRACE;
+        }
+        let Some(troubled) = self.troubled else { return missing + GONE_GRACE };
+        if missing <= troubled + AT_RETURN {
+            return troubled + RETURN_GRACE;
         }
-        let troubled = self.troubled.is_some_and(|at| missing < at + RETURN_GRACE);
-        if troubled { RETURN_GRACE } else { GONE_GRACE }
+        let returned = (troubled + RETURN_GRACE).max(missing + GONE_GRACE);
+        returned.min(missing + LONGEST_GRACE)
     }
 
     /// Tells whether any server's row is missing.
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -30,8 +30,7 @@
 /// How often requests that wait are looked at, whatever happens.
 const TICK: Duration = Duration::from_millis(100);
 
-/// How often idle connections, missing servers and the instance file are looked at, in
-/// ticks.
+/// How often idle connections and the instance file are looked at, in ticks.
 const TICKS_PER_ROUND: u64 = 5;
 
 /// The stack of a thread that does one small duty.
@@ -194,6 +193,7 @@
         if state.ask(|core, _| core.waits()) {
             state.decide(|core, now| core.tick(now));
         }
+        expire_servers(&state);
         tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
@@ -201,18 +201,23 @@
     }
 }
 
-/// Looks at idle connections, missing servers and the instance file.
+/// Forgets servers that the platform hasn't listed for too long.
+fn expire_servers(state: &TrafficState) {
+    if !state.directory.borrow().misses_any() {
+        return;
+    }
+    let gone = state.directory.borrow_mut().expire(state.now());
+    for server in &gone {
+        log::info!(server; "server gone");
+    }
+    if !gone.is_empty() {
+        state.tell_servers();
+    }
+}
+
+/// Looks at idle connections and the instance file.
 fn go_round(state: &TrafficState, path: &Path) {
     let now = state.now();
     state.links.expire(now);
-    if state.directory.borrow().misses_any() {
-        let gone = state.directory.borrow_mut().expire(now);
-        for server in &gone {
-            log::info!(server; "server gone");
-        }
-        if !gone.is_empty() {
-            state.tell_servers();
-        }
-    }
     reload(state, path, "changed file");
 }
