--- a/crates/flaxtide-entry/src/stop.rs
+++ b/crates/flaxtide-entry/src/stop.rs
@@ -97,11 +97,17 @@
     state.enter(LifePhase::Closing);
     tokio::time::sleep(LAST_STREAMS - BALANCER_NOTICE).await;
     state.end_by.set(Some(most));
-    while state.open.get() > 0 && state.now() < most {
+    loop {
+        while state.open.get() > 0 && state.now() < most {
+            tokio::time::sleep(DRAIN_PERIOD).await;
+        }
+        // Answers leave the sockets. What comes meanwhile is refused, and so isn't cut.
+        state.end_by.set(Some(state.now()));
         tokio::time::sleep(DRAIN_PERIOD).await;
+        if state.open.get() == 0 || state.now() >= most {
+            break;
+        }
     }
-    // Answers leave the sockets.
-    tokio::time::sleep(DRAIN_PERIOD).await;
     let spent = state.now().saturating_sub(start).as_millis() as u64;
     log::info!(cut = state.open.get() as u64, spent_ms = spent; "stopped");
 }
