Learn how fast engines read, refuse what would come late, say what is believed of servers

The pace of each engine is learnt from first tokens; peers tell their unread prompts by level, as engines read more urgent ones first. What would come later than its target is refused at once, with a time to come back. Cause 2 (found by a new test): a caller who left before any answer left its server looking silent for good. Whether a server is silent is now asked of the requests that wait there. Logs: one line for each refusal with its inputs, and for each server that gets work again or no more.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -30,7 +30,7 @@
 
 /// The part of the time that is left after which a caller is told at the latest to come
 /// back, so that its next try has time.
-const RETRY_PART: u32 = 4;
+const RETRY_PART: u32 = 3;
 
 /// A request that is being answered. Dropping it tells the router that it has ended.
 pub(crate) struct OpenCall {
@@ -48,6 +48,8 @@
     pub(crate) deadline: Duration,
     /// Whether it may have run at a server.
     pub(crate) may_have_run: Cell<bool>,
+    /// When the first of its answer came.
+    first: Cell<Option<Duration>>,
     /// Whether its end has been logged.
     ended: Cell<bool>,
 }
@@ -71,13 +73,21 @@
         let state = &self.state;
         state.metrics.ends.with_label_values(&[end]).inc();
         let spent = state.now().saturating_sub(self.received).as_millis() as u64;
+        let first = self.first.get().map_or(-1, |first| first.as_millis() as i64);
         log::info!(
             request = self.attempt, class = self.class.class().name, outcome = end,
-            status, spent_ms = spent, may_have_run = self.may_have_run.get();
+            status, first_ms = first, spent_ms = spent, may_have_run = self.may_have_run.get();
             "end"
         );
     }
 
+    /// Records that the answer, or its first event, has come.
+    fn note_first(&self) {
+        let spent = self.state.now().saturating_sub(self.received);
+        self.first.set(Some(spent));
+        self.state.metrics.latency.observe(spent.as_secs_f64());
+    }
+
     /// Returns how much time is left.
     pub(crate) fn left(&self) -> Duration {
         self.deadline.saturating_sub(self.state.now())
@@ -127,7 +137,7 @@
         log::info!(
             request = self.attempt, class = self.class.class().name,
             server = self.state.server_name(choice.server).unwrap_or_default(),
-            reason:? = choice.reason, cost_ms = choice.cost_ms as u64,
+            reason:? = choice.reason, cost_ms = choice.cost_ms as u64, expected_ms = choice.expected.as_millis() as u64,
             running = choice.running, uncached = choice.uncached, tokens = request.tokens, tier = request.tier.unwrap_or_default(),
             eligible = choice.eligible, left_ms = left.as_millis() as u64,
             resume = last_event.unwrap_or_default();
@@ -270,6 +280,7 @@
         class: call.class.id,
         organisation: caller.organisation.unwrap_or(NO_ORGANISATION),
         tier,
+        level: table.level(call.class.class()),
         target: call.class.class().target,
         give_up: call.deadline.min(received + call.class.class().target / WAIT_PART),
         deadline: call.deadline,
@@ -325,6 +336,7 @@
         received,
         deadline: received + wait,
         may_have_run: Cell::new(false),
+        first: Cell::new(None),
         ended: Cell::new(false),
     }
 }
@@ -338,8 +350,8 @@
         let decided = tokio::time::timeout(call.left(), decision).await;
         let (choice, patience) = match decided {
             Ok(Ok(RouteAction::Dispatch { choice, patience, .. })) => (choice, patience),
-            Ok(Ok(RouteAction::Refuse { reason, retry_after, .. })) => {
-                return refuse(&call, reason, retry_after);
+            Ok(Ok(RouteAction::Refuse { reason, retry_after, expected, .. })) => {
+                return refuse(&call, reason, retry_after, expected);
             }
             // The router forgets nobody, but an answer is owed all the same.
             Ok(Err(_)) | Err(_) => return call.time_over(),
@@ -366,7 +378,20 @@
 }
 
 /// Answers a request that the router refuses.
-fn refuse(call: &OpenCall, cause: RefusalCause, retry_after: Duration) -> CallerAnswer {
+fn refuse(
+    call: &OpenCall,
+    cause: RefusalCause,
+    retry_after: Duration,
+    expected: Option<Duration>,
+) -> CallerAnswer {
+    let class = call.class.class();
+    log::info!(
+        request = call.attempt, class = class.name, cause:? = cause,
+        expected_ms = expected.map_or(-1, |span| span.as_millis() as i64),
+        target_ms = class.target.as_millis() as u64,
+        retry_after_ms = retry_after.as_millis() as u64;
+        "refusal"
+    );
     if call.may_have_run.get() {
         return call.reply(OwnReply::ServerFailed, None);
     }
@@ -444,8 +469,7 @@
     headers: hyper::HeaderMap,
     body: Bytes,
 ) -> CallerAnswer {
-    let spent = call.state.now().saturating_sub(call.received);
-    call.state.metrics.latency.observe(spent.as_secs_f64());
+    call.note_first();
     let mut answer = Response::new(whole(body));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
@@ -461,8 +485,7 @@
     start: AnswerStart,
     first: Bytes,
 ) -> CallerAnswer {
-    let spent = call.state.now().saturating_sub(call.received);
-    call.state.metrics.latency.observe(spent.as_secs_f64());
+    call.note_first();
     call.may_have_run.set(true);
     let (status, headers) = (start.status, start.headers);
     let relay = StreamRelay::new(call, request, start.body, first);
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -35,6 +35,9 @@
 /// before any byte of it was written.
 const STALE_LINKS: usize = 3;
 
+/// How long the rest of a refusal may take.
+const REFUSAL_REST: Duration = Duration::from_millis(500);
+
 /// A caller's request, read whole.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -179,7 +182,7 @@
 
 /// Checks the head of an answer.
 fn check(
-    state: &TrafficState,
+    state: &Rc<TrafficState>,
     request: &CallerRequest,
     server: ServerId,
     link: ServerLink,
@@ -193,7 +196,9 @@
     // Another request's answer is that of a connection which can't be trusted any more.
     let ours = head.attempt == request.attempt;
     if head.not_run && (ours || head.attempt.is_none()) {
-        keep_refusing(state, server, link, body, head.keep_alive);
+        let link = Some(link);
+        let keep_alive = head.keep_alive;
+        keep_refusing(state, AnswerSource { body, link, server, keep_alive });
         return Err(RouteFault::Full);
     }
     if !ours || (parts.status.is_success() && !head.sealed) {
@@ -211,17 +216,14 @@
     Ok(AnswerStart { status: parts.status, headers, body })
 }
 
-/// Reads the rest of a refusal in the background, and keeps its connection.
-fn keep_refusing(
-    state: &TrafficState,
-    server: ServerId,
-    link: ServerLink,
-    body: Incoming,
-    keep_alive: Option<Duration>,
-) {
-    if hyper::body::Body::is_end_stream(&body) {
-        state.links.keep(server, link, keep_alive, state.now());
-    }
+/// Reads the rest of a refusal beside, so that its connection can be kept.
+fn keep_refusing(state: &Rc<TrafficState>, mut rest: AnswerSource) {
+    let state = state.clone();
+    tokio::task::spawn_local(async move {
+        let read = async { while let Ok(Some(_)) = rest.next(&state).await {} };
+        // A refusal that doesn't end in time ends with its connection.
+        let _ = tokio::time::timeout(REFUSAL_REST, read).await;
+    });
 }
 
 /// Takes away the headers that concern one connection only.
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -190,7 +190,9 @@
     Some(OwnLoad {
         server: fleet_key(&name),
         running: u16::try_from(load.running).unwrap_or(u16::MAX),
-        unread: u16::try_from(load.unread / TOKENS_PER_UNIT).unwrap_or(u16::MAX),
+        unread: load
+            .unread
+            .map(|tokens| u16::try_from(tokens / TOKENS_PER_UNIT).unwrap_or(u16::MAX)),
     })
 }
 
@@ -206,7 +208,7 @@
         Some(PeerLoad {
             server,
             running: u32::from(load.running),
-            unread: u32::from(load.unread) * TOKENS_PER_UNIT,
+            unread: load.unread.map(|units| u32::from(units) * TOKENS_PER_UNIT),
         })
     });
     let known: Vec<PeerLoad> = known.collect();
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -194,6 +194,7 @@
             state.decide(|core, now| core.tick(now));
         }
         expire_servers(&state);
+        note_servers(&state);
         tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
@@ -215,6 +216,19 @@
     }
 }
 
+/// Logs what the router has come to believe of servers.
+fn note_servers(state: &TrafficState) {
+    for note in state.ask(|core, now| core.review(now)) {
+        let event = if note.well { "server gets work" } else { "server gets no work" };
+        log::info!(
+            server = state.server_name(note.server).unwrap_or_default(),
+            failures_percent = (note.failures * 100.0) as u64,
+            heard_ago_ms = note.heard_ago.as_millis() as u64;
+            "{event}"
+        );
+    }
+}
+
 /// Looks at idle connections and the instance file.
 fn go_round(state: &TrafficState, path: &Path) {
     let now = state.now();
--- a/crates/flaxtide-entry/src/logging.rs
+++ b/crates/flaxtide-entry/src/logging.rs
@@ -126,7 +126,7 @@
         key: Key<'kvs>,
         value: Value<'kvs>,
     ) -> Result<(), kv::Error> {
-        if let Some(number) = value.to_u64() {
+        if let Some(number) = value.to_i64() {
             self.0.push_str(",\"");
             self.0.push_str(key.as_str());
             self.0.push_str("\":");
--- a/crates/flaxtide-entry/src/routes.rs
+++ b/crates/flaxtide-entry/src/routes.rs
@@ -17,6 +17,8 @@
     hosts: HashMap<String, Vec<ClassId>>,
     /// The pairs of a class's tier and an organisation's, most urgent first.
     ranks: Vec<TierPair>,
+    /// The tiers of all classes, most urgent first.
+    levels: Vec<TierRank>,
 }
 
 /// The tier of a class, which goes first, and that of an organisation. Where an
@@ -56,7 +58,14 @@
             });
         }
         let ranks = rank_tiers(&rules);
-        Self { rules, hosts, ranks }
+        let levels: BTreeSet<TierRank> =
+            rules.classes.iter().map(|class| class.tier).collect();
+        Self {
+            rules,
+            hosts,
+            ranks,
+            levels: levels.into_iter().collect(),
+        }
     }
 
     /// Returns the tier of a request: its place among all pairs of a class's tier and an
@@ -77,6 +86,12 @@
         Some(ClassMatch { table: table.clone(), id })
     }
 
+    /// Returns how urgent a class is: its place among the tiers of all classes.
+    pub(crate) fn level(&self, class: &RequestClass) -> u8 {
+        let place = self.levels.binary_search(&class.tier).unwrap_or(self.levels.len());
+        u8::try_from(place).unwrap_or(u8::MAX)
+    }
+
     /// Tells who holds a key; nothing if nobody does.
     pub(crate) fn identify(&self, key: Option<&str>) -> Option<CallerIdentity> {
         let id = *self.rules.keys.get(key?)?;
--- a/crates/flaxtide-entry/src/stop.rs
+++ b/crates/flaxtide-entry/src/stop.rs
@@ -62,11 +62,8 @@
     path: &Path,
     events: &mut Receiver<SignalEvent>,
 ) {
-    loop {
-        match events.recv().await {
-            Some(SignalEvent::Reload) => reload(state, path, "signal"),
-            Some(SignalEvent::Stop) | None => break,
-        }
+    while let Some(SignalEvent::Reload) = events.recv().await {
+        reload(state, path, "signal");
     }
     stop(state).await;
 }
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -95,8 +95,9 @@
     pub server: FleetKey,
     /// How many of the instance's requests are there.
     pub running: u16,
-    /// How many prompt tokens of them are still to be read, in units of 16.
-    pub unread: u16,
+    /// How many prompt tokens of them are still to be read, in units of 16, by the level of
+    /// their class.
+    pub unread: [u16; 3],
 }
 
 /// How many requests of an organisation came since the last beat.
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -62,6 +62,8 @@
     pub organisation: OrganisationId,
     /// Its tier; 0 is the highest.
     pub tier: TierRank,
+    /// How urgent its class is, from 0: engines read more urgent prompts first.
+    pub level: u8,
     /// Its prompt.
     pub prompt: PromptShape,
     /// Within what time its answer, or the answer's first token, is on time.
@@ -116,6 +118,8 @@
     pub(crate) runs: u32,
     /// How many prompt tokens the present server must read, about.
     pub(crate) uncached: u32,
+    /// How many prompt tokens are read there before its first token, its own included.
+    pub(crate) ahead: f64,
 }
 
 /// Where a request is.
@@ -144,6 +148,7 @@
             sends: 0,
             runs: 0,
             uncached: 0,
+            ahead: 0.0,
         }
     }
 
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -37,6 +37,8 @@
     pub running: u32,
     /// How many servers could have been chosen.
     pub eligible: usize,
+    /// How many prompt tokens it reads before the first token, about.
+    pub ahead: f64,
 }
 
 /// Why a server was chosen.
@@ -64,6 +66,8 @@
     expected_ms: f64,
     /// The requests known to be at it.
     running: u32,
+    /// How many prompt tokens it reads before the first token.
+    ahead: f64,
 }
 
 impl RouteCore {
@@ -100,7 +104,7 @@
 
     /// Returns the servers of a pool that may get work, in the order that all instances
     /// agree on.
-    fn staying(&self, pool: PoolId) -> Vec<&ServerState> {
+    pub(super) fn staying(&self, pool: PoolId) -> Vec<&ServerState> {
         let Some(state) = self.pools.get(&pool) else { return vec![] };
         let servers = state.servers.values();
         let mut staying: Vec<&ServerState> =
@@ -111,7 +115,7 @@
 
     /// Returns the servers that answer as their pool does. Servers that fail more than
     /// others are used all the same where too many do.
-    fn well<'a>(
+    pub(super) fn well<'a>(
         &self,
         usable: &[&'a ServerState],
         now: Duration,
@@ -136,9 +140,11 @@
 
     /// Tells whether a server answers at all.
     fn answers(&self, server: &ServerState, now: Duration) -> bool {
-        let expected = Duration::from_secs_f64(self.backlog_ms(server, now) / 1000.0);
+        let expected =
+            Duration::from_secs_f64(self.backlog_ms(server, u8::MAX, now) / 1000.0);
         let streams = server.load.streams(&self.calls);
-        server.health.is_well(streams, expected, now, &self.options)
+        let waiting = server.load.waiting_since(&self.calls);
+        server.health.is_well(streams, waiting, expected, now, &self.options)
     }
 
     /// Returns those servers that belong to a lane.
@@ -188,9 +194,9 @@
                         Some(_) => read.min(own + shared / 2),
                         None => read,
                     };
-                    let mut candidate = self.candidate(server, uncached, now);
+                    let mut candidate = self.candidate(server, uncached, call.level, now);
                     let again = f64::from(uncached.saturating_sub(own));
-                    let again_ms = again / self.options.prefill_tokens_per_ms;
+                    let again_ms = again / server.pace.get(now);
                     candidate.cost_ms += self.options.reread_weight * again_ms;
                     candidate
                 });
@@ -211,11 +217,13 @@
         &self,
         server: &'a ServerState,
         uncached: u32,
+        level: u8,
         now: Duration,
     ) -> Candidate<'a> {
         let count = server.load.running(&self.options, now);
         let running = f64::from(count);
         let mut cost_ms = 0.0;
+        let mut ahead = 0.0;
         if !server.facts.near {
             cost_ms += self.options.far_cost_ms;
         }
@@ -224,9 +232,9 @@
         }
         let expected_ms = match server.facts.engine {
             Some(_) => {
-                let read_ms = f64::from(uncached) / self.options.prefill_tokens_per_ms;
+                ahead = self.backlog(server, level, now) + f64::from(uncached);
                 cost_ms += running * self.options.running_cost_ms;
-                self.backlog_ms(server, now) + read_ms
+                ahead / server.pace.get(now)
             }
             None => {
                 let slots = f64::from(server.facts.slots.max(1));
@@ -240,13 +248,20 @@
             uncached,
             expected_ms,
             running: count,
+            ahead,
         }
     }
 
-    /// Returns how long a server reads what it was sent, in milliseconds.
-    fn backlog_ms(&self, server: &ServerState, now: Duration) -> f64 {
-        let unread = server.load.unread(&self.calls, &self.options, now);
-        unread / self.options.prefill_tokens_per_ms
+    /// Returns how long a server reads what it was sent before a new request of a level,
+    /// in milliseconds.
+    fn backlog_ms(&self, server: &ServerState, level: u8, now: Duration) -> f64 {
+        self.backlog(server, level, now) / server.pace.get(now)
+    }
+
+    /// Returns the prompt tokens that a server reads before a new request of a level.
+    fn backlog(&self, server: &ServerState, level: u8, now: Duration) -> f64 {
+        let rate = server.pace.get(now);
+        server.load.unread(level, &self.calls, rate, &self.options, now)
     }
 
     /// Tells whether a server has room for one more request.
@@ -286,5 +301,6 @@
         uncached: candidate.uncached,
         running: candidate.running,
         eligible,
+        ahead: candidate.ahead,
     }
 }
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -20,8 +20,6 @@
     pause: Duration,
     /// When anything last came from it.
     heard: Duration,
-    /// When something was first sent to it that nothing has followed.
-    unanswered: Option<Duration>,
     /// The decayed part of its requests that failed.
     failures: f64,
 }
@@ -33,20 +31,13 @@
             paused_until: Duration::ZERO,
             pause: Duration::ZERO,
             heard: now,
-            unanswered: None,
             failures: 0.0,
         }
     }
 
-    /// Records a request that is sent.
-    pub(crate) fn send(&mut self, now: Duration) {
-        self.unanswered.get_or_insert(now);
-    }
-
     /// Records that something came.
     pub(crate) fn hear(&mut self, now: Duration) {
         self.heard = now;
-        self.unanswered = None;
     }
 
     /// Records a whole answer.
@@ -91,7 +82,6 @@
         }
         self.pause = (self.pause * 2).clamp(first, options.longest_pause);
         self.paused_until = now + self.pause;
-        self.unanswered = None;
     }
 
     /// Counts a failed request.
@@ -99,17 +89,24 @@
         self.failures += (1.0 - self.failures) * NEWEST_OUTCOME;
     }
 
+    /// Returns when anything last came.
+    pub(crate) fn heard(&self) -> Duration {
+        self.heard
+    }
+
     /// Returns the decayed part of failed requests.
     pub(crate) fn failures(&self) -> f64 {
         self.failures
     }
 
-    /// Tells whether the server may get work by what it has answered, where `expected` is
-    /// how long its first answer may take. A server that has streams under way says
+    /// Tells whether the server may get work by what it has answered. `streams` tells whether
+    /// it has streams under way, `waiting` since when the oldest request there waits for its
+    /// first answer, and `expected` how long that may take. A server that has streams under way says
     /// something all the time; one that only reads prompts may be silent for longer.
     pub(crate) fn is_well(
         &self,
         streams: bool,
+        waiting: Option<Duration>,
         expected: Duration,
         now: Duration,
         options: &RouteOptions,
@@ -120,7 +117,7 @@
         if streams && now > self.heard + options.silence {
             return false;
         }
-        let Some(since) = self.unanswered else { return true };
+        let Some(since) = waiting else { return true };
         now < since.max(self.heard) + options.long_silence + expected * 2
     }
 }
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -5,7 +5,7 @@
 
 use flaxtide_core::{RequestId, ServerId};
 
-use super::call::RoutedCall;
+use super::call::{CallPlace, RoutedCall};
 use super::options::RouteOptions;
 
 /// What this instance has at a server, as peers are told.
@@ -15,8 +15,19 @@
     pub server: ServerId,
     /// Its requests there.
     pub running: u32,
-    /// Prompt tokens of them that are still to be read.
-    pub unread: u32,
+    /// Prompt tokens of them that are still to be read, by the level of their class.
+    pub unread: LevelTokens,
+}
+
+/// How many levels of classes are told apart; less urgent ones count as the last.
+pub const LEVELS: usize = 3;
+
+/// Prompt tokens by the level of their class.
+pub type LevelTokens = [u32; LEVELS];
+
+/// Returns the place of a level.
+fn level_place(level: u8) -> usize {
+    usize::from(level).min(LEVELS - 1)
 }
 
 /// What a peer has at a server.
@@ -60,6 +71,18 @@
         self.own.remove(&request);
     }
 
+    /// Returns since when the oldest of them waits.
+    pub(crate) fn waiting_since(
+        &self,
+        calls: &HashMap<RequestId, RoutedCall>,
+    ) -> Option<Duration> {
+        let since = self.unanswered(calls).filter_map(|call| match call.place {
+            CallPlace::Running { since, .. } => Some(since),
+            CallPlace::Waiting => None,
+        });
+        since.min()
+    }
+
     /// Returns this instance's requests there of which nothing has come.
     fn unanswered<'a>(
         &'a self,
@@ -98,25 +121,29 @@
         self.own.len() as u32 + peers.sum::<u32>()
     }
 
-    /// Returns the prompt tokens that are still to be read there.
+    /// Returns the prompt tokens that are still to be read there before those of a new
+    /// request of a level.
     pub(crate) fn unread(
         &self,
+        level: u8,
         calls: &HashMap<RequestId, RoutedCall>,
+        rate: f64,
         options: &RouteOptions,
         now: Duration,
     ) -> f64 {
-        let rate = options.prefill_tokens_per_ms;
         let mut told = 0.0;
         let mut ages = 0.0;
         let mut count = 0.0f64;
         for (load, age) in self.heard(options, now) {
-            told += f64::from(load.unread);
+            let urgent = &load.unread[..=level_place(level)];
+            told += urgent.iter().copied().map(f64::from).sum::<f64>();
             ages += age.as_secs_f64() * 1000.0;
             count += 1.0;
         }
         // The server has gone on reading since, for all of them together.
         let read = ages / count.max(1.0) * rate;
-        self.own_unread(calls, rate, now) + (told - read).max(0.0)
+        let own = self.own_unread(calls, rate, now);
+        own[..=level_place(level)].iter().sum::<f64>() + (told - read).max(0.0)
     }
 
     /// Returns what this instance has there.
@@ -124,14 +151,14 @@
         &self,
         server: ServerId,
         calls: &HashMap<RequestId, RoutedCall>,
-        options: &RouteOptions,
+        rate: f64,
         now: Duration,
     ) -> ServerLoad {
-        let unread = self.own_unread(calls, options.prefill_tokens_per_ms, now);
+        let unread = self.own_unread(calls, rate, now);
         ServerLoad {
             server,
             running: self.own.len() as u32,
-            unread: unread as u32,
+            unread: unread.map(|tokens| tokens as u32),
         }
     }
 
@@ -154,12 +181,20 @@
         calls: &HashMap<RequestId, RoutedCall>,
         tokens_per_ms: f64,
         now: Duration,
-    ) -> f64 {
+    ) -> [f64; LEVELS] {
         // An engine reads one prompt after the other, about, in the order of requests.
-        let mut waiting = self.unanswered(calls).map(|call| f64::from(call.uncached));
-        let Some(first) = waiting.next() else { return 0.0 };
+        let mut unread = [0.0; LEVELS];
+        let mut waiting: Vec<&RoutedCall> = self.unanswered(calls).collect();
+        // The most urgent class first, and in it the request that came first.
+        waiting.sort_by_key(|call| call.call.level);
         let elapsed = now.saturating_sub(self.reading_since).as_secs_f64() * 1000.0;
-        let read = (elapsed * tokens_per_ms).min(first);
-        first - read + waiting.sum::<f64>()
+        let mut read = elapsed * tokens_per_ms;
+        for call in waiting {
+            let tokens = f64::from(call.uncached);
+            unread[level_place(call.call.level)] += (tokens - read).max(0.0);
+            // The end of the first prompt would have been heard.
+            read = 0.0;
+        }
+        unread
     }
 }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod lane;
 mod load;
 mod options;
+mod pace;
 mod server;
 
 use std::collections::{BTreeMap, HashMap};
@@ -19,7 +20,7 @@
 
 pub use self::call::{PromptPart, PromptShape, RouteCall, RouteFault};
 pub use self::choose::{RouteChoice, RouteReason};
-pub use self::load::{PeerKey, PeerLoad, ServerLoad};
+pub use self::load::{LEVELS, LevelTokens, PeerKey, PeerLoad, ServerLoad};
 pub use self::options::RouteOptions;
 pub use self::server::{EngineShape, RoutedServer};
 
@@ -54,9 +55,24 @@
         reason: RefusalCause,
         /// When to come back.
         retry_after: Duration,
+        /// When its first token was expected from the best server, if there was one.
+        expected: Option<Duration>,
     },
 }
 
+/// What the router has come to believe of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct ServerNote {
+    /// The server.
+    pub server: ServerId,
+    /// Whether it gets work.
+    pub well: bool,
+    /// The decayed part of its requests that failed.
+    pub failures: f64,
+    /// How long ago anything came from it.
+    pub heard_ago: Duration,
+}
+
 /// Why a request is refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -137,6 +153,7 @@
         servers: &[RoutedServer],
         now: Duration,
     ) -> Vec<RouteAction> {
+        let guess = self.options.prefill_tokens_per_ms;
         let state = self.pools.entry(pool).or_default();
         state
             .servers
@@ -145,7 +162,7 @@
             match state.servers.get_mut(&server.server) {
                 Some(known) => known.facts = server.clone(),
                 None => {
-                    let fresh = ServerState::new(server.clone(), now);
+                    let fresh = ServerState::new(server.clone(), guess, now);
                     state.servers.insert(server.server, fresh);
                 }
             }
@@ -175,7 +192,7 @@
     pub fn own_loads(&self, now: Duration) -> Vec<ServerLoad> {
         let servers = self.pools.values().flat_map(|pool| &pool.servers);
         let loads = servers.map(|(id, server)| {
-            server.load.own_summary(*id, &self.calls, &self.options, now)
+            server.load.own_summary(*id, &self.calls, server.pace.get(now), now)
         });
         loads.filter(|load| load.running > 0).collect()
     }
@@ -190,7 +207,12 @@
         if !state.servers.values().any(|server| server.facts.in_service()) {
             let retry_after = self.options.no_server_retry;
             let reason = RefusalCause::NoServer;
-            return vec![RouteAction::Refuse { request, reason, retry_after }];
+            return vec![RouteAction::Refuse {
+                request,
+                reason,
+                retry_after,
+                expected: None,
+            }];
         }
         let entry = QueueEntry {
             request,
@@ -207,13 +229,15 @@
     /// Takes in that anything came from the server of a request.
     pub fn heard(&mut self, request: RequestId, now: Duration) {
         let Some(call) = self.calls.get_mut(&request) else { return };
-        let CallPlace::Running { server, .. } = call.place else { return };
+        let CallPlace::Running { server, since, .. } = call.place else { return };
         let first = call.hear(now);
         let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
         let Some(server) = state.servers.get_mut(&server) else { return };
         server.health.hear(now);
         if first {
             server.load.read(now);
+            let seen = now.saturating_sub(since).as_secs_f64() * 1000.0;
+            server.pace.learn(call.ahead, seen, now);
             server.remember(&call.call.prompt, now);
         }
     }
@@ -289,6 +313,32 @@
         self.take_actions()
     }
 
+    /// Returns of which servers it believes something else than at the last review.
+    pub fn review(&mut self, now: Duration) -> Vec<ServerNote> {
+        let mut notes = vec![];
+        for pool in self.pools.keys().copied().collect::<Vec<PoolId>>() {
+            let staying = self.staying(pool);
+            let well = self.well(&staying, now);
+            let well: Vec<ServerId> =
+                well.iter().map(|server| server.facts.server).collect();
+            let Some(state) = self.pools.get_mut(&pool) else { continue };
+            for (id, server) in &mut state.servers {
+                let is_well = well.contains(id);
+                if !server.facts.in_service() || server.believed_well == is_well {
+                    continue;
+                }
+                server.believed_well = is_well;
+                notes.push(ServerNote {
+                    server: *id,
+                    well: is_well,
+                    failures: server.health.failures(),
+                    heard_ago: now.saturating_sub(server.health.heard()),
+                });
+            }
+        }
+        notes
+    }
+
     /// Tells whether any request waits for a server.
     #[must_use]
     pub fn waits(&self) -> bool {
@@ -312,7 +362,7 @@
         now: Duration,
     ) -> bool {
         let order = &call.call;
-        if !fault.not_run() && !(order.repeatable || resumable) {
+        if !(fault.not_run() || order.repeatable || resumable) {
             return false;
         }
         if call.runs >= order.run_limit.max(1) || call.sends >= self.options.send_limit {
@@ -390,8 +440,13 @@
                 self.free(&call, now);
             }
             let reason = RefusalCause::TooLate;
-            self.actions
-                .push(RouteAction::Refuse { request, reason, retry_after });
+            let expected = None;
+            self.actions.push(RouteAction::Refuse {
+                request,
+                reason,
+                retry_after,
+                expected,
+            });
         }
     }
 
@@ -423,10 +478,32 @@
             if let Some(state) = self.pools.get_mut(&pool) {
                 state.queue.pop(&head, 1, now);
             }
+            if self.comes_too_late(request, &choice) {
+                self.refuse_early(request, choice.expected);
+                continue;
+            }
             self.dispatch(request, choice, now);
         }
     }
 
+    /// Tells whether even the best server would answer a request late.
+    fn comes_too_late(&self, request: RequestId, choice: &RouteChoice) -> bool {
+        let Some(call) = self.calls.get(&request) else { return false };
+        choice.expected > call.call.target.mul_f64(self.options.admit_factor)
+    }
+
+    /// Refuses a request that hasn't been sent, and asks its caller to come back once what
+    /// is at the servers has been read.
+    fn refuse_early(&mut self, request: RequestId, expected: Duration) {
+        self.calls.remove(&request);
+        let retry_after =
+            (expected * 2).clamp(self.options.shortest_retry, self.options.longest_retry);
+        let reason = RefusalCause::TooLate;
+        let expected = Some(expected);
+        self.actions
+            .push(RouteAction::Refuse { request, reason, retry_after, expected });
+    }
+
     /// Gives servers to the requests that are tried again.
     fn pump_retries(&mut self, pool: PoolId, now: Duration) {
         let Some(state) = self.pools.get_mut(&pool) else { return };
@@ -446,6 +523,7 @@
         call.place = CallPlace::Running { server, since: now, heard: None };
         call.sends += 1;
         call.uncached = choice.uncached;
+        call.ahead = choice.ahead;
         let movable = call.call.repeatable && call.runs + 1 < call.call.run_limit;
         let expected = choice.expected;
         let patience = movable.then(|| {
@@ -456,7 +534,6 @@
             && let Some(server) = state.servers.get_mut(&server)
         {
             server.load.start(request, &self.calls, now);
-            server.health.send(now);
         }
         self.actions.push(RouteAction::Dispatch { request, choice, patience });
     }
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -24,6 +24,9 @@
     pub peer_life: Duration,
     /// For how long a prompt part is taken to stay in an engine's memory.
     pub cache_life: Duration,
+    /// A request whose first token is expected later than so many times its target is
+    /// refused at once, so that its caller can come back when the burst is over.
+    pub admit_factor: f64,
     /// How often a request may be sent in all.
     pub send_limit: u32,
     /// A further try needs at least this much time before the deadline.
@@ -65,14 +68,15 @@
     fn default() -> Self {
         Self {
             prefill_tokens_per_ms: 60.0,
-            reread_weight: 3.0,
-            running_cost_ms: 1.5,
+            reread_weight: 15.0,
+            running_cost_ms: 0.7,
             long_prompt: 3000,
             long_part: 0.6,
             fill: 1.5,
             far_cost_ms: 2.0,
             peer_life: Duration::from_secs(2),
             cache_life: Duration::from_secs(20),
+            admit_factor: 1.0,
             send_limit: 4,
             least_time: Duration::from_millis(50),
             retry_ratio: 0.2,
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -8,6 +8,7 @@
 use super::call::PromptShape;
 use super::health::ServerHealth;
 use super::load::LoadCount;
+use super::pace::ReadPace;
 
 /// How many prompt parts are remembered of one server.
 const REMEMBERED_PARTS: usize = 512;
@@ -55,17 +56,23 @@
     pub(crate) load: LoadCount,
     /// How it has answered.
     pub(crate) health: ServerHealth,
+    /// How fast it reads prompts.
+    pub(crate) pace: ReadPace,
+    /// Whether it was found to answer at the last review.
+    pub(crate) believed_well: bool,
     /// The prompt parts that it has read, and when last.
     parts: HashMap<u64, Duration>,
 }
 
 impl ServerState {
     /// Starts to know a server.
-    pub(crate) fn new(facts: RoutedServer, now: Duration) -> Self {
+    pub(crate) fn new(facts: RoutedServer, guess: f64, now: Duration) -> Self {
         Self {
             facts,
             load: LoadCount::default(),
             health: ServerHealth::new(now),
+            pace: ReadPace::new(guess, now),
+            believed_well: true,
             parts: HashMap::new(),
         }
     }
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -42,6 +42,7 @@
         class: 1,
         organisation: 1,
         tier: 1,
+        level: 1,
         prompt: PromptShape { tokens, answer: 100, parts: vec![] },
         target: ms(500),
         give_up: ms(1_000_000),
@@ -159,7 +160,7 @@
 #[test]
 fn a_busy_moment_elsewhere_is_seen_through_peers() {
     let mut core = core_with(2);
-    let busy = PeerLoad { server: 0, running: 7, unread: 60_000 };
+    let busy = PeerLoad { server: 0, running: 7, unread: [0, 60_000, 0] };
     core.hear_peer(7, &[busy], ms(0));
     for request in 0..3 {
         assert_eq!(server_of(&core.arrive(call(request, 100, true), ms(1))), Some(1));
@@ -231,7 +232,8 @@
     core.arrive(late, ms(1));
     assert!(core.tick(ms(299)).is_empty());
     let actions = core.tick(ms(301));
-    let [RouteAction::Refuse { request: 100, reason, retry_after }] = &actions[..] else {
+    let [RouteAction::Refuse { request: 100, reason, retry_after, .. }] = &actions[..]
+    else {
         panic!("{actions:?}");
     };
     assert_eq!(*reason, RefusalCause::TooLate);
@@ -390,3 +392,25 @@
         prop_assert!(!core.waits());
     }
 }
+
+#[test]
+fn what_is_believed_of_a_server_is_told_once() {
+    let mut core = core_with(2);
+    assert_eq!(core.review(ms(0)), []);
+    let server = server_of(&core.arrive(call(1, 100, true), ms(0))).unwrap();
+    core.fail(1, RouteFault::Unreachable, false, ms(10));
+    let notes = core.review(ms(20));
+    assert_eq!((notes.len(), notes[0].server, notes[0].well), (1, server, false));
+    assert_eq!(core.review(ms(30)), []);
+    core.leave(1, ms(40));
+    let notes = core.review(ms(5000));
+    assert_eq!((notes.len(), notes[0].server, notes[0].well), (1, server, true));
+}
+
+#[test]
+fn a_request_whose_caller_left_says_nothing_against_its_server() {
+    let mut core = core_with(1);
+    core.arrive(call(1, 100, true), ms(0));
+    core.leave(1, ms(100));
+    assert_eq!(core.review(ms(10_000)), [], "nobody has waited since");
+}
