Look at the list of servers as often as its bound asks for

The pause between two calls is now 0.35 of the time within which a leaving server must get no more work (0.7 s at 2 s), and the time that a missing row is used 0.4 to 0.55 of it, so that the whole stays within it.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -11,17 +11,22 @@
 
 use crate::contract::ServerEntry;
 
-/// For how long a server whose row has gone is used if nothing else is known. It goes on
-/// serving for longer than this; servers that are left take its work meanwhile.
-const GONE_GRACE: Duration = Duration::from_millis(800);
+/// For how long a server whose row has gone is used if nothing else is known, as a part of
+/// the time within which a server that leaves must get no more work. It goes on serving for
+/// longer than this; servers that are left take its work meanwhile.
+const GONE_PART: f64 = 0.4;
+
+/// A row that goes while the platform answers is used for no longer than this part of that
+/// time, whatever was before. With [`FEED_PART`] and the period in which rows are looked at,
+/// the whole stays within it.
+const LONGEST_PART: f64 = 0.55;
+
+/// The time between two looks at the list, as a part of that time.
+pub(crate) const FEED_PART: f64 = 0.35;
 
 /// Servers write their rows anew within two seconds of the platform's return.
 const RETURN_GRACE: Duration = Duration::from_millis(2200);
 
-/// A row that goes while the platform answers is used for no longer than this, whatever
-/// was before: a server that leaves may get no work after two seconds.
-const LONGEST_GRACE: Duration = Duration::from_millis(1400);
-
 /// For how long a row that went together with many others is missed.
 const LAPSE_GRACE: Duration = Duration::from_secs(8);
 
@@ -35,12 +40,14 @@
 const LAPSE_PART: f64 = 0.34;
 
 /// All servers that may be used.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct ServerDirectory {
     /// The servers by name.
     servers: BTreeMap<ServerName, DirectoryEntry>,
     /// When the platform last was known to be out.
     troubled: Option<Duration>,
+    /// Within what time a server that leaves must get no more work.
+    leave_within: Duration,
 }
 
 /// A server, and whether the platform lists it.
@@ -60,6 +67,15 @@
 }
 
 impl ServerDirectory {
+    /// Starts with no server known.
+    pub(crate) fn new(leave_within: Duration) -> Self {
+        Self {
+            servers: BTreeMap::new(),
+            troubled: None,
+            leave_within,
+        }
+    }
+
     /// Records that the platform is out.
     pub(crate) fn trouble(&mut self, now: Duration) {
         self.troubled = Some(now);
@@ -128,12 +144,15 @@
         if together >= 2 && together as f64 >= LAPSE_PART * members().count() as f64 {
             return missing + LAPSE_GRACE;
         }
-        let Some(troubled) = self.troubled else { return missing + GONE_GRACE };
+        let Some(troubled) = self.troubled else {
+            return missing + self.leave_within.mul_f64(GONE_PART);
+        };
         if missing <= troubled + AT_RETURN {
             return troubled + RETURN_GRACE;
         }
-        let returned = (troubled + RETURN_GRACE).max(missing + GONE_GRACE);
-        returned.min(missing + LONGEST_GRACE)
+        let returned =
+            (troubled + RETURN_GRACE).max(missing + self.leave_within.mul_f64(GONE_PART));
+        returned.min(missing + self.leave_within.mul_f64(LONGEST_PART))
     }
 
     /// Tells whether any server's row is missing.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -26,10 +26,6 @@
 /// platform's return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
-/// The shortest time between two calls for the list of servers, whose rows change often:
-/// a leaving server must get no work after two seconds, and each call has its price.
-const SERVERS_PACE: Duration = Duration::from_millis(400);
-
 /// Something that a feed thread tells the traffic thread.
 #[derive(Debug)]
 pub(crate) enum FeedEvent {
@@ -54,10 +50,12 @@
     Instances(u32),
 }
 
-/// Follows a topic until nobody listens.
+/// Follows a topic until nobody listens, with a pause between two calls: rows may change
+/// all the time, and each call has its price.
 pub(crate) fn follow_topic(
     feed: &Arc<dyn PlatformFeed>,
     topic: FeedTopic,
+    pace: Duration,
     events: &Sender<FeedEvent>,
     metrics: &EntryMetrics,
 ) {
@@ -110,9 +108,7 @@
         if !told {
             return;
         }
-        if topic == FeedTopic::Servers {
-            thread::sleep(SERVERS_PACE);
-        }
+        thread::sleep(pace);
     }
 }
 
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -12,6 +12,7 @@
 
 use crate::config::EntryConfig;
 use crate::contract::{FeedTopic, PlatformFeed, WireDialect};
+use crate::directory::FEED_PART;
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, follow_topic, take_feed};
 use crate::fleet::{FleetLink, SharedRules, open_fleet, tell_peers};
@@ -126,7 +127,11 @@
         let shared = Arc::new(SharedRules::default());
         let (events, feed_ring) = channel(FEED_RING);
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
-            spawn_feed(topic, &feed, &events, &metrics)?;
+            let pace = match topic {
+                FeedTopic::Rules => Duration::ZERO,
+                FeedTopic::Servers => config.leave_within.mul_f64(FEED_PART),
+            };
+            spawn_feed(topic, &feed, pace, &events, &metrics)?;
         }
         let (link, fleet_ring) = FleetLink::new();
         let fleet = open_fleet(&config, &link, &shared, &events)?;
@@ -173,6 +178,7 @@
 fn spawn_feed(
     topic: FeedTopic,
     feed: &Arc<dyn PlatformFeed>,
+    pace: Duration,
     events: &Sender<FeedEvent>,
     metrics: &Arc<EntryMetrics>,
 ) -> Result<(), EntryError> {
@@ -181,7 +187,7 @@
         FeedTopic::Rules => "the rules thread",
         FeedTopic::Servers => "the servers thread",
     };
-    spawn(duty, move || follow_topic(&feed, topic, &events, &metrics))
+    spawn(duty, move || follow_topic(&feed, topic, pace, &events, &metrics))
 }
 
 /// Looks, now and then, at what time alone changes.
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -128,6 +128,7 @@
             ..RouteOptions::default()
         };
         let seed = xxh3_64(config.name.as_bytes());
+        let leave_within = config.leave_within;
         Self {
             config: RefCell::new(Rc::new(config)),
             clock: MilliClock::real(),
@@ -136,7 +137,7 @@
             links: ServerLinks::default(),
             fleet,
             table: RefCell::new(None),
-            directory: RefCell::default(),
+            directory: RefCell::new(ServerDirectory::new(leave_within)),
             listed: Cell::new(false),
             core: RefCell::new(RouteCore::new(options)),
             waiters: RefCell::default(),
