--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use flaxtide_core::RequestId;
+use flaxtide_core::{RequestId, ServerId};
 use flaxtide_policy::{
     RefusalCause, RetryVerdict, RouteAction, RouteCall, RouteChoice, RouteFault,
     WAIT_PART,
@@ -48,6 +48,8 @@
     pub(crate) deadline: Duration,
     /// Whether it may have run at a server.
     pub(crate) may_have_run: Cell<bool>,
+    /// The server that it was last sent to.
+    server: Cell<Option<ServerId>>,
     /// When the first of its answer came.
     first: Cell<Option<Duration>>,
     /// Whether its end has been logged.
@@ -134,6 +136,7 @@
         if left.is_zero() {
             return TryEnd::TimeOver;
         }
+        self.server.set(Some(choice.server));
         log::info!(
             request = self.attempt, class = self.class.class().name,
             server = self.state.server_name(choice.server).unwrap_or_default(),
@@ -172,8 +175,9 @@
         });
         let label = format!("{fault:?}");
         self.state.metrics.faults.with_label_values(&[&label]).inc();
+        let server = self.server.get().and_then(|server| self.state.server_name(server));
         log::info!(
-            request = self.attempt, fault = label, again = verdict == RetryVerdict::Again,
+            request = self.attempt, server = server.unwrap_or_default(), fault = label, again = verdict == RetryVerdict::Again,
             left_ms = self.left().as_millis() as u64;
             "fault"
         );
@@ -336,6 +340,7 @@
         received,
         deadline: received + wait,
         may_have_run: Cell::new(false),
+        server: Cell::new(None),
         first: Cell::new(None),
         ended: Cell::new(false),
     }
--- a/crates/flaxtide-entry/src/logging.rs
+++ b/crates/flaxtide-entry/src/logging.rs
@@ -133,6 +133,12 @@
             self.0.push_str(&number.to_string());
             return Ok(());
         }
+        if let Some(flag) = value.to_bool() {
+            self.0.push_str(",\"");
+            self.0.push_str(key.as_str());
+            self.0.push_str(if flag { "\":true" } else { "\":false" });
+            return Ok(());
+        }
         push_field(self.0, key.as_str(), &value.to_string());
         Ok(())
     }
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -414,3 +414,31 @@
     core.leave(1, ms(100));
     assert_eq!(core.review(ms(10_000)), [], "nobody has waited since");
 }
+
+#[test]
+fn a_server_that_was_seen_to_read_slowly_is_not_given_what_would_come_late() {
+    let mut core = core_with(1);
+    let mut now = ms(0);
+    for request in 0..10 {
+        assert!(
+            server_of(&core.arrive(call(request, 12_000, false), now)).is_some()
+                || request > 0
+        );
+        now += ms(2000);
+        core.heard(request, now);
+        core.finish(request, now);
+    }
+    // Six tokens a millisecond were seen: 12,000 take two seconds, the target is half of one.
+    let actions = core.arrive(call(100, 12_000, false), now);
+    let [RouteAction::Refuse { reason, expected: Some(expected), .. }] = &actions[..]
+    else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(*reason, RefusalCause::TooLate);
+    assert!(*expected > ms(500), "{expected:?}");
+    // A short prompt is still taken, and so is the long one once that is long ago.
+    assert!(server_of(&core.arrive(call(101, 500, false), now)).is_some());
+    core.finish(101, now);
+    let later = now + ms(30_000);
+    assert!(server_of(&core.arrive(call(102, 12_000, false), later)).is_some());
+}
