--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -11,7 +11,9 @@
 mod load;
 mod options;
 mod pace;
+mod retry;
 mod server;
+mod wait;
 
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
@@ -22,6 +24,7 @@
 pub use self::choose::{RouteChoice, RouteReason};
 pub use self::load::{LEVELS, LevelTokens, PeerKey, PeerLoad, ServerLoad};
 pub use self::options::RouteOptions;
+pub use self::retry::RetryVerdict;
 pub use self::server::{EngineShape, RoutedServer};
 
 use self::budget::RetryWindow;
@@ -84,15 +87,6 @@
     Spent,
 }
 
-/// What is decided after a request failed at a server.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum RetryVerdict {
-    /// It waits for another server; an action follows.
-    Again,
-    /// It ends here.
-    End,
-}
-
 /// A pool of servers.
 #[derive(Debug, Default)]
 struct RoutePool {
@@ -267,42 +261,6 @@
         self.take_actions()
     }
 
-    /// Takes in that a server failed a request, and decides whether it is tried again.
-    /// `resumable` tells whether it may go on although it may have run.
-    pub fn fail(
-        &mut self,
-        request: RequestId,
-        fault: RouteFault,
-        resumable: bool,
-        now: Duration,
-    ) -> (RetryVerdict, Vec<RouteAction>) {
-        let Some(mut call) = self.calls.remove(&request) else {
-            return (RetryVerdict::End, vec![]);
-        };
-        let pool = call.call.pool;
-        self.blame(&call, fault, now);
-        if let CallPlace::Running { server, .. } = call.place {
-            call.excluded.push(server);
-        }
-        if !fault.not_run() {
-            call.runs += 1;
-        }
-        let again = self.may_repeat(&call, fault, resumable, now);
-        self.free(&call, now);
-        if !again {
-            return (RetryVerdict::End, self.take_actions());
-        }
-        call.place = CallPlace::Waiting;
-        let patience = now + call.call.target / WAIT_PART;
-        call.call.give_up = call.call.give_up.max(patience).min(call.call.deadline);
-        self.calls.insert(request, call);
-        if let Some(state) = self.pools.get_mut(&pool) {
-            state.retries.push(request);
-        }
-        self.pump(pool, now);
-        (RetryVerdict::Again, self.take_actions())
-    }
-
     /// Lets time pass: requests that wait may have a server by now, or be too late.
     pub fn tick(&mut self, now: Duration) -> Vec<RouteAction> {
         let pools: Vec<PoolId> = self.pools.keys().copied().collect();
@@ -353,50 +311,6 @@
         self.calls.len()
     }
 
-    /// Tells whether a further try is within the budget and of use, and pays for it.
-    fn may_repeat(
-        &mut self,
-        call: &RoutedCall,
-        fault: RouteFault,
-        resumable: bool,
-        now: Duration,
-    ) -> bool {
-        let order = &call.call;
-        if !(fault.not_run() || order.repeatable || resumable) {
-            return false;
-        }
-        if call.runs >= order.run_limit.max(1) || call.sends >= self.options.send_limit {
-            return false;
-        }
-        if now + self.options.least_time >= order.deadline {
-            return false;
-        }
-        if !self.has_other(call) {
-            return false;
-        }
-        let (ratio, slack) = (self.options.retry_ratio, self.options.retry_slack);
-        let part = slack * self.options.budget_part / f64::from(self.instances.max(1));
-        let Some(state) = self.pools.get_mut(&order.pool) else { return false };
-        state.budget.spend(ratio * self.options.budget_part, part, now)
-    }
-
-    /// Tells whether there is a server that hasn't failed the request.
-    fn has_other(&self, call: &RoutedCall) -> bool {
-        let Some(state) = self.pools.get(&call.call.pool) else { return false };
-        state
-            .servers
-            .iter()
-            .any(|(id, server)| server.facts.in_service() && !call.excluded.contains(id))
-    }
-
-    /// Holds a fault against the server.
-    fn blame(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
-        let CallPlace::Running { server, .. } = call.place else { return };
-        let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
-        let Some(server) = state.servers.get_mut(&server) else { return };
-        server.health.fail(fault, now, &self.options);
-    }
-
     /// Frees what a request has taken.
     fn free(&mut self, call: &RoutedCall, now: Duration) {
         let order = &call.call;
@@ -420,102 +334,6 @@
         self.pump(order.pool, now);
     }
 
-    /// Refuses what has waited too long to be served in time.
-    fn expire(&mut self, pool: PoolId, now: Duration) {
-        let late = |call: &RoutedCall| {
-            call.call.pool == pool
-                && matches!(call.place, CallPlace::Waiting)
-                && now >= call.call.give_up
-        };
-        let mut requests: Vec<RequestId> = self
-            .calls
-            .iter()
-            .filter(|(_, call)| late(call))
-            .map(|(request, _)| *request)
-            .collect();
-        requests.sort_unstable();
-        for request in requests {
-            let retry_after = self.drain_time(pool);
-            if let Some(call) = self.calls.remove(&request) {
-                self.free(&call, now);
-            }
-            let reason = RefusalCause::TooLate;
-            let expected = None;
-            self.actions.push(RouteAction::Refuse {
-                request,
-                reason,
-                retry_after,
-                expected,
-            });
-        }
-    }
-
-    /// Returns how long the queue of a pool takes to drain, as callers are told.
-    fn drain_time(&self, pool: PoolId) -> Duration {
-        let Some(state) = self.pools.get(&pool) else {
-            return self.options.no_server_retry;
-        };
-        let slots: u32 = state
-            .servers
-            .values()
-            .filter(|server| server.facts.in_service())
-            .map(|server| server.facts.slots)
-            .sum();
-        let span = state.span.get().unwrap_or(1.0);
-        let seconds = span * state.queue.len() as f64 / f64::from(slots.max(1));
-        Duration::from_secs_f64(seconds)
-            .clamp(self.options.shortest_retry, self.options.longest_retry)
-    }
-
-    /// Gives servers to the requests that wait, in order, while there is room.
-    fn pump(&mut self, pool: PoolId, now: Duration) {
-        self.pump_retries(pool, now);
-        loop {
-            let Some(state) = self.pools.get(&pool) else { return };
-            let Some(head) = state.queue.next() else { return };
-            let request = head.entry.request;
-            let Some(choice) = self.choose(pool, request, now) else { return };
-            if let Some(state) = self.pools.get_mut(&pool) {
-                state.queue.pop(&head, 1, now);
-            }
-            if self.comes_too_late(request, &choice) {
-                self.refuse_early(request, choice.expected);
-                continue;
-            }
-            self.dispatch(request, choice, now);
-        }
-    }
-
-    /// Tells whether even the best server would answer a request late.
-    fn comes_too_late(&self, request: RequestId, choice: &RouteChoice) -> bool {
-        let Some(call) = self.calls.get(&request) else { return false };
-        choice.expected > call.call.target.mul_f64(self.options.admit_factor)
-    }
-
-    /// Refuses a request that hasn't been sent, and asks its caller to come back once what
-    /// is at the servers has been read.
-    fn refuse_early(&mut self, request: RequestId, expected: Duration) {
-        self.calls.remove(&request);
-        let retry_after =
-            (expected * 2).clamp(self.options.shortest_retry, self.options.longest_retry);
-        let reason = RefusalCause::TooLate;
-        let expected = Some(expected);
-        self.actions
-            .push(RouteAction::Refuse { request, reason, retry_after, expected });
-    }
-
-    /// Gives servers to the requests that are tried again.
-    fn pump_retries(&mut self, pool: PoolId, now: Duration) {
-        let Some(state) = self.pools.get_mut(&pool) else { return };
-        for request in std::mem::take(&mut state.retries) {
-            if let Some(choice) = self.choose(pool, request, now) {
-                self.dispatch(request, choice, now);
-            } else if let Some(state) = self.pools.get_mut(&pool) {
-                state.retries.push(request);
-            }
-        }
-    }
-
     /// Sends a request to a server.
     fn dispatch(&mut self, request: RequestId, choice: RouteChoice, now: Duration) {
         let Some(call) = self.calls.get_mut(&request) else { return };
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -0,0 +1,112 @@
+//! Further tries of a request that a server has failed: whether one is right, within the
+//! budget and of use.
+
+use std::time::Duration;
+
+use flaxtide_core::{PoolId, RequestId};
+
+use super::call::{CallPlace, RouteFault, RoutedCall};
+use super::{RouteAction, RouteCore, WAIT_PART};
+
+/// What is decided after a request failed at a server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetryVerdict {
+    /// It waits for another server; an action follows.
+    Again,
+    /// It ends here.
+    End,
+}
+
+impl RouteCore {
+    /// Takes in that a server failed a request, and decides whether it is tried again.
+    /// `resumable` tells whether it may go on although it may have run.
+    pub fn fail(
+        &mut self,
+        request: RequestId,
+        fault: RouteFault,
+        resumable: bool,
+        now: Duration,
+    ) -> (RetryVerdict, Vec<RouteAction>) {
+        let Some(mut call) = self.calls.remove(&request) else {
+            return (RetryVerdict::End, vec![]);
+        };
+        let pool = call.call.pool;
+        self.blame(&call, fault, now);
+        if let CallPlace::Running { server, .. } = call.place {
+            call.excluded.push(server);
+        }
+        if !fault.not_run() {
+            call.runs += 1;
+        }
+        let again = self.may_repeat(&call, fault, resumable, now);
+        self.free(&call, now);
+        if !again {
+            return (RetryVerdict::End, self.take_actions());
+        }
+        call.place = CallPlace::Waiting;
+        let patience = now + call.call.target / WAIT_PART;
+        call.call.give_up = call.call.give_up.max(patience).min(call.call.deadline);
+        self.calls.insert(request, call);
+        if let Some(state) = self.pools.get_mut(&pool) {
+            state.retries.push(request);
+        }
+        self.pump(pool, now);
+        (RetryVerdict::Again, self.take_actions())
+    }
+
+    /// Tells whether a further try is within the budget and of use, and pays for it.
+    fn may_repeat(
+        &mut self,
+        call: &RoutedCall,
+        fault: RouteFault,
+        resumable: bool,
+        now: Duration,
+    ) -> bool {
+        let order = &call.call;
+        if !(fault.not_run() || order.repeatable || resumable) {
+            return false;
+        }
+        if call.runs >= order.run_limit.max(1) || call.sends >= self.options.send_limit {
+            return false;
+        }
+        if now + self.options.least_time >= order.deadline {
+            return false;
+        }
+        if !self.has_other(call) {
+            return false;
+        }
+        let (ratio, slack) = (self.options.retry_ratio, self.options.retry_slack);
+        let part = slack * self.options.budget_part / f64::from(self.instances.max(1));
+        let Some(state) = self.pools.get_mut(&order.pool) else { return false };
+        state.budget.spend(ratio * self.options.budget_part, part, now)
+    }
+
+    /// Tells whether there is a server that hasn't failed the request.
+    fn has_other(&self, call: &RoutedCall) -> bool {
+        let Some(state) = self.pools.get(&call.call.pool) else { return false };
+        state
+            .servers
+            .iter()
+            .any(|(id, server)| server.facts.in_service() && !call.excluded.contains(id))
+    }
+
+    /// Holds a fault against the server.
+    fn blame(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
+        let CallPlace::Running { server, .. } = call.place else { return };
+        let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
+        let Some(server) = state.servers.get_mut(&server) else { return };
+        server.health.fail(fault, now, &self.options);
+    }
+
+    /// Gives servers to the requests that are tried again.
+    pub(super) fn pump_retries(&mut self, pool: PoolId, now: Duration) {
+        let Some(state) = self.pools.get_mut(&pool) else { return };
+        for request in std::mem::take(&mut state.retries) {
+            if let Some(choice) = self.choose(pool, request, now) {
+                self.dispatch(request, choice, now);
+            } else if let Some(state) = self.pools.get_mut(&pool) {
+                state.retries.push(request);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/wait.rs
@@ -0,0 +1,96 @@
+//! Requests that wait for a server: in order while there is room, refused once they would
+//! come too late.
+
+use std::time::Duration;
+
+use flaxtide_core::{PoolId, RequestId};
+
+use super::call::{CallPlace, RoutedCall};
+use super::choose::RouteChoice;
+use super::{RefusalCause, RouteAction, RouteCore};
+
+impl RouteCore {
+    /// Refuses what has waited too long to be served in time.
+    pub(super) fn expire(&mut self, pool: PoolId, now: Duration) {
+        let late = |call: &RoutedCall| {
+            call.call.pool == pool
+                && matches!(call.place, CallPlace::Waiting)
+                && now >= call.call.give_up
+        };
+        let mut requests: Vec<RequestId> = self
+            .calls
+            .iter()
+            .filter(|(_, call)| late(call))
+            .map(|(request, _)| *request)
+            .collect();
+        requests.sort_unstable();
+        for request in requests {
+            let retry_after = self.drain_time(pool);
+            if let Some(call) = self.calls.remove(&request) {
+                self.free(&call, now);
+            }
+            let reason = RefusalCause::TooLate;
+            let expected = None;
+            self.actions.push(RouteAction::Refuse {
+                request,
+                reason,
+                retry_after,
+                expected,
+            });
+        }
+    }
+
+    /// Returns how long the queue of a pool takes to drain, as callers are told.
+    fn drain_time(&self, pool: PoolId) -> Duration {
+        let Some(state) = self.pools.get(&pool) else {
+            return self.options.no_server_retry;
+        };
+        let slots: u32 = state
+            .servers
+            .values()
+            .filter(|server| server.facts.in_service())
+            .map(|server| server.facts.slots)
+            .sum();
+        let span = state.span.get().unwrap_or(1.0);
+        let seconds = span * state.queue.len() as f64 / f64::from(slots.max(1));
+        Duration::from_secs_f64(seconds)
+            .clamp(self.options.shortest_retry, self.options.longest_retry)
+    }
+
+    /// Gives servers to the requests that wait, in order, while there is room.
+    pub(super) fn pump(&mut self, pool: PoolId, now: Duration) {
+        self.pump_retries(pool, now);
+        loop {
+            let Some(state) = self.pools.get(&pool) else { return };
+            let Some(head) = state.queue.next() else { return };
+            let request = head.entry.request;
+            let Some(choice) = self.choose(pool, request, now) else { return };
+            if let Some(state) = self.pools.get_mut(&pool) {
+                state.queue.pop(&head, 1, now);
+            }
+            if self.comes_too_late(request, &choice) {
+                self.refuse_early(request, choice.expected);
+                continue;
+            }
+            self.dispatch(request, choice, now);
+        }
+    }
+
+    /// Tells whether even the best server would answer a request late.
+    fn comes_too_late(&self, request: RequestId, choice: &RouteChoice) -> bool {
+        let Some(call) = self.calls.get(&request) else { return false };
+        choice.expected > call.call.target.mul_f64(self.options.admit_factor)
+    }
+
+    /// Refuses a request that hasn't been sent, and asks its caller to come back once what
+    /// is at the servers has been read.
+    fn refuse_early(&mut self, request: RequestId, expected: Duration) {
+        self.calls.remove(&request);
+        let retry_after =
+            (expected * 2).clamp(self.options.shortest_retry, self.options.longest_retry);
+        let reason = RefusalCause::TooLate;
+        let expected = Some(expected);
+        self.actions
+            .push(RouteAction::Refuse { request, reason, retry_after, expected });
+    }
+}
