--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -52,6 +52,8 @@
     server: Cell<Option<ServerId>>,
     /// When the first of its answer came.
     first: Cell<Option<Duration>>,
+    /// The longest time between two pieces of its answer.
+    pub(crate) longest_pause: Cell<Duration>,
     /// Whether its end has been logged.
     ended: Cell<bool>,
 }
@@ -78,7 +80,7 @@
         let first = self.first.get().map_or(-1, |first| first.as_millis() as i64);
         log::info!(
             request = self.attempt, class = self.class.class().name, outcome = end,
-            status, first_ms = first, spent_ms = spent, may_have_run = self.may_have_run.get();
+            status, first_ms = first, pause_ms = self.longest_pause.get().as_millis() as u64, spent_ms = spent, may_have_run = self.may_have_run.get();
             "end"
         );
     }
@@ -342,6 +344,7 @@
         may_have_run: Cell::new(false),
         server: Cell::new(None),
         first: Cell::new(None),
+        longest_pause: Cell::new(Duration::ZERO),
         ended: Cell::new(false),
     }
 }
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -32,6 +32,8 @@
     events: EventCutter,
     /// What came before the first poll.
     first: Option<Bytes>,
+    /// When the last bytes came.
+    last_piece: Duration,
     /// Whether the end has been passed on.
     ended: bool,
 }
@@ -44,12 +46,14 @@
         source: AnswerSource,
         first: Bytes,
     ) -> Self {
+        let last_piece = call.state.now();
         Self {
             call,
             request,
             source: Some(source),
             events: EventCutter::default(),
             first: Some(first),
+            last_piece,
             ended: false,
         }
     }
@@ -68,6 +72,7 @@
             };
             match bytes {
                 Ok(Some(bytes)) => {
+                    self.note_piece();
                     let whole = self.events.push(&bytes);
                     if !whole.is_empty() {
                         return Ok(Some(whole));
@@ -80,6 +85,15 @@
         }
     }
 
+    /// Notes how long nothing came before these bytes.
+    fn note_piece(&mut self) {
+        let now = self.call.state.now();
+        let pause = now.saturating_sub(self.last_piece);
+        self.last_piece = now;
+        let longest = self.call.longest_pause.get().max(pause);
+        self.call.longest_pause.set(longest);
+    }
+
     /// Receives the next bytes.
     async fn receive(&mut self) -> Result<Option<Bytes>, TryEnd> {
         let left = self.call.left();
