Give long prompts the engines that short ones leave

Cause: engines for short prompts were a fixed 40 %. In a burst of short prompts they had 53 to 94 requests on 64 slots, while 60 % were kept for long, less urgent ones. Ruled out: stale counts of peers (beats four times as often gain nothing); any engine for any prompt at a cost; a part that grows with what long prompts wait for; other bounds of a long prompt. Change: peers are told short and long requests apart; long prompts get 60 % of the engines while the short ones leave it, a third at least. Test first red (6 engines instead of 5).

--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -189,7 +189,8 @@
     let name = state.server_name(load.server)?;
     Some(OwnLoad {
         server: fleet_key(&name),
-        running: u16::try_from(load.running).unwrap_or(u16::MAX),
+        short: u8::try_from(load.short).unwrap_or(u8::MAX),
+        long: u8::try_from(load.long).unwrap_or(u8::MAX),
         unread: load
             .unread
             .map(|tokens| u16::try_from(tokens / TOKENS_PER_UNIT).unwrap_or(u16::MAX)),
@@ -207,7 +208,8 @@
         let server = state.server_with_key(load.server)?;
         Some(PeerLoad {
             server,
-            running: u32::from(load.running),
+            short: u32::from(load.short),
+            long: u32::from(load.long),
             unread: load.unread.map(|units| u32::from(units) * TOKENS_PER_UNIT),
         })
     });
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -93,8 +93,10 @@
 pub struct OwnLoad {
     /// The server.
     pub server: FleetKey,
-    /// How many of the instance's requests are there.
-    pub running: u16,
+    /// How many of the instance's requests with short prompts, or none, are there.
+    pub short: u8,
+    /// How many with long prompts.
+    pub long: u8,
     /// How many prompt tokens of them are still to be read, in units of 16, by the level of
     /// their class.
     pub unread: [u16; 3],
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -4,6 +4,8 @@
 
 use flaxtide_core::{ClassId, OrganisationId, PoolId, RequestId, ServerId, TierRank};
 
+use super::options::RouteOptions;
+
 /// How many prompt tokens cost an engine as much time as one token of the answer.
 const PROMPT_TOKENS_PER_TOKEN: f64 = 10.0;
 
@@ -34,6 +36,11 @@
         f64::from(self.tokens) / PROMPT_TOKENS_PER_TOKEN + f64::from(self.answer) + 1.0
     }
 
+    /// Tells whether it is long enough to delay what the same engine makes beside it.
+    pub(crate) fn is_long(&self, options: &RouteOptions) -> bool {
+        self.tokens > options.long_prompt
+    }
+
     /// Returns the tokens of the parts that other requests may share.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -88,7 +88,7 @@
             .collect();
         let lane = state.split.lane(call.call.prompt.tokens, &self.options, now);
         let well = self.well(&usable, now);
-        let laned = self.laned(&staying, &well, lane);
+        let laned = self.laned(&staying, &well, lane, now);
         for group in [&laned, &well] {
             let best = self.cheapest(group, request, now);
             if let Some((best, reason)) = best {
@@ -153,9 +153,10 @@
         staying: &[&'a ServerState],
         well: &[&'a ServerState],
         lane: PromptLane,
+        now: Duration,
     ) -> Vec<&'a ServerState> {
         let count = staying.len();
-        let part = self.options.long_part;
+        let part = self.long_part(staying, now);
         let places = staying.iter().enumerate();
         let members = places.filter(|(place, _)| in_lane(lane, *place, count, part));
         let wells = |server: &ServerState| {
@@ -167,6 +168,17 @@
             .collect()
     }
 
+    /// Returns the part of the engines that long prompts are kept to: what the short ones
+    /// leave.
+    fn long_part(&self, staying: &[&ServerState], now: Duration) -> f64 {
+        let short = |server: &&ServerState| server.load.short_running(&self.options, now);
+        let short: u32 = staying.iter().map(short).sum();
+        let slots: u32 = staying.iter().map(|server| server.facts.slots).sum();
+        let meant = f64::from(slots.max(1)) * self.options.short_fill;
+        let left = 1.0 - f64::from(short) / meant;
+        left.clamp(self.options.least_long_part, self.options.long_part)
+    }
+
     /// Returns the cheapest server with room among some.
     fn cheapest<'a>(
         &self,
--- a/crates/flaxtide-policy/src/router/lane.rs
+++ b/crates/flaxtide-policy/src/router/lane.rs
@@ -40,7 +40,7 @@
         if call.prompt.tokens == 0 {
             return;
         }
-        if call.prompt.tokens > options.long_prompt {
+        if call.prompt.is_long(options) {
             self.long_seen = Some(now);
         } else {
             self.short_seen = Some(now);
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -13,12 +13,22 @@
 pub struct ServerLoad {
     /// The server.
     pub server: ServerId,
-    /// Its requests there.
-    pub running: u32,
+    /// Its requests there whose prompts aren't long.
+    pub short: u32,
+    /// Its requests there with long prompts.
+    pub long: u32,
     /// Prompt tokens of them that are still to be read, by the level of their class.
     pub unread: LevelTokens,
 }
 
+impl ServerLoad {
+    /// Returns its requests there, whatever their prompts.
+    #[must_use]
+    pub fn running(&self) -> u32 {
+        self.short + self.long
+    }
+}
+
 /// How many levels of classes are told apart; less urgent ones count as the last.
 pub const LEVELS: usize = 3;
 
@@ -41,6 +51,8 @@
 pub(crate) struct LoadCount {
     /// This instance's requests.
     own: BTreeSet<RequestId>,
+    /// How many of them have long prompts.
+    own_long: usize,
     /// Since when the server has read the prompt that it was sent first of those that wait.
     reading_since: Duration,
     /// What each peer has, and when it said so.
@@ -52,13 +64,16 @@
     pub(crate) fn start(
         &mut self,
         request: RequestId,
+        long: bool,
         calls: &HashMap<RequestId, RoutedCall>,
         now: Duration,
     ) {
         if self.unanswered(calls).next().is_none() {
             self.reading_since = now;
         }
-        self.own.insert(request);
+        if self.own.insert(request) && long {
+            self.own_long += 1;
+        }
     }
 
     /// Records that a prompt has been read: the server goes on with the next.
@@ -67,8 +82,10 @@
     }
 
     /// Records a request that has ended.
-    pub(crate) fn end(&mut self, request: RequestId) {
-        self.own.remove(&request);
+    pub(crate) fn end(&mut self, request: RequestId, long: bool) {
+        if self.own.remove(&request) && long {
+            self.own_long -= 1;
+        }
     }
 
     /// Returns since when the oldest of them waits.
@@ -117,10 +134,16 @@
 
     /// Returns how many requests are at the server.
     pub(crate) fn running(&self, options: &RouteOptions, now: Duration) -> u32 {
-        let peers = self.heard(options, now).map(|(load, _)| load.running);
+        let peers = self.heard(options, now).map(|(load, _)| load.running());
         self.own.len() as u32 + peers.sum::<u32>()
     }
 
+    /// Returns how many requests at the server have prompts that aren't long.
+    pub(crate) fn short_running(&self, options: &RouteOptions, now: Duration) -> u32 {
+        let peers = self.heard(options, now).map(|(load, _)| load.short);
+        (self.own.len() - self.own_long) as u32 + peers.sum::<u32>()
+    }
+
     /// Returns the prompt tokens that are still to be read there before those of a new
     /// request of a level.
     pub(crate) fn unread(
@@ -157,7 +180,8 @@
         let unread = self.own_unread(calls, rate, now);
         ServerLoad {
             server,
-            running: self.own.len() as u32,
+            short: (self.own.len() - self.own_long) as u32,
+            long: self.own_long as u32,
             unread: unread.map(|tokens| tokens as u32),
         }
     }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -188,7 +188,7 @@
         let loads = servers.map(|(id, server)| {
             server.load.own_summary(*id, &self.calls, server.pace.get(now), now)
         });
-        loads.filter(|load| load.running > 0).collect()
+        loads.filter(|load| load.running() > 0).collect()
     }
 
     /// Decides about a request that came.
@@ -245,7 +245,7 @@
         {
             state.span.add(now.saturating_sub(since).as_secs_f64());
             if let Some(server) = state.servers.get_mut(&server) {
-                server.load.end(request);
+                server.load.end(request, call.call.prompt.is_long(&self.options));
                 server.health.succeed(now);
             }
         }
@@ -318,7 +318,7 @@
         match call.place {
             CallPlace::Running { server, .. } => {
                 if let Some(server) = state.servers.get_mut(&server) {
-                    server.load.end(order.request);
+                    server.load.end(order.request, order.prompt.is_long(&self.options));
                 }
             }
             CallPlace::Waiting => {
@@ -351,7 +351,8 @@
         if let Some(state) = self.pools.get_mut(&call.call.pool)
             && let Some(server) = state.servers.get_mut(&server)
         {
-            server.load.start(request, &self.calls, now);
+            let long = call.call.prompt.is_long(&self.options);
+            server.load.start(request, long, &self.calls, now);
         }
         self.actions.push(RouteAction::Dispatch { request, choice, patience });
     }
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -14,8 +14,13 @@
     pub running_cost_ms: f64,
     /// A prompt with more unread tokens than this is a long one.
     pub long_prompt: u32,
-    /// The part of the engines that long prompts are kept to.
+    /// The part of the engines that long prompts are kept to, if short ones leave it.
     pub long_part: f64,
+    /// The part of the engines that long prompts get at least.
+    pub least_long_part: f64,
+    /// How many requests an engine that is kept for short prompts is meant for, as a part
+    /// of its slots.
+    pub short_fill: f64,
     /// How many times its slots a server may have requests, running and waiting.
     pub fill: f64,
     /// The time that a server of another data centre costs, in milliseconds.
@@ -72,6 +77,8 @@
             running_cost_ms: 0.7,
             long_prompt: 3000,
             long_part: 0.6,
+            least_long_part: 0.33,
+            short_fill: 0.5,
             fill: 1.5,
             far_cost_ms: 2.0,
             peer_life: Duration::from_secs(2),
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -160,7 +160,12 @@
 #[test]
 fn a_busy_moment_elsewhere_is_seen_through_peers() {
     let mut core = core_with(2);
-    let busy = PeerLoad { server: 0, running: 7, unread: [0, 60_000, 0] };
+    let busy = PeerLoad {
+        server: 0,
+        short: 7,
+        long: 0,
+        unread: [0, 60_000, 0],
+    };
     core.hear_peer(7, &[busy], ms(0));
     for request in 0..3 {
         assert_eq!(server_of(&core.arrive(call(request, 100, true), ms(1))), Some(1));
@@ -191,6 +196,34 @@
     assert_eq!(servers.len(), 1, "{servers:?}");
 }
 
+/// Returns how many engines long prompts are spread over while a peer has so many short ones
+/// at each.
+fn engines_of_long_prompts(short_at_each: u32) -> usize {
+    let mut core = core_with(10);
+    let busy = |server| PeerLoad {
+        server,
+        short: short_at_each,
+        long: 0,
+        unread: [0; 3],
+    };
+    let loads: Vec<PeerLoad> = (0..10).map(busy).collect();
+    core.hear_peer(7, &loads, ms(0));
+    core.arrive(call(1000, 100, true), ms(0));
+    let mut engines = BTreeSet::new();
+    for request in 0..20 {
+        let actions = core.arrive(call(request, 12_000, true), ms(request * 20));
+        engines.extend(server_of(&actions));
+    }
+    engines.len()
+}
+
+#[test]
+fn long_prompts_leave_more_engines_while_short_ones_are_many() {
+    assert_eq!(engines_of_long_prompts(1), 6);
+    assert_eq!(engines_of_long_prompts(2), 5);
+    assert_eq!(engines_of_long_prompts(3), 3, "they keep a third");
+}
+
 #[test]
 fn long_prompts_leave_engines_to_short_ones() {
     let mut core = core_with(10);
