Ask one peer a round whom it knows, not all of them every time

Cause: where no list of instances is to be had, each beat asked its receiver for all the peers it knows. At 84 instances each answer had 84 names: 3,052 bytes a beat with its answer, 101 KB/s an instance, on links of 10 Mbit/s; traffic waited behind them. A beat and its answer: 3,052 -> 406 bytes (test, red before).

--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -127,10 +127,21 @@
             servers: if near { self.demand.servers.clone() } else { vec![] },
             loads: if near { self.demand.loads.clone() } else { vec![] },
             usage: kept.cloned().unwrap_or_default(),
-            wants_peers: self.list_failed,
+            wants_peers: self.list_failed && self.asks(peer),
         }
     }
 
+    /// Tells whether a peer is to tell whom it knows: one that hasn't been heard, and one
+    /// other each round. Everyone's answer, every time, would be most of the traffic.
+    fn asks(&self, peer: &PeerRecord) -> bool {
+        if peer.heard.is_none() {
+            return true;
+        }
+        let turn = self.rounds % self.peers.len().max(1) as u64;
+        let chosen = self.peers.keys().nth(turn as usize);
+        chosen == Some(&peer.info.name)
+    }
+
     /// Builds the reply to a beat.
     fn reply_to(&self, beat: &FleetBeat, now: Duration) -> BeatReply {
         let near = beat.data_centre == self.own.data_centre;
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -6,8 +6,8 @@
 
 use bincode::Options;
 use flaxtide_fleet::{
-    FleetNode, FleetServer, FleetTiming, NodeDemand, PeerInfo, PoolDemand, ServerDigest,
-    UsageCount, fleet_key,
+    FleetNode, FleetServer, FleetTiming, NodeDemand, OwnLoad, PeerInfo, PoolDemand,
+    ServerDigest, UsageCount, fleet_key,
 };
 use serde::Serialize;
 
@@ -96,6 +96,64 @@
     assert!(worst < BUDGET, "{worst:.0} bytes a second");
 }
 
+/// Instances of a deployment without a list of them.
+const UNLISTED: usize = 84;
+
+/// What a beat with its answer may take between instances that know each other, in bytes:
+/// what they have at servers, and a tenth more.
+const EXCHANGE: f64 = 450.0;
+
+#[test]
+fn instances_without_a_list_ask_few_peers_for_theirs() {
+    let address = |number: usize| SocketAddr::from(([10, 0, 0, number as u8], 7000));
+    let mut nodes: Vec<FleetNode> = (0..UNLISTED)
+        .map(|number| {
+            let own = PeerInfo {
+                name: format!("front-tln-a-{number}"),
+                data_centre: "ee-north".into(),
+                address: address(number),
+            };
+            let mut node = FleetNode::new(own, number as u32, FleetTiming::default());
+            node.set_list(None, Duration::ZERO);
+            node.set_seeds((0..3).map(address).collect());
+            node
+        })
+        .collect();
+    let mut now = Duration::from_secs(1);
+    let mut bytes = 0;
+    let mut exchanges = 0;
+    // Within the first rounds everybody has met everybody; the last is counted.
+    for _ in 0..5 {
+        (bytes, exchanges) = (0, 0);
+        now += Duration::from_secs(3);
+        for sender in 0..UNLISTED {
+            let loads = (0..10).map(|server| OwnLoad {
+                server: fleet_key(&format!("worker-{server}")),
+                short: 2,
+                long: 1,
+                unread: [10, 200, 400],
+            });
+            let demand = NodeDemand { loads: loads.collect(), ..NodeDemand::default() };
+            nodes[sender].set_demand(demand, now);
+            for outgoing in nodes[sender].due_beats(now) {
+                let receiver =
+                    (0..UNLISTED).find(|place| address(*place) == outgoing.to.address);
+                let receiver = receiver.unwrap();
+                let (reply, _) = nodes[receiver].hear_beat(&outgoing.beat, now);
+                bytes += encoded(&outgoing.beat) + encoded(&reply);
+                exchanges += 1;
+                let name = outgoing.to.name.clone();
+                nodes[sender].hear_reply(&name, &reply, now);
+            }
+        }
+    }
+    assert!(nodes.iter().all(|node| node.live().len() == UNLISTED));
+    assert_eq!(exchanges, UNLISTED * (UNLISTED - 1));
+    let mean = bytes as f64 / exchanges as f64;
+    println!("bytes of a beat and its answer: {mean:.0}");
+    assert!(mean < EXCHANGE, "{mean:.0} bytes");
+}
+
 /// Returns what a busy instance has to say of itself.
 fn demand(pools: &[u32], watched: &[u32]) -> NodeDemand {
     let demands = pools
