Have a few instances read the list of servers for a large fleet

Change: from 17 instances on one reader for each 32, drawn by rendezvous, reads for all; the others ask it over tarpc and read for themselves when it doesn't answer in time or hasn't heard from the platform lately itself.

--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -42,6 +42,9 @@
     /// Within what time a leaving server may get no more work.
     #[serde(deserialize_with = "span")]
     pub leave_within: Duration,
+    /// Fleets of fewer instances read the list of servers each for itself.
+    #[serde(default = "usual_alone_below")]
+    pub read_alone_below: usize,
     /// How many repeats each request pays for, over all instances.
     pub retry_ratio: f64,
     /// How many repeats in ten seconds are free, over all instances.
@@ -85,6 +88,15 @@
     }
 }
 
+/// Below this size a reader for all saves less of the platform's calls than its own calls,
+/// which are more frequent, cost: about 100 in a minute against 20 an instance.
+const ALONE_BELOW: usize = 17;
+
+/// Returns the usual size of fleets without readers.
+fn usual_alone_below() -> usize {
+    ALONE_BELOW
+}
+
 /// Returns the first line of a parser's message.
 fn first_line(message: &str) -> String {
     let line = message.lines().next().unwrap_or_default();
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -11,8 +11,9 @@
 use tokio::sync::mpsc::{Receiver, Sender};
 
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
-use crate::fleet::{RulesCopy, SharedRules, take_peer_loads};
+use crate::fleet::{FleetLink, RulesCopy, SharedRules, take_peer_loads};
 use crate::metrics::EntryMetrics;
+use crate::reader::ListLog;
 use crate::state::TrafficState;
 
 /// How long one call waits for changes: the longest that platforms commonly allow, as each
@@ -50,28 +51,75 @@
     Instances(u32),
 }
 
-/// Follows a topic until nobody listens, with a pause between two calls: rows may change
-/// all the time, and each call has its price.
-pub(crate) fn follow_topic(
-    feed: &Arc<dyn PlatformFeed>,
-    topic: FeedTopic,
-    pace: Duration,
-    events: &Sender<FeedEvent>,
-    metrics: &EntryMetrics,
-) {
-    let mut after = None;
-    let mut pause = None;
-    loop {
+/// What follows one topic.
+pub(crate) struct TopicFollower {
+    /// What the platform tells.
+    pub(crate) feed: Arc<dyn PlatformFeed>,
+    /// The topic.
+    pub(crate) topic: FeedTopic,
+    /// The pause between two calls: rows may change all the time, and each call has its
+    /// price.
+    pub(crate) pace: Duration,
+    /// For a list that one instance may read for others: what it has read, and the ring to
+    /// the fleet thread.
+    pub(crate) list: Option<(Arc<ListLog>, FleetLink)>,
+    /// The ring to the traffic thread.
+    pub(crate) events: Sender<FeedEvent>,
+    /// The metrics.
+    pub(crate) metrics: Arc<EntryMetrics>,
+}
+
+impl TopicFollower {
+    /// Asks the peer that reads for this instance. Returns nothing if there is none, or it
+    /// doesn't answer.
+    fn ask_reader(&self, after: Option<u64>) -> Option<FeedBatch> {
+        let (list, link) = self.list.as_ref()?;
+        let batch = list.ask(link, after?)?;
+        self.count("peer");
+        Some(batch)
+    }
+
+    /// Calls the platform.
+    fn call(&self, after: Option<u64>) -> Result<FeedBatch, FeedError> {
         let read = match after {
-            None => feed.read(topic),
-            Some(version) => feed.follow(topic, version, FOLLOW_WAIT),
+            None => self.feed.read(self.topic),
+            Some(version) => self.feed.follow(self.topic, version, self.timing().0),
         };
-        let result = if read.is_ok() { "ok" } else { "failed" };
-        let topic_name = topic.to_string();
-        metrics
+        self.count(if read.is_ok() { "ok" } else { "failed" });
+        if let (Ok(batch), Some((list, _))) = (&read, &self.list) {
+            list.record(batch, after.is_none());
+        }
+        read
+    }
+
+    /// Returns how long a call waits for changes, and the pause after it.
+    fn timing(&self) -> (Duration, Duration) {
+        let list = self.list.as_ref();
+        let timing = list.and_then(|(list, _)| list.reader_timing(self.pace));
+        timing.unwrap_or((FOLLOW_WAIT, self.pace))
+    }
+
+    /// Counts a call.
+    fn count(&self, result: &str) {
+        let topic = self.topic.to_string();
+        self.metrics
             .platform
-            .with_label_values(&[topic_name.as_str(), result])
+            .with_label_values(&[topic.as_str(), result])
             .inc();
+    }
+}
+
+/// Follows a topic until nobody listens.
+pub(crate) fn follow_topic(follower: &TopicFollower) {
+    let TopicFollower { topic, events, metrics, .. } = follower;
+    let topic = *topic;
+    let mut after = None;
+    let mut pause = None;
+    loop {
+        let told_by_peer = follower.ask_reader(after);
+        let rest =
+            if told_by_peer.is_some() { Duration::ZERO } else { follower.timing().1 };
+        let read = told_by_peer.map_or_else(|| follower.call(after), Ok);
         let told = match read {
             Ok(batch) => {
                 let whole = after.is_none();
@@ -88,7 +136,7 @@
                         .is_ok())
             }
             Err(FeedError::HistoryGone) => {
-                log::info!(topic = topic_name; "history gone, everything is read anew");
+                log::info!(topic = topic.to_string(); "history gone, everything is read anew");
                 after = None;
                 true
             }
@@ -108,7 +156,7 @@
         if !told {
             return;
         }
-        thread::sleep(pace);
+        thread::sleep(rest);
     }
 }
 
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -11,7 +11,7 @@
 use flaxtide_core::{InstanceName, MilliClock, SettingsVersion};
 use flaxtide_fleet::{
     FleetEvent, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate, NodeDemand,
-    OwnLoad, PeerInfo, SettingsCopy, fleet_key,
+    OwnLoad, PeerInfo, RowQuestion, SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{PeerLoad, ServerLoad};
 use tokio::sync::mpsc;
@@ -19,6 +19,7 @@
 use crate::config::EntryConfig;
 use crate::error::EntryError;
 use crate::feed::FeedEvent;
+use crate::reader::ListLog;
 use crate::state::TrafficState;
 
 /// The length of the ring to the fleet thread.
@@ -86,6 +87,11 @@
         self.send(FleetEvent::Urgent);
     }
 
+    /// Asks a peer for the rows that it has read.
+    pub(crate) fn ask_rows(&self, question: RowQuestion) {
+        self.send(FleetEvent::AskRows(question));
+    }
+
     /// Changes the node on its thread.
     fn update(&self, change: impl FnOnce(&mut FleetNode, Duration) + Send + 'static) {
         self.send(FleetEvent::Update(FleetUpdate::new(change)));
@@ -109,6 +115,7 @@
     config: &EntryConfig,
     link: &FleetLink,
     shared: &Arc<SharedRules>,
+    list: &Arc<ListLog>,
     events: &mpsc::Sender<FeedEvent>,
 ) -> Result<FleetThread, EntryError> {
     let own = PeerInfo {
@@ -138,11 +145,13 @@
             node
         },
     );
-    opened.map_err(|cause| EntryError::Listen {
+    let fleet = opened.map_err(|cause| EntryError::Listen {
         purpose: "peers",
         address: config.fleet,
         cause,
-    })
+    })?;
+    fleet.share_rows(list.clone());
+    Ok(fleet)
 }
 
 /// Passes on what peers have told.
@@ -176,8 +185,14 @@
     let loads = state.ask(|core, now| core.own_loads(now));
     let loads = loads.iter().filter_map(|load| own_load(state, load)).collect();
     let events = events.clone();
+    let list = state.list.clone();
+    let alone_below = state.config().read_alone_below;
     link.update(move |node, now| {
         node.set_demand(NodeDemand { loads, ..NodeDemand::default() }, now);
+        let reader = node.list_reader(alone_below);
+        if list.set_reader(reader) {
+            log::info!(reader:? = reader; "list reader");
+        }
         let live = node.live().len() as u32;
         // Told again with the next update.
         let _ = events.try_send(FeedEvent::Instances(live));
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -14,11 +14,12 @@
 use crate::contract::{FeedTopic, PlatformFeed, WireDialect};
 use crate::directory::FEED_PART;
 use crate::error::EntryError;
-use crate::feed::{FeedEvent, follow_topic, take_feed};
+use crate::feed::{FeedEvent, TopicFollower, follow_topic, take_feed};
 use crate::fleet::{FleetLink, SharedRules, open_fleet, tell_peers};
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
+use crate::reader::ListLog;
 use crate::state::TrafficState;
 use crate::stop::{SignalEvent, obey_signals, register_signals, reload, watch_signals};
 
@@ -126,17 +127,22 @@
         let metrics = Arc::new(EntryMetrics::new());
         let shared = Arc::new(SharedRules::default());
         let (events, feed_ring) = channel(FEED_RING);
+        let (link, fleet_ring) = FleetLink::new();
+        let list = Arc::new(ListLog::new(config.leave_within));
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
-            let pace = match topic {
-                FeedTopic::Rules => Duration::ZERO,
-                FeedTopic::Servers => config.leave_within.mul_f64(FEED_PART),
+            let (pace, list) = match topic {
+                FeedTopic::Rules => (Duration::ZERO, None),
+                FeedTopic::Servers => {
+                    let pace = config.leave_within.mul_f64(FEED_PART);
+                    (pace, Some((list.clone(), link.clone())))
+                }
             };
-            spawn_feed(topic, &feed, pace, &events, &metrics)?;
+            let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
+            spawn_feed(TopicFollower { feed, topic, pace, list, events, metrics })?;
         }
-        let (link, fleet_ring) = FleetLink::new();
-        let fleet = open_fleet(&config, &link, &shared, &events)?;
+        let fleet = open_fleet(&config, &link, &shared, &list, &events)?;
         spawn("the fleet thread", move || fleet.run(&fleet_ring))?;
-        let state = Rc::new(TrafficState::new(config, dialect, metrics, link));
+        let state = Rc::new(TrafficState::new(config, dialect, metrics, link, list));
         tokio::task::spawn_local(accept_callers(state.clone(), callers));
         tokio::task::spawn_local(accept_probes(state.clone(), ready));
         tokio::task::spawn_local(accept_probes(state.clone(), metrics_door));
@@ -175,19 +181,12 @@
 }
 
 /// Starts the thread that follows a topic.
-fn spawn_feed(
-    topic: FeedTopic,
-    feed: &Arc<dyn PlatformFeed>,
-    pace: Duration,
-    events: &Sender<FeedEvent>,
-    metrics: &Arc<EntryMetrics>,
-) -> Result<(), EntryError> {
-    let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
-    let duty = match topic {
+fn spawn_feed(follower: TopicFollower) -> Result<(), EntryError> {
+    let duty = match follower.topic {
         FeedTopic::Rules => "the rules thread",
         FeedTopic::Servers => "the servers thread",
     };
-    spawn(duty, move || follow_topic(&feed, topic, pace, &events, &metrics))
+    spawn(duty, move || follow_topic(&follower))
 }
 
 /// Looks, now and then, at what time alone changes.
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod listen;
 mod logging;
 mod metrics;
+mod reader;
 mod relay;
 mod reply;
 mod routes;
--- /dev/null
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -0,0 +1,194 @@
+//! Who reads the list of servers from the platform: each instance for itself in a small
+//! fleet, a few for all in a large one. An instance whose reader doesn't answer, or hasn't
+//! heard from the platform itself lately, reads for itself.
+
+use std::collections::VecDeque;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crossbeam::channel::bounded;
+use flaxtide_core::MilliClock;
+use flaxtide_fleet::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
+use tokio::sync::Notify;
+
+use crate::contract::{FeedBatch, FeedRow};
+use crate::fleet::FleetLink;
+
+/// How many batches of rows a reader keeps for peers that are behind.
+const KEPT_BATCHES: usize = 128;
+
+/// How old a reader's last answer of the platform may be for its word to count, as a part of
+/// the time within which a leaving server gets no more work. All parts together leave room
+/// for a row that has gone to be missed (`directory.rs`).
+const FRESH_PART: f64 = 0.25;
+
+/// How long a reader's call to the platform waits for changes, and the pause after it, as
+/// parts of that time; together they stay below [`FRESH_PART`].
+const READER_WAIT_PART: f64 = 0.14;
+/// The pause.
+const READER_PACE_PART: f64 = 0.08;
+
+/// How long a question to a reader waits for news, as a part of that time.
+const QUESTION_PART: f64 = 0.15;
+
+/// How much longer its answer may take, as a part of that time.
+const MARGIN_PART: f64 = 0.1;
+
+/// After a question without an answer, an instance reads for itself for this long.
+const SILENT_READER: Duration = Duration::from_secs(2);
+
+/// What this instance has read from the platform lately, and who is to read.
+pub(crate) struct ListLog {
+    /// The clock.
+    clock: MilliClock,
+    /// Within what time a leaving server may get no more work.
+    leave_within: Duration,
+    /// What was read.
+    state: Mutex<LogState>,
+    /// Notified when rows have changed.
+    changed: Arc<Notify>,
+}
+
+/// What a log keeps.
+#[derive(Debug, Default)]
+struct LogState {
+    /// Who is to read.
+    reader: ListReader,
+    /// Changes after this version are kept.
+    base: u64,
+    /// Up to which version everything was read.
+    version: u64,
+    /// The batches, oldest first, each with its version.
+    batches: VecDeque<(u64, Vec<FeedRow>)>,
+    /// When the platform last answered this instance.
+    confirmed: Option<Duration>,
+    /// Until when the reader isn't asked.
+    silent_until: Duration,
+}
+
+impl ListLog {
+    /// Starts with nothing read.
+    pub(crate) fn new(leave_within: Duration) -> Self {
+        Self {
+            clock: MilliClock::real(),
+            leave_within,
+            state: Mutex::default(),
+            changed: Arc::new(Notify::new()),
+        }
+    }
+
+    /// Takes in who is to read. Returns whether that has changed.
+    pub(crate) fn set_reader(&self, reader: ListReader) -> bool {
+        let mut state = self.lock();
+        let changed = state.reader != reader;
+        state.reader = reader;
+        changed
+    }
+
+    /// Takes in what the platform has answered: all rows, or changes.
+    pub(crate) fn record(&self, batch: &FeedBatch, whole: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.confirmed = Some(now);
+        if whole {
+            state.batches.clear();
+            state.base = batch.version;
+        } else if !batch.rows.is_empty() {
+            state.batches.push_back((batch.version, batch.rows.clone()));
+        }
+        state.version = batch.version;
+        while state.batches.len() > KEPT_BATCHES {
+            let Some((version, _)) = state.batches.pop_front() else { break };
+            state.base = version;
+        }
+        drop(state);
+        if !batch.rows.is_empty() {
+            self.changed.notify_waiters();
+        }
+    }
+
+    /// Records that rows came from elsewhere: what was read before them is of no use to
+    /// peers any more.
+    fn forget(&self) {
+        let reader = self.reader();
+        *self.lock() = LogState { reader, ..LogState::default() };
+    }
+
+    /// Returns who is to read.
+    pub(crate) fn reader(&self) -> ListReader {
+        self.lock().reader
+    }
+
+    /// Returns how long a call to the platform waits for changes, and the pause after it, if
+    /// that differs from what an instance does that reads for itself.
+    pub(crate) fn reader_timing(
+        &self,
+        usual_pace: Duration,
+    ) -> Option<(Duration, Duration)> {
+        let part = |part| self.leave_within.mul_f64(part);
+        match self.reader() {
+            ListReader::Alone => None,
+            ListReader::ForPeers => {
+                Some((part(READER_WAIT_PART), part(READER_PACE_PART)))
+            }
+            // Its reader is asked again soon.
+            ListReader::Peer(_) => Some((SILENT_READER, usual_pace)),
+        }
+    }
+
+    /// Asks this instance's reader for changes. Returns nothing if it is to read for itself.
+    pub(crate) fn ask(&self, link: &FleetLink, after: u64) -> Option<FeedBatch> {
+        let ListReader::Peer(peer) = self.reader() else { return None };
+        if self.clock.now() < self.lock().silent_until {
+            return None;
+        }
+        let (wait, margin) = (
+            self.leave_within.mul_f64(QUESTION_PART),
+            self.leave_within.mul_f64(MARGIN_PART),
+        );
+        let (tell, told) = bounded(1);
+        let answer = Box::new(move |news: Option<RowNews>| {
+            // Whoever asked may have stopped waiting.
+            let _ = tell.try_send(news);
+        });
+        link.ask_rows(RowQuestion { peer, after, wait, margin, answer });
+        let news = told.recv_timeout(wait + margin * 2).ok().flatten();
+        let Some(news) = news else {
+            log::info!(reader = peer.to_string(); "list reader silent, reading alone");
+            self.lock().silent_until = self.clock.now() + SILENT_READER;
+            return None;
+        };
+        self.forget();
+        let row = |row: RowCopy| FeedRow { name: row.name, text: row.text };
+        Some(FeedBatch {
+            version: news.version.max(after),
+            rows: news.rows.into_iter().map(row).collect(),
+        })
+    }
+
+    /// Locks the state. A panic elsewhere doesn't spoil it.
+    fn lock(&self) -> MutexGuard<'_, LogState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl RowSource for ListLog {
+    fn news_after(&self, version: u64) -> Option<RowNews> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let fresh = self.leave_within.mul_f64(FRESH_PART);
+        let confirmed = state.confirmed?;
+        if now > confirmed + fresh || version < state.base || version > state.version {
+            return None;
+        }
+        let batches = state.batches.iter().filter(|(known, _)| *known > version);
+        let rows = batches
+            .flat_map(|(_, rows)| rows)
+            .map(|row| RowCopy { name: row.name.clone(), text: row.text.clone() });
+        Some(RowNews { version: state.version, rows: rows.collect() })
+    }
+
+    fn changed(&self) -> Arc<Notify> {
+        self.changed.clone()
+    }
+}
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -19,6 +19,7 @@
 use crate::directory::ServerDirectory;
 use crate::fleet::FleetLink;
 use crate::metrics::EntryMetrics;
+use crate::reader::ListLog;
 use crate::routes::RouteTable;
 use crate::stop::LAST_CALLS;
 use crate::upstream::ServerLinks;
@@ -51,6 +52,8 @@
     pub(crate) links: ServerLinks,
     /// The ring to the fleet thread.
     pub(crate) fleet: FleetLink,
+    /// Who reads the list of servers, and what this instance has read.
+    pub(crate) list: Arc<ListLog>,
     /// The rules in force.
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The servers that may be used.
@@ -121,6 +124,7 @@
         dialect: Arc<dyn WireDialect>,
         metrics: Arc<EntryMetrics>,
         fleet: FleetLink,
+        list: Arc<ListLog>,
     ) -> Self {
         let options = RouteOptions {
             retry_ratio: config.retry_ratio,
@@ -136,6 +140,7 @@
             metrics,
             links: ServerLinks::default(),
             fleet,
+            list,
             table: RefCell::new(None),
             directory: RefCell::new(ServerDirectory::new(leave_within)),
             listed: Cell::new(false),
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod peer;
 mod rate;
+mod rows;
 mod thread;
 mod wire;
 
@@ -20,6 +21,7 @@
 };
 pub use self::peer::PeerInfo;
 pub use self::rate::rate_part;
+pub use self::rows::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
     BeatReply, FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare,
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -10,11 +10,12 @@
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, SettingsVersion};
-use flaxtide_policy::{bounded_owners, rendezvous_owner};
+use flaxtide_policy::{bounded_owners, rendezvous_order, rendezvous_owner};
 
 pub use self::timing::FleetTiming;
-use crate::key::FleetKey;
+use crate::key::{FleetKey, fleet_key};
 use crate::peer::{PeerInfo, PeerRecord};
+use crate::rows::{ListReader, PEERS_PER_READER, READER_KEY};
 use crate::wire::{
     FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
 };
@@ -333,6 +334,25 @@
         &self.live
     }
 
+    /// Returns who reads lists from the platform for this instance. Fleets below a size
+    /// have no readers. Instances that don't see the same peers may disagree: whoever is
+    /// asked and can't tell says so.
+    #[must_use]
+    pub fn list_reader(&self, alone_below: usize) -> ListReader {
+        if self.live.len() < alone_below.max(2) {
+            return ListReader::Alone;
+        }
+        let count = self.live.len().div_ceil(PEERS_PER_READER);
+        let mut readers = rendezvous_order(READER_KEY, &self.live);
+        readers.truncate(count);
+        if readers.iter().any(|reader| self.live[*reader] == self.own.name) {
+            return ListReader::ForPeers;
+        }
+        let turn = fleet_key(&self.own.name) as usize % count;
+        let peer = self.peers.get(&self.live[readers[turn]]);
+        peer.map_or(ListReader::Alone, |peer| ListReader::Peer(peer.info.address))
+    }
+
     /// Returns a number that grows whenever what this instance watches or falls back on may
     /// have changed.
     #[must_use]
--- /dev/null
+++ b/crates/flaxtide-fleet/src/rows.rs
@@ -0,0 +1,74 @@
+//! Lists that one instance reads from the platform for many, so that the platform isn't
+//! asked by all of them for the same.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tokio::sync::Notify;
+
+/// Fleets of at least so many instances for each reader have more than one.
+pub(crate) const PEERS_PER_READER: usize = 32;
+
+/// The key by which readers are drawn, so that all instances draw the same.
+pub(crate) const READER_KEY: u64 = 0x7265_6164;
+
+/// A row, as it travels between instances.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowCopy {
+    /// Its name.
+    pub name: String,
+    /// Its text; nothing if it is gone.
+    pub text: Option<String>,
+}
+
+/// The rows that have changed after a version.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RowNews {
+    /// Up to which version these are all.
+    pub version: u64,
+    /// The rows, in the order of their changes.
+    pub rows: Vec<RowCopy>,
+}
+
+/// Gives peers what this instance has read.
+pub trait RowSource: Send + Sync {
+    /// Returns what has changed after a version; nothing if that can't be told just now.
+    fn news_after(&self, version: u64) -> Option<RowNews>;
+
+    /// Returns what is notified when rows have changed.
+    fn changed(&self) -> Arc<Notify>;
+}
+
+/// Who reads a list from the platform for an instance.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum ListReader {
+    /// The instance itself, for itself only.
+    #[default]
+    Alone,
+    /// The instance itself, and for peers.
+    ForPeers,
+    /// The peer that is reached at this address.
+    Peer(SocketAddr),
+}
+
+/// A question for the rows that a peer has read.
+pub struct RowQuestion {
+    /// The peer.
+    pub peer: SocketAddr,
+    /// After which version.
+    pub after: u64,
+    /// How long the peer waits for news.
+    pub wait: Duration,
+    /// How long its answer may take on top.
+    pub margin: Duration,
+    /// Takes the answer; nothing if none came, or the peer couldn't tell.
+    pub answer: Box<dyn FnOnce(Option<RowNews>) + Send>,
+}
+
+impl std::fmt::Debug for RowQuestion {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "RowQuestion to {} after {}", self.peer, self.after)
+    }
+}
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -4,7 +4,7 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, TryRecvError};
@@ -21,6 +21,7 @@
 
 use crate::counted::{CountedStream, LinkBytes};
 use crate::node::{FleetNews, FleetNode, OutgoingBeat};
+use crate::rows::{RowNews, RowQuestion, RowSource};
 use crate::wire::{BeatReply, FleetBeat, PeerLink, PeerLinkClient, SettingsCopy};
 
 /// How often the thread looks at its rings.
@@ -32,6 +33,9 @@
 /// How long a peer may take to send the settings.
 const SETTINGS_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// How many requests of one link are answered side by side.
+const REQUESTS_OF_A_LINK: usize = 8;
+
 /// The shortest time between two rounds of beats that don't wait for their period.
 const URGENT_PERIOD: Duration = Duration::from_millis(200);
 
@@ -44,6 +48,8 @@
     Urgent,
     /// The settings are to be fetched from a peer that has a newer version.
     Fetch,
+    /// A peer is to be asked for the rows that it has read.
+    AskRows(RowQuestion),
     /// The thread is to end.
     Stop,
 }
@@ -98,6 +104,8 @@
     output: Box<dyn Fn(FleetOutput) + Send + Sync>,
     /// Gives the settings in force to peers.
     settings: Box<dyn Fn(SettingsVersion) -> Option<SettingsCopy> + Send + Sync>,
+    /// What this instance has read from the platform for peers, once it does.
+    rows: OnceLock<Arc<dyn RowSource>>,
     /// The open links to peers.
     links: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
 }
@@ -131,11 +139,18 @@
             bytes: LinkBytes::default(),
             output: Box::new(output),
             settings: Box::new(settings),
+            rows: OnceLock::new(),
             links: Mutex::default(),
         });
         Ok(Self { listener, runtime, shared })
     }
 
+    /// Has it give peers what this instance has read. Only the first source counts.
+    pub fn share_rows(&self, source: Arc<dyn RowSource>) {
+        // A second source would be a fault of the caller's, and the first stays right.
+        let _ = self.shared.rows.set(source);
+    }
+
     /// Returns where it listens.
     ///
     /// # Errors
@@ -200,6 +215,9 @@
                 }
                 Ok(FleetEvent::Urgent) => urgent = true,
                 Ok(FleetEvent::Fetch) => drop(tokio::spawn(fetch(shared.clone()))),
+                Ok(FleetEvent::AskRows(question)) => {
+                    tokio::spawn(ask_rows(shared.clone(), question));
+                }
                 Err(TryRecvError::Empty) => break,
                 Ok(FleetEvent::Stop) | Err(TryRecvError::Disconnected) => return,
             }
@@ -238,6 +256,24 @@
     }
 }
 
+/// Asks a peer for the rows that it has read.
+async fn ask_rows(shared: Arc<FleetShared>, question: RowQuestion) {
+    let RowQuestion { peer, after, wait, margin, answer } = question;
+    let asked = async {
+        let link = link_to(&shared, peer).await?;
+        let wait_ms = wait.as_millis() as u32;
+        match link.rows(deadline(wait + margin), after, wait_ms).await {
+            Ok(news) => news,
+            Err(cause) => {
+                log::debug!("no rows from {peer}: {cause}");
+                shared.links().remove(&peer);
+                None
+            }
+        }
+    };
+    answer(tokio::time::timeout(wait + margin, asked).await.ok().flatten());
+}
+
 /// Fetches the settings from a peer that has a newer version.
 async fn fetch(shared: Arc<FleetShared>) {
     let (peers, version) = {
@@ -285,14 +321,13 @@
     }
 }
 
-/// Answers the requests of one link, one after the other.
+/// Answers the requests of one link. One that waits for rows doesn't hold up the others.
 async fn answer<Response: Future<Output = ()>>(
     requests: impl futures::Stream<Item = Response>,
 ) {
-    let mut requests = std::pin::pin!(requests);
-    while let Some(response) = requests.next().await {
-        response.await;
-    }
+    requests
+        .for_each_concurrent(REQUESTS_OF_A_LINK, |response| response)
+        .await;
 }
 
 /// The part that answers peers.
@@ -317,6 +352,20 @@
     ) -> Option<SettingsCopy> {
         (self.shared.settings)(newer_than)
     }
+
+    async fn rows(self, _: Context, after: u64, wait_ms: u32) -> Option<RowNews> {
+        let source = self.shared.rows.get()?.clone();
+        let wait = Duration::from_millis(wait_ms.into()).min(ANSWER_TIMEOUT);
+        let changed = source.changed();
+        let woken = changed.notified();
+        let news = source.news_after(after)?;
+        if !news.rows.is_empty() {
+            return Some(news);
+        }
+        // Without news in time, the answer says up to when there was none.
+        let _ = tokio::time::timeout(wait, woken).await;
+        source.news_after(after)
+    }
 }
 
 /// The transport of a link.
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::key::FleetKey;
+use crate::rows::RowNews;
 
 /// What an instance answers its peers.
 #[tarpc::service]
@@ -15,6 +16,10 @@
 
     /// Returns the settings in force, if newer than a version.
     async fn settings(newer_than: SettingsVersion) -> Option<SettingsCopy>;
+
+    /// Returns the rows that changed after a version, as soon as there are any or after so
+    /// many milliseconds; nothing if that can't be told.
+    async fn rows(after: u64, wait_ms: u32) -> Option<RowNews>;
 }
 
 /// What an instance says of itself, once a period, to each peer of its data centre and to
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use flaxtide_fleet::{
-    FleetKey, FleetNews, FleetNode, FleetServer, FleetTiming, NodeDemand, PeerInfo,
-    PoolDemand, UsageCount, fleet_key,
+    FleetKey, FleetNews, FleetNode, FleetServer, FleetTiming, ListReader, NodeDemand,
+    PeerInfo, PoolDemand, UsageCount, fleet_key,
 };
 
 /// How much the clock moves in a step.
@@ -292,3 +292,43 @@
     assert!((0.8..=1.001).contains(&parts), "{parts}: {:?}", net.rates);
     assert!(net.rates["dc0-0"].0 > 1.5 * net.rates["dc0-1"].0, "{:?}", net.rates);
 }
+
+/// Returns the instances that read lists for peers, as they see it themselves.
+fn readers(net: &Net) -> Vec<String> {
+    let nodes = net.nodes.iter();
+    let reading = nodes.filter(|(_, node)| node.list_reader(17) == ListReader::ForPeers);
+    reading.map(|(name, _)| name.clone()).collect()
+}
+
+#[test]
+fn a_few_instances_read_lists_for_a_large_fleet() {
+    let mut net = Net::new(1, 40, 1);
+    net.run(Duration::from_secs(8));
+    let first = readers(&net);
+    assert_eq!(first.len(), 2);
+    let addresses: Vec<SocketAddr> = (0..40)
+        .map(|number| info(0, number))
+        .filter(|info| first.contains(&info.name))
+        .map(|info| info.address)
+        .collect();
+    for (name, node) in &net.nodes {
+        match node.list_reader(17) {
+            ListReader::Peer(address) => assert!(addresses.contains(&address), "{name}"),
+            reader => assert!(first.contains(name), "{name}: {reader:?}"),
+        }
+    }
+    // A reader that is lost is replaced once its peers miss it.
+    net.nodes.remove(&first[0]);
+    net.run(Duration::from_secs(12));
+    let second = readers(&net);
+    assert_eq!(second.len(), 2);
+    assert!(!second.contains(&first[0]));
+}
+
+#[test]
+fn a_small_fleet_reads_lists_each_for_itself() {
+    let mut net = Net::new(1, 16, 1);
+    net.run(Duration::from_secs(5));
+    let alone = |node: &FleetNode| node.list_reader(17) == ListReader::Alone;
+    assert!(net.nodes.values().all(alone));
+}
