Doubt the connections kept beside one that went silent

Cause: connections may go silent for good while new ones work. A request that met one was tried again over another kept connection, silent too, and ended with 504; each kept connection of the server cost another request. Change: after silence the server's idle connections are closed, a further try opens a new one, and links to servers and callers are probed (1.5 s idle, three probes a second apart). Test first red: the first request after the silence got 504.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -50,6 +50,8 @@
     pub(crate) may_have_run: Cell<bool>,
     /// The server that it was last sent to.
     server: Cell<Option<ServerId>>,
+    /// Whether a connection of it went silent or broke: the next try opens a new one.
+    doubted: Cell<bool>,
     /// When the first of its answer came.
     first: Cell<Option<Duration>>,
     /// The longest time between two pieces of its answer.
@@ -150,7 +152,8 @@
         );
         let reason = format!("{:?}", choice.reason);
         self.state.metrics.dispatches.with_label_values(&[&reason]).inc();
-        let sent = exchange(&self.state, request, choice.server, left, last_event);
+        let fresh = self.doubted.get();
+        let sent = exchange(&self.state, request, choice.server, left, last_event, fresh);
         let wait = patience.map_or(left, |patience| patience.min(left));
         let fault = match tokio::time::timeout(wait, sent).await {
             Ok(Ok(start)) => return TryEnd::Started(start),
@@ -168,6 +171,10 @@
     pub(crate) fn fail(&self, fault: RouteFault, resumable: bool) -> RetryVerdict {
         if !fault.not_run() {
             self.may_have_run.set(true);
+            self.doubted.set(true);
+        }
+        if let (RouteFault::Silent, Some(server)) = (fault, self.server.get()) {
+            self.state.links.doubt(server);
         }
         let mut verdict = RetryVerdict::End;
         self.state.decide(|core, now| {
@@ -343,6 +350,7 @@
         deadline: received + wait,
         may_have_run: Cell::new(false),
         server: Cell::new(None),
+        doubted: Cell::new(false),
         first: Cell::new(None),
         longest_pause: Cell::new(Duration::ZERO),
         ended: Cell::new(false),
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -115,7 +115,8 @@
     }
 }
 
-/// Sends a request to a server and checks the head of the answer.
+/// Sends a request to a server and checks the head of the answer. A `fresh` one goes over
+/// a new connection, which shows that the server is in reach.
 ///
 /// # Errors
 ///
@@ -127,6 +128,7 @@
     server: ServerId,
     left: Duration,
     last_event: Option<u64>,
+    fresh: bool,
 ) -> Result<AnswerStart, RouteFault> {
     let name = state.server_name(server).ok_or(RouteFault::Unreachable)?;
     let address = {
@@ -136,7 +138,8 @@
     let address = address.ok_or(RouteFault::Unreachable)?;
     let mut outgoing = build(state, request, &name, left, last_event);
     for _ in 0..STALE_LINKS {
-        let mut link = match state.links.take(server, state.now()) {
+        let kept = if fresh { None } else { state.links.take(server, state.now()) };
+        let mut link = match kept {
             Some(link) => link,
             None => connect(address).await.map_err(|_| RouteFault::Unreachable)?,
         };
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -11,6 +11,7 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
@@ -21,6 +22,13 @@
 /// After so long without acknowledgement, the system gives a connection up.
 const SILENT_PEER: Duration = Duration::from_secs(4);
 
+/// A connection that has gone silent is found by probes: after this idle time,
+const PROBE_AFTER: Duration = Duration::from_millis(1500);
+/// again after this time each,
+const PROBE_EVERY: Duration = Duration::from_millis(1000);
+/// and so many of them. A cut of a few seconds, after which a stream goes on, is shorter.
+const PROBES: u32 = 3;
+
 /// How long an idle connection is used if the server doesn't say how long it keeps it.
 const IDLE_LIFE: Duration = Duration::from_secs(4);
 
@@ -103,6 +111,12 @@
         }
     }
 
+    /// Closes the idle connections to a server one of whose connections went silent: the
+    /// others may have gone silent with it.
+    pub(crate) fn doubt(&self, server: ServerId) {
+        self.idle.borrow_mut().remove(&server);
+    }
+
     /// Closes connections that have been idle for too long.
     pub(crate) fn expire(&self, now: Duration) {
         let mut idle = self.idle.borrow_mut();
@@ -134,6 +148,11 @@
 
 /// Has the system end a connection whose peer is out of reach.
 pub(crate) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
-    let socket = socket2::SockRef::from(stream);
+    let socket = SockRef::from(stream);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_EVERY)
+        .with_retries(PROBES);
+    socket.set_tcp_keepalive(&probes)?;
     socket.set_tcp_user_timeout(Some(SILENT_PEER))
 }
