--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -5,7 +5,7 @@
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
 use super::RouteCore;
-use super::call::{PromptShape, RouteCall};
+use super::call::PromptShape;
 use super::health::FAILING_PART;
 use super::lane::{PromptLane, in_lane};
 use super::server::ServerState;
@@ -17,10 +17,6 @@
 /// The time of a plain call before any is known, in milliseconds.
 const PLAIN_CALL_MS: f64 = 60.0;
 
-/// How much the cost of a plain service's servers is drawn apart, in milliseconds: all
-/// instances see the same counts, which are old, and would choose the same server.
-const PLAIN_SPREAD_MS: f64 = 30.0;
-
 /// The seed of the order in which engines are given to long prompts.
 const LANE_SEED: u64 = 0x6c61_6e65;
 
@@ -210,7 +206,7 @@
                         Some(_) => read.min(own + shared / 2),
                         None => read,
                     };
-                    let mut candidate = self.candidate(server, uncached, call, now);
+                    let mut candidate = self.candidate(server, uncached, call.level, now);
                     let again = f64::from(uncached.saturating_sub(own));
                     let again_ms = again / server.pace.get(now);
                     candidate.cost_ms += self.options.reread_weight * again_ms;
@@ -233,7 +229,7 @@
         &self,
         server: &'a ServerState,
         uncached: u32,
-        call: &RouteCall,
+        level: u8,
         now: Duration,
     ) -> Candidate<'a> {
         let count = server.load.running(&self.options, now);
@@ -248,13 +244,12 @@
         }
         let expected_ms = match server.facts.engine {
             Some(_) => {
-                ahead = self.backlog(server, call.level, now) + f64::from(uncached);
+                ahead = self.backlog(server, level, now) + f64::from(uncached);
                 cost_ms += running * self.options.running_cost_ms;
                 ahead / server.pace.get(now)
             }
             None => {
                 let slots = f64::from(server.facts.slots.max(1));
-                cost_ms += drawn(call.request, server.facts.rank) * PLAIN_SPREAD_MS;
                 PLAIN_CALL_MS * (running + 1.0) / slots
             }
         };
@@ -304,11 +299,6 @@
     ranked.into_iter().map(|(_, server)| server).collect()
 }
 
-/// Draws a number from 0 to 1 for a request at a server; the same each time.
-fn drawn(request: RequestId, rank: u64) -> f64 {
-    numbered_weight(request, rank) as f64 / u64::MAX as f64
-}
-
 /// Makes the choice of a candidate.
 fn answer(
     candidate: &Candidate<'_>,
