--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -6,7 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
-use flaxtide_core::{InstanceName, ServerName, SettingsVersion};
+use flaxtide_core::{InstanceName, MilliClock, ServerName, SettingsVersion};
 use flaxtide_fleet::OwnLoad;
 use tokio::sync::mpsc::{Receiver, Sender};
 
@@ -20,6 +20,13 @@
 /// call has its price.
 const FOLLOW_WAIT: Duration = Duration::from_secs(25);
 
+/// How long a call waits for changes soon after a failed one. A store that has just come
+/// back may not tell those who wait of everything that changes.
+const CAUTIOUS_WAIT: Duration = Duration::from_millis(1000);
+
+/// For how long after a failed call calls wait no longer than that.
+const CAUTION: Duration = Duration::from_secs(10);
+
 /// How long the first pause after a failed call is.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -79,11 +86,12 @@
         Some(batch)
     }
 
-    /// Calls the platform.
-    fn call(&self, after: Option<u64>) -> Result<FeedBatch, FeedError> {
+    /// Calls the platform, and waits for changes no longer than `most`.
+    fn call(&self, after: Option<u64>, most: Duration) -> Result<FeedBatch, FeedError> {
+        let wait = self.timing().0.min(most);
         let read = match after {
             None => self.feed.read(self.topic),
-            Some(version) => self.feed.follow(self.topic, version, self.timing().0),
+            Some(version) => self.feed.follow(self.topic, version, wait),
         };
         self.count(if read.is_ok() { "ok" } else { "failed" });
         if let (Ok(batch), Some((list, _))) = (&read, &self.list) {
@@ -115,11 +123,22 @@
     let topic = *topic;
     let mut after = None;
     let mut pause = None;
+    let clock = MilliClock::real();
+    let mut cautious_until = Duration::ZERO;
     loop {
+        let most = match pause {
+            // The first answer after a failure is all that counts.
+            Some(_) => Duration::ZERO,
+            None if clock.now() < cautious_until => CAUTIOUS_WAIT,
+            None => FOLLOW_WAIT,
+        };
         let told_by_peer = follower.ask_reader(after);
         let rest =
             if told_by_peer.is_some() { Duration::ZERO } else { follower.timing().1 };
-        let read = told_by_peer.map_or_else(|| follower.call(after), Ok);
+        let read = told_by_peer.map_or_else(|| follower.call(after, most), Ok);
+        if read.is_err() {
+            cautious_until = clock.now() + CAUTION;
+        }
         let told = match read {
             Ok(batch) => {
                 let whole = after.is_none();
