Break the two import circles, split the answers off the calls, one copy of what stood twice

Messages between the threads of an instance have a file of their own, so shared.rs needs neither claim, decide nor settle; what is known of watched servers is apart from the thread that watches (watched.rs); PeerInfo is apart from what is known of a peer (info.rs). Dead: RefusalCause::Spent, an unused variable of a test.

--- a/crates/flaxtide-core/src/lib.rs
+++ b/crates/flaxtide-core/src/lib.rs
@@ -29,4 +29,4 @@
     OrganisationProfile, PlainServerNode, PolicyNode, ServiceNode, SettingsEdit,
     SettingsError, SettingsTree, TargetNode, TierNode,
 };
-pub use self::span::{format_span, parse_span};
+pub use self::span::{deserialize_span, format_span, message_line, parse_span};
--- a/crates/flaxtide-core/src/span.rs
+++ b/crates/flaxtide-core/src/span.rs
@@ -37,6 +37,29 @@
     }
 }
 
+/// Reads a span from settings, for serde's `deserialize_with`.
+///
+/// # Errors
+///
+/// Returns the message of [`parse_span`].
+pub fn deserialize_span<'de, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Duration, D::Error> {
+    let text = String::deserialize(deserializer)?;
+    parse_span(&text).map_err(serde::de::Error::custom)
+}
+
+/// Returns the first line of a parser's message, without the word that it starts with.
+///
+/// ```
+/// assert_eq!(flaxtide_core::message_line("error: bad\n--> 3"), "bad");
+/// ```
+#[must_use]
+pub fn message_line(message: &str) -> String {
+    let line = message.lines().next().unwrap_or_default();
+    line.strip_prefix("error: ").unwrap_or(line).to_owned()
+}
+
 /// Serde glue for an optional span in a settings node.
 pub(crate) mod optional {
     use super::*;
--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -4,21 +4,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use flaxtide_core::{RequestId, ServerId};
 use flaxtide_policy::{
     RefusalCause, RetryVerdict, RouteAction, RouteCall, RouteChoice, RouteFault,
     WAIT_PART,
 };
 use http_body_util::{BodyExt, Limited};
+use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
-use hyper::{Request, Response, StatusCode};
 
-use crate::contract::{CallKind, RequestHead};
+use crate::answer::{Received, begin_stream, receive};
+use crate::contract::RequestHead;
 use crate::exchange::{AnswerStart, CallerRequest, exchange, strip_hop_headers};
-use crate::relay::{StreamRelay, relay_body};
-use crate::reply::{CallerAnswer, OwnReply, whole};
+use crate::reply::{CallerAnswer, OwnReply};
 use crate::routes::{CallerIdentity, ClassMatch, RouteTable};
 use crate::state::{LifePhase, TrafficState};
 
@@ -88,7 +88,7 @@
     }
 
     /// Records that the answer, or its first event, has come.
-    fn note_first(&self) {
+    pub(crate) fn note_first(&self) {
         let spent = self.state.now().saturating_sub(self.received);
         self.first.set(Some(spent));
         self.state.metrics.latency.observe(spent.as_secs_f64());
@@ -412,101 +412,8 @@
         return call.reply(OwnReply::ServerFailed, None);
     }
     let reply = match cause {
-        RefusalCause::NoServer | RefusalCause::Spent => OwnReply::NoServer,
+        RefusalCause::NoServer => OwnReply::NoServer,
         RefusalCause::TooLate => OwnReply::TooLate,
     };
     call.reply(reply, Some(retry_after.min(call.left() / RETRY_PART)))
 }
-
-/// An answer that has come, or has started to.
-enum Received {
-    /// It is whole.
-    Whole(CallerAnswer),
-    /// It is a stream, whose first bytes these are.
-    Stream(AnswerStart, Bytes),
-    /// It is a server's error, and the router tries the request elsewhere.
-    Again,
-}
-
-/// Receives an answer: all of it, or the first bytes of a stream.
-async fn receive(
-    call: &OpenCall,
-    request: &CallerRequest,
-    mut start: AnswerStart,
-) -> Result<Received, TryEnd> {
-    let state = &call.state;
-    if start.status.is_server_error() && call.class.class().kind == CallKind::Idempotent {
-        // Another server may answer it. If none may, this answer is lost, so it is kept.
-        return Ok(receive_failure(call, start).await);
-    }
-    let streams = request.streams && start.status.is_success();
-    let mut collected = BytesMut::new();
-    loop {
-        let next = tokio::time::timeout(call.left(), start.body.next(state)).await;
-        let Ok(next) = next else {
-            call.may_have_run.set(true);
-            return Err(TryEnd::TimeOver);
-        };
-        match next.map_err(TryEnd::Fault)? {
-            Some(bytes) if streams => {
-                state.decide(|core, now| {
-                    core.heard(call.request, now);
-                    vec![]
-                });
-                return Ok(Received::Stream(start, bytes));
-            }
-            Some(bytes) => collected.extend_from_slice(&bytes),
-            None => break,
-        }
-    }
-    state.decide(|core, now| core.finish(call.request, now));
-    Ok(Received::Whole(deliver(call, start.status, start.headers, collected.freeze())))
-}
-
-/// Receives a server's own error for a request that may be tried elsewhere.
-async fn receive_failure(call: &OpenCall, mut start: AnswerStart) -> Received {
-    let mut collected = BytesMut::new();
-    while let Ok(Ok(Some(bytes))) =
-        tokio::time::timeout(call.left(), start.body.next(&call.state)).await
-    {
-        collected.extend_from_slice(&bytes);
-    }
-    if call.fail(RouteFault::Failed, false) == RetryVerdict::Again {
-        return Received::Again;
-    }
-    let (status, headers) = (start.status, start.headers);
-    Received::Whole(deliver(call, status, headers, collected.freeze()))
-}
-
-/// Makes an answer out of a server's whole one.
-fn deliver(
-    call: &OpenCall,
-    status: StatusCode,
-    headers: hyper::HeaderMap,
-    body: Bytes,
-) -> CallerAnswer {
-    call.note_first();
-    let mut answer = Response::new(whole(body));
-    *answer.status_mut() = status;
-    *answer.headers_mut() = headers;
-    call.may_have_run.set(true);
-    call.end("answered", status.as_u16());
-    answer
-}
-
-/// Starts to pass a stream on.
-fn begin_stream(
-    call: OpenCall,
-    request: CallerRequest,
-    start: AnswerStart,
-    first: Bytes,
-) -> CallerAnswer {
-    call.note_first();
-    call.may_have_run.set(true);
-    let (status, headers) = (start.status, start.headers);
-    let relay = StreamRelay::new(call, request, start.body, first);
-    let mut answer = Response::new(relay_body(relay));
-    *answer.status_mut() = status;
-    *answer.headers_mut() = headers;
-    answer
-}
--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -4,8 +4,10 @@
 use std::path::Path;
 use std::time::Duration;
 
-use flaxtide_core::{DataCentreName, InstanceName, RegionName, parse_span};
-use serde::{Deserialize, Deserializer};
+use flaxtide_core::{
+    DataCentreName, InstanceName, RegionName, deserialize_span, message_line,
+};
+use serde::Deserialize;
 
 use crate::error::EntryError;
 
@@ -37,10 +39,10 @@
     /// Where the platform's store is.
     pub platform: SocketAddr,
     /// How long a planned stop may take.
-    #[serde(deserialize_with = "span")]
+    #[serde(deserialize_with = "deserialize_span")]
     pub stop_within: Duration,
     /// Within what time a leaving server may get no more work.
-    #[serde(deserialize_with = "span")]
+    #[serde(deserialize_with = "deserialize_span")]
     pub leave_within: Duration,
     /// Fleets of fewer instances read the list of servers each for itself.
     #[serde(default = "usual_alone_below")]
@@ -80,7 +82,7 @@
     /// Returns what is wrong, with the line.
     pub fn parse(text: &str) -> Result<Self, String> {
         let config: Self = serde_saphyr::from_str(text)
-            .map_err(|cause| first_line(&cause.to_string()))?;
+            .map_err(|cause| message_line(&cause.to_string()))?;
         if !(0.0..=1.0).contains(&config.retry_ratio) {
             return Err("`retry_ratio` must lie between 0 and 1".into());
         }
@@ -96,15 +98,3 @@
 fn usual_alone_below() -> usize {
     ALONE_BELOW
 }
-
-/// Returns the first line of a parser's message.
-fn first_line(message: &str) -> String {
-    let line = message.lines().next().unwrap_or_default();
-    line.strip_prefix("error: ").unwrap_or(line).to_owned()
-}
-
-/// Reads a span.
-fn span<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    parse_span(&text).map_err(serde::de::Error::custom)
-}
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -11,6 +11,7 @@
 //! What the platform's words mean is not known here: an adapter implements
 //! [`WireDialect`] and [`PlatformFeed`].
 
+mod answer;
 mod call;
 mod config;
 mod contract;
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 //! expires. [`FleetThread`] carries the messages over tarpc.
 
 mod counted;
+mod info;
 mod key;
 mod node;
 mod peer;
@@ -15,11 +16,11 @@
 mod wire;
 
 pub use self::counted::LinkBytes;
+pub use self::info::PeerInfo;
 pub use self::key::{FleetKey, fleet_key};
 pub use self::node::{
     FleetNews, FleetNode, FleetServer, FleetTiming, NodeDemand, OutgoingBeat,
 };
-pub use self::peer::PeerInfo;
 pub use self::rate::rate_part;
 pub use self::rows::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -13,8 +13,9 @@
 use flaxtide_policy::{bounded_owners, rendezvous_order, rendezvous_owner};
 
 pub use self::timing::FleetTiming;
+use crate::info::PeerInfo;
 use crate::key::{FleetKey, fleet_key};
-use crate::peer::{PeerInfo, PeerRecord};
+use crate::peer::PeerRecord;
 use crate::rows::{ListReader, PEERS_PER_READER, READER_KEY};
 use crate::wire::{
     FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -7,8 +7,9 @@
 use flaxtide_policy::{rendezvous_order, rendezvous_owner};
 
 use super::{FleetNews, FleetNode, OutgoingBeat};
+use crate::info::PeerInfo;
 use crate::key::FleetKey;
-use crate::peer::{PeerInfo, PeerRecord};
+use crate::peer::PeerRecord;
 use crate::wire::{BeatReply, FleetBeat, UsageCount};
 
 impl FleetNode {
--- a/crates/flaxtide-fleet/src/peer.rs
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -1,26 +1,14 @@
 //! What an instance knows of one peer.
 
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
-use serde::{Deserialize, Serialize};
+use flaxtide_core::SettingsVersion;
 
+use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::wire::{FleetBeat, PoolDemand};
 
-/// Who a peer is.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerInfo {
-    /// Its name.
-    pub name: InstanceName,
-    /// Its data centre.
-    pub data_centre: DataCentreName,
-    /// Where it hears its peers.
-    pub address: SocketAddr,
-}
-
 /// A peer, as last heard.
 #[derive(Debug, Clone)]
 pub(crate) struct PeerRecord {
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -5,6 +5,7 @@
 use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
 use serde::{Deserialize, Serialize};
 
+use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::rows::RowNews;
 
@@ -64,7 +65,7 @@
     /// The sender's parts of the rates that the answering instance keeps.
     pub parts: Vec<RatePart>,
     /// The instances that it knows of, if that was asked for.
-    pub peers: Vec<crate::peer::PeerInfo>,
+    pub peers: Vec<PeerInfo>,
 }
 
 /// An instance's requests for one pool, running or waiting.
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -64,11 +64,7 @@
                 self.count_failure();
                 self.rest(now, options.pause, options);
             }
-            RouteFault::Broken => {
-                self.hear(now);
-                self.count_failure();
-            }
-            RouteFault::Failed => {
+            RouteFault::Broken | RouteFault::Failed => {
                 self.hear(now);
                 self.count_failure();
             }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -83,8 +83,6 @@
     NoServer,
     /// It would be too late for its caller.
     TooLate,
-    /// The retry budget is spent, or every server has been tried.
-    Spent,
 }
 
 /// A pool of servers.
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -336,7 +336,6 @@
                 .map(|(request, _)| *request)
                 .collect();
             let pick = |place: usize| running.get(place % running.len().max(1)).copied();
-            let mut failed = None;
             let actions = match happening {
                 Happening::Arrive { repeatable, tokens, tier } => {
                     next += 1;
@@ -375,7 +374,6 @@
                         known.may_have_run += u32::from(!fault.not_run());
                         let (verdict, actions) = core.fail(request, fault, false, now);
                         known.over = verdict == RetryVerdict::End;
-                        failed = Some(request);
                         actions
                     }
                     None => vec![],
@@ -414,7 +412,6 @@
                     }
                 }
             }
-            let _ = failed;
             let open = seen.values().filter(|seen| !seen.over).count();
             prop_assert_eq!(core.open_calls(), open, "a request is lost");
         }
--- a/crates/flaxtide/src/call/keyed.rs
+++ b/crates/flaxtide/src/call/keyed.rs
@@ -14,7 +14,8 @@
 use crate::claim::{ClaimEnd, claim};
 use crate::explain::StepKind;
 use crate::link::WholeAnswer;
-use crate::settle::{SettleJob, hand_over};
+use crate::messages::SettleJob;
+use crate::settle::hand_over;
 
 /// The largest body that is recorded in a row of the table, in bytes. Larger ones, and
 /// those that aren't text, go to the object store.
--- a/crates/flaxtide/src/call/mod.rs
+++ b/crates/flaxtide/src/call/mod.rs
@@ -15,12 +15,12 @@
 use tiny_http::Request;
 
 use self::keyed::{HeldClaim, KeyedEnd};
-use crate::decide::{CallDispatch, CallOrder, DecisionMessage};
 use crate::exchange::{
     AnswerProgress, AttemptEnd, ServerAttempt, exchange_completion, exchange_plain,
 };
 use crate::explain::{DecisionRecord, StepKind};
 use crate::link::{CallerLink, refusal};
+use crate::messages::{CallDispatch, CallOrder, DecisionMessage};
 use crate::request::{CallPayload, CallRequest, is_keyed};
 use crate::shared::SharedState;
 
--- a/crates/flaxtide/src/claim.rs
+++ b/crates/flaxtide/src/claim.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
+use crossbeam::channel::{Receiver, RecvTimeoutError, bounded};
 use flaxtide_policy::{ClaimAttempt, ClaimRow, ClaimStep, RowPhase, TableReply};
 
+use crate::messages::ClaimJob;
 use crate::shared::SharedState;
 
 /// The most claims in one group commit.
@@ -21,18 +22,6 @@
 /// How often the thread looks whether it is to end.
 const STOP_PERIOD: Duration = Duration::from_millis(200);
 
-/// A row to be written.
-pub(crate) struct ClaimJob {
-    /// Its key.
-    pub(crate) key: String,
-    /// The version that must be found; nothing if there must be no row.
-    pub(crate) expected: Option<u64>,
-    /// What it is to hold.
-    pub(crate) row: ClaimRow,
-    /// Where the table's reply goes.
-    pub(crate) reply: Sender<TableReply>,
-}
-
 /// How a claim ended.
 #[derive(Debug)]
 pub(crate) enum ClaimEnd {
--- a/crates/flaxtide/src/config.rs
+++ b/crates/flaxtide/src/config.rs
@@ -4,8 +4,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-use flaxtide_core::{DataCentreName, InstanceName, parse_span};
-use serde::{Deserialize, Deserializer};
+use flaxtide_core::{DataCentreName, InstanceName, deserialize_span, message_line};
+use serde::Deserialize;
 
 use crate::error::InstanceError;
 
@@ -32,19 +32,19 @@
     #[serde(default)]
     pub operator_key_hashes: Vec<String>,
     /// How often the newest settings version is asked for.
-    #[serde(default = "settings_poll", deserialize_with = "span")]
+    #[serde(default = "settings_poll", deserialize_with = "deserialize_span")]
     pub settings_poll: Duration,
     /// How often the load of a backend server is asked for.
-    #[serde(default = "load_poll", deserialize_with = "span")]
+    #[serde(default = "load_poll", deserialize_with = "deserialize_span")]
     pub load_poll: Duration,
     /// The longest time between two beats to one peer.
-    #[serde(default = "beat_period", deserialize_with = "span")]
+    #[serde(default = "beat_period", deserialize_with = "deserialize_span")]
     pub beat_period: Duration,
     /// How long the platform may take to answer.
-    #[serde(default = "platform_timeout", deserialize_with = "span")]
+    #[serde(default = "platform_timeout", deserialize_with = "deserialize_span")]
     pub platform_timeout: Duration,
     /// How long a stopping instance still takes requests, so that the balancer notices.
-    #[serde(default = "stop_notice", deserialize_with = "span")]
+    #[serde(default = "stop_notice", deserialize_with = "deserialize_span")]
     pub stop_notice: Duration,
     /// The most requests that are in the instance at once.
     #[serde(default = "call_limit")]
@@ -82,7 +82,7 @@
     /// Returns what is wrong, with the line.
     pub fn parse(text: &str) -> Result<Self, String> {
         let config: Self = serde_saphyr::from_str(text)
-            .map_err(|cause| first_line(&cause.to_string()))?;
+            .map_err(|cause| message_line(&cause.to_string()))?;
         if !config.platform.starts_with("http://") {
             return Err(
                 "`platform` must be an address such as http://10.0.0.5:9000".into()
@@ -92,18 +92,6 @@
     }
 }
 
-/// Returns the first line of a parser's message.
-fn first_line(message: &str) -> String {
-    let line = message.lines().next().unwrap_or_default();
-    line.strip_prefix("error: ").unwrap_or(line).to_owned()
-}
-
-/// Reads a span.
-fn span<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Duration, D::Error> {
-    let text = String::deserialize(deserializer)?;
-    parse_span(&text).map_err(serde::de::Error::custom)
-}
-
 /// The default of `settings_poll`: with 580 instances, 145 reads a second.
 fn settings_poll() -> Duration {
     Duration::from_secs(4)
--- a/crates/flaxtide/src/decide.rs
+++ b/crates/flaxtide/src/decide.rs
@@ -5,71 +5,19 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded};
-use flaxtide_core::{
-    FailureReason, OrganisationId, PoolId, RequestId, ServerId, TierRank,
-};
+use flaxtide_core::{RequestId, ServerId, TierRank};
 use flaxtide_policy::{
-    CallArrival, DecisionCore, PolicyAction, PolicyEvent, PolicyOptions, PoolSummary,
-    ServerChoice,
+    DecisionCore, PolicyAction, PolicyEvent, PolicyOptions, ServerChoice,
 };
 use rand::Rng;
 
 use crate::explain::{StepKind, rule_name};
+use crate::messages::{CallDispatch, CallOrder, DecisionMessage, DecisionSummary};
 use crate::shared::SharedState;
 
 /// The longest time between two looks at the clock.
 const TICK_PERIOD: Duration = Duration::from_millis(100);
 
-/// A message to the decision thread.
-pub(crate) enum DecisionMessage {
-    /// A request came; orders for it go to the ring.
-    Arrive(CallArrival, Sender<CallOrder>),
-    /// Something happened.
-    Event(PolicyEvent),
-    /// Several things happened, none of them the end of a request.
-    Events(Vec<PolicyEvent>),
-    /// Somebody asks how things stand. Only the fleet takes the counted use.
-    Summarise {
-        /// Whether the counted use is taken.
-        take_usage: bool,
-        /// Where the answer goes.
-        reply: Sender<DecisionSummary>,
-    },
-}
-
-/// An order to the thread of a call.
-#[derive(Debug)]
-pub(crate) enum CallOrder {
-    /// Send the request to a server.
-    Dispatch(CallDispatch),
-    /// Refuse it: it hasn't run.
-    Refuse(FailureReason, Duration),
-    /// Give it up: it may have run.
-    GiveUp(Duration),
-}
-
-/// Where and how to send a request.
-#[derive(Debug)]
-pub(crate) struct CallDispatch {
-    /// The server.
-    pub(crate) server: ServerId,
-    /// The priority for the engine.
-    pub(crate) priority: TierRank,
-    /// How long the server may be silent.
-    pub(crate) patience: Option<Duration>,
-}
-
-/// How things stand in the decision core.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct DecisionSummary {
-    /// The pools.
-    pub(crate) pools: BTreeMap<PoolId, PoolSummary>,
-    /// This instance's share of each server's slots, and how many it uses.
-    pub(crate) slots: BTreeMap<ServerId, (u32, u32)>,
-    /// How many requests of each limited organisation came, where that was asked for.
-    pub(crate) usage: BTreeMap<OrganisationId, u32>,
-}
-
 /// Runs the decision thread until every sender is gone or the instance stops.
 pub(crate) fn decide(shared: &Arc<SharedState>, messages: &Receiver<DecisionMessage>) {
     let seed = shared.config.seed.unwrap_or_else(|| rand::rng().random());
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -11,10 +11,12 @@
 };
 use flaxtide_policy::{LoadReport, PolicyEvent};
 
-use crate::decide::{DecisionSummary, summarise};
+use crate::decide::summarise;
 use crate::error::InstanceError;
+use crate::messages::DecisionSummary;
 use crate::shared::SharedState;
 use crate::view::SettingsView;
+use crate::watch::take_told;
 
 /// How often the fleet's node is brought up to date.
 const FEED_PERIOD: Duration = Duration::from_millis(200);
@@ -221,7 +223,7 @@
     }
     shared.tell_all(events);
     for (server, leaving) in leaving {
-        shared.watched.take_told(shared, server, leaving);
+        take_told(shared, server, leaving);
     }
 }
 
--- a/crates/flaxtide/src/lib.rs
+++ b/crates/flaxtide/src/lib.rs
@@ -26,6 +26,7 @@
 mod instance;
 mod link;
 mod logging;
+mod messages;
 mod metrics;
 mod names;
 mod orders;
@@ -35,6 +36,7 @@
 mod shared;
 mod view;
 mod watch;
+mod watched;
 
 pub use self::admin::{EditBody, HistoryBody, InstanceStatus, PoolStatus, ServerStatus};
 pub use self::config::InstanceConfig;
--- a/crates/flaxtide/src/settle.rs
+++ b/crates/flaxtide/src/settle.rs
@@ -5,10 +5,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use crossbeam::channel::{Receiver, RecvTimeoutError, Sender};
-use flaxtide_policy::ClaimSettlement;
+use crossbeam::channel::{Receiver, RecvTimeoutError};
 
 use crate::claim::write_row;
+use crate::messages::SettleJob;
 use crate::shared::SharedState;
 
 /// How long to wait after the table failed.
@@ -21,16 +21,6 @@
 /// whoever repeats the request is told that it may have run.
 const OPEN_LIMIT: usize = 4096;
 
-/// A claim to be settled.
-pub(crate) struct SettleJob {
-    /// The row's key.
-    pub(crate) key: String,
-    /// The settlement.
-    pub(crate) settlement: ClaimSettlement,
-    /// Hears when the row is settled.
-    pub(crate) done: Option<Sender<()>>,
-}
-
 /// Runs the settle thread until the instance stops.
 pub(crate) fn settle_claims(shared: &Arc<SharedState>, jobs: &Receiver<SettleJob>) {
     let mut open: VecDeque<SettleJob> = VecDeque::new();
--- a/crates/flaxtide/src/shared.rs
+++ b/crates/flaxtide/src/shared.rs
@@ -12,14 +12,12 @@
 use flaxtide_policy::PolicyEvent;
 use rand::Rng;
 
-use crate::claim::ClaimJob;
 use crate::config::InstanceConfig;
-use crate::decide::DecisionMessage;
 use crate::explain::DecisionLog;
+use crate::messages::{ClaimJob, DecisionMessage, SettleJob};
 use crate::metrics::InstanceMetrics;
-use crate::settle::SettleJob;
 use crate::view::SettingsView;
-use crate::watch::WatchState;
+use crate::watched::WatchState;
 
 /// How long a refusal waits for a look at the claims.
 const QUICK_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -1,9 +1,9 @@
 //! The watch thread: it polls the load of the backend servers that this instance watches,
 //! and reads the platform's list.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use attohttpc::ProxySettings;
@@ -14,7 +14,6 @@
 use serde::Deserialize;
 
 use crate::shared::SharedState;
-use crate::view::SettingsView;
 
 /// How long a server may take to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,10 +27,6 @@
 /// How often the thread looks whether anything is due.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
 
-/// What is known of a server's leaving is told again after this time: a server that
-/// refused once as leaving may have come back.
-const RETELL_PERIOD: Duration = Duration::from_secs(5);
-
 /// What a backend server reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 struct ServerReport {
@@ -53,99 +48,6 @@
     leaving: bool,
 }
 
-/// What is known of backend servers, beside the decision core.
-#[derive(Debug, Default)]
-pub(crate) struct WatchState {
-    /// The record.
-    record: Mutex<WatchRecord>,
-}
-
-/// The record of a [`WatchState`].
-#[derive(Debug, Default)]
-struct WatchRecord {
-    /// The servers that this instance watches; nothing before its peers are known.
-    own: Option<BTreeSet<ServerId>>,
-    /// The last reports of watched servers.
-    reports: BTreeMap<ServerId, LoadReport>,
-    /// The servers that the platform's list calls leaving.
-    listed: BTreeSet<ServerId>,
-    /// The servers that their watcher calls leaving.
-    reported: BTreeSet<ServerId>,
-    /// What the decision core was told of each server's leaving, and when.
-    told: BTreeMap<ServerId, (bool, Duration)>,
-}
-
-impl WatchState {
-    /// Sets the servers that this instance watches.
-    pub(crate) fn set_own(&self, own: BTreeSet<ServerId>) {
-        let mut record = self.lock();
-        record.reports.retain(|server, _| own.contains(server));
-        record.own = Some(own);
-    }
-
-    /// Returns the last reports of watched servers.
-    pub(crate) fn reports(&self) -> BTreeMap<ServerId, LoadReport> {
-        self.lock().reports.clone()
-    }
-
-    /// Tells whether a server is leaving, by the list or by its own report.
-    pub(crate) fn leaving(&self, server: ServerId) -> bool {
-        let record = self.lock();
-        record.listed.contains(&server) || record.reported.contains(&server)
-    }
-
-    /// Takes in whether a server is leaving, as its watcher says.
-    pub(crate) fn take_told(
-        &self,
-        shared: &SharedState,
-        server: ServerId,
-        leaving: bool,
-    ) {
-        {
-            let mut record = self.lock();
-            if leaving {
-                record.reported.insert(server);
-            } else {
-                record.reported.remove(&server);
-            }
-        }
-        self.tell_leaving(shared, server);
-    }
-
-    /// Tells the decision core whether a server is leaving, if that is news. What isn't
-    /// news is told again now and then, as the core may have been told otherwise by a
-    /// refusal. Returns whether it is news.
-    fn tell_leaving(&self, shared: &SharedState, server: ServerId) -> bool {
-        let leaving = self.leaving(server);
-        let now = shared.now();
-        let last = self.lock().told.get(&server).copied();
-        let changed = last.map_or(leaving, |(told, _)| told != leaving);
-        let due = last.is_some_and(|(_, at)| now >= at + RETELL_PERIOD);
-        if changed || due {
-            shared.tell(PolicyEvent::Leaving { server, leaving });
-        }
-        if changed || due || last.is_none() {
-            self.lock().told.insert(server, (leaving, now));
-        }
-        changed
-    }
-
-    /// Returns the servers to poll.
-    fn to_poll(&self, view: &SettingsView) -> Vec<(ServerId, SocketAddr)> {
-        let record = self.lock();
-        let own = |server: &ServerId| {
-            record.own.as_ref().is_none_or(|own| own.contains(server))
-        };
-        let servers = view.servers.iter().filter(|(server, _)| own(server));
-        servers.map(|(server, entry)| (*server, entry.address)).collect()
-    }
-
-    /// Locks the record. A panic elsewhere doesn't spoil it.
-    fn lock(&self) -> MutexGuard<'_, WatchRecord> {
-        self.record.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// Runs the watch thread until the instance stops.
 pub(crate) fn watch(shared: &Arc<SharedState>) {
     let mut list_due = Duration::ZERO;
@@ -190,20 +92,29 @@
         at: shared.now().saturating_sub(age),
     };
     shared.tell(PolicyEvent::Report(load));
-    {
-        let mut record = shared.watched.lock();
-        record.reports.insert(server, load);
-        if report.leaving {
-            record.reported.insert(server);
-        } else {
-            record.reported.remove(&server);
-        }
-    }
-    if shared.watched.tell_leaving(shared, server) {
+    shared.watched.report_load(load);
+    shared.watched.report_leaving(server, report.leaving);
+    if tell_leaving(shared, server) {
         shared.hurry_fleet();
     }
 }
 
+/// Takes in whether a server is leaving, as its watcher says.
+pub(crate) fn take_told(shared: &SharedState, server: ServerId, leaving: bool) {
+    shared.watched.report_leaving(server, leaving);
+    tell_leaving(shared, server);
+}
+
+/// Tells the decision core whether a server is leaving, if that is due. Returns whether it
+/// is news.
+fn tell_leaving(shared: &SharedState, server: ServerId) -> bool {
+    let news = shared.watched.leaving_news(server, shared.now());
+    if news.tell {
+        shared.tell(PolicyEvent::Leaving { server, leaving: news.leaving });
+    }
+    news.changed
+}
+
 /// Asks a server for its load.
 fn ask_load(address: SocketAddr) -> Option<ServerReport> {
     let request = attohttpc::get(format!("http://{address}/load"))
@@ -247,10 +158,9 @@
         .filter(|listed| listed.state == InstanceState::Leaving)
         .filter_map(|listed| view.server(&listed.name));
     let leaving: BTreeSet<ServerId> = leaving.collect();
-    let before = std::mem::replace(&mut shared.watched.lock().listed, leaving.clone());
     let mut changed = false;
-    for server in before.union(&leaving) {
-        changed |= shared.watched.tell_leaving(shared, *server);
+    for server in shared.watched.list_leaving(&leaving) {
+        changed |= tell_leaving(shared, server);
     }
     if changed {
         shared.hurry_fleet();
