--- a/crates/flaxtide-entry/src/answer.rs
+++ b/crates/flaxtide-entry/src/answer.rs
@@ -78,6 +78,7 @@
     body: Bytes,
 ) -> CallerAnswer {
     call.note_first();
+    call.note_late();
     let mut answer = Response::new(whole(body));
     *answer.status_mut() = status;
     *answer.headers_mut() = headers;
--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -87,6 +87,19 @@
         );
     }
 
+    /// Counts a whole answer that missed its target: by its first event, or by a pause.
+    pub(crate) fn note_late(&self) {
+        let class = self.class.class();
+        let cause = if self.first.get().is_some_and(|first| first > class.target) {
+            "first"
+        } else if class.pause_target.is_some_and(|most| self.longest_pause.get() > most) {
+            "pause"
+        } else {
+            return;
+        };
+        self.state.metrics.late.with_label_values(&[cause]).inc();
+    }
+
     /// Records that the answer, or its first event, has come.
     pub(crate) fn note_first(&self) {
         let spent = self.state.now().saturating_sub(self.received);
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -15,6 +15,8 @@
     registry: Registry,
     /// Ended requests by how they ended.
     pub(crate) ends: IntCounterVec,
+    /// Whole answers that missed their target, by what was late.
+    pub(crate) late: IntCounterVec,
     /// Requests sent to servers, by why the server was chosen.
     pub(crate) dispatches: IntCounterVec,
     /// Faults of servers, by kind.
@@ -48,6 +50,7 @@
         let metrics = Self {
             registry: Registry::new(),
             ends: counters("ends", "Ended requests.", &["end"]),
+            late: counters("late", "Whole answers that missed their target.", &["cause"]),
             dispatches: counters("dispatches", "Requests sent to servers.", &["reason"]),
             faults: counters("faults", "Faults of servers.", &["fault"]),
             connections: counters("connections", "Connections used.", &["kind"]),
@@ -70,8 +73,9 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 11] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
             Box::new(self.ends.clone()),
+            Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
             Box::new(self.faults.clone()),
             Box::new(self.connections.clone()),
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -122,6 +122,7 @@
         self.call
             .state
             .decide(|core, now| core.finish(self.call.request, now));
+        self.call.note_late();
         self.call.end("streamed", 200);
         self.ended = true;
         let rest = self.events.take_rest();
