Don't take what was read after a gap for all that changed

Cause, found on reading the change once more: an instance whose reader was silent reads for itself from a later version on; once peers ask it, it told of the changes since then as if there had been none before. A server's leaving could be missed. Change: the log of rows starts anew whenever a call doesn't continue where it stood. Test first red: after a gap from 5 to 12 it told of everything after 5.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -95,7 +95,7 @@
         };
         self.count(if read.is_ok() { "ok" } else { "failed" });
         if let (Ok(batch), Some((list, _))) = (&read, &self.list) {
-            list.record(batch, after.is_none());
+            list.record(batch, after);
         }
         read
     }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -41,3 +41,4 @@
 pub use self::error::EntryError;
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::logging::init_entry_logging;
+pub use self::reader::ListLog;
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -38,7 +38,17 @@
 const SILENT_READER: Duration = Duration::from_secs(2);
 
 /// What this instance has read from the platform lately, and who is to read.
-pub(crate) struct ListLog {
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_entry::{FeedBatch, ListLog};
+/// use flaxtide_fleet::RowSource;
+/// let log = ListLog::new(Duration::from_secs(3));
+/// assert!(log.news_after(0).is_none());
+/// log.record(&FeedBatch { rows: vec![], version: 7 }, None);
+/// assert_eq!(log.news_after(7).unwrap().version, 7);
+/// ```
+pub struct ListLog {
     /// The clock.
     clock: MilliClock,
     /// Within what time a leaving server may get no more work.
@@ -67,8 +77,10 @@
 }
 
 impl ListLog {
-    /// Starts with nothing read.
-    pub(crate) fn new(leave_within: Duration) -> Self {
+    /// Starts with nothing read. A leaving server may get no more work after
+    /// `leave_within`.
+    #[must_use]
+    pub fn new(leave_within: Duration) -> Self {
         Self {
             clock: MilliClock::real(),
             leave_within,
@@ -85,15 +97,17 @@
         changed
     }
 
-    /// Takes in what the platform has answered: all rows, or changes.
-    pub(crate) fn record(&self, batch: &FeedBatch, whole: bool) {
+    /// Takes in what the platform has answered: the changes after a version, or all rows.
+    pub fn record(&self, batch: &FeedBatch, after: Option<u64>) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.confirmed = Some(now);
-        if whole {
+        if after != Some(state.version) {
+            // Changes between what was read before and this aren't known here.
             state.batches.clear();
-            state.base = batch.version;
-        } else if !batch.rows.is_empty() {
+            state.base = after.unwrap_or(batch.version);
+        }
+        if after.is_some() && !batch.rows.is_empty() {
             state.batches.push_back((batch.version, batch.rows.clone()));
         }
         state.version = batch.version;
