Break a silent request off only when another try is granted and its server says nothing

Cause: after 700 ms without a first token a request was broken off whatever came next. Without a further try it died with seconds left; with one, its prompt was read again elsewhere though its engine was only busy. Now it stays unless the next try is paid for, and unless its server has answered others since.

The router's settings can be written in the instance file (router:).

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -167,17 +167,30 @@
         self.state.metrics.dispatches.with_label_values(&[&reason]).inc();
         let fresh = self.doubted.get();
         let sent = exchange(&self.state, request, choice.server, left, last_event, fresh);
-        let wait = patience.map_or(left, |patience| patience.min(left));
-        let fault = match tokio::time::timeout(wait, sent).await {
-            Ok(Ok(start)) => return TryEnd::Started(start),
-            Ok(Err(fault)) => fault,
-            Err(_) if wait < left => RouteFault::Silent,
-            Err(_) => {
-                self.may_have_run.set(true);
-                return TryEnd::TimeOver;
+        let mut sent = std::pin::pin!(sent);
+        loop {
+            let left = self.left();
+            let wait = patience.map_or(left, |patience| patience.min(left));
+            match tokio::time::timeout(wait, &mut sent).await {
+                Ok(Ok(start)) => return TryEnd::Started(start),
+                Ok(Err(fault)) => return TryEnd::Fault(fault),
+                Err(_) if wait < left => {
+                    if self.may_break_off(false) {
+                        return TryEnd::Fault(RouteFault::Silent);
+                    }
+                }
+                Err(_) => {
+                    self.may_have_run.set(true);
+                    return TryEnd::TimeOver;
+                }
             }
-        };
-        TryEnd::Fault(fault)
+        }
+    }
+
+    /// Tells whether the request may leave a server that is silent.
+    pub(crate) fn may_break_off(&self, resumable: bool) -> bool {
+        self.state
+            .ask(|core, now| core.may_break_off(self.request, resumable, now))
     }
 
     /// Tells the router of a fault. Returns whether the request is tried again.
--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -7,6 +7,7 @@
 use flaxtide_core::{
     DataCentreName, InstanceName, RegionName, deserialize_span, message_line,
 };
+use flaxtide_policy::RouteOptions;
 use serde::Deserialize;
 
 use crate::error::EntryError;
@@ -51,6 +52,9 @@
     pub retry_ratio: f64,
     /// How many repeats in ten seconds are free, over all instances.
     pub retry_slack: f64,
+    /// What is turned on the router; usually nothing.
+    #[serde(default)]
+    pub router: RouteOptions,
     /// The bytes of memory that the process may take, in megabytes.
     pub memory_mb: u64,
     /// How many descriptors the process may open.
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -96,24 +96,31 @@
 
     /// Receives the next bytes.
     async fn receive(&mut self) -> Result<Option<Bytes>, TryEnd> {
-        let left = self.call.left();
-        let wait = if self.resumable() { left.min(STALLED) } else { left };
+        let resumable = self.resumable();
         let Some(source) = &mut self.source else {
             return Err(TryEnd::Fault(RouteFault::Broken));
         };
         let state = self.call.state.clone();
-        match tokio::time::timeout(wait, source.next(&state)).await {
-            Ok(Ok(Some(bytes))) => {
-                state.decide(|core, now| {
-                    core.heard(self.call.request, now);
-                    vec![]
-                });
-                Ok(Some(bytes))
+        loop {
+            let left = self.call.left();
+            let wait = if resumable { left.min(STALLED) } else { left };
+            match tokio::time::timeout(wait, source.next(&state)).await {
+                Ok(Ok(Some(bytes))) => {
+                    state.decide(|core, now| {
+                        core.heard(self.call.request, now);
+                        vec![]
+                    });
+                    return Ok(Some(bytes));
+                }
+                Ok(Ok(None)) => return Ok(None),
+                Ok(Err(fault)) => return Err(TryEnd::Fault(fault)),
+                Err(_) if wait < left => {
+                    if self.call.may_break_off(resumable) {
+                        return Err(TryEnd::Fault(RouteFault::Silent));
+                    }
+                }
+                Err(_) => return Err(TryEnd::TimeOver),
             }
-            Ok(Ok(None)) => Ok(None),
-            Ok(Err(fault)) => Err(TryEnd::Fault(fault)),
-            Err(_) if wait < left => Err(TryEnd::Fault(RouteFault::Silent)),
-            Err(_) => Err(TryEnd::TimeOver),
         }
     }
 
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -129,7 +129,7 @@
         let options = RouteOptions {
             retry_ratio: config.retry_ratio,
             retry_slack: config.retry_slack,
-            ..RouteOptions::default()
+            ..config.router.clone()
         };
         let seed = xxh3_64(config.name.as_bytes());
         let leave_within = config.leave_within;
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -121,6 +121,8 @@
     pub(crate) excluded: Vec<ServerId>,
     /// How often it was sent.
     pub(crate) sends: u32,
+    /// Whether its next try is paid for.
+    pub(crate) granted: bool,
     /// On how many servers it may have run, the present one not counted.
     pub(crate) runs: u32,
     /// How many prompt tokens the present server must read, about.
@@ -153,6 +155,7 @@
             place: CallPlace::Waiting,
             excluded: vec![],
             sends: 0,
+            granted: false,
             runs: 0,
             uncached: 0,
             ahead: 0.0,
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use flaxtide_core::deserialize_span;
+use serde::Deserialize;
+
 /// The tunable constants of the router; `docs/design/router.md` says what chose them.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
 pub struct RouteOptions {
     /// How many prompt tokens an engine reads in a millisecond, until measured.
     pub prefill_tokens_per_ms: f64,
@@ -26,8 +30,10 @@
     /// The time that a server of another data centre costs, in milliseconds.
     pub far_cost_ms: f64,
     /// For how long a peer's word of its load counts.
+    #[serde(deserialize_with = "deserialize_span")]
     pub peer_life: Duration,
     /// For how long a prompt part is taken to stay in an engine's memory.
+    #[serde(deserialize_with = "deserialize_span")]
     pub cache_life: Duration,
     /// A request whose first token is expected later than so many times its target is
     /// refused at once, so that its caller can come back when the burst is over.
@@ -35,6 +41,7 @@
     /// How often a request may be sent in all.
     pub send_limit: u32,
     /// A further try needs at least this much time before the deadline.
+    #[serde(deserialize_with = "deserialize_span")]
     pub least_time: Duration,
     /// How many repeats each request pays for, over all instances.
     pub retry_ratio: f64,
@@ -46,31 +53,41 @@
     pub assumed_instances: u32,
     /// For how long after its start an instance may not have heard how many share the
     /// budget: two of the longest periods between beats.
+    #[serde(deserialize_with = "deserialize_span")]
     pub settling: Duration,
     /// How many repeats in a window are free until then.
     pub settling_slack: f64,
     /// A server may be silent for so many times the expected time.
     pub patience_factor: f64,
-    /// The shortest silence after which a request goes elsewhere.
+    /// The shortest silence of a server after which a request goes elsewhere.
+    #[serde(deserialize_with = "deserialize_span")]
     pub shortest_patience: Duration,
     /// After so long a silence with streams under way, a server gets no more work.
+    #[serde(deserialize_with = "deserialize_span")]
     pub silence: Duration,
     /// After so long a silence with nothing but unanswered work at it, and twice the time
     /// that its prompts take, a server gets no more work.
+    #[serde(deserialize_with = "deserialize_span")]
     pub long_silence: Duration,
     /// How long an unreachable or failing server gets no work, at first.
+    #[serde(deserialize_with = "deserialize_span")]
     pub pause: Duration,
     /// The longest such pause.
+    #[serde(deserialize_with = "deserialize_span")]
     pub longest_pause: Duration,
     /// How long a full server gets no work.
+    #[serde(deserialize_with = "deserialize_span")]
     pub full_pause: Duration,
     /// At most this part of a pool is kept from work for its faults.
     pub ejected_part: f64,
     /// When a caller without any server is asked to come back.
+    #[serde(deserialize_with = "deserialize_span")]
     pub no_server_retry: Duration,
     /// The soonest that a refused caller is asked to come back.
+    #[serde(deserialize_with = "deserialize_span")]
     pub shortest_retry: Duration,
     /// The latest.
+    #[serde(deserialize_with = "deserialize_span")]
     pub longest_retry: Duration,
 }
 
@@ -98,7 +115,7 @@
             settling: Duration::from_secs(5),
             settling_slack: 2.0,
             patience_factor: 3.0,
-            shortest_patience: Duration::from_millis(700),
+            shortest_patience: Duration::from_millis(1500),
             silence: Duration::from_millis(700),
             long_silence: Duration::from_millis(1500),
             pause: Duration::from_millis(500),
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -18,6 +18,48 @@
 }
 
 impl RouteCore {
+    /// Tells whether a request whose server is silent may be broken off there: only if
+    /// another try is granted, which it pays for. Without one it would be lost, though the
+    /// server may still answer. [`RouteCore::fail`] must follow.
+    pub fn may_break_off(
+        &mut self,
+        request: RequestId,
+        resumable: bool,
+        now: Duration,
+    ) -> bool {
+        if self.answers_others(request, now) {
+            return false;
+        }
+        let Some(mut call) = self.calls.remove(&request) else { return false };
+        if let CallPlace::Running { server, .. } = call.place {
+            call.excluded.push(server);
+        }
+        call.runs += 1;
+        let granted = self.may_repeat(&call, RouteFault::Silent, resumable, now);
+        call.runs -= 1;
+        call.excluded.pop();
+        call.granted = granted;
+        if !granted {
+            // The request stays, but others go elsewhere.
+            self.blame(&call, RouteFault::Silent, now);
+        }
+        self.calls.insert(request, call);
+        granted
+    }
+
+    /// Tells whether the server of a request has said anything to others lately, after it
+    /// was sent there: it is busy then, not gone.
+    fn answers_others(&self, request: RequestId, now: Duration) -> bool {
+        let Some(call) = self.calls.get(&request) else { return false };
+        let CallPlace::Running { server, since, .. } = call.place else { return false };
+        let pool = self.pools.get(&call.call.pool);
+        let server = pool.and_then(|pool| pool.servers.get(&server));
+        let Some(heard) = server.map(|server| server.health.heard()) else {
+            return false;
+        };
+        heard > since && now < heard + self.options.shortest_patience
+    }
+
     /// Takes in that a server failed a request, and decides whether it is tried again.
     /// `resumable` tells whether it may go on although it may have run.
     pub fn fail(
@@ -38,7 +80,8 @@
         if !fault.not_run() {
             call.runs += 1;
         }
-        let again = self.may_repeat(&call, fault, resumable, now);
+        let granted = std::mem::take(&mut call.granted);
+        let again = granted || self.may_repeat(&call, fault, resumable, now);
         self.free(&call, now);
         if !again {
             return (RetryVerdict::End, self.take_actions());
--- /dev/null
+++ b/crates/flaxtide-policy/tests/common/mod.rs
@@ -0,0 +1,66 @@
+//! Calls, engines and cores for the tests of the router.
+
+#![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
+
+use std::time::Duration;
+
+use flaxtide_core::{RequestId, ServerId};
+use flaxtide_policy::{
+    EngineShape, PromptShape, RouteAction, RouteCall, RouteCore, RouteOptions,
+    RoutedServer,
+};
+
+/// The pool of all calls.
+pub const POOL: u16 = 1;
+
+/// Makes a span of milliseconds.
+pub fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Makes an engine with eight slots.
+pub fn engine(server: ServerId) -> RoutedServer {
+    RoutedServer {
+        server,
+        rank: u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15),
+        slots: 8,
+        engine: Some(EngineShape { memory_tokens: 100_000 }),
+        near: true,
+        leaving: false,
+        lapsed: false,
+    }
+}
+
+/// Starts a core with so many engines.
+pub fn core_with(servers: u32) -> RouteCore {
+    let mut core = RouteCore::new(RouteOptions::default());
+    let servers: Vec<RoutedServer> = (0..servers).map(engine).collect();
+    core.set_servers(POOL, &servers, ms(0));
+    core
+}
+
+/// Makes a call with a prompt of so many tokens.
+pub fn call(request: RequestId, tokens: u32, repeatable: bool) -> RouteCall {
+    RouteCall {
+        request,
+        pool: POOL,
+        class: 1,
+        organisation: 1,
+        tier: 1,
+        level: 1,
+        prompt: PromptShape { tokens, answer: 100, parts: vec![] },
+        target: ms(500),
+        give_up: ms(1_000_000),
+        deadline: ms(1_000_000),
+        repeatable,
+        run_limit: 2,
+    }
+}
+
+/// Returns to which server a request is sent.
+pub fn server_of(actions: &[RouteAction]) -> Option<ServerId> {
+    match actions {
+        [RouteAction::Dispatch { choice, .. }] => Some(choice.server),
+        _ => None,
+    }
+}
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -1,63 +1,18 @@
 //! The router: which server gets a request, and when one is tried again.
 
+mod common;
+
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
-use flaxtide_core::{RequestId, ServerId};
+use flaxtide_core::RequestId;
 use flaxtide_policy::{
-    EngineShape, PeerLoad, PromptPart, PromptShape, RefusalCause, RetryVerdict,
-    RouteAction, RouteCall, RouteCore, RouteFault, RouteOptions, RoutedServer,
+    PeerLoad, PromptPart, RefusalCause, RetryVerdict, RouteAction, RouteCore, RouteFault,
+    RouteOptions, RoutedServer,
 };
 use proptest::prelude::*;
 
-const POOL: u16 = 1;
-
-fn ms(millis: u64) -> Duration {
-    Duration::from_millis(millis)
-}
-
-fn engine(server: ServerId) -> RoutedServer {
-    RoutedServer {
-        server,
-        rank: u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15),
-        slots: 8,
-        engine: Some(EngineShape { memory_tokens: 100_000 }),
-        near: true,
-        leaving: false,
-        lapsed: false,
-    }
-}
-
-fn core_with(servers: u32) -> RouteCore {
-    let mut core = RouteCore::new(RouteOptions::default());
-    let servers: Vec<RoutedServer> = (0..servers).map(engine).collect();
-    core.set_servers(POOL, &servers, ms(0));
-    core
-}
-
-fn call(request: RequestId, tokens: u32, repeatable: bool) -> RouteCall {
-    RouteCall {
-        request,
-        pool: POOL,
-        class: 1,
-        organisation: 1,
-        tier: 1,
-        level: 1,
-        prompt: PromptShape { tokens, answer: 100, parts: vec![] },
-        target: ms(500),
-        give_up: ms(1_000_000),
-        deadline: ms(1_000_000),
-        repeatable,
-        run_limit: 2,
-    }
-}
-
-fn server_of(actions: &[RouteAction]) -> Option<ServerId> {
-    match actions {
-        [RouteAction::Dispatch { choice, .. }] => Some(choice.server),
-        _ => None,
-    }
-}
+use self::common::{POOL, call, core_with, engine, ms, server_of};
 
 #[test]
 fn a_request_without_servers_is_refused_at_once() {
--- /dev/null
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -0,0 +1,67 @@
+//! Requests whose server is silent: when they are broken off there.
+
+mod common;
+
+use flaxtide_policy::{RetryVerdict, RouteFault};
+
+use self::common::{call, core_with, ms, server_of};
+
+#[test]
+fn a_silent_request_is_broken_off_only_if_another_try_is_granted() {
+    let mut core = core_with(1);
+    core.arrive(call(1, 100, true), ms(0));
+    // No other server is there: the request stays, and may still be answered.
+    assert!(!core.may_break_off(1, false, ms(3000)));
+    assert!(core.finish(1, ms(3100)).is_empty());
+
+    let mut core = core_with(2);
+    let first = server_of(&core.arrive(call(1, 100, true), ms(0)));
+    assert!(core.may_break_off(1, false, ms(3000)));
+    let (verdict, actions) = core.fail(1, RouteFault::Silent, false, ms(3000));
+    assert_eq!(verdict, RetryVerdict::Again);
+    assert_ne!(server_of(&actions), first);
+}
+
+#[test]
+fn a_try_that_is_granted_is_paid_for_once() {
+    let mut core = core_with(2);
+    let mut granted = 0;
+    for request in 0..200 {
+        core.arrive(call(request, 100, true), ms(3000));
+        if core.may_break_off(request, false, ms(6000)) {
+            assert_eq!(
+                core.fail(request, RouteFault::Silent, false, ms(6000)).0,
+                RetryVerdict::Again
+            );
+            granted += 1;
+        }
+        core.leave(request, ms(6000));
+    }
+    // 0.7 of a fifth of 200 and of an eighth of 50: what `fail` alone would grant.
+    assert_eq!(granted, 32);
+}
+
+#[test]
+fn a_server_that_answers_others_is_busy_and_keeps_its_requests() {
+    let mut core = core_with(2);
+    let first = server_of(&core.arrive(call(1, 6000, true), ms(0)));
+    let mut other = 2;
+    while server_of(&core.arrive(call(other, 100, true), ms(10))) != first {
+        other += 1;
+    }
+    core.heard(other, ms(2900));
+    assert!(!core.may_break_off(1, false, ms(3000)), "it has answered another since");
+    assert!(core.may_break_off(1, false, ms(9000)), "nothing has come for long");
+}
+
+#[test]
+fn a_silent_server_gets_no_more_work_though_its_request_stays() {
+    let mut core = core_with(2);
+    let mut order = call(1, 100, true);
+    order.run_limit = 1;
+    let first = server_of(&core.arrive(order, ms(0)));
+    assert!(!core.may_break_off(1, false, ms(3000)), "it may run on one server only");
+    for request in 2..5 {
+        assert_ne!(server_of(&core.arrive(call(request, 100, true), ms(3001))), first);
+    }
+}
