Take shared parts of prompts over from the engine that keeps them, as peers tell

Beats carry which engine has read which shared part; a request that goes elsewhere takes it over from there. The cost counts what is known, not the guess.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -158,7 +158,7 @@
             request = self.attempt, class = self.class.class().name,
             server = self.state.server_name(choice.server).unwrap_or_default(),
             reason:? = choice.reason, cost_ms = choice.cost_ms as u64, expected_ms = choice.expected.as_millis() as u64,
-            running = choice.running, uncached = choice.uncached, tokens = request.tokens, tier = request.tier.unwrap_or_default(),
+            running = choice.running, uncached = choice.uncached, taken_over = choice.fetch.map_or(0, |fetch| fetch.tokens), tokens = request.tokens, tier = request.tier.unwrap_or_default(),
             eligible = choice.eligible, left_ms = left.as_millis() as u64,
             resume = last_event.unwrap_or_default();
             "dispatch"
@@ -166,7 +166,7 @@
         let reason = format!("{:?}", choice.reason);
         self.state.metrics.dispatches.with_label_values(&[&reason]).inc();
         let fresh = self.doubted.get();
-        let sent = exchange(&self.state, request, choice.server, left, last_event, fresh);
+        let sent = exchange(&self.state, request, choice, left, last_event, fresh);
         let mut sent = std::pin::pin!(sent);
         loop {
             let left = self.left();
--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -1,5 +1,6 @@
 //! The words of requests and answers.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use flaxtide_core::TierRank;
@@ -45,6 +46,8 @@
     pub organisation: Option<&'a str>,
     /// The tier, for an engine.
     pub tier: Option<TierRank>,
+    /// Where another engine keeps what the prompt shares with others.
+    pub fetch_from: Option<SocketAddr>,
 }
 
 /// What the headers of a server's answer say.
--- a/crates/flaxtide-entry/src/contract/rules.rs
+++ b/crates/flaxtide-entry/src/contract/rules.rs
@@ -107,6 +107,9 @@
     pub slots: u32,
     /// Tokens of prompts and answers that fit its memory.
     pub memory_tokens: u32,
+    /// How many tokens one takes over from another's memory in a millisecond; none if
+    /// they can't.
+    pub fetch_tokens_per_ms: Option<f64>,
 }
 
 /// An organisation.
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use flaxtide_core::{ServerId, TierRank};
-use flaxtide_policy::RouteFault;
+use flaxtide_policy::{RouteChoice, RouteFault};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{
@@ -125,18 +125,23 @@
 pub(crate) async fn exchange(
     state: &Rc<TrafficState>,
     request: &CallerRequest,
-    server: ServerId,
+    choice: &RouteChoice,
     left: Duration,
     last_event: Option<u64>,
     fresh: bool,
 ) -> Result<AnswerStart, RouteFault> {
+    let server = choice.server;
     let name = state.server_name(server).ok_or(RouteFault::Unreachable)?;
-    let address = {
-        let directory = state.directory.borrow();
-        directory.get(&name).map(|listed| listed.entry.address)
+    let address = state.server_address(server).ok_or(RouteFault::Unreachable)?;
+    let fetch_from = choice.fetch.and_then(|fetch| state.server_address(fetch.from));
+    let head = SendHead {
+        left,
+        server: &name,
+        organisation: request.organisation.as_deref(),
+        tier: request.tier,
+        fetch_from,
     };
-    let address = address.ok_or(RouteFault::Unreachable)?;
-    let mut outgoing = build(state, request, &name, left, last_event);
+    let mut outgoing = build(state, request, &head, last_event);
     for _ in 0..STALE_LINKS {
         let kept = if fresh { None } else { state.links.take(server, state.now()) };
         let mut link = match kept {
@@ -162,17 +167,14 @@
 fn build(
     state: &TrafficState,
     request: &CallerRequest,
-    server: &str,
-    left: Duration,
+    head: &SendHead<'_>,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
     let mut headers = request.headers.clone();
-    let organisation = request.organisation.as_deref();
-    let head = SendHead { left, server, organisation, tier: request.tier };
-    state.dialect.write_request(&mut headers, &head);
+    state.dialect.write_request(&mut headers, head);
     if let Some(event) = last_event {
         state.dialect.write_resume(&mut headers, event);
     }
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -7,11 +7,11 @@
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, MilliClock, ServerName, SettingsVersion};
-use flaxtide_fleet::OwnLoad;
+use flaxtide_fleet::{OwnLoad, PartRead};
 use tokio::sync::mpsc::{Receiver, Sender};
 
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
-use crate::fleet::{FleetLink, RulesCopy, SharedRules, take_peer_loads};
+use crate::fleet::{FleetLink, RulesCopy, SharedRules, take_peer_loads, take_peer_reads};
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
 use crate::state::TrafficState;
@@ -54,6 +54,8 @@
     PeerRules(RulesCopy),
     /// A peer has said what it has at servers.
     PeerLoads(InstanceName, Vec<OwnLoad>),
+    /// Servers have read shared parts of prompts for a peer.
+    PeerReads(Vec<PartRead>),
     /// So many instances are alive.
     Instances(u32),
 }
@@ -221,6 +223,7 @@
                 take_rules(&state, &*feed, &shared, copy.text, "peer");
             }
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
+            FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
             FeedEvent::Instances(live) => {
                 state.metrics.instances.set(i64::from(live));
                 state.ask(|core, _| core.set_instances(live));
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -8,12 +8,12 @@
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
-use flaxtide_core::{InstanceName, MilliClock, SettingsVersion};
+use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
     FleetEvent, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate, NodeDemand,
-    OwnLoad, PeerInfo, RowQuestion, SettingsCopy, fleet_key,
+    OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy, fleet_key,
 };
-use flaxtide_policy::{PeerLoad, ServerLoad};
+use flaxtide_policy::{PartKey, PeerLoad, ReadNote, ServerLoad};
 use tokio::sync::mpsc;
 
 use crate::config::EntryConfig;
@@ -25,6 +25,9 @@
 /// The length of the ring to the fleet thread.
 const FLEET_RING: usize = 64;
 
+/// How often peers' news are prepared: with each look of the traffic thread.
+const TELL_PERIOD: Duration = Duration::from_millis(100);
+
 /// How many prompt tokens one unit of a load stands for.
 const TOKENS_PER_UNIT: u32 = 16;
 
@@ -161,6 +164,7 @@
             FleetNews::PeerLoads(peer, loads) => {
                 tell(events, FeedEvent::PeerLoads(peer, loads));
             }
+            FleetNews::PeerReads(reads) => tell(events, FeedEvent::PeerReads(reads)),
             FleetNews::Version(..) => link.send(FleetEvent::Fetch),
             // Slots and rates aren't shared out here: every instance may use every server.
             FleetNews::Load(_) | FleetNews::Share(..) | FleetNews::Rate(..) => {}
@@ -184,11 +188,18 @@
 ) {
     let loads = state.ask(|core, now| core.own_loads(now));
     let loads = loads.iter().filter_map(|load| own_load(state, load)).collect();
+    let notes = state.ask(|core, now| core.own_reads(now));
+    let reads: Vec<(Duration, PartRead)> =
+        notes.iter().filter_map(|note| part_read(state, note)).collect();
     let events = events.clone();
     let list = state.list.clone();
     let alone_below = state.config().read_alone_below;
     link.update(move |node, now| {
-        node.set_demand(NodeDemand { loads, ..NodeDemand::default() }, now);
+        // Each beat tells what has been read since the one before it.
+        let recent = node.period() + TELL_PERIOD * 2;
+        let reads = reads.iter().filter(|(age, _)| *age < recent).map(|(_, read)| *read);
+        let reads = reads.collect();
+        node.set_demand(NodeDemand { loads, reads, ..NodeDemand::default() }, now);
         let reader = node.list_reader(alone_below);
         if list.set_reader(reader) {
             log::info!(reader:? = reader; "list reader");
@@ -199,6 +210,22 @@
     });
 }
 
+/// Spells what a server has read as peers are told, with its age.
+fn part_read(state: &TrafficState, note: &ReadNote) -> Option<(Duration, PartRead)> {
+    let name = state.server_name(note.server)?;
+    Some((note.age, PartRead { server: fleet_key(&name), part: note.part }))
+}
+
+/// Takes in what servers have read for a peer.
+pub(crate) fn take_peer_reads(state: &TrafficState, reads: &[PartRead]) {
+    let known = reads.iter().filter_map(|read| {
+        let server = state.server_with_key(read.server)?;
+        Some((server, read.part))
+    });
+    let known: Vec<(ServerId, PartKey)> = known.collect();
+    state.ask(|core, now| core.hear_reads(&known, now));
+}
+
 /// Spells a load as peers are told.
 fn own_load(state: &TrafficState, load: &ServerLoad) -> Option<OwnLoad> {
     let name = state.server_name(load.server)?;
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -225,6 +226,13 @@
         self.names.borrow().server_names.get(server as usize).cloned()
     }
 
+    /// Returns where a server is reached.
+    pub(crate) fn server_address(&self, server: ServerId) -> Option<SocketAddr> {
+        let name = self.server_name(server)?;
+        let directory = self.directory.borrow();
+        directory.get(&name).map(|listed| listed.entry.address)
+    }
+
     /// Returns the server that a key stands for.
     pub(crate) fn server_with_key(&self, key: FleetKey) -> Option<ServerId> {
         self.names.borrow().keys.get(&key).copied()
@@ -258,6 +266,7 @@
                     slots: if slots == 0 { SLOTS_OF_PLAIN_SERVICE } else { slots },
                     engine: engine.map(|engine| EngineShape {
                         memory_tokens: engine.memory_tokens,
+                        fetch_tokens_per_ms: engine.fetch_tokens_per_ms,
                     }),
                     near: entry.data_centre == home,
                     leaving: entry.leaving,
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -25,6 +25,6 @@
 pub use self::rows::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
-    BeatReply, FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare,
-    SettingsCopy, UsageCount,
+    BeatReply, FleetBeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest,
+    ServerShare, SettingsCopy, UsageCount,
 };
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -18,7 +18,8 @@
 use crate::peer::PeerRecord;
 use crate::rows::{ListReader, PEERS_PER_READER, READER_KEY};
 use crate::wire::{
-    FleetBeat, OwnLoad, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
+    FleetBeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
+    UsageCount,
 };
 
 /// The part that the newest count of use has in its rate.
@@ -56,6 +57,8 @@
     pub servers: Vec<ServerDigest>,
     /// Its own requests at backend servers.
     pub loads: Vec<OwnLoad>,
+    /// The shared parts of prompts that servers have read for it lately.
+    pub reads: Vec<PartRead>,
     /// How many requests of each limited organisation came since the last time.
     pub usage: Vec<UsageCount>,
 }
@@ -80,6 +83,8 @@
     Rate(RatePart, Duration),
     /// What a peer has at backend servers; all of it.
     PeerLoads(InstanceName, Vec<OwnLoad>),
+    /// What servers have read for a peer.
+    PeerReads(Vec<PartRead>),
     /// A newer settings version exists; this peer has it.
     Version(SettingsVersion, PeerInfo),
 }
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -76,6 +76,9 @@
         if beat.data_centre == self.own.data_centre {
             news.extend(beat.servers.iter().copied().map(FleetNews::Load));
             news.push(FleetNews::PeerLoads(beat.from.clone(), beat.loads.clone()));
+            if !beat.reads.is_empty() {
+                news.push(FleetNews::PeerReads(beat.reads.clone()));
+            }
         }
         if beat.version > self.version {
             news.push(FleetNews::Version(beat.version, info));
@@ -127,6 +130,7 @@
             demands: if near { self.demand.demands.clone() } else { vec![] },
             servers: if near { self.demand.servers.clone() } else { vec![] },
             loads: if near { self.demand.loads.clone() } else { vec![] },
+            reads: if near { self.demand.reads.clone() } else { vec![] },
             usage: kept.cloned().unwrap_or_default(),
             wants_peers: self.list_failed && self.asks(peer),
         }
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -45,6 +45,8 @@
     pub servers: Vec<ServerDigest>,
     /// Its own requests at backend servers.
     pub loads: Vec<OwnLoad>,
+    /// The shared parts of prompts that servers have read for it lately.
+    pub reads: Vec<PartRead>,
     /// The use of organisations whose rate the receiver keeps.
     pub usage: Vec<UsageCount>,
     /// Whether it wants to be told of other instances, as it can't read the list.
@@ -108,6 +110,15 @@
     pub unread: [u16; 3],
 }
 
+/// A server has read a shared part of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartRead {
+    /// The server.
+    pub server: FleetKey,
+    /// What stands for the part.
+    pub part: u32,
+}
+
 /// How many requests of an organisation came since the last beat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageCount {
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -119,7 +119,7 @@
     fn take(&mut self, name: &str, news: Vec<FleetNews>) {
         for news in news {
             match news {
-                FleetNews::PeerLoads(..) => {}
+                FleetNews::PeerLoads(..) | FleetNews::PeerReads(_) => {}
                 FleetNews::Share(share, until) => {
                     self.shares.insert((name.into(), share.server), (share.slots, until));
                 }
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -177,6 +177,7 @@
         demands: demands.collect(),
         servers: servers.collect(),
         loads: vec![],
+        reads: vec![],
         usage: usage.collect(),
     }
 }
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -35,10 +35,10 @@
 pub use self::options::PolicyOptions;
 pub use self::rendezvous::{bounded_owners, rendezvous_order, rendezvous_owner};
 pub use self::router::{
-    EngineShape, LEVELS, LevelTokens, PeerKey, PeerLoad, PromptPart, PromptShape,
-    RefusalCause, RetryVerdict, RouteAction, RouteCall, RouteChoice, RouteCore,
-    RouteFault, RouteOptions, RouteReason, RoutedServer, ServerLoad, ServerNote,
-    WAIT_PART,
+    EngineShape, LEVELS, LevelTokens, PartFetch, PartKey, PeerKey, PeerLoad, PromptPart,
+    PromptShape, ReadNote, RefusalCause, RetryVerdict, RouteAction, RouteCall,
+    RouteChoice, RouteCore, RouteFault, RouteOptions, RouteReason, RoutedServer,
+    ServerLoad, ServerNote, WAIT_PART,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::share::{SlotDemand, divide_slots, equal_share};
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -18,6 +18,17 @@
     pub tokens: u32,
 }
 
+/// Stands for the content of a prompt part between instances and in the router's memory.
+pub type PartKey = u32;
+
+impl PromptPart {
+    /// Returns what stands for its content.
+    #[must_use]
+    pub fn short_key(&self) -> PartKey {
+        (self.key ^ (self.key >> 32)) as PartKey
+    }
+}
+
 /// The prompt of a request, and how long its answer may be.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct PromptShape {
@@ -48,11 +59,11 @@
         shared.iter().map(|part| part.tokens).sum()
     }
 
-    /// Returns the key of the longest chain that other requests may share.
+    /// Returns the last part that other requests may share; it stands for all before it.
     #[must_use]
-    pub fn shared_key(&self) -> Option<u64> {
+    pub fn shared_part(&self) -> Option<&PromptPart> {
         let shared = self.parts.len().checked_sub(2)?;
-        Some(self.parts[shared].key)
+        self.parts.get(shared)
     }
 }
 
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -33,6 +33,8 @@
     pub expected: Duration,
     /// How many prompt tokens it must read, about.
     pub uncached: u32,
+    /// The engine from which it takes over what it hasn't read, and how many tokens.
+    pub fetch: Option<PartFetch>,
     /// The requests known to be at it.
     pub running: u32,
     /// How many servers could have been chosen.
@@ -41,6 +43,15 @@
     pub ahead: f64,
 }
 
+/// A part of a prompt that an engine takes over from another's memory.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct PartFetch {
+    /// The engine that keeps it.
+    pub from: ServerId,
+    /// How many tokens it keeps beyond what the other does.
+    pub tokens: u32,
+}
+
 /// Why a server was chosen.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteReason {
@@ -62,6 +73,8 @@
     cost_ms: f64,
     /// How many prompt tokens it must read.
     uncached: u32,
+    /// What it takes over from another.
+    fetch: Option<PartFetch>,
     /// How long until the first token, in milliseconds.
     expected_ms: f64,
     /// The requests known to be at it.
@@ -90,7 +103,7 @@
         let well = self.well(&usable, now);
         let laned = self.laned(&staying, &well, lane, now);
         for group in [&laned, &well] {
-            let best = self.cheapest(group, request, now);
+            let best = self.cheapest(group, &well, request, now);
             if let Some((best, reason)) = best {
                 return Some(answer(&best, reason, group.len()));
             }
@@ -98,7 +111,7 @@
         if !well.is_empty() {
             return None;
         }
-        let (best, _) = self.cheapest(&usable, request, now)?;
+        let (best, _) = self.cheapest(&usable, &[], request, now)?;
         Some(answer(&best, RouteReason::LastResort, usable.len()))
     }
 
@@ -179,15 +192,18 @@
         left.clamp(self.options.least_long_part, self.options.long_part)
     }
 
-    /// Returns the cheapest server with room among some.
+    /// Returns the cheapest server with room among some, where it may take shared parts
+    /// over from `sources`.
     fn cheapest<'a>(
         &self,
         servers: &[&'a ServerState],
+        sources: &[&'a ServerState],
         request: RequestId,
         now: Duration,
     ) -> Option<(Candidate<'a>, RouteReason)> {
         let call = &self.calls.get(&request)?.call;
         let homes = homes(&call.prompt, servers);
+        let holder = self.holder(&call.prompt, sources, now);
         let shared = call.prompt.shared_tokens();
         let own = call.prompt.tokens.saturating_sub(shared);
         let candidates =
@@ -195,20 +211,22 @@
                 .iter()
                 .filter(|server| self.has_room(server, now))
                 .map(|server| {
-                    let read =
-                        server.uncached(&call.prompt, self.options.cache_life, now);
-                    // Peers send what shares a prompt's parts to the same homes.
-                    let uncached = match homes
+                    let kept = self.kept(&call.prompt, server, now);
+                    let fetch = self.fetch(server, kept, holder);
+                    let taken = fetch.map_or(0, |fetch| fetch.tokens);
+                    let uncached = call.prompt.tokens.saturating_sub(kept + taken);
+                    let mut candidate =
+                        self.candidate(server, uncached, fetch, call.level, now);
+                    // What shares a prompt's parts goes to the same homes, from all instances.
+                    let again = match homes
                         .iter()
                         .position(|home| *home == server.facts.server)
                     {
-                        Some(0) => read.min(own),
-                        Some(_) => read.min(own + shared / 2),
-                        None => read,
+                        Some(0) => 0,
+                        Some(_) => uncached.saturating_sub(own).min(shared / 2),
+                        None => uncached.saturating_sub(own),
                     };
-                    let mut candidate = self.candidate(server, uncached, call.level, now);
-                    let again = f64::from(uncached.saturating_sub(own));
-                    let again_ms = again / server.pace.get(now);
+                    let again_ms = f64::from(again) / server.pace.get(now);
                     candidate.cost_ms += self.options.reread_weight * again_ms;
                     candidate
                 });
@@ -224,11 +242,48 @@
         Some((best, reason))
     }
 
+    /// Returns how many tokens of a prompt a server is known to keep.
+    fn kept(&self, prompt: &PromptShape, server: &ServerState, now: Duration) -> u32 {
+        server.kept_tokens(prompt, self.options.cache_life, now)
+    }
+
+    /// Returns which server keeps most of a prompt's shared parts, and how many tokens.
+    fn holder(
+        &self,
+        prompt: &PromptShape,
+        servers: &[&ServerState],
+        now: Duration,
+    ) -> Option<PartFetch> {
+        let shared = prompt.shared_tokens();
+        let kept = servers.iter().map(|server| PartFetch {
+            from: server.facts.server,
+            tokens: self.kept(prompt, server, now).min(shared),
+        });
+        let most = kept.max_by_key(|fetch| fetch.tokens)?;
+        (most.tokens >= self.options.least_fetch).then_some(most)
+    }
+
+    /// Returns what a server that keeps so many tokens would take over from the one that
+    /// keeps most.
+    fn fetch(
+        &self,
+        server: &ServerState,
+        kept: u32,
+        holder: Option<PartFetch>,
+    ) -> Option<PartFetch> {
+        server.facts.engine?.fetch_tokens_per_ms?;
+        let holder = holder?;
+        let tokens = holder.tokens.saturating_sub(kept);
+        (tokens >= self.options.least_fetch)
+            .then_some(PartFetch { from: holder.from, tokens })
+    }
+
     /// Works out what a server costs that must read so many tokens.
     fn candidate<'a>(
         &self,
         server: &'a ServerState,
         uncached: u32,
+        fetch: Option<PartFetch>,
         level: u8,
         now: Duration,
     ) -> Candidate<'a> {
@@ -246,7 +301,9 @@
             Some(_) => {
                 ahead = self.backlog(server, level, now) + f64::from(uncached);
                 cost_ms += running * self.options.running_cost_ms;
-                ahead / server.pace.get(now)
+                let fetch_ms = fetch_ms(server, fetch);
+                cost_ms += fetch_ms * (self.options.fetch_weight - 1.0);
+                ahead / server.pace.get(now) + fetch_ms
             }
             None => {
                 let slots = f64::from(server.facts.slots.max(1));
@@ -258,6 +315,7 @@
             server,
             cost_ms,
             uncached,
+            fetch,
             expected_ms,
             running: count,
             ahead,
@@ -283,16 +341,23 @@
     }
 }
 
+/// How long it takes a server to take a part over, in milliseconds.
+fn fetch_ms(server: &ServerState, fetch: Option<PartFetch>) -> f64 {
+    let Some(fetch) = fetch else { return 0.0 };
+    let rate = server.facts.engine.and_then(|engine| engine.fetch_tokens_per_ms);
+    rate.map_or(0.0, |rate| f64::from(fetch.tokens) / rate)
+}
+
 /// How many servers are taken to keep the shared parts of a prompt: where it belongs, and
 /// where it goes while that one is busy.
 const HOMES: usize = 2;
 
 /// Returns the servers to which prompts with the same shared parts go first.
 fn homes(prompt: &PromptShape, servers: &[&ServerState]) -> Vec<ServerId> {
-    let Some(key) = prompt.shared_key() else { return vec![] };
+    let Some(part) = prompt.shared_part() else { return vec![] };
     let mut ranked: Vec<(u64, ServerId)> = servers
         .iter()
-        .map(|server| (numbered_weight(key, server.facts.rank), server.facts.server))
+        .map(|server| (numbered_weight(part.key, server.facts.rank), server.facts.server))
         .collect();
     ranked.sort_unstable_by(|one, other| other.cmp(one));
     ranked.truncate(HOMES);
@@ -311,6 +376,7 @@
         cost_ms: candidate.cost_ms,
         expected: Duration::from_secs_f64(candidate.expected_ms / 1000.0),
         uncached: candidate.uncached,
+        fetch: candidate.fetch,
         running: candidate.running,
         eligible,
         ahead: candidate.ahead,
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod options;
 mod pace;
+mod read;
 mod retry;
 mod server;
 mod wait;
@@ -20,16 +21,18 @@
 
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
-pub use self::call::{PromptPart, PromptShape, RouteCall, RouteFault};
-pub use self::choose::{RouteChoice, RouteReason};
+pub use self::call::{PartKey, PromptPart, PromptShape, RouteCall, RouteFault};
+pub use self::choose::{PartFetch, RouteChoice, RouteReason};
 pub use self::load::{LEVELS, LevelTokens, PeerKey, PeerLoad, ServerLoad};
 pub use self::options::RouteOptions;
+pub use self::read::ReadNote;
 pub use self::retry::RetryVerdict;
 pub use self::server::{EngineShape, RoutedServer};
 
 use self::budget::RetryWindow;
 use self::call::{CallPlace, RoutedCall};
 use self::lane::LaneSplit;
+use self::read::ReadLog;
 use self::server::ServerState;
 use crate::queue::{PoolQueue, QueueEntry};
 
@@ -120,6 +123,8 @@
     calls: HashMap<RequestId, RoutedCall>,
     /// How many instances share the retry budget; the most that were seen alive.
     instances: u32,
+    /// The shared parts that servers have read lately for this instance.
+    reads: ReadLog,
     /// What has been decided in the current event.
     actions: Vec<RouteAction>,
 }
@@ -134,6 +139,7 @@
             pools: BTreeMap::new(),
             calls: HashMap::new(),
             instances,
+            reads: ReadLog::default(),
             actions: vec![],
         }
     }
@@ -179,6 +185,21 @@
         }
     }
 
+    /// Takes in what a peer saw servers read.
+    pub fn hear_reads(&mut self, reads: &[(ServerId, PartKey)], now: Duration) {
+        for (server, part) in reads {
+            let mut pools = self.pools.values_mut();
+            if let Some(server) = pools.find_map(|pool| pool.servers.get_mut(server)) {
+                server.hear_read(*part, now);
+            }
+        }
+    }
+
+    /// Returns the shared parts that servers have read lately for this instance.
+    pub fn own_reads(&mut self, now: Duration) -> Vec<ReadNote> {
+        self.reads.recent(&self.options, now)
+    }
+
     /// Returns what this instance has at servers.
     #[must_use]
     pub fn own_loads(&self, now: Duration) -> Vec<ServerLoad> {
@@ -224,13 +245,15 @@
         let CallPlace::Running { server, since, .. } = call.place else { return };
         let first = call.hear(now);
         let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
-        let Some(server) = state.servers.get_mut(&server) else { return };
+        let id = server;
+        let Some(server) = state.servers.get_mut(&id) else { return };
         server.health.hear(now);
         if first {
             server.load.read(now);
             let seen = now.saturating_sub(since).as_secs_f64() * 1000.0;
             server.pace.learn(call.ahead, seen, now);
             server.remember(&call.call.prompt, now);
+            self.reads.add(&call.call, id, &self.options, now);
         }
     }
 
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -14,6 +14,14 @@
     /// How many times the time to read a shared part again counts: it costs the others at
     /// the server as well, and the memory of what is dropped for it.
     pub reread_weight: f64,
+    /// How many times the time to take a shared part over from another engine counts: its
+    /// transfer has a price, and the link is shared.
+    pub fetch_weight: f64,
+    /// Shared parts of fewer tokens are read again rather than taken over.
+    pub least_fetch: u32,
+    /// For how long peers are told of a shared part that a server has read.
+    #[serde(deserialize_with = "deserialize_span")]
+    pub read_life: Duration,
     /// What one more running request adds to the time of others, in milliseconds.
     pub running_cost_ms: f64,
     /// A prompt with more unread tokens than this is a long one.
@@ -96,6 +104,9 @@
         Self {
             prefill_tokens_per_ms: 60.0,
             reread_weight: 15.0,
+            fetch_weight: 10.0,
+            least_fetch: 500,
+            read_life: Duration::from_millis(2700),
             running_cost_ms: 0.7,
             long_prompt: 3000,
             long_part: 0.6,
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -5,7 +5,7 @@
 
 use flaxtide_core::ServerId;
 
-use super::call::PromptShape;
+use super::call::{PartKey, PromptShape};
 use super::health::ServerHealth;
 use super::load::LoadCount;
 use super::pace::ReadPace;
@@ -45,6 +45,9 @@
 pub struct EngineShape {
     /// Tokens of prompts and answers that fit its memory.
     pub memory_tokens: u32,
+    /// How many tokens it takes over from another engine's memory in a millisecond; none
+    /// if it can't.
+    pub fetch_tokens_per_ms: Option<f64>,
 }
 
 /// A backend server with what this instance has seen of it.
@@ -61,7 +64,7 @@
     /// Whether it was found to answer at the last review.
     pub(crate) believed_well: bool,
     /// The prompt parts that it has read, and when last.
-    parts: HashMap<u64, Duration>,
+    parts: HashMap<PartKey, Duration>,
 }
 
 impl ServerState {
@@ -86,22 +89,32 @@
             self.parts.retain(|_, read| *read > middle);
         }
         for part in &prompt.parts {
-            self.parts.insert(part.key, now);
+            self.parts.insert(part.short_key(), now);
         }
     }
 
-    /// Returns how many tokens of a prompt the server must read, if `life` is how long it
-    /// keeps what it has read. A part counts only if all before it are there.
-    pub(crate) fn uncached(
+    /// Records that a peer saw the server read a prompt with this shared part.
+    pub(crate) fn hear_read(&mut self, part: PartKey, now: Duration) {
+        if self.parts.len() <= REMEMBERED_PARTS {
+            self.parts.insert(part, now);
+        }
+    }
+
+    /// Returns how many tokens of a prompt the server keeps, if `life` is how long it keeps
+    /// what it has read. Whoever read a part has read all before it.
+    pub(crate) fn kept_tokens(
         &self,
         prompt: &PromptShape,
         life: Duration,
         now: Duration,
     ) -> u32 {
-        let known = prompt.parts.iter().take_while(|part| {
-            self.parts.get(&part.key).is_some_and(|read| now < *read + life)
+        let known = prompt.parts.iter().rposition(|part| {
+            self.parts
+                .get(&part.short_key())
+                .is_some_and(|read| now < *read + life)
         });
-        let cached: u32 = known.map(|part| part.tokens).sum();
-        prompt.tokens.saturating_sub(cached)
+        let Some(last) = known else { return 0 };
+        let kept: u32 = prompt.parts[..=last].iter().map(|part| part.tokens).sum();
+        kept.min(prompt.tokens)
     }
 }
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -163,6 +163,7 @@
     NodeDemand {
         demands: demands.collect(),
         servers: server_digests(shared, view),
+        reads: vec![],
         loads: vec![],
         usage: usage.collect(),
     }
@@ -214,7 +215,7 @@
                 events.push(PolicyEvent::RateShare { organisation, part, until });
             }
             // The shares of slots already count what peers have at servers.
-            FleetNews::PeerLoads(..) => {}
+            FleetNews::PeerLoads(..) | FleetNews::PeerReads(_) => {}
             FleetNews::Version(version, ref _peer) => {
                 // A full ring wakes the thread as well.
                 let _ = shared.settings_news.try_send(version);
