--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -114,6 +114,11 @@
 }
 
 impl RouteFault {
+    /// Tells whether the request has reached the server, as the retry budget counts it.
+    pub(crate) fn arrived(self) -> bool {
+        self != Self::Unreachable
+    }
+
     /// Tells whether the fault promises that the request hasn't run.
     #[must_use]
     pub fn not_run(self) -> bool {
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -118,6 +118,10 @@
         if !self.has_other(call) {
             return false;
         }
+        if !fault.arrived() {
+            // The budget is for what servers get; this one got nothing.
+            return true;
+        }
         let (ratio, slack) = (self.options.retry_ratio, self.options.retry_slack);
         let mut part =
             slack * self.options.budget_part / f64::from(self.instances.max(1));
