--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -82,22 +82,28 @@
         let first = self.first.get().map_or(-1, |first| first.as_millis() as i64);
         log::info!(
             request = self.attempt, class = self.class.class().name, outcome = end,
-            status, first_ms = first, pause_ms = self.longest_pause.get().as_millis() as u64, spent_ms = spent, may_have_run = self.may_have_run.get();
+            status, late = self.late_cause().unwrap_or_default(),
+            target_ms = self.class.class().target.as_millis() as u64, first_ms = first, pause_ms = self.longest_pause.get().as_millis() as u64, spent_ms = spent, may_have_run = self.may_have_run.get();
             "end"
         );
     }
 
-    /// Counts a whole answer that missed its target: by its first event, or by a pause.
+    /// Counts a whole answer that missed its target.
     pub(crate) fn note_late(&self) {
+        if let Some(cause) = self.late_cause() {
+            self.state.metrics.late.with_label_values(&[cause]).inc();
+        }
+    }
+
+    /// Returns by what an answer missed its target: its first event, or a pause.
+    fn late_cause(&self) -> Option<&'static str> {
         let class = self.class.class();
-        let cause = if self.first.get().is_some_and(|first| first > class.target) {
-            "first"
-        } else if class.pause_target.is_some_and(|most| self.longest_pause.get() > most) {
-            "pause"
-        } else {
-            return;
-        };
-        self.state.metrics.late.with_label_values(&[cause]).inc();
+        if self.first.get().is_some_and(|first| first > class.target) {
+            return Some("first");
+        }
+        let paused =
+            class.pause_target.is_some_and(|most| self.longest_pause.get() > most);
+        paused.then_some("pause")
     }
 
     /// Records that the answer, or its first event, has come.
