--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -146,7 +146,9 @@
         let kept = if fresh { None } else { state.links.take(server, state.now()) };
         let mut link = match kept {
             Some(link) => link,
-            None => connect(address).await.map_err(|_| RouteFault::Unreachable)?,
+            None => connect(&state.links, address)
+                .await
+                .map_err(|_| RouteFault::Unreachable)?,
         };
         let kind = if link.used { "kept" } else { "new" };
         link.used = true;
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -7,11 +7,13 @@
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, MilliClock, ServerName, SettingsVersion};
-use flaxtide_fleet::{OwnLoad, PartRead};
+use flaxtide_fleet::{FleetKey, OwnLoad, PartRead};
 use tokio::sync::mpsc::{Receiver, Sender};
 
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
-use crate::fleet::{FleetLink, RulesCopy, SharedRules, take_peer_loads, take_peer_reads};
+use crate::fleet::{
+    FleetLink, RulesCopy, SharedRules, take_peer_loads, take_peer_reads, take_peer_silent,
+};
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
 use crate::state::TrafficState;
@@ -56,6 +58,8 @@
     PeerLoads(InstanceName, Vec<OwnLoad>),
     /// Servers have read shared parts of prompts for a peer.
     PeerReads(Vec<PartRead>),
+    /// A peer has found servers silent.
+    PeerSilent(Vec<FleetKey>),
     /// So many instances are alive.
     Instances(u32),
 }
@@ -223,6 +227,7 @@
                 take_rules(&state, &*feed, &shared, copy.text, "peer");
             }
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
+            FeedEvent::PeerSilent(servers) => take_peer_silent(&state, &servers),
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
             FeedEvent::Instances(live) => {
                 state.metrics.instances.set(i64::from(live));
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -10,8 +10,8 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
-    FleetEvent, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate, NodeDemand,
-    OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy, fleet_key,
+    FleetEvent, FleetKey, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate,
+    NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{PartKey, PeerLoad, ReadNote, ServerLoad};
 use tokio::sync::mpsc;
@@ -164,6 +164,9 @@
             FleetNews::PeerLoads(peer, loads) => {
                 tell(events, FeedEvent::PeerLoads(peer, loads));
             }
+            FleetNews::PeerSilent(servers) => {
+                tell(events, FeedEvent::PeerSilent(servers))
+            }
             FleetNews::PeerReads(reads) => tell(events, FeedEvent::PeerReads(reads)),
             FleetNews::Version(..) => link.send(FleetEvent::Fetch),
             // Slots and rates aren't shared out here: every instance may use every server.
@@ -191,6 +194,9 @@
     let notes = state.ask(|core, now| core.own_reads(now));
     let reads: Vec<(Duration, PartRead)> =
         notes.iter().filter_map(|note| part_read(state, note)).collect();
+    let silent = state.ask(|core, now| core.silent_servers(now));
+    let names = silent.iter().filter_map(|server| state.server_name(*server));
+    let silent: Vec<FleetKey> = names.map(|name| fleet_key(&name)).collect();
     let events = events.clone();
     let list = state.list.clone();
     let alone_below = state.config().read_alone_below;
@@ -199,7 +205,10 @@
         let recent = node.period() + TELL_PERIOD * 2;
         let reads = reads.iter().filter(|(age, _)| *age < recent).map(|(_, read)| *read);
         let reads = reads.collect();
-        node.set_demand(NodeDemand { loads, reads, ..NodeDemand::default() }, now);
+        node.set_demand(
+            NodeDemand { loads, reads, silent, ..NodeDemand::default() },
+            now,
+        );
         let reader = node.list_reader(alone_below);
         if list.set_reader(reader) {
             log::info!(reader:? = reader; "list reader");
@@ -216,6 +225,13 @@
     Some((note.age, PartRead { server: fleet_key(&name), part: note.part }))
 }
 
+/// Takes in that a peer has found servers silent.
+pub(crate) fn take_peer_silent(state: &TrafficState, servers: &[FleetKey]) {
+    let known: Vec<ServerId> =
+        servers.iter().filter_map(|key| state.server_with_key(*key)).collect();
+    state.ask(|core, now| core.hear_rumours(&known, now));
+}
+
 /// Takes in what servers have read for a peer.
 pub(crate) fn take_peer_reads(state: &TrafficState, reads: &[PartRead]) {
     let known = reads.iter().filter_map(|read| {
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -1,6 +1,6 @@
 //! Connections to servers: opened, kept while idle, closed after any doubt.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
@@ -15,9 +15,18 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-/// How long a connection may take to open. A server in reach takes a few milliseconds; one
-/// behind a cut never answers.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// How long a connection may take to open before any has been seen to. A server in reach
+/// takes a few milliseconds; one behind a cut never answers.
+const LONGEST_OPEN: Duration = Duration::from_millis(300);
+
+/// How long one may take at least: a busy machine on either side isn't out of reach.
+const SHORTEST_OPEN: Duration = Duration::from_millis(100);
+
+/// One may take so many times as long as the slowest that were seen to open.
+const OPEN_FACTOR: u32 = 8;
+
+/// How much of the slowest is kept with each connection that opens.
+const SLOWEST_KEPT: f64 = 0.95;
 
 /// After so long without acknowledgement, the system gives a connection up.
 const SILENT_PEER: Duration = Duration::from_secs(4);
@@ -43,6 +52,8 @@
 pub(crate) struct ServerLinks {
     /// By server, the one used last at the end.
     idle: RefCell<HashMap<ServerId, Vec<IdleLink>>>,
+    /// How long the slowest connections took to open lately.
+    slowest_open: Cell<Option<Duration>>,
 }
 
 /// A connection that is idle.
@@ -111,6 +122,19 @@
         }
     }
 
+    /// Returns how long a connection may take to open.
+    fn open_time(&self) -> Duration {
+        self.slowest_open.get().map_or(LONGEST_OPEN, |slowest| {
+            (slowest * OPEN_FACTOR).clamp(SHORTEST_OPEN, LONGEST_OPEN)
+        })
+    }
+
+    /// Takes in how long a connection took to open.
+    fn note_open(&self, span: Duration) {
+        let kept = self.slowest_open.get().unwrap_or_default().mul_f64(SLOWEST_KEPT);
+        self.slowest_open.set(Some(kept.max(span)));
+    }
+
     /// Closes the idle connections to a server one of whose connections went silent: the
     /// others may have gone silent with it.
     pub(crate) fn doubt(&self, server: ServerId) {
@@ -127,14 +151,19 @@
     }
 }
 
-/// Opens a connection to a server.
+/// Opens a connection to a server, within what `links` has seen that it takes.
 ///
 /// # Errors
 ///
 /// Returns the fault if none could be opened in time; nothing was sent then.
-pub(crate) async fn connect(address: SocketAddr) -> io::Result<ServerLink> {
-    let opened = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address));
+pub(crate) async fn connect(
+    links: &ServerLinks,
+    address: SocketAddr,
+) -> io::Result<ServerLink> {
+    let start = tokio::time::Instant::now();
+    let opened = tokio::time::timeout(links.open_time(), TcpStream::connect(address));
     let stream = opened.await.map_err(|_| io::ErrorKind::TimedOut)??;
+    links.note_open(start.elapsed());
     stream.set_nodelay(true)?;
     watch_peer(&stream)?;
     let shaken = http1::handshake(TokioIo::new(stream)).await;
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -59,6 +59,8 @@
     pub loads: Vec<OwnLoad>,
     /// The shared parts of prompts that servers have read for it lately.
     pub reads: Vec<PartRead>,
+    /// The servers that it has found silent lately.
+    pub silent: Vec<FleetKey>,
     /// How many requests of each limited organisation came since the last time.
     pub usage: Vec<UsageCount>,
 }
@@ -85,6 +87,8 @@
     PeerLoads(InstanceName, Vec<OwnLoad>),
     /// What servers have read for a peer.
     PeerReads(Vec<PartRead>),
+    /// Servers that a peer has found silent.
+    PeerSilent(Vec<FleetKey>),
     /// A newer settings version exists; this peer has it.
     Version(SettingsVersion, PeerInfo),
 }
@@ -288,8 +292,10 @@
             *self.untold.entry(usage.organisation).or_default() += u32::from(usage.count);
         }
         self.usage.retain(|_, rate| *rate > LEAST_USE);
+        let newly_silent = |key| !self.demand.silent.contains(key);
         self.has_news |=
-            adds_load(&self.demand.loads, &demand.loads, self.timing.news_units);
+            adds_load(&self.demand.loads, &demand.loads, self.timing.news_units)
+                || demand.silent.iter().any(newly_silent);
         self.demand = demand;
         self.refresh(now);
     }
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -90,6 +90,9 @@
             if !beat.reads.is_empty() {
                 news.push(FleetNews::PeerReads(beat.reads.clone()));
             }
+            if !beat.silent.is_empty() {
+                news.push(FleetNews::PeerSilent(beat.silent.clone()));
+            }
         }
         if beat.version > self.version {
             news.push(FleetNews::Version(beat.version, info));
@@ -142,6 +145,7 @@
             servers: if near { self.demand.servers.clone() } else { vec![] },
             loads: if near { self.demand.loads.clone() } else { vec![] },
             reads: if near { self.demand.reads.clone() } else { vec![] },
+            silent: if near { self.demand.silent.clone() } else { vec![] },
             usage: kept.cloned().unwrap_or_default(),
             wants_peers: self.list_failed && self.asks(peer),
         }
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -47,6 +47,8 @@
     pub loads: Vec<OwnLoad>,
     /// The shared parts of prompts that servers have read for it lately.
     pub reads: Vec<PartRead>,
+    /// The servers that it has found silent lately.
+    pub silent: Vec<FleetKey>,
     /// The use of organisations whose rate the receiver keeps.
     pub usage: Vec<UsageCount>,
     /// Whether it wants to be told of other instances, as it can't read the list.
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -119,7 +119,9 @@
     fn take(&mut self, name: &str, news: Vec<FleetNews>) {
         for news in news {
             match news {
-                FleetNews::PeerLoads(..) | FleetNews::PeerReads(_) => {}
+                FleetNews::PeerLoads(..)
+                | FleetNews::PeerReads(_)
+                | FleetNews::PeerSilent(_) => {}
                 FleetNews::Share(share, until) => {
                     self.shares.insert((name.into(), share.server), (share.slots, until));
                 }
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -178,6 +178,7 @@
         servers: servers.collect(),
         loads: vec![],
         reads: vec![],
+        silent: vec![],
         usage: usage.collect(),
     }
 }
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -20,6 +20,8 @@
     pause: Duration,
     /// When anything last came from it.
     heard: Duration,
+    /// When it was last found silent or out of reach, unless it has answered since.
+    doubted: Option<Duration>,
     /// The decayed part of its requests that failed.
     failures: f64,
 }
@@ -31,6 +33,7 @@
             paused_until: Duration::ZERO,
             pause: Duration::ZERO,
             heard: now,
+            doubted: None,
             failures: 0.0,
         }
     }
@@ -38,6 +41,7 @@
     /// Records that something came.
     pub(crate) fn hear(&mut self, now: Duration) {
         self.heard = now;
+        self.doubted = None;
     }
 
     /// Records a whole answer.
@@ -61,6 +65,7 @@
             }
             RouteFault::Replaced => self.rest(now, options.longest_pause, options),
             RouteFault::Unreachable | RouteFault::Silent => {
+                self.doubted = Some(now);
                 self.count_failure();
                 self.rest(now, options.pause, options);
             }
@@ -71,6 +76,25 @@
         }
     }
 
+    /// Tells whether the server was found silent lately, by this instance itself. `streams`
+    /// tells whether it has streams under way.
+    pub(crate) fn is_doubted(
+        &self,
+        streams: bool,
+        now: Duration,
+        options: &RouteOptions,
+    ) -> bool {
+        let silent = streams && now > self.heard + options.silence;
+        silent || self.doubted.is_some_and(|at| now < at + options.rumour_life)
+    }
+
+    /// Takes in that a peer has found the server silent.
+    pub(crate) fn hear_rumour(&mut self, now: Duration, options: &RouteOptions) {
+        if now > self.heard + options.rumour_silence {
+            self.paused_until = self.paused_until.max(now + options.pause);
+        }
+    }
+
     /// Gives the server no work for a while, longer each time.
     fn rest(&mut self, now: Duration, first: Duration, options: &RouteOptions) {
         if now < self.paused_until {
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -200,6 +200,28 @@
         self.reads.recent(&self.options, now)
     }
 
+    /// Takes in that a peer has found servers silent.
+    pub fn hear_rumours(&mut self, servers: &[ServerId], now: Duration) {
+        for pool in self.pools.values_mut() {
+            for server in servers {
+                if let Some(server) = pool.servers.get_mut(server) {
+                    server.health.hear_rumour(now, &self.options);
+                }
+            }
+        }
+    }
+
+    /// Returns which servers this instance has found silent lately.
+    #[must_use]
+    pub fn silent_servers(&self, now: Duration) -> Vec<ServerId> {
+        let servers = self.pools.values().flat_map(|pool| &pool.servers);
+        let silent = servers.filter(|(_, server)| {
+            let streams = server.load.streams(&self.calls);
+            server.health.is_doubted(streams, now, &self.options)
+        });
+        silent.map(|(id, _)| *id).collect()
+    }
+
     /// Returns what this instance has at servers.
     #[must_use]
     pub fn own_loads(&self, now: Duration) -> Vec<ServerLoad> {
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -73,6 +73,12 @@
     /// After so long a silence with streams under way, a server gets no more work.
     #[serde(deserialize_with = "deserialize_span")]
     pub silence: Duration,
+    /// For how long peers are told that a server was found silent.
+    #[serde(deserialize_with = "deserialize_span")]
+    pub rumour_life: Duration,
+    /// A peer's word that a server is silent counts if nothing came from it for so long.
+    #[serde(deserialize_with = "deserialize_span")]
+    pub rumour_silence: Duration,
     /// After so long a silence with nothing but unanswered work at it, and twice the time
     /// that its prompts take, a server gets no more work.
     #[serde(deserialize_with = "deserialize_span")]
@@ -127,7 +133,9 @@
             settling_slack: 2.0,
             patience_factor: 3.0,
             shortest_patience: Duration::from_millis(1500),
-            silence: Duration::from_millis(700),
+            silence: Duration::from_millis(500),
+            rumour_life: Duration::from_millis(1000),
+            rumour_silence: Duration::from_millis(300),
             long_silence: Duration::from_millis(1500),
             pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -164,6 +164,7 @@
         demands: demands.collect(),
         servers: server_digests(shared, view),
         reads: vec![],
+        silent: vec![],
         loads: vec![],
         usage: usage.collect(),
     }
@@ -215,7 +216,9 @@
                 events.push(PolicyEvent::RateShare { organisation, part, until });
             }
             // The shares of slots already count what peers have at servers.
-            FleetNews::PeerLoads(..) | FleetNews::PeerReads(_) => {}
+            FleetNews::PeerLoads(..)
+            | FleetNews::PeerReads(_)
+            | FleetNews::PeerSilent(_) => {}
             FleetNews::Version(version, ref _peer) => {
                 // A full ring wakes the thread as well.
                 let _ = shared.settings_news.try_send(version);
