--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -165,7 +165,7 @@
                 tell(events, FeedEvent::PeerLoads(peer, loads));
             }
             FleetNews::PeerSilent(servers) => {
-                tell(events, FeedEvent::PeerSilent(servers))
+                tell(events, FeedEvent::PeerSilent(servers));
             }
             FleetNews::PeerReads(reads) => tell(events, FeedEvent::PeerReads(reads)),
             FleetNews::Version(..) => link.send(FleetEvent::Fetch),
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -300,13 +300,17 @@
         self.refresh(now);
     }
 
+    /// Returns how many instances of the data centre are known, this one included: each
+    /// gets a beat, whether it is heard or not.
+    pub(super) fn known_near(&self) -> u32 {
+        self.peers.values().filter(|peer| self.is_near(peer)).count() as u32 + 1
+    }
+
     /// Returns the time between two rounds of beats.
     #[must_use]
     pub fn period(&self) -> Duration {
-        let known =
-            self.peers.values().filter(|peer| self.is_near(peer)).count() as u32 + 1;
         let timing = &self.timing;
-        let period = timing.period_per_instance * known;
+        let period = timing.period_per_instance * self.known_near();
         period.clamp(
             timing.shortest_period.min(timing.longest_period),
             timing.longest_period,
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -20,7 +20,7 @@
         {
             return vec![];
         }
-        let cost = self.timing.news_cost_per_instance * self.live.len() as u32;
+        let cost = self.timing.news_cost_per_instance * self.known_near();
         let saved = now.saturating_sub(cost * self.timing.news_burst);
         self.paid_until = self.paid_until.max(saved) + cost;
         self.has_news = false;
--- a/crates/flaxtide-policy/tests/router_silence.rs
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -65,3 +65,58 @@
         assert_ne!(server_of(&core.arrive(call(request, 100, true), ms(3001))), first);
     }
 }
+
+#[test]
+fn a_server_that_a_peer_found_silent_gets_no_work_for_a_while() {
+    let mut core = core_with(2);
+    core.hear_rumours(&[0], ms(1000));
+    for request in 0..4 {
+        assert_eq!(server_of(&core.arrive(call(request, 100, true), ms(1001))), Some(1));
+    }
+    let mut later = (10..14)
+        .map(|request| server_of(&core.arrive(call(request, 100, true), ms(1600))));
+    assert!(later.any(|server| server == Some(0)));
+}
+
+#[test]
+fn a_server_that_answers_here_is_used_whatever_peers_say() {
+    let mut core = core_with(2);
+    let first = server_of(&core.arrive(call(1, 100, true), ms(0))).unwrap();
+    core.heard(1, ms(990));
+    core.finish(1, ms(995));
+    core.hear_rumours(&[first], ms(1000));
+    let mut servers =
+        (2..6).map(|request| server_of(&core.arrive(call(request, 100, true), ms(1001))));
+    assert!(servers.any(|server| server == Some(first)));
+}
+
+#[test]
+fn peers_are_told_of_what_this_instance_found_and_of_no_rumour() {
+    let mut core = core_with(3);
+    core.hear_rumours(&[2], ms(0));
+    assert!(core.silent_servers(ms(1)).is_empty());
+    let server = server_of(&core.arrive(call(1, 100, false), ms(10))).unwrap();
+    core.fail(1, RouteFault::Unreachable, false, ms(110));
+    assert_eq!(core.silent_servers(ms(120)), [server]);
+    assert!(core.silent_servers(ms(2000)).is_empty(), "old finds are forgotten");
+}
+
+#[test]
+fn a_request_that_reached_no_server_costs_no_repeat() {
+    let mut core = core_with(30);
+    let order = call(1, 100, false);
+    core.arrive(order, ms(0));
+    for _ in 0..3 {
+        let (verdict, _) = core.fail(1, RouteFault::Unreachable, false, ms(1));
+        assert_eq!(verdict, RetryVerdict::Again);
+    }
+    assert_eq!(core.fail(1, RouteFault::Unreachable, false, ms(1)).0, RetryVerdict::End);
+    // Just started, an instance has two free repeats; they are all left.
+    for request in 2..4 {
+        core.arrive(call(request, 100, false), ms(2));
+        assert_eq!(
+            core.fail(request, RouteFault::Full, false, ms(2)).0,
+            RetryVerdict::Again
+        );
+    }
+}
