Give long prompts more engines where their target leaves no time to wait

Cause: long prompts are kept to 60 % of the engines. The largest part rises from 60 to 80 % as the mean target of the long prompts that come falls from 5 to 3.5 times the time in which the fastest engine reads one.

--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -7,7 +7,7 @@
 use super::RouteCore;
 use super::call::PromptShape;
 use super::health::FAILING_PART;
-use super::lane::{PromptLane, in_lane};
+use super::lane::{LaneSplit, PromptLane, in_lane};
 use super::server::ServerState;
 use crate::rendezvous::numbered_weight;
 
@@ -101,7 +101,7 @@
             .collect();
         let lane = state.split.lane(call.call.prompt.tokens, &self.options, now);
         let well = self.well(&usable, now);
-        let laned = self.laned(&staying, &well, lane, now);
+        let laned = self.laned(&staying, &well, &state.split, lane, now);
         for group in [&laned, &well] {
             let best = self.cheapest(group, &well, request, now);
             if let Some((best, reason)) = best {
@@ -165,11 +165,15 @@
         &self,
         staying: &[&'a ServerState],
         well: &[&'a ServerState],
+        split: &LaneSplit,
         lane: PromptLane,
         now: Duration,
     ) -> Vec<&'a ServerState> {
+        if lane == PromptLane::Any {
+            return well.to_vec();
+        }
         let count = staying.len();
-        let part = self.long_part(staying, now);
+        let part = self.long_part(split, staying, now);
         let places = staying.iter().enumerate();
         let members = places.filter(|(place, _)| in_lane(lane, *place, count, part));
         let wells = |server: &ServerState| {
@@ -183,13 +187,22 @@
 
     /// Returns the part of the engines that long prompts are kept to: what the short ones
     /// leave.
-    fn long_part(&self, staying: &[&ServerState], now: Duration) -> f64 {
+    fn long_part(
+        &self,
+        split: &LaneSplit,
+        staying: &[&ServerState],
+        now: Duration,
+    ) -> f64 {
         let short = |server: &&ServerState| server.load.short_running(&self.options, now);
         let short: u32 = staying.iter().map(short).sum();
         let slots: u32 = staying.iter().map(|server| server.facts.slots).sum();
         let meant = f64::from(slots.max(1)) * self.options.short_fill;
         let left = 1.0 - f64::from(short) / meant;
-        left.clamp(self.options.least_long_part, self.options.long_part)
+        // The fastest is the one that reads least beside others.
+        let paces = staying.iter().map(|server| server.pace.get(now));
+        let pace = paces.fold(0.0, f64::max);
+        let most = split.most_long(pace, &self.options);
+        left.clamp(self.options.least_long_part.min(most), most)
     }
 
     /// Returns the cheapest server with room among some, where it may take shared parts
--- a/crates/flaxtide-policy/src/router/lane.rs
+++ b/crates/flaxtide-policy/src/router/lane.rs
@@ -5,6 +5,7 @@
 
 use super::call::RouteCall;
 use super::options::RouteOptions;
+use crate::estimate::DecayedMean;
 
 /// The demand of the moment, by long and short prompts.
 #[derive(Debug, Default)]
@@ -13,6 +14,10 @@
     long_seen: Option<Duration>,
     /// Whether short prompts were seen lately.
     short_seen: Option<Duration>,
+    /// The mean target of long prompts, in milliseconds.
+    long_target: DecayedMean,
+    /// Their mean length, in tokens.
+    long_tokens: DecayedMean,
 }
 
 /// For how long a kind of prompts counts as there after it was last seen.
@@ -42,11 +47,27 @@
         }
         if call.prompt.is_long(options) {
             self.long_seen = Some(now);
+            self.long_target.add(call.target.as_secs_f64() * 1000.0);
+            self.long_tokens.add(f64::from(call.prompt.tokens));
         } else {
             self.short_seen = Some(now);
         }
     }
 
+    /// Returns the largest part of the engines for long prompts, which are read at this
+    /// pace: the less time they have to wait for each other, the more engines.
+    pub(crate) fn most_long(&self, tokens_per_ms: f64, options: &RouteOptions) -> f64 {
+        let (Some(target), Some(tokens)) =
+            (self.long_target.get(), self.long_tokens.get())
+        else {
+            return options.long_part;
+        };
+        let times = target * tokens_per_ms / tokens.max(1.0);
+        let room = (options.ample_target - options.tight_target).max(f64::MIN_POSITIVE);
+        let tight = ((options.ample_target - times) / room).clamp(0.0, 1.0);
+        options.long_part + (options.tight_long_part - options.long_part) * tight
+    }
+
     /// Returns which engines a prompt may use first.
     pub(crate) fn lane(
         &self,
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -28,6 +28,13 @@
     pub long_prompt: u32,
     /// The part of the engines that long prompts are kept to, if short ones leave it.
     pub long_part: f64,
+    /// The same where a long prompt has no time to wait for another.
+    pub tight_long_part: f64,
+    /// Long prompts have no time to wait if their target is within so many times what an
+    /// engine takes to read one: one and three more are too many.
+    pub tight_target: f64,
+    /// They have time enough if it is so many times as long.
+    pub ample_target: f64,
     /// The part of the engines that long prompts get at least.
     pub least_long_part: f64,
     /// How many requests an engine that is kept for short prompts is meant for, as a part
@@ -116,6 +123,9 @@
             running_cost_ms: 0.7,
             long_prompt: 3000,
             long_part: 0.6,
+            tight_long_part: 0.8,
+            tight_target: 3.5,
+            ample_target: 5.0,
             least_long_part: 0.33,
             short_fill: 0.5,
             fill: 1.5,
--- /dev/null
+++ b/crates/flaxtide-policy/tests/router_lanes.rs
@@ -0,0 +1,35 @@
+//! How many engines long prompts are kept to: the less time they have, the more.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use self::common::{call, core_with, ms, server_of};
+
+/// Returns how many of ten engines long prompts with such a target are spread over.
+fn engines_for_target(target_ms: u64) -> usize {
+    let mut core = core_with(10);
+    core.arrive(call(1000, 100, true), ms(0));
+    let mut engines = BTreeSet::new();
+    for request in 0..30 {
+        let mut order = call(request, 9000, true);
+        order.target = ms(target_ms);
+        let now = ms(request * 60);
+        engines.extend(server_of(&core.arrive(order, now)));
+        core.leave(request, now + ms(50));
+        core.arrive(call(2000 + request, 100, true), now + ms(51));
+        core.leave(2000 + request, now + ms(52));
+        // Each engine is busy with the last long prompt, so the next goes elsewhere.
+        let mut busy = call(3000 + request, 9000, true);
+        busy.target = ms(target_ms);
+        core.arrive(busy, now + ms(53));
+    }
+    engines.len()
+}
+
+#[test]
+fn long_prompts_with_tight_targets_get_more_engines() {
+    // An engine reads one in 150 ms, by the first guess of its pace.
+    assert_eq!(engines_for_target(500), 8, "three in a row would be late");
+    assert_eq!(engines_for_target(2000), 6, "many may wait for each other");
+}
