Ask the tests for what a refused break-off says of its server

The server's blame when a break-off is refused failed none; with this assertion it does. No code changed.

--- a/crates/flaxtide-policy/tests/router_silence.rs
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -61,6 +61,7 @@
     order.run_limit = 1;
     let first = server_of(&core.arrive(order, ms(0)));
     assert!(!core.may_break_off(1, false, ms(3000)), "it may run on one server only");
+    assert_eq!(core.silent_servers(ms(3000)), first.into_iter().collect::<Vec<_>>());
     for request in 2..5 {
         assert_ne!(server_of(&core.arrive(call(request, 100, true), ms(3001))), first);
     }
