--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -166,6 +166,10 @@
                 true
             }
             Err(fault) => {
+                log::info!(
+                    topic = topic.to_string(), cause = fault.to_string();
+                    "platform call failed"
+                );
                 let first = pause.is_none();
                 let span: Duration = pause.map_or(FIRST_PAUSE, |span: Duration| span * 2);
                 let span = span.min(LONGEST_PAUSE);
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -11,7 +11,8 @@
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
     FleetEvent, FleetKey, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate,
-    NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy, fleet_key,
+    LinkBytes, NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy,
+    fleet_key,
 };
 use flaxtide_policy::{PartKey, PeerLoad, ReadNote, ServerLoad};
 use tokio::sync::mpsc;
@@ -19,6 +20,7 @@
 use crate::config::EntryConfig;
 use crate::error::EntryError;
 use crate::feed::FeedEvent;
+use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
 use crate::state::TrafficState;
 
@@ -120,6 +122,7 @@
     shared: &Arc<SharedRules>,
     list: &Arc<ListLog>,
     events: &mpsc::Sender<FeedEvent>,
+    metrics: &Arc<EntryMetrics>,
 ) -> Result<FleetThread, EntryError> {
     let own = PeerInfo {
         name: config.name.clone(),
@@ -128,17 +131,21 @@
     };
     let (heard, adopted, fetch) = (events.clone(), events.clone(), link.clone());
     let given = shared.clone();
+    let received = metrics.rules_copies.with_label_values(&["received"]);
+    let gave = metrics.rules_copies.with_label_values(&["given"]);
     let seeds = config.seeds.clone();
     let opened = FleetThread::listen(
         config.fleet,
         MilliClock::real(),
         move |news| hear(&heard, &fetch, news),
         move |copy| {
+            received.inc();
             let copy = RulesCopy { version: copy.version, text: copy.tree };
             tell(&adopted, FeedEvent::PeerRules(copy));
         },
         move |version| {
             let copy = given.newer_than(version)?;
+            gave.inc();
             Some(SettingsCopy { version: copy.version, tree: copy.text })
         },
         |_| {
@@ -183,6 +190,14 @@
     }
 }
 
+/// Shows how many bytes went over the links to peers.
+pub(crate) fn show_peer_bytes(metrics: &EntryMetrics, bytes: &LinkBytes) {
+    let (received, sent) = bytes.get();
+    for (direction, count) in [("received", received), ("sent", sent)] {
+        metrics.peer_bytes.with_label_values(&[direction]).set(count as i64);
+    }
+}
+
 /// Tells peers what this instance has at servers, and hears how many instances are alive.
 pub(crate) fn tell_peers(
     state: &Rc<TrafficState>,
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use flaxtide_fleet::LinkBytes;
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::LocalSet;
@@ -15,7 +16,7 @@
 use crate::directory::FEED_PART;
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, TopicFollower, follow_topic, take_feed};
-use crate::fleet::{FleetLink, SharedRules, open_fleet, tell_peers};
+use crate::fleet::{FleetLink, SharedRules, open_fleet, show_peer_bytes, tell_peers};
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
@@ -140,14 +141,15 @@
             let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
             spawn_feed(TopicFollower { feed, topic, pace, list, events, metrics })?;
         }
-        let fleet = open_fleet(&config, &link, &shared, &list, &events)?;
+        let fleet = open_fleet(&config, &link, &shared, &list, &events, &metrics)?;
+        let bytes = fleet.bytes();
         spawn("the fleet thread", move || fleet.run(&fleet_ring))?;
         let state = Rc::new(TrafficState::new(config, dialect, metrics, link, list));
         tokio::task::spawn_local(accept_callers(state.clone(), callers));
         tokio::task::spawn_local(accept_probes(state.clone(), ready));
         tokio::task::spawn_local(accept_probes(state.clone(), metrics_door));
         tokio::task::spawn_local(take_feed(state.clone(), feed, shared, feed_ring));
-        tokio::task::spawn_local(keep_house(state.clone(), path.clone(), events));
+        tokio::task::spawn_local(keep_house(state.clone(), path.clone(), events, bytes));
         obey_signals(&state, &path, &mut signals).await;
         Ok(())
     }
@@ -190,7 +192,12 @@
 }
 
 /// Looks, now and then, at what time alone changes.
-async fn keep_house(state: Rc<TrafficState>, path: PathBuf, events: Sender<FeedEvent>) {
+async fn keep_house(
+    state: Rc<TrafficState>,
+    path: PathBuf,
+    events: Sender<FeedEvent>,
+    bytes: LinkBytes,
+) {
     let mut ticks = 0u64;
     loop {
         tokio::time::sleep(TICK).await;
@@ -203,6 +210,7 @@
         tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
+            show_peer_bytes(&state.metrics, &bytes);
         }
     }
 }
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -31,6 +31,10 @@
     pub(crate) open_calls: IntGauge,
     /// The version of the rules in force.
     pub(crate) rules_version: IntGauge,
+    /// Copies of the rules exchanged with peers, by whether they were received or given.
+    pub(crate) rules_copies: IntCounterVec,
+    /// Bytes exchanged with peers, by direction.
+    pub(crate) peer_bytes: IntGaugeVec,
     /// Servers that may be used.
     pub(crate) servers: IntGauge,
     /// Instances seen alive.
@@ -62,6 +66,8 @@
             dependencies: gauges("dependency_up", "1 while it answers.", &["dependency"]),
             open_calls: gauge("open_calls", "Requests in the instance."),
             rules_version: gauge("rules_version", "The version of the rules in force."),
+            rules_copies: counters("rules_copies", "Rules from and to peers.", &["side"]),
+            peer_bytes: gauges("peer_bytes", "Bytes from and to peers.", &["direction"]),
             servers: gauge("servers", "Servers that may be used."),
             instances: gauge("instances", "Instances seen alive."),
             latency: Histogram::with_opts(latency)
@@ -73,7 +79,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 12] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -83,6 +89,8 @@
             Box::new(self.dependencies.clone()),
             Box::new(self.open_calls.clone()),
             Box::new(self.rules_version.clone()),
+            Box::new(self.rules_copies.clone()),
+            Box::new(self.peer_bytes.clone()),
             Box::new(self.servers.clone()),
             Box::new(self.instances.clone()),
             Box::new(self.latency.clone()),
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -4,12 +4,14 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, TryRecvError};
 use flaxtide_core::{MilliClock, SettingsVersion};
 use futures::StreamExt;
+use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel};
@@ -20,6 +22,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use crate::counted::{CountedStream, LinkBytes};
+use crate::info::PeerInfo;
 use crate::node::{FleetNews, FleetNode, OutgoingBeat};
 use crate::rows::{RowNews, RowQuestion, RowSource};
 use crate::wire::{BeatReply, FleetBeat, PeerLink, PeerLinkClient, SettingsCopy};
@@ -108,6 +111,8 @@
     rows: OnceLock<Arc<dyn RowSource>>,
     /// The open links to peers.
     links: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
+    /// How many fetches of settings are under way.
+    fetches: AtomicU32,
 }
 
 impl FleetThread {
@@ -141,6 +146,7 @@
             settings: Box::new(settings),
             rows: OnceLock::new(),
             links: Mutex::default(),
+            fetches: AtomicU32::new(0),
         });
         Ok(Self { listener, runtime, shared })
     }
@@ -280,13 +286,43 @@
         let node = shared.node();
         (node.newer_peers(), node.version())
     };
+    shared.fetches.fetch_add(1, Ordering::Relaxed);
     for peer in peers {
+        let started = shared.clock.now();
         let Some(link) = link_to(&shared, peer.address).await else { continue };
-        if let Ok(Some(copy)) = link.settings(deadline(SETTINGS_TIMEOUT), version).await {
+        let answer = link.settings(deadline(SETTINGS_TIMEOUT), version).await;
+        let took = shared.clock.now().saturating_sub(started);
+        note_fetch(&shared, &peer, version, &answer, took);
+        if let Ok(Some(copy)) = answer {
             (shared.output)(FleetOutput::Settings(copy));
-            return;
+            break;
         }
     }
+    shared.fetches.fetch_sub(1, Ordering::Relaxed);
+}
+
+/// Logs a question for settings with its answer.
+fn note_fetch(
+    shared: &FleetShared,
+    peer: &PeerInfo,
+    newer_than: SettingsVersion,
+    answer: &Result<Option<SettingsCopy>, RpcError>,
+    took: Duration,
+) {
+    let outcome = match answer {
+        Ok(Some(_)) => "received",
+        Ok(None) => "nothing newer",
+        Err(_) => "failed",
+    };
+    let copy = answer.as_ref().ok().and_then(Option::as_ref);
+    log::info!(
+        peer = peer.name, newer_than, outcome,
+        version = copy.map_or(0, |copy| copy.version),
+        bytes = copy.map_or(0, |copy| copy.tree.len()),
+        took_ms = took.as_millis() as u64,
+        under_way = shared.fetches.load(Ordering::Relaxed);
+        "settings asked of peer"
+    );
 }
 
 /// Returns the link to a peer, opening it if need be.
@@ -350,7 +386,12 @@
         _: Context,
         newer_than: SettingsVersion,
     ) -> Option<SettingsCopy> {
-        (self.shared.settings)(newer_than)
+        let copy = (self.shared.settings)(newer_than)?;
+        log::info!(
+            newer_than, version = copy.version, bytes = copy.tree.len();
+            "settings given to peer"
+        );
+        Some(copy)
     }
 
     async fn rows(self, _: Context, after: u64, wait_ms: u32) -> Option<RowNews> {
