Settings come from one peer at a time, in pieces, and answers have no limit for the whole

Cause: work that others' messages set off without a bound, and time limits on whole transfers. Every beat that told of newer rules began a fetch of a whole copy, also while one was under way, and all instances asked the first peer by name; a call to the platform had one second for all its bytes, a copy five. On links of 10 Mbit/s nothing ended any more, and all was asked again. Ruled out: rules themselves as what takes the memory (an instance that sends nothing holds the same rules in 13 MB); the processor (1 to 40 % of its share while memory ran out). Change: the fleet thread fetches once at a time, after 0.7 s in which the platform has brought nothing (3 s at most), from peers in an order of each instance's own; 32 KB a question, so both sides' memory is bounded and what has come is kept when the giver changes; a giver serves four at a time, and ends a copy that it has begun though newer ones come. Rules in force aren't decoded again when a peer sends them.

--- a/crates/flaxtide-entry/src/contract/feed.rs
+++ b/crates/flaxtide-entry/src/contract/feed.rs
@@ -27,6 +27,10 @@
         wait: Duration,
     ) -> Result<FeedBatch, FeedError>;
 
+    /// Returns how many bytes of answers have come for a topic, refusals aside and those of
+    /// an answer that isn't whole yet included. It only grows.
+    fn received(&self, topic: FeedTopic) -> u64;
+
     /// Understands the text of rules, also when a peer sent it.
     ///
     /// # Errors
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -218,7 +218,7 @@
         match event {
             FeedEvent::Batch { topic: FeedTopic::Rules, batch, .. } => {
                 for text in batch.rows.into_iter().filter_map(|row| row.text) {
-                    take_rules(&state, &*feed, &shared, text, "platform");
+                    take_rules(&state, &*feed, &shared, text.into(), "platform");
                 }
             }
             FeedEvent::Batch { topic: FeedTopic::Servers, batch, whole } => {
@@ -227,6 +227,8 @@
             FeedEvent::Lost | FeedEvent::Regained => {
                 state.directory.borrow_mut().trouble(now);
             }
+            // Rules that are in force already aren't decoded again.
+            FeedEvent::PeerRules(copy) if !state.needs(copy.version) => {}
             FeedEvent::PeerRules(copy) => {
                 take_rules(&state, &*feed, &shared, copy.text, "peer");
             }
@@ -246,7 +248,7 @@
     state: &TrafficState,
     feed: &dyn PlatformFeed,
     shared: &SharedRules,
-    text: String,
+    text: Arc<str>,
     source: &'static str,
 ) {
     let rules = match feed.parse_rules(&text) {
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 
 use crate::config::EntryConfig;
+use crate::contract::{FeedTopic, PlatformFeed};
 use crate::error::EntryError;
 use crate::feed::FeedEvent;
 use crate::metrics::EntryMetrics;
@@ -38,8 +39,8 @@
 pub(crate) struct RulesCopy {
     /// The version.
     pub(crate) version: SettingsVersion,
-    /// The text.
-    pub(crate) text: String,
+    /// The text. Whoever gives it to peers shares it.
+    pub(crate) text: Arc<str>,
 }
 
 /// The newest rules, for peers that ask.
@@ -118,7 +119,6 @@
 /// Returns the fault if it can't listen.
 pub(crate) fn open_fleet(
     config: &EntryConfig,
-    link: &FleetLink,
     shared: &Arc<SharedRules>,
     list: &Arc<ListLog>,
     events: &mpsc::Sender<FeedEvent>,
@@ -129,7 +129,7 @@
         data_centre: config.region.clone(),
         address: config.fleet,
     };
-    let (heard, adopted, fetch) = (events.clone(), events.clone(), link.clone());
+    let (heard, adopted) = (events.clone(), events.clone());
     let given = shared.clone();
     let received = metrics.rules_copies.with_label_values(&["received"]);
     let gave = metrics.rules_copies.with_label_values(&["given"]);
@@ -137,7 +137,7 @@
     let opened = FleetThread::listen(
         config.fleet,
         MilliClock::real(),
-        move |news| hear(&heard, &fetch, news),
+        move |news| hear(&heard, news),
         move |copy| {
             received.inc();
             let copy = RulesCopy { version: copy.version, text: copy.tree };
@@ -165,7 +165,7 @@
 }
 
 /// Passes on what peers have told.
-fn hear(events: &mpsc::Sender<FeedEvent>, link: &FleetLink, news: Vec<FleetNews>) {
+fn hear(events: &mpsc::Sender<FeedEvent>, news: Vec<FleetNews>) {
     for news in news {
         match news {
             FleetNews::PeerLoads(peer, loads) => {
@@ -175,9 +175,12 @@
                 tell(events, FeedEvent::PeerSilent(servers));
             }
             FleetNews::PeerReads(reads) => tell(events, FeedEvent::PeerReads(reads)),
-            FleetNews::Version(..) => link.send(FleetEvent::Fetch),
             // Slots and rates aren't shared out here: every instance may use every server.
-            FleetNews::Load(_) | FleetNews::Share(..) | FleetNews::Rate(..) => {}
+            // The fleet thread fetches newer rules by itself.
+            FleetNews::Load(_)
+            | FleetNews::Share(..)
+            | FleetNews::Rate(..)
+            | FleetNews::Version(..) => {}
         }
     }
 }
@@ -198,6 +201,31 @@
     }
 }
 
+/// Notices when the platform brings bytes of rules.
+pub(crate) struct RulesSource {
+    /// What the platform tells.
+    feed: Arc<dyn PlatformFeed>,
+    /// How many bytes had come when it last looked.
+    received: u64,
+}
+
+impl RulesSource {
+    /// Looks at a feed.
+    pub(crate) fn new(feed: Arc<dyn PlatformFeed>) -> Self {
+        Self { feed, received: 0 }
+    }
+
+    /// Tells the fleet thread if bytes of rules have come since the last look: as long as
+    /// they do, peers aren't asked for the same.
+    pub(crate) fn look(&mut self, link: &FleetLink) {
+        let received = self.feed.received(FeedTopic::Rules);
+        if received != self.received {
+            self.received = received;
+            link.update(FleetNode::hear_source);
+        }
+    }
+}
+
 /// Tells peers what this instance has at servers, and hears how many instances are alive.
 pub(crate) fn tell_peers(
     state: &Rc<TrafficState>,
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -16,7 +16,9 @@
 use crate::directory::FEED_PART;
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, TopicFollower, follow_topic, take_feed};
-use crate::fleet::{FleetLink, SharedRules, open_fleet, show_peer_bytes, tell_peers};
+use crate::fleet::{
+    FleetLink, RulesSource, SharedRules, open_fleet, show_peer_bytes, tell_peers,
+};
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
@@ -141,15 +143,17 @@
             let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
             spawn_feed(TopicFollower { feed, topic, pace, list, events, metrics })?;
         }
-        let fleet = open_fleet(&config, &link, &shared, &list, &events, &metrics)?;
+        let fleet = open_fleet(&config, &shared, &list, &events, &metrics)?;
         let bytes = fleet.bytes();
         spawn("the fleet thread", move || fleet.run(&fleet_ring))?;
         let state = Rc::new(TrafficState::new(config, dialect, metrics, link, list));
         tokio::task::spawn_local(accept_callers(state.clone(), callers));
         tokio::task::spawn_local(accept_probes(state.clone(), ready));
         tokio::task::spawn_local(accept_probes(state.clone(), metrics_door));
+        let source = RulesSource::new(feed.clone());
         tokio::task::spawn_local(take_feed(state.clone(), feed, shared, feed_ring));
-        tokio::task::spawn_local(keep_house(state.clone(), path.clone(), events, bytes));
+        let house = keep_house(state.clone(), path.clone(), events, source, bytes);
+        tokio::task::spawn_local(house);
         obey_signals(&state, &path, &mut signals).await;
         Ok(())
     }
@@ -196,6 +200,7 @@
     state: Rc<TrafficState>,
     path: PathBuf,
     events: Sender<FeedEvent>,
+    mut source: RulesSource,
     bytes: LinkBytes,
 ) {
     let mut ticks = 0u64;
@@ -207,6 +212,7 @@
         }
         expire_servers(&state);
         note_servers(&state);
+        source.look(&state.fleet);
         tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -7,7 +7,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flaxtide_core::{MilliClock, PoolId, RequestId, ServerId, ServerName};
+use flaxtide_core::{
+    MilliClock, PoolId, RequestId, ServerId, ServerName, SettingsVersion,
+};
 use flaxtide_fleet::{FleetKey, fleet_key};
 use flaxtide_policy::{EngineShape, RouteAction, RouteCore, RouteOptions, RoutedServer};
 use rand::SeedableRng;
@@ -238,10 +240,15 @@
         self.names.borrow().keys.get(&key).copied()
     }
 
+    /// Tells whether rules of a version would be newer than those in force.
+    pub(crate) fn needs(&self, version: SettingsVersion) -> bool {
+        let table = self.table.borrow();
+        table.as_ref().is_none_or(|table| version > table.rules.version)
+    }
+
     /// Puts rules in force, unless newer ones are. Returns whether it did.
     pub(crate) fn adopt(&self, rules: EntryRules) -> bool {
-        let known = self.table.borrow().as_ref().map(|table| table.rules.version);
-        if known.is_some_and(|known| known >= rules.version) {
+        if !self.needs(rules.version) {
             return false;
         }
         self.metrics.rules_version.set(rules.version as i64);
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -6,12 +6,14 @@
 //! expires. [`FleetThread`] carries the messages over tarpc.
 
 mod counted;
+mod fetch;
 mod info;
 mod key;
 mod node;
 mod peer;
 mod rate;
 mod rows;
+mod settings;
 mod thread;
 mod wire;
 
@@ -23,8 +25,12 @@
 };
 pub use self::rate::rate_part;
 pub use self::rows::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
+pub use self::settings::{
+    CopyAssembly, PIECE_BYTES, PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy,
+    SettingsPiece, TakenPiece,
+};
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
     BeatReply, FleetBeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest,
-    ServerShare, SettingsCopy, UsageCount,
+    ServerShare, UsageCount,
 };
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -2,6 +2,7 @@
 //! messages and news come out.
 
 mod divide;
+mod settings;
 mod talk;
 mod timing;
 
@@ -12,6 +13,7 @@
 use flaxtide_core::{InstanceName, SettingsVersion};
 use flaxtide_policy::{bounded_owners, rendezvous_order, rendezvous_owner};
 
+use self::settings::SettingsState;
 pub use self::timing::FleetTiming;
 use crate::info::PeerInfo;
 use crate::key::{FleetKey, fleet_key};
@@ -104,8 +106,8 @@
     timing: FleetTiming,
     /// Whether it is stopping.
     leaving: bool,
-    /// Its settings version.
-    version: SettingsVersion,
+    /// Its settings, and what it knows of newer ones.
+    settings: SettingsState,
     /// The peers that it knows of, by name.
     peers: BTreeMap<InstanceName, PeerRecord>,
     /// Where peers may be heard if nobody is known.
@@ -149,7 +151,7 @@
             epoch,
             timing,
             leaving: false,
-            version: 0,
+            settings: SettingsState::default(),
             peers: BTreeMap::new(),
             seeds: vec![],
             servers: BTreeMap::new(),
@@ -260,17 +262,6 @@
         self.assign();
     }
 
-    /// Sets the settings version in force.
-    pub fn set_version(&mut self, version: SettingsVersion) {
-        self.version = self.version.max(version);
-    }
-
-    /// Returns the settings version in force.
-    #[must_use]
-    pub fn version(&self) -> SettingsVersion {
-        self.version
-    }
-
     /// Says that this instance is stopping.
     pub fn leave(&mut self) {
         self.leaving = true;
@@ -390,13 +381,6 @@
         &self.watched
     }
 
-    /// Returns the peers that are known to have a version newer than this instance's.
-    #[must_use]
-    pub fn newer_peers(&self) -> Vec<PeerInfo> {
-        let peers = self.peers.values().filter(|peer| peer.version > self.version);
-        peers.map(|peer| peer.info.clone()).collect()
-    }
-
     /// Tells whether a peer stands in this data centre.
     fn is_near(&self, peer: &PeerRecord) -> bool {
         peer.info.data_centre == self.own.data_centre
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -94,7 +94,7 @@
                 news.push(FleetNews::PeerSilent(beat.silent.clone()));
             }
         }
-        if beat.version > self.version {
+        if self.hear_version(beat.version) {
             news.push(FleetNews::Version(beat.version, info));
         }
         (self.reply_to(beat, now), news)
@@ -118,7 +118,7 @@
         let shares = reply.shares.iter().map(|share| FleetNews::Share(*share, until));
         let parts = reply.parts.iter().map(|part| FleetNews::Rate(*part, until));
         let mut news: Vec<_> = shares.chain(parts).collect();
-        if reply.version > self.version {
+        if self.hear_version(reply.version) {
             news.push(FleetNews::Version(reply.version, info));
         }
         self.refresh(now);
@@ -140,7 +140,7 @@
             address: self.own.address,
             epoch: self.epoch,
             leaving: self.leaving,
-            version: self.version,
+            version: self.version(),
             demands: if near { self.demand.demands.clone() } else { vec![] },
             servers: if near { self.demand.servers.clone() } else { vec![] },
             loads: if near { self.demand.loads.clone() } else { vec![] },
@@ -176,7 +176,7 @@
         BeatReply {
             epoch: self.epoch,
             leaving: self.leaving,
-            version: self.version,
+            version: self.version(),
             shares: if near { self.shares_of(from) } else { vec![] },
             parts: if near { self.parts_of(from, &used) } else { vec![] },
             peers: if beat.wants_peers { peers.collect() } else { vec![] },
--- a/crates/flaxtide-fleet/src/node/timing.rs
+++ b/crates/flaxtide-fleet/src/node/timing.rs
@@ -21,6 +21,13 @@
     pub news_units: u16,
     /// A peer that isn't heard for so many periods isn't alive.
     pub silent_periods: u32,
+    /// How long an instance that hears of newer settings waits for its own source, the
+    /// platform, while that brings nothing, before it asks a peer: longer than a store that
+    /// is ninety times slower than usual takes to begin its answer.
+    pub settings_lead: Duration,
+    /// How long it waits while the source brings something. A row of 1.2 MB takes a second
+    /// on an idle link of 10 Mbit/s.
+    pub settings_patience: Duration,
 }
 
 impl Default for FleetTiming {
@@ -33,6 +40,8 @@
             news_burst: 3,
             news_units: 48,
             silent_periods: 3,
+            settings_lead: Duration::from_millis(700),
+            settings_patience: Duration::from_secs(3),
         }
     }
 }
--- /dev/null
+++ b/crates/flaxtide-fleet/src/settings/give.rs
@@ -0,0 +1,99 @@
+//! The side that gives settings to peers.
+
+use std::time::Duration;
+
+use super::{
+    PIECE_BYTES, PieceAnswer, PieceQuestion, SettingsCopy, SettingsPiece, checksum,
+};
+
+/// How many peers are given settings at the same time. A few at a time are done sooner than
+/// all at once, and then give them on; others ask elsewhere.
+const SEATS: usize = 4;
+
+/// A peer that asks for no further piece for so long has given up, or is gone.
+const SEAT_IDLE: Duration = Duration::from_secs(3);
+
+/// Gives settings to a few peers at a time, in pieces. It is told the time.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_fleet::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
+/// let mut giver = PieceGiver::default();
+/// let newest = || Some(SettingsCopy { version: 7, tree: "{}".into() });
+/// let question = PieceQuestion { newer_than: 6, version: 0, offset: 0 };
+/// let answer = giver.answer(1, question, newest, Duration::ZERO);
+/// assert!(matches!(answer, PieceAnswer::Piece(piece) if piece.text == "{}"));
+/// ```
+#[derive(Debug, Default)]
+pub struct PieceGiver {
+    /// The copies that are being given.
+    seats: Vec<GivenCopy>,
+}
+
+/// A copy that a peer is being given. It stays the same until it is whole, also when newer
+/// settings come meanwhile: with changes faster than a transfer, none would end otherwise.
+#[derive(Debug)]
+struct GivenCopy {
+    /// The link over which the peer asks.
+    link: u64,
+    /// The copy.
+    copy: SettingsCopy,
+    /// Its checksum.
+    checksum: u64,
+    /// When the peer last asked.
+    asked: Duration,
+}
+
+impl PieceGiver {
+    /// Answers a question that came over a link. `newest` returns the settings in force, if
+    /// newer than what the peer has.
+    pub fn answer(
+        &mut self,
+        link: u64,
+        question: PieceQuestion,
+        newest: impl FnOnce() -> Option<SettingsCopy>,
+        now: Duration,
+    ) -> PieceAnswer {
+        self.seats.retain(|seat| now < seat.asked + SEAT_IDLE);
+        let own = self.seats.iter().position(|seat| seat.link == link);
+        let begun = own.map(|place| self.seats.swap_remove(place));
+        if self.seats.len() >= SEATS {
+            return PieceAnswer::Busy;
+        }
+        let begun = begun.filter(|seat| seat.copy.version == question.version);
+        let seat = begun.or_else(|| Some(GivenCopy::new(link, newest()?, now)));
+        let Some(mut seat) = seat else { return PieceAnswer::NothingNewer };
+        let piece = seat.piece(question);
+        let end = piece.offset as usize + piece.text.len();
+        if end < seat.copy.tree.len() {
+            seat.asked = now;
+            self.seats.push(seat);
+        }
+        PieceAnswer::Piece(piece)
+    }
+}
+
+impl GivenCopy {
+    /// Begins to give a copy to the peer of a link.
+    fn new(link: u64, copy: SettingsCopy, now: Duration) -> Self {
+        let checksum = checksum(&copy.tree);
+        Self { link, copy, checksum, asked: now }
+    }
+
+    /// Cuts the piece that a question asks for; the first one if it asks for a version that
+    /// isn't given, or for a place that can't be in it.
+    fn piece(&self, question: PieceQuestion) -> SettingsPiece {
+        let tree = &*self.copy.tree;
+        let offset = question.offset as usize;
+        let begun = question.version == self.copy.version;
+        let begin = if begun && tree.is_char_boundary(offset) { offset } else { 0 };
+        let end = tree.floor_char_boundary((begin + PIECE_BYTES).min(tree.len()));
+        SettingsPiece {
+            version: self.copy.version,
+            length: tree.len() as u32,
+            checksum: self.checksum,
+            offset: begin as u32,
+            text: tree[begin..end].to_owned(),
+        }
+    }
+}
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -4,14 +4,13 @@
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
 use crossbeam::channel::{Receiver, TryRecvError};
 use flaxtide_core::{MilliClock, SettingsVersion};
 use futures::StreamExt;
-use tarpc::client::RpcError;
 use tarpc::context::Context;
 use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel};
@@ -20,12 +19,14 @@
 use tarpc::{client, context};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::runtime::{Builder, Runtime};
+use tokio::task::JoinHandle;
 
 use crate::counted::{CountedStream, LinkBytes};
-use crate::info::PeerInfo;
+use crate::fetch::fetch_settings;
 use crate::node::{FleetNews, FleetNode, OutgoingBeat};
 use crate::rows::{RowNews, RowQuestion, RowSource};
-use crate::wire::{BeatReply, FleetBeat, PeerLink, PeerLinkClient, SettingsCopy};
+use crate::settings::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
+use crate::wire::{BeatReply, FleetBeat, PeerLink, PeerLinkClient};
 
 /// How often the thread looks at its rings.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -33,9 +34,6 @@
 /// How long a peer may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// How long a peer may take to send the settings.
-const SETTINGS_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// How many requests of one link are answered side by side.
 const REQUESTS_OF_A_LINK: usize = 8;
 
@@ -49,8 +47,6 @@
     Update(FleetUpdate),
     /// Everyone is to hear at once.
     Urgent,
-    /// The settings are to be fetched from a peer that has a newer version.
-    Fetch,
     /// A peer is to be asked for the rows that it has read.
     AskRows(RowQuestion),
     /// The thread is to end.
@@ -96,23 +92,25 @@
 }
 
 /// What all tasks of the fleet thread share.
-struct FleetShared {
+pub(crate) struct FleetShared {
     /// The node.
     node: Mutex<FleetNode>,
     /// The clock.
-    clock: MilliClock,
+    pub(crate) clock: MilliClock,
     /// The bytes that went over the links.
     bytes: LinkBytes,
     /// Takes what is heard.
-    output: Box<dyn Fn(FleetOutput) + Send + Sync>,
+    pub(crate) output: Box<dyn Fn(FleetOutput) + Send + Sync>,
     /// Gives the settings in force to peers.
     settings: Box<dyn Fn(SettingsVersion) -> Option<SettingsCopy> + Send + Sync>,
     /// What this instance has read from the platform for peers, once it does.
     rows: OnceLock<Arc<dyn RowSource>>,
     /// The open links to peers.
     links: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
-    /// How many fetches of settings are under way.
-    fetches: AtomicU32,
+    /// Gives the settings to a few peers at a time.
+    giver: Mutex<PieceGiver>,
+    /// The number of the next link that a peer opens.
+    next_link: AtomicU64,
 }
 
 impl FleetThread {
@@ -146,7 +144,8 @@
             settings: Box::new(settings),
             rows: OnceLock::new(),
             links: Mutex::default(),
-            fetches: AtomicU32::new(0),
+            giver: Mutex::default(),
+            next_link: AtomicU64::new(0),
         });
         Ok(Self { listener, runtime, shared })
     }
@@ -191,12 +190,12 @@
 
 impl FleetShared {
     /// Locks the node. A panic elsewhere doesn't spoil it.
-    fn node(&self) -> MutexGuard<'_, FleetNode> {
+    pub(crate) fn node(&self) -> MutexGuard<'_, FleetNode> {
         self.node.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Locks the links.
-    fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerLinkClient>> {
+    pub(crate) fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerLinkClient>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -212,6 +211,7 @@
 async fn lead(shared: &Arc<FleetShared>, events: &Receiver<FleetEvent>) {
     let mut urgent_at: Option<Duration> = None;
     let mut urgent = false;
+    let mut fetch: Option<JoinHandle<()>> = None;
     loop {
         loop {
             match events.try_recv() {
@@ -220,7 +220,6 @@
                     update(&mut shared.node(), now);
                 }
                 Ok(FleetEvent::Urgent) => urgent = true,
-                Ok(FleetEvent::Fetch) => drop(tokio::spawn(fetch(shared.clone()))),
                 Ok(FleetEvent::AskRows(question)) => {
                     tokio::spawn(ask_rows(shared.clone(), question));
                 }
@@ -229,6 +228,13 @@
             }
         }
         let now = shared.clock.now();
+        // One fetch at a time, whoever tells of newer settings meanwhile: a fetch for each
+        // notice filled links with hundreds of copies, and the memory of who gave them.
+        if fetch.as_ref().is_none_or(JoinHandle::is_finished)
+            && shared.node().settings_due(now)
+        {
+            fetch = Some(tokio::spawn(fetch_settings(shared.clone())));
+        }
         let mut beats = shared.node().due_beats(now);
         if beats.is_empty()
             && urgent
@@ -280,53 +286,8 @@
     answer(tokio::time::timeout(wait + margin, asked).await.ok().flatten());
 }
 
-/// Fetches the settings from a peer that has a newer version.
-async fn fetch(shared: Arc<FleetShared>) {
-    let (peers, version) = {
-        let node = shared.node();
-        (node.newer_peers(), node.version())
-    };
-    shared.fetches.fetch_add(1, Ordering::Relaxed);
-    for peer in peers {
-        let started = shared.clock.now();
-        let Some(link) = link_to(&shared, peer.address).await else { continue };
-        let answer = link.settings(deadline(SETTINGS_TIMEOUT), version).await;
-        let took = shared.clock.now().saturating_sub(started);
-        note_fetch(&shared, &peer, version, &answer, took);
-        if let Ok(Some(copy)) = answer {
-            (shared.output)(FleetOutput::Settings(copy));
-            break;
-        }
-    }
-    shared.fetches.fetch_sub(1, Ordering::Relaxed);
-}
-
-/// Logs a question for settings with its answer.
-fn note_fetch(
-    shared: &FleetShared,
-    peer: &PeerInfo,
-    newer_than: SettingsVersion,
-    answer: &Result<Option<SettingsCopy>, RpcError>,
-    took: Duration,
-) {
-    let outcome = match answer {
-        Ok(Some(_)) => "received",
-        Ok(None) => "nothing newer",
-        Err(_) => "failed",
-    };
-    let copy = answer.as_ref().ok().and_then(Option::as_ref);
-    log::info!(
-        peer = peer.name, newer_than, outcome,
-        version = copy.map_or(0, |copy| copy.version),
-        bytes = copy.map_or(0, |copy| copy.tree.len()),
-        took_ms = took.as_millis() as u64,
-        under_way = shared.fetches.load(Ordering::Relaxed);
-        "settings asked of peer"
-    );
-}
-
 /// Returns the link to a peer, opening it if need be.
-async fn link_to(
+pub(crate) async fn link_to(
     shared: &Arc<FleetShared>,
     address: SocketAddr,
 ) -> Option<PeerLinkClient> {
@@ -352,7 +313,8 @@
         };
         let _ = stream.set_nodelay(true);
         let channel = BaseChannel::with_defaults(transport(stream, &shared.bytes));
-        let server = PeerServer { shared: shared.clone() };
+        let link = shared.next_link.fetch_add(1, Ordering::Relaxed);
+        let server = PeerServer { shared: shared.clone(), link };
         tokio::spawn(answer(channel.execute(server.serve())));
     }
 }
@@ -371,6 +333,8 @@
 struct PeerServer {
     /// What all tasks share.
     shared: Arc<FleetShared>,
+    /// The number of the link.
+    link: u64,
 }
 
 impl PeerLink for PeerServer {
@@ -381,17 +345,13 @@
         reply
     }
 
-    async fn settings(
-        self,
-        _: Context,
-        newer_than: SettingsVersion,
-    ) -> Option<SettingsCopy> {
-        let copy = (self.shared.settings)(newer_than)?;
-        log::info!(
-            newer_than, version = copy.version, bytes = copy.tree.len();
-            "settings given to peer"
-        );
-        Some(copy)
+    async fn settings(self, _: Context, question: PieceQuestion) -> PieceAnswer {
+        let shared = &self.shared;
+        let newest = || (shared.settings)(question.newer_than);
+        let mut giver = shared.giver.lock().unwrap_or_else(PoisonError::into_inner);
+        let answer = giver.answer(self.link, question, newest, shared.clock.now());
+        note_given(question, &answer);
+        answer
     }
 
     async fn rows(self, _: Context, after: u64, wait_ms: u32) -> Option<RowNews> {
@@ -409,6 +369,19 @@
     }
 }
 
+/// Logs that settings are given, once a copy, and that a peer is sent elsewhere.
+fn note_given(question: PieceQuestion, answer: &PieceAnswer) {
+    let newer_than = question.newer_than;
+    match answer {
+        PieceAnswer::Piece(piece) if piece.offset == 0 => log::info!(
+            newer_than, version = piece.version, bytes = piece.length;
+            "settings given to peer"
+        ),
+        PieceAnswer::Busy => log::info!(newer_than; "settings not given, too many ask"),
+        PieceAnswer::Piece(_) | PieceAnswer::NothingNewer => {}
+    }
+}
+
 /// The transport of a link.
 type LinkTransport<Item, SinkItem> =
     serde_transport::Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
@@ -428,7 +401,7 @@
 }
 
 /// Returns the context of a call that has so long to be answered.
-fn deadline(timeout: Duration) -> Context {
+pub(crate) fn deadline(timeout: Duration) -> Context {
     let mut context = context::current();
     context.deadline = Instant::now() + timeout;
     context
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -8,6 +8,7 @@
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::rows::RowNews;
+use crate::settings::{PieceAnswer, PieceQuestion};
 
 /// What an instance answers its peers.
 #[tarpc::service]
@@ -15,8 +16,8 @@
     /// Takes in what a peer says of itself, and answers with what the peer should know.
     async fn beat(beat: FleetBeat) -> BeatReply;
 
-    /// Returns the settings in force, if newer than a version.
-    async fn settings(newer_than: SettingsVersion) -> Option<SettingsCopy>;
+    /// Returns the next piece of the settings in force.
+    async fn settings(question: PieceQuestion) -> PieceAnswer;
 
     /// Returns the rows that changed after a version, as soon as there are any or after so
     /// many milliseconds; nothing if that can't be told.
@@ -147,12 +148,3 @@
     /// The part, in units of 1/65535.
     pub part: u16,
 }
-
-/// A settings version as it travels between instances.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct SettingsCopy {
-    /// The version.
-    pub version: SettingsVersion,
-    /// The tree, as JSON.
-    pub tree: String,
-}
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -264,5 +264,5 @@
         return None;
     }
     let tree = serde_json::to_string(&view.tree).ok()?;
-    Some(SettingsCopy { version: view.version, tree })
+    Some(SettingsCopy { version: view.version, tree: tree.into() })
 }
--- a/crates/flaxtide/src/settings.rs
+++ b/crates/flaxtide/src/settings.rs
@@ -5,7 +5,6 @@
 
 use crossbeam::channel::{Receiver, RecvTimeoutError};
 use flaxtide_core::{SettingsEdit, SettingsError, SettingsTree, SettingsVersion};
-use flaxtide_fleet::FleetEvent;
 use flaxtide_platform::{AuditRecord, PlatformError};
 use rand::Rng;
 
@@ -41,8 +40,7 @@
             Ok(()) => "ok",
             Err(cause) => {
                 log::warn!("the settings can't be read from the platform: {cause}");
-                // A peer may have them; without any news of one this does nothing.
-                let _ = shared.fleet.try_send(FleetEvent::Fetch);
+                // The fleet thread fetches them from a peer, once one is known to have them.
                 "failed"
             }
         };
