What has come of settings is kept, seats belong to askers, and links are opened once

A transfer began anew when all givers were busy or silent once, when the platform brought a version older than the one begun, when the next giver's was older, and when the link was replaced. Copies that can't be put in force were fetched every five seconds; a peer that says a version it hasn't came first each time. A call that couldn't be written was waited for without an end, and with it the one fetch. Links to a peer were opened side by side, and a late answer for rows closed the one that all calls share. A version that met a full ring wasn't told until the next one. Ruled out: locks across awaits; Busy for ever (askers are finite, and a seat falls free in 2 s).

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -230,7 +230,7 @@
             // Rules that are in force already aren't decoded again.
             FeedEvent::PeerRules(copy) if !state.needs(copy.version) => {}
             FeedEvent::PeerRules(copy) => {
-                take_rules(&state, &*feed, &shared, copy.text, "peer");
+                take_peer_rules(&state, &*feed, &shared, copy);
             }
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
             FeedEvent::PeerSilent(servers) => take_peer_silent(&state, &servers),
@@ -243,29 +243,44 @@
     }
 }
 
-/// Puts rules in force.
+/// Puts rules in force that a peer sent, if they are what it says.
+fn take_peer_rules(
+    state: &TrafficState,
+    feed: &dyn PlatformFeed,
+    shared: &SharedRules,
+    copy: RulesCopy,
+) {
+    let told = copy.version;
+    let version = take_rules(state, feed, shared, copy.text, "peer");
+    if version != Some(told) {
+        log::error!(told, version:?; "rules of a peer are not what it says");
+        state.fleet.reject_rules(told);
+    }
+}
+
+/// Puts rules in force, unless newer ones are. Returns their version, if they are understood.
 fn take_rules(
     state: &TrafficState,
     feed: &dyn PlatformFeed,
     shared: &SharedRules,
     text: Arc<str>,
     source: &'static str,
-) {
+) -> Option<SettingsVersion> {
     let rules = match feed.parse_rules(&text) {
         Ok(rules) => rules,
         Err(fault) => {
             log::error!(source, fault = fault.to_string(); "rules rejected");
-            return;
+            return None;
         }
     };
-    let version: SettingsVersion = rules.version;
+    let version = rules.version;
     let counts = (rules.classes.len() as u64, rules.keys.len() as u64);
-    if !state.adopt(rules) {
-        return;
+    if state.adopt(rules) {
+        shared.put(RulesCopy { version, text });
+        state.fleet.announce(version);
+        log::info!(source, version, classes = counts.0, keys = counts.1; "rules in force");
     }
-    shared.put(RulesCopy { version, text });
-    state.fleet.announce(version);
-    log::info!(source, version, classes = counts.0, keys = counts.1; "rules in force");
+    Some(version)
 }
 
 /// Takes in rows of servers.
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -87,6 +87,11 @@
         self.send(FleetEvent::Urgent);
     }
 
+    /// Tells the fleet thread that rules which a peer sent can't be put in force.
+    pub(crate) fn reject_rules(&self, version: SettingsVersion) {
+        self.update(move |node, _| node.reject_fetched(version));
+    }
+
     /// Tells peers that this instance is stopping.
     pub(crate) fn leave(&self) {
         self.update(|node, _| node.leave());
@@ -141,7 +146,7 @@
         move |copy| {
             received.inc();
             let copy = RulesCopy { version: copy.version, text: copy.tree };
-            tell(&adopted, FeedEvent::PeerRules(copy));
+            hand_over(adopted.clone(), copy);
         },
         move |version| {
             let copy = given.newer_than(version)?;
@@ -185,6 +190,15 @@
     }
 }
 
+/// Hands the traffic thread rules that a peer has sent. They wait for a place in the ring:
+/// there is one copy at a time, and losing it would cost a further transfer.
+fn hand_over(events: mpsc::Sender<FeedEvent>, copy: RulesCopy) {
+    tokio::spawn(async move {
+        // The traffic thread ends only with the process.
+        let _ = events.send(FeedEvent::PeerRules(copy)).await;
+    });
+}
+
 /// Puts an event into the ring to the traffic thread. A full ring loses it; peers say the
 /// same again within a period.
 fn tell(events: &mpsc::Sender<FeedEvent>, event: FeedEvent) {
@@ -243,7 +257,10 @@
     let events = events.clone();
     let list = state.list.clone();
     let alone_below = state.config().read_alone_below;
+    let version = state.rules_version();
     link.update(move |node, now| {
+        // Told again each time, as the ring may have been full when the rules came.
+        node.set_version(version);
         // Each beat tells what has been read since the one before it.
         let recent = node.period() + TELL_PERIOD * 2;
         let reads = reads.iter().filter(|(age, _)| *age < recent).map(|(_, read)| *read);
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -240,10 +240,14 @@
         self.names.borrow().keys.get(&key).copied()
     }
 
+    /// Returns the version of the rules in force; 0 without any.
+    pub(crate) fn rules_version(&self) -> SettingsVersion {
+        self.table.borrow().as_ref().map_or(0, |table| table.rules.version)
+    }
+
     /// Tells whether rules of a version would be newer than those in force.
     pub(crate) fn needs(&self, version: SettingsVersion) -> bool {
-        let table = self.table.borrow();
-        table.as_ref().is_none_or(|table| version > table.rules.version)
+        self.table.borrow().is_none() || version > self.rules_version()
     }
 
     /// Puts rules in force, unless newer ones are. Returns whether it did.
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -9,6 +9,7 @@
 mod fetch;
 mod info;
 mod key;
+mod links;
 mod node;
 mod peer;
 mod rate;
--- /dev/null
+++ b/crates/flaxtide-fleet/src/links.rs
@@ -0,0 +1,147 @@
+//! The links to peers: one to each, opened once however many want it.
+
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use tarpc::client::{self, RpcError};
+use tarpc::context::{self, Context};
+use tarpc::serde_transport;
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::TcpStream;
+
+use crate::counted::{CountedStream, LinkBytes};
+use crate::wire::PeerLinkClient;
+
+/// How long a link may take to open.
+const OPEN_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// For how long nobody tries again after a link couldn't be opened: those who waited for it
+/// end with it, instead of trying one after the other.
+const TRIED_LATELY: Duration = Duration::from_millis(200);
+
+/// How much longer than its deadline a call is waited for. A call that couldn't even be
+/// written, as the peer reads nothing, isn't ended by its deadline.
+const UNWRITTEN: Duration = Duration::from_millis(100);
+
+/// The links of one instance to its peers.
+#[derive(Default)]
+pub(crate) struct PeerLinks {
+    /// A slot for each address.
+    slots: Mutex<HashMap<SocketAddr, Arc<LinkSlot>>>,
+    /// The number of the next link.
+    next: AtomicU64,
+    /// The bytes that went over the links.
+    pub(crate) bytes: LinkBytes,
+}
+
+/// The link to one address, locked while it is being opened.
+type LinkSlot = tokio::sync::Mutex<LinkState>;
+
+/// The link to one address.
+#[derive(Default)]
+struct LinkState {
+    /// The link, if it is open.
+    open: Option<OpenLink>,
+    /// When it last couldn't be opened.
+    failed: Option<Instant>,
+}
+
+/// An open link.
+#[derive(Clone)]
+pub(crate) struct OpenLink {
+    /// Tells it from earlier and later links to the same address.
+    number: u64,
+    /// Calls the peer.
+    pub(crate) client: PeerLinkClient,
+}
+
+impl PeerLinks {
+    /// Returns the link to an address, opening it if need be. Whoever comes while it is
+    /// being opened waits for the same one.
+    pub(crate) async fn open(&self, address: SocketAddr) -> Option<OpenLink> {
+        let slot = self.slot(address);
+        let mut state = slot.lock().await;
+        if state.open.is_some() {
+            return state.open.clone();
+        }
+        if state.failed.is_some_and(|at| at.elapsed() < TRIED_LATELY) {
+            return None;
+        }
+        let stream =
+            tokio::time::timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await;
+        let Ok(Ok(stream)) = stream else {
+            state.failed = Some(Instant::now());
+            return None;
+        };
+        let _ = stream.set_nodelay(true);
+        let transport = transport(stream, &self.bytes);
+        let client = PeerLinkClient::new(client::Config::default(), transport).spawn();
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        state.open = Some(OpenLink { number, client });
+        state.open.clone()
+    }
+
+    /// Closes a link, unless another one has taken its place.
+    pub(crate) fn close(&self, address: SocketAddr, link: &OpenLink) {
+        // A slot that is locked has no link: it is being opened.
+        let slot = self.slot(address);
+        let Ok(mut state) = slot.try_lock() else { return };
+        if state.open.as_ref().is_some_and(|open| open.number == link.number) {
+            state.open = None;
+        }
+    }
+
+    /// Returns the slot of an address. Slots that nobody uses go when one is added.
+    fn slot(&self, address: SocketAddr) -> Arc<LinkSlot> {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(slot) = slots.get(&address) {
+            return slot.clone();
+        }
+        slots.retain(|_, slot| {
+            Arc::strong_count(slot) > 1
+                || slot.try_lock().is_ok_and(|state| state.open.is_some())
+        });
+        slots.entry(address).or_default().clone()
+    }
+}
+
+/// Calls a peer, which has so long to answer.
+///
+/// # Errors
+///
+/// Returns why there is no answer.
+pub(crate) async fn call<Answer, Call>(
+    timeout: Duration,
+    call: impl FnOnce(Context) -> Call,
+) -> Result<Answer, RpcError>
+where
+    Call: Future<Output = Result<Answer, RpcError>>,
+{
+    let mut context = context::current();
+    context.deadline = Instant::now() + timeout;
+    let answer = tokio::time::timeout(timeout + UNWRITTEN, call(context)).await;
+    answer.unwrap_or(Err(RpcError::DeadlineExceeded))
+}
+
+/// The transport of a link.
+type LinkTransport<Item, SinkItem> =
+    serde_transport::Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
+
+/// Makes the transport of a link.
+pub(crate) fn transport<Item, SinkItem>(
+    stream: TcpStream,
+    bytes: &LinkBytes,
+) -> LinkTransport<Item, SinkItem>
+where
+    Item: for<'de> serde::Deserialize<'de>,
+    SinkItem: serde::Serialize,
+{
+    let stream = CountedStream::new(stream, bytes.clone());
+    let framed = LengthDelimitedCodec::builder().new_framed(stream);
+    serde_transport::new(framed, Bincode::default())
+}
--- a/crates/flaxtide-fleet/src/node/settings.rs
+++ b/crates/flaxtide-fleet/src/node/settings.rs
@@ -1,17 +1,18 @@
 //! Which settings an instance has, and when it turns to peers for newer ones.
 
+use std::cmp::Reverse;
 use std::time::Duration;
 
-use flaxtide_core::SettingsVersion;
+use flaxtide_core::{InstanceName, SettingsVersion};
 use flaxtide_policy::rendezvous_order;
 
 use super::FleetNode;
 use crate::info::PeerInfo;
-use crate::key::fleet_key;
+use crate::key::{FleetKey, fleet_key};
 use crate::peer::PeerRecord;
+use crate::settings::{SettingsCopy, checksum};
 
-/// Fetched settings that aren't in force after so long are fetched again: they were lost on
-/// the way, or aren't understood.
+/// Fetched settings that aren't in force after so long are fetched again.
 const ADOPTED_WITHIN: Duration = Duration::from_secs(5);
 
 /// The settings of an instance, and what it knows of newer ones.
@@ -19,16 +20,29 @@
 pub(super) struct SettingsState {
     /// The version in force.
     version: SettingsVersion,
-    /// The newest version that a peer has told of.
-    newest: SettingsVersion,
     /// Since when a newer version than that in force is known.
     newer_since: Option<Duration>,
     /// When the instance's own source last brought something.
     source_at: Duration,
     /// When it last turned to peers.
     asked_at: Option<Duration>,
-    /// The version that was last fetched from a peer, and when.
-    fetched: Option<(SettingsVersion, Duration)>,
+    /// What was last fetched from a peer.
+    fetched: Option<FetchedCopy>,
+    /// The version and checksum of what was fetched, but can't be put in force.
+    rejected: Option<(SettingsVersion, u64)>,
+}
+
+/// Settings that a peer has given.
+#[derive(Debug)]
+struct FetchedCopy {
+    /// The version.
+    version: SettingsVersion,
+    /// The checksum.
+    checksum: u64,
+    /// The peer.
+    giver: InstanceName,
+    /// When they were whole.
+    at: Duration,
 }
 
 impl FleetNode {
@@ -46,28 +60,52 @@
         self.settings.version
     }
 
+    /// Returns what stands for this instance.
+    pub(crate) fn key(&self) -> FleetKey {
+        fleet_key(&self.own.name)
+    }
+
     /// Takes in that the instance's own source of settings brings something.
     pub fn hear_source(&mut self, now: Duration) {
         self.settings.source_at = now;
     }
 
     /// Takes in that settings have been fetched from a peer. They are in force soon.
-    pub(crate) fn note_fetched(&mut self, version: SettingsVersion, now: Duration) {
-        self.settings.fetched = Some((version, now));
+    pub fn note_fetched(&mut self, copy: &SettingsCopy, giver: &str, now: Duration) {
+        self.settings.fetched = Some(FetchedCopy {
+            version: copy.version,
+            checksum: checksum(&copy.tree),
+            giver: giver.to_owned(),
+            at: now,
+        });
     }
 
-    /// Takes in that a peer has told of a version. Returns whether it is newer than that in
-    /// force.
-    pub(super) fn hear_version(&mut self, version: SettingsVersion) -> bool {
-        self.settings.newest = self.settings.newest.max(version);
-        version > self.settings.version
+    /// Takes in that the settings of a version that were fetched can't be put in force: they
+    /// aren't understood, or are of another version. They aren't fetched again.
+    pub fn reject_fetched(&mut self, version: SettingsVersion) {
+        let fetched = self.settings.fetched.take_if(|copy| copy.version == version);
+        let Some(fetched) = fetched else { return };
+        self.settings.rejected = Some((fetched.version, fetched.checksum));
+        self.reject_giver(&fetched.giver);
+    }
+
+    /// Takes in that a peer gives what can't be used. It isn't asked for that version again.
+    pub(crate) fn reject_giver(&mut self, giver: &str) {
+        if let Some(peer) = self.peers.get_mut(giver) {
+            peer.rejected = Some(peer.version);
+        }
+    }
+
+    /// Tells whether settings have been fetched before and couldn't be put in force.
+    pub(crate) fn was_rejected(&self, version: SettingsVersion, checksum: u64) -> bool {
+        self.settings.rejected == Some((version, checksum))
     }
 
     /// Tells whether settings are to be fetched from a peer now: one has newer ones, and
     /// the instance's own source hasn't brought them in time. Whoever asks is expected to
     /// fetch them then.
     pub fn settings_due(&mut self, now: Duration) -> bool {
-        if self.settings.newest <= self.known_version(now) {
+        if self.newer_peers(now).next().is_none() {
             self.settings.newer_since = None;
             return false;
         }
@@ -77,39 +115,52 @@
         let waited =
             now >= quiet_since + lead || now >= since + self.timing.settings_patience;
         let rested = self.settings.asked_at.is_none_or(|at| now >= at + lead);
-        let due = waited && rested && self.newer_peers(now).next().is_some();
+        let silence = self.silence();
+        let due = waited
+            && rested
+            && self.newer_peers(now).any(|peer| peer.heard_within(now, silence));
         if due {
             self.settings.asked_at = Some(now);
         }
         due
     }
 
-    /// Returns the peers that have newer settings: those of the data centre first, in an
-    /// order of this instance's own, so that not all instances ask the same one.
+    /// Returns the peers that have newer settings and are heard, in the order in which they
+    /// are asked: those that have what has been begun, then those with the newest version,
+    /// then those of the data centre; and among equals in an order of this instance's own,
+    /// so that not all instances ask the same one.
     #[must_use]
-    pub fn settings_sources(&self, now: Duration) -> Vec<PeerInfo> {
-        let peers: Vec<&PeerRecord> = self.newer_peers(now).collect();
+    pub fn settings_sources(
+        &self,
+        begun: SettingsVersion,
+        now: Duration,
+    ) -> Vec<PeerInfo> {
+        let silence = self.silence();
+        let peers = self.newer_peers(now);
+        let peers: Vec<&PeerRecord> =
+            peers.filter(|peer| peer.heard_within(now, silence)).collect();
         let names: Vec<&str> = peers.iter().map(|peer| peer.info.name.as_str()).collect();
-        let key = u64::from(fleet_key(&self.own.name));
-        let mut order = rendezvous_order(key, &names);
-        order.sort_by_key(|place| !self.is_near(peers[*place]));
+        let mut order = rendezvous_order(u64::from(self.key()), &names);
+        order.sort_by_key(|place| {
+            let peer = peers[*place];
+            (peer.version != begun, Reverse(peer.version), !self.is_near(peer))
+        });
         order.iter().map(|place| peers[*place].info.clone()).collect()
     }
 
-    /// Returns the peers heard lately whose settings are newer than what this instance has
-    /// or has just fetched.
+    /// Returns the peers whose settings are newer than what this instance has or has just
+    /// fetched, but for those that it couldn't use.
     fn newer_peers(&self, now: Duration) -> impl Iterator<Item = &PeerRecord> {
-        let silence = self.silence();
         let known = self.known_version(now);
         self.peers.values().filter(move |peer| {
-            peer.version > known && peer.heard.is_some_and(|heard| now < heard + silence)
+            peer.version > known && peer.rejected != Some(peer.version)
         })
     }
 
     /// Returns the version in force, or one that has just been fetched.
     fn known_version(&self, now: Duration) -> SettingsVersion {
-        let fetched = self.settings.fetched;
-        let fetched = fetched.filter(|(_, at)| now < *at + ADOPTED_WITHIN);
-        fetched.map_or(0, |(version, _)| version).max(self.version())
+        let fetched = self.settings.fetched.as_ref();
+        let fetched = fetched.filter(|copy| now < copy.at + ADOPTED_WITHIN);
+        fetched.map_or(0, |copy| copy.version).max(self.version())
     }
 }
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -94,7 +94,7 @@
                 news.push(FleetNews::PeerSilent(beat.silent.clone()));
             }
         }
-        if self.hear_version(beat.version) {
+        if beat.version > self.version() {
             news.push(FleetNews::Version(beat.version, info));
         }
         (self.reply_to(beat, now), news)
@@ -118,7 +118,7 @@
         let shares = reply.shares.iter().map(|share| FleetNews::Share(*share, until));
         let parts = reply.parts.iter().map(|part| FleetNews::Rate(*part, until));
         let mut news: Vec<_> = shares.chain(parts).collect();
-        if self.hear_version(reply.version) {
+        if reply.version > self.version() {
             news.push(FleetNews::Version(reply.version, info));
         }
         self.refresh(now);
--- a/crates/flaxtide-fleet/src/node/timing.rs
+++ b/crates/flaxtide-fleet/src/node/timing.rs
@@ -41,7 +41,7 @@
             news_units: 48,
             silent_periods: 3,
             settings_lead: Duration::from_millis(700),
-            settings_patience: Duration::from_secs(3),
+            settings_patience: Duration::from_secs(2),
         }
     }
 }
--- a/crates/flaxtide-fleet/src/peer.rs
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -24,6 +24,8 @@
     pub(crate) leaving: bool,
     /// Its settings version.
     pub(crate) version: SettingsVersion,
+    /// The version of it that this instance couldn't use.
+    pub(crate) rejected: Option<SettingsVersion>,
     /// Its requests for each pool.
     pub(crate) demands: Vec<PoolDemand>,
     /// The use of organisations whose rate this instance keeps, in requests a second.
@@ -42,6 +44,7 @@
             heard: None,
             leaving: false,
             version: 0,
+            rejected: None,
             demands: vec![],
             usage: BTreeMap::new(),
             beat_at: None,
@@ -92,6 +95,11 @@
 
     /// Tells whether the peer has been heard lately and isn't stopping.
     pub(crate) fn alive(&self, now: Duration, silence: Duration) -> bool {
-        !self.leaving && self.heard.is_some_and(|heard| now < heard + silence)
+        !self.leaving && self.heard_within(now, silence)
+    }
+
+    /// Tells whether the peer has been heard lately.
+    pub(crate) fn heard_within(&self, now: Duration, silence: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + silence)
     }
 }
--- a/crates/flaxtide-fleet/src/settings/give.rs
+++ b/crates/flaxtide-fleet/src/settings/give.rs
@@ -5,13 +5,15 @@
 use super::{
     PIECE_BYTES, PieceAnswer, PieceQuestion, SettingsCopy, SettingsPiece, checksum,
 };
+use crate::key::FleetKey;
 
 /// How many peers are given settings at the same time. A few at a time are done sooner than
 /// all at once, and then give them on; others ask elsewhere.
 const SEATS: usize = 4;
 
-/// A peer that asks for no further piece for so long has given up, or is gone.
-const SEAT_IDLE: Duration = Duration::from_secs(3);
+/// A peer that asks for no further piece for so long has given up, or is gone. It asks again
+/// sooner if an answer was lost.
+const SEAT_IDLE: Duration = Duration::from_secs(2);
 
 /// Gives settings to a few peers at a time, in pieces. It is told the time.
 ///
@@ -20,8 +22,8 @@
 /// use flaxtide_fleet::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
 /// let mut giver = PieceGiver::default();
 /// let newest = || Some(SettingsCopy { version: 7, tree: "{}".into() });
-/// let question = PieceQuestion { newer_than: 6, version: 0, offset: 0 };
-/// let answer = giver.answer(1, question, newest, Duration::ZERO);
+/// let question = PieceQuestion { asker: 1, newer_than: 6, version: 0, offset: 0 };
+/// let answer = giver.answer(question, newest, Duration::ZERO);
 /// assert!(matches!(answer, PieceAnswer::Piece(piece) if piece.text == "{}"));
 /// ```
 #[derive(Debug, Default)]
@@ -34,8 +36,8 @@
 /// settings come meanwhile: with changes faster than a transfer, none would end otherwise.
 #[derive(Debug)]
 struct GivenCopy {
-    /// The link over which the peer asks.
-    link: u64,
+    /// The peer.
+    asker: FleetKey,
     /// The copy.
     copy: SettingsCopy,
     /// Its checksum.
@@ -45,23 +47,24 @@
 }
 
 impl PieceGiver {
-    /// Answers a question that came over a link. `newest` returns the settings in force, if
-    /// newer than what the peer has.
+    /// Answers a question. `newest` returns the settings in force, if newer than what the
+    /// peer has.
     pub fn answer(
         &mut self,
-        link: u64,
         question: PieceQuestion,
         newest: impl FnOnce() -> Option<SettingsCopy>,
         now: Duration,
     ) -> PieceAnswer {
         self.seats.retain(|seat| now < seat.asked + SEAT_IDLE);
-        let own = self.seats.iter().position(|seat| seat.link == link);
+        let own = self.seats.iter().position(|seat| seat.asker == question.asker);
         let begun = own.map(|place| self.seats.swap_remove(place));
         if self.seats.len() >= SEATS {
             return PieceAnswer::Busy;
         }
         let begun = begun.filter(|seat| seat.copy.version == question.version);
-        let seat = begun.or_else(|| Some(GivenCopy::new(link, newest()?, now)));
+        // Older settings than those that the peer has begun are of no use to it.
+        let newest = || newest().filter(|copy| copy.version >= question.version);
+        let seat = begun.or_else(|| Some(GivenCopy::new(question.asker, newest()?, now)));
         let Some(mut seat) = seat else { return PieceAnswer::NothingNewer };
         let piece = seat.piece(question);
         let end = piece.offset as usize + piece.text.len();
@@ -74,10 +77,10 @@
 }
 
 impl GivenCopy {
-    /// Begins to give a copy to the peer of a link.
-    fn new(link: u64, copy: SettingsCopy, now: Duration) -> Self {
+    /// Begins to give a copy to a peer.
+    fn new(asker: FleetKey, copy: SettingsCopy, now: Duration) -> Self {
         let checksum = checksum(&copy.tree);
-        Self { link, copy, checksum, asked: now }
+        Self { asker, copy, checksum, asked: now }
     }
 
     /// Cuts the piece that a question asks for; the first one if it asks for a version that
--- a/crates/flaxtide-fleet/src/settings/mod.rs
+++ b/crates/flaxtide-fleet/src/settings/mod.rs
@@ -10,6 +10,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::key::FleetKey;
+
 pub use self::give::PieceGiver;
 pub use self::take::{CopyAssembly, TakenPiece};
 
@@ -29,6 +31,8 @@
 /// A question for the next piece of settings.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceQuestion {
+    /// Stands for the instance that asks, also over another link.
+    pub asker: FleetKey,
     /// Only settings newer than this are of use.
     pub newer_than: SettingsVersion,
     /// The version that has been begun; 0 before the first piece.
@@ -51,7 +55,7 @@
 /// A piece of settings.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct SettingsPiece {
-    /// The version. Another than was asked for begins anew, at offset 0.
+    /// The version. A newer one than was asked for begins anew, at offset 0.
     pub version: SettingsVersion,
     /// The bytes of the whole.
     pub length: u32,
@@ -64,6 +68,6 @@
 }
 
 /// Returns the checksum of settings.
-fn checksum(tree: &str) -> u64 {
+pub(crate) fn checksum(tree: &str) -> u64 {
     xxh3_64(tree.as_bytes())
 }
--- a/crates/flaxtide-fleet/src/settings/take.rs
+++ b/crates/flaxtide-fleet/src/settings/take.rs
@@ -3,10 +3,11 @@
 use flaxtide_core::SettingsVersion;
 
 use super::{PieceQuestion, SettingsCopy, SettingsPiece, checksum};
+use crate::key::FleetKey;
 
-/// The most bytes of settings that are taken from a peer: 30 times those that are known to
-/// be in use.
-const LARGEST_SETTINGS: u32 = 32 * 1024 * 1024;
+/// The most bytes of settings that are taken from a peer: seven times the largest that are
+/// known to be in use. Larger ones would take the memory of small instances.
+const LARGEST_SETTINGS: u32 = 6 * 1024 * 1024;
 
 /// Settings of which some pieces have come. Another peer that has the same version can give
 /// the rest.
@@ -14,7 +15,7 @@
 /// ```
 /// use flaxtide_fleet::CopyAssembly;
 /// let assembly = CopyAssembly::new(6);
-/// assert_eq!(assembly.question().newer_than, 6);
+/// assert_eq!(assembly.question(1).newer_than, 6);
 /// ```
 #[derive(Debug, Clone)]
 pub struct CopyAssembly {
@@ -54,10 +55,32 @@
         }
     }
 
-    /// Returns the question for the next piece.
+    /// Returns the version that has been begun; 0 before the first piece.
     #[must_use]
-    pub fn question(&self) -> PieceQuestion {
+    pub fn version(&self) -> SettingsVersion {
+        self.version
+    }
+
+    /// Returns how many bytes of it have come.
+    #[must_use]
+    pub fn received(&self) -> usize {
+        self.text.len()
+    }
+
+    /// Goes on as an instance whose settings in force are these. What has been begun is
+    /// dropped if it isn't newer.
+    pub fn renew(&mut self, newer_than: SettingsVersion) {
+        if self.version <= newer_than {
+            *self = Self::new(newer_than);
+        }
+        self.newer_than = newer_than;
+    }
+
+    /// Returns the question of an instance for the next piece.
+    #[must_use]
+    pub fn question(&self, asker: FleetKey) -> PieceQuestion {
         PieceQuestion {
+            asker,
             newer_than: self.newer_than,
             version: self.version,
             offset: self.text.len() as u32,
@@ -66,7 +89,7 @@
 
     /// Takes in a piece.
     pub fn take(&mut self, piece: &SettingsPiece) -> TakenPiece {
-        if piece.offset == 0 {
+        if piece.offset == 0 && piece.version >= self.version {
             self.begin(piece);
         }
         if !self.fits(piece) {
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -1,32 +1,30 @@
 //! The fleet thread: it carries messages over tarpc. Nothing else in flaxtide is async.
 
-use std::collections::HashMap;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crossbeam::channel::{Receiver, TryRecvError};
 use flaxtide_core::{MilliClock, SettingsVersion};
 use futures::StreamExt;
+use tarpc::client::RpcError;
 use tarpc::context::Context;
-use tarpc::serde_transport;
 use tarpc::server::{BaseChannel, Channel};
-use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
-use tarpc::{client, context};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
 
-use crate::counted::{CountedStream, LinkBytes};
+use crate::counted::LinkBytes;
 use crate::fetch::fetch_settings;
+use crate::links::{PeerLinks, call, transport};
 use crate::node::{FleetNews, FleetNode, OutgoingBeat};
 use crate::rows::{RowNews, RowQuestion, RowSource};
-use crate::settings::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
-use crate::wire::{BeatReply, FleetBeat, PeerLink, PeerLinkClient};
+use crate::settings::{
+    CopyAssembly, PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy,
+};
+use crate::wire::{BeatReply, FleetBeat, PeerLink};
 
 /// How often the thread looks at its rings.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -97,8 +95,6 @@
     node: Mutex<FleetNode>,
     /// The clock.
     pub(crate) clock: MilliClock,
-    /// The bytes that went over the links.
-    bytes: LinkBytes,
     /// Takes what is heard.
     pub(crate) output: Box<dyn Fn(FleetOutput) + Send + Sync>,
     /// Gives the settings in force to peers.
@@ -106,11 +102,12 @@
     /// What this instance has read from the platform for peers, once it does.
     rows: OnceLock<Arc<dyn RowSource>>,
     /// The open links to peers.
-    links: Mutex<HashMap<SocketAddr, PeerLinkClient>>,
+    pub(crate) links: PeerLinks,
     /// Gives the settings to a few peers at a time.
     giver: Mutex<PieceGiver>,
-    /// The number of the next link that a peer opens.
-    next_link: AtomicU64,
+    /// What has come of the settings that are being fetched. It outlasts a fetch that ends
+    /// before they are whole.
+    begun: Mutex<CopyAssembly>,
 }
 
 impl FleetThread {
@@ -139,13 +136,12 @@
         let shared = Arc::new(FleetShared {
             node: Mutex::new(node),
             clock,
-            bytes: LinkBytes::default(),
             output: Box::new(output),
             settings: Box::new(settings),
             rows: OnceLock::new(),
-            links: Mutex::default(),
+            links: PeerLinks::default(),
             giver: Mutex::default(),
-            next_link: AtomicU64::new(0),
+            begun: Mutex::new(CopyAssembly::new(0)),
         });
         Ok(Self { listener, runtime, shared })
     }
@@ -168,7 +164,7 @@
     /// Returns the count of the bytes on its links.
     #[must_use]
     pub fn bytes(&self) -> LinkBytes {
-        self.shared.bytes.clone()
+        self.shared.links.bytes.clone()
     }
 
     /// Carries messages until told to stop.
@@ -194,9 +190,9 @@
         self.node.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Locks the links.
-    pub(crate) fn links(&self) -> MutexGuard<'_, HashMap<SocketAddr, PeerLinkClient>> {
-        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Locks what has come of settings.
+    pub(crate) fn begun(&self) -> MutexGuard<'_, CopyAssembly> {
+        self.begun.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Passes on what has been heard.
@@ -254,8 +250,9 @@
 /// Sends one beat and takes in the reply.
 async fn send(shared: Arc<FleetShared>, outgoing: OutgoingBeat) {
     let address = outgoing.to.address;
-    let Some(link) = link_to(&shared, address).await else { return };
-    match link.beat(deadline(ANSWER_TIMEOUT), outgoing.beat).await {
+    let Some(link) = shared.links.open(address).await else { return };
+    let beat = |context| link.client.beat(context, outgoing.beat);
+    match call(ANSWER_TIMEOUT, beat).await {
         Ok(reply) => {
             let now = shared.clock.now();
             let news = shared.node().hear_reply(&outgoing.to.name, &reply, now);
@@ -263,22 +260,26 @@
         }
         Err(cause) => {
             log::debug!("no answer from {}: {cause}", outgoing.to.name);
-            shared.links().remove(&address);
+            shared.links.close(address, &link);
         }
     }
 }
 
-/// Asks a peer for the rows that it has read.
+/// Asks a peer for the rows that it has read. An answer that is late doesn't close the link:
+/// its beats tell whether the peer is there.
 async fn ask_rows(shared: Arc<FleetShared>, question: RowQuestion) {
     let RowQuestion { peer, after, wait, margin, answer } = question;
     let asked = async {
-        let link = link_to(&shared, peer).await?;
+        let link = shared.links.open(peer).await?;
         let wait_ms = wait.as_millis() as u32;
-        match link.rows(deadline(wait + margin), after, wait_ms).await {
+        let rows = |context| link.client.rows(context, after, wait_ms);
+        match call(wait + margin, rows).await {
             Ok(news) => news,
             Err(cause) => {
                 log::debug!("no rows from {peer}: {cause}");
-                shared.links().remove(&peer);
+                if !matches!(cause, RpcError::DeadlineExceeded) {
+                    shared.links.close(peer, &link);
+                }
                 None
             }
         }
@@ -286,24 +287,6 @@
     answer(tokio::time::timeout(wait + margin, asked).await.ok().flatten());
 }
 
-/// Returns the link to a peer, opening it if need be.
-pub(crate) async fn link_to(
-    shared: &Arc<FleetShared>,
-    address: SocketAddr,
-) -> Option<PeerLinkClient> {
-    let open = shared.links().get(&address).cloned();
-    if open.is_some() {
-        return open;
-    }
-    let opened = tokio::time::timeout(ANSWER_TIMEOUT, TcpStream::connect(address)).await;
-    let stream = opened.ok()?.ok()?;
-    let _ = stream.set_nodelay(true);
-    let transport = transport(stream, &shared.bytes);
-    let link = PeerLinkClient::new(client::Config::default(), transport).spawn();
-    shared.links().insert(address, link.clone());
-    Some(link)
-}
-
 /// Answers peers.
 async fn serve(listener: TcpListener, shared: Arc<FleetShared>) {
     loop {
@@ -312,9 +295,8 @@
             continue;
         };
         let _ = stream.set_nodelay(true);
-        let channel = BaseChannel::with_defaults(transport(stream, &shared.bytes));
-        let link = shared.next_link.fetch_add(1, Ordering::Relaxed);
-        let server = PeerServer { shared: shared.clone(), link };
+        let channel = BaseChannel::with_defaults(transport(stream, &shared.links.bytes));
+        let server = PeerServer { shared: shared.clone() };
         tokio::spawn(answer(channel.execute(server.serve())));
     }
 }
@@ -333,8 +315,6 @@
 struct PeerServer {
     /// What all tasks share.
     shared: Arc<FleetShared>,
-    /// The number of the link.
-    link: u64,
 }
 
 impl PeerLink for PeerServer {
@@ -349,7 +329,7 @@
         let shared = &self.shared;
         let newest = || (shared.settings)(question.newer_than);
         let mut giver = shared.giver.lock().unwrap_or_else(PoisonError::into_inner);
-        let answer = giver.answer(self.link, question, newest, shared.clock.now());
+        let answer = giver.answer(question, newest, shared.clock.now());
         note_given(question, &answer);
         answer
     }
@@ -377,32 +357,7 @@
             newer_than, version = piece.version, bytes = piece.length;
             "settings given to peer"
         ),
-        PieceAnswer::Busy => log::info!(newer_than; "settings not given, too many ask"),
+        PieceAnswer::Busy => log::debug!(newer_than; "settings not given, too many ask"),
         PieceAnswer::Piece(_) | PieceAnswer::NothingNewer => {}
     }
 }
-
-/// The transport of a link.
-type LinkTransport<Item, SinkItem> =
-    serde_transport::Transport<CountedStream, Item, SinkItem, Bincode<Item, SinkItem>>;
-
-/// Makes the transport of a link.
-fn transport<Item, SinkItem>(
-    stream: TcpStream,
-    bytes: &LinkBytes,
-) -> LinkTransport<Item, SinkItem>
-where
-    Item: for<'de> serde::Deserialize<'de>,
-    SinkItem: serde::Serialize,
-{
-    let stream = CountedStream::new(stream, bytes.clone());
-    let framed = LengthDelimitedCodec::builder().new_framed(stream);
-    serde_transport::new(framed, Bincode::default())
-}
-
-/// Returns the context of a call that has so long to be answered.
-pub(crate) fn deadline(timeout: Duration) -> Context {
-    let mut context = context::current();
-    context.deadline = Instant::now() + timeout;
-    context
-}
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -250,6 +250,8 @@
     let tree: Option<SettingsTree> = serde_json::from_str(&copy.tree).ok();
     let Some(tree) = tree else {
         log::warn!("a peer sent settings that can't be read");
+        let version = copy.version;
+        shared.update_fleet(move |node, _| node.reject_fetched(version));
         return;
     };
     if shared.adopt(copy.version, tree) {
