A reader tells its peers of rows in answers of 32 KB

Cause: an answer to a peer held all rows after the asked version, with one limit of time for the whole. One that came too late was thrown away, and the same was asked for again, from the first byte: on a narrow link, many rows might never come. Ruled out: that the asker waits between two answers (`follow_topic` rests for no time after a peer's answer, and a peer that has rows answers at once), so a short answer needs no other change there; a version of its own in the question (the wire stays as it is). Change: a log keeps a batch in parts of at most 32 KB, and an answer has as many parts as fit, at least one, with the version of the last. What is kept is bounded with it: 128 parts rather than 128 batches of any size. In the tests that were there, rows get the new field; nothing else changed in them. Conclusion: done for all that the platform gives versions for. Open: rows of one version (one change of the store), and those without versions, still travel together, whatever their size.

--- a/crates/flaxtide-entry/src/contract/feed.rs
+++ b/crates/flaxtide-entry/src/contract/feed.rs
@@ -73,6 +73,9 @@
     pub name: String,
     /// Its text; nothing if it is gone.
     pub text: Option<String>,
+    /// The version at which it changed, if that is known: whoever has all rows up to a
+    /// version lacks just those that changed later.
+    pub version: Option<u64>,
 }
 
 /// Why the platform couldn't be followed.
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -14,8 +14,13 @@
 use crate::contract::{FeedBatch, FeedRow};
 use crate::fleet::FleetLink;
 
-/// How many batches of rows a reader keeps for peers that are behind.
-const KEPT_BATCHES: usize = 128;
+/// How many parts of batches of rows a reader keeps for peers that are behind.
+const KEPT_PARTS: usize = 128;
+
+/// How many bytes of rows an answer to a peer has at most, unless one change alone has
+/// more. An answer has a limit of time for the whole, and one that comes too late is asked
+/// for again from its start: on a narrow link, a long one might never come to its end.
+const ANSWER_BYTES: usize = 32 * 1024;
 
 /// How old a reader's last answer of the platform may be for its word to count, as a part of
 /// the time within which a leaving server gets no more work. All parts together leave room
@@ -68,14 +73,25 @@
     base: u64,
     /// Up to which version everything was read.
     version: u64,
-    /// The batches, oldest first, each with its version.
-    batches: VecDeque<(u64, Vec<FeedRow>)>,
+    /// The parts of the batches, oldest first.
+    parts: VecDeque<LogPart>,
     /// When the platform last answered this instance.
     confirmed: Option<Duration>,
     /// Until when the reader isn't asked.
     silent_until: Duration,
 }
 
+/// Rows that are told together.
+#[derive(Debug)]
+struct LogPart {
+    /// Up to which version all rows are told, with the parts before.
+    version: u64,
+    /// The rows.
+    rows: Vec<FeedRow>,
+    /// How many bytes they have.
+    bytes: usize,
+}
+
 impl ListLog {
     /// Starts with nothing read. A leaving server may get no more work after
     /// `leave_within`.
@@ -104,16 +120,16 @@
         state.confirmed = Some(now);
         if after != Some(state.version) {
             // Changes between what was read before and this aren't known here.
-            state.batches.clear();
+            state.parts.clear();
             state.base = after.unwrap_or(batch.version);
         }
-        if after.is_some() && !batch.rows.is_empty() {
-            state.batches.push_back((batch.version, batch.rows.clone()));
+        if let Some(after) = after {
+            state.parts.extend(split(batch, after));
         }
         state.version = batch.version;
-        while state.batches.len() > KEPT_BATCHES {
-            let Some((version, _)) = state.batches.pop_front() else { break };
-            state.base = version;
+        while state.parts.len() > KEPT_PARTS {
+            let Some(part) = state.parts.pop_front() else { break };
+            state.base = part.version;
         }
         drop(state);
         if !batch.rows.is_empty() {
@@ -173,7 +189,8 @@
             return None;
         };
         self.forget();
-        let row = |row: RowCopy| FeedRow { name: row.name, text: row.text };
+        let row =
+            |row: RowCopy| FeedRow { name: row.name, text: row.text, version: None };
         Some(FeedBatch {
             version: news.version.max(after),
             rows: news.rows.into_iter().map(row).collect(),
@@ -195,14 +212,76 @@
         if now > confirmed + fresh || version < state.base || version > state.version {
             return None;
         }
-        let batches = state.batches.iter().filter(|(known, _)| *known > version);
-        let rows = batches
-            .flat_map(|(_, rows)| rows)
-            .map(|row| RowCopy { name: row.name.clone(), text: row.text.clone() });
-        Some(RowNews { version: state.version, rows: rows.collect() })
+        Some(state.answer(version))
     }
 
     fn changed(&self) -> Arc<Notify> {
         self.changed.clone()
     }
 }
+
+impl LogState {
+    /// Returns the oldest rows after a version that fit an answer. Its version is that of
+    /// the last of them, so that whoever asks goes on from there.
+    fn answer(&self, after: u64) -> RowNews {
+        let mut news = RowNews { version: self.version, rows: vec![] };
+        let mut bytes = 0;
+        let mut last = after;
+        for part in self.parts.iter().filter(|part| part.version > after) {
+            bytes += part.bytes;
+            if !news.rows.is_empty() && bytes > ANSWER_BYTES {
+                news.version = last;
+                break;
+            }
+            news.rows.extend(part.rows.iter().map(copy));
+            last = part.version;
+        }
+        news
+    }
+}
+
+/// Copies a row for a peer.
+fn copy(row: &FeedRow) -> RowCopy {
+    RowCopy { name: row.name.clone(), text: row.text.clone() }
+}
+
+/// Returns how many bytes a row has.
+fn row_bytes(row: &FeedRow) -> usize {
+    row.name.len() + row.text.as_ref().map_or(0, String::len)
+}
+
+/// Splits the changes after a version into parts that fit an answer.
+fn split(batch: &FeedBatch, after: u64) -> Vec<LogPart> {
+    let mut parts: Vec<LogPart> = vec![];
+    // Whoever has a part goes on after its version, maybe elsewhere: a part may end only
+    // where all rows that are left changed later.
+    let versions = row_versions(batch, after);
+    for (place, row) in batch.rows.iter().enumerate() {
+        let version = versions.as_ref().map_or(batch.version, |known| known[place]);
+        let bytes = row_bytes(row);
+        match parts.last_mut() {
+            Some(part)
+                if part.version == version || part.bytes + bytes <= ANSWER_BYTES =>
+            {
+                part.version = version;
+                part.bytes += bytes;
+                part.rows.push(row.clone());
+            }
+            _ => parts.push(LogPart { version, rows: vec![row.clone()], bytes }),
+        }
+    }
+    if let Some(part) = parts.last_mut() {
+        part.version = batch.version;
+    }
+    parts
+}
+
+/// Returns the versions at which the rows of a batch changed; nothing unless all are known
+/// and in order, and lie within the batch.
+fn row_versions(batch: &FeedBatch, after: u64) -> Option<Vec<u64>> {
+    let versions: Option<Vec<u64>> = batch.rows.iter().map(|row| row.version).collect();
+    let within = after + 1..=batch.version;
+    versions.filter(|versions| {
+        versions.is_sorted() && versions.iter().all(|version| within.contains(version))
+    })
+}
--- a/crates/flaxtide-entry/tests/reader.rs
+++ b/crates/flaxtide-entry/tests/reader.rs
@@ -3,11 +3,24 @@
 use std::time::Duration;
 
 use flaxtide_entry::{FeedBatch, FeedRow, ListLog};
-use flaxtide_fleet::RowSource;
+use flaxtide_fleet::{RowNews, RowSource};
+
+/// The most text of an answer.
+const MOST_TEXT: usize = 32 * 1024;
+
+/// How much text a row of the tests of long answers has.
+const ROW_TEXT: usize = 1000;
+
+/// How many such rows there are: ten answers' worth.
+const MANY: u64 = 330;
 
 /// A batch up to a version with rows of these names.
 fn batch(version: u64, names: &[&str]) -> FeedBatch {
-    let row = |name: &&str| FeedRow { name: (*name).to_owned(), text: None };
+    let row = |name: &&str| FeedRow {
+        name: (*name).to_owned(),
+        text: None,
+        version: None,
+    };
     FeedBatch { version, rows: names.iter().map(row).collect() }
 }
 
@@ -17,6 +30,46 @@
     Some(news.rows.into_iter().map(|row| row.name).collect())
 }
 
+/// A long row that changed at a version.
+fn long_row(number: u64, version: Option<u64>) -> FeedRow {
+    let text = Some("x".repeat(ROW_TEXT));
+    FeedRow { name: format!("row-{number}"), text, version }
+}
+
+/// How much text an answer has.
+fn text_of(news: &RowNews) -> usize {
+    let texts = news.rows.iter().map(|row| row.text.as_ref().map_or(0, String::len));
+    texts.sum()
+}
+
+/// Asks a log as an instance does that was told up to a version, until it tells no more.
+/// Returns the answers with rows.
+fn ask_on(log: &ListLog, mut after: u64) -> Vec<RowNews> {
+    let mut answers = vec![];
+    loop {
+        let news = log.news_after(after).expect("what was told last can be gone on from");
+        if news.rows.is_empty() {
+            assert_eq!(news.version, after);
+            return answers;
+        }
+        assert!(news.version > after, "the asker gets on");
+        after = news.version;
+        answers.push(news);
+    }
+}
+
+/// Asserts that answers are short and tell of each long row once, in order.
+fn assert_all_in_short_answers(answers: &[RowNews], case: &str) {
+    let sizes: Vec<usize> = answers.iter().map(text_of).collect();
+    assert!(sizes.iter().all(|size| *size <= MOST_TEXT), "{case}: {sizes:?}");
+    // Each question has its price, so answers aren't much shorter than they may be.
+    assert!(answers.len() <= 12, "{case}: {sizes:?}");
+    let rows = answers.iter().flat_map(|news| &news.rows);
+    let names: Vec<String> = rows.map(|row| row.name.clone()).collect();
+    let all: Vec<String> = (0..MANY).map(|number| format!("row-{number}")).collect();
+    assert_eq!(names, all, "{case}");
+}
+
 fn log() -> ListLog {
     ListLog::new(Duration::from_secs(60))
 }
@@ -59,3 +112,75 @@
     std::thread::sleep(Duration::from_millis(5));
     assert_eq!(told(&log, 5), None);
 }
+
+#[test]
+fn many_changes_are_told_in_short_answers() {
+    let log = log();
+    log.record(&batch(5, &[]), None);
+    // Ten rows a reading, so that all readings are kept.
+    for first in (0..MANY).step_by(10) {
+        let rows = (first..first + 10).map(|number| long_row(number, None)).collect();
+        let batch = FeedBatch { rows, version: 15 + first };
+        log.record(&batch, Some(5 + first));
+    }
+    assert_all_in_short_answers(&ask_on(&log, 5), "one reading after another");
+}
+
+#[test]
+fn rows_that_change_all_at_once_are_told_in_short_answers() {
+    let log = log();
+    log.record(&batch(5, &[]), None);
+    // The store's version goes on with other tables' rows too.
+    let rows = (0..MANY).map(|number| long_row(number, Some(7 + 2 * number)));
+    let version = 10 + 2 * MANY;
+    log.record(&FeedBatch { rows: rows.collect(), version }, Some(5));
+    let answers = ask_on(&log, 5);
+    assert_all_in_short_answers(&answers, "one reading");
+    assert_eq!(answers.last().unwrap().version, version);
+    // Whoever goes on with the platform, or another reader, is told of all that it lacks.
+    for news in &answers[..answers.len() - 1] {
+        let last = news.rows.last().unwrap();
+        let number: u64 = last.name.strip_prefix("row-").unwrap().parse().unwrap();
+        assert_eq!(news.version, 7 + 2 * number);
+    }
+}
+
+#[test]
+fn an_answer_never_ends_where_nobody_could_go_on() {
+    /// The version of each row by its number.
+    type Versions = fn(u64) -> Option<u64>;
+    let cases: [(&str, Versions); 5] = [
+        ("unknown", |_| None),
+        ("one for all", |_| Some(9)),
+        ("out of order", |number| Some(5 + MANY - number)),
+        ("before what was asked", |number| Some(3 + number)),
+        ("after the reading", |number| Some(9 + number)),
+    ];
+    for (case, version) in cases {
+        let log = log();
+        log.record(&batch(5, &[]), None);
+        let rows = (0..MANY).map(|number| long_row(number, version(number)));
+        let end = 5 + MANY;
+        log.record(&FeedBatch { rows: rows.collect(), version: end }, Some(5));
+        let answers = ask_on(&log, 5);
+        assert_eq!(answers.len(), 1, "{case}");
+        assert_eq!(answers[0].rows.len() as u64, MANY, "{case}");
+        assert_eq!(answers[0].version, end, "{case}");
+    }
+}
+
+#[test]
+fn rows_of_one_change_stay_together() {
+    let log = log();
+    log.record(&batch(5, &[]), None);
+    // Forty rows a change are more than an answer has room for.
+    let rows = (0..MANY).map(|number| long_row(number, Some(6 + number / 40)));
+    log.record(&FeedBatch { rows: rows.collect(), version: 50 }, Some(5));
+    let counts = ask_on(&log, 5)
+        .into_iter()
+        .map(|news| (news.version, news.rows.len()));
+    let counts: Vec<(u64, usize)> = counts.collect();
+    let mut expected: Vec<(u64, usize)> = (6..14).map(|version| (version, 40)).collect();
+    expected.push((50, 10));
+    assert_eq!(counts, expected);
+}
