A store that has no history isn't read whole in a loop

Cause: after "history gone" everything was read at once, and then followed. A store that answers "history gone" to each follow so had all rules read from it in a loop without a pause: work that another's answer sets off without a bound, as with the copies of rules. Ruled out: the topic of servers, whose calls have a pause after each (`pace`): 3 reads in 3 s. Change: from the second such answer without changes told between, a pause as after failed calls (0.15 s, doubling up to 0.6 s); the first still costs no time, and a whole read in between doesn't count as a success. How far following has come, how long a call waits and when the next comes is a pure type now, `FollowState`, and `follow_topic` only carries it out. Otherwise it does as before; the log lines of failed calls say the pause (`pause_ms`). A store that keeps no history for long still has all rules read from it every 0.6 s, as rules must be in force within seconds.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -14,28 +14,11 @@
 use crate::fleet::{
     FleetLink, RulesCopy, SharedRules, take_peer_loads, take_peer_reads, take_peer_silent,
 };
+use crate::follow::{FOLLOW_WAIT, FollowAnswer, FollowFault, FollowState};
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
 use crate::state::TrafficState;
 
-/// How long one call waits for changes: the longest that platforms commonly allow, as each
-/// call has its price.
-const FOLLOW_WAIT: Duration = Duration::from_secs(25);
-
-/// How long a call waits for changes soon after a failed one. A store that has just come
-/// back may not tell those who wait of everything that changes.
-const CAUTIOUS_WAIT: Duration = Duration::from_millis(1000);
-
-/// For how long after a failed call calls wait no longer than that.
-const CAUTION: Duration = Duration::from_secs(10);
-
-/// How long the first pause after a failed call is.
-const FIRST_PAUSE: Duration = Duration::from_millis(150);
-
-/// The longest such pause. A configuration must be in force within seconds of the
-/// platform's return.
-const LONGEST_PAUSE: Duration = Duration::from_millis(600);
-
 /// Something that a feed thread tells the traffic thread.
 #[derive(Debug)]
 pub(crate) enum FeedEvent {
@@ -113,6 +96,41 @@
         timing.unwrap_or((FOLLOW_WAIT, self.pace))
     }
 
+    /// Takes in an answer. Returns whether somebody listens.
+    fn take_batch(&self, state: &mut FollowState, batch: FeedBatch) -> bool {
+        let FollowAnswer { whole, regained } = state.take_version(batch.version);
+        if regained {
+            note_dependency(self.topic, true, None, &self.metrics);
+            if !self.tell(FeedEvent::Regained) {
+                return false;
+            }
+        }
+        let news = whole || !batch.rows.is_empty();
+        !news || self.tell(FeedEvent::Batch { topic: self.topic, batch, whole })
+    }
+
+    /// Takes in that a call has failed, and pauses. Returns whether somebody listens.
+    fn take_fault(
+        &self,
+        state: &mut FollowState,
+        fault: &FeedError,
+        now: Duration,
+    ) -> bool {
+        let FollowFault { lost, pause } = state.take_fault(fault, now);
+        note_fault(self.topic, fault, pause);
+        if lost {
+            note_dependency(self.topic, false, Some(fault), &self.metrics);
+        }
+        let listened = !lost || self.tell(FeedEvent::Lost);
+        thread::sleep(pause);
+        listened
+    }
+
+    /// Tells the traffic thread. Returns whether it listens.
+    fn tell(&self, event: FeedEvent) -> bool {
+        self.events.blocking_send(event).is_ok()
+    }
+
     /// Counts a call.
     fn count(&self, result: &str) {
         let topic = self.topic.to_string();
@@ -125,70 +143,35 @@
 
 /// Follows a topic until nobody listens.
 pub(crate) fn follow_topic(follower: &TopicFollower) {
-    let TopicFollower { topic, events, metrics, .. } = follower;
-    let topic = *topic;
-    let mut after = None;
-    let mut pause = None;
     let clock = MilliClock::real();
-    let mut cautious_until = Duration::ZERO;
+    let mut state = FollowState::default();
     loop {
-        let most = match pause {
-            // The first answer after a failure is all that counts.
-            Some(_) => Duration::ZERO,
-            None if clock.now() < cautious_until => CAUTIOUS_WAIT,
-            None => FOLLOW_WAIT,
-        };
-        let told_by_peer = follower.ask_reader(after);
+        let most = state.longest_wait(clock.now());
+        let told_by_peer = follower.ask_reader(state.after());
         let rest =
             if told_by_peer.is_some() { Duration::ZERO } else { follower.timing().1 };
-        let read = told_by_peer.map_or_else(|| follower.call(after, most), Ok);
-        if read.is_err() {
-            cautious_until = clock.now() + CAUTION;
-        }
-        let told = match read {
-            Ok(batch) => {
-                let whole = after.is_none();
-                after = Some(batch.version);
-                let regained = pause.take().is_some();
-                if regained {
-                    note_dependency(topic, true, None, metrics);
-                }
-                let told = !regained || events.blocking_send(FeedEvent::Regained).is_ok();
-                let news = whole || !batch.rows.is_empty();
-                told && (!news
-                    || events
-                        .blocking_send(FeedEvent::Batch { topic, batch, whole })
-                        .is_ok())
-            }
-            Err(FeedError::HistoryGone) => {
-                log::info!(topic = topic.to_string(); "history gone, everything is read anew");
-                after = None;
-                true
-            }
-            Err(fault) => {
-                log::info!(
-                    topic = topic.to_string(), cause = fault.to_string();
-                    "platform call failed"
-                );
-                let first = pause.is_none();
-                let span: Duration = pause.map_or(FIRST_PAUSE, |span: Duration| span * 2);
-                let span = span.min(LONGEST_PAUSE);
-                pause = Some(span);
-                if first {
-                    note_dependency(topic, false, Some(&fault), metrics);
-                }
-                let told = !first || events.blocking_send(FeedEvent::Lost).is_ok();
-                thread::sleep(span);
-                told
-            }
+        let call = || follower.call(state.after(), most);
+        let listened = match told_by_peer.map_or_else(call, Ok) {
+            Ok(batch) => follower.take_batch(&mut state, batch),
+            Err(fault) => follower.take_fault(&mut state, &fault, clock.now()),
         };
-        if !told {
+        if !listened {
             return;
         }
         thread::sleep(rest);
     }
 }
 
+/// Logs that a call has failed.
+fn note_fault(topic: FeedTopic, fault: &FeedError, pause: Duration) {
+    let (topic, pause_ms) = (topic.to_string(), pause.as_millis() as u64);
+    if *fault == FeedError::HistoryGone {
+        log::info!(topic, pause_ms; "history gone, everything is read anew");
+        return;
+    }
+    log::info!(topic, cause = fault.to_string(), pause_ms; "platform call failed");
+}
+
 /// Logs that the platform is lost or regained.
 fn note_dependency(
     topic: FeedTopic,
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -20,6 +20,7 @@
 mod exchange;
 mod feed;
 mod fleet;
+mod follow;
 mod instance;
 mod listen;
 mod logging;
@@ -39,6 +40,7 @@
     SendHead, ServerEntry, ServiceEngine, TargetService, WireDialect,
 };
 pub use self::error::EntryError;
+pub use self::follow::{FollowAnswer, FollowFault, FollowState};
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::logging::init_entry_logging;
 pub use self::reader::ListLog;
