Open requests keep their class, and not all rules under which they came

Cause: each open request held the whole table of rules of its version (`ClassMatch`), and one whose body was being read or whose answer was waited for held it once more (`answer` in call.rs). With versions of several MB that come faster than requests end, as many tables stayed in memory. Ruled out: other holders of old tables (the router has numbers only; peers are given the newest text; limits are copied). A request keeps its class, each of which is held by its own, its tier and its service. A metric, `flaxtide_entry_rules_kept`, says how many tables are in memory. Figures: three versions, under each a stream, a request that waits for its answer and one whose body is still to come, then a fourth version: tables in memory before 4, after 1. Bytes of memory weren't measured. The table in force and the one that takes its place are in memory together while they change, and so is the text that is kept for peers.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxtide_core::{RequestId, ServerId};
+use flaxtide_core::{RequestId, ServerId, TierRank};
 use flaxtide_policy::{
     RefusalCause, RetryVerdict, RouteAction, RouteCall, RouteChoice, RouteFault,
     WAIT_PART,
@@ -14,12 +14,13 @@
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::http::request::Parts;
 
 use crate::answer::{Received, begin_stream, receive};
 use crate::contract::RequestHead;
 use crate::exchange::{AnswerStart, CallerRequest, exchange, strip_hop_headers};
 use crate::reply::{CallerAnswer, OwnReply};
-use crate::routes::{CallerIdentity, ClassMatch, RouteTable};
+use crate::routes::{CallerIdentity, ClassMatch};
 use crate::state::{LifePhase, TrafficState};
 
 /// When a caller is asked to come back while there are no rules.
@@ -248,7 +249,7 @@
         Ok(answer) => answer,
         Err((reply, attempt)) => {
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
-            let version = state.table().map(|table| table.rules.version);
+            let version = state.table().map(|table| table.version);
             log::info!(
                 request = attempt, outcome = reply.name(), rules_version = version.unwrap_or_default();
                 "turned away"
@@ -272,6 +273,23 @@
 /// A request that is turned away before it is a call: why, and what identifies it.
 type TurnedAway = (OwnReply, String);
 
+/// What the rules say of a request.
+struct MatchedRules {
+    /// Its class.
+    class: ClassMatch,
+    /// Who sends it.
+    caller: CallerIdentity,
+    /// Its tier.
+    tier: TierRank,
+    /// How urgent its class is.
+    level: u8,
+    /// The service that gets it, and whether its servers are engines; nothing if its class
+    /// has none.
+    service: Option<(String, bool)>,
+    /// The most bytes of its body.
+    body_bytes: usize,
+}
+
 /// Reads a request, and has it served.
 async fn answer(
     state: &Rc<TrafficState>,
@@ -282,31 +300,15 @@
     let head = state.dialect.read_request(&parts.headers);
     let attempt = head.attempt.clone().unwrap_or_default();
     let turn_away = |reply| (reply, attempt.clone());
-    let table = state.table().ok_or_else(|| turn_away(OwnReply::NoRules))?;
-    let headers = &parts.headers;
-    let host = headers.get(HOST).and_then(|host| host.to_str().ok());
-    let host = host.ok_or_else(|| turn_away(OwnReply::Malformed))?;
-    let class = RouteTable::find(&table, host, parts.uri.path())
-        .ok_or_else(|| turn_away(OwnReply::UnknownTarget))?;
-    let caller =
-        identify(&table, &class, &head).ok_or_else(|| turn_away(OwnReply::UnknownKey))?;
-    if state.ends_too_soon(class.class().kind.streams()) {
-        return Err(turn_away(OwnReply::Stopping));
-    }
-    let most = table.rules.limits.body_bytes;
+    let found = look_up(state, &parts, &head).map_err(turn_away)?;
+    let MatchedRules { class, caller, tier, level, body_bytes, .. } = found;
     let wait = head.deadline.unwrap_or(class.class().timeout);
-    let body = tokio::time::timeout(wait, read_body(body, most)).await;
+    let body = tokio::time::timeout(wait, read_body(body, body_bytes)).await;
     let body = body.unwrap_or(Err(OwnReply::BodyTooSlow)).map_err(turn_away)?;
     let mut headers = parts.headers;
     strip_hop_headers(&mut headers);
-    let tier = table.tier(&caller, class.class());
-    let service = class.draw_service(&mut *state.random.borrow_mut()).map(str::to_owned);
-    let Some(service) = service else { return Err(turn_away(OwnReply::UnknownTarget)) };
-    let is_engine = table
-        .rules
-        .services
-        .iter()
-        .any(|known| known.name == service && known.engine.is_some());
+    let (service, is_engine) =
+        found.service.ok_or_else(|| turn_away(OwnReply::UnknownTarget))?;
     let request = CallerRequest {
         method: parts.method,
         uri: parts.uri,
@@ -325,7 +327,7 @@
         class: call.class.id,
         organisation: caller.organisation.unwrap_or(NO_ORGANISATION),
         tier,
-        level: table.level(call.class.class()),
+        level,
         target: call.class.class().target,
         give_up: call.deadline.min(received + call.class.class().target / WAIT_PART),
         deadline: call.deadline,
@@ -336,18 +338,34 @@
     Ok(lead(call, request, order).await)
 }
 
-/// Tells who a caller is; nothing if it must have a key and has none that is in force.
-fn identify(
-    table: &RouteTable,
-    class: &ClassMatch,
+/// Looks up what the rules in force say of a request. They aren't held any longer than
+/// that: newer ones may come while the request is open.
+fn look_up(
+    state: &TrafficState,
+    parts: &Parts,
     head: &RequestHead,
-) -> Option<CallerIdentity> {
-    let known = table.identify(head.key.as_deref());
-    if known.is_some() {
-        return known;
+) -> Result<MatchedRules, OwnReply> {
+    let table = state.table().ok_or(OwnReply::NoRules)?;
+    let host = parts.headers.get(HOST).and_then(|host| host.to_str().ok());
+    let host = host.ok_or(OwnReply::Malformed)?;
+    let class = table.find(host, parts.uri.path()).ok_or(OwnReply::UnknownTarget)?;
+    let caller = table.admit(class.class(), head.key.as_deref());
+    let caller = caller.ok_or(OwnReply::UnknownKey)?;
+    if state.ends_too_soon(class.class().kind.streams()) {
+        return Err(OwnReply::Stopping);
     }
-    let open = class.class().anonymous || table.rules.organisations.is_empty();
-    open.then(CallerIdentity::default)
+    let drawn = class.draw_service(&mut *state.random.borrow_mut()).map(str::to_owned);
+    Ok(MatchedRules {
+        tier: table.tier(&caller, class.class()),
+        level: table.level(class.class()),
+        service: drawn.map(|service| {
+            let is_engine = table.is_engine(&service);
+            (service, is_engine)
+        }),
+        body_bytes: table.limits.body_bytes,
+        class,
+        caller,
+    })
 }
 
 /// Reads a body whole.
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) open_calls: IntGauge,
     /// The version of the rules in force.
     pub(crate) rules_version: IntGauge,
+    /// Versions of the rules that are in memory.
+    pub(crate) rules_kept: IntGauge,
     /// Copies of the rules exchanged with peers, by whether they were received or given.
     pub(crate) rules_copies: IntCounterVec,
     /// Bytes exchanged with peers, by direction.
@@ -43,6 +45,24 @@
     pub(crate) latency: Histogram,
 }
 
+/// One of what a gauge counts, from its making to its end.
+#[derive(Debug)]
+pub(crate) struct CountedOne(IntGauge);
+
+impl CountedOne {
+    /// Counts one more.
+    pub(crate) fn new(gauge: &IntGauge) -> Self {
+        gauge.inc();
+        Self(gauge.clone())
+    }
+}
+
+impl Drop for CountedOne {
+    fn drop(&mut self) {
+        self.0.dec();
+    }
+}
+
 impl EntryMetrics {
     /// Registers all metrics.
     pub(crate) fn new() -> Self {
@@ -66,6 +86,7 @@
             dependencies: gauges("dependency_up", "1 while it answers.", &["dependency"]),
             open_calls: gauge("open_calls", "Requests in the instance."),
             rules_version: gauge("rules_version", "The version of the rules in force."),
+            rules_kept: gauge("rules_kept", "Versions of the rules in memory."),
             rules_copies: counters("rules_copies", "Rules from and to peers.", &["side"]),
             peer_bytes: gauges("peer_bytes", "Bytes from and to peers.", &["direction"]),
             servers: gauge("servers", "Servers that may be used."),
@@ -79,7 +100,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 14] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -89,6 +110,7 @@
             Box::new(self.dependencies.clone()),
             Box::new(self.open_calls.clone()),
             Box::new(self.rules_version.clone()),
+            Box::new(self.rules_kept.clone()),
             Box::new(self.rules_copies.clone()),
             Box::new(self.peer_bytes.clone()),
             Box::new(self.servers.clone()),
--- a/crates/flaxtide-entry/src/routes.rs
+++ b/crates/flaxtide-entry/src/routes.rs
@@ -3,34 +3,50 @@
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 
-use flaxtide_core::{ClassId, OrganisationId, TierRank};
+use flaxtide_core::{ClassId, OrganisationId, SettingsVersion, TierRank};
 use rand::Rng;
 
-use crate::contract::{EntryRules, RequestClass};
+use crate::contract::{
+    BackendService, CallerLimits, EntryRules, OrganisationRules, RequestClass,
+};
+use crate::metrics::CountedOne;
 
 /// The rules in force, made quick to look things up in.
 #[derive(Debug)]
 pub(crate) struct RouteTable {
-    /// The rules.
-    pub(crate) rules: EntryRules,
+    /// The version of the rules.
+    pub(crate) version: SettingsVersion,
+    /// The request classes. Requests hold theirs, and nothing else of the table: it is
+    /// large, and isn't to stay in memory as long as the last request that came under it.
+    classes: Vec<Rc<RequestClass>>,
+    /// The services behind them.
+    pub(crate) services: Vec<BackendService>,
+    /// The organisations; empty where requests carry no keys.
+    organisations: Vec<OrganisationRules>,
+    /// Which organisation holds a key.
+    keys: HashMap<String, OrganisationId>,
+    /// What callers may send.
+    pub(crate) limits: CallerLimits,
     /// The classes of each host, those with longer prefixes first.
     hosts: HashMap<String, Vec<ClassId>>,
     /// The pairs of a class's tier and an organisation's, most urgent first.
     ranks: Vec<TierPair>,
     /// The tiers of all classes, most urgent first.
     levels: Vec<TierRank>,
+    /// Counts it while it is in memory.
+    _kept: CountedOne,
 }
 
 /// The tier of a class, which goes first, and that of an organisation. Where an
 /// organisation has none, the class's stands in for it.
 type TierPair = (TierRank, TierRank);
 
-/// The class of a request, and the rules that it stands in.
+/// The class of a request.
 #[derive(Debug, Clone)]
 pub(crate) struct ClassMatch {
-    /// The rules, which stay as they were when the request came.
-    table: Rc<RouteTable>,
-    /// Which class.
+    /// The class, which stays as it was when the request came.
+    class: Rc<RequestClass>,
+    /// Its number in the rules.
     pub(crate) id: ClassId,
 }
 
@@ -47,7 +63,7 @@
 
 impl RouteTable {
     /// Makes a table of rules.
-    pub(crate) fn new(rules: EntryRules) -> Self {
+    pub(crate) fn new(rules: EntryRules, kept: CountedOne) -> Self {
         let mut hosts: HashMap<String, Vec<ClassId>> = HashMap::new();
         for (index, class) in rules.classes.iter().enumerate() {
             hosts.entry(class.host.clone()).or_default().push(index as ClassId);
@@ -61,10 +77,16 @@
         let levels: BTreeSet<TierRank> =
             rules.classes.iter().map(|class| class.tier).collect();
         Self {
-            rules,
+            version: rules.version,
+            classes: rules.classes.into_iter().map(Rc::new).collect(),
+            services: rules.services,
+            organisations: rules.organisations,
+            keys: rules.keys,
+            limits: rules.limits,
             hosts,
             ranks,
             levels: levels.into_iter().collect(),
+            _kept: kept,
         }
     }
 
@@ -77,13 +99,14 @@
     }
 
     /// Returns the class of the longest prefix that a path begins with.
-    pub(crate) fn find(table: &Rc<Self>, host: &str, path: &str) -> Option<ClassMatch> {
+    pub(crate) fn find(&self, host: &str, path: &str) -> Option<ClassMatch> {
         let name = host_name(host).to_ascii_lowercase();
-        let classes = table.hosts.get(&name)?;
-        let id = classes.iter().copied().find(|class| {
-            path.starts_with(&table.rules.classes[usize::from(*class)].prefix)
-        })?;
-        Some(ClassMatch { table: table.clone(), id })
+        let classes = self.hosts.get(&name)?;
+        let id = classes
+            .iter()
+            .copied()
+            .find(|class| path.starts_with(&self.classes[usize::from(*class)].prefix))?;
+        Some(ClassMatch { class: self.classes[usize::from(id)].clone(), id })
     }
 
     /// Returns how urgent a class is: its place among the tiers of all classes.
@@ -92,10 +115,26 @@
         u8::try_from(place).unwrap_or(u8::MAX)
     }
 
+    /// Tells who a caller is by its key; nothing if the class wants a key that is in force.
+    pub(crate) fn admit(
+        &self,
+        class: &RequestClass,
+        key: Option<&str>,
+    ) -> Option<CallerIdentity> {
+        let open = class.anonymous || self.organisations.is_empty();
+        self.identify(key).or_else(|| open.then(CallerIdentity::default))
+    }
+
+    /// Tells whether the servers of a service are engines.
+    pub(crate) fn is_engine(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|known| known.name == service && known.engine.is_some())
+    }
+
     /// Tells who holds a key; nothing if nobody does.
-    pub(crate) fn identify(&self, key: Option<&str>) -> Option<CallerIdentity> {
-        let id = *self.rules.keys.get(key?)?;
-        let organisation = self.rules.organisations.get(usize::from(id))?;
+    fn identify(&self, key: Option<&str>) -> Option<CallerIdentity> {
+        let id = *self.keys.get(key?)?;
+        let organisation = self.organisations.get(usize::from(id))?;
         Some(CallerIdentity {
             organisation: Some(id),
             name: Some(organisation.name.clone()),
@@ -107,7 +146,7 @@
 impl ClassMatch {
     /// Returns the class.
     pub(crate) fn class(&self) -> &RequestClass {
-        &self.table.rules.classes[usize::from(self.id)]
+        &self.class
     }
 
     /// Draws the service that gets a request, by the weights of the class.
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -21,7 +21,7 @@
 use crate::contract::{CallerLimits, EntryRules, WireDialect};
 use crate::directory::ServerDirectory;
 use crate::fleet::FleetLink;
-use crate::metrics::EntryMetrics;
+use crate::metrics::{CountedOne, EntryMetrics};
 use crate::reader::ListLog;
 use crate::routes::RouteTable;
 use crate::stop::LAST_CALLS;
@@ -179,7 +179,7 @@
         let table = self.table.borrow();
         table
             .as_ref()
-            .map_or_else(CallerLimits::default, |table| table.rules.limits)
+            .map_or_else(CallerLimits::default, |table| table.limits)
     }
 
     /// Returns how far a stop has come.
@@ -243,7 +243,7 @@
     /// Tells whether rules of a version would be newer than those in force.
     pub(crate) fn needs(&self, version: SettingsVersion) -> bool {
         let table = self.table.borrow();
-        table.as_ref().is_none_or(|table| version > table.rules.version)
+        table.as_ref().is_none_or(|table| version > table.version)
     }
 
     /// Puts rules in force, unless newer ones are. Returns whether it did.
@@ -252,7 +252,8 @@
             return false;
         }
         self.metrics.rules_version.set(rules.version as i64);
-        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(rules)));
+        let kept = CountedOne::new(&self.metrics.rules_kept);
+        *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(rules, kept)));
         self.tell_servers();
         true
     }
@@ -261,7 +262,7 @@
     pub(crate) fn tell_servers(&self) {
         let Some(table) = self.table() else { return };
         let home = self.config().data_centre.clone();
-        for service in &table.rules.services {
+        for service in &table.services {
             let engine = service.engine;
             let directory = self.directory.borrow();
             let servers = directory.of_service(&service.name).map(|listed| {
