What newer rules may allow isn't denied for good by an instance that is behind

Cause: an instance that had heard of newer rules, but not yet read them, answered 404 and 401 for routes and keys that they had added. Change: while a peer is known to have newer rules, for 15 s at most, such requests are refused as not run, with Retry-After (reason old_rules). Rules that a store without history gives again to the letter aren't decoded again.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -248,6 +248,7 @@
     let mut answer = match answer(&state, request).await {
         Ok(answer) => answer,
         Err((reply, attempt)) => {
+            let reply = reply.under_rules(state.behind.get());
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
             let version = state.table().map(|table| table.version);
             log::info!(
@@ -255,7 +256,7 @@
                 "turned away"
             );
             let retry_after = match reply {
-                OwnReply::NoRules => Some(NO_RULES_RETRY),
+                OwnReply::NoRules | OwnReply::OldRules => Some(NO_RULES_RETRY),
                 OwnReply::Stopping => Some(Duration::ZERO),
                 _ => None,
             };
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -43,8 +43,13 @@
     PeerReads(Vec<PartRead>),
     /// A peer has found servers silent.
     PeerSilent(Vec<FleetKey>),
-    /// So many instances are alive.
-    Instances(u32),
+    /// What is known of the fleet.
+    Fleet {
+        /// So many instances are alive.
+        live: u32,
+        /// Whether newer rules than those in force are known to exist.
+        behind: bool,
+    },
 }
 
 /// What follows one topic.
@@ -201,7 +206,10 @@
         match event {
             FeedEvent::Batch { topic: FeedTopic::Rules, batch, .. } => {
                 for text in batch.rows.into_iter().filter_map(|row| row.text) {
-                    take_rules(&state, &*feed, &shared, text.into(), "platform");
+                    // A store that lost its history has the same rules read again.
+                    if !shared.holds(&text) {
+                        take_rules(&state, &*feed, &shared, text.into(), "platform");
+                    }
                 }
             }
             FeedEvent::Batch { topic: FeedTopic::Servers, batch, whole } => {
@@ -218,7 +226,8 @@
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
             FeedEvent::PeerSilent(servers) => take_peer_silent(&state, &servers),
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
-            FeedEvent::Instances(live) => {
+            FeedEvent::Fleet { live, behind } => {
+                state.behind.set(behind);
                 state.metrics.instances.set(i64::from(live));
                 state.ask(|core, _| core.set_instances(live));
             }
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -56,6 +56,11 @@
         *self.lock() = Some(copy);
     }
 
+    /// Tells whether rules are those in force, to the letter.
+    pub(crate) fn holds(&self, text: &str) -> bool {
+        self.lock().as_ref().is_some_and(|copy| *copy.text == *text)
+    }
+
     /// Returns the rules if they are newer than a version.
     fn newer_than(&self, version: SettingsVersion) -> Option<RulesCopy> {
         self.lock().clone().filter(|copy| copy.version > version)
@@ -275,7 +280,8 @@
         }
         let live = node.live().len() as u32;
         // Told again with the next update.
-        let _ = events.try_send(FeedEvent::Instances(live));
+        let behind = node.is_behind(now);
+        let _ = events.try_send(FeedEvent::Fleet { live, behind });
     });
 }
 
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -33,6 +33,8 @@
     UnknownTarget,
     /// There are no rules yet.
     NoRules,
+    /// The rules in force don't allow it, but there are newer ones, which may.
+    OldRules,
     /// The instance stops before it could be answered.
     Stopping,
     /// No server can take it.
@@ -46,6 +48,15 @@
 }
 
 impl OwnReply {
+    /// Returns what is true if newer rules than those in force are known to exist: what they
+    /// may allow isn't denied for good, which callers wouldn't try again.
+    pub(crate) fn under_rules(self, behind: bool) -> Self {
+        match self {
+            Self::UnknownKey | Self::UnknownTarget if behind => Self::OldRules,
+            reply => reply,
+        }
+    }
+
     /// Returns the status. Only refusals have one that says "not run".
     fn status(self) -> StatusCode {
         match self {
@@ -54,9 +65,11 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownTarget => StatusCode::NOT_FOUND,
-            Self::NoRules | Self::Stopping | Self::NoServer | Self::TooLate => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoRules
+            | Self::OldRules
+            | Self::Stopping
+            | Self::NoServer
+            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Self::ServerFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -71,6 +84,7 @@
             Self::UnknownKey => "unknown_key",
             Self::UnknownTarget => "unknown_target",
             Self::NoRules => "no_rules",
+            Self::OldRules => "old_rules",
             Self::Stopping => "stopping",
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
@@ -87,9 +101,11 @@
             Self::BodyTooSlow => "it hasn't run; send the whole body in time",
             Self::UnknownKey => "send a key that is in force",
             Self::UnknownTarget => "check the host and the path",
-            Self::NoRules | Self::Stopping | Self::NoServer | Self::TooLate => {
-                "it hasn't run; come back after the time in Retry-After"
-            }
+            Self::NoRules
+            | Self::OldRules
+            | Self::Stopping
+            | Self::NoServer
+            | Self::TooLate => "it hasn't run; come back after the time in Retry-After",
             Self::ServerFailed | Self::TimedOut => {
                 "it may have run; repeat it only if that does no harm"
             }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -61,6 +61,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The servers that may be used.
     pub(crate) directory: RefCell<ServerDirectory>,
+    /// Whether newer rules than those in force are known to exist.
+    pub(crate) behind: Cell<bool>,
     /// Whether the platform's list of servers has been read.
     pub(crate) listed: Cell<bool>,
     /// The router.
@@ -146,6 +148,7 @@
             list,
             table: RefCell::new(None),
             directory: RefCell::new(ServerDirectory::new(leave_within)),
+            behind: Cell::new(false),
             listed: Cell::new(false),
             core: RefCell::new(RouteCore::new(options)),
             waiters: RefCell::default(),
--- a/crates/flaxtide-fleet/src/node/settings.rs
+++ b/crates/flaxtide-fleet/src/node/settings.rs
@@ -15,6 +15,10 @@
 /// Fetched settings that aren't in force after so long are fetched again.
 const ADOPTED_WITHIN: Duration = Duration::from_secs(5);
 
+/// For how long an instance is taken to be only a little behind its peers. Longer than that,
+/// what they say of newer settings may be wrong.
+const BEHIND_AT_MOST: Duration = Duration::from_secs(15);
+
 /// The settings of an instance, and what it knows of newer ones.
 #[derive(Debug, Default)]
 pub(super) struct SettingsState {
@@ -125,6 +129,14 @@
         due
     }
 
+    /// Tells whether newer settings than those in force are known to exist, and may be in
+    /// force here soon.
+    #[must_use]
+    pub fn is_behind(&self, now: Duration) -> bool {
+        let since = self.settings.newer_since;
+        since.is_some_and(|since| now < since + BEHIND_AT_MOST)
+    }
+
     /// Returns the peers that have newer settings and are heard, in the order in which they
     /// are asked: those that have what has been begun, then those with the newest version,
     /// then those of the data centre; and among equals in an order of this instance's own,
