Whoever is behind knows by how much, and what has come outlives a giver that falters

An instance that took one of several versions counted as up to date until the next look, and all through a fetch; so it denied again what newer rules may allow. Peers whose settings can't be used were noted with the version that they told of by then, not with that of the copy: a good newer one was never asked for. An older piece that nobody asked for undid all that had come; so did a fetch in which all were busy. A link whose slot was being woken wasn't closed. Ruled out: deadlocks, locks across awaits, ways back to an older version (read, none found).

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -248,7 +248,7 @@
     let mut answer = match answer(&state, request).await {
         Ok(answer) => answer,
         Err((reply, attempt)) => {
-            let reply = reply.under_rules(state.behind.get());
+            let reply = reply.under_rules(state.behind());
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
             let version = state.table().map(|table| table.version);
             log::info!(
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -47,8 +47,8 @@
     Fleet {
         /// So many instances are alive.
         live: u32,
-        /// Whether newer rules than those in force are known to exist.
-        behind: bool,
+        /// The newest version of the rules that peers have told of.
+        newest_rules: SettingsVersion,
     },
 }
 
@@ -226,8 +226,8 @@
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
             FeedEvent::PeerSilent(servers) => take_peer_silent(&state, &servers),
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
-            FeedEvent::Fleet { live, behind } => {
-                state.behind.set(behind);
+            FeedEvent::Fleet { live, newest_rules } => {
+                state.newest_rules.set(newest_rules);
                 state.metrics.instances.set(i64::from(live));
                 state.ask(|core, _| core.set_instances(live));
             }
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -113,8 +113,8 @@
         self.send(FleetEvent::Update(FleetUpdate::new(change)));
     }
 
-    /// Puts an event into the ring. A full ring loses it: the thread is behind, and all
-    /// that it is told is told again soon.
+    /// Puts an event into the ring. A full ring loses it: the thread is behind. What the
+    /// node knows is told again soon; a question without an answer counts as a silent peer.
     fn send(&self, event: FleetEvent) {
         if self.events.try_send(event).is_err() {
             log::warn!("fleet thread is behind, an event is lost");
@@ -196,7 +196,7 @@
 }
 
 /// Hands the traffic thread rules that a peer has sent. They wait for a place in the ring:
-/// there is one copy at a time, and losing it would cost a further transfer.
+/// losing them would cost a further transfer.
 fn hand_over(events: mpsc::Sender<FeedEvent>, copy: RulesCopy) {
     tokio::spawn(async move {
         // The traffic thread ends only with the process.
@@ -280,8 +280,8 @@
         }
         let live = node.live().len() as u32;
         // Told again with the next update.
-        let behind = node.is_behind(now);
-        let _ = events.try_send(FeedEvent::Fleet { live, behind });
+        let newest_rules = node.newest_known(now);
+        let _ = events.try_send(FeedEvent::Fleet { live, newest_rules });
     });
 }
 
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -140,8 +140,8 @@
     /// Records that rows came from elsewhere: what was read before them is of no use to
     /// peers any more.
     fn forget(&self) {
-        let reader = self.reader();
-        *self.lock() = LogState { reader, ..LogState::default() };
+        let mut state = self.lock();
+        *state = LogState { reader: state.reader, ..LogState::default() };
     }
 
     /// Returns who is to read.
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -61,8 +61,8 @@
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The servers that may be used.
     pub(crate) directory: RefCell<ServerDirectory>,
-    /// Whether newer rules than those in force are known to exist.
-    pub(crate) behind: Cell<bool>,
+    /// The newest version of the rules that peers have told of.
+    pub(crate) newest_rules: Cell<SettingsVersion>,
     /// Whether the platform's list of servers has been read.
     pub(crate) listed: Cell<bool>,
     /// The router.
@@ -148,7 +148,7 @@
             list,
             table: RefCell::new(None),
             directory: RefCell::new(ServerDirectory::new(leave_within)),
-            behind: Cell::new(false),
+            newest_rules: Cell::new(0),
             listed: Cell::new(false),
             core: RefCell::new(RouteCore::new(options)),
             waiters: RefCell::default(),
@@ -248,6 +248,11 @@
         self.table.borrow().as_ref().map_or(0, |table| table.version)
     }
 
+    /// Tells whether newer rules than those in force are known to exist.
+    pub(crate) fn behind(&self) -> bool {
+        self.newest_rules.get() > self.rules_version()
+    }
+
     /// Tells whether rules of a version would be newer than those in force.
     pub(crate) fn needs(&self, version: SettingsVersion) -> bool {
         self.table.borrow().is_none() || version > self.rules_version()
--- a/crates/flaxtide-fleet/src/fetch.rs
+++ b/crates/flaxtide-fleet/src/fetch.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use flaxtide_core::SettingsVersion;
+use flaxtide_core::{InstanceName, SettingsVersion};
 use log::Level;
 
-use crate::info::PeerInfo;
 use crate::links::call;
+use crate::node::SettingsSource;
 use crate::settings::{CopyAssembly, PieceAnswer, SettingsCopy, TakenPiece};
 use crate::thread::{FleetOutput, FleetShared};
 
@@ -15,6 +15,67 @@
 /// over a slow link isn't thrown away while more comes.
 const PIECE_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// After so many silent peers a fetch ends, and the next one looks anew who is heard.
+const SILENT_PEERS: u32 = 2;
+
+/// What has come is dropped if no more of it has come for so long.
+const KEPT_FOR: Duration = Duration::from_secs(5);
+
+/// Settings of which a part has come. They outlast a fetch that ends before they are whole.
+#[derive(Debug)]
+pub(crate) struct BegunCopy {
+    /// What has come.
+    assembly: CopyAssembly,
+    /// Who gave the last piece.
+    giver: Option<InstanceName>,
+    /// When it came.
+    progress: Duration,
+}
+
+impl Default for BegunCopy {
+    fn default() -> Self {
+        Self {
+            assembly: CopyAssembly::new(0),
+            giver: None,
+            progress: Duration::ZERO,
+        }
+    }
+}
+
+impl BegunCopy {
+    /// Goes on as an instance whose settings in force are of a version. What can't be of
+    /// use any more is dropped.
+    fn renew(&mut self, version: SettingsVersion, now: Duration) {
+        if now >= self.progress + KEPT_FOR {
+            *self = Self::default();
+        }
+        self.assembly.renew(version);
+    }
+
+    /// Tells whether a source has what has begun, if anything has.
+    fn continued_by(&self, source: &SettingsSource) -> bool {
+        self.assembly.version() == 0 || self.assembly.version() == source.version
+    }
+
+    /// Tells whether a source gave the last piece.
+    fn given_by(&self, source: &SettingsSource) -> bool {
+        self.giver.as_ref() == Some(&source.info.name)
+    }
+
+    /// Puts sources in the order in which they are asked: its giver first, which keeps the
+    /// copy that it has begun even if it has newer settings by now; then who has the same.
+    fn order(&self, sources: &mut [SettingsSource]) {
+        sources
+            .sort_by_key(|source| (!self.given_by(source), !self.continued_by(source)));
+    }
+
+    /// Takes in that a piece has come from a source.
+    fn note_piece(&mut self, source: &SettingsSource, now: Duration) {
+        self.giver = Some(source.info.name.clone());
+        self.progress = now;
+    }
+}
+
 /// How a peer's part in a fetch has ended.
 #[derive(Debug)]
 enum GiverEnd {
@@ -26,8 +87,8 @@
     Overtaken,
     /// It gives to too many others.
     Busy,
-    /// What it sent doesn't fit together, or is what this instance couldn't understand.
-    Rejected,
+    /// What it sent of a version doesn't fit together, or couldn't be understood before.
+    Rejected(SettingsVersion),
     /// No answer came in time.
     Silent,
 }
@@ -40,61 +101,65 @@
             Self::NothingNewer => "nothing newer",
             Self::Overtaken => "overtaken",
             Self::Busy => "busy",
-            Self::Rejected => "rejected",
+            Self::Rejected(_) => "rejected",
             Self::Silent => "silent",
         }
     }
 }
 
-/// Fetches the settings, from one peer after the other, until they are whole. What one peer
-/// has given isn't asked again of the next, nor by the next fetch, as long as more comes.
+/// Fetches the settings, from one peer after the other, until they are whole. What has come
+/// is kept for the next peer and the next fetch, until somebody gives newer settings or
+/// nobody gives more for a while.
 pub(crate) async fn fetch_settings(shared: Arc<FleetShared>) {
     let now = shared.clock.now();
-    let mut assembly = std::mem::replace(&mut *shared.begun(), CopyAssembly::new(0));
-    let (peers, version) = {
+    let mut begun = std::mem::take(&mut *shared.begun());
+    let (mut sources, version) = {
         let node = shared.node();
-        assembly.renew(node.version());
-        (node.settings_sources(assembly.version(), now), node.version())
+        (node.settings_sources(now), node.version())
     };
-    let before = (assembly.version(), assembly.received());
-    for peer in peers {
+    begun.renew(version, now);
+    begun.order(&mut sources);
+    let mut silent = 0;
+    for source in &sources {
         let started = shared.clock.now();
-        let end = take_from(&shared, &peer, &mut assembly).await;
+        let end = take_from(&shared, source, &mut begun).await;
         let took = shared.clock.now().saturating_sub(started);
-        note_fetch(&peer, version, &end, &assembly, took);
+        note_fetch(source, version, &end, &begun.assembly, took);
         match end {
             GiverEnd::Whole(copy) => {
                 let now = shared.clock.now();
-                shared.node().note_fetched(&copy, &peer.name, now);
+                shared.node().note_fetched(&copy, &source.info.name, now);
                 (shared.output)(FleetOutput::Settings(copy));
-                break;
+                return;
+            }
+            GiverEnd::Overtaken => return,
+            GiverEnd::Rejected(version) => {
+                shared.node().reject_giver(&source.info.name, version);
             }
-            GiverEnd::Overtaken => break,
-            GiverEnd::Rejected => shared.node().reject_giver(&peer.name),
-            GiverEnd::NothingNewer | GiverEnd::Busy | GiverEnd::Silent => {}
+            GiverEnd::NothingNewer | GiverEnd::Busy => {}
+            GiverEnd::Silent => silent += 1,
+        }
+        if silent >= SILENT_PEERS {
+            break;
         }
     }
-    if before == (assembly.version(), assembly.received()) {
-        // Nobody can go on with it.
-        assembly = CopyAssembly::new(version);
-    }
-    *shared.begun() = assembly;
+    *shared.begun() = begun;
 }
 
 /// Takes pieces from one peer until the settings are whole, or it gives no more.
 async fn take_from(
     shared: &Arc<FleetShared>,
-    peer: &PeerInfo,
-    assembly: &mut CopyAssembly,
+    source: &SettingsSource,
+    begun: &mut BegunCopy,
 ) -> GiverEnd {
-    let asker = shared.node().key();
+    let (asker, address) = (shared.node().key(), source.info.address);
     loop {
-        let question = assembly.question(asker);
+        let question = begun.assembly.question(asker);
         let in_force = shared.node().version();
         if in_force > question.newer_than.max(question.version.saturating_sub(1)) {
             return GiverEnd::Overtaken;
         }
-        let Some(link) = shared.links.open(peer.address).await else {
+        let Some(link) = shared.links.open(address).await else {
             return GiverEnd::Silent;
         };
         let settings = |context| link.client.settings(context, question);
@@ -103,25 +168,27 @@
             Ok(PieceAnswer::NothingNewer) => return GiverEnd::NothingNewer,
             Ok(PieceAnswer::Busy) => return GiverEnd::Busy,
             Err(cause) => {
-                log::debug!("no settings from {}: {cause}", peer.name);
-                shared.links.close(peer.address, &link);
+                log::debug!("no settings from {}: {cause}", source.info.name);
+                shared.links.close(address, &link).await;
                 return GiverEnd::Silent;
             }
         };
         if shared.node().was_rejected(piece.version, piece.checksum) {
-            return GiverEnd::Rejected;
+            return GiverEnd::Rejected(piece.version);
         }
-        match assembly.take(&piece) {
-            TakenPiece::Partial => {}
+        match begun.assembly.take(&piece) {
+            TakenPiece::Partial => {
+                begun.note_piece(source, shared.clock.now());
+            }
             TakenPiece::Whole(copy) => return GiverEnd::Whole(copy),
-            TakenPiece::Rejected => return GiverEnd::Rejected,
+            TakenPiece::Rejected => return GiverEnd::Rejected(piece.version),
         }
     }
 }
 
 /// Logs a peer's part in a fetch; one that has no time isn't worth a line.
 fn note_fetch(
-    peer: &PeerInfo,
+    source: &SettingsSource,
     newer_than: SettingsVersion,
     end: &GiverEnd,
     assembly: &CopyAssembly,
@@ -130,7 +197,7 @@
     let level = if matches!(end, GiverEnd::Busy) { Level::Debug } else { Level::Info };
     log::log!(
         level,
-        peer = peer.name, newer_than, outcome = end.name(),
+        peer = source.info.name, newer_than, outcome = end.name(),
         version = assembly.version(), left_off_at = assembly.received(),
         took_ms = took.as_millis() as u64;
         "settings asked of peer"
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -23,6 +23,7 @@
 pub use self::key::{FleetKey, fleet_key};
 pub use self::node::{
     FleetNews, FleetNode, FleetServer, FleetTiming, NodeDemand, OutgoingBeat,
+    SettingsSource,
 };
 pub use self::rate::rate_part;
 pub use self::rows::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
--- a/crates/flaxtide-fleet/src/links.rs
+++ b/crates/flaxtide-fleet/src/links.rs
@@ -87,10 +87,9 @@
     }
 
     /// Closes a link, unless another one has taken its place.
-    pub(crate) fn close(&self, address: SocketAddr, link: &OpenLink) {
-        // A slot that is locked has no link: it is being opened.
+    pub(crate) async fn close(&self, address: SocketAddr, link: &OpenLink) {
         let slot = self.slot(address);
-        let Ok(mut state) = slot.try_lock() else { return };
+        let mut state = slot.lock().await;
         if state.open.as_ref().is_some_and(|open| open.number == link.number) {
             state.open = None;
         }
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -13,6 +13,7 @@
 use flaxtide_core::{InstanceName, SettingsVersion};
 use flaxtide_policy::{bounded_owners, rendezvous_order, rendezvous_owner};
 
+pub use self::settings::SettingsSource;
 use self::settings::SettingsState;
 pub use self::timing::FleetTiming;
 use crate::info::PeerInfo;
--- a/crates/flaxtide-fleet/src/node/settings.rs
+++ b/crates/flaxtide-fleet/src/node/settings.rs
@@ -24,7 +24,7 @@
 pub(super) struct SettingsState {
     /// The version in force.
     version: SettingsVersion,
-    /// Since when a newer version than that in force is known.
+    /// Since when a version is known that is newer than what is in force or just fetched.
     newer_since: Option<Duration>,
     /// When the instance's own source last brought something.
     source_at: Duration,
@@ -36,6 +36,15 @@
     rejected: Option<(SettingsVersion, u64)>,
 }
 
+/// A peer that has newer settings.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SettingsSource {
+    /// The peer.
+    pub info: PeerInfo,
+    /// The version that it has told of.
+    pub version: SettingsVersion,
+}
+
 /// Settings that a peer has given.
 #[derive(Debug)]
 struct FetchedCopy {
@@ -90,13 +99,14 @@
         let fetched = self.settings.fetched.take_if(|copy| copy.version == version);
         let Some(fetched) = fetched else { return };
         self.settings.rejected = Some((fetched.version, fetched.checksum));
-        self.reject_giver(&fetched.giver);
+        self.reject_giver(&fetched.giver, version);
     }
 
-    /// Takes in that a peer gives what can't be used. It isn't asked for that version again.
-    pub(crate) fn reject_giver(&mut self, giver: &str) {
+    /// Takes in that what a peer gives of a version can't be used. It isn't asked while it
+    /// has that version.
+    pub(crate) fn reject_giver(&mut self, giver: &str, version: SettingsVersion) {
         if let Some(peer) = self.peers.get_mut(giver) {
-            peer.rejected = Some(peer.version);
+            peer.rejected = Some(version);
         }
     }
 
@@ -105,59 +115,71 @@
         self.settings.rejected == Some((version, checksum))
     }
 
-    /// Tells whether settings are to be fetched from a peer now: one has newer ones, and
-    /// the instance's own source hasn't brought them in time. Whoever asks is expected to
-    /// fetch them then.
-    pub fn settings_due(&mut self, now: Duration) -> bool {
+    /// Notes since when newer settings are known. To be called often, also while they are
+    /// being fetched.
+    pub fn note_newer(&mut self, now: Duration) {
         if self.newer_peers(now).next().is_none() {
             self.settings.newer_since = None;
-            return false;
+        } else {
+            self.settings.newer_since.get_or_insert(now);
         }
-        let since = *self.settings.newer_since.get_or_insert(now);
+    }
+
+    /// Tells whether settings are to be fetched from a peer now: one that is heard has newer
+    /// ones, and the instance's own source hasn't brought them in time. Whoever asks is
+    /// expected to fetch them then.
+    pub fn settings_due(&mut self, now: Duration) -> bool {
+        let Some(since) = self.settings.newer_since else { return false };
         let quiet_since = since.max(self.settings.source_at);
         let lead = self.timing.settings_lead;
         let waited =
             now >= quiet_since + lead || now >= since + self.timing.settings_patience;
         let rested = self.settings.asked_at.is_none_or(|at| now >= at + lead);
-        let silence = self.silence();
-        let due = waited
-            && rested
-            && self.newer_peers(now).any(|peer| peer.heard_within(now, silence));
+        let due = waited && rested && self.heard_newer_peers(now).next().is_some();
         if due {
             self.settings.asked_at = Some(now);
         }
         due
     }
 
-    /// Tells whether newer settings than those in force are known to exist, and may be in
-    /// force here soon.
+    /// Returns the newest version that a peer has told of and that may be in force here
+    /// soon; 0 if there is none, or if it is too long ago to be believed.
     #[must_use]
-    pub fn is_behind(&self, now: Duration) -> bool {
+    pub fn newest_known(&self, now: Duration) -> SettingsVersion {
         let since = self.settings.newer_since;
-        since.is_some_and(|since| now < since + BEHIND_AT_MOST)
+        if since.is_some_and(|since| now >= since + BEHIND_AT_MOST) {
+            return 0;
+        }
+        let peers = self.peers.values();
+        let peers = peers.filter(|peer| peer.rejected != Some(peer.version));
+        peers.map(|peer| peer.version).max().unwrap_or_default()
     }
 
     /// Returns the peers that have newer settings and are heard, in the order in which they
-    /// are asked: those that have what has been begun, then those with the newest version,
-    /// then those of the data centre; and among equals in an order of this instance's own,
-    /// so that not all instances ask the same one.
+    /// are asked: those with the newest version first, then those of the data centre; and
+    /// among equals in an order of this instance's own, so that not all instances ask the
+    /// same one.
     #[must_use]
-    pub fn settings_sources(
-        &self,
-        begun: SettingsVersion,
-        now: Duration,
-    ) -> Vec<PeerInfo> {
-        let silence = self.silence();
-        let peers = self.newer_peers(now);
-        let peers: Vec<&PeerRecord> =
-            peers.filter(|peer| peer.heard_within(now, silence)).collect();
+    pub fn settings_sources(&self, now: Duration) -> Vec<SettingsSource> {
+        let peers: Vec<&PeerRecord> = self.heard_newer_peers(now).collect();
         let names: Vec<&str> = peers.iter().map(|peer| peer.info.name.as_str()).collect();
         let mut order = rendezvous_order(u64::from(self.key()), &names);
         order.sort_by_key(|place| {
             let peer = peers[*place];
-            (peer.version != begun, Reverse(peer.version), !self.is_near(peer))
+            (Reverse(peer.version), !self.is_near(peer))
         });
-        order.iter().map(|place| peers[*place].info.clone()).collect()
+        let source = |place: &usize| SettingsSource {
+            info: peers[*place].info.clone(),
+            version: peers[*place].version,
+        };
+        order.iter().map(source).collect()
+    }
+
+    /// Returns those of them that have been heard lately.
+    fn heard_newer_peers(&self, now: Duration) -> impl Iterator<Item = &PeerRecord> {
+        let silence = self.silence();
+        self.newer_peers(now)
+            .filter(move |peer| peer.heard_within(now, silence))
     }
 
     /// Returns the peers whose settings are newer than what this instance has or has just
--- a/crates/flaxtide-fleet/src/peer.rs
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -24,7 +24,7 @@
     pub(crate) leaving: bool,
     /// Its settings version.
     pub(crate) version: SettingsVersion,
-    /// The version of it that this instance couldn't use.
+    /// The version of its settings that this instance couldn't use.
     pub(crate) rejected: Option<SettingsVersion>,
     /// Its requests for each pool.
     pub(crate) demands: Vec<PoolDemand>,
@@ -63,6 +63,7 @@
             self.demands.clear();
             self.usage.clear();
             self.beat_at = None;
+            self.rejected = None;
         }
         self.epoch = Some(epoch);
         self.heard = Some(now);
--- a/crates/flaxtide-fleet/src/settings/give.rs
+++ b/crates/flaxtide-fleet/src/settings/give.rs
@@ -12,8 +12,8 @@
 const SEATS: usize = 4;
 
 /// A peer that asks for no further piece for so long has given up, or is gone. It asks again
-/// sooner if an answer was lost.
-const SEAT_IDLE: Duration = Duration::from_secs(2);
+/// sooner if an answer was lost: within 2.6 s, with the opening of a link.
+const SEAT_IDLE: Duration = Duration::from_secs(3);
 
 /// Gives settings to a few peers at a time, in pieces. It is told the time.
 ///
--- a/crates/flaxtide-fleet/src/settings/mod.rs
+++ b/crates/flaxtide-fleet/src/settings/mod.rs
@@ -15,8 +15,8 @@
 pub use self::give::PieceGiver;
 pub use self::take::{CopyAssembly, TakenPiece};
 
-/// The most bytes of one piece: 26 ms of a link of 10 Mbit/s, so that beats on the same
-/// link aren't held up for longer.
+/// The most bytes of one piece: 26 ms of a link of 10 Mbit/s, so that beats wait about 0.1 s
+/// behind the pieces of all that are given settings at the same time.
 pub const PIECE_BYTES: usize = 32 * 1024;
 
 /// The settings of one version, whole.
--- a/crates/flaxtide-fleet/src/settings/take.rs
+++ b/crates/flaxtide-fleet/src/settings/take.rs
@@ -6,7 +6,8 @@
 use crate::key::FleetKey;
 
 /// The most bytes of settings that are taken from a peer: seven times the largest that are
-/// known to be in use. Larger ones would take the memory of small instances.
+/// known to be in use. Larger ones would take the memory of small instances; the platform's
+/// client has the same limit for them, a third more in base64.
 const LARGEST_SETTINGS: u32 = 6 * 1024 * 1024;
 
 /// Settings of which some pieces have come. Another peer that has the same version can give
@@ -38,7 +39,7 @@
     Partial,
     /// The settings are whole.
     Whole(SettingsCopy),
-    /// It doesn't fit, or the whole isn't what the peer has; all is begun anew.
+    /// It doesn't fit; or the whole isn't what the peer has, and is begun anew.
     Rejected,
 }
 
@@ -87,15 +88,17 @@
         }
     }
 
-    /// Takes in a piece.
+    /// Takes in a piece. One that doesn't fit leaves what has come as it is.
     pub fn take(&mut self, piece: &SettingsPiece) -> TakenPiece {
-        if piece.offset == 0 && piece.version >= self.version {
-            self.begin(piece);
-        }
-        if !self.fits(piece) {
-            *self = Self::new(self.newer_than);
+        let begins =
+            piece.offset == 0 && (piece.version > self.version || self.text.is_empty());
+        let mut next = begins.then(|| Self::begin(self.newer_than, piece));
+        if !next.as_ref().unwrap_or(self).fits(piece) {
             return TakenPiece::Rejected;
         }
+        if let Some(next) = next.take() {
+            *self = next;
+        }
         self.text.push_str(&piece.text);
         if self.text.len() < self.length as usize {
             return TakenPiece::Partial;
@@ -108,12 +111,15 @@
         TakenPiece::Whole(SettingsCopy { version, tree: text.into() })
     }
 
-    /// Begins with the first piece of a version.
-    fn begin(&mut self, piece: &SettingsPiece) {
-        self.version = piece.version;
-        self.length = piece.length;
-        self.checksum = piece.checksum;
-        self.text.clear();
+    /// Begins with the first piece of a version, without its text.
+    fn begin(newer_than: SettingsVersion, piece: &SettingsPiece) -> Self {
+        Self {
+            newer_than,
+            version: piece.version,
+            length: piece.length,
+            checksum: piece.checksum,
+            text: String::new(),
+        }
     }
 
     /// Tells whether a piece is the next one of what has been begun, and brings something.
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -17,13 +17,11 @@
 use tokio::task::JoinHandle;
 
 use crate::counted::LinkBytes;
-use crate::fetch::fetch_settings;
+use crate::fetch::{BegunCopy, fetch_settings};
 use crate::links::{PeerLinks, call, transport};
 use crate::node::{FleetNews, FleetNode, OutgoingBeat};
 use crate::rows::{RowNews, RowQuestion, RowSource};
-use crate::settings::{
-    CopyAssembly, PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy,
-};
+use crate::settings::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
 use crate::wire::{BeatReply, FleetBeat, PeerLink};
 
 /// How often the thread looks at its rings.
@@ -71,7 +69,7 @@
     }
 }
 
-/// What the fleet thread tells: news for this instance, or a settings version.
+/// What the fleet thread tells: news for this instance, or settings.
 pub(crate) enum FleetOutput {
     /// News, as they came in one message.
     News(Vec<FleetNews>),
@@ -107,7 +105,7 @@
     giver: Mutex<PieceGiver>,
     /// What has come of the settings that are being fetched. It outlasts a fetch that ends
     /// before they are whole.
-    begun: Mutex<CopyAssembly>,
+    begun: Mutex<BegunCopy>,
 }
 
 impl FleetThread {
@@ -141,7 +139,7 @@
             rows: OnceLock::new(),
             links: PeerLinks::default(),
             giver: Mutex::default(),
-            begun: Mutex::new(CopyAssembly::new(0)),
+            begun: Mutex::default(),
         });
         Ok(Self { listener, runtime, shared })
     }
@@ -191,7 +189,7 @@
     }
 
     /// Locks what has come of settings.
-    pub(crate) fn begun(&self) -> MutexGuard<'_, CopyAssembly> {
+    pub(crate) fn begun(&self) -> MutexGuard<'_, BegunCopy> {
         self.begun.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
@@ -205,39 +203,14 @@
 
 /// Takes events and sends beats until told to stop.
 async fn lead(shared: &Arc<FleetShared>, events: &Receiver<FleetEvent>) {
-    let mut urgent_at: Option<Duration> = None;
-    let mut urgent = false;
-    let mut fetch: Option<JoinHandle<()>> = None;
-    loop {
-        loop {
-            match events.try_recv() {
-                Ok(FleetEvent::Update(FleetUpdate(update))) => {
-                    let now = shared.clock.now();
-                    update(&mut shared.node(), now);
-                }
-                Ok(FleetEvent::Urgent) => urgent = true,
-                Ok(FleetEvent::AskRows(question)) => {
-                    tokio::spawn(ask_rows(shared.clone(), question));
-                }
-                Err(TryRecvError::Empty) => break,
-                Ok(FleetEvent::Stop) | Err(TryRecvError::Disconnected) => return,
-            }
-        }
+    let mut urgent = UrgentRound::default();
+    let mut fetch = None;
+    while take_events(shared, events, &mut urgent) {
         let now = shared.clock.now();
-        // One fetch at a time, whoever tells of newer settings meanwhile: a fetch for each
-        // notice filled links with hundreds of copies, and the memory of who gave them.
-        if fetch.as_ref().is_none_or(JoinHandle::is_finished)
-            && shared.node().settings_due(now)
-        {
-            fetch = Some(tokio::spawn(fetch_settings(shared.clone())));
-        }
+        fetch_if_due(shared, &mut fetch, now);
         let mut beats = shared.node().due_beats(now);
-        if beats.is_empty()
-            && urgent
-            && urgent_at.is_none_or(|at| now >= at + URGENT_PERIOD)
-        {
-            urgent = false;
-            urgent_at = Some(now);
+        if beats.is_empty() && urgent.is_due(now) {
+            urgent = UrgentRound { wanted: false, last: Some(now) };
             beats = shared.node().beats();
         }
         for beat in beats {
@@ -247,6 +220,60 @@
     }
 }
 
+/// A round of beats that doesn't wait for its period.
+#[derive(Debug, Default)]
+struct UrgentRound {
+    /// Whether there is something that everyone is to hear at once.
+    wanted: bool,
+    /// When the last one was.
+    last: Option<Duration>,
+}
+
+impl UrgentRound {
+    /// Tells whether it is to be sent now.
+    fn is_due(&self, now: Duration) -> bool {
+        self.wanted && self.last.is_none_or(|at| now >= at + URGENT_PERIOD)
+    }
+}
+
+/// Takes all events that are in the ring. Returns whether to go on.
+fn take_events(
+    shared: &Arc<FleetShared>,
+    events: &Receiver<FleetEvent>,
+    urgent: &mut UrgentRound,
+) -> bool {
+    loop {
+        match events.try_recv() {
+            Ok(FleetEvent::Update(FleetUpdate(update))) => {
+                let now = shared.clock.now();
+                update(&mut shared.node(), now);
+            }
+            Ok(FleetEvent::Urgent) => urgent.wanted = true,
+            Ok(FleetEvent::AskRows(question)) => {
+                tokio::spawn(ask_rows(shared.clone(), question));
+            }
+            Err(TryRecvError::Empty) => return true,
+            Ok(FleetEvent::Stop) | Err(TryRecvError::Disconnected) => return false,
+        }
+    }
+}
+
+/// Begins a fetch of settings if one is due and none is under way. One at a time, whoever
+/// tells of newer settings meanwhile: a fetch for each notice filled links with hundreds of
+/// copies, and the memory of who gave them.
+fn fetch_if_due(
+    shared: &Arc<FleetShared>,
+    fetch: &mut Option<JoinHandle<()>>,
+    now: Duration,
+) {
+    let mut node = shared.node();
+    node.note_newer(now);
+    if fetch.as_ref().is_none_or(JoinHandle::is_finished) && node.settings_due(now) {
+        drop(node);
+        *fetch = Some(tokio::spawn(fetch_settings(shared.clone())));
+    }
+}
+
 /// Sends one beat and takes in the reply.
 async fn send(shared: Arc<FleetShared>, outgoing: OutgoingBeat) {
     let address = outgoing.to.address;
@@ -260,7 +287,7 @@
         }
         Err(cause) => {
             log::debug!("no answer from {}: {cause}", outgoing.to.name);
-            shared.links.close(address, &link);
+            shared.links.close(address, &link).await;
         }
     }
 }
@@ -278,7 +305,7 @@
             Err(cause) => {
                 log::debug!("no rows from {peer}: {cause}");
                 if !matches!(cause, RpcError::DeadlineExceeded) {
-                    shared.links.close(peer, &link);
+                    shared.links.close(peer, &link).await;
                 }
                 None
             }
