--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -279,8 +279,8 @@
             log::info!(reader:? = reader; "list reader");
         }
         let live = node.live().len() as u32;
-        // Told again with the next update.
         let newest_rules = node.newest_known(now);
+        // Told again with the next update.
         let _ = events.try_send(FeedEvent::Fleet { live, newest_rules });
     });
 }
