Group instances by data centre once the fleet is large; digests between data centres

Cause: all instances of a region told each other everything.

Ruled out before: relays that stand between instances (a relay of 49 instances would send each the sums of 160 servers, 200 KB a second, where control has 17); owners of servers' loads (each instance would call each owner, so as many calls as heartbeats).

Change: up to 58 instances (as many heartbeats as fit 17 KB/s) are one group as before. Above, a data centre is a group; each instance has one contact in each other data centre, with which it exchanges a digest: how many are alive there, their settings version, the sums of what they have at servers. A contact that doesn't answer within a second is replaced. Peers' aliveness is worked out when it changes and with the tick, not with each message.

--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -20,7 +20,8 @@
     pub name: InstanceName,
     /// The data centre in which it stands.
     pub data_centre: DataCentreName,
-    /// The region around it, whose instances it tells everything.
+    /// The region around it, for the log.
+    #[serde(default)]
     pub region: RegionName,
     /// Its own address, from which it calls.
     pub ip: IpAddr,
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -34,6 +34,10 @@
 /// How many prompt tokens one unit of a load stands for.
 const TOKENS_PER_UNIT: u32 = 16;
 
+/// Up to how many instances tell each other everything, whatever their data centres: so many
+/// heartbeats fit the 17 KB/s of control at their longest period.
+const JOINT_LIMIT: u32 = 58;
+
 /// Rules as they travel between instances: as the platform spells them.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct RulesCopy {
@@ -136,7 +140,7 @@
 ) -> Result<FleetThread, EntryError> {
     let own = PeerInfo {
         name: config.name.clone(),
-        data_centre: config.region.clone(),
+        data_centre: config.data_centre.clone(),
         address: config.fleet,
     };
     let (heard, adopted) = (events.clone(), events.clone());
@@ -159,7 +163,9 @@
             Some(SettingsCopy { version: copy.version, tree: copy.text })
         },
         |_| {
-            let mut node = FleetNode::new(own, rand::random(), FleetTiming::default());
+            let timing =
+                FleetTiming { joint_limit: JOINT_LIMIT, ..FleetTiming::default() };
+            let mut node = FleetNode::new(own, rand::random(), timing);
             node.set_list(None, Duration::ZERO);
             node.set_seeds(seeds);
             node
@@ -181,6 +187,9 @@
             FleetNews::PeerLoads(peer, loads) => {
                 tell(events, FeedEvent::PeerLoads(peer, loads));
             }
+            FleetNews::GroupLoads(data_centre, loads) => {
+                tell(events, FeedEvent::PeerLoads(data_centre, loads));
+            }
             FleetNews::PeerSilent(servers) => {
                 tell(events, FeedEvent::PeerSilent(servers));
             }
@@ -278,7 +287,7 @@
         if list.set_reader(reader) {
             log::info!(reader:? = reader; "list reader");
         }
-        let live = node.live().len() as u32;
+        let live = node.fleet_size(now);
         let newest_rules = node.newest_known(now);
         // Told again with the next update.
         let _ = events.try_send(FeedEvent::Fleet { live, newest_rules });
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -123,7 +123,7 @@
         let ready = open("the balancer", config.ready)?;
         let metrics_door = open("metrics", config.metrics)?;
         log::info!(
-            instance = config.name, data_centre = config.data_centre,
+            instance = config.name, data_centre = config.data_centre, region = config.region,
             callers = config.callers.to_string(), version = env!("CARGO_PKG_VERSION");
             "started"
         );
--- a/crates/flaxtide-fleet/src/links.rs
+++ b/crates/flaxtide-fleet/src/links.rs
@@ -95,6 +95,13 @@
         }
     }
 
+    /// Closes the links to addresses that aren't wanted any more. Calls under way on them
+    /// are answered still.
+    pub(crate) fn keep_only(&self, wanted: impl Fn(&SocketAddr) -> bool) {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        slots.retain(|address, slot| wanted(address) || Arc::strong_count(slot) > 1);
+    }
+
     /// Returns the slot of an address. Slots that nobody uses go when one is added.
     fn slot(&self, address: SocketAddr) -> Arc<LinkSlot> {
         let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -1,7 +1,9 @@
 //! The pure part of an instance's place in the fleet: messages and the time go in,
 //! messages and news come out.
 
+mod digest;
 mod divide;
+mod group;
 mod settings;
 mod talk;
 mod timing;
@@ -10,9 +12,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxtide_core::{InstanceName, SettingsVersion};
+use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
 use flaxtide_policy::{bounded_owners, rendezvous_order, rendezvous_owner};
 
+pub use self::digest::OutgoingDigest;
+use self::group::GroupState;
 pub use self::settings::SettingsSource;
 use self::settings::SettingsState;
 pub use self::timing::FleetTiming;
@@ -88,6 +92,8 @@
     Rate(RatePart, Duration),
     /// What a peer has at backend servers; all of it.
     PeerLoads(InstanceName, Vec<OwnLoad>),
+    /// What the instances of another data centre have at backend servers, in sum.
+    GroupLoads(DataCentreName, Vec<OwnLoad>),
     /// What servers have read for a peer.
     PeerReads(Vec<PartRead>),
     /// Servers that a peer has found silent.
@@ -109,6 +115,8 @@
     leaving: bool,
     /// Its settings, and what it knows of newer ones.
     settings: SettingsState,
+    /// With whom it is grouped.
+    group: GroupState,
     /// The peers that it knows of, by name.
     peers: BTreeMap<InstanceName, PeerRecord>,
     /// Where peers may be heard if nobody is known.
@@ -150,6 +158,7 @@
         Self {
             own,
             epoch,
+            group: GroupState::new(timing.joint_limit),
             timing,
             leaving: false,
             settings: SettingsState::default(),
@@ -233,7 +242,8 @@
 
     /// Takes in that an instance may be there.
     pub fn meet(&mut self, info: PeerInfo, listed: bool) {
-        if info.name == self.own.name {
+        let known = self.peers.contains_key(&info.name);
+        if info.name == self.own.name || !(known || listed || self.has_place_for(&info)) {
             return;
         }
         let peer = self
@@ -292,7 +302,7 @@
         self.refresh(now);
     }
 
-    /// Returns how many instances of the data centre are known, this one included: each
+    /// Returns how many instances of the group are known, this one included: each
     /// gets a beat, whether it is heard or not.
     pub(super) fn known_near(&self) -> u32 {
         self.peers.values().filter(|peer| self.is_near(peer)).count() as u32 + 1
@@ -312,6 +322,7 @@
     /// Works out whom this instance sees alive, and so what it watches. No vote is taken:
     /// each instance works it out from whom it hears.
     fn refresh(&mut self, now: Duration) {
+        self.regroup(now);
         let silence = self.silence();
         let peers = self.peers.values();
         let peers = peers.filter(|peer| self.is_near(peer) && peer.alive(now, silence));
@@ -382,11 +393,6 @@
         &self.watched
     }
 
-    /// Tells whether a peer stands in this data centre.
-    fn is_near(&self, peer: &PeerRecord) -> bool {
-        peer.info.data_centre == self.own.data_centre
-    }
-
     /// Returns after which silence a peer isn't alive, and a share doesn't hold.
     fn silence(&self) -> Duration {
         self.period() * self.timing.silent_periods
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -53,11 +53,12 @@
             let told = UsageCount { organisation: *organisation, count };
             usage.entry(keeper.unwrap_or_default()).or_default().push(told);
         }
+        let asked = self.asked();
         let near = self.peers.values().filter(|peer| self.is_near(peer));
         let far = self.far_peers();
         let beats = near.chain(far).map(|peer| OutgoingBeat {
             to: peer.info.clone(),
-            beat: self.beat_to(peer, &usage),
+            beat: self.beat_to(peer, &usage, asked),
         });
         beats.collect()
     }
@@ -73,18 +74,26 @@
             data_centre: beat.data_centre.clone(),
             address: beat.address,
         };
+        let silence = self.silence();
         self.forget_seed(&info);
         self.meet(info.clone(), false);
+        let mut joins = false;
         if let Some(peer) = self.peers.get_mut(&beat.from) {
             if !peer.listed {
                 // The platform knows best where a listed peer is reached from here.
                 peer.info = info.clone();
             }
+            let before = peer.alive(now, silence);
             peer.take_beat(beat, now);
+            joins = before != peer.alive(now, silence);
+        }
+        // Who falls silent is found with the next demand: a walk over all peers for each
+        // heartbeat would cost most of the processor time of a large group.
+        if joins {
+            self.refresh(now);
         }
-        self.refresh(now);
         let mut news = vec![];
-        if beat.data_centre == self.own.data_centre {
+        if self.group.joint || beat.data_centre == self.own.data_centre {
             news.extend(beat.servers.iter().copied().map(FleetNews::Load));
             news.push(FleetNews::PeerLoads(beat.from.clone(), beat.loads.clone()));
             if !beat.reads.is_empty() {
@@ -111,9 +120,12 @@
             self.forget_seed(info);
             self.meet(info.clone(), false);
         }
-        let until = now + self.silence();
+        let silence = self.silence();
+        let until = now + silence;
         let Some(peer) = self.peers.get_mut(from) else { return vec![] };
+        let before = peer.alive(now, silence);
         peer.hear(reply.epoch, reply.leaving, reply.version, now);
+        let joins = before != peer.alive(now, silence);
         let info = peer.info.clone();
         let shares = reply.shares.iter().map(|share| FleetNews::Share(*share, until));
         let parts = reply.parts.iter().map(|part| FleetNews::Rate(*part, until));
@@ -121,7 +133,9 @@
         if reply.version > self.version() {
             news.push(FleetNews::Version(reply.version, info));
         }
-        self.refresh(now);
+        if joins || !reply.peers.is_empty() {
+            self.refresh(now);
+        }
         news
     }
 
@@ -130,6 +144,7 @@
         &self,
         peer: &PeerRecord,
         usage: &BTreeMap<usize, Vec<UsageCount>>,
+        asked: Option<&InstanceName>,
     ) -> FleetBeat {
         let near = self.is_near(peer);
         let place = self.live.binary_search(&peer.info.name).ok();
@@ -147,19 +162,17 @@
             reads: if near { self.demand.reads.clone() } else { vec![] },
             silent: if near { self.demand.silent.clone() } else { vec![] },
             usage: kept.cloned().unwrap_or_default(),
-            wants_peers: self.list_failed && self.asks(peer),
+            wants_peers: self.list_failed
+                && (peer.heard.is_none() || asked == Some(&peer.info.name)),
         }
     }
 
-    /// Tells whether a peer is to tell whom it knows: one that hasn't been heard, and one
-    /// other each round. Everyone's answer, every time, would be most of the traffic.
-    fn asks(&self, peer: &PeerRecord) -> bool {
-        if peer.heard.is_none() {
-            return true;
-        }
-        let turn = self.rounds % self.peers.len().max(1) as u64;
-        let chosen = self.peers.keys().nth(turn as usize);
-        chosen == Some(&peer.info.name)
+    /// Returns which peer, of those that have been heard, is to tell this round whom it
+    /// knows. Everyone's answer, every time, would be most of the traffic.
+    fn asked(&self) -> Option<&InstanceName> {
+        let near = || self.peers.values().filter(|peer| self.is_near(peer));
+        let turn = self.rounds % near().count().max(1) as u64;
+        near().nth(turn as usize).map(|peer| &peer.info.name)
     }
 
     /// Builds the reply to a beat.
@@ -167,11 +180,6 @@
         let near = beat.data_centre == self.own.data_centre;
         let used: Vec<FleetKey> =
             beat.usage.iter().map(|usage| usage.organisation).collect();
-        let silence = self.silence();
-        let known = self.peers.values();
-        let known = known.filter(|peer| peer.listed || peer.alive(now, silence));
-        let peers = known.map(|peer| peer.info.clone());
-        let peers = peers.chain([self.own.clone()]);
         let from = &beat.from;
         BeatReply {
             epoch: self.epoch,
@@ -179,14 +187,20 @@
             version: self.version(),
             shares: if near { self.shares_of(from) } else { vec![] },
             parts: if near { self.parts_of(from, &used) } else { vec![] },
-            peers: if beat.wants_peers { peers.collect() } else { vec![] },
+            peers: if beat.wants_peers {
+                self.peers_for(&beat.data_centre, now)
+            } else {
+                vec![]
+            },
         }
     }
 
-    /// Returns one peer of each other data centre, another one each round.
+    /// Returns one peer of each other data centre, another one each round; none where
+    /// digests do that duty.
     fn far_peers(&self) -> impl Iterator<Item = &PeerRecord> {
         let mut by_data_centre: BTreeMap<&str, Vec<&PeerRecord>> = BTreeMap::new();
-        for peer in self.peers.values().filter(|peer| !self.is_near(peer)) {
+        let beats = self.timing.joint_limit == 0;
+        for peer in self.peers.values().filter(|peer| beats && !self.is_near(peer)) {
             by_data_centre.entry(&peer.info.data_centre).or_default().push(peer);
         }
         let key = self.rounds ^ u64::from(self.epoch);
--- a/crates/flaxtide-fleet/src/node/timing.rs
+++ b/crates/flaxtide-fleet/src/node/timing.rs
@@ -19,6 +19,11 @@
     pub news_burst: u32,
     /// So many more prompt tokens to be read at one server, in units of 16, are news.
     pub news_units: u16,
+    /// Up to how many instances are one group, whatever their data centres; 0 if each data
+    /// centre always is a group of its own.
+    pub joint_limit: u32,
+    /// The time between two digests to a contact in another data centre.
+    pub digest_period: Duration,
     /// A peer that isn't heard for so many periods isn't alive.
     pub silent_periods: u32,
     /// How long an instance that hears of newer settings waits for its own source, the
@@ -39,6 +44,8 @@
             news_cost_per_instance: Duration::from_millis(24),
             news_burst: 3,
             news_units: 48,
+            joint_limit: 0,
+            digest_period: Duration::from_millis(2500),
             silent_periods: 3,
             settings_lead: Duration::from_millis(700),
             settings_patience: Duration::from_secs(2),
--- a/crates/flaxtide-fleet/src/peer.rs
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -7,7 +7,7 @@
 
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
-use crate::wire::{FleetBeat, PoolDemand};
+use crate::wire::{FleetBeat, OwnLoad, PoolDemand};
 
 /// A peer, as last heard.
 #[derive(Debug, Clone)]
@@ -28,6 +28,8 @@
     pub(crate) rejected: Option<SettingsVersion>,
     /// Its requests for each pool.
     pub(crate) demands: Vec<PoolDemand>,
+    /// Its requests at backend servers.
+    pub(crate) loads: Vec<OwnLoad>,
     /// The use of organisations whose rate this instance keeps, in requests a second.
     pub(crate) usage: BTreeMap<FleetKey, f64>,
     /// When its last beat came.
@@ -46,6 +48,7 @@
             version: 0,
             rejected: None,
             demands: vec![],
+            loads: vec![],
             usage: BTreeMap::new(),
             beat_at: None,
         }
@@ -61,6 +64,7 @@
     ) {
         if self.epoch != Some(epoch) {
             self.demands.clear();
+            self.loads.clear();
             self.usage.clear();
             self.beat_at = None;
             self.rejected = None;
@@ -79,6 +83,7 @@
         const SHORTEST: Duration = Duration::from_millis(100);
         self.hear(beat.epoch, beat.leaving, beat.version, now);
         self.demands.clone_from(&beat.demands);
+        self.loads.clone_from(&beat.loads);
         let since = self
             .beat_at
             .map_or(Duration::from_secs(1), |at| now.saturating_sub(at));
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -19,10 +19,10 @@
 use crate::counted::LinkBytes;
 use crate::fetch::{BegunCopy, fetch_settings};
 use crate::links::{PeerLinks, call, transport};
-use crate::node::{FleetNews, FleetNode, OutgoingBeat};
+use crate::node::{FleetNews, FleetNode, OutgoingBeat, OutgoingDigest};
 use crate::rows::{RowNews, RowQuestion, RowSource};
 use crate::settings::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
-use crate::wire::{BeatReply, FleetBeat, PeerLink};
+use crate::wire::{BeatReply, FleetBeat, GroupDigest, PeerLink};
 
 /// How often the thread looks at its rings.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -36,6 +36,9 @@
 /// The shortest time between two rounds of beats that don't wait for their period.
 const URGENT_PERIOD: Duration = Duration::from_millis(200);
 
+/// How often links to peers that aren't known any more are closed.
+const TIDY_PERIOD: Duration = Duration::from_secs(5);
+
 /// What the fleet thread is told.
 #[derive(Debug)]
 pub enum FleetEvent {
@@ -205,6 +208,7 @@
 async fn lead(shared: &Arc<FleetShared>, events: &Receiver<FleetEvent>) {
     let mut urgent = UrgentRound::default();
     let mut fetch = None;
+    let mut tidied = Duration::ZERO;
     while take_events(shared, events, &mut urgent) {
         let now = shared.clock.now();
         fetch_if_due(shared, &mut fetch, now);
@@ -216,6 +220,15 @@
         for beat in beats {
             tokio::spawn(send(shared.clone(), beat));
         }
+        if now >= tidied + TIDY_PERIOD {
+            tidied = now;
+            let addresses = shared.node().addresses();
+            shared.links.keep_only(|address| addresses.contains(address));
+        }
+        let digests = shared.node().due_digests(now);
+        for digest in digests {
+            tokio::spawn(send_digest(shared.clone(), digest));
+        }
         tokio::time::sleep(LOOK_PERIOD).await;
     }
 }
@@ -292,6 +305,24 @@
     }
 }
 
+/// Sends the digest of this data centre to a contact in another, and applies its answer.
+async fn send_digest(shared: Arc<FleetShared>, outgoing: OutgoingDigest) {
+    let address = outgoing.to.address;
+    let Some(link) = shared.links.open(address).await else { return };
+    let exchange = |context| link.client.exchange(context, outgoing.digest);
+    match call(ANSWER_TIMEOUT, exchange).await {
+        Ok(digest) => {
+            let now = shared.clock.now();
+            let news = shared.node().apply_digest(&digest, now);
+            shared.tell(news);
+        }
+        Err(cause) => {
+            log::debug!("no digest from {}: {cause}", outgoing.to.name);
+            shared.links.close(address, &link).await;
+        }
+    }
+}
+
 /// Asks a peer for the rows that it has read. An answer that is late doesn't close the link:
 /// its beats tell whether the peer is there.
 async fn ask_rows(shared: Arc<FleetShared>, question: RowQuestion) {
@@ -352,6 +383,13 @@
         reply
     }
 
+    async fn exchange(self, _: Context, digest: GroupDigest) -> GroupDigest {
+        let now = self.shared.clock.now();
+        let (answer, news) = self.shared.node().hear_digest(&digest, now);
+        self.shared.tell(news);
+        answer
+    }
+
     async fn settings(self, _: Context, question: PieceQuestion) -> PieceAnswer {
         let shared = &self.shared;
         let newest = || (shared.settings)(question.newer_than);
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -22,6 +22,9 @@
     /// Returns the rows that changed after a version, as soon as there are any or after so
     /// many milliseconds; nothing if that can't be told.
     async fn rows(after: u64, wait_ms: u32) -> Option<RowNews>;
+
+    /// Takes the digest of another data centre, and answers with this one's.
+    async fn exchange(digest: GroupDigest) -> GroupDigest;
 }
 
 /// What an instance says of itself, once a period, to each peer of its data centre and to
@@ -73,6 +76,26 @@
     pub peers: Vec<PeerInfo>,
 }
 
+/// What the instances of a data centre have in sum, as one of them tells a contact in
+/// another data centre.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GroupDigest {
+    /// The instance that tells it.
+    pub from: PeerInfo,
+    /// Drawn at random at that instance's start.
+    pub epoch: u32,
+    /// Whether that instance is stopping.
+    pub leaving: bool,
+    /// The settings version in force there.
+    pub version: SettingsVersion,
+    /// How many instances of the data centre are alive.
+    pub live: u16,
+    /// Their requests at backend servers, in sum.
+    pub loads: Vec<OwnLoad>,
+    /// A few of them, as further contacts.
+    pub contacts: Vec<PeerInfo>,
+}
+
 /// An instance's requests for one pool, running or waiting.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolDemand {
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -120,6 +120,7 @@
         for news in news {
             match news {
                 FleetNews::PeerLoads(..)
+                | FleetNews::GroupLoads(..)
                 | FleetNews::PeerReads(_)
                 | FleetNews::PeerSilent(_) => {}
                 FleetNews::Share(share, until) => {
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -217,6 +217,7 @@
             }
             // The shares of slots already count what peers have at servers.
             FleetNews::PeerLoads(..)
+            | FleetNews::GroupLoads(..)
             | FleetNews::PeerReads(_)
             | FleetNews::PeerSilent(_) => {}
             FleetNews::Version(version, ref _peer) => {
