Few instances of a data centre read rules too, and an outage is met by few calls

Ruled out: a longer pause for all (instances that read alone would be late after the return); confirmations in heartbeats (they come each 2.1 s, too late for a reader that is lost).

Change: who reads is a plan (readers, two standbys, others). Whoever isn't told by its reader asks the other readers and the standbys, and only then calls the platform, after a random pause that grows (CallBackoff). As long as a reader tells the list of servers, rules aren't followed either: peers hand them on without the usual wait for the own source; an instance that knows of newer ones for over a second reads them itself. A new version is told at once only to peers that lack it, and to other data centres in a digest.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -7,16 +7,17 @@
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, MilliClock, ServerName, SettingsVersion};
-use flaxtide_fleet::{FleetKey, OwnLoad, PartRead};
+use flaxtide_fleet::{FleetKey, OwnLoad, PartRead, RowCopy};
 use tokio::sync::mpsc::{Receiver, Sender};
 
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
 use crate::fleet::{
     FleetLink, RulesCopy, SharedRules, take_peer_loads, take_peer_reads, take_peer_silent,
 };
-use crate::follow::{FOLLOW_WAIT, FollowAnswer, FollowFault, FollowState};
+use crate::follow::{CallBackoff, FOLLOW_WAIT, FollowAnswer, FollowFault, FollowState};
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
+use crate::source::ListSource;
 use crate::state::TrafficState;
 
 /// Something that a feed thread tells the traffic thread.
@@ -52,6 +53,17 @@
     },
 }
 
+/// How often peers are asked, or looked at, by an instance that leaves the platform in peace.
+const PEERS_PERIOD: Duration = Duration::from_millis(500);
+
+/// What peers tell of a topic.
+enum PeerWord {
+    /// These rows have changed.
+    Rows(FeedBatch),
+    /// Changes come another way.
+    Elsewhere,
+}
+
 /// What follows one topic.
 pub(crate) struct TopicFollower {
     /// What the platform tells.
@@ -61,8 +73,9 @@
     /// The pause between two calls: rows may change all the time, and each call has its
     /// price.
     pub(crate) pace: Duration,
-    /// For a list that one instance may read for others: what it has read, and the ring to
-    /// the fleet thread.
+    /// From whom this instance gets what few read from the platform.
+    pub(crate) source: Arc<ListSource>,
+    /// For the list that peers are told: what was read, and the ring to the fleet thread.
     pub(crate) list: Option<(Arc<ListLog>, FleetLink)>,
     /// The ring to the traffic thread.
     pub(crate) events: Sender<FeedEvent>,
@@ -71,13 +84,33 @@
 }
 
 impl TopicFollower {
-    /// Asks the peer that reads for this instance. Returns nothing if there is none, or it
-    /// doesn't answer.
-    fn ask_reader(&self, after: Option<u64>) -> Option<FeedBatch> {
-        let (list, link) = self.list.as_ref()?;
-        let batch = list.ask(link, after?)?;
+    /// Returns what peers tell of the topic; nothing if this instance is to call the
+    /// platform.
+    fn told_by_peers(&self, after: Option<u64>) -> Option<PeerWord> {
+        let after = after?;
+        let Some((list, link)) = self.list.as_ref() else {
+            // Peers hand newer rules on by themselves, as long as their readers go on.
+            let hands_on = self.source.told_lately() && !self.source.is_behind();
+            return hands_on.then_some(PeerWord::Elsewhere);
+        };
+        let news = self.source.ask(link, after)?;
+        list.forget();
         self.count("peer");
-        Some(batch)
+        let row =
+            |row: RowCopy| FeedRow { name: row.name, text: row.text, version: None };
+        Some(PeerWord::Rows(FeedBatch {
+            version: news.version.max(after),
+            rows: news.rows.into_iter().map(row).collect(),
+        }))
+    }
+
+    /// Returns how long this instance leaves the platform in peace, though no peer tells.
+    fn rest(&self, backoff: &mut CallBackoff, now: Duration) -> Option<Duration> {
+        let behind = self.topic == FeedTopic::Rules && self.source.is_behind();
+        if !self.source.follows_peers() || behind {
+            return None;
+        }
+        backoff.rest(self.source.is_standby(), rand::random(), now)
     }
 
     /// Calls the platform, and waits for changes no longer than `most`.
@@ -97,10 +130,37 @@
     /// Returns how long a call waits for changes, and the pause after it.
     fn timing(&self) -> (Duration, Duration) {
         let list = self.list.as_ref();
-        let timing = list.and_then(|(list, _)| list.reader_timing(self.pace));
+        let timing = list
+            .and_then(|(list, _)| list.reader_timing(self.source.reader(), self.pace));
         timing.unwrap_or((FOLLOW_WAIT, self.pace))
     }
 
+    /// Calls the platform and handles its answer, then pauses. Returns whether somebody
+    /// listens.
+    fn call_platform(
+        &self,
+        state: &mut FollowState,
+        backoff: &mut CallBackoff,
+        clock: &MilliClock,
+    ) -> bool {
+        let most = state.longest_wait(clock.now());
+        let rest = self.timing().1;
+        match self.call(state.after(), most) {
+            Ok(batch) => {
+                backoff.succeed(clock.now());
+                let listened = self.take_batch(state, batch);
+                thread::sleep(rest);
+                listened
+            }
+            Err(fault) => {
+                if fault != FeedError::HistoryGone {
+                    backoff.fail(rand::random(), clock.now());
+                }
+                self.take_fault(state, &fault, clock.now())
+            }
+        }
+    }
+
     /// Takes in an answer. Returns whether somebody listens.
     fn take_batch(&self, state: &mut FollowState, batch: FeedBatch) -> bool {
         let FollowAnswer { whole, regained } = state.take_version(batch.version);
@@ -150,20 +210,30 @@
 pub(crate) fn follow_topic(follower: &TopicFollower) {
     let clock = MilliClock::real();
     let mut state = FollowState::default();
+    let mut backoff = CallBackoff::default();
     loop {
-        let most = state.longest_wait(clock.now());
-        let told_by_peer = follower.ask_reader(state.after());
-        let rest =
-            if told_by_peer.is_some() { Duration::ZERO } else { follower.timing().1 };
-        let call = || follower.call(state.after(), most);
-        let listened = match told_by_peer.map_or_else(call, Ok) {
-            Ok(batch) => follower.take_batch(&mut state, batch),
-            Err(fault) => follower.take_fault(&mut state, &fault, clock.now()),
+        let listened = match follower.told_by_peers(state.after()) {
+            Some(PeerWord::Rows(batch)) => {
+                backoff.reset();
+                follower.take_batch(&mut state, batch)
+            }
+            Some(PeerWord::Elsewhere) => {
+                backoff.reset();
+                thread::sleep(PEERS_PERIOD);
+                true
+            }
+            None => match follower.rest(&mut backoff, clock.now()) {
+                Some(rest) => {
+                    thread::sleep(rest.min(PEERS_PERIOD));
+                    // Rows that lapse meanwhile may do so since the platform is out.
+                    follower.tell(FeedEvent::Lost)
+                }
+                None => follower.call_platform(&mut state, &mut backoff, &clock),
+            },
         };
         if !listened {
             return;
         }
-        thread::sleep(rest);
     }
 }
 
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -269,7 +269,8 @@
     let names = silent.iter().filter_map(|server| state.server_name(*server));
     let silent: Vec<FleetKey> = names.map(|name| fleet_key(&name)).collect();
     let events = events.clone();
-    let list = state.list.clone();
+    let source = state.source.clone();
+    source.set_behind(state.behind());
     let alone_below = state.config().read_alone_below;
     let version = state.rules_version();
     link.update(move |node, now| {
@@ -283,10 +284,12 @@
             NodeDemand { loads, reads, silent, ..NodeDemand::default() },
             now,
         );
-        let reader = node.list_reader(alone_below);
-        if list.set_reader(reader) {
-            log::info!(reader:? = reader; "list reader");
+        let plan = node.list_plan(alone_below);
+        let (reader, standby) = (plan.reader, plan.standby);
+        if source.set_plan(plan) {
+            log::info!(reader:? = reader, standby; "list reader");
         }
+        node.set_told_by_peers(source.told_lately());
         let live = node.fleet_size(now);
         let newest_rules = node.newest_known(now);
         // Told again with the next update.
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -22,6 +22,69 @@
 /// platform's return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
+/// The first pause of an instance for which peers read, until it calls the platform itself:
+/// between none and this long, for a standby,
+const STANDBY_START: Duration = Duration::from_millis(200);
+
+/// and for all others. By then a standby tells, if the platform answers anybody.
+const OTHERS_START: Duration = Duration::from_secs(3);
+
+/// The pause after the first failed call of such an instance; it doubles with each.
+const BACKOFF_FIRST: Duration = Duration::from_secs(2);
+
+/// The longest such pause. Its readers tell it sooner that the platform is back.
+const BACKOFF_LONGEST: Duration = Duration::from_secs(8);
+
+/// When an instance for which peers read calls the platform itself, while no peer tells.
+///
+/// All instances of a group lose their readers at the same moment, and a platform in trouble
+/// would be called by all of them at once: pauses are drawn at random and grow.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_entry::CallBackoff;
+/// let mut backoff = CallBackoff::default();
+/// let rest = backoff.rest(false, 0.5, Duration::ZERO);
+/// assert_eq!(rest, Some(Duration::from_millis(1500)));
+/// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), None);
+/// backoff.fail(0.5, Duration::from_secs(2));
+/// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), Some(Duration::from_secs(2)));
+/// ```
+#[derive(Debug, Default)]
+pub struct CallBackoff {
+    /// When the next call may be made, once no peer tells.
+    next: Option<Duration>,
+    /// The pause after the next failed call.
+    pause: Option<Duration>,
+}
+
+impl CallBackoff {
+    /// Returns how long the platform isn't called; nothing if it may be called now. `draw`
+    /// lies between 0 and 1.
+    pub fn rest(&mut self, standby: bool, draw: f64, now: Duration) -> Option<Duration> {
+        let start = if standby { STANDBY_START } else { OTHERS_START };
+        let next = *self.next.get_or_insert(now + start.mul_f64(draw));
+        (now < next).then(|| next - now)
+    }
+
+    /// Records that a call has failed.
+    pub fn fail(&mut self, draw: f64, now: Duration) {
+        let pause = self.pause.unwrap_or(BACKOFF_FIRST);
+        self.next = Some(now + pause.mul_f64(0.5 + draw));
+        self.pause = Some((pause * 2).min(BACKOFF_LONGEST));
+    }
+
+    /// Records that the platform has answered: it may be called again, until a peer tells.
+    pub fn succeed(&mut self, now: Duration) {
+        *self = Self { next: Some(now), pause: None };
+    }
+
+    /// Records that a peer tells.
+    pub fn reset(&mut self) {
+        *self = Self::default();
+    }
+}
+
 /// How far the following of a topic has come, and how it has gone lately.
 ///
 /// ```
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -23,6 +23,7 @@
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
+use crate::source::ListSource;
 use crate::state::TrafficState;
 use crate::stop::{SignalEvent, obey_signals, register_signals, reload, watch_signals};
 
@@ -132,6 +133,7 @@
         let (events, feed_ring) = channel(FEED_RING);
         let (link, fleet_ring) = FleetLink::new();
         let list = Arc::new(ListLog::new(config.leave_within));
+        let source = Arc::new(ListSource::new(config.leave_within));
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
             let (pace, list) = match topic {
                 FeedTopic::Rules => (Duration::ZERO, None),
@@ -141,12 +143,21 @@
                 }
             };
             let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
-            spawn_feed(TopicFollower { feed, topic, pace, list, events, metrics })?;
+            let source = source.clone();
+            spawn_feed(TopicFollower {
+                feed,
+                topic,
+                pace,
+                source,
+                list,
+                events,
+                metrics,
+            })?;
         }
         let fleet = open_fleet(&config, &shared, &list, &events, &metrics)?;
         let bytes = fleet.bytes();
         spawn("the fleet thread", move || fleet.run(&fleet_ring))?;
-        let state = Rc::new(TrafficState::new(config, dialect, metrics, link, list));
+        let state = Rc::new(TrafficState::new(config, dialect, metrics, link, source));
         tokio::task::spawn_local(accept_callers(state.clone(), callers));
         tokio::task::spawn_local(accept_probes(state.clone(), ready));
         tokio::task::spawn_local(accept_probes(state.clone(), metrics_door));
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -29,6 +29,7 @@
 mod relay;
 mod reply;
 mod routes;
+mod source;
 mod state;
 mod stop;
 mod upstream;
@@ -40,7 +41,7 @@
     SendHead, ServerEntry, ServiceEngine, TargetService, WireDialect,
 };
 pub use self::error::EntryError;
-pub use self::follow::{FollowAnswer, FollowFault, FollowState};
+pub use self::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState};
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::logging::init_entry_logging;
 pub use self::reader::ListLog;
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -1,18 +1,15 @@
-//! Who reads the list of servers from the platform: each instance for itself in a small
-//! fleet, a few for all in a large one. An instance whose reader doesn't answer, or hasn't
-//! heard from the platform itself lately, reads for itself.
+//! What has been read of the list of servers: from the platform by each instance for itself in
+//! a small fleet, by a few for all in a large one; and the answers to peers that ask for it.
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use crossbeam::channel::bounded;
 use flaxtide_core::MilliClock;
-use flaxtide_fleet::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
+use flaxtide_fleet::{ListReader, RowCopy, RowNews, RowSource};
 use tokio::sync::Notify;
 
 use crate::contract::{FeedBatch, FeedRow};
-use crate::fleet::FleetLink;
 
 /// How many parts of batches of rows a reader keeps for peers that are behind.
 const KEPT_PARTS: usize = 128;
@@ -33,14 +30,9 @@
 /// The pause.
 const READER_PACE_PART: f64 = 0.08;
 
-/// How long a question to a reader waits for news, as a part of that time.
-const QUESTION_PART: f64 = 0.15;
-
-/// How much longer its answer may take, as a part of that time.
-const MARGIN_PART: f64 = 0.1;
-
-/// After a question without an answer, an instance reads for itself for this long.
-const SILENT_READER: Duration = Duration::from_secs(2);
+/// How long a call of an instance waits for changes for which peers should read: they are
+/// asked again after it.
+const UNTOLD_WAIT: Duration = Duration::from_secs(2);
 
 /// What this instance has read from the platform lately, and who is to read.
 ///
@@ -67,8 +59,6 @@
 /// What a log keeps.
 #[derive(Debug, Default)]
 struct LogState {
-    /// Who is to read.
-    reader: ListReader,
     /// Changes after this version are kept.
     base: u64,
     /// Up to which version everything was read.
@@ -77,8 +67,6 @@
     parts: VecDeque<LogPart>,
     /// When the platform last answered this instance.
     confirmed: Option<Duration>,
-    /// Until when the reader isn't asked.
-    silent_until: Duration,
 }
 
 /// Rows that are told together.
@@ -105,14 +93,6 @@
         }
     }
 
-    /// Takes in who is to read. Returns whether that has changed.
-    pub(crate) fn set_reader(&self, reader: ListReader) -> bool {
-        let mut state = self.lock();
-        let changed = state.reader != reader;
-        state.reader = reader;
-        changed
-    }
-
     /// Takes in what the platform has answered: the changes after a version, or all rows.
     pub fn record(&self, batch: &FeedBatch, after: Option<u64>) {
         let now = self.clock.now();
@@ -139,62 +119,25 @@
 
     /// Records that rows came from elsewhere: what was read before them is of no use to
     /// peers any more.
-    fn forget(&self) {
-        let mut state = self.lock();
-        *state = LogState { reader: state.reader, ..LogState::default() };
-    }
-
-    /// Returns who is to read.
-    pub(crate) fn reader(&self) -> ListReader {
-        self.lock().reader
+    pub(crate) fn forget(&self) {
+        *self.lock() = LogState::default();
     }
 
     /// Returns how long a call to the platform waits for changes, and the pause after it, if
     /// that differs from what an instance does that reads for itself.
     pub(crate) fn reader_timing(
         &self,
+        reader: ListReader,
         usual_pace: Duration,
     ) -> Option<(Duration, Duration)> {
         let part = |part| self.leave_within.mul_f64(part);
-        match self.reader() {
+        match reader {
             ListReader::Alone => None,
             ListReader::ForPeers => {
                 Some((part(READER_WAIT_PART), part(READER_PACE_PART)))
             }
-            // Its reader is asked again soon.
-            ListReader::Peer(_) => Some((SILENT_READER, usual_pace)),
-        }
-    }
-
-    /// Asks this instance's reader for changes. Returns nothing if it is to read for itself.
-    pub(crate) fn ask(&self, link: &FleetLink, after: u64) -> Option<FeedBatch> {
-        let ListReader::Peer(peer) = self.reader() else { return None };
-        if self.clock.now() < self.lock().silent_until {
-            return None;
+            ListReader::Peer(_) => Some((UNTOLD_WAIT, usual_pace)),
         }
-        let (wait, margin) = (
-            self.leave_within.mul_f64(QUESTION_PART),
-            self.leave_within.mul_f64(MARGIN_PART),
-        );
-        let (tell, told) = bounded(1);
-        let answer = Box::new(move |news: Option<RowNews>| {
-            // Whoever asked may have stopped waiting.
-            let _ = tell.try_send(news);
-        });
-        link.ask_rows(RowQuestion { peer, after, wait, margin, answer });
-        let news = told.recv_timeout(wait + margin * 2).ok().flatten();
-        let Some(news) = news else {
-            log::info!(reader = peer.to_string(); "list reader silent, reading alone");
-            self.lock().silent_until = self.clock.now() + SILENT_READER;
-            return None;
-        };
-        self.forget();
-        let row =
-            |row: RowCopy| FeedRow { name: row.name, text: row.text, version: None };
-        Some(FeedBatch {
-            version: news.version.max(after),
-            rows: news.rows.into_iter().map(row).collect(),
-        })
     }
 
     /// Locks the state. A panic elsewhere doesn't spoil it.
--- /dev/null
+++ b/crates/flaxtide-entry/src/source.rs
@@ -0,0 +1,165 @@
+//! From whom an instance gets what few read from the platform: the reader that its group has
+//! drawn for it, else another reader or a standby that can tell, else the platform itself.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use crossbeam::channel::bounded;
+use flaxtide_core::MilliClock;
+use flaxtide_fleet::{ListPlan, ListReader, RowNews, RowQuestion};
+
+use crate::fleet::FleetLink;
+
+/// How long a question to a reader waits for news, as a part of the time within which a
+/// leaving server gets no more work.
+const QUESTION_PART: f64 = 0.15;
+
+/// How much longer its answer may take, as a part of that time.
+const MARGIN_PART: f64 = 0.1;
+
+/// For how long nobody asks a peer that couldn't tell.
+const UNABLE: Duration = Duration::from_secs(2);
+
+/// For how long a peer's word means that readers reach the platform, as a part of that time:
+/// two questions' worth.
+const TOLD_PART: f64 = 0.5;
+
+/// Within what time peers hand newer rules on, once they have told of them. Later, an instance
+/// reads them from the platform: it has to have them in force within seconds.
+const HANDED_ON_WITHIN: Duration = Duration::from_millis(1000);
+
+/// From whom this instance gets a list.
+pub(crate) struct ListSource {
+    /// The clock.
+    clock: MilliClock,
+    /// Within what time a leaving server may get no more work.
+    leave_within: Duration,
+    /// Who is to be asked.
+    state: Mutex<SourceState>,
+}
+
+/// Who is to be asked.
+#[derive(Debug, Default)]
+struct SourceState {
+    /// Who reads, as the group has drawn.
+    plan: ListPlan,
+    /// Until when peers that couldn't tell aren't asked.
+    unable: HashMap<SocketAddr, Duration>,
+    /// When a peer last told.
+    told: Option<Duration>,
+    /// Since when peers have told of newer rules than those in force.
+    behind_since: Option<Duration>,
+}
+
+impl ListSource {
+    /// Starts with nobody to ask. A leaving server may get no more work after
+    /// `leave_within`.
+    pub(crate) fn new(leave_within: Duration) -> Self {
+        Self {
+            clock: MilliClock::real(),
+            leave_within,
+            state: Mutex::default(),
+        }
+    }
+
+    /// Sets who is to be asked. Returns whether that has changed.
+    pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
+        let mut state = self.lock();
+        let changed = state.plan != plan;
+        state.plan = plan;
+        changed
+    }
+
+    /// Returns who reads for this instance.
+    pub(crate) fn reader(&self) -> ListReader {
+        self.lock().plan.reader
+    }
+
+    /// Returns whether peers read for this instance.
+    pub(crate) fn follows_peers(&self) -> bool {
+        matches!(self.reader(), ListReader::Peer(_))
+    }
+
+    /// Returns whether this instance reads as soon as no peer tells.
+    pub(crate) fn is_standby(&self) -> bool {
+        self.lock().plan.standby
+    }
+
+    /// Returns whether a peer that reads has told this instance lately.
+    pub(crate) fn told_lately(&self) -> bool {
+        let told = self.lock().told;
+        let life = self.leave_within.mul_f64(TOLD_PART);
+        self.follows_peers() && told.is_some_and(|at| self.clock.now() < at + life)
+    }
+
+    /// Sets whether peers have told of newer rules than those in force.
+    pub(crate) fn set_behind(&self, behind: bool) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        let since = state.behind_since.get_or_insert(now);
+        state.behind_since = behind.then_some(*since);
+    }
+
+    /// Returns whether newer rules have been known for so long that peers can't be waited
+    /// for.
+    pub(crate) fn is_behind(&self) -> bool {
+        let since = self.lock().behind_since;
+        since.is_some_and(|since| self.clock.now() >= since + HANDED_ON_WITHIN)
+    }
+
+    /// Asks peers for the changes after a version, one after the other until one can tell.
+    /// Returns nothing if this instance is to read for itself.
+    pub(crate) fn ask(&self, link: &FleetLink, after: u64) -> Option<RowNews> {
+        let peers = self.askable();
+        let wait = self.leave_within.mul_f64(QUESTION_PART);
+        for (place, peer) in peers.iter().enumerate() {
+            // The first is expected to tell; the others are to tell at once if they can.
+            let wait = if place == 0 { wait } else { Duration::ZERO };
+            let news = self.ask_peer(link, *peer, after, wait);
+            let now = self.clock.now();
+            let mut state = self.lock();
+            if news.is_some() {
+                state.told = Some(now);
+                return news;
+            }
+            log::info!(peer = peer.to_string(); "peer has no list to tell");
+            state.unable.insert(*peer, now + UNABLE);
+        }
+        None
+    }
+
+    /// Returns the peers that may be asked now, in order.
+    fn askable(&self) -> Vec<SocketAddr> {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.unable.retain(|_, until| now < *until);
+        let ListReader::Peer(reader) = state.plan.reader else { return vec![] };
+        let peers = [reader].into_iter().chain(state.plan.others.iter().copied());
+        peers.filter(|peer| !state.unable.contains_key(peer)).collect()
+    }
+
+    /// Asks one peer.
+    fn ask_peer(
+        &self,
+        link: &FleetLink,
+        peer: SocketAddr,
+        after: u64,
+        wait: Duration,
+    ) -> Option<RowNews> {
+        let margin = self.leave_within.mul_f64(MARGIN_PART);
+        let (tell, told) = bounded(1);
+        let answer = Box::new(move |news: Option<RowNews>| {
+            // Whoever asked may have stopped waiting.
+            let _ = tell.try_send(news);
+        });
+        link.ask_rows(RowQuestion { peer, after, wait, margin, answer });
+        told.recv_timeout(wait + margin * 2).ok().flatten()
+    }
+
+    /// Locks the state. A panic elsewhere doesn't spoil it.
+    fn lock(&self) -> MutexGuard<'_, SourceState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -22,8 +22,8 @@
 use crate::directory::ServerDirectory;
 use crate::fleet::FleetLink;
 use crate::metrics::{CountedOne, EntryMetrics};
-use crate::reader::ListLog;
 use crate::routes::RouteTable;
+use crate::source::ListSource;
 use crate::stop::LAST_CALLS;
 use crate::upstream::ServerLinks;
 
@@ -55,8 +55,8 @@
     pub(crate) links: ServerLinks,
     /// The ring to the fleet thread.
     pub(crate) fleet: FleetLink,
-    /// Who reads the list of servers, and what this instance has read.
-    pub(crate) list: Arc<ListLog>,
+    /// From whom this instance gets what few read from the platform.
+    pub(crate) source: Arc<ListSource>,
     /// The rules in force.
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The servers that may be used.
@@ -129,7 +129,7 @@
         dialect: Arc<dyn WireDialect>,
         metrics: Arc<EntryMetrics>,
         fleet: FleetLink,
-        list: Arc<ListLog>,
+        source: Arc<ListSource>,
     ) -> Self {
         let options = RouteOptions {
             retry_ratio: config.retry_ratio,
@@ -145,7 +145,7 @@
             metrics,
             links: ServerLinks::default(),
             fleet,
-            list,
+            source,
             table: RefCell::new(None),
             directory: RefCell::new(ServerDirectory::new(leave_within)),
             newest_rules: Cell::new(0),
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use flaxtide_entry::{FeedError, FollowAnswer, FollowFault, FollowState};
+use flaxtide_entry::{CallBackoff, FeedError, FollowAnswer, FollowFault, FollowState};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 /// A refusal.
 const REFUSED: FeedError = FeedError::Refused { status: 503 };
@@ -76,3 +78,66 @@
     state.take_version(2);
     assert_eq!(pauses(&mut state, &gone, 3), [0, 150, 300]);
 }
+
+/// Returns when an instance calls a platform that fails each call, in the first seconds of an
+/// outage in which nobody tells it anything.
+fn calls_in_outage(standby: bool, seed: u64, span: Duration) -> Vec<Duration> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    let mut backoff = CallBackoff::default();
+    let mut now = Duration::ZERO;
+    let mut calls = vec![];
+    while now < span {
+        match backoff.rest(standby, random.random(), now) {
+            Some(rest) => now += rest,
+            None => {
+                calls.push(now);
+                backoff.fail(random.random(), now);
+            }
+        }
+    }
+    calls
+}
+
+/// The load of an outage: everybody in a data centre misses its readers at once.
+#[test]
+fn an_outage_is_not_met_by_the_calls_of_all() {
+    /// Instances of a data centre that neither read nor stand by.
+    const OTHERS: u64 = 46;
+    /// The shortest and longest outages of the platform that operators have told of.
+    const OUTAGES: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(10)];
+    let [short, long] = OUTAGES.map(|outage| {
+        let calls = (0..OTHERS).flat_map(|number| calls_in_outage(false, number, outage));
+        let mut seconds = vec![0; 11];
+        calls.for_each(|at| seconds[at.as_secs() as usize] += 1);
+        let total: i32 = seconds.iter().sum();
+        (total, seconds.into_iter().max().unwrap())
+    });
+    // Each called 8 times in the short one when pauses ended at 0.6 s, and 18 in the long one.
+    assert!(short.0 <= 2 * OTHERS as i32, "{short:?}");
+    assert!(long.0 <= 4 * OTHERS as i32, "{long:?}");
+    assert!(
+        short.1.max(long.1) <= OTHERS as i32 / 2,
+        "no second sees a rush: {short:?} {long:?}"
+    );
+}
+
+#[test]
+fn a_standby_calls_before_others() {
+    let first = |standby, draw| {
+        CallBackoff::default().rest(standby, draw, Duration::ZERO).unwrap()
+    };
+    assert_eq!(first(true, 1.0), Duration::from_millis(200));
+    assert_eq!(first(false, 1.0), Duration::from_secs(3));
+}
+
+#[test]
+fn a_platform_that_answers_is_called_without_a_rest() {
+    let mut backoff = CallBackoff::default();
+    let now = Duration::from_secs(9);
+    backoff.rest(false, 0.9, now);
+    backoff.succeed(now);
+    assert_eq!(backoff.rest(false, 0.9, now), None);
+    // Once peers tell again, the next silence begins with a rest.
+    backoff.reset();
+    assert!(backoff.rest(false, 0.9, now).is_some());
+}
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -26,7 +26,7 @@
     OutgoingDigest, SettingsSource,
 };
 pub use self::rate::rate_part;
-pub use self::rows::{ListReader, RowCopy, RowNews, RowQuestion, RowSource};
+pub use self::rows::{ListPlan, ListReader, RowCopy, RowNews, RowQuestion, RowSource};
 pub use self::settings::{
     CopyAssembly, PIECE_BYTES, PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy,
     SettingsPiece, TakenPiece,
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use flaxtide_core::{DataCentreName, InstanceName};
+use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
 use flaxtide_policy::rendezvous_order;
 
 use super::FleetNode;
@@ -53,6 +53,8 @@
     pub(super) live: Option<u32>,
     /// When it was last heard.
     pub(super) answered: Option<Duration>,
+    /// The settings version of the last digest to a contact.
+    told_version: SettingsVersion,
     /// The last call to a contact, while it has no answer.
     called: Option<ContactCall>,
 }
@@ -181,24 +183,28 @@
     /// Returns the contact in another data centre if it is to get a digest now. One that
     /// hasn't answered is replaced at once if another is known, and else called again.
     fn due_contact(&mut self, other: &DataCentreName, now: Duration) -> Option<PeerInfo> {
+        let version = self.version();
         let replaceable = self.known_in(other) > 1;
         let wait = if replaceable { ANSWER_WAIT } else { self.timing.digest_period };
         let group = self.group.others.entry(other.clone()).or_default();
         if group.called.as_ref().is_some_and(|call| now < call.at + wait) {
             return None;
         }
-        let rested =
-            group.answered.is_none_or(|at| now >= at + self.timing.digest_period);
+        let period = self.timing.digest_period;
+        let rested = group.answered.is_none_or(|at| now >= at + period);
+        let newer = version > group.told_version;
         match group.called.take() {
             Some(lost) if replaceable => {
                 self.peers.remove(&lost.contact);
             }
-            None if !rested => return None,
+            None if !rested && !newer => return None,
             _ => {}
         }
         let contact = self.contact(other)?.info.clone();
         let call = ContactCall { contact: contact.name.clone(), at: now };
-        self.group.others.entry(other.clone()).or_default().called = Some(call);
+        let group = self.group.others.entry(other.clone()).or_default();
+        group.called = Some(call);
+        group.told_version = version;
         Some(contact)
     }
 
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod digest;
 mod divide;
 mod group;
+mod lists;
 mod settings;
 mod talk;
 mod timing;
@@ -21,9 +22,9 @@
 use self::settings::SettingsState;
 pub use self::timing::FleetTiming;
 use crate::info::PeerInfo;
-use crate::key::{FleetKey, fleet_key};
+use crate::key::FleetKey;
 use crate::peer::PeerRecord;
-use crate::rows::{ListReader, PEERS_PER_READER, READER_KEY};
+use crate::rows::READER_KEY;
 use crate::wire::{
     FleetBeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
     UsageCount,
@@ -145,6 +146,8 @@
     list_failed: bool,
     /// The live instances of the data centre, this one included, in order.
     live: Vec<InstanceName>,
+    /// The places in `live` of the instances in the order in which they read lists.
+    list_order: Vec<usize>,
     /// The servers that this instance watches.
     watched: Vec<FleetKey>,
     /// Grows whenever what this instance watches or falls back on may have changed.
@@ -176,6 +179,7 @@
             rounds: 0,
             list_failed: true,
             live: vec![],
+            list_order: vec![],
             watched: vec![],
             generation: 0,
         }
@@ -333,6 +337,7 @@
             return;
         }
         self.live = live.into_iter().cloned().collect();
+        self.list_order = rendezvous_order(READER_KEY, &self.live);
         self.assign();
     }
 
@@ -361,25 +366,6 @@
         &self.live
     }
 
-    /// Returns who reads lists from the platform for this instance. Fleets below a size
-    /// have no readers. Instances that don't see the same peers may disagree: whoever is
-    /// asked and can't tell says so.
-    #[must_use]
-    pub fn list_reader(&self, alone_below: usize) -> ListReader {
-        if self.live.len() < alone_below.max(2) {
-            return ListReader::Alone;
-        }
-        let count = self.live.len().div_ceil(PEERS_PER_READER);
-        let mut readers = rendezvous_order(READER_KEY, &self.live);
-        readers.truncate(count);
-        if readers.iter().any(|reader| self.live[*reader] == self.own.name) {
-            return ListReader::ForPeers;
-        }
-        let turn = fleet_key(&self.own.name) as usize % count;
-        let peer = self.peers.get(&self.live[readers[turn]]);
-        peer.map_or(ListReader::Alone, |peer| ListReader::Peer(peer.info.address))
-    }
-
     /// Returns a number that grows whenever what this instance watches or falls back on may
     /// have changed.
     #[must_use]
--- a/crates/flaxtide-fleet/src/node/settings.rs
+++ b/crates/flaxtide-fleet/src/node/settings.rs
@@ -28,6 +28,8 @@
     newer_since: Option<Duration>,
     /// When the instance's own source last brought something.
     source_at: Duration,
+    /// Whether only peers tell of newer settings, so that waiting for the platform is vain.
+    told_by_peers: bool,
     /// When it last turned to peers.
     asked_at: Option<Duration>,
     /// What was last fetched from a peer.
@@ -83,6 +85,12 @@
         self.settings.source_at = now;
     }
 
+    /// Sets whether only peers tell of newer settings: this instance doesn't follow its own
+    /// source just now, and turns to peers without waiting for it.
+    pub fn set_told_by_peers(&mut self, told_by_peers: bool) {
+        self.settings.told_by_peers = told_by_peers;
+    }
+
     /// Takes in that settings have been fetched from a peer. They are in force soon.
     pub fn note_fetched(&mut self, copy: &SettingsCopy, giver: &str, now: Duration) {
         self.settings.fetched = Some(FetchedCopy {
@@ -131,10 +139,11 @@
     pub fn settings_due(&mut self, now: Duration) -> bool {
         let Some(since) = self.settings.newer_since else { return false };
         let quiet_since = since.max(self.settings.source_at);
-        let lead = self.timing.settings_lead;
+        let rest = self.timing.settings_lead;
+        let lead = if self.settings.told_by_peers { Duration::ZERO } else { rest };
         let waited =
             now >= quiet_since + lead || now >= since + self.timing.settings_patience;
-        let rested = self.settings.asked_at.is_none_or(|at| now >= at + lead);
+        let rested = self.settings.asked_at.is_none_or(|at| now >= at + rest);
         let due = waited && rested && self.heard_newer_peers(now).next().is_some();
         if due {
             self.settings.asked_at = Some(now);
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -44,6 +44,22 @@
         beats
     }
 
+    /// Returns beats to those who should hear at once of a new settings version, or that this
+    /// instance is stopping. Who is known to have the version isn't told: each instance that
+    /// gets it from a peer would tell all the others.
+    pub fn urgent_beats(&mut self) -> Vec<OutgoingBeat> {
+        if self.leaving || self.timing.joint_limit == 0 {
+            return self.beats();
+        }
+        let mut beats = self.build_beats();
+        let version = self.version();
+        beats.retain(|beat| {
+            let peer = self.peers.get(&beat.to.name);
+            peer.is_some_and(|peer| peer.version < version)
+        });
+        beats
+    }
+
     /// Builds the beats to all peers of the data centre, and to one of each other.
     fn build_beats(&self) -> Vec<OutgoingBeat> {
         let mut usage: BTreeMap<usize, Vec<UsageCount>> = BTreeMap::new();
--- a/crates/flaxtide-fleet/src/rows.rs
+++ b/crates/flaxtide-fleet/src/rows.rs
@@ -11,6 +11,10 @@
 /// Fleets of at least so many instances for each reader have more than one.
 pub(crate) const PEERS_PER_READER: usize = 32;
 
+/// How many standbys a group has beside its readers: an outage of the platform is felt by few
+/// calls, and one that turns away a third of the instances seldom all of these.
+pub(crate) const STANDBYS: usize = 2;
+
 /// The key by which readers are drawn, so that all instances draw the same.
 pub(crate) const READER_KEY: u64 = 0x7265_6164;
 
@@ -53,6 +57,18 @@
     Peer(SocketAddr),
 }
 
+/// From whom an instance gets a list that few read from the platform.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListPlan {
+    /// Who reads it.
+    pub reader: ListReader,
+    /// Who else may have read it, in the order in which they are asked: the other readers,
+    /// then the standbys.
+    pub others: Vec<SocketAddr>,
+    /// Whether this instance is a standby, which reads as soon as no reader tells.
+    pub standby: bool,
+}
+
 /// A question for the rows that a peer has read.
 pub struct RowQuestion {
     /// The peer.
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -215,7 +215,7 @@
         let mut beats = shared.node().due_beats(now);
         if beats.is_empty() && urgent.is_due(now) {
             urgent = UrgentRound { wanted: false, last: Some(now) };
-            beats = shared.node().beats();
+            beats = shared.node().urgent_beats();
         }
         for beat in beats {
             tokio::spawn(send(shared.clone(), beat));
