--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -30,7 +30,7 @@
 const OTHERS_START: Duration = Duration::from_secs(3);
 
 /// The pause after the first failed call of such an instance; it doubles with each.
-const BACKOFF_FIRST: Duration = Duration::from_secs(2);
+const BACKOFF_FIRST: Duration = Duration::from_secs(4);
 
 /// The longest such pause. Its readers tell it sooner that the platform is back.
 const BACKOFF_LONGEST: Duration = Duration::from_secs(8);
@@ -48,7 +48,7 @@
 /// assert_eq!(rest, Some(Duration::from_millis(1500)));
 /// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), None);
 /// backoff.fail(0.5, Duration::from_secs(2));
-/// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), Some(Duration::from_secs(2)));
+/// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), Some(Duration::from_secs(4)));
 /// ```
 #[derive(Debug, Default)]
 pub struct CallBackoff {
