Digests tell what servers have read, and are asked for instead of exchanged

So a digest has the newest 96 reads. It is asked for with a short hello: both ways were sent twice before. Its period follows what it carries, 6 KB/s in all.

--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -23,7 +23,7 @@
 pub use self::key::{FleetKey, fleet_key};
 pub use self::node::{
     FleetNews, FleetNode, FleetServer, FleetTiming, NodeDemand, OutgoingBeat,
-    OutgoingDigest, SettingsSource,
+    OutgoingHello, SettingsSource,
 };
 pub use self::rate::rate_part;
 pub use self::rows::{ListPlan, ListReader, RowCopy, RowNews, RowQuestion, RowSource};
@@ -33,6 +33,6 @@
 };
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
-    BeatReply, FleetBeat, GroupDigest, OwnLoad, PartRead, PoolDemand, RatePart,
-    ServerDigest, ServerShare, UsageCount,
+    BeatReply, FleetBeat, GroupDigest, GroupHello, OwnLoad, PartRead, PoolDemand,
+    RatePart, ServerDigest, ServerShare, UsageCount,
 };
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -1,30 +1,65 @@
-//! Digests: what the instances of a data centre have in sum, exchanged with the contacts in
-//! other data centres.
+//! Digests: what the instances of a data centre have in sum, asked for by an instance of
+//! another from its contact.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::{FleetNews, FleetNode};
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::peer::PeerRecord;
-use crate::wire::{GroupDigest, OwnLoad};
+use crate::wire::{GroupDigest, GroupHello, OwnLoad, PartRead};
 
 /// How many further contacts a digest names: enough to replace one that is lost.
 const CONTACTS_TOLD: usize = 2;
 
-/// A digest on its way to a contact.
+/// How many parts of prompts a digest tells at most: those that a data centre of fifty
+/// instances reads in a second under load.
+const READS_TOLD: usize = 96;
+
+/// The bytes of a load or a read in a digest, about.
+const ENTRY_BYTES: f64 = 11.0;
+
+/// How many bytes of digests an instance asks for in a second, from all other data centres
+/// together: with its heartbeats within the 17 KB/s of control.
+const DIGEST_RATE: f64 = 6_000.0;
+
+/// A question for a digest on its way to a contact.
 #[derive(Debug, Clone, PartialEq)]
-pub struct OutgoingDigest {
+pub struct OutgoingHello {
     /// The contact.
     pub to: PeerInfo,
-    /// The digest.
-    pub digest: GroupDigest,
+    /// What the contact hears.
+    pub hello: GroupHello,
+}
+
+/// What servers have read lately for the instances of a data centre, the newest last.
+#[derive(Debug, Default)]
+pub(super) struct GroupReads {
+    /// The reads, and when they were heard.
+    heard: VecDeque<(Duration, PartRead)>,
+}
+
+impl GroupReads {
+    /// Records reads.
+    pub(super) fn record(&mut self, reads: &[PartRead], now: Duration) {
+        self.heard.extend(reads.iter().map(|read| (now, *read)));
+        let surplus = self.heard.len().saturating_sub(READS_TOLD);
+        self.heard.drain(..surplus);
+    }
+
+    /// Returns the reads that were heard within a span, the newest first.
+    fn within(&self, span: Duration, now: Duration) -> Vec<PartRead> {
+        let newest = self.heard.iter().rev();
+        let recent = newest.take_while(|(at, _)| now < *at + span);
+        recent.map(|(_, read)| *read).collect()
+    }
 }
 
 impl FleetNode {
-    /// Returns the digests that are due: one to a contact in each other data centre.
-    pub fn due_digests(&mut self, now: Duration) -> Vec<OutgoingDigest> {
+    /// Returns the questions for digests that are due, one to a contact in each other data
+    /// centre.
+    pub fn due_hellos(&mut self, now: Duration) -> Vec<OutgoingHello> {
         if self.group.joint || self.timing.joint_limit == 0 {
             return vec![];
         }
@@ -32,59 +67,89 @@
         if contacts.is_empty() {
             return vec![];
         }
-        let digest = self.digest(now);
-        let outgoing = |to| OutgoingDigest { to, digest: digest.clone() };
+        let hello = self.hello(now);
+        let outgoing = |to| OutgoingHello { to, hello: hello.clone() };
         contacts.into_iter().map(outgoing).collect()
     }
 
-    /// Handles the digest of another data centre. Returns this one's, and what was told.
-    pub fn hear_digest(
-        &mut self,
-        digest: &GroupDigest,
-        now: Duration,
-    ) -> (GroupDigest, Vec<FleetNews>) {
-        let news = self.apply_digest(digest, now);
-        (self.digest(now), news)
+    /// Handles a question from another data centre. Returns this one's digest.
+    pub fn hear_hello(&mut self, hello: &GroupHello, now: Duration) -> GroupDigest {
+        self.record_hello(hello, now);
+        let home: Vec<&PeerRecord> = self.home_peers(now).collect();
+        GroupDigest {
+            hello: self.hello(now),
+            contacts: self.some_of(&home),
+            loads: sum_loads(home.iter().map(|peer| &peer.loads), &self.demand.loads),
+            reads: self.recent_reads(now),
+        }
     }
 
-    /// Applies the digest of another data centre. Returns what was told.
-    pub fn apply_digest(
-        &mut self,
-        digest: &GroupDigest,
-        now: Duration,
-    ) -> Vec<FleetNews> {
-        if self.is_home(&digest.from) {
-            return vec![];
-        }
-        for info in digest.contacts.iter().chain([&digest.from]) {
-            self.forget_seed(info);
+    /// Applies the digest of another data centre. Returns what it has told.
+    pub fn hear_digest(&mut self, digest: &GroupDigest, now: Duration) -> Vec<FleetNews> {
+        for info in &digest.contacts {
             self.meet(info.clone(), false);
         }
-        if let Some(peer) = self.peers.get_mut(&digest.from.name) {
-            peer.hear(digest.epoch, digest.leaving, digest.version, now);
+        let data_centre = digest.hello.from.data_centre.clone();
+        self.record_hello(&digest.hello, now);
+        if let Some(group) = self.group.others.get_mut(&data_centre) {
+            group.record_answer(now);
         }
-        let data_centre = digest.from.data_centre.clone();
-        let group = self.group.others.entry(data_centre.clone()).or_default();
-        group.record(u32::from(digest.live), now);
+        self.servers_told = digest.loads.len();
         if self.group.joint {
             // Its instances tell of themselves.
             return vec![];
         }
-        vec![FleetNews::GroupLoads(data_centre, digest.loads.clone())]
+        let mut news = vec![FleetNews::GroupLoads(data_centre, digest.loads.clone())];
+        if !digest.reads.is_empty() {
+            news.push(FleetNews::PeerReads(digest.reads.clone()));
+        }
+        news
     }
 
-    /// Returns the digest of this instance's data centre.
-    fn digest(&self, now: Duration) -> GroupDigest {
-        let home: Vec<&PeerRecord> = self.home_peers(now).collect();
-        GroupDigest {
+    /// Returns what servers have read lately for the data centre, the newest first. Those of
+    /// two periods, as a digest may be lost.
+    fn recent_reads(&self, now: Duration) -> Vec<PartRead> {
+        let peers = self.reads.within(self.digest_period() * 2, now);
+        let mut reads = self.demand.reads.clone();
+        reads.extend(peers);
+        reads.truncate(READS_TOLD);
+        reads
+    }
+
+    /// Returns the time between two digests of one other data centre: longer the more
+    /// there is to tell, and the more others there are.
+    pub(super) fn digest_period(&self) -> Duration {
+        let groups = self.group.others.len() as f64;
+        let entries = self.servers_told as f64 + READS_TOLD as f64;
+        let period =
+            Duration::from_secs_f64(groups * entries * ENTRY_BYTES / DIGEST_RATE);
+        let timing = &self.timing;
+        period.clamp(timing.shortest_digest_period, timing.longest_digest_period)
+    }
+
+    /// Returns what this instance says of itself and its data centre.
+    fn hello(&self, now: Duration) -> GroupHello {
+        GroupHello {
             from: self.own.clone(),
             epoch: self.epoch,
             leaving: self.leaving,
             version: self.version(),
-            live: home.len() as u16 + 1,
-            loads: sum_loads(home.iter().map(|peer| &peer.loads), &self.demand.loads),
-            contacts: self.some_of(&home),
+            live: self.home_peers(now).count() as u16 + 1,
+        }
+    }
+
+    /// Records how an instance of another data centre is.
+    fn record_hello(&mut self, hello: &GroupHello, now: Duration) {
+        if self.is_home(&hello.from) {
+            return;
+        }
+        self.forget_seed(&hello.from);
+        self.meet(hello.from.clone(), false);
+        if let Some(peer) = self.peers.get_mut(&hello.from.name) {
+            peer.hear(hello.epoch, hello.leaving, hello.version, now);
         }
+        let group = self.group.others.entry(hello.from.data_centre.clone()).or_default();
+        group.record_count(u32::from(hello.live), now);
     }
 
     /// Returns a few of the peers of this data centre, others each time.
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -49,10 +49,10 @@
 /// What is known of another data centre.
 #[derive(Debug, Default)]
 pub(super) struct OtherGroup {
-    /// How many of its instances were last alive, once it was heard.
-    pub(super) live: Option<u32>,
-    /// When it was last heard.
-    pub(super) answered: Option<Duration>,
+    /// How many of its instances were last alive, and when that was heard.
+    live: Option<(u32, Duration)>,
+    /// When a contact last answered.
+    answered: Option<Duration>,
     /// The settings version of the last digest to a contact.
     told_version: SettingsVersion,
     /// The last call to a contact, while it has no answer.
@@ -69,17 +69,21 @@
 }
 
 impl OtherGroup {
-    /// Records that the group was heard, with so many instances alive.
-    pub(super) fn record(&mut self, live: u32, now: Duration) {
-        self.live = Some(live);
+    /// Records that so many of its instances are alive.
+    pub(super) fn record_count(&mut self, live: u32, now: Duration) {
+        self.live = Some((live, now));
+    }
+
+    /// Records that a contact has answered.
+    pub(super) fn record_answer(&mut self, now: Duration) {
         self.answered = Some(now);
         self.called = None;
     }
 
     /// Returns how many instances it has, as long as that may be believed.
     fn count(&self, now: Duration) -> Option<u32> {
-        self.live
-            .filter(|_| self.answered.is_some_and(|at| now < at + COUNT_LIFE))
+        let (live, at) = self.live?;
+        (now < at + COUNT_LIFE).then_some(live)
     }
 }
 
@@ -185,12 +189,12 @@
     fn due_contact(&mut self, other: &DataCentreName, now: Duration) -> Option<PeerInfo> {
         let version = self.version();
         let replaceable = self.known_in(other) > 1;
-        let wait = if replaceable { ANSWER_WAIT } else { self.timing.digest_period };
+        let period = self.digest_period();
+        let wait = if replaceable { ANSWER_WAIT } else { period };
         let group = self.group.others.entry(other.clone()).or_default();
         if group.called.as_ref().is_some_and(|call| now < call.at + wait) {
             return None;
         }
-        let period = self.timing.digest_period;
         let rested = group.answered.is_none_or(|at| now >= at + period);
         let newer = version > group.told_version;
         match group.called.take() {
@@ -232,7 +236,7 @@
     /// Returns after which silence a contact in another data centre isn't alive: it is heard
     /// with its digests or, without any, with heartbeats.
     fn far_silence(&self) -> Duration {
-        let digests = self.timing.digest_period * self.timing.silent_periods;
+        let digests = self.digest_period() * self.timing.silent_periods;
         if self.timing.joint_limit > 0 { digests } else { self.silence() }
     }
 
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -16,7 +16,8 @@
 use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
 use flaxtide_policy::{bounded_owners, rendezvous_order, rendezvous_owner};
 
-pub use self::digest::OutgoingDigest;
+use self::digest::GroupReads;
+pub use self::digest::OutgoingHello;
 use self::group::GroupState;
 pub use self::settings::SettingsSource;
 use self::settings::SettingsState;
@@ -118,6 +119,10 @@
     settings: SettingsState,
     /// With whom it is grouped.
     group: GroupState,
+    /// What servers have read lately for the data centre.
+    reads: GroupReads,
+    /// How many servers the loads of the last digest of another data centre named.
+    servers_told: usize,
     /// The peers that it knows of, by name.
     peers: BTreeMap<InstanceName, PeerRecord>,
     /// Where peers may be heard if nobody is known.
@@ -162,6 +167,8 @@
             own,
             epoch,
             group: GroupState::new(timing.joint_limit),
+            reads: GroupReads::default(),
+            servers_told: 0,
             timing,
             leaving: false,
             settings: SettingsState::default(),
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -113,6 +113,7 @@
             news.extend(beat.servers.iter().copied().map(FleetNews::Load));
             news.push(FleetNews::PeerLoads(beat.from.clone(), beat.loads.clone()));
             if !beat.reads.is_empty() {
+                self.reads.record(&beat.reads, now);
                 news.push(FleetNews::PeerReads(beat.reads.clone()));
             }
             if !beat.silent.is_empty() {
--- a/crates/flaxtide-fleet/src/node/timing.rs
+++ b/crates/flaxtide-fleet/src/node/timing.rs
@@ -22,8 +22,10 @@
     /// Up to how many instances are one group, whatever their data centres; 0 if each data
     /// centre always is a group of its own.
     pub joint_limit: u32,
-    /// The time between two digests to a contact in another data centre.
-    pub digest_period: Duration,
+    /// The shortest time between two digests of one other data centre.
+    pub shortest_digest_period: Duration,
+    /// The longest.
+    pub longest_digest_period: Duration,
     /// A peer that isn't heard for so many periods isn't alive.
     pub silent_periods: u32,
     /// How long an instance that hears of newer settings waits for its own source, the
@@ -45,7 +47,8 @@
             news_burst: 3,
             news_units: 48,
             joint_limit: 0,
-            digest_period: Duration::from_millis(2500),
+            shortest_digest_period: Duration::from_millis(500),
+            longest_digest_period: Duration::from_secs(5),
             silent_periods: 3,
             settings_lead: Duration::from_millis(700),
             settings_patience: Duration::from_secs(2),
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -19,10 +19,10 @@
 use crate::counted::LinkBytes;
 use crate::fetch::{BegunCopy, fetch_settings};
 use crate::links::{PeerLinks, call, transport};
-use crate::node::{FleetNews, FleetNode, OutgoingBeat, OutgoingDigest};
+use crate::node::{FleetNews, FleetNode, OutgoingBeat, OutgoingHello};
 use crate::rows::{RowNews, RowQuestion, RowSource};
 use crate::settings::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
-use crate::wire::{BeatReply, FleetBeat, GroupDigest, PeerLink};
+use crate::wire::{BeatReply, FleetBeat, GroupDigest, GroupHello, PeerLink};
 
 /// How often the thread looks at its rings.
 const LOOK_PERIOD: Duration = Duration::from_millis(50);
@@ -225,9 +225,9 @@
             let addresses = shared.node().addresses();
             shared.links.keep_only(|address| addresses.contains(address));
         }
-        let digests = shared.node().due_digests(now);
-        for digest in digests {
-            tokio::spawn(send_digest(shared.clone(), digest));
+        let hellos = shared.node().due_hellos(now);
+        for hello in hellos {
+            tokio::spawn(ask_digest(shared.clone(), hello));
         }
         tokio::time::sleep(LOOK_PERIOD).await;
     }
@@ -305,15 +305,15 @@
     }
 }
 
-/// Sends the digest of this data centre to a contact in another, and applies its answer.
-async fn send_digest(shared: Arc<FleetShared>, outgoing: OutgoingDigest) {
+/// Asks a contact in another data centre for its digest.
+async fn ask_digest(shared: Arc<FleetShared>, outgoing: OutgoingHello) {
     let address = outgoing.to.address;
     let Some(link) = shared.links.open(address).await else { return };
-    let exchange = |context| link.client.exchange(context, outgoing.digest);
-    match call(ANSWER_TIMEOUT, exchange).await {
+    let digest = |context| link.client.digest(context, outgoing.hello);
+    match call(ANSWER_TIMEOUT, digest).await {
         Ok(digest) => {
             let now = shared.clock.now();
-            let news = shared.node().apply_digest(&digest, now);
+            let news = shared.node().hear_digest(&digest, now);
             shared.tell(news);
         }
         Err(cause) => {
@@ -383,11 +383,9 @@
         reply
     }
 
-    async fn exchange(self, _: Context, digest: GroupDigest) -> GroupDigest {
+    async fn digest(self, _: Context, hello: GroupHello) -> GroupDigest {
         let now = self.shared.clock.now();
-        let (answer, news) = self.shared.node().hear_digest(&digest, now);
-        self.shared.tell(news);
-        answer
+        self.shared.node().hear_hello(&hello, now)
     }
 
     async fn settings(self, _: Context, question: PieceQuestion) -> PieceAnswer {
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -23,8 +23,8 @@
     /// many milliseconds; nothing if that can't be told.
     async fn rows(after: u64, wait_ms: u32) -> Option<RowNews>;
 
-    /// Takes the digest of another data centre, and answers with this one's.
-    async fn exchange(digest: GroupDigest) -> GroupDigest;
+    /// Hears how an instance of another data centre is, and answers with this one's digest.
+    async fn digest(hello: GroupHello) -> GroupDigest;
 }
 
 /// What an instance says of itself, once a period, to each peer of its data centre and to
@@ -76,24 +76,32 @@
     pub peers: Vec<PeerInfo>,
 }
 
-/// What the instances of a data centre have in sum, as one of them tells a contact in
-/// another data centre.
+/// What an instance says of itself and its data centre to a contact in another.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct GroupDigest {
-    /// The instance that tells it.
+pub struct GroupHello {
+    /// The instance.
     pub from: PeerInfo,
-    /// Drawn at random at that instance's start.
+    /// Drawn at random at its start.
     pub epoch: u32,
-    /// Whether that instance is stopping.
+    /// Whether it is stopping.
     pub leaving: bool,
-    /// The settings version in force there.
+    /// Its settings version in force.
     pub version: SettingsVersion,
-    /// How many instances of the data centre are alive.
+    /// How many instances of its data centre are alive.
     pub live: u16,
+}
+
+/// What the instances of a data centre have in sum.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct GroupDigest {
+    /// The instance that tells it.
+    pub hello: GroupHello,
+    /// A few others, as further contacts.
+    pub contacts: Vec<PeerInfo>,
     /// Their requests at backend servers, in sum.
     pub loads: Vec<OwnLoad>,
-    /// A few of them, as further contacts.
-    pub contacts: Vec<PeerInfo>,
+    /// The shared parts of prompts that servers have read for them lately, the newest first.
+    pub reads: Vec<PartRead>,
 }
 
 /// An instance's requests for one pool, running or waiting.
--- a/crates/flaxtide-fleet/tests/groups.rs
+++ b/crates/flaxtide-fleet/tests/groups.rs
@@ -106,7 +106,7 @@
             node.set_demand(NodeDemand { loads, ..NodeDemand::default() }, now);
         }
         let beats = node.due_beats(now);
-        let digests = node.due_digests(now);
+        let hellos = node.due_hellos(now);
         for outgoing in beats {
             let to = outgoing.to.address;
             let Some(peer) = self.reach(from, to) else { continue };
@@ -116,13 +116,12 @@
             let news = node.hear_reply(&outgoing.to.name, &reply, now);
             self.note(from, news);
         }
-        for outgoing in digests {
+        for outgoing in hellos {
             let to = outgoing.to.address;
             let Some(peer) = self.reach(from, to) else { continue };
-            let (answer, news) = peer.hear_digest(&outgoing.digest, now);
-            self.note(to, news);
+            let digest = peer.hear_hello(&outgoing.hello, now);
             let node = self.nodes.get_mut(&from).unwrap();
-            let news = node.apply_digest(&answer, now);
+            let news = node.hear_digest(&digest, now);
             self.note(from, news);
         }
     }
