--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -44,7 +44,8 @@
     pub fill: f64,
     /// The time that a server of another data centre costs, in milliseconds.
     pub far_cost_ms: f64,
-    /// For how long a peer's word of its load counts.
+    /// For how long a peer's word of its load counts: longer than the 2.5 s between two
+    /// heartbeats of large groups, as servers would seem idle in between.
     #[serde(deserialize_with = "deserialize_span")]
     pub peer_life: Duration,
     /// For how long a prompt part is taken to stay in an engine's memory.
@@ -130,7 +131,7 @@
             short_fill: 0.5,
             fill: 1.5,
             far_cost_ms: 2.0,
-            peer_life: Duration::from_secs(2),
+            peer_life: Duration::from_secs(3),
             cache_life: Duration::from_secs(20),
             admit_factor: 1.0,
             send_limit: 4,
