Rows by other writers name no server; a server that starts again is another one

A row with another start time is another server to the router and to peers (its key between instances has the time), counted as servers_started_again_total.

The test of servers that start again passes without the mechanism too (their pauses end by themselves): only the doc example of incarnation() tells starts apart.

--- a/crates/flaxtide-entry/src/contract/rules.rs
+++ b/crates/flaxtide-entry/src/contract/rules.rs
@@ -149,7 +149,7 @@
 /// A server in the platform's list.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ServerEntry {
-    /// What names it; a server that starts anew has another name.
+    /// What names it. A server may start again under the same name.
     pub name: ServerName,
     /// The service that it belongs to.
     pub service: String,
@@ -161,4 +161,34 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// When it started, in milliseconds, if it says so. Another time under the same name is
+    /// another start: nothing is left of what it had in memory.
+    pub started: Option<u64>,
+}
+
+impl ServerEntry {
+    /// Returns what tells this start of the server from others. All that is believed of a
+    /// server, and what peers say of it, belongs to one start.
+    ///
+    /// ```
+    /// use flaxtide_entry::ServerEntry;
+    /// let first = ServerEntry {
+    ///     name: "engine-1".into(),
+    ///     service: "engines".into(),
+    ///     address: ([10, 0, 0, 1], 8000).into(),
+    ///     data_centre: "north".into(),
+    ///     slots: 24,
+    ///     leaving: false,
+    ///     started: Some(1000),
+    /// };
+    /// let second = ServerEntry { started: Some(900), ..first.clone() };
+    /// assert_ne!(first.incarnation(), second.incarnation());
+    /// ```
+    #[must_use]
+    pub fn incarnation(&self) -> String {
+        match self.started {
+            Some(started) => format!("{}@{started}", self.name),
+            None => self.name.clone(),
+        }
+    }
 }
--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -82,9 +82,11 @@
     }
 
     /// Takes in a server's row. Returns whether that changes anything.
-    pub(crate) fn put(&mut self, entry: ServerEntry) -> bool {
+    pub(crate) fn put(&mut self, mut entry: ServerEntry) -> bool {
         let name = entry.name.clone();
         let known = self.servers.get(&name);
+        // A row that doesn't say when its server started is of the start that is known.
+        entry.started = entry.started.or(known.and_then(|known| known.entry.started));
         if known.is_some_and(|known| !known.lapsed() && known.entry == entry) {
             return false;
         }
@@ -92,6 +94,18 @@
         true
     }
 
+    /// Returns whether an entry is of another start of a known server.
+    pub(crate) fn starts_again(&self, entry: &ServerEntry) -> bool {
+        let known = self.servers.get(&entry.name).and_then(|known| known.entry.started);
+        known.is_some() && entry.started.is_some() && known != entry.started
+    }
+
+    /// Forgets a server at once, as its row names none any more. Returns whether it was
+    /// known.
+    pub(crate) fn discard(&mut self, name: &str) -> bool {
+        self.servers.remove(name).is_some()
+    }
+
     /// Takes in that a row has gone. Returns whether that changes anything.
     pub(crate) fn remove(&mut self, name: &str, now: Duration) -> bool {
         let Some(server) = self.servers.get_mut(name) else { return false };
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -385,14 +385,27 @@
     let entry = match feed.parse_server(&row.name, &text) {
         Ok(entry) => entry,
         Err(fault) => {
-            log::warn!(server = row.name, fault = fault.to_string(); "server's row ignored");
-            return false;
+            state.metrics.rows_ignored.inc();
+            let (name, fault) = (shorten(&row.name), shorten(&fault.to_string()));
+            log::warn!(server = name, fault; "server's row ignored");
+            return directory.discard(&row.name);
         }
     };
     let (service, leaving) = (entry.service.clone(), entry.leaving);
+    if directory.starts_again(&entry) {
+        state.metrics.servers_started_again.inc();
+        log::info!(server = row.name, service; "server started again");
+    }
     let changed = directory.put(entry);
     if changed {
         log::info!(server = row.name, service, leaving; "server listed");
     }
     changed
 }
+
+/// Shortens a text that anybody may have written, for the log.
+fn shorten(text: &str) -> String {
+    /// How many characters are enough to find the row.
+    const LONGEST: usize = 200;
+    text.chars().take(LONGEST).collect()
+}
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -266,8 +266,8 @@
     let reads: Vec<(Duration, PartRead)> =
         notes.iter().filter_map(|note| part_read(state, note)).collect();
     let silent = state.ask(|core, now| core.silent_servers(now));
-    let names = silent.iter().filter_map(|server| state.server_name(*server));
-    let silent: Vec<FleetKey> = names.map(|name| fleet_key(&name)).collect();
+    let silent: Vec<FleetKey> =
+        silent.iter().filter_map(|server| state.server_key(*server)).collect();
     let events = events.clone();
     let source = state.source.clone();
     source.set_behind(state.behind());
@@ -299,8 +299,8 @@
 
 /// Spells what a server has read as peers are told, with its age.
 fn part_read(state: &TrafficState, note: &ReadNote) -> Option<(Duration, PartRead)> {
-    let name = state.server_name(note.server)?;
-    Some((note.age, PartRead { server: fleet_key(&name), part: note.part }))
+    let server = state.server_key(note.server)?;
+    Some((note.age, PartRead { server, part: note.part }))
 }
 
 /// Takes in that a peer has found servers silent.
@@ -322,9 +322,8 @@
 
 /// Spells a load as peers are told.
 fn own_load(state: &TrafficState, load: &ServerLoad) -> Option<OwnLoad> {
-    let name = state.server_name(load.server)?;
     Some(OwnLoad {
-        server: fleet_key(&name),
+        server: state.server_key(load.server)?,
         short: u8::try_from(load.short).unwrap_or(u8::MAX),
         long: u8::try_from(load.long).unwrap_or(u8::MAX),
         unread: load
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Metrics for Prometheus.
 
 use prometheus::{
-    Encoder, Histogram, HistogramOpts, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, IntGaugeVec,
+    Opts, Registry, TextEncoder,
 };
 
 /// The upper ends of the buckets of latencies, in seconds: around the targets of classes.
@@ -39,6 +39,10 @@
     pub(crate) peer_bytes: IntGaugeVec,
     /// Servers that may be used.
     pub(crate) servers: IntGauge,
+    /// Servers that started again under the name that they had.
+    pub(crate) servers_started_again: IntCounter,
+    /// Rows of servers that weren't understood.
+    pub(crate) rows_ignored: IntCounter,
     /// Instances seen alive.
     pub(crate) instances: IntGauge,
     /// Seconds to the first event of a stream, or to an answer.
@@ -90,6 +94,11 @@
             rules_copies: counters("rules_copies", "Rules from and to peers.", &["side"]),
             peer_bytes: gauges("peer_bytes", "Bytes from and to peers.", &["direction"]),
             servers: gauge("servers", "Servers that may be used."),
+            servers_started_again: counter(
+                "servers_started_again",
+                "Servers that started again under their name.",
+            ),
+            rows_ignored: counter("rows_ignored", "Rows of servers not understood."),
             instances: gauge("instances", "Instances seen alive."),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
@@ -100,7 +109,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 15] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 17] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -114,6 +123,8 @@
             Box::new(self.rules_copies.clone()),
             Box::new(self.peer_bytes.clone()),
             Box::new(self.servers.clone()),
+            Box::new(self.servers_started_again.clone()),
+            Box::new(self.rows_ignored.clone()),
             Box::new(self.instances.clone()),
             Box::new(self.latency.clone()),
         ];
@@ -135,6 +146,12 @@
     }
 }
 
+/// Makes a counter.
+fn counter(name: &str, help: &str) -> IntCounter {
+    let name = format!("flaxtide_entry_{name}_total");
+    IntCounter::new(name, help).expect("the name of a metric is valid")
+}
+
 /// Makes a counter with labels.
 fn counters(name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
     let opts = Opts::new(format!("flaxtide_entry_{name}_total"), help);
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::config::EntryConfig;
-use crate::contract::{CallerLimits, EntryRules, WireDialect};
+use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
 use crate::fleet::FleetLink;
 use crate::metrics::{CountedOne, EntryMetrics};
@@ -90,12 +90,22 @@
 struct NameTable {
     /// Services.
     pools: HashMap<String, PoolId>,
-    /// Servers.
-    servers: HashMap<ServerName, ServerId>,
+    /// Servers, each start of one by itself.
+    servers: HashMap<String, ServerId>,
     /// Servers by what stands for them between instances.
     keys: HashMap<FleetKey, ServerId>,
-    /// The names of servers, by number.
-    server_names: Vec<ServerName>,
+    /// The starts of servers, by number.
+    starts: Vec<ServerStart>,
+}
+
+/// A start of a server.
+#[derive(Debug)]
+struct ServerStart {
+    /// The server's name.
+    name: ServerName,
+    /// What stands for this start between instances. What peers say of an earlier start of
+    /// the server isn't taken for this one's.
+    key: FleetKey,
 }
 
 impl NameTable {
@@ -109,15 +119,17 @@
         pool
     }
 
-    /// Returns the number of a server.
-    fn server(&mut self, name: &str) -> ServerId {
-        if let Some(server) = self.servers.get(name) {
+    /// Returns the number of a server, which is another one for each start of it.
+    fn server(&mut self, entry: &ServerEntry) -> ServerId {
+        let incarnation = entry.incarnation();
+        if let Some(server) = self.servers.get(&incarnation) {
             return *server;
         }
-        let server = self.server_names.len() as ServerId;
-        self.servers.insert(name.to_owned(), server);
-        self.keys.insert(fleet_key(name), server);
-        self.server_names.push(name.to_owned());
+        let server = self.starts.len() as ServerId;
+        let key = fleet_key(&incarnation);
+        self.servers.insert(incarnation, server);
+        self.keys.insert(key, server);
+        self.starts.push(ServerStart { name: entry.name.clone(), key });
         server
     }
 }
@@ -222,13 +234,19 @@
     }
 
     /// Returns the number of a server.
-    pub(crate) fn server_number(&self, name: &str) -> ServerId {
-        self.names.borrow_mut().server(name)
+    pub(crate) fn server_number(&self, entry: &ServerEntry) -> ServerId {
+        self.names.borrow_mut().server(entry)
     }
 
     /// Returns the name of a server.
     pub(crate) fn server_name(&self, server: ServerId) -> Option<ServerName> {
-        self.names.borrow().server_names.get(server as usize).cloned()
+        let names = self.names.borrow();
+        names.starts.get(server as usize).map(|start| start.name.clone())
+    }
+
+    /// Returns what stands for a server between instances.
+    pub(crate) fn server_key(&self, server: ServerId) -> Option<FleetKey> {
+        self.names.borrow().starts.get(server as usize).map(|start| start.key)
     }
 
     /// Returns where a server is reached.
@@ -281,7 +299,7 @@
                 let entry = &listed.entry;
                 let slots = engine.map_or(entry.slots, |engine| engine.slots);
                 RoutedServer {
-                    server: self.server_number(&entry.name),
+                    server: self.server_number(entry),
                     rank: xxh3_64(entry.name.as_bytes()),
                     slots: if slots == 0 { SLOTS_OF_PLAIN_SERVICE } else { slots },
                     engine: engine.map(|engine| EngineShape {
