--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -43,7 +43,7 @@
     /// Servers have read shared parts of prompts for a peer.
     PeerReads(Vec<PartRead>),
     /// A peer has found servers silent.
-    PeerSilent(Vec<FleetKey>),
+    PeerUnresponsive(Vec<FleetKey>),
     /// What is known of the fleet.
     Fleet {
         /// So many instances are alive.
@@ -56,6 +56,9 @@
 /// How often peers are asked, or looked at, by an instance that leaves the platform in peace.
 const PEERS_PERIOD: Duration = Duration::from_millis(500);
 
+/// How often an instance that has just started looks whether it knows who reads.
+const SETTLING_PERIOD: Duration = Duration::from_millis(100);
+
 /// What peers tell of a topic.
 enum PeerWord {
     /// These rows have changed.
@@ -222,6 +225,10 @@
                 thread::sleep(PEERS_PERIOD);
                 true
             }
+            None if state.after().is_some() && follower.source.is_settling() => {
+                thread::sleep(SETTLING_PERIOD);
+                true
+            }
             None => match follower.rest(&mut backoff, clock.now()) {
                 Some(rest) => {
                     thread::sleep(rest.min(PEERS_PERIOD));
@@ -294,7 +301,7 @@
                 take_peer_rules(&state, &*feed, &shared, copy);
             }
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
-            FeedEvent::PeerSilent(servers) => take_peer_silent(&state, &servers),
+            FeedEvent::PeerUnresponsive(servers) => take_peer_silent(&state, &servers),
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
             FeedEvent::Fleet { live, newest_rules } => {
                 state.newest_rules.set(newest_rules);
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -10,7 +10,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
-    FleetEvent, FleetKey, FleetNews, FleetNode, FleetThread, FleetTiming, FleetUpdate,
+    FleetEvent, FleetKey, FleetNode, FleetNotice, FleetThread, FleetTiming, FleetUpdate,
     LinkBytes, NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy,
     fleet_key,
 };
@@ -181,25 +181,25 @@
 }
 
 /// Passes on what peers have told.
-fn hear(events: &mpsc::Sender<FeedEvent>, news: Vec<FleetNews>) {
+fn hear(events: &mpsc::Sender<FeedEvent>, news: Vec<FleetNotice>) {
     for news in news {
         match news {
-            FleetNews::PeerLoads(peer, loads) => {
+            FleetNotice::PeerLoads(peer, loads) => {
                 tell(events, FeedEvent::PeerLoads(peer, loads));
             }
-            FleetNews::GroupLoads(data_centre, loads) => {
+            FleetNotice::GroupLoads(data_centre, loads) => {
                 tell(events, FeedEvent::PeerLoads(data_centre, loads));
             }
-            FleetNews::PeerSilent(servers) => {
-                tell(events, FeedEvent::PeerSilent(servers));
+            FleetNotice::PeerUnresponsive(servers) => {
+                tell(events, FeedEvent::PeerUnresponsive(servers));
             }
-            FleetNews::PeerReads(reads) => tell(events, FeedEvent::PeerReads(reads)),
+            FleetNotice::PeerReads(reads) => tell(events, FeedEvent::PeerReads(reads)),
             // Slots and rates aren't shared out here: every instance may use every server.
             // The fleet thread fetches newer rules by itself.
-            FleetNews::Load(_)
-            | FleetNews::Share(..)
-            | FleetNews::Rate(..)
-            | FleetNews::Version(..) => {}
+            FleetNotice::Load(_)
+            | FleetNotice::Share(..)
+            | FleetNotice::Rate(..)
+            | FleetNotice::Version(..) => {}
         }
     }
 }
@@ -281,7 +281,12 @@
         let reads = reads.iter().filter(|(age, _)| *age < recent).map(|(_, read)| *read);
         let reads = reads.collect();
         node.set_demand(
-            NodeDemand { loads, reads, silent, ..NodeDemand::default() },
+            NodeDemand {
+                loads,
+                reads,
+                unresponsive: silent,
+                ..NodeDemand::default()
+            },
             now,
         );
         let plan = node.list_plan(alone_below);
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -133,7 +133,8 @@
         let (events, feed_ring) = channel(FEED_RING);
         let (link, fleet_ring) = FleetLink::new();
         let list = Arc::new(ListLog::new(config.leave_within));
-        let source = Arc::new(ListSource::new(config.leave_within));
+        let source =
+            Arc::new(ListSource::new(config.leave_within, !config.seeds.is_empty()));
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
             let (pace, list) = match topic {
                 FeedTopic::Rules => (Duration::ZERO, None),
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flaxtide_core::MilliClock;
-use flaxtide_fleet::{ListReader, RowCopy, RowNews, RowSource};
+use flaxtide_fleet::{ListReader, RowChanges, RowCopy, RowSource};
 use tokio::sync::Notify;
 
 use crate::contract::{FeedBatch, FeedRow};
@@ -42,9 +42,9 @@
 /// use flaxtide_entry::{FeedBatch, ListLog};
 /// use flaxtide_fleet::RowSource;
 /// let log = ListLog::new(Duration::from_secs(3));
-/// assert!(log.news_after(0).is_none());
+/// assert!(log.changes_after(0).is_none());
 /// log.record(&FeedBatch { rows: vec![], version: 7 }, None);
-/// assert_eq!(log.news_after(7).unwrap().version, 7);
+/// assert_eq!(log.changes_after(7).unwrap().version, 7);
 /// ```
 pub struct ListLog {
     /// The clock.
@@ -148,7 +148,7 @@
 }
 
 impl RowSource for ListLog {
-    fn news_after(&self, version: u64) -> Option<RowNews> {
+    fn changes_after(&self, version: u64) -> Option<RowChanges> {
         let now = self.clock.now();
         let state = self.lock();
         let fresh = self.leave_within.mul_f64(FRESH_PART);
@@ -167,8 +167,8 @@
 impl LogState {
     /// Returns the oldest rows after a version that fit an answer. Its version is that of
     /// the last of them, so that whoever asks goes on from there.
-    fn answer(&self, after: u64) -> RowNews {
-        let mut news = RowNews { version: self.version, rows: vec![] };
+    fn answer(&self, after: u64) -> RowChanges {
+        let mut news = RowChanges { version: self.version, rows: vec![] };
         let mut bytes = 0;
         let mut last = after;
         for part in self.parts.iter().filter(|part| part.version > after) {
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -72,7 +72,7 @@
             };
             match bytes {
                 Ok(Some(bytes)) => {
-                    self.note_piece();
+                    self.record_piece();
                     let whole = self.events.push(&bytes);
                     if !whole.is_empty() {
                         return Ok(Some(whole));
@@ -86,7 +86,7 @@
     }
 
     /// Notes how long nothing came before these bytes.
-    fn note_piece(&mut self) {
+    fn record_piece(&mut self) {
         let now = self.call.state.now();
         let pause = now.saturating_sub(self.last_piece);
         self.last_piece = now;
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -8,7 +8,7 @@
 
 use crossbeam::channel::bounded;
 use flaxtide_core::MilliClock;
-use flaxtide_fleet::{ListPlan, ListReader, RowNews, RowQuestion};
+use flaxtide_fleet::{ListPlan, ListReader, RowChanges, RowQuestion};
 
 use crate::fleet::FleetLink;
 
@@ -30,12 +30,19 @@
 /// reads them from the platform: it has to have them in force within seconds.
 const HANDED_ON_WITHIN: Duration = Duration::from_millis(1000);
 
+/// How long an instance that has just read everything waits to hear who reads for it, before it
+/// waits for changes itself: peers are met within three rounds of heartbeats. It saves the
+/// platform two calls for each instance that starts.
+const SETTLING: Duration = Duration::from_secs(3);
+
 /// From whom this instance gets a list.
 pub(crate) struct ListSource {
     /// The clock.
     clock: MilliClock,
     /// Within what time a leaving server may get no more work.
     leave_within: Duration,
+    /// Until when it isn't known who reads.
+    settled_at: Duration,
     /// Who is to be asked.
     state: Mutex<SourceState>,
 }
@@ -55,10 +62,13 @@
 
 impl ListSource {
     /// Starts with nobody to ask. A leaving server may get no more work after
-    /// `leave_within`.
-    pub(crate) fn new(leave_within: Duration) -> Self {
+    /// `leave_within`; `has_peers` says whether there may be peers.
+    pub(crate) fn new(leave_within: Duration, has_peers: bool) -> Self {
+        let clock = MilliClock::real();
+        let settling = if has_peers { SETTLING } else { Duration::ZERO };
         Self {
-            clock: MilliClock::real(),
+            settled_at: clock.now() + settling,
+            clock,
             leave_within,
             state: Mutex::default(),
         }
@@ -82,6 +92,11 @@
         matches!(self.reader(), ListReader::Peer(_))
     }
 
+    /// Returns whether it isn't known yet who reads.
+    pub(crate) fn is_settling(&self) -> bool {
+        self.reader() == ListReader::Alone && self.clock.now() < self.settled_at
+    }
+
     /// Returns whether this instance reads as soon as no peer tells.
     pub(crate) fn is_standby(&self) -> bool {
         self.lock().plan.standby
@@ -111,7 +126,7 @@
 
     /// Asks peers for the changes after a version, one after the other until one can tell.
     /// Returns nothing if this instance is to read for itself.
-    pub(crate) fn ask(&self, link: &FleetLink, after: u64) -> Option<RowNews> {
+    pub(crate) fn ask(&self, link: &FleetLink, after: u64) -> Option<RowChanges> {
         let peers = self.askable();
         let wait = self.leave_within.mul_f64(QUESTION_PART);
         for (place, peer) in peers.iter().enumerate() {
@@ -147,10 +162,10 @@
         peer: SocketAddr,
         after: u64,
         wait: Duration,
-    ) -> Option<RowNews> {
+    ) -> Option<RowChanges> {
         let margin = self.leave_within.mul_f64(MARGIN_PART);
         let (tell, told) = bounded(1);
-        let answer = Box::new(move |news: Option<RowNews>| {
+        let answer = Box::new(move |news: Option<RowChanges>| {
             // Whoever asked may have stopped waiting.
             let _ = tell.try_send(news);
         });
--- a/crates/flaxtide-entry/tests/reader.rs
+++ b/crates/flaxtide-entry/tests/reader.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flaxtide_entry::{FeedBatch, FeedRow, ListLog};
-use flaxtide_fleet::{RowNews, RowSource};
+use flaxtide_fleet::{RowChanges, RowSource};
 
 /// The most text of an answer.
 const MOST_TEXT: usize = 32 * 1024;
@@ -26,7 +26,7 @@
 
 /// Returns the names that a log tells of after a version; nothing if it can't tell.
 fn told(log: &ListLog, after: u64) -> Option<Vec<String>> {
-    let news = log.news_after(after)?;
+    let news = log.changes_after(after)?;
     Some(news.rows.into_iter().map(|row| row.name).collect())
 }
 
@@ -37,17 +37,19 @@
 }
 
 /// How much text an answer has.
-fn text_of(news: &RowNews) -> usize {
+fn text_of(news: &RowChanges) -> usize {
     let texts = news.rows.iter().map(|row| row.text.as_ref().map_or(0, String::len));
     texts.sum()
 }
 
 /// Asks a log as an instance does that was told up to a version, until it tells no more.
 /// Returns the answers with rows.
-fn ask_on(log: &ListLog, mut after: u64) -> Vec<RowNews> {
+fn ask_on(log: &ListLog, mut after: u64) -> Vec<RowChanges> {
     let mut answers = vec![];
     loop {
-        let news = log.news_after(after).expect("what was told last can be gone on from");
+        let news = log
+            .changes_after(after)
+            .expect("what was told last can be gone on from");
         if news.rows.is_empty() {
             assert_eq!(news.version, after);
             return answers;
@@ -59,7 +61,7 @@
 }
 
 /// Asserts that answers are short and tell of each long row once, in order.
-fn assert_all_in_short_answers(answers: &[RowNews], case: &str) {
+fn assert_all_in_short_answers(answers: &[RowChanges], case: &str) {
     let sizes: Vec<usize> = answers.iter().map(text_of).collect();
     assert!(sizes.iter().all(|size| *size <= MOST_TEXT), "{case}: {sizes:?}");
     // Each question has its price, so answers aren't much shorter than they may be.
--- a/crates/flaxtide-fleet/src/fetch.rs
+++ b/crates/flaxtide-fleet/src/fetch.rs
@@ -16,33 +16,33 @@
 const PIECE_TIMEOUT: Duration = Duration::from_millis(1500);
 
 /// After so many silent peers a fetch ends, and the next one looks anew who is heard.
-const SILENT_PEERS: u32 = 2;
+const UNRESPONSIVE_PEERS: u32 = 2;
 
 /// What has come is dropped if no more of it has come for so long.
 const KEPT_FOR: Duration = Duration::from_secs(5);
 
 /// Settings of which a part has come. They outlast a fetch that ends before they are whole.
 #[derive(Debug)]
-pub(crate) struct BegunCopy {
+pub(crate) struct PartialCopy {
     /// What has come.
     assembly: CopyAssembly,
     /// Who gave the last piece.
-    giver: Option<InstanceName>,
+    provider: Option<InstanceName>,
     /// When it came.
     progress: Duration,
 }
 
-impl Default for BegunCopy {
+impl Default for PartialCopy {
     fn default() -> Self {
         Self {
             assembly: CopyAssembly::new(0),
-            giver: None,
+            provider: None,
             progress: Duration::ZERO,
         }
     }
 }
 
-impl BegunCopy {
+impl PartialCopy {
     /// Goes on as an instance whose settings in force are of a version. What can't be of
     /// use any more is dropped.
     fn renew(&mut self, version: SettingsVersion, now: Duration) {
@@ -52,33 +52,34 @@
         self.assembly.renew(version);
     }
 
-    /// Tells whether a source has what has begun, if anything has.
+    /// Returns whether a source has what has begun, if anything has.
     fn continued_by(&self, source: &SettingsSource) -> bool {
         self.assembly.version() == 0 || self.assembly.version() == source.version
     }
 
-    /// Tells whether a source gave the last piece.
-    fn given_by(&self, source: &SettingsSource) -> bool {
-        self.giver.as_ref() == Some(&source.info.name)
+    /// Returns whether a source gave the last piece.
+    fn provided_by(&self, source: &SettingsSource) -> bool {
+        self.provider.as_ref() == Some(&source.info.name)
     }
 
-    /// Puts sources in the order in which they are asked: its giver first, which keeps the
+    /// Puts sources in the order in which they are asked: its provider first, which keeps the
     /// copy that it has begun even if it has newer settings by now; then who has the same.
     fn order(&self, sources: &mut [SettingsSource]) {
-        sources
-            .sort_by_key(|source| (!self.given_by(source), !self.continued_by(source)));
+        sources.sort_by_key(|source| {
+            (!self.provided_by(source), !self.continued_by(source))
+        });
     }
 
-    /// Takes in that a piece has come from a source.
-    fn note_piece(&mut self, source: &SettingsSource, now: Duration) {
-        self.giver = Some(source.info.name.clone());
+    /// Records that a piece has come from a source.
+    fn record_piece(&mut self, source: &SettingsSource, now: Duration) {
+        self.provider = Some(source.info.name.clone());
         self.progress = now;
     }
 }
 
 /// How a peer's part in a fetch has ended.
 #[derive(Debug)]
-enum GiverEnd {
+enum ProviderEnd {
     /// The settings are whole.
     Whole(SettingsCopy),
     /// It has nothing newer.
@@ -90,10 +91,10 @@
     /// What it sent of a version doesn't fit together, or couldn't be understood before.
     Rejected(SettingsVersion),
     /// No answer came in time.
-    Silent,
+    Unresponsive,
 }
 
-impl GiverEnd {
+impl ProviderEnd {
     /// Returns its name for the log.
     fn name(&self) -> &'static str {
         match self {
@@ -102,7 +103,7 @@
             Self::Overtaken => "overtaken",
             Self::Busy => "busy",
             Self::Rejected(_) => "rejected",
-            Self::Silent => "silent",
+            Self::Unresponsive => "unresponsive",
         }
     }
 }
@@ -124,22 +125,22 @@
         let started = shared.clock.now();
         let end = take_from(&shared, source, &mut begun).await;
         let took = shared.clock.now().saturating_sub(started);
-        note_fetch(source, version, &end, &begun.assembly, took);
+        log_fetch(source, version, &end, &begun.assembly, took);
         match end {
-            GiverEnd::Whole(copy) => {
+            ProviderEnd::Whole(copy) => {
                 let now = shared.clock.now();
-                shared.node().note_fetched(&copy, &source.info.name, now);
+                shared.node().record_fetched(&copy, &source.info.name, now);
                 (shared.output)(FleetOutput::Settings(copy));
                 return;
             }
-            GiverEnd::Overtaken => return,
-            GiverEnd::Rejected(version) => {
-                shared.node().reject_giver(&source.info.name, version);
+            ProviderEnd::Overtaken => return,
+            ProviderEnd::Rejected(version) => {
+                shared.node().reject_provider(&source.info.name, version);
             }
-            GiverEnd::NothingNewer | GiverEnd::Busy => {}
-            GiverEnd::Silent => silent += 1,
+            ProviderEnd::NothingNewer | ProviderEnd::Busy => {}
+            ProviderEnd::Unresponsive => silent += 1,
         }
-        if silent >= SILENT_PEERS {
+        if silent >= UNRESPONSIVE_PEERS {
             break;
         }
     }
@@ -150,51 +151,51 @@
 async fn take_from(
     shared: &Arc<FleetShared>,
     source: &SettingsSource,
-    begun: &mut BegunCopy,
-) -> GiverEnd {
-    let (asker, address) = (shared.node().key(), source.info.address);
+    begun: &mut PartialCopy,
+) -> ProviderEnd {
+    let (requester, address) = (shared.node().key(), source.info.address);
     loop {
-        let question = begun.assembly.question(asker);
+        let question = begun.assembly.question(requester);
         let in_force = shared.node().version();
         if in_force > question.newer_than.max(question.version.saturating_sub(1)) {
-            return GiverEnd::Overtaken;
+            return ProviderEnd::Overtaken;
         }
         let Some(link) = shared.links.open(address).await else {
-            return GiverEnd::Silent;
+            return ProviderEnd::Unresponsive;
         };
         let settings = |context| link.client.settings(context, question);
         let piece = match call(PIECE_TIMEOUT, settings).await {
             Ok(PieceAnswer::Piece(piece)) => piece,
-            Ok(PieceAnswer::NothingNewer) => return GiverEnd::NothingNewer,
-            Ok(PieceAnswer::Busy) => return GiverEnd::Busy,
+            Ok(PieceAnswer::NothingNewer) => return ProviderEnd::NothingNewer,
+            Ok(PieceAnswer::Busy) => return ProviderEnd::Busy,
             Err(cause) => {
                 log::debug!("no settings from {}: {cause}", source.info.name);
                 shared.links.close(address, &link).await;
-                return GiverEnd::Silent;
+                return ProviderEnd::Unresponsive;
             }
         };
         if shared.node().was_rejected(piece.version, piece.checksum) {
-            return GiverEnd::Rejected(piece.version);
+            return ProviderEnd::Rejected(piece.version);
         }
         match begun.assembly.take(&piece) {
             TakenPiece::Partial => {
-                begun.note_piece(source, shared.clock.now());
+                begun.record_piece(source, shared.clock.now());
             }
-            TakenPiece::Whole(copy) => return GiverEnd::Whole(copy),
-            TakenPiece::Rejected => return GiverEnd::Rejected(piece.version),
+            TakenPiece::Whole(copy) => return ProviderEnd::Whole(copy),
+            TakenPiece::Rejected => return ProviderEnd::Rejected(piece.version),
         }
     }
 }
 
 /// Logs a peer's part in a fetch; one that has no time isn't worth a line.
-fn note_fetch(
+fn log_fetch(
     source: &SettingsSource,
     newer_than: SettingsVersion,
-    end: &GiverEnd,
+    end: &ProviderEnd,
     assembly: &CopyAssembly,
     took: Duration,
 ) {
-    let level = if matches!(end, GiverEnd::Busy) { Level::Debug } else { Level::Info };
+    let level = if matches!(end, ProviderEnd::Busy) { Level::Debug } else { Level::Info };
     log::log!(
         level,
         peer = source.info.name, newer_than, outcome = end.name(),
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -22,17 +22,17 @@
 pub use self::info::PeerInfo;
 pub use self::key::{FleetKey, fleet_key};
 pub use self::node::{
-    FleetNews, FleetNode, FleetServer, FleetTiming, NodeDemand, OutgoingBeat,
+    FleetNode, FleetNotice, FleetServer, FleetTiming, NodeDemand, OutgoingHeartbeat,
     OutgoingHello, SettingsSource,
 };
 pub use self::rate::rate_part;
-pub use self::rows::{ListPlan, ListReader, RowCopy, RowNews, RowQuestion, RowSource};
+pub use self::rows::{ListPlan, ListReader, RowChanges, RowCopy, RowQuestion, RowSource};
 pub use self::settings::{
-    CopyAssembly, PIECE_BYTES, PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy,
+    CopyAssembly, PIECE_BYTES, PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy,
     SettingsPiece, TakenPiece,
 };
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
-    BeatReply, FleetBeat, GroupDigest, GroupHello, OwnLoad, PartRead, PoolDemand,
-    RatePart, ServerDigest, ServerShare, UsageCount,
+    FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply, OwnLoad, PartRead,
+    PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
 };
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::{FleetNews, FleetNode};
+use super::{FleetNode, FleetNotice};
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::peer::PeerRecord;
@@ -73,7 +73,7 @@
     }
 
     /// Handles a question from another data centre. Returns this one's digest.
-    pub fn hear_hello(&mut self, hello: &GroupHello, now: Duration) -> GroupDigest {
+    pub fn handle_hello(&mut self, hello: &GroupHello, now: Duration) -> GroupDigest {
         self.record_hello(hello, now);
         let home: Vec<&PeerRecord> = self.home_peers(now).collect();
         GroupDigest {
@@ -85,7 +85,11 @@
     }
 
     /// Applies the digest of another data centre. Returns what it has told.
-    pub fn hear_digest(&mut self, digest: &GroupDigest, now: Duration) -> Vec<FleetNews> {
+    pub fn handle_digest(
+        &mut self,
+        digest: &GroupDigest,
+        now: Duration,
+    ) -> Vec<FleetNotice> {
         for info in &digest.contacts {
             self.meet(info.clone(), false);
         }
@@ -99,11 +103,12 @@
             // Its instances tell of themselves.
             return vec![];
         }
-        let mut news = vec![FleetNews::GroupLoads(data_centre, digest.loads.clone())];
+        let mut notices =
+            vec![FleetNotice::GroupLoads(data_centre, digest.loads.clone())];
         if !digest.reads.is_empty() {
-            news.push(FleetNews::PeerReads(digest.reads.clone()));
+            notices.push(FleetNotice::PeerReads(digest.reads.clone()));
         }
-        news
+        notices
     }
 
     /// Returns what servers have read lately for the data centre, the newest first. Those of
@@ -161,10 +166,10 @@
 
     /// Returns the live peers of this instance's data centre.
     fn home_peers(&self, now: Duration) -> impl Iterator<Item = &PeerRecord> {
-        let silence = self.silence();
+        let timeout = self.liveness_timeout();
         self.peers
             .values()
-            .filter(move |peer| self.is_home(&peer.info) && peer.alive(now, silence))
+            .filter(move |peer| self.is_home(&peer.info) && peer.alive(now, timeout))
     }
 }
 
--- a/crates/flaxtide-fleet/src/node/divide.rs
+++ b/crates/flaxtide-fleet/src/node/divide.rs
@@ -4,7 +4,7 @@
 
 use flaxtide_policy::{SlotDemand, divide_slots, equal_share};
 
-use super::{FleetNews, FleetNode, FleetServer};
+use super::{FleetNode, FleetNotice, FleetServer};
 use crate::key::FleetKey;
 use crate::peer::PeerRecord;
 use crate::rate::rate_part;
@@ -16,11 +16,11 @@
     /// that is cut off from its peers isn't alone at the engines.
     #[must_use]
     pub fn fallback_shares(&self, now: Duration) -> Vec<ServerShare> {
-        let silence = self.silence();
+        let timeout = self.liveness_timeout();
         let counts = |peer: &&PeerRecord| {
             self.is_near(peer)
                 && !peer.leaving
-                && (peer.listed || peer.alive(now, silence))
+                && (peer.listed || peer.alive(now, timeout))
         };
         let peers = self.peers.values().filter(counts);
         let mut live: Vec<&str> = peers.map(|peer| peer.info.name.as_str()).collect();
@@ -38,13 +38,15 @@
 
     /// Returns this instance's own shares and parts of what it watches and keeps itself.
     #[must_use]
-    pub fn own_news(&self, now: Duration) -> Vec<FleetNews> {
-        let until = now + self.silence();
+    pub fn own_notices(&self, now: Duration) -> Vec<FleetNotice> {
+        let until = now + self.liveness_timeout();
         let shares = self.shares_of(&self.own.name).into_iter();
-        let shares = shares.map(|share| FleetNews::Share(share, until));
+        let shares = shares.map(|share| FleetNotice::Share(share, until));
         let own: Vec<FleetKey> = self.usage.keys().copied().collect();
         let parts = self.parts_of(&self.own.name, &own).into_iter();
-        shares.chain(parts.map(|part| FleetNews::Rate(part, until))).collect()
+        shares
+            .chain(parts.map(|part| FleetNotice::Rate(part, until)))
+            .collect()
     }
 
     /// Returns a live instance's shares of the servers that this instance watches.
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -235,9 +235,9 @@
 
     /// Returns after which silence a contact in another data centre isn't alive: it is heard
     /// with its digests or, without any, with heartbeats.
-    fn far_silence(&self) -> Duration {
-        let digests = self.digest_period() * self.timing.silent_periods;
-        if self.timing.joint_limit > 0 { digests } else { self.silence() }
+    fn far_liveness_timeout(&self) -> Duration {
+        let digests = self.digest_period() * self.timing.missed_heartbeats;
+        if self.timing.joint_limit > 0 { digests } else { self.liveness_timeout() }
     }
 
     /// Returns the addresses of all known peers.
@@ -252,15 +252,16 @@
         data_centre: &DataCentreName,
         now: Duration,
     ) -> Vec<PeerInfo> {
-        let (silence, far_silence) = (self.silence(), self.far_silence());
+        let (near_timeout, far_timeout) =
+            (self.liveness_timeout(), self.far_liveness_timeout());
         let whole = self.group.joint
             || self.timing.joint_limit == 0
             || *data_centre == self.own.data_centre;
         let mut told: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
         let known = self.peers.values();
         let known = known.filter(|peer| {
-            let silence = if self.is_near(peer) { silence } else { far_silence };
-            peer.listed || peer.alive(now, silence)
+            let timeout = if self.is_near(peer) { near_timeout } else { far_timeout };
+            peer.listed || peer.alive(now, timeout)
         });
         let known = known.filter(|peer| {
             let count = told.entry(&peer.info.data_centre).or_default();
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -1,5 +1,5 @@
 //! The pure part of an instance's place in the fleet: messages and the time go in,
-//! messages and news come out.
+//! messages and updates come out.
 
 mod digest;
 mod divide;
@@ -27,7 +27,7 @@
 use crate::peer::PeerRecord;
 use crate::rows::READER_KEY;
 use crate::wire::{
-    FleetBeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
+    FleetHeartbeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
     UsageCount,
 };
 
@@ -43,7 +43,7 @@
 
 /// An unlisted peer that is silent for so many times the silence after which it isn't
 /// alive is forgotten.
-const FORGOTTEN_SILENCES: u32 = 12;
+const FORGOTTEN_TIMEOUTS: u32 = 12;
 
 /// Counts of a shorter time than this say little.
 const SHORTEST_COUNT: Duration = Duration::from_millis(50);
@@ -69,23 +69,23 @@
     /// The shared parts of prompts that servers have read for it lately.
     pub reads: Vec<PartRead>,
     /// The servers that it has found silent lately.
-    pub silent: Vec<FleetKey>,
+    pub unresponsive: Vec<FleetKey>,
     /// How many requests of each limited organisation came since the last time.
     pub usage: Vec<UsageCount>,
 }
 
-/// A beat on its way to a peer.
+/// A heartbeat on its way to a peer.
 #[derive(Debug, Clone, PartialEq)]
-pub struct OutgoingBeat {
+pub struct OutgoingHeartbeat {
     /// The peer.
     pub to: PeerInfo,
-    /// The beat.
-    pub beat: FleetBeat,
+    /// The heartbeat.
+    pub heartbeat: FleetHeartbeat,
 }
 
 /// What has been heard that concerns this instance.
 #[derive(Debug, Clone, PartialEq)]
-pub enum FleetNews {
+pub enum FleetNotice {
     /// A server's load, and how old the report is.
     Load(ServerDigest),
     /// This instance's share of a server's slots, and until when it holds.
@@ -99,7 +99,7 @@
     /// What servers have read for a peer.
     PeerReads(Vec<PartRead>),
     /// Servers that a peer has found silent.
-    PeerSilent(Vec<FleetKey>),
+    PeerUnresponsive(Vec<FleetKey>),
     /// A newer settings version exists; this peer has it.
     Version(SettingsVersion, PeerInfo),
 }
@@ -139,13 +139,13 @@
     usage: BTreeMap<FleetKey, f64>,
     /// When its use was last counted.
     counted: Option<Duration>,
-    /// When it last sent beats, and how often it has.
-    beat_at: Option<Duration>,
-    /// Until when the beats that were sent are paid for.
+    /// When it last sent heartbeats, and how often it has.
+    heartbeat_at: Option<Duration>,
+    /// Until when the heartbeats that were sent are paid for.
     paid_until: Duration,
     /// Whether this instance has more at a server than it has told, by more than a little.
-    has_news: bool,
-    /// How many rounds of beats it has sent.
+    has_updates: bool,
+    /// How many rounds of heartbeats it has sent.
     rounds: u64,
     /// Whether the list couldn't be read lately.
     list_failed: bool,
@@ -180,9 +180,9 @@
             untold: BTreeMap::new(),
             usage: BTreeMap::new(),
             counted: None,
-            beat_at: None,
+            heartbeat_at: None,
             paid_until: Duration::ZERO,
-            has_news: false,
+            has_updates: false,
             rounds: 0,
             list_failed: true,
             live: vec![],
@@ -192,7 +192,7 @@
         }
     }
 
-    /// Takes in the platform's list of entry instances; nothing if it can't be read. The
+    /// Records the platform's list of entry instances; nothing if it can't be read. The
     /// list lags: a peer that it lacks is kept while it is heard.
     pub fn set_list(&mut self, list: Option<Vec<PeerInfo>>, now: Duration) {
         self.list_failed = list.is_none();
@@ -204,14 +204,14 @@
         for info in list {
             self.meet(info, true);
         }
-        let silence = self.silence();
-        self.peers.retain(|_, peer| peer.listed || peer.alive(now, silence));
+        let timeout = self.liveness_timeout();
+        self.peers.retain(|_, peer| peer.listed || peer.alive(now, timeout));
         if self.listed_near() != before {
             self.generation += 1;
         }
     }
 
-    /// Sets where peers may be heard. A seed's name is learnt from its beats; until then
+    /// Sets where peers may be heard. A seed's name is learnt from its heartbeats; until then
     /// its address stands in for it.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -233,10 +233,10 @@
 
     /// Forgets peers that no list has and that have been silent for long, and turns to the
     /// seeds if nobody is left.
-    fn forget_silent(&mut self, now: Duration) {
-        let silence = self.silence() * FORGOTTEN_SILENCES;
+    fn forget_lost(&mut self, now: Duration) {
+        let timeout = self.liveness_timeout() * FORGOTTEN_TIMEOUTS;
         let gone = |peer: &PeerRecord| {
-            !peer.listed && peer.heard.is_some_and(|heard| now >= heard + silence)
+            !peer.listed && peer.heard.is_some_and(|heard| now >= heard + timeout)
         };
         self.peers.retain(|_, peer| !gone(peer));
         if !self.peers.values().any(|peer| peer.heard.is_some()) {
@@ -251,7 +251,7 @@
         peers.map(|peer| peer.info.name.clone()).collect()
     }
 
-    /// Takes in that an instance may be there.
+    /// Records that an instance may be there.
     pub fn meet(&mut self, info: PeerInfo, listed: bool) {
         let known = self.peers.contains_key(&info.name);
         if info.name == self.own.name || !(known || listed || self.has_place_for(&info)) {
@@ -289,7 +289,7 @@
         self.leaving = true;
     }
 
-    /// Takes in what this instance has to say of itself.
+    /// Records what this instance has to say of itself.
     pub fn set_demand(&mut self, demand: NodeDemand, now: Duration) {
         let since = self
             .counted
@@ -305,21 +305,21 @@
             *self.untold.entry(usage.organisation).or_default() += u32::from(usage.count);
         }
         self.usage.retain(|_, rate| *rate > LEAST_USE);
-        let newly_silent = |key| !self.demand.silent.contains(key);
-        self.has_news |=
-            adds_load(&self.demand.loads, &demand.loads, self.timing.news_units)
-                || demand.silent.iter().any(newly_silent);
+        let newly_silent = |key| !self.demand.unresponsive.contains(key);
+        self.has_updates |=
+            adds_load(&self.demand.loads, &demand.loads, self.timing.update_units)
+                || demand.unresponsive.iter().any(newly_silent);
         self.demand = demand;
         self.refresh(now);
     }
 
     /// Returns how many instances of the group are known, this one included: each
-    /// gets a beat, whether it is heard or not.
+    /// gets a heartbeat, whether it is heard or not.
     pub(super) fn known_near(&self) -> u32 {
         self.peers.values().filter(|peer| self.is_near(peer)).count() as u32 + 1
     }
 
-    /// Returns the time between two rounds of beats.
+    /// Returns the time between two rounds of heartbeats.
     #[must_use]
     pub fn period(&self) -> Duration {
         let timing = &self.timing;
@@ -334,9 +334,9 @@
     /// each instance works it out from whom it hears.
     fn refresh(&mut self, now: Duration) {
         self.regroup(now);
-        let silence = self.silence();
+        let timeout = self.liveness_timeout();
         let peers = self.peers.values();
-        let peers = peers.filter(|peer| self.is_near(peer) && peer.alive(now, silence));
+        let peers = peers.filter(|peer| self.is_near(peer) && peer.alive(now, timeout));
         let mut live: Vec<&InstanceName> = peers.map(|peer| &peer.info.name).collect();
         live.push(&self.own.name);
         live.sort_unstable();
@@ -360,7 +360,7 @@
         self.generation += 1;
     }
 
-    /// Tells whether a live instance is the one that a key belongs to.
+    /// Returns whether a live instance is the one that a key belongs to.
     fn owns(&self, key: FleetKey, name: &str) -> bool {
         let owner = rendezvous_owner(u64::from(key), &self.live);
         owner.is_some_and(|owner| self.live[owner] == name)
@@ -387,12 +387,12 @@
     }
 
     /// Returns after which silence a peer isn't alive, and a share doesn't hold.
-    fn silence(&self) -> Duration {
-        self.period() * self.timing.silent_periods
+    fn liveness_timeout(&self) -> Duration {
+        self.period() * self.timing.missed_heartbeats
     }
 }
 
-/// Tells whether any server has more to read by so many units than it had.
+/// Returns whether any server has more to read by so many units than it had.
 fn adds_load(before: &[OwnLoad], now: &[OwnLoad], units: u16) -> bool {
     let sum = |load: &OwnLoad| {
         load.unread.iter().fold(0u16, |sum, part| sum.saturating_add(*part))
--- a/crates/flaxtide-fleet/src/node/settings.rs
+++ b/crates/flaxtide-fleet/src/node/settings.rs
@@ -55,7 +55,7 @@
     /// The checksum.
     checksum: u64,
     /// The peer.
-    giver: InstanceName,
+    provider: InstanceName,
     /// When they were whole.
     at: Duration,
 }
@@ -80,7 +80,7 @@
         fleet_key(&self.own.name)
     }
 
-    /// Takes in that the instance's own source of settings brings something.
+    /// Records that the instance's own source of settings brings something.
     pub fn hear_source(&mut self, now: Duration) {
         self.settings.source_at = now;
     }
@@ -91,41 +91,41 @@
         self.settings.told_by_peers = told_by_peers;
     }
 
-    /// Takes in that settings have been fetched from a peer. They are in force soon.
-    pub fn note_fetched(&mut self, copy: &SettingsCopy, giver: &str, now: Duration) {
+    /// Records that settings have been fetched from a peer. They are in force soon.
+    pub fn record_fetched(&mut self, copy: &SettingsCopy, provider: &str, now: Duration) {
         self.settings.fetched = Some(FetchedCopy {
             version: copy.version,
             checksum: checksum(&copy.tree),
-            giver: giver.to_owned(),
+            provider: provider.to_owned(),
             at: now,
         });
     }
 
-    /// Takes in that the settings of a version that were fetched can't be put in force: they
+    /// Records that the settings of a version that were fetched can't be put in force: they
     /// aren't understood, or are of another version. They aren't fetched again.
     pub fn reject_fetched(&mut self, version: SettingsVersion) {
         let fetched = self.settings.fetched.take_if(|copy| copy.version == version);
         let Some(fetched) = fetched else { return };
         self.settings.rejected = Some((fetched.version, fetched.checksum));
-        self.reject_giver(&fetched.giver, version);
+        self.reject_provider(&fetched.provider, version);
     }
 
-    /// Takes in that what a peer gives of a version can't be used. It isn't asked while it
+    /// Records that what a peer gives of a version can't be used. It isn't asked while it
     /// has that version.
-    pub(crate) fn reject_giver(&mut self, giver: &str, version: SettingsVersion) {
-        if let Some(peer) = self.peers.get_mut(giver) {
+    pub(crate) fn reject_provider(&mut self, provider: &str, version: SettingsVersion) {
+        if let Some(peer) = self.peers.get_mut(provider) {
             peer.rejected = Some(version);
         }
     }
 
-    /// Tells whether settings have been fetched before and couldn't be put in force.
+    /// Returns whether settings have been fetched before and couldn't be put in force.
     pub(crate) fn was_rejected(&self, version: SettingsVersion, checksum: u64) -> bool {
         self.settings.rejected == Some((version, checksum))
     }
 
     /// Notes since when newer settings are known. To be called often, also while they are
     /// being fetched.
-    pub fn note_newer(&mut self, now: Duration) {
+    pub fn record_newer(&mut self, now: Duration) {
         if self.newer_peers(now).next().is_none() {
             self.settings.newer_since = None;
         } else {
@@ -133,7 +133,7 @@
         }
     }
 
-    /// Tells whether settings are to be fetched from a peer now: one that is heard has newer
+    /// Returns whether settings are to be fetched from a peer now: one that is heard has newer
     /// ones, and the instance's own source hasn't brought them in time. Whoever asks is
     /// expected to fetch them then.
     pub fn settings_due(&mut self, now: Duration) -> bool {
@@ -186,9 +186,9 @@
 
     /// Returns those of them that have been heard lately.
     fn heard_newer_peers(&self, now: Duration) -> impl Iterator<Item = &PeerRecord> {
-        let silence = self.silence();
+        let timeout = self.liveness_timeout();
         self.newer_peers(now)
-            .filter(move |peer| peer.heard_within(now, silence))
+            .filter(move |peer| peer.heard_within(now, timeout))
     }
 
     /// Returns the peers whose settings are newer than what this instance has or has just
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -1,4 +1,4 @@
-//! Beats and replies: what a node says, and what it takes in.
+//! Heartbeats and replies: what a node says, and what it takes in.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -6,62 +6,62 @@
 use flaxtide_core::InstanceName;
 use flaxtide_policy::{rendezvous_order, rendezvous_owner};
 
-use super::{FleetNews, FleetNode, OutgoingBeat};
+use super::{FleetNode, FleetNotice, OutgoingHeartbeat};
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::peer::PeerRecord;
-use crate::wire::{BeatReply, FleetBeat, UsageCount};
+use crate::wire::{FleetHeartbeat, HeartbeatReply, UsageCount};
 
 impl FleetNode {
-    /// Returns the beats that are due.
-    pub fn due_beats(&mut self, now: Duration) -> Vec<OutgoingBeat> {
-        if self.beat_at.is_some_and(|at| now < at + self.period())
-            && !self.tells_news(now)
+    /// Returns the heartbeats that are due.
+    pub fn due_heartbeats(&mut self, now: Duration) -> Vec<OutgoingHeartbeat> {
+        if self.heartbeat_at.is_some_and(|at| now < at + self.period())
+            && !self.may_send_updates(now)
         {
             return vec![];
         }
-        let cost = self.timing.news_cost_per_instance * self.known_near();
-        let saved = now.saturating_sub(cost * self.timing.news_burst);
+        let cost = self.timing.update_cost_per_instance * self.known_near();
+        let saved = now.saturating_sub(cost * self.timing.update_burst);
         self.paid_until = self.paid_until.max(saved) + cost;
-        self.has_news = false;
-        self.beat_at = Some(now);
+        self.has_updates = false;
+        self.heartbeat_at = Some(now);
         self.rounds += 1;
-        self.forget_silent(now);
+        self.forget_lost(now);
         self.refresh(now);
-        self.beats()
+        self.heartbeats()
     }
 
-    /// Tells whether there are news, and enough time is saved up to tell them now.
-    fn tells_news(&self, now: Duration) -> bool {
-        self.has_news && self.paid_until <= now
+    /// Returns whether there are updates, and enough time is saved up to tell them now.
+    fn may_send_updates(&self, now: Duration) -> bool {
+        self.has_updates && self.paid_until <= now
     }
 
-    /// Returns beats to everyone who should hear at once, such as of a server that is
+    /// Returns heartbeats to everyone who should hear at once, such as of a server that is
     /// leaving or a new settings version.
-    pub fn beats(&mut self) -> Vec<OutgoingBeat> {
-        let beats = self.build_beats();
+    pub fn heartbeats(&mut self) -> Vec<OutgoingHeartbeat> {
+        let heartbeats = self.build_heartbeats();
         self.untold.clear();
-        beats
+        heartbeats
     }
 
-    /// Returns beats to those who should hear at once of a new settings version, or that this
+    /// Returns heartbeats to those who should hear at once of a new settings version, or that this
     /// instance is stopping. Who is known to have the version isn't told: each instance that
     /// gets it from a peer would tell all the others.
-    pub fn urgent_beats(&mut self) -> Vec<OutgoingBeat> {
+    pub fn urgent_heartbeats(&mut self) -> Vec<OutgoingHeartbeat> {
         if self.leaving || self.timing.joint_limit == 0 {
-            return self.beats();
+            return self.heartbeats();
         }
-        let mut beats = self.build_beats();
+        let mut heartbeats = self.build_heartbeats();
         let version = self.version();
-        beats.retain(|beat| {
-            let peer = self.peers.get(&beat.to.name);
+        heartbeats.retain(|heartbeat| {
+            let peer = self.peers.get(&heartbeat.to.name);
             peer.is_some_and(|peer| peer.version < version)
         });
-        beats
+        heartbeats
     }
 
-    /// Builds the beats to all peers of the data centre, and to one of each other.
-    fn build_beats(&self) -> Vec<OutgoingBeat> {
+    /// Builds the heartbeats to all peers of the data centre, and to one of each other.
+    fn build_heartbeats(&self) -> Vec<OutgoingHeartbeat> {
         let mut usage: BTreeMap<usize, Vec<UsageCount>> = BTreeMap::new();
         for (organisation, count) in &self.untold {
             let keeper = rendezvous_owner(u64::from(*organisation), &self.live);
@@ -72,101 +72,105 @@
         let asked = self.asked();
         let near = self.peers.values().filter(|peer| self.is_near(peer));
         let far = self.far_peers();
-        let beats = near.chain(far).map(|peer| OutgoingBeat {
+        let heartbeats = near.chain(far).map(|peer| OutgoingHeartbeat {
             to: peer.info.clone(),
-            beat: self.beat_to(peer, &usage, asked),
+            heartbeat: self.heartbeat_to(peer, &usage, asked),
         });
-        beats.collect()
+        heartbeats.collect()
     }
 
-    /// Takes in a peer's beat. Returns the reply, and what it has told.
-    pub fn hear_beat(
+    /// Records a peer's heartbeat. Returns the reply, and what it has told.
+    pub fn handle_heartbeat(
         &mut self,
-        beat: &FleetBeat,
+        heartbeat: &FleetHeartbeat,
         now: Duration,
-    ) -> (BeatReply, Vec<FleetNews>) {
+    ) -> (HeartbeatReply, Vec<FleetNotice>) {
         let info = PeerInfo {
-            name: beat.from.clone(),
-            data_centre: beat.data_centre.clone(),
-            address: beat.address,
+            name: heartbeat.from.clone(),
+            data_centre: heartbeat.data_centre.clone(),
+            address: heartbeat.address,
         };
-        let silence = self.silence();
+        let timeout = self.liveness_timeout();
         self.forget_seed(&info);
         self.meet(info.clone(), false);
         let mut joins = false;
-        if let Some(peer) = self.peers.get_mut(&beat.from) {
+        if let Some(peer) = self.peers.get_mut(&heartbeat.from) {
             if !peer.listed {
                 // The platform knows best where a listed peer is reached from here.
                 peer.info = info.clone();
             }
-            let before = peer.alive(now, silence);
-            peer.take_beat(beat, now);
-            joins = before != peer.alive(now, silence);
+            let before = peer.alive(now, timeout);
+            peer.apply_heartbeat(heartbeat, now);
+            joins = before != peer.alive(now, timeout);
         }
         // Who falls silent is found with the next demand: a walk over all peers for each
         // heartbeat would cost most of the processor time of a large group.
         if joins {
             self.refresh(now);
         }
-        let mut news = vec![];
-        if self.group.joint || beat.data_centre == self.own.data_centre {
-            news.extend(beat.servers.iter().copied().map(FleetNews::Load));
-            news.push(FleetNews::PeerLoads(beat.from.clone(), beat.loads.clone()));
-            if !beat.reads.is_empty() {
-                self.reads.record(&beat.reads, now);
-                news.push(FleetNews::PeerReads(beat.reads.clone()));
+        let mut notices = vec![];
+        if self.group.joint || heartbeat.data_centre == self.own.data_centre {
+            notices.extend(heartbeat.servers.iter().copied().map(FleetNotice::Load));
+            notices.push(FleetNotice::PeerLoads(
+                heartbeat.from.clone(),
+                heartbeat.loads.clone(),
+            ));
+            if !heartbeat.reads.is_empty() {
+                self.reads.record(&heartbeat.reads, now);
+                notices.push(FleetNotice::PeerReads(heartbeat.reads.clone()));
             }
-            if !beat.silent.is_empty() {
-                news.push(FleetNews::PeerSilent(beat.silent.clone()));
+            if !heartbeat.unresponsive.is_empty() {
+                notices
+                    .push(FleetNotice::PeerUnresponsive(heartbeat.unresponsive.clone()));
             }
         }
-        if beat.version > self.version() {
-            news.push(FleetNews::Version(beat.version, info));
+        if heartbeat.version > self.version() {
+            notices.push(FleetNotice::Version(heartbeat.version, info));
         }
-        (self.reply_to(beat, now), news)
+        (self.reply_to(heartbeat, now), notices)
     }
 
-    /// Takes in a peer's reply. Returns what it has told.
-    pub fn hear_reply(
+    /// Records a peer's reply. Returns what it has told.
+    pub fn handle_reply(
         &mut self,
         from: &InstanceName,
-        reply: &BeatReply,
+        reply: &HeartbeatReply,
         now: Duration,
-    ) -> Vec<FleetNews> {
+    ) -> Vec<FleetNotice> {
         for info in &reply.peers {
             self.forget_seed(info);
             self.meet(info.clone(), false);
         }
-        let silence = self.silence();
-        let until = now + silence;
+        let timeout = self.liveness_timeout();
+        let until = now + timeout;
         let Some(peer) = self.peers.get_mut(from) else { return vec![] };
-        let before = peer.alive(now, silence);
+        let before = peer.alive(now, timeout);
         peer.hear(reply.epoch, reply.leaving, reply.version, now);
-        let joins = before != peer.alive(now, silence);
+        let joins = before != peer.alive(now, timeout);
         let info = peer.info.clone();
-        let shares = reply.shares.iter().map(|share| FleetNews::Share(*share, until));
-        let parts = reply.parts.iter().map(|part| FleetNews::Rate(*part, until));
-        let mut news: Vec<_> = shares.chain(parts).collect();
+        let shares = reply.shares.iter().map(|share| FleetNotice::Share(*share, until));
+        let parts = reply.parts.iter().map(|part| FleetNotice::Rate(*part, until));
+        let mut notices: Vec<_> = shares.chain(parts).collect();
         if reply.version > self.version() {
-            news.push(FleetNews::Version(reply.version, info));
+            notices.push(FleetNotice::Version(reply.version, info));
         }
         if joins || !reply.peers.is_empty() {
             self.refresh(now);
         }
-        news
+        notices
     }
 
-    /// Builds the beat to a peer.
-    fn beat_to(
+    /// Builds the heartbeat to a peer.
+    fn heartbeat_to(
         &self,
         peer: &PeerRecord,
         usage: &BTreeMap<usize, Vec<UsageCount>>,
         asked: Option<&InstanceName>,
-    ) -> FleetBeat {
+    ) -> FleetHeartbeat {
         let near = self.is_near(peer);
         let place = self.live.binary_search(&peer.info.name).ok();
         let kept = place.and_then(|place| usage.get(&place));
-        FleetBeat {
+        FleetHeartbeat {
             from: self.own.name.clone(),
             data_centre: self.own.data_centre.clone(),
             address: self.own.address,
@@ -177,7 +181,7 @@
             servers: if near { self.demand.servers.clone() } else { vec![] },
             loads: if near { self.demand.loads.clone() } else { vec![] },
             reads: if near { self.demand.reads.clone() } else { vec![] },
-            silent: if near { self.demand.silent.clone() } else { vec![] },
+            unresponsive: if near { self.demand.unresponsive.clone() } else { vec![] },
             usage: kept.cloned().unwrap_or_default(),
             wants_peers: self.list_failed
                 && (peer.heard.is_none() || asked == Some(&peer.info.name)),
@@ -192,20 +196,20 @@
         near().nth(turn as usize).map(|peer| &peer.info.name)
     }
 
-    /// Builds the reply to a beat.
-    fn reply_to(&self, beat: &FleetBeat, now: Duration) -> BeatReply {
-        let near = beat.data_centre == self.own.data_centre;
+    /// Builds the reply to a heartbeat.
+    fn reply_to(&self, heartbeat: &FleetHeartbeat, now: Duration) -> HeartbeatReply {
+        let near = heartbeat.data_centre == self.own.data_centre;
         let used: Vec<FleetKey> =
-            beat.usage.iter().map(|usage| usage.organisation).collect();
-        let from = &beat.from;
-        BeatReply {
+            heartbeat.usage.iter().map(|usage| usage.organisation).collect();
+        let from = &heartbeat.from;
+        HeartbeatReply {
             epoch: self.epoch,
             leaving: self.leaving,
             version: self.version(),
             shares: if near { self.shares_of(from) } else { vec![] },
             parts: if near { self.parts_of(from, &used) } else { vec![] },
-            peers: if beat.wants_peers {
-                self.peers_for(&beat.data_centre, now)
+            peers: if heartbeat.wants_peers {
+                self.peers_for(&heartbeat.data_centre, now)
             } else {
                 vec![]
             },
@@ -216,8 +220,8 @@
     /// digests do that duty.
     fn far_peers(&self) -> impl Iterator<Item = &PeerRecord> {
         let mut by_data_centre: BTreeMap<&str, Vec<&PeerRecord>> = BTreeMap::new();
-        let beats = self.timing.joint_limit == 0;
-        for peer in self.peers.values().filter(|peer| beats && !self.is_near(peer)) {
+        let heartbeats = self.timing.joint_limit == 0;
+        for peer in self.peers.values().filter(|peer| heartbeats && !self.is_near(peer)) {
             by_data_centre.entry(&peer.info.data_centre).or_default().push(peer);
         }
         let key = self.rounds ^ u64::from(self.epoch);
--- a/crates/flaxtide-fleet/src/peer.rs
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -7,7 +7,7 @@
 
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
-use crate::wire::{FleetBeat, OwnLoad, PoolDemand};
+use crate::wire::{FleetHeartbeat, OwnLoad, PoolDemand};
 
 /// A peer, as last heard.
 #[derive(Debug, Clone)]
@@ -18,7 +18,7 @@
     pub(crate) listed: bool,
     /// Its epoch, once heard.
     pub(crate) epoch: Option<u32>,
-    /// When it was last heard, by a beat or a reply.
+    /// When it was last heard, by a heartbeat or a reply.
     pub(crate) heard: Option<Duration>,
     /// Whether it is stopping.
     pub(crate) leaving: bool,
@@ -32,8 +32,8 @@
     pub(crate) loads: Vec<OwnLoad>,
     /// The use of organisations whose rate this instance keeps, in requests a second.
     pub(crate) usage: BTreeMap<FleetKey, f64>,
-    /// When its last beat came.
-    beat_at: Option<Duration>,
+    /// When its last heartbeat came.
+    heartbeat_at: Option<Duration>,
 }
 
 impl PeerRecord {
@@ -50,11 +50,11 @@
             demands: vec![],
             loads: vec![],
             usage: BTreeMap::new(),
-            beat_at: None,
+            heartbeat_at: None,
         }
     }
 
-    /// Takes in that the peer is there, with a new life if its epoch is another.
+    /// Records that the peer is there, with a new life if its epoch is another.
     pub(crate) fn hear(
         &mut self,
         epoch: u32,
@@ -66,7 +66,7 @@
             self.demands.clear();
             self.loads.clear();
             self.usage.clear();
-            self.beat_at = None;
+            self.heartbeat_at = None;
             self.rejected = None;
         }
         self.epoch = Some(epoch);
@@ -75,37 +75,37 @@
         self.version = version;
     }
 
-    /// Takes in what the peer says of itself.
-    pub(crate) fn take_beat(&mut self, beat: &FleetBeat, now: Duration) {
+    /// Records what the peer says of itself.
+    pub(crate) fn apply_heartbeat(&mut self, heartbeat: &FleetHeartbeat, now: Duration) {
         /// The part that the newest count has in the rate of use.
         const NEWEST: f64 = 0.5;
-        /// Beats may come in bunches; counts of a shorter time than this say little.
+        /// Heartbeats may come in bunches; counts of a shorter time than this say little.
         const SHORTEST: Duration = Duration::from_millis(100);
-        self.hear(beat.epoch, beat.leaving, beat.version, now);
-        self.demands.clone_from(&beat.demands);
-        self.loads.clone_from(&beat.loads);
+        self.hear(heartbeat.epoch, heartbeat.leaving, heartbeat.version, now);
+        self.demands.clone_from(&heartbeat.demands);
+        self.loads.clone_from(&heartbeat.loads);
         let since = self
-            .beat_at
+            .heartbeat_at
             .map_or(Duration::from_secs(1), |at| now.saturating_sub(at));
-        self.beat_at = Some(now);
+        self.heartbeat_at = Some(now);
         let seconds = since.max(SHORTEST).as_secs_f64();
         for rate in self.usage.values_mut() {
             *rate *= 1.0 - NEWEST;
         }
-        for usage in &beat.usage {
+        for usage in &heartbeat.usage {
             let rate = f64::from(usage.count) / seconds;
             *self.usage.entry(usage.organisation).or_default() += NEWEST * rate;
         }
         self.usage.retain(|_, rate| *rate > 1e-3);
     }
 
-    /// Tells whether the peer has been heard lately and isn't stopping.
-    pub(crate) fn alive(&self, now: Duration, silence: Duration) -> bool {
-        !self.leaving && self.heard_within(now, silence)
+    /// Returns whether the peer has been heard lately and isn't stopping.
+    pub(crate) fn alive(&self, now: Duration, timeout: Duration) -> bool {
+        !self.leaving && self.heard_within(now, timeout)
     }
 
-    /// Tells whether the peer has been heard lately.
-    pub(crate) fn heard_within(&self, now: Duration, silence: Duration) -> bool {
-        self.heard.is_some_and(|heard| now < heard + silence)
+    /// Returns whether the peer has been heard lately.
+    pub(crate) fn heard_within(&self, now: Duration, timeout: Duration) -> bool {
+        self.heard.is_some_and(|heard| now < heard + timeout)
     }
 }
--- a/crates/flaxtide-fleet/src/rows.rs
+++ b/crates/flaxtide-fleet/src/rows.rs
@@ -29,7 +29,7 @@
 
 /// The rows that have changed after a version.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct RowNews {
+pub struct RowChanges {
     /// Up to which version these are all.
     pub version: u64,
     /// The rows, in the order of their changes.
@@ -39,7 +39,7 @@
 /// Gives peers what this instance has read.
 pub trait RowSource: Send + Sync {
     /// Returns what has changed after a version; nothing if that can't be told just now.
-    fn news_after(&self, version: u64) -> Option<RowNews>;
+    fn changes_after(&self, version: u64) -> Option<RowChanges>;
 
     /// Returns what is notified when rows have changed.
     fn changed(&self) -> Arc<Notify>;
@@ -75,12 +75,12 @@
     pub peer: SocketAddr,
     /// After which version.
     pub after: u64,
-    /// How long the peer waits for news.
+    /// How long the peer waits for updates.
     pub wait: Duration,
     /// How long its answer may take on top.
     pub margin: Duration,
     /// Takes the answer; nothing if none came, or the peer couldn't tell.
-    pub answer: Box<dyn FnOnce(Option<RowNews>) + Send>,
+    pub answer: Box<dyn FnOnce(Option<RowChanges>) + Send>,
 }
 
 impl std::fmt::Debug for RowQuestion {
--- a/crates/flaxtide-fleet/src/settings/give.rs
+++ b/crates/flaxtide-fleet/src/settings/give.rs
@@ -9,27 +9,27 @@
 
 /// How many peers are given settings at the same time. A few at a time are done sooner than
 /// all at once, and then give them on; others ask elsewhere.
-const SEATS: usize = 4;
+const PERMITS: usize = 4;
 
 /// A peer that asks for no further piece for so long has given up, or is gone. It asks again
 /// sooner if an answer was lost: within 2.6 s, with the opening of a link.
-const SEAT_IDLE: Duration = Duration::from_secs(3);
+const PERMIT_IDLE: Duration = Duration::from_secs(3);
 
 /// Gives settings to a few peers at a time, in pieces. It is told the time.
 ///
 /// ```
 /// use std::time::Duration;
-/// use flaxtide_fleet::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
-/// let mut giver = PieceGiver::default();
+/// use flaxtide_fleet::{PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy};
+/// let mut provider = PieceProvider::default();
 /// let newest = || Some(SettingsCopy { version: 7, tree: "{}".into() });
-/// let question = PieceQuestion { asker: 1, newer_than: 6, version: 0, offset: 0 };
-/// let answer = giver.answer(question, newest, Duration::ZERO);
+/// let question = PieceQuestion { requester: 1, newer_than: 6, version: 0, offset: 0 };
+/// let answer = provider.answer(question, newest, Duration::ZERO);
 /// assert!(matches!(answer, PieceAnswer::Piece(piece) if piece.text == "{}"));
 /// ```
 #[derive(Debug, Default)]
-pub struct PieceGiver {
+pub struct PieceProvider {
     /// The copies that are being given.
-    seats: Vec<GivenCopy>,
+    permits: Vec<GivenCopy>,
 }
 
 /// A copy that a peer is being given. It stays the same until it is whole, also when newer
@@ -37,7 +37,7 @@
 #[derive(Debug)]
 struct GivenCopy {
     /// The peer.
-    asker: FleetKey,
+    requester: FleetKey,
     /// The copy.
     copy: SettingsCopy,
     /// Its checksum.
@@ -46,7 +46,7 @@
     asked: Duration,
 }
 
-impl PieceGiver {
+impl PieceProvider {
     /// Answers a question. `newest` returns the settings in force, if newer than what the
     /// peer has.
     pub fn answer(
@@ -55,22 +55,26 @@
         newest: impl FnOnce() -> Option<SettingsCopy>,
         now: Duration,
     ) -> PieceAnswer {
-        self.seats.retain(|seat| now < seat.asked + SEAT_IDLE);
-        let own = self.seats.iter().position(|seat| seat.asker == question.asker);
-        let begun = own.map(|place| self.seats.swap_remove(place));
-        if self.seats.len() >= SEATS {
+        self.permits.retain(|permit| now < permit.asked + PERMIT_IDLE);
+        let own = self
+            .permits
+            .iter()
+            .position(|permit| permit.requester == question.requester);
+        let begun = own.map(|place| self.permits.swap_remove(place));
+        if self.permits.len() >= PERMITS {
             return PieceAnswer::Busy;
         }
-        let begun = begun.filter(|seat| seat.copy.version == question.version);
+        let begun = begun.filter(|permit| permit.copy.version == question.version);
         // Older settings than those that the peer has begun are of no use to it.
         let newest = || newest().filter(|copy| copy.version >= question.version);
-        let seat = begun.or_else(|| Some(GivenCopy::new(question.asker, newest()?, now)));
-        let Some(mut seat) = seat else { return PieceAnswer::NothingNewer };
-        let piece = seat.piece(question);
+        let permit =
+            begun.or_else(|| Some(GivenCopy::new(question.requester, newest()?, now)));
+        let Some(mut permit) = permit else { return PieceAnswer::NothingNewer };
+        let piece = permit.piece(question);
         let end = piece.offset as usize + piece.text.len();
-        if end < seat.copy.tree.len() {
-            seat.asked = now;
-            self.seats.push(seat);
+        if end < permit.copy.tree.len() {
+            permit.asked = now;
+            self.permits.push(permit);
         }
         PieceAnswer::Piece(piece)
     }
@@ -78,9 +82,9 @@
 
 impl GivenCopy {
     /// Begins to give a copy to a peer.
-    fn new(asker: FleetKey, copy: SettingsCopy, now: Duration) -> Self {
+    fn new(requester: FleetKey, copy: SettingsCopy, now: Duration) -> Self {
         let checksum = checksum(&copy.tree);
-        Self { asker, copy, checksum, asked: now }
+        Self { requester, copy, checksum, asked: now }
     }
 
     /// Cuts the piece that a question asks for; the first one if it asks for a version that
--- a/crates/flaxtide-fleet/src/settings/mod.rs
+++ b/crates/flaxtide-fleet/src/settings/mod.rs
@@ -12,10 +12,10 @@
 
 use crate::key::FleetKey;
 
-pub use self::give::PieceGiver;
+pub use self::give::PieceProvider;
 pub use self::take::{CopyAssembly, TakenPiece};
 
-/// The most bytes of one piece: 26 ms of a link of 10 Mbit/s, so that beats wait about 0.1 s
+/// The most bytes of one piece: 26 ms of a link of 10 Mbit/s, so that heartbeats wait about 0.1 s
 /// behind the pieces of all that are given settings at the same time.
 pub const PIECE_BYTES: usize = 32 * 1024;
 
@@ -32,7 +32,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PieceQuestion {
     /// Stands for the instance that asks, also over another link.
-    pub asker: FleetKey,
+    pub requester: FleetKey,
     /// Only settings newer than this are of use.
     pub newer_than: SettingsVersion,
     /// The version that has been begun; 0 before the first piece.
--- a/crates/flaxtide-fleet/src/settings/take.rs
+++ b/crates/flaxtide-fleet/src/settings/take.rs
@@ -79,16 +79,16 @@
 
     /// Returns the question of an instance for the next piece.
     #[must_use]
-    pub fn question(&self, asker: FleetKey) -> PieceQuestion {
+    pub fn question(&self, requester: FleetKey) -> PieceQuestion {
         PieceQuestion {
-            asker,
+            requester,
             newer_than: self.newer_than,
             version: self.version,
             offset: self.text.len() as u32,
         }
     }
 
-    /// Takes in a piece. One that doesn't fit leaves what has come as it is.
+    /// Records a piece. One that doesn't fit leaves what has come as it is.
     pub fn take(&mut self, piece: &SettingsPiece) -> TakenPiece {
         let begins =
             piece.offset == 0 && (piece.version > self.version || self.text.is_empty());
@@ -122,7 +122,7 @@
         }
     }
 
-    /// Tells whether a piece is the next one of what has been begun, and brings something.
+    /// Returns whether a piece is the next one of what has been begun, and brings something.
     fn fits(&self, piece: &SettingsPiece) -> bool {
         let left = self.length as usize - self.text.len().min(self.length as usize);
         piece.version == self.version
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -17,15 +17,15 @@
 use tokio::task::JoinHandle;
 
 use crate::counted::LinkBytes;
-use crate::fetch::{BegunCopy, fetch_settings};
+use crate::fetch::{PartialCopy, fetch_settings};
 use crate::links::{PeerLinks, call, transport};
-use crate::node::{FleetNews, FleetNode, OutgoingBeat, OutgoingHello};
-use crate::rows::{RowNews, RowQuestion, RowSource};
-use crate::settings::{PieceAnswer, PieceGiver, PieceQuestion, SettingsCopy};
-use crate::wire::{BeatReply, FleetBeat, GroupDigest, GroupHello, PeerLink};
+use crate::node::{FleetNode, FleetNotice, OutgoingHeartbeat, OutgoingHello};
+use crate::rows::{RowChanges, RowQuestion, RowSource};
+use crate::settings::{PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy};
+use crate::wire::{FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply, PeerLink};
 
 /// How often the thread looks at its rings.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
+const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// How long a peer may take to answer.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -33,7 +33,7 @@
 /// How many requests of one link are answered side by side.
 const REQUESTS_OF_A_LINK: usize = 8;
 
-/// The shortest time between two rounds of beats that don't wait for their period.
+/// The shortest time between two rounds of heartbeats that don't wait for their period.
 const URGENT_PERIOD: Duration = Duration::from_millis(200);
 
 /// How often links to peers that aren't known any more are closed.
@@ -72,10 +72,10 @@
     }
 }
 
-/// What the fleet thread tells: news for this instance, or settings.
+/// What the fleet thread tells: updates for this instance, or settings.
 pub(crate) enum FleetOutput {
     /// News, as they came in one message.
-    News(Vec<FleetNews>),
+    News(Vec<FleetNotice>),
     /// The settings that a peer sent.
     Settings(SettingsCopy),
 }
@@ -105,14 +105,14 @@
     /// The open links to peers.
     pub(crate) links: PeerLinks,
     /// Gives the settings to a few peers at a time.
-    giver: Mutex<PieceGiver>,
+    provider: Mutex<PieceProvider>,
     /// What has come of the settings that are being fetched. It outlasts a fetch that ends
     /// before they are whole.
-    begun: Mutex<BegunCopy>,
+    begun: Mutex<PartialCopy>,
 }
 
 impl FleetThread {
-    /// Listens for peers. `news` takes what is heard, `adopt` takes settings that a peer
+    /// Listens for peers. `updates` takes what is heard, `adopt` takes settings that a peer
     /// sent, and `settings` gives the settings in force if newer than a version.
     ///
     /// # Errors
@@ -121,7 +121,7 @@
     pub fn listen(
         address: SocketAddr,
         clock: MilliClock,
-        news: impl Fn(Vec<FleetNews>) + Send + Sync + 'static,
+        notices: impl Fn(Vec<FleetNotice>) + Send + Sync + 'static,
         adopt: impl Fn(SettingsCopy) + Send + Sync + 'static,
         settings: impl Fn(SettingsVersion) -> Option<SettingsCopy> + Send + Sync + 'static,
         node: impl FnOnce(SocketAddr) -> FleetNode,
@@ -131,7 +131,7 @@
         let node = node(listener.local_addr()?);
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let output = move |output: FleetOutput| match output {
-            FleetOutput::News(heard) => news(heard),
+            FleetOutput::News(heard) => notices(heard),
             FleetOutput::Settings(copy) => adopt(copy),
         };
         let shared = Arc::new(FleetShared {
@@ -141,7 +141,7 @@
             settings: Box::new(settings),
             rows: OnceLock::new(),
             links: PeerLinks::default(),
-            giver: Mutex::default(),
+            provider: Mutex::default(),
             begun: Mutex::default(),
         });
         Ok(Self { listener, runtime, shared })
@@ -192,19 +192,19 @@
     }
 
     /// Locks what has come of settings.
-    pub(crate) fn begun(&self) -> MutexGuard<'_, BegunCopy> {
+    pub(crate) fn begun(&self) -> MutexGuard<'_, PartialCopy> {
         self.begun.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Passes on what has been heard.
-    fn tell(&self, news: Vec<FleetNews>) {
-        if !news.is_empty() {
-            (self.output)(FleetOutput::News(news));
+    fn tell(&self, notices: Vec<FleetNotice>) {
+        if !notices.is_empty() {
+            (self.output)(FleetOutput::News(notices));
         }
     }
 }
 
-/// Takes events and sends beats until told to stop.
+/// Takes events and sends heartbeats until told to stop.
 async fn lead(shared: &Arc<FleetShared>, events: &Receiver<FleetEvent>) {
     let mut urgent = UrgentRound::default();
     let mut fetch = None;
@@ -212,13 +212,13 @@
     while take_events(shared, events, &mut urgent) {
         let now = shared.clock.now();
         fetch_if_due(shared, &mut fetch, now);
-        let mut beats = shared.node().due_beats(now);
-        if beats.is_empty() && urgent.is_due(now) {
+        let mut heartbeats = shared.node().due_heartbeats(now);
+        if heartbeats.is_empty() && urgent.is_due(now) {
             urgent = UrgentRound { wanted: false, last: Some(now) };
-            beats = shared.node().urgent_beats();
+            heartbeats = shared.node().urgent_heartbeats();
         }
-        for beat in beats {
-            tokio::spawn(send(shared.clone(), beat));
+        for heartbeat in heartbeats {
+            tokio::spawn(send(shared.clone(), heartbeat));
         }
         if now >= tidied + TIDY_PERIOD {
             tidied = now;
@@ -229,11 +229,11 @@
         for hello in hellos {
             tokio::spawn(ask_digest(shared.clone(), hello));
         }
-        tokio::time::sleep(LOOK_PERIOD).await;
+        tokio::time::sleep(POLL_PERIOD).await;
     }
 }
 
-/// A round of beats that doesn't wait for its period.
+/// A round of heartbeats that doesn't wait for its period.
 #[derive(Debug, Default)]
 struct UrgentRound {
     /// Whether there is something that everyone is to hear at once.
@@ -243,7 +243,7 @@
 }
 
 impl UrgentRound {
-    /// Tells whether it is to be sent now.
+    /// Returns whether it is to be sent now.
     fn is_due(&self, now: Duration) -> bool {
         self.wanted && self.last.is_none_or(|at| now >= at + URGENT_PERIOD)
     }
@@ -280,23 +280,23 @@
     now: Duration,
 ) {
     let mut node = shared.node();
-    node.note_newer(now);
+    node.record_newer(now);
     if fetch.as_ref().is_none_or(JoinHandle::is_finished) && node.settings_due(now) {
         drop(node);
         *fetch = Some(tokio::spawn(fetch_settings(shared.clone())));
     }
 }
 
-/// Sends one beat and takes in the reply.
-async fn send(shared: Arc<FleetShared>, outgoing: OutgoingBeat) {
+/// Sends one heartbeat and takes in the reply.
+async fn send(shared: Arc<FleetShared>, outgoing: OutgoingHeartbeat) {
     let address = outgoing.to.address;
     let Some(link) = shared.links.open(address).await else { return };
-    let beat = |context| link.client.beat(context, outgoing.beat);
-    match call(ANSWER_TIMEOUT, beat).await {
+    let heartbeat = |context| link.client.heartbeat(context, outgoing.heartbeat);
+    match call(ANSWER_TIMEOUT, heartbeat).await {
         Ok(reply) => {
             let now = shared.clock.now();
-            let news = shared.node().hear_reply(&outgoing.to.name, &reply, now);
-            shared.tell(news);
+            let notices = shared.node().handle_reply(&outgoing.to.name, &reply, now);
+            shared.tell(notices);
         }
         Err(cause) => {
             log::debug!("no answer from {}: {cause}", outgoing.to.name);
@@ -313,8 +313,8 @@
     match call(ANSWER_TIMEOUT, digest).await {
         Ok(digest) => {
             let now = shared.clock.now();
-            let news = shared.node().hear_digest(&digest, now);
-            shared.tell(news);
+            let notices = shared.node().handle_digest(&digest, now);
+            shared.tell(notices);
         }
         Err(cause) => {
             log::debug!("no digest from {}: {cause}", outgoing.to.name);
@@ -324,7 +324,7 @@
 }
 
 /// Asks a peer for the rows that it has read. An answer that is late doesn't close the link:
-/// its beats tell whether the peer is there.
+/// its heartbeats tell whether the peer is there.
 async fn ask_rows(shared: Arc<FleetShared>, question: RowQuestion) {
     let RowQuestion { peer, after, wait, margin, answer } = question;
     let asked = async {
@@ -332,7 +332,7 @@
         let wait_ms = wait.as_millis() as u32;
         let rows = |context| link.client.rows(context, after, wait_ms);
         match call(wait + margin, rows).await {
-            Ok(news) => news,
+            Ok(notices) => notices,
             Err(cause) => {
                 log::debug!("no rows from {peer}: {cause}");
                 if !matches!(cause, RpcError::DeadlineExceeded) {
@@ -349,7 +349,7 @@
 async fn serve(listener: TcpListener, shared: Arc<FleetShared>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(LOOK_PERIOD).await;
+            tokio::time::sleep(POLL_PERIOD).await;
             continue;
         };
         let _ = stream.set_nodelay(true);
@@ -376,44 +376,44 @@
 }
 
 impl PeerLink for PeerServer {
-    async fn beat(self, _: Context, beat: FleetBeat) -> BeatReply {
+    async fn heartbeat(self, _: Context, heartbeat: FleetHeartbeat) -> HeartbeatReply {
         let now = self.shared.clock.now();
-        let (reply, news) = self.shared.node().hear_beat(&beat, now);
-        self.shared.tell(news);
+        let (reply, notices) = self.shared.node().handle_heartbeat(&heartbeat, now);
+        self.shared.tell(notices);
         reply
     }
 
     async fn digest(self, _: Context, hello: GroupHello) -> GroupDigest {
         let now = self.shared.clock.now();
-        self.shared.node().hear_hello(&hello, now)
+        self.shared.node().handle_hello(&hello, now)
     }
 
     async fn settings(self, _: Context, question: PieceQuestion) -> PieceAnswer {
         let shared = &self.shared;
         let newest = || (shared.settings)(question.newer_than);
-        let mut giver = shared.giver.lock().unwrap_or_else(PoisonError::into_inner);
-        let answer = giver.answer(question, newest, shared.clock.now());
-        note_given(question, &answer);
+        let mut provider = shared.provider.lock().unwrap_or_else(PoisonError::into_inner);
+        let answer = provider.answer(question, newest, shared.clock.now());
+        log_given(question, &answer);
         answer
     }
 
-    async fn rows(self, _: Context, after: u64, wait_ms: u32) -> Option<RowNews> {
+    async fn rows(self, _: Context, after: u64, wait_ms: u32) -> Option<RowChanges> {
         let source = self.shared.rows.get()?.clone();
         let wait = Duration::from_millis(wait_ms.into()).min(ANSWER_TIMEOUT);
         let changed = source.changed();
         let woken = changed.notified();
-        let news = source.news_after(after)?;
-        if !news.rows.is_empty() {
-            return Some(news);
+        let notices = source.changes_after(after)?;
+        if !notices.rows.is_empty() {
+            return Some(notices);
         }
-        // Without news in time, the answer says up to when there was none.
+        // Without updates in time, the answer says up to when there was none.
         let _ = tokio::time::timeout(wait, woken).await;
-        source.news_after(after)
+        source.changes_after(after)
     }
 }
 
 /// Logs that settings are given, once a copy, and that a peer is sent elsewhere.
-fn note_given(question: PieceQuestion, answer: &PieceAnswer) {
+fn log_given(question: PieceQuestion, answer: &PieceAnswer) {
     let newer_than = question.newer_than;
     match answer {
         PieceAnswer::Piece(piece) if piece.offset == 0 => log::info!(
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -7,21 +7,21 @@
 
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
-use crate::rows::RowNews;
+use crate::rows::RowChanges;
 use crate::settings::{PieceAnswer, PieceQuestion};
 
 /// What an instance answers its peers.
 #[tarpc::service]
 pub(crate) trait PeerLink {
-    /// Takes in what a peer says of itself, and answers with what the peer should know.
-    async fn beat(beat: FleetBeat) -> BeatReply;
+    /// Records what a peer says of itself, and answers with what the peer should know.
+    async fn heartbeat(heartbeat: FleetHeartbeat) -> HeartbeatReply;
 
     /// Returns the next piece of the settings in force.
     async fn settings(question: PieceQuestion) -> PieceAnswer;
 
     /// Returns the rows that changed after a version, as soon as there are any or after so
     /// many milliseconds; nothing if that can't be told.
-    async fn rows(after: u64, wait_ms: u32) -> Option<RowNews>;
+    async fn rows(after: u64, wait_ms: u32) -> Option<RowChanges>;
 
     /// Hears how an instance of another data centre is, and answers with this one's digest.
     async fn digest(hello: GroupHello) -> GroupDigest;
@@ -30,7 +30,7 @@
 /// What an instance says of itself, once a period, to each peer of its data centre and to
 /// one of each other data centre.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct FleetBeat {
+pub struct FleetHeartbeat {
     /// Its name.
     pub from: InstanceName,
     /// Its data centre.
@@ -52,16 +52,16 @@
     /// The shared parts of prompts that servers have read for it lately.
     pub reads: Vec<PartRead>,
     /// The servers that it has found silent lately.
-    pub silent: Vec<FleetKey>,
+    pub unresponsive: Vec<FleetKey>,
     /// The use of organisations whose rate the receiver keeps.
     pub usage: Vec<UsageCount>,
     /// Whether it wants to be told of other instances, as it can't read the list.
     pub wants_peers: bool,
 }
 
-/// The answer to a beat.
+/// The answer to a heartbeat.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct BeatReply {
+pub struct HeartbeatReply {
     /// The epoch of the instance that answers.
     pub epoch: u32,
     /// Whether it is stopping.
@@ -153,7 +153,7 @@
     pub part: u32,
 }
 
-/// How many requests of an organisation came since the last beat.
+/// How many requests of an organisation came since the last heartbeat.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageCount {
     /// The organisation.
--- a/crates/flaxtide-fleet/tests/groups.rs
+++ b/crates/flaxtide-fleet/tests/groups.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use flaxtide_fleet::{
-    FleetNews, FleetNode, FleetTiming, NodeDemand, OwnLoad, PeerInfo, fleet_key,
+    FleetNode, FleetNotice, FleetTiming, NodeDemand, OwnLoad, PeerInfo, fleet_key,
 };
 
 /// How much the clock moves in a step.
@@ -105,24 +105,24 @@
             let loads = self.loads.get(&from).cloned().unwrap_or_default();
             node.set_demand(NodeDemand { loads, ..NodeDemand::default() }, now);
         }
-        let beats = node.due_beats(now);
+        let heartbeats = node.due_heartbeats(now);
         let hellos = node.due_hellos(now);
-        for outgoing in beats {
+        for outgoing in heartbeats {
             let to = outgoing.to.address;
             let Some(peer) = self.reach(from, to) else { continue };
-            let (reply, news) = peer.hear_beat(&outgoing.beat, now);
-            self.note(to, news);
+            let (reply, notices) = peer.handle_heartbeat(&outgoing.heartbeat, now);
+            self.note(to, notices);
             let node = self.nodes.get_mut(&from).unwrap();
-            let news = node.hear_reply(&outgoing.to.name, &reply, now);
-            self.note(from, news);
+            let notices = node.handle_reply(&outgoing.to.name, &reply, now);
+            self.note(from, notices);
         }
         for outgoing in hellos {
             let to = outgoing.to.address;
             let Some(peer) = self.reach(from, to) else { continue };
-            let digest = peer.hear_hello(&outgoing.hello, now);
+            let digest = peer.handle_hello(&outgoing.hello, now);
             let node = self.nodes.get_mut(&from).unwrap();
-            let news = node.hear_digest(&digest, now);
-            self.note(from, news);
+            let notices = node.handle_digest(&digest, now);
+            self.note(from, notices);
         }
     }
 
@@ -137,9 +137,9 @@
     }
 
     /// Notes the sums that a node has heard.
-    fn note(&mut self, at: SocketAddr, news: Vec<FleetNews>) {
-        for news in news {
-            if let FleetNews::GroupLoads(data_centre, loads) = news {
+    fn note(&mut self, at: SocketAddr, notices: Vec<FleetNotice>) {
+        for notices in notices {
+            if let FleetNotice::GroupLoads(data_centre, loads) = notices {
                 self.sums.insert((at, data_centre), loads);
             }
         }
@@ -288,7 +288,7 @@
     }
     fleet.run(Duration::from_secs(4));
     for node in fleet.nodes.values_mut() {
-        node.note_newer(fleet.now);
+        node.record_newer(fleet.now);
     }
     let knows =
         |node: &&FleetNode| node.version() == 7 || node.newest_known(fleet.now) == 7;
--- a/crates/flaxtide-fleet/tests/news.rs
+++ b/crates/flaxtide-fleet/tests/news.rs
@@ -1,10 +1,10 @@
-//! Beats that go out before their period, as there is something that peers should know.
+//! Heartbeats that go out before their period, as there is something that peers should know.
 
 use std::time::Duration;
 
 use flaxtide_fleet::{FleetNode, FleetTiming, NodeDemand, OwnLoad, PeerInfo};
 
-/// How often the thread looks whether beats are due.
+/// How often the thread looks whether heartbeats are due.
 const LOOK: Duration = Duration::from_millis(50);
 
 fn info(number: usize) -> PeerInfo {
@@ -23,9 +23,12 @@
     for number in 1..count {
         let mut peer = FleetNode::new(info(number), number as u32, timing.clone());
         peer.set_list(Some((0..count).map(info).collect()), Duration::ZERO);
-        let beats = peer.due_beats(Duration::ZERO);
-        let beat = beats.iter().find(|beat| beat.to.name == "instance-0").unwrap();
-        node.hear_beat(&beat.beat, Duration::ZERO);
+        let heartbeats = peer.due_heartbeats(Duration::ZERO);
+        let heartbeat = heartbeats
+            .iter()
+            .find(|heartbeat| heartbeat.to.name == "instance-0")
+            .unwrap();
+        node.handle_heartbeat(&heartbeat.heartbeat, Duration::ZERO);
     }
     node
 }
@@ -41,13 +44,13 @@
     NodeDemand { loads: vec![load], ..NodeDemand::default() }
 }
 
-/// Counts rounds of beats in twenty seconds, once what was saved up for news is spent.
+/// Counts rounds of heartbeats in twenty seconds, once what was saved up for updates is spent.
 fn rounds(node: &mut FleetNode, demand: impl Fn(bool) -> NodeDemand) -> usize {
     let mut rounds = 0;
     for look in 1..=500 {
         let now = Duration::from_secs(1) + LOOK * look;
         node.set_demand(demand(look % 4 < 2), now);
-        let due = !node.due_beats(now).is_empty();
+        let due = !node.due_heartbeats(now).is_empty();
         rounds += usize::from(due && look > 100);
     }
     rounds
@@ -57,30 +60,30 @@
 fn a_long_prompt_is_told_before_the_period_is_over() {
     let mut node = node_among(9);
     node.set_demand(unread(0), Duration::from_secs(1));
-    node.due_beats(Duration::from_secs(1));
+    node.due_heartbeats(Duration::from_secs(1));
     let soon = Duration::from_millis(1050);
     node.set_demand(unread(10), soon);
-    assert!(node.due_beats(soon).is_empty(), "a little more is no news");
+    assert!(node.due_heartbeats(soon).is_empty(), "a little more is no news");
     let later = Duration::from_millis(1100);
     node.set_demand(unread(200), later);
-    assert_eq!(node.due_beats(later).len(), 8);
+    assert_eq!(node.due_heartbeats(later).len(), 8);
 }
 
 #[test]
 fn a_silent_server_is_told_at_once_and_not_again() {
     let mut node = node_among(9);
-    node.due_beats(Duration::from_secs(1));
-    let silent = || NodeDemand { silent: vec![5], ..NodeDemand::default() };
+    node.due_heartbeats(Duration::from_secs(1));
+    let silent = || NodeDemand { unresponsive: vec![5], ..NodeDemand::default() };
     for (at, due) in [(1050, true), (1100, false), (1150, false)] {
         let now = Duration::from_millis(at);
         node.set_demand(silent(), now);
-        assert_eq!(!node.due_beats(now).is_empty(), due, "at {at}");
+        assert_eq!(!node.due_heartbeats(now).is_empty(), due, "at {at}");
     }
 }
 
 #[test]
 fn news_keep_within_the_bytes_of_control() {
-    /// Bytes of a beat with its answer.
+    /// Bytes of a heartbeat with its answer.
     const BEAT: f64 = 406.0;
     for instances in [9, 30, 58] {
         let mut node = node_among(instances);
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flaxtide_fleet::{
-    FleetKey, FleetNews, FleetNode, FleetServer, FleetTiming, ListReader, NodeDemand,
+    FleetKey, FleetNode, FleetNotice, FleetServer, FleetTiming, ListReader, NodeDemand,
     PeerInfo, PoolDemand, UsageCount, fleet_key,
 };
 
@@ -26,9 +26,9 @@
     now: Duration,
     /// What each node says of itself.
     demands: BTreeMap<String, NodeDemand>,
-    /// The last news of shares, by node and server, with until when they hold.
+    /// The last updates of shares, by node and server, with until when they hold.
     shares: BTreeMap<(String, FleetKey), (u16, Duration)>,
-    /// The last news of rates, by node.
+    /// The last updates of rates, by node.
     rates: BTreeMap<String, (f64, Duration)>,
 }
 
@@ -73,7 +73,7 @@
         self.cuts.insert((other.into(), one.into()));
     }
 
-    /// Tells whether a message passes.
+    /// Returns whether a message passes.
     fn passes(&self, from: &str, to: &str) -> bool {
         let centre = |name: &str| name.split('-').next().unwrap_or_default().to_owned();
         let pairs = [(from.to_owned(), to.to_owned()), (centre(from), centre(to))];
@@ -98,42 +98,42 @@
         let demand = self.demands[name].clone();
         let node = self.nodes.get_mut(name).unwrap();
         node.set_demand(demand, now);
-        let own = node.own_news(now);
-        let beats = node.due_beats(now);
+        let own = node.own_notices(now);
+        let heartbeats = node.due_heartbeats(now);
         self.take(name, own);
-        for outgoing in beats {
+        for outgoing in heartbeats {
             let to = outgoing.to.name;
             if !self.passes(name, &to) {
                 continue;
             }
             let Some(peer) = self.nodes.get_mut(&to) else { continue };
-            let (reply, news) = peer.hear_beat(&outgoing.beat, now);
-            self.take(&to, news);
+            let (reply, notices) = peer.handle_heartbeat(&outgoing.heartbeat, now);
+            self.take(&to, notices);
             let node = self.nodes.get_mut(name).unwrap();
-            let news = node.hear_reply(&to, &reply, now);
-            self.take(name, news);
+            let notices = node.handle_reply(&to, &reply, now);
+            self.take(name, notices);
         }
     }
 
-    /// Takes in a node's news.
-    fn take(&mut self, name: &str, news: Vec<FleetNews>) {
-        for news in news {
-            match news {
-                FleetNews::PeerLoads(..)
-                | FleetNews::GroupLoads(..)
-                | FleetNews::PeerReads(_)
-                | FleetNews::PeerSilent(_) => {}
-                FleetNews::Share(share, until) => {
+    /// Records a node's updates.
+    fn take(&mut self, name: &str, notices: Vec<FleetNotice>) {
+        for notices in notices {
+            match notices {
+                FleetNotice::PeerLoads(..)
+                | FleetNotice::GroupLoads(..)
+                | FleetNotice::PeerReads(_)
+                | FleetNotice::PeerUnresponsive(_) => {}
+                FleetNotice::Share(share, until) => {
                     self.shares.insert((name.into(), share.server), (share.slots, until));
                 }
-                FleetNews::Rate(rate, until) => {
+                FleetNotice::Rate(rate, until) => {
                     let part = f64::from(rate.part) / f64::from(u16::MAX);
                     self.rates.insert(name.into(), (part, until));
                 }
-                FleetNews::Version(version, _) => {
+                FleetNotice::Version(version, _) => {
                     self.nodes.get_mut(name).unwrap().set_version(version);
                 }
-                FleetNews::Load(_) => {}
+                FleetNotice::Load(_) => {}
             }
         }
     }
@@ -276,7 +276,7 @@
     // Links that dc0-0 opens to dc0-1 fail; those that dc0-1 opens to dc0-0 don't.
     net.cuts.insert(("dc0-0".into(), "dc0-1".into()));
     net.run(Duration::from_secs(3));
-    // A beat and its reply use one link, so either direction is enough to be heard.
+    // A heartbeat and its reply use one link, so either direction is enough to be heard.
     assert!(net.nodes.values().all(|node| node.live().len() == 3));
 }
 
--- a/crates/flaxtide-fleet/tests/settings.rs
+++ b/crates/flaxtide-fleet/tests/settings.rs
@@ -1,15 +1,15 @@
-//! Settings on their way between instances: in pieces, from few givers to few askers at a
+//! Settings on their way between instances: in pieces, from few providers to few requesters at a
 //! time, and only when the platform hasn't brought them.
 
 use std::time::Duration;
 
 use flaxtide_fleet::{
-    CopyAssembly, FleetNode, FleetTiming, PIECE_BYTES, PeerInfo, PieceAnswer, PieceGiver,
-    PieceQuestion, SettingsCopy, SettingsPiece, TakenPiece,
+    CopyAssembly, FleetNode, FleetTiming, PIECE_BYTES, PeerInfo, PieceAnswer,
+    PieceProvider, PieceQuestion, SettingsCopy, SettingsPiece, TakenPiece,
 };
 
 /// How many peers are given settings at the same time.
-const SEATS: u32 = 4;
+const PERMITS: u32 = 4;
 
 /// Returns settings of a version, of several pieces, with characters of two bytes.
 fn settings(version: u64) -> SettingsCopy {
@@ -19,15 +19,15 @@
 
 /// Returns the answer to a question of an instance.
 fn ask(
-    giver: &mut PieceGiver,
-    asker: u32,
+    provider: &mut PieceProvider,
+    requester: u32,
     question: PieceQuestion,
     newest: u64,
     now: u64,
 ) -> PieceAnswer {
     let newest = || (newest > question.newer_than).then(|| settings(newest));
-    let question = PieceQuestion { asker, ..question };
-    giver.answer(question, newest, Duration::from_millis(now))
+    let question = PieceQuestion { requester, ..question };
+    provider.answer(question, newest, Duration::from_millis(now))
 }
 
 /// Returns the piece that an answer brings.
@@ -40,9 +40,9 @@
 
 #[test]
 fn settings_come_whole_in_pieces() {
-    let (mut giver, mut assembly) = (PieceGiver::default(), CopyAssembly::new(6));
+    let (mut provider, mut assembly) = (PieceProvider::default(), CopyAssembly::new(6));
     for count in 1.. {
-        let piece = piece(ask(&mut giver, 1, assembly.question(1), 7, count));
+        let piece = piece(ask(&mut provider, 1, assembly.question(1), 7, count));
         assert!(piece.text.len() <= PIECE_BYTES);
         match assembly.take(&piece) {
             TakenPiece::Partial => {}
@@ -58,10 +58,10 @@
 
 #[test]
 fn a_copy_that_is_begun_is_ended_though_newer_settings_come() {
-    let (mut giver, mut assembly) = (PieceGiver::default(), CopyAssembly::new(6));
+    let (mut provider, mut assembly) = (PieceProvider::default(), CopyAssembly::new(6));
     for newest in 7.. {
         // Each question finds a newer version in force.
-        let piece = piece(ask(&mut giver, 1, assembly.question(1), newest, newest));
+        let piece = piece(ask(&mut provider, 1, assembly.question(1), newest, newest));
         assert_eq!(piece.version, 7);
         if let TakenPiece::Whole(copy) = assembly.take(&piece) {
             assert_eq!(copy, settings(7));
@@ -72,14 +72,14 @@
 
 #[test]
 fn another_giver_of_the_same_version_gives_the_rest() {
-    let (mut first, mut second) = (PieceGiver::default(), PieceGiver::default());
+    let (mut first, mut second) = (PieceProvider::default(), PieceProvider::default());
     let mut assembly = CopyAssembly::new(6);
     assembly.take(&piece(ask(&mut first, 1, assembly.question(1), 7, 0)));
     let begun = assembly.question(1);
     assert!(begun.offset > 0);
     assert_eq!(piece(ask(&mut second, 1, begun, 7, 0)).offset, begun.offset);
     // One with another version begins anew.
-    let other = piece(ask(&mut PieceGiver::default(), 1, begun, 8, 0));
+    let other = piece(ask(&mut PieceProvider::default(), 1, begun, 8, 0));
     assert_eq!((other.version, other.offset), (8, 0));
     assert_eq!(assembly.take(&other), TakenPiece::Partial);
     assert_eq!(assembly.question(1).version, 8);
@@ -87,29 +87,29 @@
 
 #[test]
 fn few_are_given_settings_at_a_time() {
-    let mut giver = PieceGiver::default();
+    let mut provider = PieceProvider::default();
     let first = CopyAssembly::new(6).question(1);
-    for asker in 0..SEATS {
-        piece(ask(&mut giver, asker, first, 7, 0));
+    for requester in 0..PERMITS {
+        piece(ask(&mut provider, requester, first, 7, 0));
     }
-    assert_eq!(ask(&mut giver, SEATS, first, 7, 1), PieceAnswer::Busy);
-    // Who has a seat goes on, and one that is silent for long loses it.
-    piece(ask(&mut giver, 0, first, 7, 2900));
-    piece(ask(&mut giver, SEATS, first, 7, 3100));
-    for place in 1..SEATS - 1 {
-        piece(ask(&mut giver, SEATS + place, first, 7, 3100));
+    assert_eq!(ask(&mut provider, PERMITS, first, 7, 1), PieceAnswer::Busy);
+    // Who has a permit goes on, and one that is silent for long loses it.
+    piece(ask(&mut provider, 0, first, 7, 2900));
+    piece(ask(&mut provider, PERMITS, first, 7, 3100));
+    for place in 1..PERMITS - 1 {
+        piece(ask(&mut provider, PERMITS + place, first, 7, 3100));
     }
-    assert_eq!(ask(&mut giver, 2 * SEATS, first, 7, 3100), PieceAnswer::Busy);
-    piece(ask(&mut giver, 0, first, 7, 3200));
+    assert_eq!(ask(&mut provider, 2 * PERMITS, first, 7, 3100), PieceAnswer::Busy);
+    piece(ask(&mut provider, 0, first, 7, 3200));
 }
 
 #[test]
 fn who_has_all_pieces_leaves_its_seat() {
-    let mut giver = PieceGiver::default();
-    for asker in 0..3 * SEATS {
+    let mut provider = PieceProvider::default();
+    for requester in 0..3 * PERMITS {
         let mut assembly = CopyAssembly::new(6);
         loop {
-            let piece = piece(ask(&mut giver, asker, assembly.question(1), 7, 0));
+            let piece = piece(ask(&mut provider, requester, assembly.question(1), 7, 0));
             if assembly.take(&piece) != TakenPiece::Partial {
                 break;
             }
@@ -119,30 +119,35 @@
 
 #[test]
 fn who_asks_again_keeps_its_one_seat_and_its_version() {
-    let mut giver = PieceGiver::default();
+    let mut provider = PieceProvider::default();
     let mut assembly = CopyAssembly::new(6);
-    assembly.take(&piece(ask(&mut giver, 1, assembly.question(1), 7, 0)));
+    assembly.take(&piece(ask(&mut provider, 1, assembly.question(1), 7, 0)));
     // Answers are lost, and it asks over further links while newer settings come.
-    for newest in 8..8 + 3 * u64::from(SEATS) {
-        let again = piece(ask(&mut giver, 1, assembly.question(1), newest, newest));
+    for newest in 8..8 + 3 * u64::from(PERMITS) {
+        let again = piece(ask(&mut provider, 1, assembly.question(1), newest, newest));
         assert_eq!((again.version, again.offset), (7, assembly.received() as u32));
     }
-    for other in 2..=SEATS {
-        piece(ask(&mut giver, other, CopyAssembly::new(6).question(other), 7, 30));
+    for other in 2..=PERMITS {
+        piece(ask(&mut provider, other, CopyAssembly::new(6).question(other), 7, 30));
     }
 }
 
 #[test]
 fn an_older_giver_does_not_undo_what_has_come() {
     let mut assembly = CopyAssembly::new(6);
-    let first = piece(ask(&mut PieceGiver::default(), 1, assembly.question(1), 8, 0));
+    let first = piece(ask(&mut PieceProvider::default(), 1, assembly.question(1), 8, 0));
     assembly.take(&first);
     let begun = assembly.question(1);
-    let older = ask(&mut PieceGiver::default(), 1, begun, 7, 0);
+    let older = ask(&mut PieceProvider::default(), 1, begun, 7, 0);
     assert_eq!(older, PieceAnswer::NothingNewer);
     // Nor does one that sends older settings all the same.
-    let unasked =
-        piece(ask(&mut PieceGiver::default(), 1, CopyAssembly::new(6).question(1), 7, 0));
+    let unasked = piece(ask(
+        &mut PieceProvider::default(),
+        1,
+        CopyAssembly::new(6).question(1),
+        7,
+        0,
+    ));
     assert_eq!(assembly.take(&unasked), TakenPiece::Rejected);
     assert_eq!(assembly.question(1), begun);
     // Nor does one that begins the same settings again and again.
@@ -153,7 +158,7 @@
 #[test]
 fn what_has_begun_goes_on_while_it_is_newer_than_what_is_in_force() {
     let mut assembly = CopyAssembly::new(6);
-    let first = piece(ask(&mut PieceGiver::default(), 1, assembly.question(1), 8, 0));
+    let first = piece(ask(&mut PieceProvider::default(), 1, assembly.question(1), 8, 0));
     assembly.take(&first);
     assembly.renew(7);
     assert_eq!((assembly.version(), assembly.received()), (8, first.text.len()));
@@ -164,7 +169,7 @@
 #[test]
 fn nothing_newer_is_said() {
     let question = CopyAssembly::new(7).question(1);
-    let answer = ask(&mut PieceGiver::default(), 1, question, 7, 0);
+    let answer = ask(&mut PieceProvider::default(), 1, question, 7, 0);
     assert_eq!(answer, PieceAnswer::NothingNewer);
 }
 
@@ -174,7 +179,13 @@
 #[test]
 fn pieces_that_do_not_fit_are_rejected() {
     let good = || {
-        piece(ask(&mut PieceGiver::default(), 1, CopyAssembly::new(6).question(1), 7, 0))
+        piece(ask(
+            &mut PieceProvider::default(),
+            1,
+            CopyAssembly::new(6).question(1),
+            7,
+            0,
+        ))
     };
     let cases: [(&str, SpoilPiece); 5] = [
         ("no newer version", |piece| piece.version = 6),
@@ -214,7 +225,7 @@
 
 /// Looks once whether settings are to be fetched, as the fleet thread does.
 fn due_at(node: &mut FleetNode, now: Duration) -> bool {
-    node.note_newer(now);
+    node.record_newer(now);
     node.settings_due(now)
 }
 
@@ -223,8 +234,8 @@
     let mut peer = FleetNode::new(info(number), 1, FleetTiming::default());
     peer.set_version(version);
     peer.meet(info(0), true);
-    let beats = peer.due_beats(now);
-    node.hear_beat(&beats[0].beat, now);
+    let heartbeats = peer.due_heartbeats(now);
+    node.handle_heartbeat(&heartbeats[0].heartbeat, now);
 }
 
 #[test]
@@ -294,14 +305,14 @@
     let mut node = node_that_hears(0, &[8, 9], ms(0));
     node.set_version(7);
     assert_eq!(node.newest_known(ms(0)), 9, "as soon as it hears of them");
-    node.note_newer(ms(50));
+    node.record_newer(ms(50));
     // One version comes, and another is still ahead.
     node.set_version(8);
     assert_eq!(node.newest_known(ms(100)), 9);
-    node.note_newer(ms(150));
+    node.record_newer(ms(150));
     assert_eq!(node.newest_known(ms(15_000)), 9);
     assert_eq!(node.newest_known(ms(15_200)), 0, "what peers say may be wrong");
-    node.note_fetched(&settings(9), "instance-101", ms(15_300));
+    node.record_fetched(&settings(9), "instance-101", ms(15_300));
     node.reject_fetched(9);
     node.set_version(9);
     assert_eq!(node.newest_known(ms(15_400)), 8, "what can't be used isn't waited for");
@@ -315,7 +326,7 @@
     hear_peer(&mut node, 100, 9, ms(700));
     hear_peer(&mut node, 101, 2, ms(700));
     assert!(due_at(&mut node, ms(700)));
-    node.note_fetched(&settings(9), "instance-100", ms(800));
+    node.record_fetched(&settings(9), "instance-100", ms(800));
     assert!(node.settings_sources(ms(800)).is_empty(), "it is expected to be in force");
     node.reject_fetched(9);
     let sources = node.settings_sources(ms(800));
@@ -324,7 +335,7 @@
     // The next version of the same peer is asked for again, also if it came meanwhile.
     hear_peer(&mut node, 100, 10, ms(900));
     assert_eq!(node.settings_sources(ms(900)).len(), 2);
-    node.note_fetched(&settings(9), "instance-100", ms(1000));
+    node.record_fetched(&settings(9), "instance-100", ms(1000));
     node.reject_fetched(9);
     assert_eq!(node.settings_sources(ms(1000)).len(), 2);
 }
@@ -333,7 +344,7 @@
 fn settings_that_were_lost_on_their_way_are_fetched_again() {
     let ms = Duration::from_millis;
     let mut node = node_that_hears(0, &[2], ms(0));
-    node.note_fetched(&settings(2), "instance-100", ms(100));
+    node.record_fetched(&settings(2), "instance-100", ms(100));
     assert!(node.settings_sources(ms(200)).is_empty());
     hear_peer(&mut node, 100, 2, ms(5200));
     assert_eq!(node.settings_sources(ms(5200)).len(), 1);
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -69,17 +69,18 @@
         for sender in 0..INSTANCES {
             let demand = demand(&pools, nodes[sender].watched());
             nodes[sender].set_demand(demand, now);
-            for outgoing in nodes[sender].due_beats(now) {
+            for outgoing in nodes[sender].due_heartbeats(now) {
                 let receiver = list.iter().position(|info| *info == outgoing.to).unwrap();
-                let (reply, _) = nodes[receiver].hear_beat(&outgoing.beat, now);
-                let beat = encoded(&outgoing.beat);
+                let (reply, _) =
+                    nodes[receiver].handle_heartbeat(&outgoing.heartbeat, now);
+                let heartbeat = encoded(&outgoing.heartbeat);
                 let answer = encoded(&reply);
-                sent[sender] += beat;
-                received[receiver] += beat;
+                sent[sender] += heartbeat;
+                received[receiver] += heartbeat;
                 sent[receiver] += answer;
                 received[sender] += answer;
                 let name = outgoing.to.name.clone();
-                nodes[sender].hear_reply(&name, &reply, now);
+                nodes[sender].handle_reply(&name, &reply, now);
             }
         }
         assert!(round < 2 || nodes[0].live().len() == INSTANCES);
@@ -99,7 +100,7 @@
 /// Instances of a deployment without a list of them.
 const UNLISTED: usize = 84;
 
-/// What a beat with its answer may take between instances that know each other, in bytes:
+/// What a heartbeat with its answer may take between instances that know each other, in bytes:
 /// what they have at servers, and a tenth more.
 const EXCHANGE: f64 = 450.0;
 
@@ -135,22 +136,23 @@
             });
             let demand = NodeDemand { loads: loads.collect(), ..NodeDemand::default() };
             nodes[sender].set_demand(demand, now);
-            for outgoing in nodes[sender].due_beats(now) {
+            for outgoing in nodes[sender].due_heartbeats(now) {
                 let receiver =
                     (0..UNLISTED).find(|place| address(*place) == outgoing.to.address);
                 let receiver = receiver.unwrap();
-                let (reply, _) = nodes[receiver].hear_beat(&outgoing.beat, now);
-                bytes += encoded(&outgoing.beat) + encoded(&reply);
+                let (reply, _) =
+                    nodes[receiver].handle_heartbeat(&outgoing.heartbeat, now);
+                bytes += encoded(&outgoing.heartbeat) + encoded(&reply);
                 exchanges += 1;
                 let name = outgoing.to.name.clone();
-                nodes[sender].hear_reply(&name, &reply, now);
+                nodes[sender].handle_reply(&name, &reply, now);
             }
         }
     }
     assert!(nodes.iter().all(|node| node.live().len() == UNLISTED));
     assert_eq!(exchanges, UNLISTED * (UNLISTED - 1));
     let mean = bytes as f64 / exchanges as f64;
-    println!("bytes of a beat and its answer: {mean:.0}");
+    println!("bytes of a heartbeat and its answer: {mean:.0}");
     assert!(mean < EXCHANGE, "{mean:.0} bytes");
 }
 
@@ -178,7 +180,7 @@
         servers: servers.collect(),
         loads: vec![],
         reads: vec![],
-        silent: vec![],
+        unresponsive: vec![],
         usage: usage.collect(),
     }
 }
--- a/crates/flaxtide-fleet/tests/transfer.rs
+++ b/crates/flaxtide-fleet/tests/transfer.rs
@@ -106,73 +106,80 @@
 
 #[test]
 fn all_who_ask_one_instance_get_one_copy_each() {
-    let giver = Instance::start("giver", 8);
-    let askers: Vec<Instance> = (0..12)
-        .map(|number| Instance::start(&format!("asker-{number}"), 0))
+    let provider = Instance::start("provider", 8);
+    let requesters: Vec<Instance> = (0..12)
+        .map(|number| Instance::start(&format!("requester-{number}"), 0))
         .collect();
-    for asker in &askers {
-        asker.meet(&giver);
+    for requester in &requesters {
+        requester.meet(&provider);
     }
-    wait_until("all have the settings", || askers.iter().all(|one| one.version() == 8));
-    let sent: u64 = askers.iter().chain([&giver]).map(Instance::sent).sum();
+    wait_until("all have the settings", || {
+        requesters.iter().all(|one| one.version() == 8)
+    });
+    let sent: u64 = requesters.iter().chain([&provider]).map(Instance::sent).sum();
     let copies = sent as f64 / SIZE as f64;
-    assert!(copies < askers.len() as f64 + 1.0, "{copies:.1} copies were sent");
+    assert!(copies < requesters.len() as f64 + 1.0, "{copies:.1} copies were sent");
 }
 
 #[test]
 fn an_instance_out_of_reach_does_not_hold_up_what_another_one_has() {
-    let asker = Instance::start("asker", 0);
+    let requester = Instance::start("requester", 0);
     let (newest, older) = (Instance::start("newest", 9), Instance::start("older", 8));
     // It is heard, but what it is asked is swallowed.
     newest.relay.set_fault(RelayFault::Drop);
-    newest.meet(&asker);
+    newest.meet(&requester);
     wait_until("it is heard", || newest.bytes.get().0 > 0);
-    asker.meet(&older);
-    wait_until("the settings come", || asker.version() == 8);
+    requester.meet(&older);
+    wait_until("the settings come", || requester.version() == 8);
 }
 
 #[test]
 fn a_link_that_breaks_in_the_middle_costs_little_more_than_one_copy() {
-    let (asker, giver) = (Instance::start("asker", 0), Instance::start("giver", 8));
-    giver.relay.set_fault(RelayFault::Delay(10));
-    asker.meet(&giver);
+    let (requester, provider) =
+        (Instance::start("requester", 0), Instance::start("provider", 8));
+    provider.relay.set_fault(RelayFault::Delay(10));
+    requester.meet(&provider);
     for part in 1..=3 {
-        wait_until("a part has come", || giver.sent() > part * SIZE as u64 / 5);
-        giver.relay.set_fault(RelayFault::Cut);
-        wait_until("the link is cut", || giver.relay.open() == 0);
-        let cut_at = giver.sent();
-        giver.relay.set_fault(RelayFault::Delay(10));
-        wait_until("it goes on", || giver.sent() > cut_at + SIZE as u64 / 20);
+        wait_until("a part has come", || provider.sent() > part * SIZE as u64 / 5);
+        provider.relay.set_fault(RelayFault::Cut);
+        wait_until("the link is cut", || provider.relay.open() == 0);
+        let cut_at = provider.sent();
+        provider.relay.set_fault(RelayFault::Delay(10));
+        wait_until("it goes on", || provider.sent() > cut_at + SIZE as u64 / 20);
     }
-    wait_until("the settings come", || asker.version() == 8);
-    let copies = giver.sent() as f64 / SIZE as f64;
+    wait_until("the settings come", || requester.version() == 8);
+    let copies = provider.sent() as f64 / SIZE as f64;
     assert!(copies < 1.5, "{copies:.1} copies were sent");
 }
 
 #[test]
 fn a_slow_transfer_is_not_begun_beside_itself() {
-    let (asker, giver) = (Instance::start("asker", 0), Instance::start("giver", 8));
-    // 16 KB in 15 ms: two seconds for all, in which the giver is heard many times.
-    giver.relay.set_fault(RelayFault::Delay(15));
-    asker.meet(&giver);
-    wait_until("the settings come", || asker.version() == 8);
-    let copies = giver.sent() as f64 / SIZE as f64;
+    let (requester, provider) =
+        (Instance::start("requester", 0), Instance::start("provider", 8));
+    // 16 KB in 15 ms: two seconds for all, in which the provider is heard many times.
+    provider.relay.set_fault(RelayFault::Delay(15));
+    requester.meet(&provider);
+    wait_until("the settings come", || requester.version() == 8);
+    let copies = provider.sent() as f64 / SIZE as f64;
     assert!(copies < 1.5, "{copies:.1} copies were sent");
 }
 
 #[test]
 fn a_giver_that_falters_costs_nothing_though_others_have_newer_settings() {
-    let asker = Instance::start("asker", 0);
-    let (giver, newer) = (Instance::start("giver", 8), Instance::start("newer", 9));
-    giver.relay.set_fault(RelayFault::Delay(10));
-    asker.meet(&giver);
-    wait_until("a part has come", || giver.sent() > SIZE as u64 / 3);
-    asker.meet(&newer);
+    let requester = Instance::start("requester", 0);
+    let (provider, newer) = (Instance::start("provider", 8), Instance::start("newer", 9));
+    provider.relay.set_fault(RelayFault::Delay(10));
+    requester.meet(&provider);
+    wait_until("a part has come", || provider.sent() > SIZE as u64 / 3);
+    requester.meet(&newer);
     wait_until("the other one is heard", || newer.sent() > 0);
-    giver.relay.set_fault(RelayFault::Cut);
-    wait_until("the link is cut", || giver.relay.open() == 0);
-    giver.relay.set_fault(RelayFault::Delay(1));
-    wait_until("the newest settings come", || asker.version() == 9);
-    let copies = giver.sent() as f64 / SIZE as f64;
-    assert!((0.9..1.4).contains(&copies), "{copies:.1} copies came from the first giver");
+    provider.relay.set_fault(RelayFault::Cut);
+    wait_until("the link is cut", || provider.relay.open() == 0);
+    provider.relay.set_fault(RelayFault::Delay(1));
+    wait_until("the newest settings come", || requester.version() == 9);
+    let copies = provider.sent() as f64 / SIZE as f64;
+    assert!(
+        (0.9..1.4).contains(&copies),
+        "{copies:.1} copies came from the first provider"
+    );
 }
--- a/crates/flaxtide-policy/src/lease.rs
+++ b/crates/flaxtide-policy/src/lease.rs
@@ -13,7 +13,7 @@
 const LEASE_TERM: Duration = Duration::from_secs(6);
 
 /// How often a lease is renewed, and looked at by those who don't hold it.
-const LOOK_PERIOD: Duration = Duration::from_secs(2);
+const POLL_PERIOD: Duration = Duration::from_secs(2);
 
 /// An order takes at most so long to reach a server, or doesn't.
 const LONGEST_DELIVERY: Duration = Duration::from_secs(1);
@@ -91,7 +91,7 @@
     /// Returns what to do next.
     #[must_use]
     pub fn step(&self, now: Duration) -> LeaseStep {
-        let due = self.looked.is_none_or(|looked| now >= looked + LOOK_PERIOD);
+        let due = self.looked.is_none_or(|looked| now >= looked + POLL_PERIOD);
         if let Some(held) = self.held {
             if !due {
                 return LeaseStep::Wait;
--- a/crates/flaxtide-standin/src/relay.rs
+++ b/crates/flaxtide-standin/src/relay.rs
@@ -43,7 +43,7 @@
 }
 
 /// How often a relay looks at its fault.
-const LOOK_PERIOD: Duration = Duration::from_millis(20);
+const POLL_PERIOD: Duration = Duration::from_millis(20);
 
 impl NetworkRelay {
     /// Starts a relay to `target` on a free port of loopback.
@@ -139,7 +139,7 @@
         return;
     }
     while state.fault() == RelayFault::Drop && !state.stopped() {
-        thread::sleep(LOOK_PERIOD);
+        thread::sleep(POLL_PERIOD);
     }
     let Ok(outbound) = TcpStream::connect(target) else { return };
     let _ = inbound.set_nodelay(true);
@@ -155,7 +155,7 @@
 
 /// Passes bytes in one direction until either side closes.
 fn pass(mut from: TcpStream, mut to: TcpStream, state: &RelayState, back: bool) {
-    let _ = from.set_read_timeout(Some(LOOK_PERIOD));
+    let _ = from.set_read_timeout(Some(POLL_PERIOD));
     let mut piece = [0; 16 * 1024];
     loop {
         let fault = state.fault();
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -6,7 +6,7 @@
 
 use flaxtide_core::{ServerId, SettingsTree, SettingsVersion};
 use flaxtide_fleet::{
-    FleetNews, FleetNode, FleetServer, FleetThread, FleetTiming, NodeDemand, PeerInfo,
+    FleetNode, FleetNotice, FleetServer, FleetThread, FleetTiming, NodeDemand, PeerInfo,
     PoolDemand, ServerDigest, SettingsCopy, UsageCount,
 };
 use flaxtide_policy::{LoadReport, PolicyEvent};
@@ -108,7 +108,7 @@
     last: &NodeState,
     now: Duration,
 ) -> NodeState {
-    hear(shared, &node.own_news(now));
+    hear(shared, &node.own_notices(now));
     let view = shared.view();
     let state = NodeState {
         generation: node.generation(),
@@ -164,7 +164,7 @@
         demands: demands.collect(),
         servers: server_digests(shared, view),
         reads: vec![],
-        silent: vec![],
+        unresponsive: vec![],
         loads: vec![],
         usage: usage.collect(),
     }
@@ -189,13 +189,13 @@
 }
 
 /// Takes in what has been heard in one message, and tells the decision core at once.
-fn hear(shared: &SharedState, news: &[FleetNews]) {
+fn hear(shared: &SharedState, news: &[FleetNotice]) {
     let view = shared.view();
     let mut leaving = vec![];
     let mut events = vec![];
     for news in news {
         match *news {
-            FleetNews::Load(digest) => {
+            FleetNotice::Load(digest) => {
                 let Some(server) = view.server_with_key(digest.server) else { continue };
                 events.push(PolicyEvent::Report(report_of(
                     server,
@@ -204,23 +204,23 @@
                 )));
                 leaving.push((server, digest.leaving));
             }
-            FleetNews::Share(share, until) => {
+            FleetNotice::Share(share, until) => {
                 let Some(server) = view.server_with_key(share.server) else { continue };
                 let slots = u32::from(share.slots);
                 events.push(PolicyEvent::Share { server, slots, until });
             }
-            FleetNews::Rate(rate, until) => {
+            FleetNotice::Rate(rate, until) => {
                 let organisation = view.limited_with_key(rate.organisation);
                 let Some(organisation) = organisation else { continue };
                 let part = f64::from(rate.part) / f64::from(u16::MAX);
                 events.push(PolicyEvent::RateShare { organisation, part, until });
             }
             // The shares of slots already count what peers have at servers.
-            FleetNews::PeerLoads(..)
-            | FleetNews::GroupLoads(..)
-            | FleetNews::PeerReads(_)
-            | FleetNews::PeerSilent(_) => {}
-            FleetNews::Version(version, ref _peer) => {
+            FleetNotice::PeerLoads(..)
+            | FleetNotice::GroupLoads(..)
+            | FleetNotice::PeerReads(_)
+            | FleetNotice::PeerUnresponsive(_) => {}
+            FleetNotice::Version(version, ref _peer) => {
                 // A full ring wakes the thread as well.
                 let _ = shared.settings_news.try_send(version);
             }
--- a/crates/flaxtide/src/orders.rs
+++ b/crates/flaxtide/src/orders.rs
@@ -15,7 +15,7 @@
 use crate::view::OrderedEngine;
 
 /// How often the thread looks at its lease.
-const LOOK_PERIOD: Duration = Duration::from_millis(200);
+const POLL_PERIOD: Duration = Duration::from_millis(200);
 
 /// How often engines are asked what they have loaded.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
@@ -41,7 +41,7 @@
     let mut due = Duration::ZERO;
     let mut ordered_version = 0;
     while !shared.stopped() {
-        std::thread::sleep(LOOK_PERIOD);
+        std::thread::sleep(POLL_PERIOD);
         let view = shared.view();
         let engines = view.ordered_engines(&config.data_centre);
         // A leaving instance lets its lease run out.
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -25,7 +25,7 @@
 const LIST_READS: f64 = 60.0;
 
 /// How often the thread looks whether anything is due.
-const LOOK_PERIOD: Duration = Duration::from_millis(50);
+const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// What a backend server reports of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
@@ -63,7 +63,7 @@
             poll_due = now + shared.config.load_poll;
             poll_servers(shared);
         }
-        std::thread::sleep(LOOK_PERIOD);
+        std::thread::sleep(POLL_PERIOD);
     }
 }
 
