Plain calls aren't herded by old words of peers; a laboratory for load patterns

Cause: calls of plain services are over in 60 ms; a peer's word of them is 0.2 to 2.5 s old. All who heard the same words took the same server for the least busy, and those who knew nothing all took the first.

Change: for plain servers an instance counts its own requests only, and each call draws up to 4 ms for each server, by a seed of the instance: near servers first, and others where they are few.

crates/flaxtide-lab is new: patterns as data, real RouteCores, plain servers with slots and a queue, gossip by age, a manual clock, no network; the same seed gives the same report.

--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -150,6 +150,8 @@
         };
         let seed = xxh3_64(config.name.as_bytes());
         let leave_within = config.leave_within;
+        let mut core = RouteCore::new(options);
+        core.set_seed(seed);
         Self {
             config: RefCell::new(Rc::new(config)),
             clock: MilliClock::real(),
@@ -162,7 +164,7 @@
             directory: RefCell::new(ServerDirectory::new(leave_within)),
             newest_rules: Cell::new(0),
             listed: Cell::new(false),
-            core: RefCell::new(RouteCore::new(options)),
+            core: RefCell::new(core),
             waiters: RefCell::default(),
             names: RefCell::default(),
             next_request: Cell::new(1),
--- /dev/null
+++ b/crates/flaxtide-lab/src/lib.rs
@@ -0,0 +1,14 @@
+//! Patterns of load, played against the real routers of many instances.
+//!
+//! A [`LoadPattern`] is plain data: how many instances, which servers, which requests, and
+//! how instances hear of each other's requests ([`GossipShape`]). [`play`] moves a manual
+//! clock from event to event; nothing is read from a network, a thread or the machine's
+//! clock, and the same pattern and seed give the same [`LoadReport`].
+
+mod event;
+mod pattern;
+mod server;
+mod world;
+
+pub use self::pattern::{GossipShape, LoadPattern};
+pub use self::world::{LoadReport, play};
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -17,6 +17,12 @@
 /// The time of a plain call before any is known, in milliseconds.
 const PLAIN_CALL_MS: f64 = 60.0;
 
+/// Over how many milliseconds of cost calls of plain services are spread. More than a server of
+/// another data centre costs, so that a data centre with few servers isn't crowded: 295
+/// instances before nine servers at 85 % of what these can do answer .98 of the calls in
+/// time, and .80 if each takes the first of those that seem alike (`flaxtide-lab`).
+const PLAIN_SPREAD_MS: f64 = 4.0;
+
 /// The seed of the order in which engines are given to long prompts.
 const LANE_SEED: u64 = 0x6c61_6e65;
 
@@ -239,6 +245,7 @@
                         Some(_) => uncached.saturating_sub(own).min(shared / 2),
                         None => uncached.saturating_sub(own),
                     };
+                    candidate.cost_ms += self.spread_ms(server, request);
                     let again_ms = f64::from(again) / server.pace.get(now);
                     candidate.cost_ms += self.options.reread_weight * again_ms;
                     candidate
@@ -300,7 +307,7 @@
         level: u8,
         now: Duration,
     ) -> Candidate<'a> {
-        let count = server.load.running(&self.options, now);
+        let count = self.running(server, now);
         let running = f64::from(count);
         let mut cost_ms = 0.0;
         let mut ahead = 0.0;
@@ -350,7 +357,26 @@
     /// Tells whether a server has room for one more request.
     fn has_room(&self, server: &ServerState, now: Duration) -> bool {
         let most = f64::from(server.facts.slots) * self.options.fill;
-        f64::from(server.load.running(&self.options, now)) < most.max(1.0)
+        f64::from(self.running(server, now)) < most.max(1.0)
+    }
+
+    /// Returns what a plain server costs more or less for one request than for another, drawn
+    /// by each instance for itself.
+    fn spread_ms(&self, server: &ServerState, request: RequestId) -> f64 {
+        if server.facts.engine.is_some() {
+            return 0.0;
+        }
+        let draw = numbered_weight(request ^ self.seed, server.facts.rank);
+        PLAIN_SPREAD_MS * draw as f64 / u64::MAX as f64
+    }
+
+    /// Returns how many requests are taken to be at a server. A plain call is over before a
+    /// peer's word of it comes: all who heard the same words would go to the same servers.
+    fn running(&self, server: &ServerState, now: Duration) -> u32 {
+        match server.facts.engine {
+            Some(_) => server.load.running(&self.options, now),
+            None => server.load.own_running(),
+        }
     }
 }
 
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -138,6 +138,11 @@
         self.own.len() as u32 + peers.sum::<u32>()
     }
 
+    /// Returns how many of this instance's requests are at the server.
+    pub(crate) fn own_running(&self) -> u32 {
+        self.own.len() as u32
+    }
+
     /// Returns how many requests at the server have prompts that aren't long.
     pub(crate) fn short_running(&self, options: &RouteOptions, now: Duration) -> u32 {
         let peers = self.heard(options, now).map(|(load, _)| load.short);
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -117,6 +117,8 @@
 pub struct RouteCore {
     /// The tunable constants.
     options: RouteOptions,
+    /// Tells this instance's draws from those of others.
+    seed: u64,
     /// The pools.
     pools: BTreeMap<PoolId, RoutePool>,
     /// The requests that wait or run.
@@ -136,6 +138,7 @@
         let instances = options.assumed_instances;
         Self {
             options,
+            seed: 0,
             pools: BTreeMap::new(),
             calls: HashMap::new(),
             instances,
@@ -144,6 +147,12 @@
         }
     }
 
+    /// Sets what tells this instance's draws from those of others. Instances that draw alike
+    /// send their calls to the same servers.
+    pub fn set_seed(&mut self, seed: u64) {
+        self.seed = seed;
+    }
+
     /// Sets the servers of a pool. Servers that stay keep what is known of them.
     pub fn set_servers(
         &mut self,
