What an instance knows doesn't grow old when all that read are lost at once

Cause, found by reading: whoever lost its reader asked the other readers and the standbys one after the other (up to 0.8 s each with a bound of 4 s), left them alone for 2 s though a standby reads 0.2 s later, and called the platform after up to 3 s, also with a bound of 2 s for leaving servers.

Change: the others are asked side by side within a tenth of the bound; who answers that it can't tell is asked again after a tenth of the bound, then after twice as long each time; who doesn't answer, after 2 s. Readers that answer and can't tell mean a platform in trouble: only then the first call falls within 3 s, else within a tenth of the bound (a standby: a twentieth).

Test: windows at bounds of 2 to 8 s (fails with the constant 3 s and 0.2 s of before); my test of the order of standbys asks the new function for the same. The loss itself, on real processes: not tested.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -53,9 +53,12 @@
     },
 }
 
-/// How often peers are asked, or looked at, by an instance that leaves the platform in peace.
+/// How often an instance looks whether peers still hand rules on.
 const PEERS_PERIOD: Duration = Duration::from_millis(500);
 
+/// How often peers are asked by an instance that leaves the platform in peace.
+const REST_PERIOD: Duration = Duration::from_millis(100);
+
 /// How often an instance that has just started looks whether it knows who reads.
 const SETTLING_PERIOD: Duration = Duration::from_millis(100);
 
@@ -113,7 +116,7 @@
         if !self.source.follows_peers() || behind {
             return None;
         }
-        backoff.rest(self.source.is_standby(), rand::random(), now)
+        backoff.rest(self.source.start_window(), rand::random(), now)
     }
 
     /// Calls the platform, and waits for changes no longer than `most`.
@@ -231,7 +234,7 @@
             }
             None => match follower.rest(&mut backoff, clock.now()) {
                 Some(rest) => {
-                    thread::sleep(rest.min(PEERS_PERIOD));
+                    thread::sleep(rest.min(REST_PERIOD));
                     // Rows that lapse meanwhile may do so since the platform is out.
                     follower.tell(FeedEvent::Lost)
                 }
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -22,12 +22,40 @@
 /// platform's return.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
-/// The first pause of an instance for which peers read, until it calls the platform itself:
-/// between none and this long, for a standby,
-const STANDBY_START: Duration = Duration::from_millis(200);
+/// Within what part of the time for leaving servers a standby calls the platform once no peer
+/// tells,
+const STANDBY_PART: f64 = 0.05;
 
-/// and for all others. By then a standby tells, if the platform answers anybody.
-const OTHERS_START: Duration = Duration::from_secs(3);
+/// and all others, if nobody who reads is there: what they know must not grow old.
+const ALONE_PART: f64 = 0.1;
+
+/// Within what time the others call it if those who read are there and can't tell: then the
+/// platform is in trouble.
+const TROUBLED_START: Duration = Duration::from_secs(3);
+
+/// Returns within what time an instance for which peers read calls the platform itself, once
+/// none of them tells. A leaving server may get no more work after `leave_within`.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_entry::first_call_window;
+/// let leave_within = Duration::from_secs(4);
+/// let alone = first_call_window(false, false, leave_within);
+/// assert!(first_call_window(true, true, leave_within) < alone);
+/// assert!(alone < first_call_window(false, true, leave_within));
+/// ```
+#[must_use]
+pub fn first_call_window(
+    standby: bool,
+    readers_answer: bool,
+    leave_within: Duration,
+) -> Duration {
+    match (standby, readers_answer) {
+        (true, _) => leave_within.mul_f64(STANDBY_PART),
+        (false, false) => leave_within.mul_f64(ALONE_PART),
+        (false, true) => TROUBLED_START,
+    }
+}
 
 /// The pause after the first failed call of such an instance; it doubles with each.
 const BACKOFF_FIRST: Duration = Duration::from_secs(4);
@@ -44,11 +72,13 @@
 /// use std::time::Duration;
 /// use flaxtide_entry::CallBackoff;
 /// let mut backoff = CallBackoff::default();
-/// let rest = backoff.rest(false, 0.5, Duration::ZERO);
+/// let window = Duration::from_secs(3);
+/// let rest = backoff.rest(window, 0.5, Duration::ZERO);
 /// assert_eq!(rest, Some(Duration::from_millis(1500)));
-/// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), None);
+/// assert_eq!(backoff.rest(window, 0.5, Duration::from_secs(2)), None);
 /// backoff.fail(0.5, Duration::from_secs(2));
-/// assert_eq!(backoff.rest(false, 0.5, Duration::from_secs(2)), Some(Duration::from_secs(4)));
+/// let rest = backoff.rest(window, 0.5, Duration::from_secs(2));
+/// assert_eq!(rest, Some(Duration::from_secs(4)));
 /// ```
 #[derive(Debug, Default)]
 pub struct CallBackoff {
@@ -59,11 +89,15 @@
 }
 
 impl CallBackoff {
-    /// Returns how long the platform isn't called; nothing if it may be called now. `draw`
-    /// lies between 0 and 1.
-    pub fn rest(&mut self, standby: bool, draw: f64, now: Duration) -> Option<Duration> {
-        let start = if standby { STANDBY_START } else { OTHERS_START };
-        let next = *self.next.get_or_insert(now + start.mul_f64(draw));
+    /// Returns how long the platform isn't called; nothing if it may be called now. The first
+    /// call falls within a window; `draw` lies between 0 and 1.
+    pub fn rest(
+        &mut self,
+        window: Duration,
+        draw: f64,
+        now: Duration,
+    ) -> Option<Duration> {
+        let next = *self.next.get_or_insert(now + window.mul_f64(draw));
         (now < next).then(|| next - now)
     }
 
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -41,7 +41,9 @@
     SendHead, ServerEntry, ServiceEngine, TargetService, WireDialect,
 };
 pub use self::error::EntryError;
-pub use self::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState};
+pub use self::follow::{
+    CallBackoff, FollowAnswer, FollowFault, FollowState, first_call_window,
+};
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::logging::init_entry_logging;
 pub use self::reader::ListLog;
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -4,13 +4,14 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use crossbeam::channel::bounded;
 use flaxtide_core::MilliClock;
-use flaxtide_fleet::{ListPlan, ListReader, RowChanges, RowQuestion};
+use flaxtide_fleet::{ListPlan, ListReader, RowAnswer, RowChanges, RowQuestion};
 
 use crate::fleet::FleetLink;
+use crate::follow::first_call_window;
 
 /// How long a question to a reader waits for news, as a part of the time within which a
 /// leaving server gets no more work.
@@ -19,8 +20,12 @@
 /// How much longer its answer may take, as a part of that time.
 const MARGIN_PART: f64 = 0.1;
 
-/// For how long nobody asks a peer that couldn't tell.
-const UNABLE: Duration = Duration::from_secs(2);
+/// For how long nobody asks a peer that has said it couldn't tell, as a part of that time; twice
+/// as long each further time. A standby can tell as soon as it has called the platform.
+const UNABLE_PART: f64 = 0.1;
+
+/// The longest such pause, and that of a peer that didn't answer.
+const UNREACHABLE: Duration = Duration::from_secs(2);
 
 /// For how long a peer's word means that readers reach the platform, as a part of that time:
 /// two questions' worth.
@@ -52,14 +57,25 @@
 struct SourceState {
     /// Who reads, as the group has drawn.
     plan: ListPlan,
-    /// Until when peers that couldn't tell aren't asked.
-    unable: HashMap<SocketAddr, Duration>,
+    /// Peers that didn't tell, until they are asked again.
+    unable: HashMap<SocketAddr, UnablePeer>,
     /// When a peer last told.
     told: Option<Duration>,
     /// Since when peers have told of newer rules than those in force.
     behind_since: Option<Duration>,
 }
 
+/// A peer that didn't tell.
+#[derive(Debug, Clone, Copy)]
+struct UnablePeer {
+    /// Whether it has answered.
+    answers: bool,
+    /// How long it isn't asked.
+    pause: Duration,
+    /// Until when.
+    until: Duration,
+}
+
 impl ListSource {
     /// Starts with nobody to ask. A leaving server may get no more work after
     /// `leave_within`; `has_peers` says whether there may be peers.
@@ -97,11 +113,6 @@
         self.reader() == ListReader::Alone && self.clock.now() < self.settled_at
     }
 
-    /// Returns whether this instance reads as soon as no peer tells.
-    pub(crate) fn is_standby(&self) -> bool {
-        self.lock().plan.standby
-    }
-
     /// Returns whether a peer that reads has told this instance lately.
     pub(crate) fn told_lately(&self) -> bool {
         let told = self.lock().told;
@@ -124,53 +135,88 @@
         since.is_some_and(|since| self.clock.now() >= since + HANDED_ON_WITHIN)
     }
 
-    /// Asks peers for the changes after a version, one after the other until one can tell.
-    /// Returns nothing if this instance is to read for itself.
+    /// Returns within what time this instance calls the platform itself, once no peer tells.
+    pub(crate) fn start_window(&self) -> Duration {
+        let state = self.lock();
+        let answers = state.unable.values().any(|peer| peer.answers);
+        first_call_window(state.plan.standby, answers, self.leave_within)
+    }
+
+    /// Asks peers for the changes after a version: the first in order, which waits for some,
+    /// and if it doesn't tell all others at once. Returns nothing if nobody tells.
     pub(crate) fn ask(&self, link: &FleetLink, after: u64) -> Option<RowChanges> {
         let peers = self.askable();
+        let (first, others) = peers.split_first()?;
         let wait = self.leave_within.mul_f64(QUESTION_PART);
-        for (place, peer) in peers.iter().enumerate() {
-            // The first is expected to tell; the others are to tell at once if they can.
-            let wait = if place == 0 { wait } else { Duration::ZERO };
-            let news = self.ask_peer(link, *peer, after, wait);
-            let now = self.clock.now();
-            let mut state = self.lock();
-            if news.is_some() {
-                state.told = Some(now);
-                return news;
-            }
-            log::info!(peer = peer.to_string(); "peer has no list to tell");
-            state.unable.insert(*peer, now + UNABLE);
-        }
-        None
+        self.ask_peers(link, &[*first], after, wait)
+            .or_else(|| self.ask_peers(link, others, after, Duration::ZERO))
     }
 
     /// Returns the peers that may be asked now, in order.
     fn askable(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
-        let mut state = self.lock();
-        state.unable.retain(|_, until| now < *until);
+        let state = self.lock();
         let ListReader::Peer(reader) = state.plan.reader else { return vec![] };
         let peers = [reader].into_iter().chain(state.plan.others.iter().copied());
-        peers.filter(|peer| !state.unable.contains_key(peer)).collect()
+        let waits = |peer: &SocketAddr| {
+            state.unable.get(peer).is_some_and(|unable| now < unable.until)
+        };
+        peers.filter(|peer| !waits(peer)).collect()
     }
 
-    /// Asks one peer.
-    fn ask_peer(
+    /// Asks peers side by side, until one tells or none is left.
+    fn ask_peers(
         &self,
         link: &FleetLink,
-        peer: SocketAddr,
+        peers: &[SocketAddr],
         after: u64,
         wait: Duration,
     ) -> Option<RowChanges> {
         let margin = self.leave_within.mul_f64(MARGIN_PART);
-        let (tell, told) = bounded(1);
-        let answer = Box::new(move |news: Option<RowChanges>| {
-            // Whoever asked may have stopped waiting.
-            let _ = tell.try_send(news);
-        });
-        link.ask_rows(RowQuestion { peer, after, wait, margin, answer });
-        told.recv_timeout(wait + margin * 2).ok().flatten()
+        let (tell, told) = bounded(peers.len().max(1));
+        for peer in peers.iter().copied() {
+            let tell = tell.clone();
+            let answer = Box::new(move |answer: RowAnswer| {
+                // Whoever asked may have stopped waiting.
+                let _ = tell.try_send((peer, answer));
+            });
+            link.ask_rows(RowQuestion { peer, after, wait, margin, answer });
+        }
+        drop(tell);
+        let deadline = Instant::now() + wait + margin;
+        let mut silent = peers.to_vec();
+        while let Ok((peer, answer)) = told.recv_deadline(deadline) {
+            silent.retain(|other| *other != peer);
+            if let RowAnswer::Told(changes) = answer {
+                self.record_told(peer);
+                return Some(changes);
+            }
+            self.record_unable(peer, answer == RowAnswer::Unable);
+        }
+        silent.into_iter().for_each(|peer| self.record_unable(peer, false));
+        None
+    }
+
+    /// Records that a peer has told.
+    fn record_told(&self, peer: SocketAddr) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        state.told = Some(now);
+        state.unable.remove(&peer);
+    }
+
+    /// Records that a peer didn't tell, and whether it has answered at all.
+    fn record_unable(&self, peer: SocketAddr, answers: bool) {
+        let now = self.clock.now();
+        let first = self.leave_within.mul_f64(UNABLE_PART);
+        let mut state = self.lock();
+        let before = state.unable.get(&peer).filter(|unable| unable.answers);
+        let longer = before.map_or(first, |unable| unable.pause * 2);
+        let pause = if answers { longer.min(UNREACHABLE) } else { UNREACHABLE };
+        log::info!(peer = peer.to_string(), answers; "peer has no list to tell");
+        state
+            .unable
+            .insert(peer, UnablePeer { answers, pause, until: now + pause });
     }
 
     /// Locks the state. A panic elsewhere doesn't spoil it.
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use flaxtide_entry::{CallBackoff, FeedError, FollowAnswer, FollowFault, FollowState};
+use flaxtide_entry::{
+    CallBackoff, FeedError, FollowAnswer, FollowFault, FollowState, first_call_window,
+};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
@@ -81,13 +83,13 @@
 
 /// Returns when an instance calls a platform that fails each call, in the first seconds of an
 /// outage in which nobody tells it anything.
-fn calls_in_outage(standby: bool, seed: u64, span: Duration) -> Vec<Duration> {
+fn calls_in_outage(window: Duration, seed: u64, span: Duration) -> Vec<Duration> {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut backoff = CallBackoff::default();
     let mut now = Duration::ZERO;
     let mut calls = vec![];
     while now < span {
-        match backoff.rest(standby, random.random(), now) {
+        match backoff.rest(window, random.random(), now) {
             Some(rest) => now += rest,
             None => {
                 calls.push(now);
@@ -103,10 +105,13 @@
 fn an_outage_is_not_met_by_the_calls_of_all() {
     /// Instances of a data centre that neither read nor stand by.
     const OTHERS: u64 = 46;
+    /// Within what time they call it if their readers can't tell.
+    const WINDOW: Duration = Duration::from_secs(3);
     /// The shortest and longest outages of the platform that operators have told of.
     const OUTAGES: [Duration; 2] = [Duration::from_secs(4), Duration::from_secs(10)];
     let [short, long] = OUTAGES.map(|outage| {
-        let calls = (0..OTHERS).flat_map(|number| calls_in_outage(false, number, outage));
+        let calls =
+            (0..OTHERS).flat_map(|number| calls_in_outage(WINDOW, number, outage));
         let mut seconds = vec![0; 11];
         calls.for_each(|at| seconds[at.as_secs() as usize] += 1);
         let total: i32 = seconds.iter().sum();
@@ -123,21 +128,33 @@
 
 #[test]
 fn a_standby_calls_before_others() {
-    let first = |standby, draw| {
-        CallBackoff::default().rest(standby, draw, Duration::ZERO).unwrap()
-    };
-    assert_eq!(first(true, 1.0), Duration::from_millis(200));
-    assert_eq!(first(false, 1.0), Duration::from_secs(3));
+    let window =
+        |standby, answers| first_call_window(standby, answers, Duration::from_secs(4));
+    assert_eq!(window(true, true), Duration::from_millis(200));
+    assert_eq!(window(false, true), Duration::from_secs(3));
+    let latest = CallBackoff::default().rest(window(true, true), 1.0, Duration::ZERO);
+    assert_eq!(latest, Some(Duration::from_millis(200)));
+}
+
+/// A reader and all standbys that are lost at once, while servers leave: the rows that are
+/// known must not be older than the bound allows.
+#[test]
+fn who_lost_all_that_read_calls_within_a_tenth_of_the_bound() {
+    for bound in [2, 3, 4, 8].map(Duration::from_secs) {
+        let window = first_call_window(false, false, bound);
+        assert!(window <= bound / 10, "{window:?} of {bound:?}");
+        assert!(first_call_window(true, false, bound) <= bound / 20);
+    }
 }
 
 #[test]
 fn a_platform_that_answers_is_called_without_a_rest() {
     let mut backoff = CallBackoff::default();
     let now = Duration::from_secs(9);
-    backoff.rest(false, 0.9, now);
+    backoff.rest(Duration::from_secs(3), 0.9, now);
     backoff.succeed(now);
-    assert_eq!(backoff.rest(false, 0.9, now), None);
+    assert_eq!(backoff.rest(Duration::from_secs(3), 0.9, now), None);
     // Once peers tell again, the next silence begins with a rest.
     backoff.reset();
-    assert!(backoff.rest(false, 0.9, now).is_some());
+    assert!(backoff.rest(Duration::from_secs(3), 0.9, now).is_some());
 }
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -26,7 +26,9 @@
     OutgoingHello, SettingsSource,
 };
 pub use self::rate::rate_part;
-pub use self::rows::{ListPlan, ListReader, RowChanges, RowCopy, RowQuestion, RowSource};
+pub use self::rows::{
+    ListPlan, ListReader, RowAnswer, RowChanges, RowCopy, RowQuestion, RowSource,
+};
 pub use self::settings::{
     CopyAssembly, PIECE_BYTES, PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy,
     SettingsPiece, TakenPiece,
--- a/crates/flaxtide-fleet/src/rows.rs
+++ b/crates/flaxtide-fleet/src/rows.rs
@@ -69,6 +69,17 @@
     pub standby: bool,
 }
 
+/// What came of a question for rows.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RowAnswer {
+    /// The peer has told what changed.
+    Told(RowChanges),
+    /// The peer is there, but the platform hasn't told it enough lately.
+    Unable,
+    /// No answer came in time.
+    Unreachable,
+}
+
 /// A question for the rows that a peer has read.
 pub struct RowQuestion {
     /// The peer.
@@ -79,8 +90,8 @@
     pub wait: Duration,
     /// How long its answer may take on top.
     pub margin: Duration,
-    /// Takes the answer; nothing if none came, or the peer couldn't tell.
-    pub answer: Box<dyn FnOnce(Option<RowChanges>) + Send>,
+    /// Takes the answer.
+    pub answer: Box<dyn FnOnce(RowAnswer) + Send>,
 }
 
 impl std::fmt::Debug for RowQuestion {
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -20,7 +20,7 @@
 use crate::fetch::{PartialCopy, fetch_settings};
 use crate::links::{PeerLinks, call, transport};
 use crate::node::{FleetNode, FleetNotice, OutgoingHeartbeat, OutgoingHello};
-use crate::rows::{RowChanges, RowQuestion, RowSource};
+use crate::rows::{RowAnswer, RowChanges, RowQuestion, RowSource};
 use crate::settings::{PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy};
 use crate::wire::{FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply, PeerLink};
 
@@ -328,21 +328,25 @@
 async fn ask_rows(shared: Arc<FleetShared>, question: RowQuestion) {
     let RowQuestion { peer, after, wait, margin, answer } = question;
     let asked = async {
-        let link = shared.links.open(peer).await?;
+        let Some(link) = shared.links.open(peer).await else {
+            return RowAnswer::Unreachable;
+        };
         let wait_ms = wait.as_millis() as u32;
         let rows = |context| link.client.rows(context, after, wait_ms);
         match call(wait + margin, rows).await {
-            Ok(notices) => notices,
+            Ok(Some(changes)) => RowAnswer::Told(changes),
+            Ok(None) => RowAnswer::Unable,
             Err(cause) => {
                 log::debug!("no rows from {peer}: {cause}");
                 if !matches!(cause, RpcError::DeadlineExceeded) {
                     shared.links.close(peer, &link).await;
                 }
-                None
+                RowAnswer::Unreachable
             }
         }
     };
-    answer(tokio::time::timeout(wait + margin, asked).await.ok().flatten());
+    let answered = tokio::time::timeout(wait + margin, asked).await;
+    answer(answered.unwrap_or(RowAnswer::Unreachable));
 }
 
 /// Answers peers.
