Without digests, instances are told of all others again; names read once more

Found at the reading of the whole change: where each data centre always is a group (the product's own interface), a peer told of four instances of each other data centre only, and instances of others were never asked in turn. Both as before now. The users' platform sets a common limit, so nothing changes there: conditions with a limit above 0 are the same ones.

The new test passes without the mend too: heartbeats to one instance of each other data centre a round teach all within 20 s. It guards the outcome, not the mend.

FleetOutput::Notices, and conditions that were called heartbeats by the renaming, have plain names.

--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -254,9 +254,9 @@
     ) -> Vec<PeerInfo> {
         let (near_timeout, far_timeout) =
             (self.liveness_timeout(), self.far_liveness_timeout());
-        let whole = self.group.joint
-            || self.timing.joint_limit == 0
-            || *data_centre == self.own.data_centre;
+        // Without digests, this is the only way to know how many there are elsewhere.
+        let all = self.group.joint || self.timing.joint_limit == 0;
+        let of_group = *data_centre == self.own.data_centre;
         let mut told: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
         let known = self.peers.values();
         let known = known.filter(|peer| {
@@ -266,7 +266,7 @@
         let known = known.filter(|peer| {
             let count = told.entry(&peer.info.data_centre).or_default();
             *count += 1;
-            (whole && self.is_near(peer)) || *count <= CONTACTS_PER_GROUP
+            all || (of_group && self.is_near(peer)) || *count <= CONTACTS_PER_GROUP
         });
         let infos = known.map(|peer| peer.info.clone());
         infos.chain([self.own.clone()]).collect()
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -191,9 +191,11 @@
     /// Returns which peer, of those that have been heard, is to tell this round whom it
     /// knows. Everyone's answer, every time, would be most of the traffic.
     fn asked(&self) -> Option<&InstanceName> {
-        let near = || self.peers.values().filter(|peer| self.is_near(peer));
-        let turn = self.rounds % near().count().max(1) as u64;
-        near().nth(turn as usize).map(|peer| &peer.info.name)
+        let without_digests = self.timing.joint_limit == 0;
+        let askable = |peer: &&PeerRecord| without_digests || self.is_near(peer);
+        let peers = || self.peers.values().filter(askable);
+        let turn = self.rounds % peers().count().max(1) as u64;
+        peers().nth(turn as usize).map(|peer| &peer.info.name)
     }
 
     /// Builds the reply to a heartbeat.
@@ -220,8 +222,9 @@
     /// digests do that duty.
     fn far_peers(&self) -> impl Iterator<Item = &PeerRecord> {
         let mut by_data_centre: BTreeMap<&str, Vec<&PeerRecord>> = BTreeMap::new();
-        let heartbeats = self.timing.joint_limit == 0;
-        for peer in self.peers.values().filter(|peer| heartbeats && !self.is_near(peer)) {
+        let without_digests = self.timing.joint_limit == 0;
+        let far = |peer: &&PeerRecord| without_digests && !self.is_near(peer);
+        for peer in self.peers.values().filter(far) {
             by_data_centre.entry(&peer.info.data_centre).or_default().push(peer);
         }
         let key = self.rounds ^ u64::from(self.epoch);
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -24,7 +24,7 @@
 use crate::settings::{PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy};
 use crate::wire::{FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply, PeerLink};
 
-/// How often the thread looks at its rings.
+/// How often the thread polls its rings.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
 /// How long a peer may take to answer.
@@ -39,7 +39,7 @@
 /// How often links to peers that aren't known any more are closed.
 const TIDY_PERIOD: Duration = Duration::from_secs(5);
 
-/// What the fleet thread is told.
+/// An event for the fleet thread.
 #[derive(Debug)]
 pub enum FleetEvent {
     /// The node is to be changed.
@@ -72,10 +72,10 @@
     }
 }
 
-/// What the fleet thread tells: updates for this instance, or settings.
+/// What the fleet thread passes on: what peers have told, or settings.
 pub(crate) enum FleetOutput {
-    /// News, as they came in one message.
-    News(Vec<FleetNotice>),
+    /// What peers have told, as it came in one message.
+    Notices(Vec<FleetNotice>),
     /// The settings that a peer sent.
     Settings(SettingsCopy),
 }
@@ -112,7 +112,7 @@
 }
 
 impl FleetThread {
-    /// Listens for peers. `updates` takes what is heard, `adopt` takes settings that a peer
+    /// Listens for peers. `notices` takes what is heard, `adopt` takes settings that a peer
     /// sent, and `settings` gives the settings in force if newer than a version.
     ///
     /// # Errors
@@ -131,7 +131,7 @@
         let node = node(listener.local_addr()?);
         let runtime = Builder::new_current_thread().enable_all().build()?;
         let output = move |output: FleetOutput| match output {
-            FleetOutput::News(heard) => notices(heard),
+            FleetOutput::Notices(heard) => notices(heard),
             FleetOutput::Settings(copy) => adopt(copy),
         };
         let shared = Arc::new(FleetShared {
@@ -199,7 +199,7 @@
     /// Passes on what has been heard.
     fn tell(&self, notices: Vec<FleetNotice>) {
         if !notices.is_empty() {
-            (self.output)(FleetOutput::News(notices));
+            (self.output)(FleetOutput::Notices(notices));
         }
     }
 }
--- a/crates/flaxtide-fleet/tests/groups.rs
+++ b/crates/flaxtide-fleet/tests/groups.rs
@@ -21,6 +21,8 @@
 
 /// A fleet and the network between its instances.
 struct Fleet {
+    /// Up to how many instances are one group.
+    joint_limit: u32,
     /// The nodes, by address.
     nodes: BTreeMap<SocketAddr, FleetNode>,
     /// The data centre of each address, also of nodes that are gone.
@@ -42,7 +44,13 @@
 impl Fleet {
     /// Starts so many instances in so many data centres, that know three seeds.
     fn new(instances: usize, data_centres: usize) -> Self {
+        Self::with_limit(instances, data_centres, JOINT_LIMIT)
+    }
+
+    /// Starts instances of which up to so many are one group.
+    fn with_limit(instances: usize, data_centres: usize, joint_limit: u32) -> Self {
         let mut fleet = Self {
+            joint_limit,
             nodes: BTreeMap::new(),
             places: BTreeMap::new(),
             cut: BTreeSet::new(),
@@ -66,7 +74,10 @@
             address: address(number),
         };
         self.places.insert(own.address, own.data_centre.clone());
-        let timing = FleetTiming { joint_limit: JOINT_LIMIT, ..FleetTiming::default() };
+        let timing = FleetTiming {
+            joint_limit: self.joint_limit,
+            ..FleetTiming::default()
+        };
         let mut node = FleetNode::new(own, number as u32, timing);
         node.set_list(None, self.now);
         node.set_seeds((0..3).map(address).collect());
@@ -214,6 +225,18 @@
     }
 }
 
+/// Where data centres are always groups of their own, instances without a list are told of all
+/// others, as rates are divided by how many there are.
+#[test]
+fn without_a_common_group_all_instances_are_told_of() {
+    let mut fleet = Fleet::with_limit(30, 2, 0);
+    fleet.run(Duration::from_secs(20));
+    assert!(fleet.nodes.values().all(|node| node.live().len() == 15));
+    let sizes: Vec<u32> =
+        fleet.nodes.values().map(|node| node.fleet_size(fleet.now)).collect();
+    assert!(sizes.iter().all(|size| *size == 30), "{sizes:?}");
+}
+
 #[test]
 fn a_small_fleet_is_one_group_whatever_its_data_centres() {
     let mut fleet = Fleet::new(9, 4);
