The fleet thread in four files, one way to call a peer, one question for digests

Read once more as a whole. No behaviour changes, but what is logged at debug when a peer doesn't answer has one wording. - send, ask_digest and the fetch of a piece each opened a link, called and closed it after a fault: FleetShared::call_peer. ask_rows stays apart: a late answer of it leaves the link open. - 'joint_limit == 0' stood in seven places: uses_digests(). Four walks over the peers of one data centre: peers_in(). regroup worked out the size of the fleet with each tick, also where it could decide nothing. - thread.rs (430 lines) into shared.rs, serve.rs and thread.rs, and PartialCopy out of fetch.rs: the import circle of fetch and thread is gone. - Comments without words of our own.

--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -11,10 +11,13 @@
 mod key;
 mod links;
 mod node;
+mod partial;
 mod peer;
 mod rate;
 mod rows;
+mod serve;
 mod settings;
+mod shared;
 mod thread;
 mod wire;
 
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -60,7 +60,7 @@
     /// Returns the questions for digests that are due, one to a contact in each other data
     /// centre.
     pub fn due_hellos(&mut self, now: Duration) -> Vec<OutgoingHello> {
-        if self.group.joint || self.timing.joint_limit == 0 {
+        if self.group.joint || !self.uses_digests() {
             return vec![];
         }
         let contacts = self.due_contacts(now);
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -104,6 +104,12 @@
         self.group.joint || self.is_home(&peer.info)
     }
 
+    /// Returns whether data centres may be groups that know each other by digests. Otherwise
+    /// each always is a group, and some heartbeats go to others.
+    pub(super) fn uses_digests(&self) -> bool {
+        self.timing.joint_limit > 0
+    }
+
     /// Returns whether an instance stands in this one's data centre.
     pub(super) fn is_home(&self, info: &PeerInfo) -> bool {
         info.data_centre == self.own.data_centre
@@ -129,18 +135,26 @@
     /// shrunk.
     pub(super) fn regroup(&mut self, now: Duration) {
         let limit = self.timing.joint_limit;
-        let known = self.peers.len() as u32 + 1;
-        if self.group.joint && known > limit {
-            self.group.joint = false;
-            self.group.since = now;
-            self.forget_surplus();
+        if self.group.joint {
+            if self.peers.len() as u32 + 1 > limit {
+                self.set_joint(false, now);
+                self.forget_surplus();
+            }
             return;
         }
-        let small = f64::from(self.fleet_size(now)) < f64::from(limit) * REUNITED_PART;
-        if !self.group.joint && small && now >= self.group.since + DIVIDED_AT_LEAST {
-            self.group.joint = true;
-            self.group.since = now;
+        let kept_divided = now < self.group.since + DIVIDED_AT_LEAST;
+        if kept_divided || !self.uses_digests() {
+            return;
         }
+        if f64::from(self.fleet_size(now)) < f64::from(limit) * REUNITED_PART {
+            self.set_joint(true, now);
+        }
+    }
+
+    /// Makes all known instances one group, or each data centre one.
+    fn set_joint(&mut self, joint: bool, now: Duration) {
+        self.group.joint = joint;
+        self.group.since = now;
     }
 
     /// Keeps a few contacts of each other data centre, those that were heard before others.
@@ -166,11 +180,10 @@
     /// Returns whether one more instance is to be known: any of the group, and a few of each
     /// other data centre.
     pub(super) fn has_place_for(&self, info: &PeerInfo) -> bool {
-        if self.group.joint || self.timing.joint_limit == 0 || self.is_home(info) {
+        if self.group.joint || !self.uses_digests() || self.is_home(info) {
             return true;
         }
-        let same = |peer: &&PeerRecord| peer.info.data_centre == info.data_centre;
-        self.peers.values().filter(same).count() < CONTACTS_PER_GROUP
+        self.peers_in(&info.data_centre).count() < CONTACTS_PER_GROUP
     }
 
     /// Returns the contacts that are to get a digest now, one in each other data centre.
@@ -188,7 +201,7 @@
     /// hasn't answered is replaced at once if another is known, and else called again.
     fn due_contact(&mut self, other: &DataCentreName, now: Duration) -> Option<PeerInfo> {
         let version = self.version();
-        let replaceable = self.known_in(other) > 1;
+        let replaceable = self.peers_in(other).count() > 1;
         let period = self.digest_period();
         let wait = if replaceable { ANSWER_WAIT } else { period };
         let group = self.group.others.entry(other.clone()).or_default();
@@ -212,21 +225,24 @@
         Some(contact)
     }
 
-    /// Returns how many instances of another data centre are known.
-    fn known_in(&self, other: &DataCentreName) -> usize {
-        let peers = self.peers.values();
-        peers.filter(|peer| peer.info.data_centre == *other).count()
+    /// Returns the known instances of another data centre.
+    fn peers_in<'a>(
+        &'a self,
+        other: &'a DataCentreName,
+    ) -> impl Iterator<Item = &'a PeerRecord> {
+        self.peers
+            .values()
+            .filter(move |peer| peer.info.data_centre == *other)
     }
 
     /// Returns the contact in another data centre. Each instance has an order of its own, so
     /// that not all turn to the same one.
-    fn contact(&self, other: &DataCentreName) -> Option<&PeerRecord> {
-        let peers = self.peers.values();
-        let peers: Vec<&PeerRecord> =
-            peers.filter(|peer| peer.info.data_centre == *other).collect();
-        let staying = peers.iter().copied().filter(|peer| !peer.leaving);
-        let staying: Vec<&PeerRecord> = staying.collect();
-        let candidates = if staying.is_empty() { peers } else { staying };
+    fn contact<'a>(&'a self, other: &'a DataCentreName) -> Option<&'a PeerRecord> {
+        let staying = self.peers_in(other).filter(|peer| !peer.leaving);
+        let mut candidates: Vec<&PeerRecord> = staying.collect();
+        if candidates.is_empty() {
+            candidates = self.peers_in(other).collect();
+        }
         let names: Vec<&str> =
             candidates.iter().map(|peer| peer.info.name.as_str()).collect();
         let order = rendezvous_order(u64::from(self.key()), &names);
@@ -237,7 +253,7 @@
     /// with its digests or, without any, with heartbeats.
     fn far_liveness_timeout(&self) -> Duration {
         let digests = self.digest_period() * self.timing.missed_heartbeats;
-        if self.timing.joint_limit > 0 { digests } else { self.liveness_timeout() }
+        if self.uses_digests() { digests } else { self.liveness_timeout() }
     }
 
     /// Returns the addresses of all known peers.
@@ -255,7 +271,7 @@
         let (near_timeout, far_timeout) =
             (self.liveness_timeout(), self.far_liveness_timeout());
         // Without digests, this is the only way to know how many there are elsewhere.
-        let all = self.group.joint || self.timing.joint_limit == 0;
+        let all = self.group.joint || !self.uses_digests();
         let of_group = *data_centre == self.own.data_centre;
         let mut told: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
         let known = self.peers.values();
--- a/crates/flaxtide-fleet/src/node/lists.rs
+++ b/crates/flaxtide-fleet/src/node/lists.rs
@@ -8,8 +8,8 @@
 
 impl FleetNode {
     /// Returns who reads lists from the platform for this instance. Fleets below a size
-    /// have no readers. Instances that don't see the same peers may disagree: whoever is
-    /// asked and can't tell says so.
+    /// have no readers. Instances that don't see the same peers may disagree: one that
+    /// is asked and can't tell says so.
     #[must_use]
     pub fn list_reader(&self, alone_below: usize) -> ListReader {
         if self.live.len() < alone_below.max(2) {
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -1,4 +1,4 @@
-//! Heartbeats and replies: what a node says, and what it takes in.
+//! Heartbeats and replies: how a node builds and handles them.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -44,11 +44,11 @@
         heartbeats
     }
 
-    /// Returns heartbeats to those who should hear at once of a new settings version, or that this
-    /// instance is stopping. Who is known to have the version isn't told: each instance that
-    /// gets it from a peer would tell all the others.
+    /// Returns heartbeats to those who should hear at once of a new settings version, or that
+    /// this instance is stopping. Peers that are known to have the version aren't told: each
+    /// instance that gets it from a peer would tell all the others.
     pub fn urgent_heartbeats(&mut self) -> Vec<OutgoingHeartbeat> {
-        if self.leaving || self.timing.joint_limit == 0 {
+        if self.leaving || !self.uses_digests() {
             return self.heartbeats();
         }
         let mut heartbeats = self.build_heartbeats();
@@ -93,7 +93,7 @@
         let timeout = self.liveness_timeout();
         self.forget_seed(&info);
         self.meet(info.clone(), false);
-        let mut joins = false;
+        let mut changes = false;
         if let Some(peer) = self.peers.get_mut(&heartbeat.from) {
             if !peer.listed {
                 // The platform knows best where a listed peer is reached from here.
@@ -101,11 +101,11 @@
             }
             let before = peer.alive(now, timeout);
             peer.apply_heartbeat(heartbeat, now);
-            joins = before != peer.alive(now, timeout);
+            changes = before != peer.alive(now, timeout);
         }
         // Who falls silent is found with the next demand: a walk over all peers for each
         // heartbeat would cost most of the processor time of a large group.
-        if joins {
+        if changes {
             self.refresh(now);
         }
         let mut notices = vec![];
@@ -146,7 +146,7 @@
         let Some(peer) = self.peers.get_mut(from) else { return vec![] };
         let before = peer.alive(now, timeout);
         peer.hear(reply.epoch, reply.leaving, reply.version, now);
-        let joins = before != peer.alive(now, timeout);
+        let changes = before != peer.alive(now, timeout);
         let info = peer.info.clone();
         let shares = reply.shares.iter().map(|share| FleetNotice::Share(*share, until));
         let parts = reply.parts.iter().map(|part| FleetNotice::Rate(*part, until));
@@ -154,7 +154,7 @@
         if reply.version > self.version() {
             notices.push(FleetNotice::Version(reply.version, info));
         }
-        if joins || !reply.peers.is_empty() {
+        if changes || !reply.peers.is_empty() {
             self.refresh(now);
         }
         notices
@@ -191,8 +191,7 @@
     /// Returns which peer, of those that have been heard, is to tell this round whom it
     /// knows. Everyone's answer, every time, would be most of the traffic.
     fn asked(&self) -> Option<&InstanceName> {
-        let without_digests = self.timing.joint_limit == 0;
-        let askable = |peer: &&PeerRecord| without_digests || self.is_near(peer);
+        let askable = |peer: &&PeerRecord| !self.uses_digests() || self.is_near(peer);
         let peers = || self.peers.values().filter(askable);
         let turn = self.rounds % peers().count().max(1) as u64;
         peers().nth(turn as usize).map(|peer| &peer.info.name)
@@ -222,8 +221,7 @@
     /// digests do that duty.
     fn far_peers(&self) -> impl Iterator<Item = &PeerRecord> {
         let mut by_data_centre: BTreeMap<&str, Vec<&PeerRecord>> = BTreeMap::new();
-        let without_digests = self.timing.joint_limit == 0;
-        let far = |peer: &&PeerRecord| without_digests && !self.is_near(peer);
+        let far = |peer: &&PeerRecord| !self.uses_digests() && !self.is_near(peer);
         for peer in self.peers.values().filter(far) {
             by_data_centre.entry(&peer.info.data_centre).or_default().push(peer);
         }
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -1,38 +1,30 @@
 //! The fleet thread: it carries messages over tarpc. Nothing else in flaxtide is async.
 
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, TryRecvError};
 use flaxtide_core::{MilliClock, SettingsVersion};
-use futures::StreamExt;
 use tarpc::client::RpcError;
-use tarpc::context::Context;
-use tarpc::server::{BaseChannel, Channel};
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
 
 use crate::counted::LinkBytes;
-use crate::fetch::{PartialCopy, fetch_settings};
-use crate::links::{PeerLinks, call, transport};
+use crate::fetch::fetch_settings;
+use crate::links::call;
 use crate::node::{FleetNode, FleetNotice, OutgoingHeartbeat, OutgoingHello};
-use crate::rows::{RowAnswer, RowChanges, RowQuestion, RowSource};
-use crate::settings::{PieceAnswer, PieceProvider, PieceQuestion, SettingsCopy};
-use crate::wire::{FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply, PeerLink};
+use crate::rows::{RowAnswer, RowQuestion, RowSource};
+use crate::serve::serve;
+use crate::settings::SettingsCopy;
+use crate::shared::{ANSWER_TIMEOUT, FleetOutput, FleetShared};
+use crate::wire::PeerLinkClient;
 
 /// How often the thread polls its rings.
 const POLL_PERIOD: Duration = Duration::from_millis(50);
 
-/// How long a peer may take to answer.
-const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// How many requests of one link are answered side by side.
-const REQUESTS_OF_A_LINK: usize = 8;
-
 /// The shortest time between two rounds of heartbeats that don't wait for their period.
 const URGENT_PERIOD: Duration = Duration::from_millis(200);
 
@@ -72,14 +64,6 @@
     }
 }
 
-/// What the fleet thread passes on: what peers have told, or settings.
-pub(crate) enum FleetOutput {
-    /// What peers have told, as it came in one message.
-    Notices(Vec<FleetNotice>),
-    /// The settings that a peer sent.
-    Settings(SettingsCopy),
-}
-
 /// The fleet thread, before it runs.
 pub struct FleetThread {
     /// The listener for peers.
@@ -90,27 +74,6 @@
     shared: Arc<FleetShared>,
 }
 
-/// What all tasks of the fleet thread share.
-pub(crate) struct FleetShared {
-    /// The node.
-    node: Mutex<FleetNode>,
-    /// The clock.
-    pub(crate) clock: MilliClock,
-    /// Takes what is heard.
-    pub(crate) output: Box<dyn Fn(FleetOutput) + Send + Sync>,
-    /// Gives the settings in force to peers.
-    settings: Box<dyn Fn(SettingsVersion) -> Option<SettingsCopy> + Send + Sync>,
-    /// What this instance has read from the platform for peers, once it does.
-    rows: OnceLock<Arc<dyn RowSource>>,
-    /// The open links to peers.
-    pub(crate) links: PeerLinks,
-    /// Gives the settings to a few peers at a time.
-    provider: Mutex<PieceProvider>,
-    /// What has come of the settings that are being fetched. It outlasts a fetch that ends
-    /// before they are whole.
-    begun: Mutex<PartialCopy>,
-}
-
 impl FleetThread {
     /// Listens for peers. `notices` takes what is heard, `adopt` takes settings that a peer
     /// sent, and `settings` gives the settings in force if newer than a version.
@@ -134,16 +97,8 @@
             FleetOutput::Notices(heard) => notices(heard),
             FleetOutput::Settings(copy) => adopt(copy),
         };
-        let shared = Arc::new(FleetShared {
-            node: Mutex::new(node),
-            clock,
-            output: Box::new(output),
-            settings: Box::new(settings),
-            rows: OnceLock::new(),
-            links: PeerLinks::default(),
-            provider: Mutex::default(),
-            begun: Mutex::default(),
-        });
+        let shared = FleetShared::new(node, clock, Box::new(output), Box::new(settings));
+        let shared = Arc::new(shared);
         Ok(Self { listener, runtime, shared })
     }
 
@@ -185,25 +140,6 @@
     }
 }
 
-impl FleetShared {
-    /// Locks the node. A panic elsewhere doesn't spoil it.
-    pub(crate) fn node(&self) -> MutexGuard<'_, FleetNode> {
-        self.node.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Locks what has come of settings.
-    pub(crate) fn begun(&self) -> MutexGuard<'_, PartialCopy> {
-        self.begun.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Passes on what has been heard.
-    fn tell(&self, notices: Vec<FleetNotice>) {
-        if !notices.is_empty() {
-            (self.output)(FleetOutput::Notices(notices));
-        }
-    }
-}
-
 /// Takes events and sends heartbeats until told to stop.
 async fn lead(shared: &Arc<FleetShared>, events: &Receiver<FleetEvent>) {
     let mut urgent = UrgentRound::default();
@@ -271,9 +207,9 @@
     }
 }
 
-/// Begins a fetch of settings if one is due and none is under way. One at a time, whoever
-/// tells of newer settings meanwhile: a fetch for each notice filled links with hundreds of
-/// copies, and the memory of who gave them.
+/// Begins a fetch of settings if one is due and none is under way. One at a time, also
+/// if several peers tell of newer settings: a fetch for each notice filled links with hundreds
+/// of copies, and the memory of the providers.
 fn fetch_if_due(
     shared: &Arc<FleetShared>,
     fetch: &mut Option<JoinHandle<()>>,
@@ -287,40 +223,28 @@
     }
 }
 
-/// Sends one heartbeat and takes in the reply.
+/// Sends one heartbeat and handles the reply.
 async fn send(shared: Arc<FleetShared>, outgoing: OutgoingHeartbeat) {
-    let address = outgoing.to.address;
-    let Some(link) = shared.links.open(address).await else { return };
-    let heartbeat = |context| link.client.heartbeat(context, outgoing.heartbeat);
-    match call(ANSWER_TIMEOUT, heartbeat).await {
-        Ok(reply) => {
-            let now = shared.clock.now();
-            let notices = shared.node().handle_reply(&outgoing.to.name, &reply, now);
-            shared.tell(notices);
-        }
-        Err(cause) => {
-            log::debug!("no answer from {}: {cause}", outgoing.to.name);
-            shared.links.close(address, &link).await;
-        }
-    }
+    let OutgoingHeartbeat { to, heartbeat } = outgoing;
+    let ask = |client: PeerLinkClient, context| async move {
+        client.heartbeat(context, heartbeat).await
+    };
+    let Some(reply) = shared.call_peer(&to, ANSWER_TIMEOUT, ask).await else { return };
+    let now = shared.clock.now();
+    let notices = shared.node().handle_reply(&to.name, &reply, now);
+    shared.notify(notices);
 }
 
 /// Asks a contact in another data centre for its digest.
 async fn ask_digest(shared: Arc<FleetShared>, outgoing: OutgoingHello) {
-    let address = outgoing.to.address;
-    let Some(link) = shared.links.open(address).await else { return };
-    let digest = |context| link.client.digest(context, outgoing.hello);
-    match call(ANSWER_TIMEOUT, digest).await {
-        Ok(digest) => {
-            let now = shared.clock.now();
-            let notices = shared.node().handle_digest(&digest, now);
-            shared.tell(notices);
-        }
-        Err(cause) => {
-            log::debug!("no digest from {}: {cause}", outgoing.to.name);
-            shared.links.close(address, &link).await;
-        }
-    }
+    let OutgoingHello { to, hello } = outgoing;
+    let ask = |client: PeerLinkClient, context| async move {
+        client.digest(context, hello).await
+    };
+    let Some(digest) = shared.call_peer(&to, ANSWER_TIMEOUT, ask).await else { return };
+    let now = shared.clock.now();
+    let notices = shared.node().handle_digest(&digest, now);
+    shared.notify(notices);
 }
 
 /// Asks a peer for the rows that it has read. An answer that is late doesn't close the link:
@@ -348,83 +272,3 @@
     let answered = tokio::time::timeout(wait + margin, asked).await;
     answer(answered.unwrap_or(RowAnswer::Unreachable));
 }
-
-/// Answers peers.
-async fn serve(listener: TcpListener, shared: Arc<FleetShared>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            tokio::time::sleep(POLL_PERIOD).await;
-            continue;
-        };
-        let _ = stream.set_nodelay(true);
-        let channel = BaseChannel::with_defaults(transport(stream, &shared.links.bytes));
-        let server = PeerServer { shared: shared.clone() };
-        tokio::spawn(answer(channel.execute(server.serve())));
-    }
-}
-
-/// Answers the requests of one link. One that waits for rows doesn't hold up the others.
-async fn answer<Response: Future<Output = ()>>(
-    requests: impl futures::Stream<Item = Response>,
-) {
-    requests
-        .for_each_concurrent(REQUESTS_OF_A_LINK, |response| response)
-        .await;
-}
-
-/// The part that answers peers.
-#[derive(Clone)]
-struct PeerServer {
-    /// What all tasks share.
-    shared: Arc<FleetShared>,
-}
-
-impl PeerLink for PeerServer {
-    async fn heartbeat(self, _: Context, heartbeat: FleetHeartbeat) -> HeartbeatReply {
-        let now = self.shared.clock.now();
-        let (reply, notices) = self.shared.node().handle_heartbeat(&heartbeat, now);
-        self.shared.tell(notices);
-        reply
-    }
-
-    async fn digest(self, _: Context, hello: GroupHello) -> GroupDigest {
-        let now = self.shared.clock.now();
-        self.shared.node().handle_hello(&hello, now)
-    }
-
-    async fn settings(self, _: Context, question: PieceQuestion) -> PieceAnswer {
-        let shared = &self.shared;
-        let newest = || (shared.settings)(question.newer_than);
-        let mut provider = shared.provider.lock().unwrap_or_else(PoisonError::into_inner);
-        let answer = provider.answer(question, newest, shared.clock.now());
-        log_given(question, &answer);
-        answer
-    }
-
-    async fn rows(self, _: Context, after: u64, wait_ms: u32) -> Option<RowChanges> {
-        let source = self.shared.rows.get()?.clone();
-        let wait = Duration::from_millis(wait_ms.into()).min(ANSWER_TIMEOUT);
-        let changed = source.changed();
-        let woken = changed.notified();
-        let notices = source.changes_after(after)?;
-        if !notices.rows.is_empty() {
-            return Some(notices);
-        }
-        // Without updates in time, the answer says up to when there was none.
-        let _ = tokio::time::timeout(wait, woken).await;
-        source.changes_after(after)
-    }
-}
-
-/// Logs that settings are given, once a copy, and that a peer is sent elsewhere.
-fn log_given(question: PieceQuestion, answer: &PieceAnswer) {
-    let newer_than = question.newer_than;
-    match answer {
-        PieceAnswer::Piece(piece) if piece.offset == 0 => log::info!(
-            newer_than, version = piece.version, bytes = piece.length;
-            "settings given to peer"
-        ),
-        PieceAnswer::Busy => log::debug!(newer_than; "settings not given, too many ask"),
-        PieceAnswer::Piece(_) | PieceAnswer::NothingNewer => {}
-    }
-}
