Pauses of peers end with the trouble they belong to; following has a file of its own

A fault of this change: what a standby couldn't tell was remembered until that same peer told. As mostly another one tells first, it stayed, so that the next time, hours later, a lost reader was taken for a platform in trouble (first call within 3 s instead of a tenth of the bound for leaving servers), and the pause went on doubling from before. Change: PeerPauses (pauses.rs), which forgets what others couldn't tell once any peer tells, and peers that the plan doesn't have any more. Test: tests/pauses.rs; its case of a later trouble fails with the line of before put back.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -1,23 +1,17 @@
-//! What the platform tells, followed on a thread for each topic, and taken in on the
-//! traffic thread.
+//! What the platform and the peers tell, handled on the traffic thread.
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::thread;
 use std::time::Duration;
 
-use flaxtide_core::{InstanceName, MilliClock, ServerName, SettingsVersion};
-use flaxtide_fleet::{FleetKey, OwnLoad, PartRead, RowCopy};
-use tokio::sync::mpsc::{Receiver, Sender};
+use flaxtide_core::{InstanceName, ServerName, SettingsVersion};
+use flaxtide_fleet::{FleetKey, OwnLoad, PartRead};
+use tokio::sync::mpsc::Receiver;
 
-use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
+use crate::contract::{FeedBatch, FeedRow, FeedTopic, PlatformFeed};
 use crate::fleet::{
-    FleetLink, RulesCopy, SharedRules, take_peer_loads, take_peer_reads, take_peer_silent,
+    RulesCopy, SharedRules, take_peer_loads, take_peer_reads, take_peer_unresponsive,
 };
-use crate::follow::{CallBackoff, FOLLOW_WAIT, FollowAnswer, FollowFault, FollowState};
-use crate::metrics::EntryMetrics;
-use crate::reader::ListLog;
-use crate::source::ListSource;
 use crate::state::TrafficState;
 
 /// Something that a feed thread tells the traffic thread.
@@ -42,7 +36,7 @@
     PeerLoads(InstanceName, Vec<OwnLoad>),
     /// Servers have read shared parts of prompts for a peer.
     PeerReads(Vec<PartRead>),
-    /// A peer has found servers silent.
+    /// A peer has found servers unresponsive.
     PeerUnresponsive(Vec<FleetKey>),
     /// What is known of the fleet.
     Fleet {
@@ -53,228 +47,7 @@
     },
 }
 
-/// How often an instance looks whether peers still hand rules on.
-const PEERS_PERIOD: Duration = Duration::from_millis(500);
-
-/// How often peers are asked by an instance that leaves the platform in peace.
-const REST_PERIOD: Duration = Duration::from_millis(100);
-
-/// How often an instance that has just started looks whether it knows who reads.
-const SETTLING_PERIOD: Duration = Duration::from_millis(100);
-
-/// What peers tell of a topic.
-enum PeerWord {
-    /// These rows have changed.
-    Rows(FeedBatch),
-    /// Changes come another way.
-    Elsewhere,
-}
-
-/// What follows one topic.
-pub(crate) struct TopicFollower {
-    /// What the platform tells.
-    pub(crate) feed: Arc<dyn PlatformFeed>,
-    /// The topic.
-    pub(crate) topic: FeedTopic,
-    /// The pause between two calls: rows may change all the time, and each call has its
-    /// price.
-    pub(crate) pace: Duration,
-    /// From whom this instance gets what few read from the platform.
-    pub(crate) source: Arc<ListSource>,
-    /// For the list that peers are told: what was read, and the ring to the fleet thread.
-    pub(crate) list: Option<(Arc<ListLog>, FleetLink)>,
-    /// The ring to the traffic thread.
-    pub(crate) events: Sender<FeedEvent>,
-    /// The metrics.
-    pub(crate) metrics: Arc<EntryMetrics>,
-}
-
-impl TopicFollower {
-    /// Returns what peers tell of the topic; nothing if this instance is to call the
-    /// platform.
-    fn told_by_peers(&self, after: Option<u64>) -> Option<PeerWord> {
-        let after = after?;
-        let Some((list, link)) = self.list.as_ref() else {
-            // Peers hand newer rules on by themselves, as long as their readers go on.
-            let hands_on = self.source.told_lately() && !self.source.is_behind();
-            return hands_on.then_some(PeerWord::Elsewhere);
-        };
-        let news = self.source.ask(link, after)?;
-        list.forget();
-        self.count("peer");
-        let row =
-            |row: RowCopy| FeedRow { name: row.name, text: row.text, version: None };
-        Some(PeerWord::Rows(FeedBatch {
-            version: news.version.max(after),
-            rows: news.rows.into_iter().map(row).collect(),
-        }))
-    }
-
-    /// Returns how long this instance leaves the platform in peace, though no peer tells.
-    fn rest(&self, backoff: &mut CallBackoff, now: Duration) -> Option<Duration> {
-        let behind = self.topic == FeedTopic::Rules && self.source.is_behind();
-        if !self.source.follows_peers() || behind {
-            return None;
-        }
-        backoff.rest(self.source.start_window(), rand::random(), now)
-    }
-
-    /// Calls the platform, and waits for changes no longer than `most`.
-    fn call(&self, after: Option<u64>, most: Duration) -> Result<FeedBatch, FeedError> {
-        let wait = self.timing().0.min(most);
-        let read = match after {
-            None => self.feed.read(self.topic),
-            Some(version) => self.feed.follow(self.topic, version, wait),
-        };
-        self.count(if read.is_ok() { "ok" } else { "failed" });
-        if let (Ok(batch), Some((list, _))) = (&read, &self.list) {
-            list.record(batch, after);
-        }
-        read
-    }
-
-    /// Returns how long a call waits for changes, and the pause after it.
-    fn timing(&self) -> (Duration, Duration) {
-        let list = self.list.as_ref();
-        let timing = list
-            .and_then(|(list, _)| list.reader_timing(self.source.reader(), self.pace));
-        timing.unwrap_or((FOLLOW_WAIT, self.pace))
-    }
-
-    /// Calls the platform and handles its answer, then pauses. Returns whether somebody
-    /// listens.
-    fn call_platform(
-        &self,
-        state: &mut FollowState,
-        backoff: &mut CallBackoff,
-        clock: &MilliClock,
-    ) -> bool {
-        let most = state.longest_wait(clock.now());
-        let rest = self.timing().1;
-        match self.call(state.after(), most) {
-            Ok(batch) => {
-                backoff.succeed(clock.now());
-                let listened = self.take_batch(state, batch);
-                thread::sleep(rest);
-                listened
-            }
-            Err(fault) => {
-                if fault != FeedError::HistoryGone {
-                    backoff.fail(rand::random(), clock.now());
-                }
-                self.take_fault(state, &fault, clock.now())
-            }
-        }
-    }
-
-    /// Takes in an answer. Returns whether somebody listens.
-    fn take_batch(&self, state: &mut FollowState, batch: FeedBatch) -> bool {
-        let FollowAnswer { whole, regained } = state.take_version(batch.version);
-        if regained {
-            note_dependency(self.topic, true, None, &self.metrics);
-            if !self.tell(FeedEvent::Regained) {
-                return false;
-            }
-        }
-        let news = whole || !batch.rows.is_empty();
-        !news || self.tell(FeedEvent::Batch { topic: self.topic, batch, whole })
-    }
-
-    /// Takes in that a call has failed, and pauses. Returns whether somebody listens.
-    fn take_fault(
-        &self,
-        state: &mut FollowState,
-        fault: &FeedError,
-        now: Duration,
-    ) -> bool {
-        let FollowFault { lost, pause } = state.take_fault(fault, now);
-        note_fault(self.topic, fault, pause);
-        if lost {
-            note_dependency(self.topic, false, Some(fault), &self.metrics);
-        }
-        let listened = !lost || self.tell(FeedEvent::Lost);
-        thread::sleep(pause);
-        listened
-    }
-
-    /// Tells the traffic thread. Returns whether it listens.
-    fn tell(&self, event: FeedEvent) -> bool {
-        self.events.blocking_send(event).is_ok()
-    }
-
-    /// Counts a call.
-    fn count(&self, result: &str) {
-        let topic = self.topic.to_string();
-        self.metrics
-            .platform
-            .with_label_values(&[topic.as_str(), result])
-            .inc();
-    }
-}
-
-/// Follows a topic until nobody listens.
-pub(crate) fn follow_topic(follower: &TopicFollower) {
-    let clock = MilliClock::real();
-    let mut state = FollowState::default();
-    let mut backoff = CallBackoff::default();
-    loop {
-        let listened = match follower.told_by_peers(state.after()) {
-            Some(PeerWord::Rows(batch)) => {
-                backoff.reset();
-                follower.take_batch(&mut state, batch)
-            }
-            Some(PeerWord::Elsewhere) => {
-                backoff.reset();
-                thread::sleep(PEERS_PERIOD);
-                true
-            }
-            None if state.after().is_some() && follower.source.is_settling() => {
-                thread::sleep(SETTLING_PERIOD);
-                true
-            }
-            None => match follower.rest(&mut backoff, clock.now()) {
-                Some(rest) => {
-                    thread::sleep(rest.min(REST_PERIOD));
-                    // Rows that lapse meanwhile may do so since the platform is out.
-                    follower.tell(FeedEvent::Lost)
-                }
-                None => follower.call_platform(&mut state, &mut backoff, &clock),
-            },
-        };
-        if !listened {
-            return;
-        }
-    }
-}
-
-/// Logs that a call has failed.
-fn note_fault(topic: FeedTopic, fault: &FeedError, pause: Duration) {
-    let (topic, pause_ms) = (topic.to_string(), pause.as_millis() as u64);
-    if *fault == FeedError::HistoryGone {
-        log::info!(topic, pause_ms; "history gone, everything is read anew");
-        return;
-    }
-    log::info!(topic, cause = fault.to_string(), pause_ms; "platform call failed");
-}
-
-/// Logs that the platform is lost or regained.
-fn note_dependency(
-    topic: FeedTopic,
-    up: bool,
-    fault: Option<&FeedError>,
-    metrics: &EntryMetrics,
-) {
-    let name = topic.to_string();
-    metrics
-        .dependencies
-        .with_label_values(&[name.as_str()])
-        .set(i64::from(up));
-    let event = if up { "dependency regained" } else { "dependency lost" };
-    let cause = fault.map(ToString::to_string).unwrap_or_default();
-    log::info!(dependency = format!("platform {name}"), cause; "{event}");
-}
-
-/// Takes in what the feed threads and the peers tell, until they have ended.
+/// Handles what the feed threads and the peers tell, until they have ended.
 pub(crate) async fn take_feed(
     state: Rc<TrafficState>,
     feed: Arc<dyn PlatformFeed>,
@@ -304,7 +77,9 @@
                 take_peer_rules(&state, &*feed, &shared, copy);
             }
             FeedEvent::PeerLoads(peer, loads) => take_peer_loads(&state, &peer, &loads),
-            FeedEvent::PeerUnresponsive(servers) => take_peer_silent(&state, &servers),
+            FeedEvent::PeerUnresponsive(servers) => {
+                take_peer_unresponsive(&state, &servers);
+            }
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
             FeedEvent::Fleet { live, newest_rules } => {
                 state.newest_rules.set(newest_rules);
@@ -355,7 +130,7 @@
     Some(version)
 }
 
-/// Takes in rows of servers.
+/// Handles rows of servers.
 fn take_servers(
     state: &TrafficState,
     feed: &dyn PlatformFeed,
@@ -377,7 +152,7 @@
     }
 }
 
-/// Takes in the row of one server. Returns whether it changes anything.
+/// Handles the row of one server. Returns whether it changes anything.
 fn take_server(
     state: &TrafficState,
     feed: &dyn PlatformFeed,
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -308,8 +308,8 @@
     Some((note.age, PartRead { server, part: note.part }))
 }
 
-/// Takes in that a peer has found servers silent.
-pub(crate) fn take_peer_silent(state: &TrafficState, servers: &[FleetKey]) {
+/// Handles that a peer has found servers unresponsive.
+pub(crate) fn take_peer_unresponsive(state: &TrafficState, servers: &[FleetKey]) {
     let known: Vec<ServerId> =
         servers.iter().filter_map(|key| state.server_with_key(*key)).collect();
     state.ask(|core, now| core.hear_rumours(&known, now));
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -15,10 +15,11 @@
 use crate::contract::{FeedTopic, PlatformFeed, WireDialect};
 use crate::directory::FEED_PART;
 use crate::error::EntryError;
-use crate::feed::{FeedEvent, TopicFollower, follow_topic, take_feed};
+use crate::feed::{FeedEvent, take_feed};
 use crate::fleet::{
     FleetLink, RulesSource, SharedRules, open_fleet, show_peer_bytes, tell_peers,
 };
+use crate::follower::{TopicFollower, follow_topic};
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -21,10 +21,12 @@
 mod feed;
 mod fleet;
 mod follow;
+mod follower;
 mod instance;
 mod listen;
 mod logging;
 mod metrics;
+mod pauses;
 mod reader;
 mod relay;
 mod reply;
@@ -46,4 +48,5 @@
 };
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::logging::init_entry_logging;
+pub use self::pauses::PeerPauses;
 pub use self::reader::ListLog;
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -1,10 +1,9 @@
 //! From whom an instance gets what few read from the platform: the reader that its group has
 //! drawn for it, else another reader or a standby that can tell, else the platform itself.
 
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use crossbeam::channel::bounded;
 use flaxtide_core::MilliClock;
@@ -12,21 +11,19 @@
 
 use crate::fleet::FleetLink;
 use crate::follow::first_call_window;
+use crate::pauses::PeerPauses;
 
-/// How long a question to a reader waits for news, as a part of the time within which a
+/// How long a question to a reader waits for changes, as a part of the time within which a
 /// leaving server gets no more work.
 const QUESTION_PART: f64 = 0.15;
 
 /// How much longer its answer may take, as a part of that time.
 const MARGIN_PART: f64 = 0.1;
 
-/// For how long nobody asks a peer that has said it couldn't tell, as a part of that time; twice
-/// as long each further time. A standby can tell as soon as it has called the platform.
+/// For how long a peer that has answered that it can't tell isn't asked, as a part of that time;
+/// twice as long each further time. A standby can tell as soon as it has called the platform.
 const UNABLE_PART: f64 = 0.1;
 
-/// The longest such pause, and that of a peer that didn't answer.
-const UNREACHABLE: Duration = Duration::from_secs(2);
-
 /// For how long a peer's word means that readers reach the platform, as a part of that time:
 /// two questions' worth.
 const TOLD_PART: f64 = 0.5;
@@ -53,49 +50,47 @@
 }
 
 /// Who is to be asked.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct SourceState {
     /// Who reads, as the group has drawn.
     plan: ListPlan,
-    /// Peers that didn't tell, until they are asked again.
-    unable: HashMap<SocketAddr, UnablePeer>,
+    /// Peers that had nothing to tell.
+    pauses: PeerPauses,
     /// When a peer last told.
     told: Option<Duration>,
     /// Since when peers have told of newer rules than those in force.
     behind_since: Option<Duration>,
 }
 
-/// A peer that didn't tell.
-#[derive(Debug, Clone, Copy)]
-struct UnablePeer {
-    /// Whether it has answered.
-    answers: bool,
-    /// How long it isn't asked.
-    pause: Duration,
-    /// Until when.
-    until: Duration,
-}
-
 impl ListSource {
     /// Starts with nobody to ask. A leaving server may get no more work after
     /// `leave_within`; `has_peers` says whether there may be peers.
     pub(crate) fn new(leave_within: Duration, has_peers: bool) -> Self {
         let clock = MilliClock::real();
         let settling = if has_peers { SETTLING } else { Duration::ZERO };
+        let state = SourceState {
+            plan: ListPlan::default(),
+            pauses: PeerPauses::new(leave_within.mul_f64(UNABLE_PART)),
+            told: None,
+            behind_since: None,
+        };
         Self {
             settled_at: clock.now() + settling,
             clock,
             leave_within,
-            state: Mutex::default(),
+            state: Mutex::new(state),
         }
     }
 
     /// Sets who is to be asked. Returns whether that has changed.
     pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
         let mut state = self.lock();
-        let changed = state.plan != plan;
+        if state.plan == plan {
+            return false;
+        }
+        state.pauses.keep_only(&peers_of(&plan));
         state.plan = plan;
-        changed
+        true
     }
 
     /// Returns who reads for this instance.
@@ -138,7 +133,7 @@
     /// Returns within what time this instance calls the platform itself, once no peer tells.
     pub(crate) fn start_window(&self) -> Duration {
         let state = self.lock();
-        let answers = state.unable.values().any(|peer| peer.answers);
+        let answers = state.pauses.any_answers();
         first_call_window(state.plan.standby, answers, self.leave_within)
     }
 
@@ -156,12 +151,9 @@
     fn askable(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let state = self.lock();
-        let ListReader::Peer(reader) = state.plan.reader else { return vec![] };
-        let peers = [reader].into_iter().chain(state.plan.others.iter().copied());
-        let waits = |peer: &SocketAddr| {
-            state.unable.get(peer).is_some_and(|unable| now < unable.until)
-        };
-        peers.filter(|peer| !waits(peer)).collect()
+        let mut peers = peers_of(&state.plan);
+        peers.retain(|peer| state.pauses.may_ask(*peer, now));
+        peers
     }
 
     /// Asks peers side by side, until one tells or none is left.
@@ -177,46 +169,53 @@
         for peer in peers.iter().copied() {
             let tell = tell.clone();
             let answer = Box::new(move |answer: RowAnswer| {
-                // Whoever asked may have stopped waiting.
+                // The thread that asked may have stopped waiting.
                 let _ = tell.try_send((peer, answer));
             });
             link.ask_rows(RowQuestion { peer, after, wait, margin, answer });
         }
         drop(tell);
-        let deadline = Instant::now() + wait + margin;
-        let mut silent = peers.to_vec();
-        while let Ok((peer, answer)) = told.recv_deadline(deadline) {
-            silent.retain(|other| *other != peer);
-            if let RowAnswer::Told(changes) = answer {
-                self.record_told(peer);
-                return Some(changes);
+        let until = self.clock.now() + wait + margin;
+        let mut unanswered = peers.to_vec();
+        while let Ok((peer, answer)) = told.recv_timeout(self.until(until)) {
+            unanswered.retain(|other| *other != peer);
+            match answer {
+                RowAnswer::Told(changes) => {
+                    self.record_told(peer);
+                    return Some(changes);
+                }
+                RowAnswer::Unable => self.record_pause(peer, true),
+                RowAnswer::Unreachable => self.record_pause(peer, false),
             }
-            self.record_unable(peer, answer == RowAnswer::Unable);
         }
-        silent.into_iter().for_each(|peer| self.record_unable(peer, false));
+        for peer in unanswered {
+            self.record_pause(peer, false);
+        }
         None
     }
 
+    /// Returns how long it is until a time.
+    fn until(&self, time: Duration) -> Duration {
+        time.saturating_sub(self.clock.now())
+    }
+
     /// Records that a peer has told.
     fn record_told(&self, peer: SocketAddr) {
         let now = self.clock.now();
         let mut state = self.lock();
         state.told = Some(now);
-        state.unable.remove(&peer);
+        state.pauses.record_told(peer);
     }
 
-    /// Records that a peer didn't tell, and whether it has answered at all.
-    fn record_unable(&self, peer: SocketAddr, answers: bool) {
-        let now = self.clock.now();
-        let first = self.leave_within.mul_f64(UNABLE_PART);
-        let mut state = self.lock();
-        let before = state.unable.get(&peer).filter(|unable| unable.answers);
-        let longer = before.map_or(first, |unable| unable.pause * 2);
-        let pause = if answers { longer.min(UNREACHABLE) } else { UNREACHABLE };
+    /// Records that a peer had nothing to tell, and whether it has answered at all.
+    fn record_pause(&self, peer: SocketAddr, answers: bool) {
         log::info!(peer = peer.to_string(), answers; "peer has no list to tell");
-        state
-            .unable
-            .insert(peer, UnablePeer { answers, pause, until: now + pause });
+        let now = self.clock.now();
+        let pauses = &mut self.lock().pauses;
+        match answers {
+            true => pauses.record_unable(peer, now),
+            false => pauses.record_unreachable(peer, now),
+        }
     }
 
     /// Locks the state. A panic elsewhere doesn't spoil it.
@@ -224,3 +223,9 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the peers of a plan, in the order in which they are asked.
+fn peers_of(plan: &ListPlan) -> Vec<SocketAddr> {
+    let ListReader::Peer(reader) = plan.reader else { return vec![] };
+    [reader].into_iter().chain(plan.others.iter().copied()).collect()
+}
--- /dev/null
+++ b/crates/flaxtide-entry/tests/pauses.rs
@@ -0,0 +1,66 @@
+//! When peers that had nothing to tell are asked again.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxtide_entry::PeerPauses;
+
+/// The first pause.
+const FIRST: Duration = Duration::from_millis(400);
+
+/// Returns the address of a peer.
+fn peer(number: u8) -> SocketAddr {
+    ([10, 0, 0, number], 7000).into()
+}
+
+/// Returns how long a peer may not be asked.
+fn pause(pauses: &PeerPauses, peer: SocketAddr, now: Duration) -> Duration {
+    let spans = (0..).map(Duration::from_millis);
+    spans
+        .take(10_000)
+        .find(|span| pauses.may_ask(peer, now + *span))
+        .unwrap()
+}
+
+#[test]
+fn pauses_of_a_peer_that_answers_grow_and_end() {
+    let mut pauses = PeerPauses::new(FIRST);
+    let mut now = Duration::ZERO;
+    for expected in [400, 800, 1600, 2000, 2000] {
+        pauses.record_unable(peer(1), now);
+        assert_eq!(pause(&pauses, peer(1), now), Duration::from_millis(expected));
+        now += Duration::from_secs(3);
+    }
+    assert!(pauses.may_ask(peer(2), now));
+}
+
+#[test]
+fn a_peer_without_an_answer_is_left_alone_for_longest() {
+    let mut pauses = PeerPauses::new(FIRST);
+    pauses.record_unreachable(peer(1), Duration::ZERO);
+    assert_eq!(pause(&pauses, peer(1), Duration::ZERO), Duration::from_secs(2));
+    assert!(!pauses.any_answers());
+}
+
+/// The next time that nobody tells may be another trouble, hours later.
+#[test]
+fn once_a_peer_has_told_nothing_is_left_of_what_others_could_not() {
+    let mut pauses = PeerPauses::new(FIRST);
+    pauses.record_unable(peer(1), Duration::ZERO);
+    pauses.record_unable(peer(2), Duration::ZERO);
+    pauses.record_told(peer(1));
+    assert!(!pauses.any_answers(), "the platform isn't in trouble");
+    let later = Duration::from_secs(3600);
+    pauses.record_unable(peer(2), later);
+    assert_eq!(pause(&pauses, peer(2), later), FIRST);
+}
+
+#[test]
+fn peers_that_are_not_asked_any_more_do_not_count() {
+    let mut pauses = PeerPauses::new(FIRST);
+    pauses.record_unable(peer(1), Duration::ZERO);
+    pauses.record_unreachable(peer(2), Duration::ZERO);
+    pauses.keep_only(&[peer(2), peer(3)]);
+    assert!(!pauses.any_answers());
+    assert!(!pauses.may_ask(peer(2), Duration::ZERO));
+}
