--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -9,9 +9,8 @@
 use tokio::sync::mpsc::Receiver;
 
 use crate::contract::{FeedBatch, FeedRow, FeedTopic, PlatformFeed};
-use crate::fleet::{
-    RulesCopy, SharedRules, take_peer_loads, take_peer_reads, take_peer_unresponsive,
-};
+use crate::fleet::{take_peer_loads, take_peer_reads, take_peer_unresponsive};
+use crate::shared_rules::{RulesCopy, SharedRules};
 use crate::state::TrafficState;
 
 /// Something that a feed thread tells the traffic thread.
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -4,7 +4,7 @@
 //! all that it knows of the servers' load.
 
 use std::rc::Rc;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, Sender, bounded};
@@ -23,6 +23,7 @@
 use crate::feed::FeedEvent;
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
+use crate::shared_rules::{RulesCopy, SharedRules};
 use crate::state::TrafficState;
 
 /// The length of the ring to the fleet thread.
@@ -38,44 +39,6 @@
 /// heartbeats fit the 17 KB/s of control at their longest period.
 const JOINT_LIMIT: u32 = 58;
 
-/// Rules as they travel between instances: as the platform spells them.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub(crate) struct RulesCopy {
-    /// The version.
-    pub(crate) version: SettingsVersion,
-    /// The text. Whoever gives it to peers shares it.
-    pub(crate) text: Arc<str>,
-}
-
-/// The newest rules, for peers that ask.
-#[derive(Debug, Default)]
-pub(crate) struct SharedRules {
-    /// The rules, once there are any.
-    copy: Mutex<Option<RulesCopy>>,
-}
-
-impl SharedRules {
-    /// Takes in newer rules.
-    pub(crate) fn put(&self, copy: RulesCopy) {
-        *self.lock() = Some(copy);
-    }
-
-    /// Tells whether rules are those in force, to the letter.
-    pub(crate) fn holds(&self, text: &str) -> bool {
-        self.lock().as_ref().is_some_and(|copy| *copy.text == *text)
-    }
-
-    /// Returns the rules if they are newer than a version.
-    fn newer_than(&self, version: SettingsVersion) -> Option<RulesCopy> {
-        self.lock().clone().filter(|copy| copy.version > version)
-    }
-
-    /// Locks the copy. A panic elsewhere doesn't spoil it.
-    fn lock(&self) -> MutexGuard<'_, Option<RulesCopy>> {
-        self.copy.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-}
-
 /// The ring to the fleet thread.
 #[derive(Debug, Clone)]
 pub(crate) struct FleetLink {
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -16,14 +16,13 @@
 use crate::directory::FEED_PART;
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, take_feed};
-use crate::fleet::{
-    FleetLink, RulesSource, SharedRules, open_fleet, show_peer_bytes, tell_peers,
-};
+use crate::fleet::{FleetLink, RulesSource, open_fleet, show_peer_bytes, tell_peers};
 use crate::follower::{TopicFollower, follow_topic};
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
 use crate::reader::ListLog;
+use crate::shared_rules::SharedRules;
 use crate::source::ListSource;
 use crate::state::TrafficState;
 use crate::stop::{SignalEvent, obey_signals, register_signals, reload, watch_signals};
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -10,7 +10,7 @@
 use flaxtide_core::{
     MilliClock, PoolId, RequestId, ServerId, ServerName, SettingsVersion,
 };
-use flaxtide_fleet::{FleetKey, fleet_key};
+use flaxtide_fleet::FleetKey;
 use flaxtide_policy::{EngineShape, RouteAction, RouteCore, RouteOptions, RoutedServer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -22,6 +22,7 @@
 use crate::directory::ServerDirectory;
 use crate::fleet::FleetLink;
 use crate::metrics::{CountedOne, EntryMetrics};
+use crate::names::NameTable;
 use crate::routes::RouteTable;
 use crate::source::ListSource;
 use crate::stop::LAST_CALLS;
@@ -85,55 +86,6 @@
     pub(crate) end_by: Cell<Option<Duration>>,
 }
 
-/// Numbers for the names of services and servers. A name keeps its number.
-#[derive(Debug, Default)]
-struct NameTable {
-    /// Services.
-    pools: HashMap<String, PoolId>,
-    /// Servers, each start of one by itself.
-    servers: HashMap<String, ServerId>,
-    /// Servers by what stands for them between instances.
-    keys: HashMap<FleetKey, ServerId>,
-    /// The starts of servers, by number.
-    starts: Vec<ServerStart>,
-}
-
-/// A start of a server.
-#[derive(Debug)]
-struct ServerStart {
-    /// The server's name.
-    name: ServerName,
-    /// What stands for this start between instances. What peers say of an earlier start of
-    /// the server isn't taken for this one's.
-    key: FleetKey,
-}
-
-impl NameTable {
-    /// Returns the number of a service.
-    fn pool(&mut self, service: &str) -> PoolId {
-        if let Some(pool) = self.pools.get(service) {
-            return *pool;
-        }
-        let pool = self.pools.len() as PoolId;
-        self.pools.insert(service.to_owned(), pool);
-        pool
-    }
-
-    /// Returns the number of a server, which is another one for each start of it.
-    fn server(&mut self, entry: &ServerEntry) -> ServerId {
-        let incarnation = entry.incarnation();
-        if let Some(server) = self.servers.get(&incarnation) {
-            return *server;
-        }
-        let server = self.starts.len() as ServerId;
-        let key = fleet_key(&incarnation);
-        self.servers.insert(incarnation, server);
-        self.keys.insert(key, server);
-        self.starts.push(ServerStart { name: entry.name.clone(), key });
-        server
-    }
-}
-
 impl TrafficState {
     /// Starts with nothing known.
     pub(crate) fn new(
@@ -242,13 +194,12 @@
 
     /// Returns the name of a server.
     pub(crate) fn server_name(&self, server: ServerId) -> Option<ServerName> {
-        let names = self.names.borrow();
-        names.starts.get(server as usize).map(|start| start.name.clone())
+        self.names.borrow().start(server).map(|start| start.name.clone())
     }
 
     /// Returns what stands for a server between instances.
     pub(crate) fn server_key(&self, server: ServerId) -> Option<FleetKey> {
-        self.names.borrow().starts.get(server as usize).map(|start| start.key)
+        self.names.borrow().start(server).map(|start| start.key)
     }
 
     /// Returns where a server is reached.
@@ -260,7 +211,7 @@
 
     /// Returns the server that a key stands for.
     pub(crate) fn server_with_key(&self, key: FleetKey) -> Option<ServerId> {
-        self.names.borrow().keys.get(&key).copied()
+        self.names.borrow().with_key(key)
     }
 
     /// Returns the version of the rules in force; 0 without any.
