Duties of one instance: a lease, usage reports, and orders of backend servers

Change: a lease over one row of the platform's table (LeaseWatch, now also for duties: lost answers are looked up, numbers rise with the store's era, a stop hands it over, a lost order is followed by a higher number). Every instance counts requests by organisation and window, and tells the holder, whom it knows from heartbeats; what is reported for a window is settled in the row of the lease before it is sent. A scaler orders servers at the lower price before those at the full one are given back.

--- a/crates/flaxtide-core/src/lib.rs
+++ b/crates/flaxtide-core/src/lib.rs
@@ -12,6 +12,7 @@
 mod settings;
 mod span;
 mod store_version;
+mod wall_clock;
 
 pub use self::call::{
     Answered, Call, CallEnd, Claimed, Dispatched, Failed, Queued, Received,
@@ -32,3 +33,4 @@
 };
 pub use self::span::{deserialize_span, format_span, message_line, parse_span};
 pub use self::store_version::{StoreVersion, store_era, store_version, version_in_era};
+pub use self::wall_clock::WallClock;
--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -15,6 +15,7 @@
 
 use crate::answer::{Received, begin_stream, receive};
 use crate::contract::RequestHead;
+use crate::duty::CallUsage;
 use crate::exchange::{CallerRequest, strip_hop_headers};
 use crate::open_call::{LATEST_RETRY, OpenCall, RETRY_PART, TryEnd};
 use crate::reply::{CallerAnswer, OwnReply};
@@ -109,7 +110,11 @@
         streams: class.class().kind.streams(),
         fingerprint: OnceCell::new(),
     };
-    let call = OpenCall::new(state, class, attempt, &head, received);
+    let usage = state
+        .duties
+        .as_ref()
+        .map(|board| CallUsage::new(board, &service, caller.name.as_deref()));
+    let call = OpenCall::new(state, class, attempt, &head, received, usage);
     let order = RouteCall {
         request: call.request,
         pool: state.pool(&service),
--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -49,6 +49,9 @@
     /// Fleets of fewer instances read the list of servers each for itself.
     #[serde(default = "usual_alone_below")]
     pub read_alone_below: usize,
+    /// The duties that one instance has for all; nothing where there are none.
+    #[serde(default)]
+    pub duties: Option<DutyConfig>,
     /// How many repeats each request pays for, over all instances.
     pub retry_ratio: f64,
     /// How many repeats in ten seconds are free, over all instances.
@@ -91,10 +94,64 @@
         if !(0.0..=1.0).contains(&config.retry_ratio) {
             return Err("`retry_ratio` must lie between 0 and 1".into());
         }
+        if config
+            .duties
+            .as_ref()
+            .is_some_and(|duties| duties.usage_window.is_zero())
+        {
+            return Err("`usage_window` must be longer than nothing, such as `5s`".into());
+        }
         Ok(config)
     }
 }
 
+/// The duties that one instance has for all.
+#[derive(Debug, Clone, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct DutyConfig {
+    /// Where the platform takes reports and orders.
+    pub address: SocketAddr,
+    /// What is to be done; names that aren't known are left to others.
+    pub tasks: Vec<String>,
+    /// For how long holders have to be kept apart.
+    #[serde(deserialize_with = "deserialize_span", default = "usual_lease")]
+    pub lease: Duration,
+    /// The length of a window of usage.
+    #[serde(deserialize_with = "deserialize_span", default = "usual_window")]
+    pub usage_window: Duration,
+    /// Within what time after its end the usage of a window is due.
+    #[serde(deserialize_with = "deserialize_span", default = "usual_within")]
+    pub usage_within: Duration,
+}
+
+impl DutyConfig {
+    /// The task to report usage.
+    pub const USAGE: &str = "usage_report";
+    /// The task to order backend servers.
+    pub const SCALING: &str = "autoscale";
+
+    /// Returns whether a task is to be done.
+    #[must_use]
+    pub fn does(&self, task: &str) -> bool {
+        self.tasks.iter().any(|known| known == task)
+    }
+}
+
+/// Returns for how long holders are kept apart if nobody says.
+fn usual_lease() -> Duration {
+    Duration::from_secs(3)
+}
+
+/// Returns the usual length of a window.
+fn usual_window() -> Duration {
+    Duration::from_secs(5)
+}
+
+/// Returns within what time usage is due if nobody says.
+fn usual_within() -> Duration {
+    Duration::from_secs(10)
+}
+
 /// Below this size a reader for all saves less of the platform's calls than its own calls,
 /// which are more frequent, cost: about 100 in a minute against 20 an instance.
 const ALONE_BELOW: usize = 17;
--- a/crates/flaxtide-entry/src/contract/mod.rs
+++ b/crates/flaxtide-entry/src/contract/mod.rs
@@ -2,10 +2,14 @@
 //! the words of its requests and answers. An adapter implements the traits.
 
 mod dialect;
+mod duty;
 mod feed;
 mod rules;
 
 pub use self::dialect::{AnswerHead, RequestHead, SendHead, WireDialect};
+pub use self::duty::{
+    DutyAnswer, DutyPass, DutyPlatform, DutyRead, DutyRow, UsageReport,
+};
 pub use self::feed::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
 pub use self::rules::{
     BackendService, CallKind, CallerLimits, EntryRules, OrganisationRules, RequestClass,
--- a/crates/flaxtide-entry/src/contract/rules.rs
+++ b/crates/flaxtide-entry/src/contract/rules.rs
@@ -7,6 +7,7 @@
 use flaxtide_core::{
     DataCentreName, OrganisationId, ServerName, SettingsVersion, TierRank,
 };
+use flaxtide_policy::ScalingRules;
 
 /// Everything that operators have set, of one version.
 #[derive(Debug, Clone, PartialEq)]
@@ -98,6 +99,8 @@
     pub connection_limit: Option<u32>,
     /// What its engines can do; nothing for a plain service.
     pub engine: Option<ServiceEngine>,
+    /// Within which bounds its servers may be ordered; nothing if they can't be.
+    pub scaling: Option<ScalingRules>,
 }
 
 /// What the engines of a service can do.
@@ -161,6 +164,8 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub leaving: bool,
+    /// Whether the platform may take it away, at a notice.
+    pub spot: bool,
     /// When it started, in milliseconds, if it says so. Another time under the same name is
     /// another start: nothing is left of what it had in memory.
     pub started: Option<u64>,
@@ -179,6 +184,7 @@
     ///     data_centre: "north".into(),
     ///     slots: 24,
     ///     leaving: false,
+    ///     spot: false,
     ///     started: Some(1000),
     /// };
     /// let second = ServerEntry { started: Some(900), ..first.clone() };
--- /dev/null
+++ b/crates/flaxtide-entry/src/duty/thread.rs
@@ -0,0 +1,335 @@
+//! The thread that keeps the lease, and does the duties under it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use flaxtide_core::{InstanceName, MilliClock};
+use flaxtide_fleet::DutyHolder;
+use flaxtide_policy::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch, OrderOutcome};
+
+use super::board::DutyBoard;
+use super::orders::{OrderDuty, ServiceOrder};
+use super::reports::ReportDuty;
+use crate::config::{DutyConfig, EntryConfig};
+use crate::contract::{
+    DutyAnswer, DutyPass, DutyPlatform, DutyRow, FeedError, UsageReport,
+};
+use crate::fleet::FleetLink;
+use crate::metrics::EntryMetrics;
+
+/// How often the thread looks at what is due.
+const POLL_PERIOD: Duration = Duration::from_millis(100);
+
+/// How soon the platform is called again after a failed call about the lease.
+const RETRY_PERIOD: Duration = Duration::from_millis(400);
+
+/// The least time by which a lease is longer than what holders have to keep apart: so long a
+/// call may be under way.
+const LEASE_MARGIN: Duration = Duration::from_secs(1);
+
+/// A lease is renewed so many times within its term.
+const RENEWALS: u32 = 3;
+
+/// Fencing numbers of a later era of the store are higher than all of those before.
+const ERA_BITS: u32 = 32;
+
+/// What the thread needs.
+pub(crate) struct DutyThread {
+    /// The instance's name.
+    name: InstanceName,
+    /// Where it hears its peers.
+    address: SocketAddr,
+    /// The platform.
+    platform: Arc<dyn DutyPlatform>,
+    /// What the threads share.
+    board: Arc<DutyBoard>,
+    /// The ring to the fleet thread.
+    link: FleetLink,
+    /// The metrics.
+    metrics: Arc<EntryMetrics>,
+    /// What is turned on the duties.
+    config: DutyConfig,
+    /// The clock.
+    clock: MilliClock,
+    /// The lease.
+    watch: LeaseWatch,
+    /// The era of the store, as last read.
+    era: u64,
+    /// The era in which the row was written.
+    row_era: u64,
+    /// When the platform may be called again about the lease.
+    retry_at: Duration,
+    /// The number under which the duties are held.
+    held: Option<u64>,
+    /// Reports of usage.
+    reports: ReportDuty,
+    /// Orders of servers.
+    orders: OrderDuty,
+}
+
+impl DutyThread {
+    /// Makes a thread that holds nothing.
+    pub(crate) fn new(
+        entry: &EntryConfig,
+        config: DutyConfig,
+        platform: Arc<dyn DutyPlatform>,
+        board: Arc<DutyBoard>,
+        link: FleetLink,
+        metrics: Arc<EntryMetrics>,
+    ) -> Self {
+        let clock = MilliClock::real();
+        let term = config.lease + LEASE_MARGIN;
+        let timing = LeaseTiming {
+            term,
+            poll_period: term / RENEWALS,
+            ..LeaseTiming::default()
+        };
+        let holder = format!("{} {:08x}", entry.name, rand::random::<u32>());
+        Self {
+            name: entry.name.clone(),
+            address: entry.fleet,
+            platform,
+            board,
+            link,
+            metrics,
+            watch: LeaseWatch::new(holder, timing, clock.now()),
+            clock,
+            era: 0,
+            row_era: 0,
+            retry_at: Duration::ZERO,
+            held: None,
+            reports: ReportDuty::new(config.usage_window, config.usage_within),
+            orders: OrderDuty::default(),
+            config,
+        }
+    }
+
+    /// Does the duties, as long as this process runs.
+    pub(crate) fn run(mut self) {
+        loop {
+            thread::sleep(POLL_PERIOD);
+            if self.board.is_stopping() {
+                self.watch.release();
+            }
+            self.turn();
+        }
+    }
+
+    /// Does what is due.
+    fn turn(&mut self) {
+        if self.held.is_none() && !self.board.stands() {
+            return;
+        }
+        self.keep_lease();
+        let fence = self.watch.fence(self.clock.now(), true);
+        self.note_holding(fence);
+        if fence.is_none() {
+            return;
+        }
+        if self.config.does(DutyConfig::USAGE) {
+            self.report();
+        }
+        if self.config.does(DutyConfig::SCALING) {
+            self.order();
+        }
+    }
+
+    /// Looks at the lease, and takes or renews it if that is due.
+    fn keep_lease(&mut self) {
+        let now = self.clock.now();
+        if now < self.retry_at {
+            return;
+        }
+        if self.watch.step(now) == LeaseStep::Look && !self.look(now) {
+            self.retry_at = self.clock.now() + RETRY_PERIOD;
+            return;
+        }
+        // What is decided is decided for the moment of the look.
+        if let LeaseStep::Write { expected, row } = self.watch.step(now) {
+            self.write(expected, &row, now);
+        }
+    }
+
+    /// Reads the row. Returns whether that succeeded.
+    fn look(&mut self, now: Duration) -> bool {
+        let read = match self.platform.read_row() {
+            Ok(read) => read,
+            Err(fault) => {
+                self.count("lease", "failed");
+                log::info!(cause = fault.to_string(); "row of the duties not read");
+                return false;
+            }
+        };
+        self.count("lease", "read");
+        self.era = self.era.max(read.era);
+        self.watch.raise_floor(self.era << ERA_BITS);
+        let lease = read.row.as_ref().map(|(row, version)| (row.lease.clone(), *version));
+        if let Some((row, _)) = &read.row {
+            self.row_era = row.era;
+            self.reports.take_row(row);
+        }
+        self.watch.saw(lease, now);
+        true
+    }
+
+    /// Writes the row.
+    fn write(&mut self, expected: Option<u64>, lease: &LeaseRow, asked: Duration) {
+        let mut row = DutyRow {
+            lease: lease.clone(),
+            address: self.address,
+            era: self.era,
+            settled: None,
+            acknowledged: true,
+            drafts: Default::default(),
+        };
+        self.reports.fill(&mut row, &self.board, self.held.is_some());
+        let written = self.platform.write_row(expected, &row);
+        let version = match written {
+            Ok(version) => version,
+            Err(fault) => {
+                log::info!(cause = fault.to_string(); "row of the duties may not be written");
+                self.retry_at = self.clock.now() + RETRY_PERIOD;
+                None
+            }
+        };
+        self.count("lease", if version.is_some() { "written" } else { "failed" });
+        self.watch.wrote(lease, version, asked);
+        if version.is_some() {
+            self.reports.take_row(&row);
+        }
+        if version.is_some() && lease.released {
+            log::info!(fence = lease.fence; "duties given up");
+        }
+    }
+
+    /// Notes whether the duties are held, and under which number.
+    fn note_holding(&mut self, fence: Option<u64>) {
+        if fence.is_none() && self.watch.is_renumbering(self.clock.now()) {
+            return;
+        }
+        if fence == self.held {
+            return;
+        }
+        let (before, now) = (self.held, self.clock.now());
+        self.held = fence;
+        self.metrics.duty_fence.set(fence.unwrap_or_default() as i64);
+        let Some(fence) = fence else {
+            self.board.end_holding();
+            log::warn!(fence = before.unwrap_or_default(); "duties lost");
+            return;
+        };
+        if before.is_none() {
+            let renewed = self.row_era < self.era;
+            self.reports.begin(&self.board, renewed, now);
+            self.orders.begin();
+        }
+        let holder = DutyHolder { fence, address: self.address };
+        self.link.announce_duty(holder);
+        log::info!(fence, era = self.era; "duties held");
+    }
+
+    /// Sends the report that is settled, or settles the next one.
+    fn report(&mut self) {
+        let now = self.clock.now();
+        if let Some(report) = self.reports.due(now) {
+            self.send_report(&report);
+            return;
+        }
+        if self.reports.settle_next(&self.board, now) {
+            self.watch.renew();
+            self.keep_lease();
+            if let Some(report) = self.reports.due(self.clock.now()) {
+                self.send_report(&report);
+            }
+        }
+    }
+
+    /// Sends a report.
+    fn send_report(&mut self, report: &UsageReport) {
+        let Some(pass) = self.pass() else { return };
+        let sent = self.platform.report_usage(&pass, report);
+        let now = self.clock.now();
+        log::info!(
+            window = report.window, fence = pass.fence, outcome = outcome_text(&sent);
+            "usage reported"
+        );
+        self.count("usage", outcome_text(&sent).as_str());
+        match sent {
+            Ok(DutyAnswer::Taken) => {
+                self.reports.acknowledged = true;
+                self.board.close_window(report.window);
+            }
+            Ok(DutyAnswer::Refused) => self.watch.lose(),
+            // A report that is carried out late says the same.
+            Ok(DutyAnswer::Busy) | Err(_) => self.reports.put_off(now),
+        }
+    }
+
+    /// Gives the orders that are due.
+    fn order(&mut self) {
+        let now = self.clock.now();
+        for order in self.orders.due(&self.board, now) {
+            if !self.send_order(&order) {
+                return;
+            }
+        }
+    }
+
+    /// Gives an order. Returns whether others may follow.
+    fn send_order(&mut self, order: &ServiceOrder) -> bool {
+        let Some(pass) = self.pass() else { return false };
+        let sent = self.platform.order_servers(&pass, &order.service, &order.order);
+        let now = self.clock.now();
+        log::info!(
+            service = order.service, data_centre = order.order.data_centre,
+            spot = order.order.spot, count = order.order.count, fence = pass.fence,
+            outcome = outcome_text(&sent);
+            "servers ordered"
+        );
+        self.count("orders", outcome_text(&sent).as_str());
+        let outcome = match sent {
+            Ok(DutyAnswer::Taken) => OrderOutcome::Taken,
+            // The next write tells whether the lease is lost.
+            Ok(DutyAnswer::Refused) => OrderOutcome::Unavailable,
+            Ok(DutyAnswer::Busy) | Err(FeedError::Refused { .. }) => {
+                OrderOutcome::Refused
+            }
+            Err(_) => OrderOutcome::Unknown,
+        };
+        self.orders.record(order, outcome, now);
+        match outcome {
+            OrderOutcome::Taken => true,
+            OrderOutcome::Unavailable => {
+                self.watch.renew();
+                true
+            }
+            OrderOutcome::Refused => false,
+            OrderOutcome::Unknown => {
+                // Carried out later, it is refused: newer ones bear a higher number.
+                self.watch.renumber();
+                false
+            }
+        }
+    }
+
+    /// Returns with what a call may be made now.
+    fn pass(&self) -> Option<DutyPass> {
+        let fence = self.watch.fence(self.clock.now(), true)?;
+        Some(DutyPass { holder: self.name.clone(), fence })
+    }
+
+    /// Counts a call.
+    fn count(&self, topic: &str, result: &str) {
+        self.metrics.platform.with_label_values(&[topic, result]).inc();
+    }
+}
+
+/// Spells what came of a call.
+fn outcome_text(sent: &Result<DutyAnswer, FeedError>) -> String {
+    match sent {
+        Ok(answer) => format!("{answer:?}").to_lowercase(),
+        Err(_) => "failed".to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/duty/view.rs
@@ -0,0 +1,52 @@
+//! What the traffic thread shows the thread of the duties.
+
+use std::collections::BTreeMap;
+
+use flaxtide_core::DataCentreName;
+use flaxtide_fleet::fleet_key;
+use flaxtide_policy::ServerStock;
+
+use super::board::{DutyBoard, DutyView, ScaledService};
+use crate::state::TrafficState;
+
+/// Shows the thread of the duties what a holder has to know, if this instance may be one.
+pub(crate) fn show_duties(state: &TrafficState, board: &DutyBoard) {
+    if !board.wants_view() {
+        return;
+    }
+    let Some(table) = state.table() else { return };
+    let names = table.organisation_names();
+    let services = table.services.iter().filter_map(|service| {
+        Some(ScaledService {
+            name: service.name.clone(),
+            rules: service.scaling.clone()?,
+            slots: service.engine.map_or(1, |engine| engine.slots),
+            stocks: stocks_of(state, &service.name),
+        })
+    });
+    board.set_view(DutyView {
+        organisations: names.map(|name| (fleet_key(name), name.to_owned())).collect(),
+        services: services.collect(),
+        live: u32::try_from(state.metrics.instances.get()).unwrap_or_default(),
+    });
+}
+
+/// Counts the servers of a service that serve and aren't leaving.
+fn stocks_of(
+    state: &TrafficState,
+    service: &str,
+) -> BTreeMap<DataCentreName, ServerStock> {
+    let mut stocks: BTreeMap<DataCentreName, ServerStock> = BTreeMap::new();
+    for listed in state.directory.borrow().of_service(service) {
+        let entry = &listed.entry;
+        let stock = stocks.entry(entry.data_centre.clone()).or_default();
+        if entry.leaving || listed.lapsed() {
+            continue;
+        }
+        match entry.spot {
+            true => stock.spot += 1,
+            false => stock.regular += 1,
+        }
+    }
+    stocks
+}
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -10,9 +10,9 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
-    FleetEvent, FleetKey, FleetNode, FleetNotice, FleetThread, FleetTiming, FleetUpdate,
-    LinkBytes, NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion, SettingsCopy,
-    fleet_key,
+    DutyHolder, FleetEvent, FleetKey, FleetNode, FleetNotice, FleetThread, FleetTiming,
+    FleetUpdate, LinkBytes, NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion,
+    SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{CrashReport, PartKey, PeerLoad, ReadNote, ServerLoad};
 use tokio::sync::mpsc;
@@ -70,6 +70,11 @@
         self.send(FleetEvent::Urgent);
     }
 
+    /// Tells peers that this instance holds the duties.
+    pub(crate) fn announce_duty(&self, holder: DutyHolder) {
+        self.update(move |node, _| node.hear_duty(Some(holder)));
+    }
+
     /// Asks a peer for the rows that it has read.
     pub(crate) fn ask_rows(&self, question: RowQuestion) {
         self.send(FleetEvent::AskRows(question));
@@ -258,6 +263,7 @@
     let events = events.clone();
     let source = state.source.clone();
     source.set_behind(state.behind());
+    let duties = state.duties.clone();
     let alone_below = state.config().read_alone_below;
     let version = state.rules_version();
     link.update(move |node, now| {
@@ -282,6 +288,9 @@
             log::info!(reader:? = reader, standby; "list reader");
         }
         node.set_told_by_peers(source.told_lately());
+        if let Some(board) = duties {
+            board.set_stands(node.stands_for_duties(now));
+        }
         let live = node.fleet_size(now);
         let newest_rules = node.newest_known(now);
         let knows_crashes = node.knows_crashes();
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -7,14 +7,15 @@
 use std::time::Duration;
 
 use flaxtide_core::MilliClock;
-use flaxtide_fleet::LinkBytes;
+use flaxtide_fleet::{FleetThread, LinkBytes};
 use tokio::runtime::Builder;
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::LocalSet;
 
 use crate::config::EntryConfig;
-use crate::contract::{FeedTopic, PlatformFeed, WireDialect};
+use crate::contract::{DutyPlatform, FeedTopic, PlatformFeed, WireDialect};
 use crate::directory::FEED_PART;
+use crate::duty::{DutyBoard, DutyThread, show_duties};
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, take_feed};
 use crate::fleet::{FleetLink, RulesSource, open_fleet, show_peer_bytes, tell_peers};
@@ -54,6 +55,8 @@
     dialect: Arc<dyn WireDialect>,
     /// What the platform tells.
     feed: Arc<dyn PlatformFeed>,
+    /// Where duties are done that one instance has for all, if there are any.
+    duties: Option<Arc<dyn DutyPlatform>>,
     /// The clock of the traffic thread.
     clock: MilliClock,
     /// The ring of signals: where they come in, and where they are obeyed.
@@ -89,6 +92,7 @@
             config,
             dialect,
             feed,
+            duties: None,
             clock: MilliClock::real(),
             signals: channel(SIGNAL_RING),
         }
@@ -100,6 +104,12 @@
         Self { clock, ..self }
     }
 
+    /// Has the instance stand for the duties that one instance has for all.
+    #[must_use]
+    pub fn with_duties(self, duties: Arc<dyn DutyPlatform>) -> Self {
+        Self { duties: Some(duties), ..self }
+    }
+
     /// Returns what stops the instance.
     #[must_use]
     pub fn stop_handle(&self) -> StopHandle {
@@ -129,6 +139,7 @@
             config,
             dialect,
             feed,
+            duties,
             clock,
             signals: (_, mut signals),
         } = self;
@@ -169,8 +180,10 @@
         }
         let fleet = open_fleet(&config, &shared, &list, &events, &metrics)?;
         let bytes = fleet.bytes();
+        let board = start_duties(&config, duties, &fleet, &link, &metrics)?;
         spawn("the fleet thread", move || fleet.run(&fleet_ring))?;
-        let state = TrafficState::new(config, clock, dialect, metrics, link, source);
+        let state =
+            TrafficState::new(config, clock, dialect, metrics, link, source, board);
         let state = Rc::new(state);
         tokio::task::spawn_local(accept_callers(state.clone(), callers));
         tokio::task::spawn_local(accept_probes(state.clone(), ready));
@@ -203,6 +216,25 @@
     spawned.map(drop).map_err(|cause| EntryError::Spawn { duty, cause })
 }
 
+/// Starts the thread of the duties that one instance has for all, if there are any.
+fn start_duties(
+    config: &EntryConfig,
+    platform: Option<Arc<dyn DutyPlatform>>,
+    fleet: &FleetThread,
+    link: &FleetLink,
+    metrics: &Arc<EntryMetrics>,
+) -> Result<Option<Arc<DutyBoard>>, EntryError> {
+    let (Some(duties), Some(platform)) = (config.duties.clone(), platform) else {
+        return Ok(None);
+    };
+    let board = Arc::new(DutyBoard::new(duties.usage_window));
+    fleet.share_duties(board.clone());
+    let (link, metrics) = (link.clone(), metrics.clone());
+    let thread = DutyThread::new(config, duties, platform, board.clone(), link, metrics);
+    spawn("the duties thread", move || thread.run())?;
+    Ok(Some(board))
+}
+
 /// Starts the thread that waits for signals.
 fn spawn_signals(events: Sender<SignalEvent>) -> Result<(), EntryError> {
     let duty = "the signal thread";
@@ -244,6 +276,10 @@
         tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
+            if let Some(board) = &state.duties {
+                board.sample_wall_time();
+                show_duties(&state, board);
+            }
             show_peer_bytes(&state.metrics, &bytes);
         }
     }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -17,6 +17,7 @@
 mod contract;
 mod crash;
 mod directory;
+mod duty;
 mod error;
 mod exchange;
 mod feed;
@@ -42,11 +43,12 @@
 mod stop;
 mod upstream;
 
-pub use self::config::EntryConfig;
+pub use self::config::{DutyConfig, EntryConfig};
 pub use self::contract::{
-    AnswerHead, BackendService, CallKind, CallerLimits, EntryRules, FeedBatch, FeedError,
-    FeedRow, FeedTopic, OrganisationRules, PlatformFeed, RequestClass, RequestHead,
-    SendHead, ServerEntry, ServiceEngine, TargetService, WireDialect,
+    AnswerHead, BackendService, CallKind, CallerLimits, DutyAnswer, DutyPass,
+    DutyPlatform, DutyRead, DutyRow, EntryRules, FeedBatch, FeedError, FeedRow,
+    FeedTopic, OrganisationRules, PlatformFeed, RequestClass, RequestHead, SendHead,
+    ServerEntry, ServiceEngine, TargetService, UsageReport, WireDialect,
 };
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) suspected: IntGauge,
     /// Requests that are sent to no server, as servers end under them.
     pub(crate) quarantined: IntGauge,
+    /// The fencing number under which this instance holds the duties; 0 if it doesn't.
+    pub(crate) duty_fence: IntGauge,
     /// Instances seen alive.
     pub(crate) instances: IntGauge,
     /// Seconds to the first event of a stream, or to an answer.
@@ -114,6 +116,10 @@
             crashes: counter("server_crashes", "Servers that ended under a request."),
             suspected: gauge("suspected_requests", "Requests that ran on such servers."),
             quarantined: gauge("quarantined_requests", "Requests sent to no server."),
+            duty_fence: gauge(
+                "duty_fence",
+                "The fencing number under which this instance holds the duties; 0 without.",
+            ),
             instances: gauge("instances", "Instances seen alive."),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
@@ -124,7 +130,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 22] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -145,6 +151,7 @@
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
             Box::new(self.quarantined.clone()),
+            Box::new(self.duty_fence.clone()),
             Box::new(self.instances.clone()),
             Box::new(self.latency.clone()),
         ];
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -9,6 +9,7 @@
 
 use crate::contract::RequestHead;
 use crate::crash::server_has_ended;
+use crate::duty::CallUsage;
 use crate::exchange::{AnswerStart, CallerRequest, exchange};
 use crate::reply::{CallerAnswer, OwnReply};
 use crate::routes::ClassMatch;
@@ -47,6 +48,10 @@
     pub(crate) longest_pause: Cell<Duration>,
     /// Whether its end has been logged.
     ended: Cell<bool>,
+    /// When it was last sent to a server.
+    sent: Cell<Duration>,
+    /// What it adds to the usage.
+    usage: Option<CallUsage>,
 }
 
 /// What became of one try.
@@ -69,6 +74,7 @@
         attempt: String,
         head: &RequestHead,
         received: Duration,
+        usage: Option<CallUsage>,
     ) -> Self {
         let timeout = class.class().timeout;
         let wait = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
@@ -87,6 +93,8 @@
             first: Cell::new(None),
             longest_pause: Cell::new(Duration::ZERO),
             ended: Cell::new(false),
+            sent: Cell::new(received),
+            usage,
         }
     }
 
@@ -130,6 +138,16 @@
         let spent = self.state.now().saturating_sub(self.received);
         self.first.set(Some(spent));
         self.state.metrics.latency.observe(spent.as_secs_f64());
+        self.count_usage();
+    }
+
+    /// Counts the request among those that began to run: a stream with its first event, another
+    /// one when it was sent.
+    fn count_usage(&self) {
+        let Some(usage) = &self.usage else { return };
+        let streams = self.class.class().kind.streams();
+        let ago = self.state.now().saturating_sub(self.sent.get());
+        usage.begin(if streams { Duration::ZERO } else { ago });
     }
 
     /// Returns how much time is left.
@@ -201,6 +219,7 @@
             return TryEnd::Quarantined;
         }
         self.server.set(Some(choice.server));
+        self.sent.set(self.state.now());
         log::info!(
             request = self.attempt, class = self.class.class().name,
             server = self.state.server_name(choice.server).unwrap_or_default(),
--- a/crates/flaxtide-entry/src/routes.rs
+++ b/crates/flaxtide-entry/src/routes.rs
@@ -125,6 +125,11 @@
         self.identify(key).or_else(|| open.then(CallerIdentity::default))
     }
 
+    /// Returns the names of the organisations.
+    pub(crate) fn organisation_names(&self) -> impl Iterator<Item = &str> {
+        self.organisations.iter().map(|known| known.name.as_str())
+    }
+
     /// Tells whether the servers of a service are engines.
     pub(crate) fn is_engine(&self, service: &str) -> bool {
         let mut services = self.services.iter();
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -20,6 +20,7 @@
 use crate::config::EntryConfig;
 use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
+use crate::duty::DutyBoard;
 use crate::fleet::FleetLink;
 use crate::metrics::{CountedOne, EntryMetrics};
 use crate::names::NameTable;
@@ -61,6 +62,8 @@
     pub(crate) source: Arc<ListSource>,
     /// The requests that crash servers.
     pub(crate) quarantine: CallQuarantine,
+    /// What is shared for the duties that one instance has for all, if there are any.
+    pub(crate) duties: Option<Arc<DutyBoard>>,
     /// The rules in force.
     table: RefCell<Option<Rc<RouteTable>>>,
     /// The servers that may be used.
@@ -102,6 +105,7 @@
         metrics: Arc<EntryMetrics>,
         fleet: FleetLink,
         source: Arc<ListSource>,
+        duties: Option<Arc<DutyBoard>>,
     ) -> Self {
         let options = RouteOptions {
             retry_ratio: config.retry_ratio,
@@ -122,6 +126,7 @@
             fleet,
             source,
             quarantine,
+            duties,
             table: RefCell::new(None),
             directory: RefCell::new(ServerDirectory::new(leave_within)),
             newest_rules: Cell::new(0),
--- a/crates/flaxtide-entry/src/stop.rs
+++ b/crates/flaxtide-entry/src/stop.rs
@@ -90,6 +90,9 @@
     log::info!(open = state.open.get() as u64; "stopping: not ready any more");
     state.enter(LifePhase::Leaving);
     state.fleet.leave();
+    if let Some(board) = &state.duties {
+        board.stop();
+    }
     tokio::time::sleep(BALANCER_NOTICE).await;
     state.enter(LifePhase::Closing);
     tokio::time::sleep(LAST_STREAMS - BALANCER_NOTICE).await;
--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -23,6 +23,7 @@
             data_centre: "north".into(),
             slots: 8,
             leaving: false,
+            spot: false,
             started: Some(1000),
         };
         directory.put(entry, Duration::ZERO);
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod counted;
 mod crashes;
+mod duty;
 mod fetch;
 mod info;
 mod key;
@@ -20,9 +21,11 @@
 mod settings;
 mod shared;
 mod thread;
+mod usage;
 mod wire;
 
 pub use self::counted::LinkBytes;
+pub use self::duty::{DutyExchange, UsageNews};
 pub use self::info::PeerInfo;
 pub use self::key::{FleetKey, fleet_key};
 pub use self::node::{
@@ -39,6 +42,7 @@
 };
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
-    CrashNotice, CrashReply, FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply,
-    OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare, UsageCount,
+    CrashNotice, CrashReply, DutyHolder, FleetHeartbeat, GroupDigest, GroupHello,
+    HeartbeatReply, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
+    UsageCount, UsageNotice,
 };
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -140,6 +140,7 @@
             leaving: self.leaving,
             version: self.version(),
             live: self.home_peers(now).count() as u16 + 1,
+            duty: self.duty,
         }
     }
 
@@ -148,6 +149,7 @@
         if self.is_home(&hello.from) {
             return;
         }
+        self.hear_duty(hello.duty);
         self.forget_seed(&hello.from);
         self.meet(hello.from.clone(), false);
         let timeout = self.far_liveness_timeout();
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -258,7 +258,12 @@
 
     /// Returns the addresses of all known peers.
     pub(crate) fn addresses(&self) -> BTreeSet<SocketAddr> {
-        self.peers.values().map(|peer| peer.info.address).collect()
+        let holder = self.duty.map(|duty| duty.address);
+        self.peers
+            .values()
+            .map(|peer| peer.info.address)
+            .chain(holder)
+            .collect()
     }
 
     /// Returns whom this instance tells a peer of: all of the group to one of the group, and
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod digest;
 mod divide;
+mod duty;
 mod group;
 mod lists;
 mod settings;
@@ -30,8 +31,8 @@
 use crate::peer::PeerRecord;
 use crate::rows::READER_KEY;
 use crate::wire::{
-    FleetHeartbeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
-    UsageCount,
+    DutyHolder, FleetHeartbeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest,
+    ServerShare, UsageCount,
 };
 
 /// The part that the newest count of use has in its rate.
@@ -128,6 +129,8 @@
     reads: GroupReads,
     /// What it knows of servers that ended under requests.
     crashes: CrashState,
+    /// Who holds the duties that one instance has for all.
+    duty: Option<DutyHolder>,
     /// How many servers the loads of the last digest of another data centre named.
     servers_told: usize,
     /// The peers that it knows of, by name.
@@ -176,6 +179,7 @@
             group: GroupState::new(timing.joint_limit),
             reads: GroupReads::default(),
             crashes: CrashState::default(),
+            duty: None,
             servers_told: 0,
             timing,
             leaving: false,
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -91,6 +91,7 @@
             address: heartbeat.address,
         };
         let timeout = self.liveness_timeout();
+        self.hear_duty(heartbeat.duty);
         self.forget_seed(&info);
         self.meet(info.clone(), false);
         let mut changes = false;
@@ -138,6 +139,7 @@
         reply: &HeartbeatReply,
         now: Duration,
     ) -> Vec<FleetNotice> {
+        self.hear_duty(reply.duty);
         for info in &reply.peers {
             self.forget_seed(info);
             self.meet(info.clone(), false);
@@ -187,6 +189,7 @@
             usage: kept.cloned().unwrap_or_default(),
             wants_peers: self.list_failed
                 && (peer.heard.is_none() || asked == Some(&peer.info.name)),
+            duty: self.duty,
         }
     }
 
@@ -216,6 +219,7 @@
             } else {
                 vec![]
             },
+            duty: self.duty,
         }
     }
 
--- a/crates/flaxtide-fleet/src/serve.rs
+++ b/crates/flaxtide-fleet/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::shared::{ANSWER_TIMEOUT, FleetShared};
 use crate::wire::{
     CrashNotice, CrashReply, FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply,
-    PeerLink,
+    PeerLink, UsageNotice,
 };
 
 /// The pause after a link that couldn't be accepted, as when descriptors have run out.
@@ -75,6 +75,10 @@
         reply
     }
 
+    async fn usage(self, _: Context, notice: UsageNotice) -> bool {
+        self.shared.duties.get().is_some_and(|duties| duties.hear(notice))
+    }
+
     async fn settings(self, _: Context, question: PieceQuestion) -> PieceAnswer {
         let shared = &self.shared;
         let newest = || (shared.settings)(question.newer_than);
--- a/crates/flaxtide-fleet/src/shared.rs
+++ b/crates/flaxtide-fleet/src/shared.rs
@@ -8,6 +8,7 @@
 use tarpc::client::RpcError;
 use tarpc::context::Context;
 
+use crate::duty::DutyExchange;
 use crate::info::PeerInfo;
 use crate::links::{PeerLinks, call};
 use crate::node::{FleetNode, FleetNotice};
@@ -45,6 +46,8 @@
     pub(crate) settings: GiveSettings,
     /// What this instance has read from the platform for peers, once it does.
     pub(crate) rows: OnceLock<Arc<dyn RowSource>>,
+    /// What this instance counts for the one that holds the duties, if there are any.
+    pub(crate) duties: OnceLock<Arc<dyn DutyExchange>>,
     /// The open links to peers.
     pub(crate) links: PeerLinks,
     /// Gives the settings to a few peers at a time.
@@ -68,6 +71,7 @@
             output,
             settings,
             rows: OnceLock::new(),
+            duties: OnceLock::new(),
             links: PeerLinks::default(),
             provider: Mutex::default(),
             partial: Mutex::default(),
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -13,6 +13,7 @@
 use tokio::task::JoinHandle;
 
 use crate::counted::LinkBytes;
+use crate::duty::DutyExchange;
 use crate::fetch::fetch_settings;
 use crate::links::call;
 use crate::node::{
@@ -22,6 +23,7 @@
 use crate::serve::serve;
 use crate::settings::SettingsCopy;
 use crate::shared::{ANSWER_TIMEOUT, FleetOutput, FleetShared};
+use crate::usage::UsageRound;
 use crate::wire::PeerLinkClient;
 
 /// How often the thread polls its rings.
@@ -110,6 +112,13 @@
         let _ = self.shared.rows.set(source);
     }
 
+    /// Has it tell the one that holds the duties what this instance has counted. Only the first
+    /// exchange counts.
+    pub fn share_duties(&self, exchange: Arc<dyn DutyExchange>) {
+        // A second exchange would be a fault of the caller's, and the first stays right.
+        let _ = self.shared.duties.set(exchange);
+    }
+
     /// Returns where it listens.
     ///
     /// # Errors
@@ -147,6 +156,7 @@
     let mut urgent = UrgentRound::default();
     let mut fetch = None;
     let mut tidied = Duration::ZERO;
+    let mut usage = UsageRound::default();
     while take_events(shared, events, &mut urgent) {
         let now = shared.clock.now();
         fetch_if_due(shared, &mut fetch, now);
@@ -163,6 +173,7 @@
             let addresses = shared.node().addresses();
             shared.links.keep_only(|address| addresses.contains(address));
         }
+        usage.tell_if_due(shared, now);
         let hellos = shared.node().due_hellos(now);
         for hello in hellos {
             tokio::spawn(ask_digest(shared.clone(), hello));
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion, StoreVersion};
-use flaxtide_policy::CrashReport;
+use flaxtide_policy::{CrashReport, WindowCounts};
 use serde::{Deserialize, Serialize};
 
 use crate::info::PeerInfo;
@@ -29,6 +29,35 @@
 
     /// Hears which servers ended under which requests, and answers with what the peer lacks.
     async fn crashes(notice: CrashNotice) -> CrashReply;
+
+    /// Hears what a peer has counted, and answers whether this instance holds the duties.
+    async fn usage(notice: UsageNotice) -> bool;
+}
+
+/// Who holds the duties that one instance has for all.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct DutyHolder {
+    /// Its fencing number. Of two holders the one with the higher is the newer.
+    pub fence: u64,
+    /// Where it hears its peers.
+    pub address: SocketAddr,
+}
+
+/// What an instance tells the one that holds the duties.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct UsageNotice {
+    /// The instance.
+    pub from: PeerInfo,
+    /// Drawn at random at its start.
+    pub epoch: u32,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Up to when it has told everything, in milliseconds since the start of 1970.
+    pub told_until_ms: u64,
+    /// The windows that have changed since it last told.
+    pub windows: Vec<WindowCounts>,
+    /// How many of its requests run or wait, by service.
+    pub open: Vec<(FleetKey, u32)>,
 }
 
 /// What an instance says of itself, once a period, to each peer of its data centre and to
@@ -61,6 +90,8 @@
     pub usage: Vec<UsageCount>,
     /// Whether it wants to be told of other instances, as it can't read the list.
     pub wants_peers: bool,
+    /// Who holds the duties, as far as it knows.
+    pub duty: Option<DutyHolder>,
 }
 
 /// The answer to a heartbeat.
@@ -78,6 +109,8 @@
     pub parts: Vec<RatePart>,
     /// The instances that it knows of, if that was asked for.
     pub peers: Vec<PeerInfo>,
+    /// Who holds the duties, as far as it knows.
+    pub duty: Option<DutyHolder>,
 }
 
 /// What an instance says of itself and its data centre to a contact in another.
@@ -93,6 +126,8 @@
     pub version: SettingsVersion,
     /// How many instances of its data centre are alive.
     pub live: u16,
+    /// Who holds the duties, as far as it knows.
+    pub duty: Option<DutyHolder>,
 }
 
 /// What the instances of a data centre have in sum.
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -23,8 +23,10 @@
 mod rendezvous;
 mod router;
 mod rule;
+mod scaling;
 mod server;
 mod share;
+mod usage;
 
 pub use self::action::{ChoiceRule, PolicyAction, ServerChoice};
 pub use self::claim::{
@@ -32,7 +34,7 @@
 };
 pub use self::core::{DecisionCore, PoolSummary};
 pub use self::event::{CallArrival, LoadReport, PolicyEvent, ServerFault};
-pub use self::lease::{LeaseRow, LeaseStep, LeaseWatch};
+pub use self::lease::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch};
 pub use self::options::PolicyOptions;
 pub use self::quarantine::{
     CrashLog, CrashReport, Fingerprint, ServerStart, request_fingerprint,
@@ -45,4 +47,11 @@
     RoutedServer, ServerLoad, ServerNote, WAIT_PART,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
+pub use self::scaling::{
+    OrderOutcome, ScalerOptions, ScalingRules, ServerOrder, ServerScaler, ServerStock,
+};
 pub use self::share::{SlotDemand, divide_slots, equal_share};
+pub use self::usage::{
+    UsageCounts, UsageKey, UsageLedger, UsageSource, UsageTally, WindowCounts,
+    WindowNumber, WindowTotal, window_end, window_of,
+};
--- /dev/null
+++ b/crates/flaxtide-policy/src/scaling/mod.rs
@@ -0,0 +1,33 @@
+//! How many backend servers a service should have, in which data centre and at which price.
+//!
+//! The [`ServerScaler`] is pure: what serves, what is asked for and the time go in, orders
+//! come out. Servers at the lower price may all be taken away in a data centre at once, so
+//! they are spread over data centres, and what they can't bear is held at the full price.
+
+mod demand;
+mod scaler;
+mod stock;
+
+pub use self::scaler::{ScalerOptions, ServerScaler};
+pub use self::stock::{OrderOutcome, ServerOrder, ServerStock};
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use flaxtide_core::DataCentreName;
+
+/// Within which bounds the servers of a service may be ordered, and what they cost.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ScalingRules {
+    /// The fewest servers in a data centre, of both prices together.
+    pub least: u32,
+    /// The most.
+    pub most: u32,
+    /// How long an ordered server takes until it serves.
+    pub boot: Duration,
+    /// The part of the full price at which servers may be had that may be taken away; nothing
+    /// if there are none.
+    pub spot_price: Option<f64>,
+    /// What a second of a server costs, by data centre.
+    pub prices: BTreeMap<DataCentreName, f64>,
+}
--- a/crates/flaxtide-policy/tests/lease.rs
+++ b/crates/flaxtide-policy/tests/lease.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use flaxtide_policy::{LeaseRow, LeaseStep, LeaseWatch};
+use flaxtide_policy::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch};
 
 /// The table's row with its version.
 type Row = Option<(LeaseRow, u64)>;
@@ -16,12 +16,12 @@
     let LeaseStep::Write { expected, row: next } = watch.step(now) else { return };
     let version = row.as_ref().map(|(_, version)| *version);
     if version != expected {
-        watch.wrote(None, now);
+        watch.wrote(&next, None, now);
         return;
     }
     let version = version.unwrap_or_default() + 1;
-    *row = Some((next, version));
-    watch.wrote(answered.then_some(version), now);
+    *row = Some((next.clone(), version));
+    watch.wrote(&next, answered.then_some(version), now);
 }
 
 #[test]
@@ -29,7 +29,9 @@
     // Instance 0 is frozen from second 10 to second 40, and instance 1 has an answer lost
     // in second 25.
     let mut row: Row = None;
-    let mut watches = [LeaseWatch::new("a".into()), LeaseWatch::new("b".into())];
+    let new =
+        |name: &str| LeaseWatch::new(name.into(), LeaseTiming::default(), Duration::ZERO);
+    let mut watches = [new("a"), new("b")];
     let mut orders: Vec<(u64, usize, u64)> = vec![];
     for millis in (0..60_000).step_by(100) {
         let now = Duration::from_millis(millis);
--- a/crates/flaxtide/src/main.rs
+++ b/crates/flaxtide/src/main.rs
@@ -6,7 +6,7 @@
 
 use clap::{Arg, ArgMatches, Command};
 use flaxtide::{InstanceConfig, init_logging};
-use flaxtide_adapter::{PlatformDialect, TableFeed};
+use flaxtide_adapter::{PlatformDialect, PlatformDuties, TableFeed};
 use flaxtide_core::SettingsTree;
 use flaxtide_entry::{EntryConfig, EntryInstance, init_entry_logging};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -68,7 +68,14 @@
     let feed = TableFeed::new(config.platform)
         .map_err(|cause| format!("no runtime for the platform's store: {cause}"))?;
     let dialect = Arc::new(PlatformDialect);
-    let instance = EntryInstance::new(file, config, dialect, Arc::new(feed));
+    let duties = config.duties.as_ref().map(|duties| duties.address);
+    let store = config.platform;
+    let mut instance = EntryInstance::new(file, config, dialect, Arc::new(feed));
+    if let Some(address) = duties {
+        let duties = PlatformDuties::new(store, address)
+            .map_err(|cause| format!("no runtime for the platform's duties: {cause}"))?;
+        instance = instance.with_duties(Arc::new(duties));
+    }
     instance.run().map_err(|fault| fault.to_string())
 }
 
--- a/crates/flaxtide/src/orders.rs
+++ b/crates/flaxtide/src/orders.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use attohttpc::ProxySettings;
-use flaxtide_policy::{LeaseStep, LeaseWatch};
+use flaxtide_policy::{LeaseStep, LeaseTiming, LeaseWatch};
 use serde::{Deserialize, Serialize};
 
 use crate::shared::SharedState;
@@ -37,7 +37,8 @@
 pub(crate) fn give_orders(shared: &Arc<SharedState>) {
     let config = &shared.config;
     let key = format!("leases/orders/{}", config.data_centre);
-    let mut watch = LeaseWatch::new(format!("{} {:08x}", config.name, shared.epoch));
+    let holder = format!("{} {:08x}", config.name, shared.epoch);
+    let mut watch = LeaseWatch::new(holder, LeaseTiming::default(), shared.now());
     let mut due = Duration::ZERO;
     let mut ordered_version = 0;
     while !shared.stopped() {
@@ -95,7 +96,7 @@
 ) {
     let LeaseStep::Write { expected, row } = step else { return };
     let written = shared.leases.write(key, expected, &row);
-    watch.wrote(written.unwrap_or_default(), asked);
+    watch.wrote(&row, written.unwrap_or_default(), asked);
 }
 
 /// Asks an engine what it has loaded, and orders what the settings name if it is other.
