An instance whose peers have nothing to tell doesn't wait long for the platform

Traced: front-nave-c-3 was told by its readers at 18.8 s that they had nothing, was then alone by the count of live instances, and at 19.2 s asked the platform, silent from 18 to 26 s, for changes within 25 s. That call is never answered; until 39 s it knew nothing of the list. Ruled out: the new servers at the lower price (the same rows, the same way). Change: peers that have nothing to tell make the next calls wait a second, as a failed call does.

--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -203,6 +203,7 @@
             }
             None => match follower.rest(&mut backoff, clock.now()) {
                 Some(rest) => {
+                    state.doubt(clock.now());
                     thread::sleep(rest.min(REST_PERIOD));
                     // Rows that lapse meanwhile may do so since the platform is out.
                     follower.tell(FeedEvent::Lost)
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -57,6 +57,16 @@
     assert_eq!(state.longest_wait(seconds(15)), seconds(25));
 }
 
+#[test]
+fn calls_wait_little_for_a_time_after_peers_had_nothing_to_tell() {
+    let seconds = Duration::from_secs;
+    let mut state = FollowState::default();
+    state.take_version(1);
+    state.doubt(seconds(5));
+    assert_eq!(state.longest_wait(seconds(14)), seconds(1));
+    assert_eq!(state.longest_wait(seconds(15)), seconds(25));
+}
+
 #[test]
 fn a_history_that_is_gone_once_is_read_anew_at_once() {
     let mut state = FollowState::default();
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -208,7 +208,28 @@
         let paces = staying.iter().map(|server| server.pace.get(now));
         let pace = paces.fold(0.0, f64::max);
         let most = split.most_long(pace, &self.options);
-        left.clamp(self.options.least_long_part.min(most), most)
+        let usual = left.clamp(self.options.least_long_part.min(most), most);
+        usual.max(self.burst_part(staying, short, slots, now))
+    }
+
+    /// Returns the part of the engines that long prompts need for those that are at engines now,
+    /// as far as the short ones can do with the rest.
+    fn burst_part(
+        &self,
+        staying: &[&ServerState],
+        short: u32,
+        slots: u32,
+        now: Duration,
+    ) -> f64 {
+        if self.options.long_fill <= 0.0 {
+            return 0.0;
+        }
+        let running = |server: &&ServerState| server.load.running(&self.options, now);
+        let running: u32 = staying.iter().map(running).sum();
+        let slots = f64::from(slots.max(1));
+        let needed = f64::from(running - short) / (slots * self.options.long_fill);
+        let left = 1.0 - f64::from(short) / (slots * self.options.short_most_fill);
+        needed.min(left)
     }
 
     /// Returns the cheapest server with room among some, where it may take shared parts
@@ -223,6 +244,7 @@
         let call = &self.calls.get(&request)?.call;
         let homes = homes(&call.prompt, servers);
         let holder = self.holder(&call.prompt, sources, now);
+        let span_ms = self.span_ms(call.pool);
         let shared = call.prompt.shared_tokens();
         let own = call.prompt.tokens.saturating_sub(shared);
         let candidates =
@@ -235,7 +257,7 @@
                     let taken = fetch.map_or(0, |fetch| fetch.tokens);
                     let uncached = call.prompt.tokens.saturating_sub(kept + taken);
                     let mut candidate =
-                        self.candidate(server, uncached, fetch, call.level, now);
+                        self.candidate(server, uncached, fetch, call.level, span_ms, now);
                     // What shares a prompt's parts goes to the same homes, from all instances.
                     let again = match homes
                         .iter()
@@ -305,6 +327,7 @@
         uncached: u32,
         fetch: Option<PartFetch>,
         level: u8,
+        span_ms: f64,
         now: Duration,
     ) -> Candidate<'a> {
         let count = self.running(server, now);
@@ -323,7 +346,10 @@
                 cost_ms += running * self.options.running_cost_ms;
                 let fetch_ms = fetch_ms(server, fetch);
                 cost_ms += fetch_ms * (self.options.fetch_weight - 1.0);
-                ahead / server.pace.get(now) + fetch_ms
+                let slots = f64::from(server.facts.slots.max(1));
+                let waiting = (running + 1.0 - slots).max(0.0);
+                let slot_ms = waiting * span_ms / slots * self.options.slot_wait_weight;
+                ahead / server.pace.get(now) + fetch_ms + slot_ms
             }
             None => {
                 let slots = f64::from(server.facts.slots.max(1));
@@ -342,6 +368,12 @@
         }
     }
 
+    /// Returns how long a request is at a server of a pool on average, in milliseconds.
+    fn span_ms(&self, pool: PoolId) -> f64 {
+        let span = self.pools.get(&pool).and_then(|state| state.span.get());
+        span.unwrap_or_default() * 1000.0
+    }
+
     /// Returns how long a server reads what it was sent before a new request of a level,
     /// in milliseconds.
     fn backlog_ms(&self, server: &ServerState, level: u8, now: Duration) -> f64 {
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -42,6 +42,14 @@
     pub short_fill: f64,
     /// How many times its slots a server may have requests, running and waiting.
     pub fill: f64,
+    /// How many times the wait for a slot of an engine counts, once all are taken.
+    pub slot_wait_weight: f64,
+    /// Long prompts get more engines than usual once so great a part of all slots is taken by
+    /// them that this part of their own engines' would be; 0 for never.
+    pub long_fill: f64,
+    /// How many requests an engine for short prompts has at most while long ones need more
+    /// engines, as a part of its slots.
+    pub short_most_fill: f64,
     /// The time that a server of another data centre costs, in milliseconds.
     pub far_cost_ms: f64,
     /// For how long a peer's word of its load counts: longer than the 2.5 s between two
@@ -130,6 +138,9 @@
             least_long_part: 0.33,
             short_fill: 0.5,
             fill: 1.5,
+            slot_wait_weight: 0.0,
+            long_fill: 0.0,
+            short_most_fill: 0.85,
             far_cost_ms: 2.0,
             peer_life: Duration::from_secs(3),
             cache_life: Duration::from_secs(20),
