Long prompts get more engines in a burst; the scaler takes nothing back that it hasn't seen

Split: with 12 slots an engine, a burst of grid drafts (380 tokens each) fills the slots of the 60 % of engines that long prompts are kept to, while the others have room. The part now grows with the long prompts at engines, as far as the short ones can do with the rest (long_fill .6, off at 0).

Scaler: the list of servers comes in pieces at a start. Test a_list_that_comes_in_pieces_gives_no_server_back. Demand's mean counts from the first request; at the full price only what is needed now is held.

--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -139,7 +139,7 @@
             short_fill: 0.5,
             fill: 1.5,
             slot_wait_weight: 0.0,
-            long_fill: 0.0,
+            long_fill: 0.6,
             short_most_fill: 0.85,
             far_cost_ms: 2.0,
             peer_life: Duration::from_secs(3),
--- a/crates/flaxtide-policy/src/scaling/demand.rs
+++ b/crates/flaxtide-policy/src/scaling/demand.rs
@@ -3,6 +3,9 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+/// The shortest span over which a mean is taken.
+const SHORTEST_MEAN: Duration = Duration::from_millis(600);
+
 /// For how long demand is remembered.
 const REMEMBERED: Duration = Duration::from_secs(60);
 
@@ -27,10 +30,11 @@
         self.within(span, now).max().unwrap_or_default()
     }
 
-    /// Returns how many requests were open on average within a span.
+    /// Returns how many requests were open on average within a span, since the first one.
     pub(super) fn mean(&self, span: Duration, now: Duration) -> f64 {
+        let busy = self.busy_since().map_or(Duration::ZERO, |since| now - since);
         let (sum, count) = self
-            .within(span, now)
+            .within(span.min(busy + SHORTEST_MEAN), now)
             .fold((0.0, 0u32), |(sum, count), open| (sum + f64::from(open), count + 1));
         sum / f64::from(count.max(1))
     }
--- a/crates/flaxtide-policy/src/scaling/scaler.rs
+++ b/crates/flaxtide-policy/src/scaling/scaler.rs
@@ -18,7 +18,7 @@
     /// How many times the mean demand the servers can bear: a burst comes without notice, and
     /// nobody can wait until a server has booted.
     pub burst: f64,
-    /// How many times the highest demand that was seen.
+    /// How many times the highest demand that was seen: half of the servers may be taken away.
     pub peak_margin: f64,
     /// How many times the present demand is to be borne by servers that serve now; below this
     /// the full price is paid.
@@ -29,7 +29,8 @@
     pub peak_span: Duration,
     /// For how long after the first request what stood before is kept.
     pub learning: Duration,
-    /// For how long the count of servers must have stayed the same when this begins.
+    /// For how long no more servers must have been seen when this begins, before any are ordered
+    /// at the full price: an order for as many as are seen would give back those that aren't.
     pub settling: Duration,
     /// The least time between two orders of servers at the lower price that lower a count.
     pub lowering_pause: Duration,
@@ -42,13 +43,13 @@
 impl Default for ScalerOptions {
     fn default() -> Self {
         Self {
-            burst: 4.5,
-            peak_margin: 1.5,
+            burst: 3.0,
+            peak_margin: 2.0,
             need_margin: 1.25,
             mean_span: Duration::from_secs(20),
             peak_span: Duration::from_secs(30),
             learning: Duration::from_secs(20),
-            settling: Duration::from_secs(1),
+            settling: Duration::from_millis(1500),
             lowering_pause: Duration::from_secs(10),
             full_price_pause: Duration::from_secs(3),
             lowering_part: 0.15,
@@ -63,10 +64,10 @@
     options: ScalerOptions,
     /// The demand.
     demand: DemandLog,
-    /// How many servers stood when this began, once that is known.
-    standing: Option<u32>,
-    /// How many were last seen, and since when it has been so many.
-    counted: Option<(u32, Duration)>,
+    /// How many servers stood when this began.
+    began: Option<ServerStock>,
+    /// Since when that hasn't grown.
+    began_at: Duration,
     /// The orders, by data centre and price.
     orders: BTreeMap<(DataCentreName, bool), OrderState>,
 }
@@ -111,40 +112,44 @@
         slots: u32,
         now: Duration,
     ) -> Vec<ServerOrder> {
-        let standing: u32 = stocks.values().map(|stock| stock.total()).sum();
-        if standing == 0 {
+        let mut serving = ServerStock::default();
+        for stock in stocks.values() {
+            serving.regular += stock.regular;
+            serving.spot += stock.spot;
+        }
+        if serving.total() == 0 {
             // Nothing is known yet, or all is lost: what is in force is left as it is.
             return vec![];
         }
-        let Some(began) = self.began(standing, now) else { return vec![] };
+        let began = self.began(serving, now);
+        let settled = now >= self.began_at + self.options.settling;
         let target = self.target(began, slots, now);
         let spot = self.spread_spot(rules, target.wanted, now);
-        let regular = self.spread_regular(rules, stocks, target, now);
+        let regular = self.spread_regular(rules, stocks, target);
         let mut due = vec![];
         for (data_centre, count) in spot {
             let stock = stocks.get(&data_centre).copied().unwrap_or_default();
             due.extend(self.due_order(data_centre, true, count, stock, rules, now));
         }
-        for (data_centre, count) in regular {
+        for (data_centre, count) in regular.into_iter().filter(|_| settled) {
             let stock = stocks.get(&data_centre).copied().unwrap_or_default();
             due.extend(self.due_order(data_centre, false, count, stock, rules, now));
         }
         due
     }
 
-    /// Returns how many servers stood when this began. The list of them comes in pieces, so it
-    /// counts once it has stayed the same for a while.
-    fn began(&mut self, standing: u32, now: Duration) -> Option<u32> {
-        if self.standing.is_some() {
-            return self.standing;
-        }
-        let (count, since) = *self.counted.get_or_insert((standing, now));
-        if count != standing {
-            self.counted = Some((standing, now));
-        } else if now >= since + self.options.settling {
-            self.standing = Some(standing);
+    /// Returns how many servers stood when this began. The list of them may have come in pieces:
+    /// more at the full price than at first stood before any was ordered.
+    fn began(&mut self, serving: ServerStock, now: Duration) -> u32 {
+        let began = self.began.get_or_insert_with(|| {
+            self.began_at = now;
+            serving
+        });
+        if self.demand.busy_since().is_none() && serving.regular > began.regular {
+            began.regular = serving.regular;
+            self.began_at = now;
         }
-        self.standing
+        began.total()
     }
 
     /// Works out how many servers there should be.
@@ -193,13 +198,11 @@
         rules: &ScalingRules,
         stocks: &BTreeMap<DataCentreName, ServerStock>,
         target: ServerTarget,
-        now: Duration,
     ) -> BTreeMap<DataCentreName, u32> {
         let serving: u32 = stocks.values().map(|stock| stock.spot).sum();
-        let goal = match rules.spot_price {
-            Some(_) if self.is_learning(now) => target.wanted,
-            Some(_) => target.needed,
-            None => target.wanted,
+        let goal = match (rules.spot_price, self.demand.busy_since()) {
+            (Some(_), Some(_)) => target.needed,
+            _ => target.wanted,
         };
         let missing = goal.saturating_sub(serving);
         let places = rules.prices.len().max(1) as u32;
@@ -207,12 +210,6 @@
         rules.prices.keys().map(|name| (name.clone(), part)).collect()
     }
 
-    /// Returns whether it isn't known yet how much is asked for.
-    fn is_learning(&self, now: Duration) -> bool {
-        let since = self.demand.busy_since();
-        since.is_none_or(|since| now < since + self.options.learning)
-    }
-
     /// Returns an order if the one in force isn't what it should be.
     fn due_order(
         &self,
--- a/crates/flaxtide-policy/tests/scaling.rs
+++ b/crates/flaxtide-policy/tests/scaling.rs
@@ -129,7 +129,7 @@
     let least = burst.ceil() as u32;
     assert!((least..=least + 8).contains(&(regular + spot)), "{regular}, {spot}");
     place.run(20, 900);
-    assert!(place.serving().1 * SLOTS >= 900 * 3 / 2);
+    assert!(place.serving().1 * SLOTS >= 900 * 2);
 }
 
 #[test]
@@ -161,6 +161,19 @@
     assert!(late.count() <= 4, "{:?}", place.orders);
 }
 
+#[test]
+fn a_list_that_comes_in_pieces_gives_no_server_back() {
+    let mut place = Place::new(4);
+    place.run(1, 0);
+    for stock in place.stocks.values_mut() {
+        stock.regular = 28;
+    }
+    place.run(3, 0);
+    assert!(place.orders.iter().all(|(_, order)| order.spot), "{:?}", place.orders);
+    place.run(10, 0);
+    assert_eq!(place.serving(), (4, 112));
+}
+
 #[test]
 fn nothing_is_ordered_without_a_list_of_servers() {
     let mut place = Place::new(0);
