Reports lose and invent nothing at a take-over; twice as many cheap servers until demand is known

Scaler: until demand has been seen for 12 s (was 20), twice of what stood is held at the lower price.

--- a/crates/flaxtide-entry/src/contract/duty.rs
+++ b/crates/flaxtide-entry/src/contract/duty.rs
@@ -77,6 +77,8 @@
     pub settled: Option<UsageReport>,
     /// Whether the platform has acknowledged it.
     pub acknowledged: bool,
+    /// No window before this one is owed.
+    pub owed_from: WindowNumber,
     /// What instances had told of windows that weren't settled.
     pub drafts: BTreeMap<WindowNumber, UsageCounts>,
 }
--- a/crates/flaxtide-entry/src/duty/board.rs
+++ b/crates/flaxtide-entry/src/duty/board.rs
@@ -193,11 +193,11 @@
 
     /// Returns the sums of the windows that aren't closed.
     pub(crate) fn drafts(&self) -> BTreeMap<WindowNumber, UsageCounts> {
-        let now = self.clock.now();
         let state = self.lock();
-        let heard = state.heard.as_ref();
-        heard
-            .map(|heard| heard.tally.drafts(self.window, now))
+        state
+            .heard
+            .as_ref()
+            .map(|heard| heard.tally.drafts())
             .unwrap_or_default()
     }
 
--- a/crates/flaxtide-entry/src/duty/reports.rs
+++ b/crates/flaxtide-entry/src/duty/reports.rs
@@ -15,6 +15,9 @@
 /// not everyone has told.
 const SETTLE_PART: f64 = 0.7;
 
+/// The part after which a new holder doesn't wait for instances to find it any more.
+const LATEST_PART: f64 = 0.93;
+
 /// How long a new holder waits for instances to find it.
 const GATHERING: Duration = Duration::from_millis(3500);
 
@@ -69,6 +72,7 @@
         self.acknowledged = row.acknowledged || (same && self.acknowledged);
         self.settled.clone_from(&row.settled);
         self.drafts.clone_from(&row.drafts);
+        self.first = self.first.max(row.owed_from);
         let settled = self.settled.as_ref().map(|report| report.window);
         if self.next.as_ref().is_some_and(|next| settled >= Some(next.window)) {
             self.next = None;
@@ -86,7 +90,7 @@
     ) {
         self.since = now;
         let current = window_of(board.wall_time(), self.window);
-        if renewed_store || self.settled.is_none() {
+        if renewed_store || self.first == 0 {
             self.first = self.first.max(current);
         }
         board.begin_holding(self.drafts.clone(), self.next_window(board));
@@ -96,6 +100,7 @@
     pub(super) fn fill(&self, row: &mut DutyRow, board: &DutyBoard, holds: bool) {
         row.settled = self.next.clone().or_else(|| self.settled.clone());
         row.acknowledged = self.acknowledged && self.next.is_none();
+        row.owed_from = self.first;
         row.drafts = if holds { board.drafts() } else { self.drafts.clone() };
     }
 
@@ -119,11 +124,12 @@
         let window = self.next_window(board);
         let over = board.wall_time().checked_sub(window_end(window, self.window));
         let Some(over) = over else { return false };
-        let late = over >= self.within.mul_f64(SETTLE_PART);
         let gathered = now >= self.since + GATHERING;
-        if !late && (over < SETTLE_AFTER || !gathered) {
+        let latest = over >= self.within.mul_f64(LATEST_PART);
+        if !latest && (over < SETTLE_AFTER || !gathered) {
             return false;
         }
+        let late = latest || over >= self.within.mul_f64(SETTLE_PART);
         let (total, complete) = board.window_total(window);
         if !late && !complete {
             return false;
--- a/crates/flaxtide-entry/src/duty/thread.rs
+++ b/crates/flaxtide-entry/src/duty/thread.rs
@@ -182,6 +182,7 @@
             era: self.era,
             settled: None,
             acknowledged: true,
+            owed_from: 0,
             drafts: Default::default(),
         };
         self.reports.fill(&mut row, &self.board, self.held.is_some());
--- a/crates/flaxtide-fleet/src/node/duty.rs
+++ b/crates/flaxtide-fleet/src/node/duty.rs
@@ -19,7 +19,10 @@
     /// Records who holds the duties, if that is news: of two holders, the one with the higher
     /// fencing number is the newer.
     pub fn hear_duty(&mut self, holder: Option<DutyHolder>) {
-        self.duty = self.duty.max(holder);
+        if holder > self.duty {
+            self.duty = holder;
+            self.has_updates = true;
+        }
     }
 
     /// Returns who holds the duties, as far as is known.
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -15,6 +15,7 @@
 use crate::info::PeerInfo;
 use crate::key::fleet_key;
 use crate::peer::PeerRecord;
+use crate::wire::DutyHolder;
 
 /// How many instances of another data centre are known. If one is lost, the next is tried;
 /// all of them at once are seldom lost but with their data centre.
@@ -55,6 +56,8 @@
     answered: Option<Duration>,
     /// The settings version of the last digest to a contact.
     told_version: SettingsVersion,
+    /// Who held the duties by the last digest to a contact.
+    told_duty: Option<DutyHolder>,
     /// The last call to a contact, while it has no answer.
     called: Option<ContactCall>,
 }
@@ -200,7 +203,7 @@
     /// Returns the contact in another data centre if it is to get a digest now. One that
     /// hasn't answered is replaced at once if another is known, and else called again.
     fn due_contact(&mut self, other: &DataCentreName, now: Duration) -> Option<PeerInfo> {
-        let version = self.version();
+        let (version, duty) = (self.version(), self.duty);
         let replaceable = self.peers_in(other).count() > 1;
         let period = self.digest_period();
         let wait = if replaceable { ANSWER_WAIT } else { period };
@@ -209,7 +212,7 @@
             return None;
         }
         let rested = group.answered.is_none_or(|at| now >= at + period);
-        let newer = version > group.told_version;
+        let newer = version > group.told_version || duty > group.told_duty;
         match group.called.take() {
             Some(lost) if replaceable => {
                 self.peers.remove(&lost.contact);
@@ -222,6 +225,7 @@
         let group = self.group.others.entry(other.clone()).or_default();
         group.called = Some(call);
         group.told_version = version;
+        group.told_duty = duty;
         Some(contact)
     }
 
--- a/crates/flaxtide-policy/src/lease.rs
+++ b/crates/flaxtide-policy/src/lease.rs
@@ -146,9 +146,14 @@
     }
 
     /// Keeps each fencing number of this instance above a number that may have been used, as
-    /// by a holder that a store which came back from a copy has forgotten.
+    /// by a holder that a store which came back from a copy has forgotten. A lease under a lower
+    /// number is lost.
     pub fn raise_floor(&mut self, used: u64) {
         self.floor = self.floor.max(used);
+        if self.held.is_some_and(|held| held.fence <= used) {
+            self.held = None;
+        }
+        self.unknown = self.unknown.filter(|write| write.fence > used);
     }
 
     /// Has the holder take a higher fencing number, so that what it has sent under the present
@@ -315,6 +320,8 @@
             return;
         }
         self.hold(row.fence, version, asked);
+        // Whoever wrote it last may take it again a term later.
+        self.seen = Some((row.clone(), version, asked));
     }
 
     /// Holds the lease from a time on.
--- a/crates/flaxtide-policy/src/scaling/scaler.rs
+++ b/crates/flaxtide-policy/src/scaling/scaler.rs
@@ -32,6 +32,8 @@
     /// For how long no more servers must have been seen when this begins, before any are ordered
     /// at the full price: an order for as many as are seen would give back those that aren't.
     pub settling: Duration,
+    /// How many times what stood before is held until then, at the lower price.
+    pub unknown_margin: f64,
     /// The least time between two orders of servers at the lower price that lower a count.
     pub lowering_pause: Duration,
     /// The same for servers at the full price.
@@ -48,7 +50,8 @@
             need_margin: 1.25,
             mean_span: Duration::from_secs(20),
             peak_span: Duration::from_secs(30),
-            learning: Duration::from_secs(20),
+            learning: Duration::from_secs(12),
+            unknown_margin: 2.0,
             settling: Duration::from_millis(1500),
             lowering_pause: Duration::from_secs(10),
             full_price_pause: Duration::from_secs(3),
@@ -162,12 +165,14 @@
         let mut wanted = servers((mean * options.burst).max(peak * options.peak_margin));
         let since = self.demand.busy_since();
         if since.is_none_or(|since| now < since + options.learning) {
-            wanted = wanted.max(began);
+            let least = f64::from(began) * options.unknown_margin;
+            wanted = wanted.max(least as u32);
         }
-        ServerTarget {
-            needed: servers(recent * options.need_margin),
-            wanted: wanted.max(1),
+        let mut needed = servers(recent * options.need_margin);
+        if since.is_none() {
+            needed = needed.max(began);
         }
+        ServerTarget { needed, wanted: wanted.max(1) }
     }
 
     /// Spreads the servers at the lower price evenly over the data centres that have some.
@@ -200,9 +205,9 @@
         target: ServerTarget,
     ) -> BTreeMap<DataCentreName, u32> {
         let serving: u32 = stocks.values().map(|stock| stock.spot).sum();
-        let goal = match (rules.spot_price, self.demand.busy_since()) {
-            (Some(_), Some(_)) => target.needed,
-            _ => target.wanted,
+        let goal = match rules.spot_price {
+            Some(_) => target.needed,
+            None => target.wanted,
         };
         let missing = goal.saturating_sub(serving);
         let places = rules.prices.len().max(1) as u32;
--- a/crates/flaxtide-policy/src/usage/tally.rs
+++ b/crates/flaxtide-policy/src/usage/tally.rs
@@ -126,11 +126,7 @@
             let before = before.and_then(|before| record.windows.get(&before));
             add(&mut total, told, before);
         }
-        let inherited = self.inherited.get(&window);
-        for (organisation, count) in inherited.into_iter().flatten() {
-            let known = total.counts.entry(*organisation).or_default();
-            *known = (*known).max(*count);
-        }
+        self.add_inherited(&mut total.counts, window);
         total
     }
 
@@ -148,19 +144,32 @@
         })
     }
 
-    /// Returns the sums of the windows that aren't closed.
+    /// Returns the sums of what was told of the windows that aren't closed.
     #[must_use]
-    pub fn drafts(
-        &self,
-        length: Duration,
-        now: Duration,
-    ) -> BTreeMap<WindowNumber, UsageCounts> {
+    pub fn drafts(&self) -> BTreeMap<WindowNumber, UsageCounts> {
         let told = self.sources.values().flat_map(|record| record.windows.keys());
         let windows: BTreeSet<WindowNumber> =
             told.chain(self.inherited.keys()).copied().collect();
         let open = windows.into_iter().filter(|window| *window >= self.open_from);
-        open.map(|window| (window, self.total(window, length, now).counts))
-            .collect()
+        open.map(|window| (window, self.told(window))).collect()
+    }
+
+    /// Returns the sum of what was told of a window.
+    fn told(&self, window: WindowNumber) -> UsageCounts {
+        let mut total = WindowTotal::default();
+        for record in self.sources.values() {
+            add(&mut total, record.windows.get(&window), None);
+        }
+        self.add_inherited(&mut total.counts, window);
+        total.counts
+    }
+
+    /// Raises counts to what the holder before had been told of a window.
+    fn add_inherited(&self, counts: &mut UsageCounts, window: WindowNumber) {
+        for (organisation, count) in self.inherited.get(&window).into_iter().flatten() {
+            let known = counts.entry(*organisation).or_default();
+            *known = (*known).max(*count);
+        }
     }
 
     /// Closes all windows up to one, and forgets what belongs to them.
--- a/crates/flaxtide-policy/tests/lease_model.rs
+++ b/crates/flaxtide-policy/tests/lease_model.rs
@@ -294,6 +294,16 @@
     }
 }
 
+#[test]
+fn a_holder_that_lost_its_lease_in_an_outage_of_the_store_takes_it_at_the_return() {
+    let mut world = World::new();
+    world.turn(0, true, true);
+    world.now += timing().term * 2;
+    assert_eq!(world.watches[0].fence(world.now, true), None);
+    world.turn(0, true, true);
+    assert_eq!(world.watches[0].fence(world.now, true), Some(2));
+}
+
 #[test]
 fn a_released_lease_is_taken_at_the_next_look() {
     let mut world = World::new();
