--- a/crates/flaxtide-lab/src/lib.rs
+++ b/crates/flaxtide-lab/src/lib.rs
@@ -5,10 +5,13 @@
 //! clock from event to event; nothing is read from a network, a thread or the machine's
 //! clock, and the same pattern and seed give the same [`LoadReport`].
 
+mod burst;
+mod engine;
 mod event;
 mod pattern;
 mod server;
 mod world;
 
+pub use self::burst::{BurstPattern, BurstReport, StreamShape, play_burst};
 pub use self::pattern::{GossipShape, LoadPattern};
 pub use self::world::{LoadReport, play};
