--- a/crates/flaxtide-policy/src/scaling/scaler.rs
+++ b/crates/flaxtide-policy/src/scaling/scaler.rs
@@ -54,7 +54,7 @@
             unknown_margin: 2.0,
             settling: Duration::from_millis(1500),
             lowering_pause: Duration::from_secs(10),
-            full_price_pause: Duration::from_secs(3),
+            full_price_pause: Duration::from_secs(1),
             lowering_part: 0.15,
         }
     }
