The full price isn't paid while cheaper servers boot; a new holder waits for the list

The lease is looked after between a report and orders, each of which may take 1.8 s at a platform that is dark.

--- a/crates/flaxtide-entry/src/duty/thread.rs
+++ b/crates/flaxtide-entry/src/duty/thread.rs
@@ -130,6 +130,8 @@
         }
         if self.config.does(DutyConfig::USAGE) {
             self.report();
+            // A platform that doesn't answer takes the time in which the lease is to be renewed.
+            self.keep_lease();
         }
         if self.config.does(DutyConfig::SCALING) {
             self.order();
--- a/crates/flaxtide-policy/src/scaling/scaler.rs
+++ b/crates/flaxtide-policy/src/scaling/scaler.rs
@@ -126,11 +126,13 @@
         }
         let began = self.began(serving, now);
         let settled = now >= self.began_at + self.options.settling;
-        let target = self.target(began, slots, now);
+        let target = self.target(began.total(), slots, now);
         let spot = self.spread_spot(rules, target.wanted, now);
-        let regular = self.spread_regular(rules, stocks, target);
+        let regular = self.spread_regular(rules, stocks, &spot, target, now);
         let mut due = vec![];
-        for (data_centre, count) in spot {
+        // Where none are at the lower price yet, an order for some takes nothing away.
+        let may_order = settled || began.spot == 0;
+        for (data_centre, count) in spot.into_iter().filter(|_| may_order) {
             let stock = stocks.get(&data_centre).copied().unwrap_or_default();
             due.extend(self.due_order(data_centre, true, count, stock, rules, now));
         }
@@ -141,18 +143,25 @@
         due
     }
 
-    /// Returns how many servers stood when this began. The list of them may have come in pieces:
-    /// more at the full price than at first stood before any was ordered.
-    fn began(&mut self, serving: ServerStock, now: Duration) -> u32 {
+    /// Returns how many servers stood when this began. The list of them may come in pieces, so
+    /// more than at first count as long as they stood before any was ordered.
+    fn began(&mut self, serving: ServerStock, now: Duration) -> ServerStock {
         let began = self.began.get_or_insert_with(|| {
             self.began_at = now;
             serving
         });
-        if self.demand.busy_since().is_none() && serving.regular > began.regular {
-            began.regular = serving.regular;
+        let orders = self.orders.keys().any(|(_, spot)| *spot);
+        let mut stood = serving;
+        if orders {
+            stood.spot = began.spot;
+        }
+        let settled = now >= self.began_at + self.options.settling;
+        if !settled && (stood.regular > began.regular || stood.spot > began.spot) {
+            began.regular = began.regular.max(stood.regular);
+            began.spot = began.spot.max(stood.spot);
             self.began_at = now;
         }
-        began.total()
+        *began
     }
 
     /// Works out how many servers there should be.
@@ -197,22 +206,60 @@
     }
 
     /// Returns how many servers at the full price each data centre should have: the fewest that
-    /// are allowed, and what is needed now beyond those at the lower price that serve.
+    /// are allowed, and what is needed now beyond those at the lower price. No more are ordered
+    /// while enough at the lower price boot, and none given back before these serve.
     fn spread_regular(
         &self,
         rules: &ScalingRules,
         stocks: &BTreeMap<DataCentreName, ServerStock>,
+        spot: &BTreeMap<DataCentreName, u32>,
         target: ServerTarget,
+        now: Duration,
     ) -> BTreeMap<DataCentreName, u32> {
-        let serving: u32 = stocks.values().map(|stock| stock.spot).sum();
         let goal = match rules.spot_price {
             Some(_) => target.needed,
             None => target.wanted,
         };
-        let missing = goal.saturating_sub(serving);
+        let stock_of = |name| stocks.get(name).copied().unwrap_or_default();
+        let names = || rules.prices.keys();
+        let serving: u32 = names().map(|name| stock_of(name).spot).sum();
+        let coming: u32 = names()
+            .map(|name| {
+                self.coming(name, stock_of(name), spot.get(name).copied(), rules, now)
+            })
+            .sum();
         let places = rules.prices.len().max(1) as u32;
-        let part = missing.div_ceil(places).clamp(rules.least, rules.most);
-        rules.prices.keys().map(|name| (name.clone(), part)).collect()
+        let part = |there: u32| goal.saturating_sub(there).div_ceil(places);
+        let parts = names().map(|name| {
+            let stock = stock_of(name);
+            let most = rules.most.saturating_sub(stock.spot).max(rules.least);
+            let (least, enough) = (part(coming.max(serving)), part(serving));
+            let state = self.orders.get(&(name.clone(), false));
+            let ordered = state.and_then(|state| state.ordered);
+            let current = ordered.map_or(stock.regular, |(count, _)| count);
+            let count = current.clamp(least, enough.max(least));
+            (name.clone(), count.clamp(rules.least, most))
+        });
+        parts.collect()
+    }
+
+    /// Returns how many servers at the lower price a data centre has, or will have soon if so many
+    /// are ordered there; nothing if it has none to give.
+    fn coming(
+        &self,
+        name: &DataCentreName,
+        stock: ServerStock,
+        wanted: Option<u32>,
+        rules: &ScalingRules,
+        now: Duration,
+    ) -> u32 {
+        let Some(wanted) = wanted else { return stock.spot };
+        let state = self.orders.get(&(name.clone(), true));
+        let ordered = state.and_then(|state| state.ordered);
+        let overdue = ordered.is_some_and(|(count, at)| {
+            count == wanted && now >= at + rules.boot + REPLACE_AFTER
+        });
+        if overdue { stock.spot } else { wanted.max(stock.spot) }
     }
 
     /// Returns an order if the one in force isn't what it should be.
--- a/crates/flaxtide-policy/tests/scaling.rs
+++ b/crates/flaxtide-policy/tests/scaling.rs
@@ -176,6 +176,35 @@
     assert!(regular == 4 && spot >= 112, "{regular} and {spot}");
 }
 
+#[test]
+fn a_burst_is_met_at_the_lower_price_while_there_is_some() {
+    let mut place = Place::new(28);
+    place.run(12, 0);
+    place.run(20, 200);
+    place.run(6, 1600);
+    let full_price = |order: &ServerOrder| !order.spot && order.count > 1;
+    let since = Duration::from_secs(12);
+    let mut later = place.orders.iter().filter(|(at, _)| *at > since);
+    assert!(!later.any(|(_, order)| full_price(order)), "{:?}", place.orders);
+    assert!(place.serving().1 * SLOTS >= 1600);
+}
+
+#[test]
+fn a_new_holder_takes_nothing_back_while_the_list_comes() {
+    let mut place = Place::new(1);
+    for stock in place.stocks.values_mut() {
+        stock.spot = 10;
+    }
+    place.run(1, 300);
+    for stock in place.stocks.values_mut() {
+        stock.spot = 50;
+    }
+    place.run(1, 300);
+    assert!(place.orders.is_empty(), "{:?}", place.orders);
+    place.run(10, 300);
+    assert!(place.serving().1 >= 100);
+}
+
 #[test]
 fn nothing_is_ordered_without_a_list_of_servers() {
     let mut place = Place::new(0);
