--- a/crates/flaxtide-policy/tests/common/mod.rs
+++ b/crates/flaxtide-policy/tests/common/mod.rs
@@ -33,7 +33,12 @@
 
 /// Starts a core with so many engines.
 pub fn core_with(servers: u32) -> RouteCore {
-    let mut core = RouteCore::new(RouteOptions::default());
+    core_with_options(servers, RouteOptions::default())
+}
+
+/// Starts a core with so many engines, and with other options.
+pub fn core_with_options(servers: u32, options: RouteOptions) -> RouteCore {
+    let mut core = RouteCore::new(options);
     let servers: Vec<RoutedServer> = (0..servers).map(engine).collect();
     core.set_servers(POOL, &servers, ms(0));
     core
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -12,7 +12,7 @@
 };
 use proptest::prelude::*;
 
-use self::common::{POOL, call, core_with, engine, ms, server_of};
+use self::common::{POOL, call, core_with, core_with_options, engine, ms, server_of};
 
 #[test]
 fn a_request_without_servers_is_refused_at_once() {
@@ -176,9 +176,11 @@
 }
 
 /// Returns how many engines long prompts are spread over while a peer has so many short ones
-/// at each.
-fn engines_of_long_prompts(short_at_each: u32) -> usize {
-    let mut core = core_with(10);
+/// at each. Twenty come at once; engines are given for those that are there up to a fill, or
+/// never for 0.
+fn engines_of_long_prompts(short_at_each: u32, long_fill: f64) -> usize {
+    let options = RouteOptions { long_fill, ..RouteOptions::default() };
+    let mut core = core_with_options(10, options);
     let busy = |server| PeerLoad {
         server,
         short: short_at_each,
@@ -201,9 +203,22 @@
 
 #[test]
 fn long_prompts_leave_more_engines_while_short_ones_are_many() {
-    assert_eq!(engines_of_long_prompts(1), 6);
-    assert_eq!(engines_of_long_prompts(2), 5);
-    assert_eq!(engines_of_long_prompts(3), 3, "they keep a third");
+    assert_eq!(engines_of_long_prompts(1, 0.0), 6);
+    assert_eq!(engines_of_long_prompts(2, 0.0), 5);
+    assert_eq!(engines_of_long_prompts(3, 0.0), 3, "they keep a third");
+}
+
+#[test]
+fn long_prompts_get_engines_for_those_that_are_there() {
+    let fill = RouteOptions::default().long_fill;
+    assert_eq!(engines_of_long_prompts(1, fill), 6);
+    assert_eq!(engines_of_long_prompts(2, fill), 5);
+    assert_eq!(engines_of_long_prompts(3, fill), 4, "20 are too many for three engines");
+    assert_eq!(
+        engines_of_long_prompts(6, fill),
+        3,
+        "short ones leave no more than a third"
+    );
 }
 
 #[test]
