Who hasn't told of a window is asked in one place; plain words in five comments

UsageTally judged twice, in total and in is_complete, whether an instance still owes news of a window: one question of the record serves both. Behaviour is as it was.

--- a/crates/flaxtide-entry/src/contract/duty.rs
+++ b/crates/flaxtide-entry/src/contract/duty.rs
@@ -73,7 +73,7 @@
     pub address: SocketAddr,
     /// The era of the store in which this was written.
     pub era: u64,
-    /// The last report that is settled: whoever reports its window reports just this.
+    /// The last report that is settled: its window is reported with these counts only.
     pub settled: Option<UsageReport>,
     /// Whether the platform has acknowledged it.
     pub acknowledged: bool,
--- a/crates/flaxtide-entry/src/duty/mod.rs
+++ b/crates/flaxtide-entry/src/duty/mod.rs
@@ -6,7 +6,7 @@
 //! ([`OrderDuty`]).
 //!
 //! What is to be reported for a window is settled in the row of the lease before it is sent.
-//! Whoever comes next finds it there, and repeats exactly that.
+//! The next holder finds it there, and repeats exactly that.
 
 mod board;
 mod call_usage;
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -191,7 +191,7 @@
         FollowAnswer { whole, regained: self.pause.take().is_some() }
     }
 
-    /// Takes in that peers who should tell don't: the platform may be in trouble, and a call that
+    /// Records that peers which should tell don't: the platform may be in trouble, and a call that
     /// waits long for it is one that a store which comes back never answers.
     pub fn doubt(&mut self, now: Duration) {
         self.cautious_until = self.cautious_until.max(now + CAUTION);
--- a/crates/flaxtide-lab/src/burst.rs
+++ b/crates/flaxtide-lab/src/burst.rs
@@ -265,7 +265,7 @@
         }
     }
 
-    /// Takes in what came from an engine.
+    /// Handles what came from an engine.
     fn hear(&mut self, at: Duration, news: EngineNews) {
         let (request, end) = match news {
             EngineNews::Token(request) => (request, false),
--- a/crates/flaxtide-policy/src/lease.rs
+++ b/crates/flaxtide-policy/src/lease.rs
@@ -320,7 +320,7 @@
             return;
         }
         self.hold(row.fence, version, asked);
-        // Whoever wrote it last may take it again a term later.
+        // The last writer may take it again a term later.
         self.seen = Some((row.clone(), version, asked));
     }
 
--- a/crates/flaxtide-policy/src/usage/tally.rs
+++ b/crates/flaxtide-policy/src/usage/tally.rs
@@ -118,10 +118,9 @@
         let mut total = WindowTotal::default();
         for record in self.sources.values() {
             let told = record.windows.get(&window);
-            let complete = record.leaving || record.told_until >= end;
             total.sources += u32::from(told.is_some());
-            total.missing += u32::from(!complete && record.is_alive(now));
-            let cut_off = !complete && silent.contains(&record.data_centre);
+            total.missing += u32::from(record.is_missing(end, now));
+            let cut_off = !record.has_told(end) && silent.contains(&record.data_centre);
             let before = window.checked_sub(1).filter(|_| cut_off);
             let before = before.and_then(|before| record.windows.get(&before));
             add(&mut total, told, before);
@@ -139,9 +138,7 @@
         now: Duration,
     ) -> bool {
         let end = window_end(window, length);
-        self.sources.values().all(|record| {
-            record.leaving || !record.is_alive(now) || record.told_until >= end
-        })
+        !self.sources.values().any(|record| record.is_missing(end, now))
     }
 
     /// Returns the sums of what was told of the windows that aren't closed.
@@ -214,6 +211,16 @@
         now < self.heard + SOURCE_LIFE
     }
 
+    /// Returns whether it has told everything up to a moment, or all that it will.
+    fn has_told(&self, end: Duration) -> bool {
+        self.leaving || self.told_until >= end
+    }
+
+    /// Returns whether it is alive and hasn't told everything up to a moment.
+    fn is_missing(&self, end: Duration, now: Duration) -> bool {
+        !self.has_told(end) && self.is_alive(now)
+    }
+
     /// Returns whether it has told of a window that isn't closed.
     fn has_open(&self, open_from: WindowNumber) -> bool {
         self.windows.keys().any(|window| *window >= open_from)
