What backend servers state in their answers is read and logged

Change: the rate for all callers, leaving, and the rest that a 503 asks for are read into one typed statement (bad values: a clear rule each, in a table of tests) and logged as "server states" when they change. Nothing follows from them yet.

--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flaxtide_core::TierRank;
-use flaxtide_policy::PromptShape;
+use flaxtide_policy::{PromptShape, ServerStatement};
 use hyper::header::HeaderMap;
 
 /// Translates between headers and what they say.
@@ -63,4 +63,6 @@
     pub replaced: bool,
     /// For how long the server keeps the connection open.
     pub keep_alive: Option<Duration>,
+    /// What the server states of itself.
+    pub statement: ServerStatement,
 }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod names;
 mod open_call;
 mod pauses;
+mod pushback;
 mod quarantine;
 mod reader;
 mod relay;
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -47,6 +47,8 @@
     pub(crate) store_era: IntGauge,
     /// Rows of servers that weren't understood.
     pub(crate) rows_ignored: IntCounter,
+    /// Answers that state a rate which isn't understood.
+    pub(crate) statements_ignored: IntCounter,
     /// Servers that ended under a request of this instance.
     pub(crate) crashes: IntCounter,
     /// Requests that ran on servers that ended.
@@ -113,6 +115,10 @@
             time_jumps: counter("time_jumps", "Suspensions and freezes."),
             store_era: gauge("store_era", "How often the store came back from a copy."),
             rows_ignored: counter("rows_ignored", "Rows of servers not understood."),
+            statements_ignored: counter(
+                "statements_ignored",
+                "Answers with a stated rate that isn't understood.",
+            ),
             crashes: counter("server_crashes", "Servers that ended under a request."),
             suspected: gauge("suspected_requests", "Requests that ran on such servers."),
             quarantined: gauge("quarantined_requests", "Requests sent to no server."),
@@ -130,7 +136,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 23] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 24] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -148,6 +154,7 @@
             Box::new(self.time_jumps.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.rows_ignored.clone()),
+            Box::new(self.statements_ignored.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod lease;
 mod limit;
 mod options;
+mod pushback;
 mod quarantine;
 mod queue;
 mod rendezvous;
@@ -36,6 +37,7 @@
 pub use self::event::{CallArrival, LoadReport, PolicyEvent, ServerFault};
 pub use self::lease::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch};
 pub use self::options::PolicyOptions;
+pub use self::pushback::{RequestRate, ServerStatement, StatedRate};
 pub use self::quarantine::{
     CrashLog, CrashReport, Fingerprint, ServerStart, request_fingerprint,
 };
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod options;
 mod pace;
+mod pushback;
 mod read;
 mod retry;
 mod server;
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -9,6 +9,7 @@
 use super::health::ServerHealth;
 use super::load::LoadCount;
 use super::pace::ReadPace;
+use crate::pushback::ServerPushback;
 
 /// How many prompt parts are remembered of one server.
 const REMEMBERED_PARTS: usize = 512;
@@ -59,6 +60,8 @@
     pub(crate) load: LoadCount,
     /// How it has answered.
     pub(crate) health: ServerHealth,
+    /// What it has said of itself.
+    pub(crate) pushback: ServerPushback,
     /// How fast it reads prompts.
     pub(crate) pace: ReadPace,
     /// Whether it was found to answer at the last review.
@@ -74,6 +77,7 @@
             facts,
             load: LoadCount::default(),
             health: ServerHealth::new(now),
+            pushback: ServerPushback::default(),
             pace: ReadPace::new(guess, now),
             believed_well: true,
             parts: HashMap::new(),
