Instances keep together to the rate that a backend server states

What callers saw: nothing; an engine in need got several times what it had asked for. Cause: a statement of a server that concerns all instances together was read by none. Even read, a limit kept by each instance for itself is as many times too high as there are instances. Change: the rate belongs to a few instances: those next in rendezvous order among the ones seen alive, beside the server first, two and one more for each request a second; each has an equal part and a token bucket of one request or a quarter of a second. The others send nothing. A part that grows is taken after 2 s, one that shrinks at once; an instance that can't know yet who is there has none. A server without a token isn't chosen, and every request passes a gate right before it is written, in the one function that writes to servers. Where none opens in time, the caller is told at once when the first does.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxtide_core::{ServerId, TierRank};
+use flaxtide_core::{RequestId, ServerId, TierRank};
 use flaxtide_policy::{Fingerprint, RouteChoice, RouteFault, request_fingerprint};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
@@ -131,8 +131,21 @@
     }
 }
 
-/// Sends a request to a server and checks the head of the answer. A `fresh` one goes over
-/// a new connection, which shows that the server is in reach.
+/// One try of a request at a server.
+pub(crate) struct ServerTry<'a> {
+    /// The number of the request.
+    pub(crate) number: RequestId,
+    /// Which server, and why.
+    pub(crate) choice: &'a RouteChoice,
+    /// How long the server may take.
+    pub(crate) left: Duration,
+    /// The last event of a stream with which the server is to go on.
+    pub(crate) last_event: Option<u64>,
+    /// Whether it goes over a new connection, which shows that the server is in reach.
+    pub(crate) fresh: bool,
+}
+
+/// Sends a request to a server and checks the head of the answer.
 ///
 /// # Errors
 ///
@@ -141,11 +154,9 @@
 pub(crate) async fn exchange(
     state: &Rc<TrafficState>,
     request: &CallerRequest,
-    choice: &RouteChoice,
-    left: Duration,
-    last_event: Option<u64>,
-    fresh: bool,
+    attempt: ServerTry<'_>,
 ) -> Result<AnswerStart, RouteFault> {
+    let ServerTry { number, choice, left, last_event, fresh } = attempt;
     let server = choice.server;
     let name = state.server_name(server).ok_or(RouteFault::Unreachable)?;
     let address = state.server_address(server).ok_or(RouteFault::Unreachable)?;
@@ -166,11 +177,17 @@
                 .await
                 .map_err(|_| RouteFault::Unreachable)?,
         };
+        // The server may have asked for less while this one waited for its connection.
+        if !state.ask(|core, now| core.passes_gate(number, now)) {
+            state.links.keep(server, link, None, state.now());
+            return Err(RouteFault::Withheld);
+        }
+        let sent = state.now();
         let kind = if link.used { "kept" } else { "new" };
         link.used = true;
         state.metrics.connections.with_label_values(&[kind]).inc();
         match link.sender.try_send_request(outgoing).await {
-            Ok(answer) => return check(state, request, server, link, answer),
+            Ok(answer) => return check(state, request, server, sent, link, answer),
             Err(mut fault) => match fault.take_message() {
                 // Nothing of it was written.
                 Some(unsent) => outgoing = unsent,
@@ -208,6 +225,7 @@
     state: &Rc<TrafficState>,
     request: &CallerRequest,
     server: ServerId,
+    sent: Duration,
     link: ServerLink,
     answer: Response<Incoming>,
 ) -> Result<AnswerStart, RouteFault> {
@@ -219,7 +237,7 @@
     // Another request's answer is that of a connection which can't be trusted any more.
     let ours = head.attempt == request.attempt;
     if ours || (head.not_run && head.attempt.is_none()) {
-        hear_statement(state, server, head.statement);
+        hear_statement(state, server, head.statement, sent);
     }
     if head.not_run && (ours || head.attempt.is_none()) {
         let link = Some(link);
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -6,7 +6,7 @@
 
 use flaxtide_core::{InstanceName, ServerName, SettingsVersion, store_era};
 use flaxtide_fleet::{FleetKey, OwnLoad, PartRead};
-use flaxtide_policy::CrashReport;
+use flaxtide_policy::{CrashReport, InstanceGroup};
 use tokio::sync::mpsc::Receiver;
 
 use crate::contract::{FeedBatch, FeedRow, FeedTopic, PlatformFeed};
@@ -48,6 +48,8 @@
         newest_rules: SettingsVersion,
         /// Whether a peer has told which requests crash servers.
         knows_crashes: bool,
+        /// The instances that are seen alive, once that is known.
+        group: Option<Arc<InstanceGroup>>,
     },
 }
 
@@ -86,11 +88,16 @@
             }
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
             FeedEvent::Crashes(reports) => state.quarantine.hear(&state, &reports),
-            FeedEvent::Fleet { live, newest_rules, knows_crashes } => {
+            FeedEvent::Fleet { live, newest_rules, knows_crashes, group } => {
                 state.quarantine.set_informed(knows_crashes);
                 state.newest_rules.set(newest_rules);
                 state.metrics.instances.set(i64::from(live));
-                state.ask(|core, _| core.set_instances(live));
+                state.ask(|core, now| {
+                    core.set_instances(live);
+                    if let Some(group) = group {
+                        core.set_group(group, now);
+                    }
+                });
             }
         }
     }
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -294,8 +294,14 @@
         let live = node.fleet_size(now);
         let newest_rules = node.newest_known(now);
         let knows_crashes = node.knows_crashes();
+        let group = node.instance_group(now);
         // Told again with the next update.
-        let _ = events.try_send(FeedEvent::Fleet { live, newest_rules, knows_crashes });
+        let _ = events.try_send(FeedEvent::Fleet {
+            live,
+            newest_rules,
+            knows_crashes,
+            group,
+        });
     });
 }
 
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -10,7 +10,7 @@
 use crate::contract::RequestHead;
 use crate::crash::server_has_ended;
 use crate::duty::CallUsage;
-use crate::exchange::{AnswerStart, CallerRequest, exchange};
+use crate::exchange::{AnswerStart, CallerRequest, ServerTry, exchange};
 use crate::reply::{CallerAnswer, OwnReply};
 use crate::routes::ClassMatch;
 use crate::state::TrafficState;
@@ -231,8 +231,9 @@
         );
         let reason = format!("{:?}", choice.reason);
         self.state.metrics.dispatches.with_label_values(&[&reason]).inc();
-        let fresh = self.doubted.get();
-        let sent = exchange(&self.state, request, choice, left, last_event, fresh);
+        let (number, fresh) = (self.request, self.doubted.get());
+        let attempt = ServerTry { number, choice, left, last_event, fresh };
+        let sent = exchange(&self.state, request, attempt);
         let mut sent = std::pin::pin!(sent);
         loop {
             let left = self.left();
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -10,7 +10,7 @@
 use flaxtide_core::{
     MilliClock, PoolId, RequestId, ServerId, ServerName, SettingsVersion,
 };
-use flaxtide_fleet::FleetKey;
+use flaxtide_fleet::{FleetKey, fleet_key};
 use flaxtide_policy::{EngineShape, RouteAction, RouteCore, RouteOptions, RoutedServer};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
@@ -278,6 +278,7 @@
                         memory_tokens: engine.memory_tokens,
                         fetch_tokens_per_ms: engine.fetch_tokens_per_ms,
                     }),
+                    data_centre: fleet_key(&entry.data_centre),
                     near: entry.data_centre == home,
                     leaving: entry.leaving,
                     lapsed: listed.lapsed(),
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod duty;
 mod group;
 mod lists;
+mod roster;
 mod settings;
 mod talk;
 mod timing;
@@ -23,6 +24,7 @@
 use self::digest::GroupReads;
 pub use self::digest::OutgoingHello;
 use self::group::GroupState;
+use self::roster::RosterCopy;
 pub use self::settings::SettingsSource;
 use self::settings::SettingsState;
 pub use self::timing::FleetTiming;
@@ -165,6 +167,10 @@
     list_order: Vec<usize>,
     /// The servers that this instance watches.
     watched: Vec<FleetKey>,
+    /// When it first looked whom it sees alive.
+    started: Option<Duration>,
+    /// Whom it saw alive when it last looked.
+    roster: Option<RosterCopy>,
     /// Grows whenever what this instance watches or falls back on may have changed.
     generation: u64,
 }
@@ -200,6 +206,8 @@
             live: vec![],
             list_order: vec![],
             watched: vec![],
+            started: None,
+            roster: None,
             generation: 0,
         }
     }
--- a/crates/flaxtide-lab/src/burst.rs
+++ b/crates/flaxtide-lab/src/burst.rs
@@ -157,6 +157,7 @@
                 memory_tokens: 400_000,
                 fetch_tokens_per_ms: None,
             }),
+            data_centre: 0,
             near: true,
             leaving: false,
             lapsed: false,
--- a/crates/flaxtide-lab/src/world.rs
+++ b/crates/flaxtide-lab/src/world.rs
@@ -130,6 +130,7 @@
         }
         let instance = |number: u32| {
             let servers = (0..pattern.servers).map(|server| RoutedServer {
+                data_centre: server % pattern.data_centres,
                 near: server % pattern.data_centres == number % pattern.data_centres,
                 ..plain_server(server, pattern)
             });
@@ -362,6 +363,7 @@
         rank: u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         slots: pattern.slots as u32,
         engine: None,
+        data_centre: 0,
         near: true,
         leaving: false,
         lapsed: false,
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -37,7 +37,10 @@
 pub use self::event::{CallArrival, LoadReport, PolicyEvent, ServerFault};
 pub use self::lease::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch};
 pub use self::options::PolicyOptions;
-pub use self::pushback::{RequestRate, ServerStatement, StatedRate};
+pub use self::pushback::{
+    DataCentreKey, GroupMember, InstanceGroup, InstanceKey, RequestRate, ServerStatement,
+    StatedRate,
+};
 pub use self::quarantine::{
     CrashLog, CrashReport, Fingerprint, ServerStart, request_fingerprint,
 };
@@ -46,7 +49,7 @@
     CallProgress, EngineShape, LEVELS, LevelTokens, PartFetch, PartKey, PeerKey,
     PeerLoad, PromptPart, PromptShape, ReadNote, RefusalCause, RetryVerdict, RouteAction,
     RouteCall, RouteChoice, RouteCore, RouteFault, RouteOptions, RouteReason,
-    RoutedServer, ServerLoad, ServerNote, WAIT_PART,
+    RoutedServer, ServerLoad, ServerNote, StatementNote, WAIT_PART,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::scaling::{
--- /dev/null
+++ b/crates/flaxtide-policy/src/pushback/bucket.rs
@@ -0,0 +1,69 @@
+//! A token bucket: at most so many requests a second, and a small burst.
+
+use std::time::Duration;
+
+/// The burst of a bucket, as the time in which its rate allows it; one request at least.
+const BURST: Duration = Duration::from_millis(250);
+
+/// At most so many requests a second, and a small burst.
+#[derive(Debug, Clone)]
+pub(crate) struct TokenBucket {
+    /// Requests a second.
+    rate: f64,
+    /// Requests that may be sent now.
+    tokens: f64,
+    /// When that was worked out.
+    at: Duration,
+}
+
+impl TokenBucket {
+    /// Makes an empty bucket.
+    pub(crate) fn new(rate: f64, now: Duration) -> Self {
+        Self { rate, tokens: 0.0, at: now }
+    }
+
+    /// Sets the rate from now on.
+    pub(crate) fn set_rate(&mut self, rate: f64, now: Duration) {
+        self.tokens = self.tokens(now);
+        self.at = now;
+        self.rate = rate;
+        self.tokens = self.tokens.min(self.capacity());
+    }
+
+    /// Returns whether a request may be sent.
+    pub(crate) fn is_ready(&self, now: Duration) -> bool {
+        self.tokens(now) >= 1.0
+    }
+
+    /// Returns when a request may be sent; nothing if never.
+    pub(crate) fn ready_at(&self, now: Duration) -> Option<Duration> {
+        let missing = (1.0 - self.tokens(now)).max(0.0);
+        if missing == 0.0 {
+            return Some(now);
+        }
+        let wait = Duration::try_from_secs_f64(missing / self.rate).ok()?;
+        now.checked_add(wait)
+    }
+
+    /// Takes a request's token. Returns whether there was one.
+    pub(crate) fn take(&mut self, now: Duration) -> bool {
+        let tokens = self.tokens(now);
+        let ready = tokens >= 1.0;
+        self.tokens = if ready { tokens - 1.0 } else { tokens };
+        self.at = self.at.max(now);
+        ready
+    }
+
+    /// Returns how many requests may be sent.
+    fn tokens(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.at).as_secs_f64();
+        // A full token may come out a little short of one.
+        const ROUNDING: f64 = 1e-9;
+        (self.tokens + passed * self.rate + ROUNDING).min(self.capacity())
+    }
+
+    /// Returns the most tokens that are saved up.
+    fn capacity(&self) -> f64 {
+        if self.rate == 0.0 { 0.0 } else { (self.rate * BURST.as_secs_f64()).max(1.0) }
+    }
+}
--- a/crates/flaxtide-policy/src/pushback/mod.rs
+++ b/crates/flaxtide-policy/src/pushback/mod.rs
@@ -1,8 +1,12 @@
 //! Pushback: what backend servers say of themselves in their answers, and what follows for the
 //! instances that send to them.
 
+mod bucket;
+mod group;
+mod limit;
 mod server;
 mod statement;
 
+pub use self::group::{DataCentreKey, GroupMember, InstanceGroup, InstanceKey};
 pub(crate) use self::server::ServerPushback;
 pub use self::statement::{RequestRate, ServerStatement, StatedRate};
--- a/crates/flaxtide-policy/src/pushback/server.rs
+++ b/crates/flaxtide-policy/src/pushback/server.rs
@@ -1,22 +1,110 @@
-//! What one start of a backend server has said of itself.
+//! What is known of what one start of a backend server has said of itself, and whether it may be
+//! sent a request.
 
-use super::statement::{ServerStatement, StatedRate};
+use std::time::Duration;
+
+use super::limit::RateLimit;
+use super::statement::{RequestRate, StatedRate};
 
 /// What one start of a backend server has said of itself.
 #[derive(Debug, Default)]
 pub(crate) struct ServerPushback {
-    /// What it said last.
-    stated: ServerStatement,
+    /// The rate that it takes from all instances, if it says so.
+    limit: Option<RateLimit>,
+    /// When that, or that there is none, was last heard from the server by any instance.
+    rate_heard: Duration,
 }
 
 impl ServerPushback {
-    /// Records what an answer states. Returns whether that is something else than before.
-    pub(crate) fn hear(&mut self, mut statement: ServerStatement) -> bool {
-        if statement.rate == StatedRate::Unreadable {
-            statement.rate = self.stated.rate;
+    /// Returns the rate that the server takes from all instances.
+    pub(crate) fn rate(&self) -> Option<RequestRate> {
+        self.limit.as_ref().map(|limit| limit.rate)
+    }
+
+    /// Returns this instance's part of it, in requests a second.
+    pub(crate) fn part(&self) -> Option<f64> {
+        self.limit.as_ref().map(RateLimit::part)
+    }
+
+    /// Records what an answer to a request says that was sent at `sent`. An answer that the
+    /// server may have made before another one that came first doesn't raise the rate. Returns
+    /// whether the rate is another one.
+    pub(crate) fn hear_rate(
+        &mut self,
+        stated: StatedRate,
+        part: impl FnOnce(RequestRate) -> f64,
+        sent: Duration,
+        now: Duration,
+    ) -> bool {
+        let rate = match stated {
+            StatedRate::Unreadable => return false,
+            StatedRate::Unlimited => None,
+            StatedRate::Limited(rate) => Some(rate),
+        };
+        if sent <= self.rate_heard && raises(self.rate(), rate) {
+            return false;
+        }
+        self.rate_heard = now;
+        self.set_rate(rate, part, now)
+    }
+
+    /// Sets the rate. Returns whether it is another one.
+    fn set_rate(
+        &mut self,
+        rate: Option<RequestRate>,
+        part: impl FnOnce(RequestRate) -> f64,
+        now: Duration,
+    ) -> bool {
+        if rate == self.rate() {
+            return false;
+        }
+        match (&mut self.limit, rate) {
+            (limit, None) => *limit = None,
+            (Some(limit), Some(rate)) => limit.set(rate, part(rate), now),
+            (limit, Some(rate)) => *limit = Some(RateLimit::new(rate, part(rate), now)),
+        }
+        true
+    }
+
+    /// Works out anew what this instance's part of the rate is.
+    pub(crate) fn set_part(
+        &mut self,
+        part: impl FnOnce(RequestRate) -> f64,
+        now: Duration,
+    ) {
+        if let Some(limit) = &mut self.limit {
+            limit.set(limit.rate, part(limit.rate), now);
         }
-        let changes = statement.rest.is_some() || statement != self.stated;
-        self.stated = statement;
-        changes
+    }
+
+    /// Takes a larger part of the rate once it is due.
+    pub(crate) fn tick(&mut self, now: Duration) {
+        if let Some(limit) = &mut self.limit {
+            limit.grow(now);
+        }
+    }
+
+    /// Returns whether a request may be sent now.
+    pub(crate) fn is_open(&self, now: Duration) -> bool {
+        self.limit.as_ref().is_none_or(|limit| limit.is_ready(now))
+    }
+
+    /// Returns when a request may be sent; nothing if that can't be told.
+    pub(crate) fn opens_at(&self, now: Duration) -> Option<Duration> {
+        self.limit.as_ref().map_or(Some(now), |limit| limit.ready_at(now))
+    }
+
+    /// Counts a request against what may be sent. Returns whether it may be.
+    pub(crate) fn take(&mut self, now: Duration) -> bool {
+        self.limit.as_mut().is_none_or(|limit| limit.take(now))
+    }
+}
+
+/// Returns whether a rate is higher than another.
+fn raises(from: Option<RequestRate>, to: Option<RequestRate>) -> bool {
+    match (from, to) {
+        (None, _) => false,
+        (Some(_), None) => true,
+        (Some(from), Some(to)) => to > from,
     }
 }
--- a/crates/flaxtide-policy/src/pushback/statement.rs
+++ b/crates/flaxtide-policy/src/pushback/statement.rs
@@ -36,7 +36,7 @@
     #[must_use]
     pub fn from_per_second(requests: f64) -> Option<Self> {
         // The conversion saturates.
-        (requests >= 0.0).then(|| Self((requests * UNITS_PER_REQUEST) as u32))
+        (requests >= 0.0).then_some(Self((requests * UNITS_PER_REQUEST) as u32))
     }
 
     /// Returns how many requests a second it is.
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -101,6 +101,8 @@
 pub enum RouteFault {
     /// No connection could be opened: it hasn't run.
     Unreachable,
+    /// The server asked for less before the request was written: it hasn't run.
+    Withheld,
     /// The server had no room and said that it hasn't run.
     Full,
     /// Another server has the address now: it hasn't run.
@@ -116,13 +118,13 @@
 impl RouteFault {
     /// Tells whether the request has reached the server, as the retry budget counts it.
     pub(crate) fn arrived(self) -> bool {
-        self != Self::Unreachable
+        !matches!(self, Self::Unreachable | Self::Withheld)
     }
 
     /// Tells whether the fault promises that the request hasn't run.
     #[must_use]
     pub fn not_run(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Full | Self::Replaced)
+        matches!(self, Self::Unreachable | Self::Withheld | Self::Full | Self::Replaced)
     }
 }
 
@@ -139,6 +141,8 @@
     pub(crate) sends: u32,
     /// Whether its next try is paid for.
     pub(crate) granted: bool,
+    /// Whether its present server's rate, if it states one, has room for it.
+    pub(crate) counted: bool,
     /// On how many servers it may have run, the present one not counted.
     pub(crate) runs: u32,
     /// How many prompt tokens the present server must read, about.
@@ -181,6 +185,7 @@
             excluded: vec![],
             sends: 0,
             granted: false,
+            counted: false,
             runs: 0,
             uncached: 0,
             ahead: 0.0,
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -59,6 +59,8 @@
         options: &RouteOptions,
     ) {
         match fault {
+            // The server wasn't asked.
+            RouteFault::Withheld => {}
             RouteFault::Full => {
                 self.hear(now);
                 self.paused_until = self.paused_until.max(now + options.full_pause);
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod wait;
 
 use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use flaxtide_core::{PoolId, RequestId, ServerId};
@@ -28,6 +29,7 @@
 pub use self::choose::{PartFetch, RouteChoice, RouteReason};
 pub use self::load::{LEVELS, LevelTokens, PeerKey, PeerLoad, ServerLoad};
 pub use self::options::RouteOptions;
+pub use self::pushback::StatementNote;
 pub use self::read::ReadNote;
 pub use self::retry::RetryVerdict;
 pub use self::server::{EngineShape, RoutedServer};
@@ -37,6 +39,7 @@
 use self::lane::LaneSplit;
 use self::read::ReadLog;
 use self::server::ServerState;
+use crate::pushback::InstanceGroup;
 use crate::queue::{PoolQueue, QueueEntry};
 
 /// A request that waits for a server is refused after this part of its target: the rest is
@@ -128,6 +131,8 @@
     calls: HashMap<RequestId, RoutedCall>,
     /// How many instances share the retry budget; the most that were seen alive.
     instances: u32,
+    /// The instances that are seen alive, once that is known.
+    group: Option<Arc<InstanceGroup>>,
     /// The shared parts that servers have read lately for this instance.
     reads: ReadLog,
     /// What has been decided in the current event.
@@ -145,6 +150,7 @@
             pools: BTreeMap::new(),
             calls: HashMap::new(),
             instances,
+            group: None,
             reads: ReadLog::default(),
             actions: vec![],
         }
@@ -401,6 +407,7 @@
         let server = choice.server;
         call.place = CallPlace::Running { server, since: now, heard: None };
         call.sends += 1;
+        call.counted = false;
         call.uncached = choice.uncached;
         call.ahead = choice.ahead;
         let movable = call.call.repeatable && call.runs + 1 < call.call.run_limit;
@@ -412,6 +419,7 @@
         if let Some(state) = self.pools.get_mut(&call.call.pool)
             && let Some(server) = state.servers.get_mut(&server)
         {
+            call.counted = server.pushback.take(now);
             let long = call.call.prompt.is_long(&self.options);
             server.load.start(request, long, &self.calls, now);
         }
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -1,20 +1,167 @@
-//! What servers say of themselves in their answers.
+//! What servers say of themselves in their answers: every request passes this gate right before
+//! it is written to a server.
 
-use flaxtide_core::ServerId;
+use std::sync::Arc;
+use std::time::Duration;
 
-use super::RouteCore;
-use crate::pushback::ServerStatement;
+use flaxtide_core::{RequestId, ServerId};
+
+use super::call::{CallPlace, RoutedCall};
+use super::server::{RoutedServer, ServerState};
+use super::{RefusalCause, RouteAction, RouteCore};
+use crate::pushback::{InstanceGroup, RequestRate, ServerStatement};
+use crate::rendezvous::numbered_weight;
+
+/// The part of the time until a server may be sent a request by which callers are spread that
+/// are asked to come back then.
+const RETURN_SPREAD: f64 = 0.25;
+
+/// What was learnt from what a server states.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct StatementNote {
+    /// The rate that it takes from all instances.
+    pub rate: Option<RequestRate>,
+    /// This instance's part of it, in requests a second.
+    pub part: Option<f64>,
+}
 
 impl RouteCore {
-    /// Takes in what a server states in an answer. Returns whether that is something else than
-    /// in its answer before.
+    /// Sets which instances are seen alive. To be called often: larger parts of rates are taken
+    /// with a delay.
+    pub fn set_group(&mut self, group: Arc<InstanceGroup>, now: Duration) {
+        let known = self.group.as_ref() == Some(&group);
+        for server in self.pools.values_mut().flat_map(|pool| pool.servers.values_mut()) {
+            if known {
+                server.pushback.tick(now);
+                continue;
+            }
+            let facts = &server.facts;
+            let part = |rate| group.rate_part(facts.rank, facts.data_centre, rate);
+            server.pushback.set_part(part, now);
+        }
+        self.group = Some(group);
+    }
+
+    /// Takes in what a server states in an answer to a request that was sent at `sent`. Returns
+    /// what is new, if anything is.
     pub fn hear_statement(
         &mut self,
         server: ServerId,
         statement: ServerStatement,
-    ) -> bool {
+        sent: Duration,
+        now: Duration,
+    ) -> Option<StatementNote> {
+        let group = self.group.as_deref();
         let mut pools = self.pools.values_mut();
-        let known = pools.find_map(|pool| pool.servers.get_mut(&server));
-        known.is_some_and(|server| server.pushback.hear(statement))
+        let server = pools.find_map(|pool| pool.servers.get_mut(&server))?;
+        let part = |rate| own_part(group, &server.facts, rate);
+        let pushback = &mut server.pushback;
+        let changed = pushback.hear_rate(statement.rate, part, sent, now);
+        changed.then(|| StatementNote { rate: pushback.rate(), part: pushback.part() })
+    }
+
+    /// Returns whether a request may be written now to the server that it was given. Between the
+    /// choice of the server and this moment the server may have asked for less.
+    pub fn passes_gate(&mut self, request: RequestId, now: Duration) -> bool {
+        let Some(call) = self.calls.get(&request) else { return false };
+        let CallPlace::Running { server, .. } = call.place else { return false };
+        let pool = self.pools.get_mut(&call.call.pool);
+        let Some(server) = pool.and_then(|pool| pool.servers.get_mut(&server)) else {
+            return false;
+        };
+        let counted = call.counted || server.pushback.rate().is_none();
+        counted || server.pushback.take(now)
+    }
+
+    /// Returns when the first server will take a request that none takes now; nothing if one does
+    /// already, though it has no room.
+    pub(super) fn opens_at(
+        &self,
+        call: &RoutedCall,
+        now: Duration,
+    ) -> Option<ServerOpening> {
+        let state = self.pools.get(&call.call.pool)?;
+        let servers = state.servers.values();
+        let usable = servers.filter(|server| {
+            let excluded = call.excluded.contains(&server.facts.server);
+            server.facts.in_service() && !excluded
+        });
+        let mut first = None;
+        for server in usable {
+            let Some(at) = server.pushback.opens_at(now) else { continue };
+            if at <= now {
+                return None;
+            }
+            first = Some(first.map_or(at, |first: Duration| first.min(at)));
+        }
+        Some(first.map_or(ServerOpening::Unknown, ServerOpening::At))
+    }
+
+    /// Returns whether no server takes a request before a time.
+    pub(super) fn opens_after(
+        &self,
+        call: &RoutedCall,
+        time: Duration,
+        now: Duration,
+    ) -> bool {
+        match self.opens_at(call, now) {
+            None => false,
+            Some(ServerOpening::At(at)) => at >= time,
+            Some(ServerOpening::Unknown) => true,
+        }
+    }
+
+    /// Returns whether no server takes a request that waits before it would be given up.
+    pub(super) fn opens_too_late(&self, request: RequestId, now: Duration) -> bool {
+        let Some(call) = self.calls.get(&request) else { return false };
+        self.opens_after(call, call.call.give_up, now)
+    }
+
+    /// Refuses a request that no server takes in time. Its caller is told when one does.
+    pub(super) fn refuse_closed(&mut self, request: RequestId, now: Duration) {
+        let Some(call) = self.calls.remove(&request) else { return };
+        let retry_after = match self.opens_at(&call, now) {
+            Some(ServerOpening::At(at)) => self.spread(request, at.saturating_sub(now)),
+            _ => self.options.no_server_retry,
+        };
+        let longest = self.options.longest_retry;
+        self.actions.push(RouteAction::Refuse {
+            request,
+            reason: RefusalCause::NoServer,
+            retry_after: retry_after.clamp(self.options.shortest_retry, longest),
+            expected: None,
+        });
+    }
+
+    /// Lengthens a time for some requests, so that their callers don't come back together.
+    fn spread(&self, request: RequestId, wait: Duration) -> Duration {
+        let draw = numbered_weight(request, self.seed) as f64;
+        wait.mul_f64(1.0 + RETURN_SPREAD * draw / u64::MAX as f64)
+    }
+}
+
+/// When the first server of a pool takes a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum ServerOpening {
+    /// At this time.
+    At(Duration),
+    /// That can't be told.
+    Unknown,
+}
+
+/// Returns this instance's part of a server's rate. One that doesn't know yet who else is there
+/// has none.
+pub(super) fn own_part(
+    group: Option<&InstanceGroup>,
+    facts: &RoutedServer,
+    rate: RequestRate,
+) -> f64 {
+    group.map_or(0.0, |group| group.rate_part(facts.rank, facts.data_centre, rate))
+}
+
+impl ServerState {
+    /// Returns whether a request may be sent there, by what the server says of itself.
+    pub(super) fn is_open(&self, now: Duration) -> bool {
+        self.pushback.is_open(now)
     }
 }
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -129,7 +129,7 @@
         if now + self.options.least_time >= order.deadline {
             return false;
         }
-        if !self.has_other(call) {
+        if !self.has_other(call) || self.opens_after(call, order.deadline, now) {
             return false;
         }
         if !fault.arrived() {
@@ -169,6 +169,8 @@
         for request in std::mem::take(&mut state.retries) {
             if let Some(choice) = self.choose(pool, request, now) {
                 self.dispatch(request, choice, now);
+            } else if self.opens_too_late(request, now) {
+                self.refuse_closed(request, now);
             } else if let Some(state) = self.pools.get_mut(&pool) {
                 state.retries.push(request);
             }
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -9,7 +9,7 @@
 use super::health::ServerHealth;
 use super::load::LoadCount;
 use super::pace::ReadPace;
-use crate::pushback::ServerPushback;
+use crate::pushback::{DataCentreKey, ServerPushback};
 
 /// How many prompt parts are remembered of one server.
 const REMEMBERED_PARTS: usize = 512;
@@ -25,6 +25,8 @@
     pub slots: u32,
     /// What its engine can do; nothing for a plain service.
     pub engine: Option<EngineShape>,
+    /// The data centre in which it stands.
+    pub data_centre: DataCentreKey,
     /// Whether it stands in this instance's data centre.
     pub near: bool,
     /// Whether it is leaving.
--- a/crates/flaxtide-policy/src/router/wait.rs
+++ b/crates/flaxtide-policy/src/router/wait.rs
@@ -64,7 +64,16 @@
             let Some(state) = self.pools.get(&pool) else { return };
             let Some(head) = state.queue.next() else { return };
             let request = head.entry.request;
-            let Some(choice) = self.choose(pool, request, now) else { return };
+            let Some(choice) = self.choose(pool, request, now) else {
+                if self.opens_too_late(request, now) {
+                    if let Some(state) = self.pools.get_mut(&pool) {
+                        state.queue.pop(&head, 1, now);
+                    }
+                    self.refuse_closed(request, now);
+                    continue;
+                }
+                return;
+            };
             if let Some(state) = self.pools.get_mut(&pool) {
                 state.queue.pop(&head, 1, now);
             }
--- a/crates/flaxtide-policy/tests/common/mod.rs
+++ b/crates/flaxtide-policy/tests/common/mod.rs
@@ -25,6 +25,7 @@
         rank: u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15),
         slots: 8,
         engine: Some(EngineShape { memory_tokens: 100_000, fetch_tokens_per_ms: None }),
+        data_centre: 0,
         near: true,
         leaving: false,
         lapsed: false,
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -43,6 +43,7 @@
     // fault, may be repeated, whether it is tried again
     let cases = [
         (RouteFault::Full, false, RetryVerdict::Again),
+        (RouteFault::Withheld, false, RetryVerdict::Again),
         (RouteFault::Unreachable, false, RetryVerdict::Again),
         (RouteFault::Replaced, false, RetryVerdict::Again),
         (RouteFault::Broken, false, RetryVerdict::End),
