Instances tell each other what servers state, and when it ends

Cause: an instance without a part of a server's rate sends nothing there, so it would never hear that the rate has ended; one that starts would send to a limited server before it knows. Change: what a server states goes to peers at once, as news that are told again until they have arrived, over the contacts that carry news of crashes (one type now for both); whoever starts or comes back is told all. Of two statements the one that was heard later holds; whoever reports an older one is told the newer. Rows may be listed after the word has come: it waits for them. A new message: an instance of before breaks the link on it and is left alone for half a minute after three, as with crashes.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -17,7 +17,6 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use crate::contract::SendHead;
-use crate::pushback::hear_statement;
 use crate::state::TrafficState;
 use crate::upstream::{ServerLink, connect};
 
@@ -237,7 +236,7 @@
     // Another request's answer is that of a connection which can't be trusted any more.
     let ours = head.attempt == request.attempt;
     if ours || (head.not_run && head.attempt.is_none()) {
-        hear_statement(state, server, head.statement, sent);
+        state.pushback.hear_server(state, server, head.statement, sent);
     }
     if head.not_run && (ours || head.attempt.is_none()) {
         let link = Some(link);
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -6,7 +6,7 @@
 
 use flaxtide_core::{InstanceName, ServerName, SettingsVersion, store_era};
 use flaxtide_fleet::{FleetKey, OwnLoad, PartRead};
-use flaxtide_policy::{CrashReport, InstanceGroup};
+use flaxtide_policy::{CrashReport, InstanceGroup, PushbackReport};
 use tokio::sync::mpsc::Receiver;
 
 use crate::contract::{FeedBatch, FeedRow, FeedTopic, PlatformFeed};
@@ -40,6 +40,8 @@
     PeerUnresponsive(Vec<FleetKey>),
     /// Servers ended under requests, as peers have seen.
     Crashes(Vec<CrashReport>),
+    /// Servers have said something of themselves to peers.
+    Pushback(Vec<PushbackReport>),
     /// What is known of the fleet.
     Fleet {
         /// So many instances are alive.
@@ -88,6 +90,7 @@
             }
             FeedEvent::PeerReads(reads) => take_peer_reads(&state, &reads),
             FeedEvent::Crashes(reports) => state.quarantine.hear(&state, &reports),
+            FeedEvent::Pushback(reports) => state.pushback.hear_peers(&state, &reports),
             FeedEvent::Fleet { live, newest_rules, knows_crashes, group } => {
                 state.quarantine.set_informed(knows_crashes);
                 state.newest_rules.set(newest_rules);
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -14,7 +14,9 @@
     FleetUpdate, LinkBytes, NodeDemand, OwnLoad, PartRead, PeerInfo, RowQuestion,
     SettingsCopy, fleet_key,
 };
-use flaxtide_policy::{CrashReport, PartKey, PeerLoad, ReadNote, ServerLoad};
+use flaxtide_policy::{
+    CrashReport, PartKey, PeerLoad, PushbackReport, ReadNote, ServerLoad,
+};
 use tokio::sync::mpsc;
 
 use crate::config::EntryConfig;
@@ -95,6 +97,22 @@
         })
     }
 
+    /// Tells peers what a server said at `heard` on a clock. Returns whether the fleet thread
+    /// will hear of it.
+    pub(crate) fn report_pushback(
+        &self,
+        report: PushbackReport,
+        clock: &MilliClock,
+        heard: Duration,
+    ) -> bool {
+        let clock = clock.clone();
+        self.update(move |node, now| {
+            let age = clock.now().saturating_sub(heard).as_millis();
+            let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+            node.record_pushback(&[PushbackReport { age_ms, ..report }], now);
+        })
+    }
+
     /// Changes the node on its thread. Returns whether it will be.
     fn update(
         &self,
@@ -186,6 +204,9 @@
             FleetNotice::Crashes(reports) => {
                 hand_over(events.clone(), FeedEvent::Crashes(reports));
             }
+            FleetNotice::Pushback(reports) => {
+                hand_over(events.clone(), FeedEvent::Pushback(reports));
+            }
             // Slots and rates aren't shared out here: every instance may use every server.
             // The fleet thread fetches newer rules by itself.
             FleetNotice::Load(_)
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -273,6 +273,7 @@
         note_servers(&state);
         source.look(&state.fleet);
         state.quarantine.maintain(&state);
+        state.pushback.maintain(&state);
         tell_peers(&state, &state.fleet, &events);
         if ticks.is_multiple_of(TICKS_PER_ROUND) {
             go_round(&state, &path);
--- a/crates/flaxtide-entry/src/pushback.rs
+++ b/crates/flaxtide-entry/src/pushback.rs
@@ -1,29 +1,144 @@
-//! What servers say of themselves in their answers, handled on the traffic thread.
+//! What servers say of themselves in their answers, and what peers have heard them say, on the
+//! traffic thread.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
-use flaxtide_policy::{ServerStatement, StatedRate, StatementNote};
+use flaxtide_fleet::FleetKey;
+use flaxtide_policy::{
+    PushbackReport, ReportEffect, RequestRate, ServerStatement, StatedRate, StatementNote,
+};
 
 use crate::state::TrafficState;
 
-/// Handles what a server states in an answer to a request that was sent at `sent`.
-pub(crate) fn hear_statement(
+/// How often peers are told again of a rate that a server goes on stating.
+const RENEWAL: Duration = Duration::from_secs(30);
+
+/// Of how many servers it is kept that peers reported before the platform listed them, and how
+/// many reports wait for the fleet thread.
+const MOST_KEPT: usize = 1024;
+
+/// What is exchanged with peers of what servers say.
+#[derive(Debug, Default)]
+pub(crate) struct PushbackExchange {
+    /// Reports that the fleet thread hasn't taken, and when they were made.
+    unsent: RefCell<Vec<(Duration, PushbackReport)>>,
+    /// Reports of servers that aren't listed yet, and when they came.
+    unplaced: RefCell<HashMap<FleetKey, (Duration, PushbackReport)>>,
+    /// When peers were last told of each server.
+    told: RefCell<HashMap<ServerId, Duration>>,
+}
+
+impl PushbackExchange {
+    /// Handles what a server states in an answer to a request that was sent at `sent`.
+    pub(crate) fn hear_server(
+        &self,
+        state: &TrafficState,
+        server: ServerId,
+        statement: ServerStatement,
+        sent: Duration,
+    ) {
+        if statement.rate == StatedRate::Unreadable {
+            state.metrics.statements_ignored.inc();
+        }
+        let note =
+            state.ask(|core, now| core.hear_statement(server, statement, sent, now));
+        if let Some(StatementNote { rate, part }) = note {
+            log_rate(state, server, rate, part, "server");
+            self.tell(state, server);
+        } else if matches!(statement.rate, StatedRate::Limited(_))
+            && self.is_told_long_ago(server, state.now())
+        {
+            self.tell(state, server);
+        }
+    }
+
+    /// Handles what peers have heard servers say.
+    pub(crate) fn hear_peers(&self, state: &TrafficState, reports: &[PushbackReport]) {
+        for report in reports {
+            self.hear_peer(state, report, state.now());
+        }
+    }
+
+    /// Handles a report that came at `came`.
+    fn hear_peer(&self, state: &TrafficState, report: &PushbackReport, came: Duration) {
+        let server = state.server_with_key(report.server);
+        let effect = server.and_then(|server| {
+            let heard = report.heard(came);
+            state.ask(|core, now| core.hear_peer_rate(server, report.rate, heard, now))
+        });
+        match (server, effect) {
+            (Some(server), Some(ReportEffect::News)) => {
+                log_rate(state, server, report.rate, None, "peer");
+            }
+            // The server has told this instance something else since.
+            (Some(server), Some(ReportEffect::Outdated)) => self.tell(state, server),
+            (Some(_), Some(ReportEffect::Known)) => {}
+            _ => {
+                let mut unplaced = self.unplaced.borrow_mut();
+                if unplaced.len() < MOST_KEPT {
+                    unplaced.insert(report.server, (came, *report));
+                }
+            }
+        }
+    }
+
+    /// Takes in that servers may have been listed of which peers have reported.
+    pub(crate) fn place(&self, state: &TrafficState) {
+        for (came, report) in self.unplaced.take().into_values() {
+            self.hear_peer(state, &report, came);
+        }
+    }
+
+    /// Tells the fleet thread what it hasn't taken. To be called often.
+    pub(crate) fn maintain(&self, state: &TrafficState) {
+        for (at, report) in self.unsent.take() {
+            self.send(state, at, report);
+        }
+        let now = state.now();
+        self.told.borrow_mut().retain(|_, at| now < *at + RENEWAL);
+    }
+
+    /// Returns whether peers haven't been told of a server lately.
+    fn is_told_long_ago(&self, server: ServerId, now: Duration) -> bool {
+        let told = self.told.borrow();
+        told.get(&server).is_none_or(|at| now >= *at + RENEWAL)
+    }
+
+    /// Tells peers what a server has said.
+    fn tell(&self, state: &TrafficState, server: ServerId) {
+        let known = state.ask(|core, _| core.stated_rate(server));
+        let (Some(key), Some((rate, heard))) = (state.server_key(server), known) else {
+            return;
+        };
+        self.told.borrow_mut().insert(server, state.now());
+        self.send(state, heard, PushbackReport { server: key, rate, age_ms: 0 });
+    }
+
+    /// Hands a report to the fleet thread, or keeps it until it takes more.
+    fn send(&self, state: &TrafficState, at: Duration, report: PushbackReport) {
+        if !state.fleet.report_pushback(report, &state.clock, at) {
+            let mut unsent = self.unsent.borrow_mut();
+            unsent.push((at, report));
+            let surplus = unsent.len().saturating_sub(MOST_KEPT);
+            unsent.drain(..surplus);
+        }
+    }
+}
+
+/// Logs what rate a server states.
+fn log_rate(
     state: &TrafficState,
     server: ServerId,
-    statement: ServerStatement,
-    sent: Duration,
+    rate: Option<RequestRate>,
+    part: Option<f64>,
+    source: &'static str,
 ) {
-    if statement.rate == StatedRate::Unreadable {
-        state.metrics.statements_ignored.inc();
-    }
-    let note = state.ask(|core, now| core.hear_statement(server, statement, sent, now));
-    if let Some(StatementNote { rate, part }) = note {
-        log::info!(
-            server = state.server_name(server).unwrap_or_default(),
-            rate = rate.map_or(-1.0, |rate| rate.per_second()),
-            part = part.unwrap_or(-1.0);
-            "server states"
-        );
-    }
+    log::info!(
+        server = state.server_name(server).unwrap_or_default(), source,
+        rate = rate.map_or(-1.0, RequestRate::per_second), part = part.unwrap_or(-1.0);
+        "server states"
+    );
 }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -24,6 +24,7 @@
 use crate::fleet::FleetLink;
 use crate::metrics::{CountedOne, EntryMetrics};
 use crate::names::NameTable;
+use crate::pushback::PushbackExchange;
 use crate::quarantine::CallQuarantine;
 use crate::routes::RouteTable;
 use crate::source::ListSource;
@@ -62,6 +63,8 @@
     pub(crate) source: Arc<ListSource>,
     /// The requests that crash servers.
     pub(crate) quarantine: CallQuarantine,
+    /// What servers say of themselves.
+    pub(crate) pushback: PushbackExchange,
     /// What is shared for the duties that one instance has for all, if there are any.
     pub(crate) duties: Option<Arc<DutyBoard>>,
     /// The rules in force.
@@ -126,6 +129,7 @@
             fleet,
             source,
             quarantine,
+            pushback: PushbackExchange::default(),
             duties,
             table: RefCell::new(None),
             directory: RefCell::new(ServerDirectory::new(leave_within)),
@@ -290,6 +294,7 @@
             self.decide(|core, now| core.set_servers(pool, &servers, now));
         }
         self.metrics.servers.set(self.directory.borrow().len() as i64);
+        self.pushback.place(self);
     }
 
     /// Has the router decide, and tells those who wait what it has decided.
--- a/crates/flaxtide-fleet/src/crashes.rs
+++ b/crates/flaxtide-fleet/src/contact.rs
@@ -1,4 +1,4 @@
-//! What one peer has been told of servers that ended under requests.
+//! What one peer has been told by notices of one kind, and what it is owed.
 
 use std::time::Duration;
 
@@ -16,7 +16,7 @@
 
 /// What one peer has been told, and whether it is to be compared with.
 #[derive(Debug, Clone)]
-pub(crate) struct CrashContact {
+pub(crate) struct NoticeContact {
     /// Up to which news it has been told.
     pub(crate) told: u64,
     /// Whether what it knows is to be compared with what this instance knows: it has started,
@@ -41,22 +41,33 @@
     pub(crate) told: u64,
     /// Whether it asks for a comparison.
     pub(crate) compares: bool,
+    /// Whether it tells everything.
+    pub(crate) tells_all: bool,
 }
 
-impl Default for CrashContact {
-    fn default() -> Self {
+impl NoticeContact {
+    /// Starts with a peer that is to be compared with.
+    pub(crate) fn comparing() -> Self {
+        Self { compare: true, ..Self::untold() }
+    }
+
+    /// Starts with a peer that is to be told everything.
+    pub(crate) fn telling() -> Self {
+        Self { tell_all: true, ..Self::untold() }
+    }
+
+    /// Starts with a peer that has been told nothing.
+    fn untold() -> Self {
         Self {
             told: 0,
-            compare: true,
+            compare: false,
             tell_all: false,
             pending: None,
             breaks: 0,
             paused_until: Duration::ZERO,
         }
     }
-}
 
-impl CrashContact {
     /// Returns whether it is to be told anything, if the last news have this number.
     pub(crate) fn has_due(&self, last: u64) -> bool {
         self.compare || self.tell_all || self.told < last
@@ -77,7 +88,6 @@
     /// Records that a notice has been sent.
     pub(crate) fn send(&mut self, notice: PendingNotice) {
         self.pending = Some(notice);
-        self.tell_all = false;
     }
 
     /// Records the answer to the last notice. Returns that notice.
@@ -88,6 +98,9 @@
         if notice.compares {
             self.compare = false;
         }
+        if notice.tells_all {
+            self.tell_all = false;
+        }
         Some(notice)
     }
 
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -5,13 +5,14 @@
 //! of it is soft state: it is heard again within a few periods, and what isn't heard
 //! expires. [`FleetThread`] carries the messages over tarpc.
 
+mod contact;
 mod counted;
-mod crashes;
 mod duty;
 mod fetch;
 mod info;
 mod key;
 mod links;
+mod news;
 mod node;
 mod partial;
 mod peer;
@@ -30,7 +31,7 @@
 pub use self::key::{FleetKey, fleet_key};
 pub use self::node::{
     FleetNode, FleetNotice, FleetServer, FleetTiming, NodeDemand, OutgoingCrashes,
-    OutgoingHeartbeat, OutgoingHello, SettingsSource,
+    OutgoingHeartbeat, OutgoingHello, OutgoingPushback, SettingsSource,
 };
 pub use self::rate::rate_part;
 pub use self::rows::{
@@ -43,6 +44,6 @@
 pub use self::thread::{FleetEvent, FleetThread, FleetUpdate};
 pub use self::wire::{
     CrashNotice, CrashReply, DutyHolder, FleetHeartbeat, GroupDigest, GroupHello,
-    HeartbeatReply, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest, ServerShare,
-    UsageCount, UsageNotice,
+    HeartbeatReply, OwnLoad, PartRead, PoolDemand, PushbackNotice, RatePart,
+    ServerDigest, ServerShare, UsageCount, UsageNotice,
 };
--- a/crates/flaxtide-fleet/src/node/crashes.rs
+++ b/crates/flaxtide-fleet/src/node/crashes.rs
@@ -1,15 +1,16 @@
 //! Evidence of requests that crash backend servers: news go to peers at once and are told
 //! again until they have arrived; logs are compared with peers that start or come back.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use flaxtide_core::InstanceName;
 use flaxtide_policy::{CrashLog, CrashReport, Fingerprint, rendezvous_order};
 
 use super::{FleetNode, FleetNotice};
-use crate::crashes::{CrashContact, PendingNotice};
+use crate::contact::{NoticeContact, PendingNotice};
 use crate::info::PeerInfo;
+use crate::news::NewsQueue;
 use crate::peer::PeerRecord;
 use crate::wire::{CrashNotice, CrashReply};
 
@@ -23,9 +24,6 @@
 /// How many contacts in each other data centre get news: a second one if the first is lost.
 const CONTACTS_TOLD: usize = 2;
 
-/// The most requests whose news are kept for peers that haven't been told.
-const MOST_NEWS: usize = 512;
-
 /// The most reports in one message: 34 KB.
 const MOST_REPORTS: usize = 1024;
 
@@ -43,10 +41,8 @@
 pub(super) struct CrashState {
     /// All of it.
     log: CrashLog,
-    /// The requests of which this instance has news for its group, numbered in order.
-    news: VecDeque<(u64, Fingerprint)>,
-    /// The number of the last news.
-    last: u64,
+    /// The requests of which this instance has news for its group.
+    news: NewsQueue<Fingerprint>,
     /// When the log was last compared in turn, and how often.
     compared: (Duration, u64),
     /// Whether a peer has answered a comparison since the start.
@@ -54,20 +50,10 @@
 }
 
 impl CrashState {
-    /// Adds news of a request.
-    fn push(&mut self, fingerprint: Fingerprint) {
-        self.last += 1;
-        self.news.retain(|(_, known)| *known != fingerprint);
-        self.news.push_back((self.last, fingerprint));
-        if self.news.len() > MOST_NEWS {
-            self.news.pop_front();
-        }
-    }
-
     /// Returns the reports that are news after a number.
     fn news_after(&self, told: u64, now: Duration) -> Vec<CrashReport> {
-        let news = self.news.iter().filter(|(number, _)| *number > told);
-        let reports = news.flat_map(|(_, request)| self.log.reports_of(*request, now));
+        let news = self.news.after(told);
+        let reports = news.flat_map(|request| self.log.reports_of(request, now));
         reports.take(MOST_REPORTS).collect()
     }
 }
@@ -77,7 +63,7 @@
     pub fn record_crashes(&mut self, reports: &[CrashReport], now: Duration) {
         for report in reports {
             self.crashes.log.apply(report, now);
-            self.crashes.push(report.fingerprint);
+            self.crashes.news.push(report.fingerprint);
         }
     }
 
@@ -90,8 +76,9 @@
     /// Returns the notices of crashes that are due.
     pub fn due_crashes(&mut self, now: Duration) -> Vec<OutgoingCrashes> {
         self.compare_in_turn(now);
-        let last = self.crashes.last;
-        let told = self.told_of_crashes(now, |contact| contact.has_due(last));
+        let last = self.crashes.news.last();
+        let told =
+            self.told_peers(now, |peer| &peer.crashes, |contact| contact.has_due(last));
         if told.is_empty() {
             return vec![];
         }
@@ -116,7 +103,8 @@
                 self.crashes.news_after(contact.told, now)
             };
             free -= usize::from(compares);
-            contact.send(PendingNotice { at: now, told: last, compares });
+            let tells_all = contact.tell_all;
+            contact.send(PendingNotice { at: now, told: last, compares, tells_all });
             let digest = compares.then(|| self.crashes.log.digest());
             let (from, to_all) = (self.own.clone(), self.group.joint);
             let notice = CrashNotice { from, reports, to_all, digest };
@@ -191,7 +179,7 @@
             }
             news.push(*report);
             if passes_on {
-                self.crashes.push(report.fingerprint);
+                self.crashes.news.push(report.fingerprint);
             }
         }
         if news.is_empty() { vec![] } else { vec![FleetNotice::Crashes(news)] }
@@ -205,7 +193,7 @@
         }
         self.crashes.compared = (now, turn + 1);
         self.crashes.log.expire(now);
-        let names = self.told_of_crashes(now, |_| true);
+        let names = self.told_peers(now, |peer| &peer.crashes, |_| true);
         if names.is_empty() {
             return;
         }
@@ -215,24 +203,25 @@
         }
     }
 
-    /// Returns which peers are told of crashes: those of the group, and a few of each other, as
+    /// Returns which peers get notices of a kind: those of the group, and a few of each other, as
     /// far as something is due to them.
-    fn told_of_crashes(
+    pub(super) fn told_peers(
         &self,
         now: Duration,
-        is_due: impl Fn(&CrashContact) -> bool,
+        contact: impl Fn(&PeerRecord) -> &NoticeContact,
+        is_due: impl Fn(&NoticeContact) -> bool,
     ) -> Vec<InstanceName> {
         let timeout = self.liveness_timeout();
         let near = self.peers.values().filter(|peer| {
-            self.is_near(peer) && is_due(&peer.crashes) && peer.heard_within(now, timeout)
+            self.is_near(peer) && is_due(contact(peer)) && peer.heard_within(now, timeout)
         });
         let far = self.told_contacts(now).into_iter();
-        let far = far.filter(|peer| is_due(&peer.crashes));
-        let told = near.chain(far).filter(|peer| peer.crashes.may_be_told(now));
+        let far = far.filter(|peer| is_due(contact(peer)));
+        let told = near.chain(far).filter(|peer| contact(peer).may_be_told(now));
         told.map(|peer| peer.info.name.clone()).collect()
     }
 
-    /// Returns the contacts in each other data centre that are told of crashes. Each instance has
+    /// Returns the contacts in each other data centre that get notices. Each instance has
     /// an order of its own, so that not all tell the same ones.
     fn told_contacts(&self, now: Duration) -> Vec<&PeerRecord> {
         let timeout = self.far_liveness_timeout();
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -7,6 +7,7 @@
 mod duty;
 mod group;
 mod lists;
+mod pushback;
 mod roster;
 mod settings;
 mod talk;
@@ -17,13 +18,17 @@
 use std::time::Duration;
 
 use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion};
-use flaxtide_policy::{CrashReport, bounded_owners, rendezvous_order, rendezvous_owner};
+use flaxtide_policy::{
+    CrashReport, PushbackReport, bounded_owners, rendezvous_order, rendezvous_owner,
+};
 
 use self::crashes::CrashState;
 pub use self::crashes::OutgoingCrashes;
 use self::digest::GroupReads;
 pub use self::digest::OutgoingHello;
 use self::group::GroupState;
+pub use self::pushback::OutgoingPushback;
+use self::pushback::PushbackState;
 use self::roster::RosterCopy;
 pub use self::settings::SettingsSource;
 use self::settings::SettingsState;
@@ -108,6 +113,8 @@
     PeerUnresponsive(Vec<FleetKey>),
     /// Servers ended under requests; only what is news.
     Crashes(Vec<CrashReport>),
+    /// What backend servers have said of themselves; only what is news.
+    Pushback(Vec<PushbackReport>),
     /// A newer settings version exists; this peer has it.
     Version(SettingsVersion, PeerInfo),
 }
@@ -131,6 +138,8 @@
     reads: GroupReads,
     /// What it knows of servers that ended under requests.
     crashes: CrashState,
+    /// What it knows of what backend servers have said of themselves.
+    pushback: PushbackState,
     /// Who holds the duties that one instance has for all.
     duty: Option<DutyHolder>,
     /// How many servers the loads of the last digest of another data centre named.
@@ -167,7 +176,7 @@
     list_order: Vec<usize>,
     /// The servers that this instance watches.
     watched: Vec<FleetKey>,
-    /// When it first looked whom it sees alive.
+    /// When it first had something to say of itself.
     started: Option<Duration>,
     /// Whom it saw alive when it last looked.
     roster: Option<RosterCopy>,
@@ -185,6 +194,7 @@
             group: GroupState::new(timing.joint_limit),
             reads: GroupReads::default(),
             crashes: CrashState::default(),
+            pushback: PushbackState::default(),
             duty: None,
             servers_told: 0,
             timing,
@@ -312,6 +322,7 @@
 
     /// Records what this instance has to say of itself.
     pub fn set_demand(&mut self, demand: NodeDemand, now: Duration) {
+        self.started.get_or_insert(now);
         let since = self
             .counted
             .map_or(Duration::from_secs(1), |at| now.saturating_sub(at));
--- a/crates/flaxtide-fleet/src/node/roster.rs
+++ b/crates/flaxtide-fleet/src/node/roster.rs
@@ -27,7 +27,7 @@
 impl FleetNode {
     /// Returns the instances that this one sees alive; nothing before it may know them.
     pub fn instance_group(&mut self, now: Duration) -> Option<Arc<InstanceGroup>> {
-        let started = *self.started.get_or_insert(now);
+        let started = self.started?;
         if now < started + SETTLING && !self.seeds.is_empty() {
             return None;
         }
--- a/crates/flaxtide-fleet/src/node/talk.rs
+++ b/crates/flaxtide-fleet/src/node/talk.rs
@@ -103,7 +103,7 @@
             let before = peer.alive(now, timeout);
             peer.apply_heartbeat(heartbeat, now);
             changes = before != peer.alive(now, timeout);
-            peer.crashes.compare |= changes;
+            peer.record_return(changes);
         }
         // Who falls silent is found with the next demand: a walk over all peers for each
         // heartbeat would cost most of the processor time of a large group.
@@ -150,7 +150,7 @@
         let before = peer.alive(now, timeout);
         peer.hear(reply.epoch, reply.leaving, reply.version, now);
         let changes = before != peer.alive(now, timeout);
-        peer.crashes.compare |= changes;
+        peer.record_return(changes);
         let info = peer.info.clone();
         let shares = reply.shares.iter().map(|share| FleetNotice::Share(*share, until));
         let parts = reply.parts.iter().map(|part| FleetNotice::Rate(*part, until));
--- a/crates/flaxtide-fleet/src/peer.rs
+++ b/crates/flaxtide-fleet/src/peer.rs
@@ -5,7 +5,7 @@
 
 use flaxtide_core::SettingsVersion;
 
-use crate::crashes::CrashContact;
+use crate::contact::NoticeContact;
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::wire::{FleetHeartbeat, OwnLoad, PoolDemand};
@@ -36,7 +36,9 @@
     /// When its last heartbeat came.
     heartbeat_at: Option<Duration>,
     /// What it has been told of crashes.
-    pub(crate) crashes: CrashContact,
+    pub(crate) crashes: NoticeContact,
+    /// What it has been told of what servers say of themselves.
+    pub(crate) pushback: NoticeContact,
 }
 
 impl PeerRecord {
@@ -54,7 +56,8 @@
             loads: vec![],
             usage: BTreeMap::new(),
             heartbeat_at: None,
-            crashes: CrashContact::default(),
+            crashes: NoticeContact::comparing(),
+            pushback: NoticeContact::telling(),
         }
     }
 
@@ -72,7 +75,8 @@
             self.usage.clear();
             self.heartbeat_at = None;
             self.rejected = None;
-            self.crashes = CrashContact::default();
+            self.crashes = NoticeContact::comparing();
+            self.pushback = NoticeContact::telling();
         }
         self.epoch = Some(epoch);
         self.heard = Some(now);
@@ -80,6 +84,13 @@
         self.version = version;
     }
 
+    /// Records whether the peer is back, or has gone: it may lack what others know, or know
+    /// what they lack.
+    pub(crate) fn record_return(&mut self, changes: bool) {
+        self.crashes.compare |= changes;
+        self.pushback.tell_all |= changes;
+    }
+
     /// Records what the peer says of itself.
     pub(crate) fn apply_heartbeat(&mut self, heartbeat: &FleetHeartbeat, now: Duration) {
         /// The part that the newest count has in the rate of use.
--- a/crates/flaxtide-fleet/src/serve.rs
+++ b/crates/flaxtide-fleet/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::shared::{ANSWER_TIMEOUT, FleetShared};
 use crate::wire::{
     CrashNotice, CrashReply, FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply,
-    PeerLink, UsageNotice,
+    PeerLink, PushbackNotice, UsageNotice,
 };
 
 /// The pause after a link that couldn't be accepted, as when descriptors have run out.
@@ -75,6 +75,12 @@
         reply
     }
 
+    async fn pushback(self, _: Context, notice: PushbackNotice) {
+        let now = self.shared.clock.now();
+        let notices = self.shared.node().handle_pushback(&notice, now);
+        self.shared.notify(notices);
+    }
+
     async fn usage(self, _: Context, notice: UsageNotice) -> bool {
         self.shared.duties.get().is_some_and(|duties| duties.hear(notice))
     }
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -18,6 +18,7 @@
 use crate::links::call;
 use crate::node::{
     FleetNode, FleetNotice, OutgoingCrashes, OutgoingHeartbeat, OutgoingHello,
+    OutgoingPushback,
 };
 use crate::rows::{RowAnswer, RowQuestion, RowSource};
 use crate::serve::serve;
@@ -182,6 +183,10 @@
         for outgoing in crashes {
             tokio::spawn(tell_crashes(shared.clone(), outgoing));
         }
+        let pushback = shared.node().due_pushback(now);
+        for outgoing in pushback {
+            tokio::spawn(tell_pushback(shared.clone(), outgoing));
+        }
         tokio::time::sleep(POLL_PERIOD).await;
     }
 }
@@ -290,6 +295,28 @@
     }
 }
 
+/// Tells a peer what backend servers have said of themselves.
+async fn tell_pushback(shared: Arc<FleetShared>, outgoing: OutgoingPushback) {
+    let OutgoingPushback { to, notice } = outgoing;
+    let Some(link) = shared.links.open(to.address).await else {
+        let now = shared.clock.now();
+        shared.node().handle_pushback_miss(&to.name, now);
+        return;
+    };
+    let tell = |context| link.client.pushback(context, notice);
+    match call(ANSWER_TIMEOUT, tell).await {
+        Ok(()) => shared.node().handle_pushback_reply(&to.name),
+        Err(cause) => {
+            log::debug!("no answer of {} about servers: {cause}", to.name);
+            if !matches!(cause, RpcError::DeadlineExceeded) {
+                let now = shared.clock.now();
+                shared.node().handle_pushback_break(&to.name, now);
+            }
+            shared.links.close(to.address, &link).await;
+        }
+    }
+}
+
 /// Asks a peer for the rows that it has read. An answer that is late doesn't close the link:
 /// its heartbeats tell whether the peer is there.
 async fn ask_rows(shared: Arc<FleetShared>, question: RowQuestion) {
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion, StoreVersion};
-use flaxtide_policy::{CrashReport, WindowCounts};
+use flaxtide_policy::{CrashReport, PushbackReport, WindowCounts};
 use serde::{Deserialize, Serialize};
 
 use crate::info::PeerInfo;
@@ -32,6 +32,9 @@
 
     /// Hears what a peer has counted, and answers whether this instance holds the duties.
     async fn usage(notice: UsageNotice) -> bool;
+
+    /// Hears what backend servers have said of themselves.
+    async fn pushback(notice: PushbackNotice);
 }
 
 /// Who holds the duties that one instance has for all.
@@ -165,6 +168,17 @@
     pub digest: u64,
 }
 
+/// What an instance tells a peer of what backend servers have said of themselves.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PushbackNotice {
+    /// The instance.
+    pub from: PeerInfo,
+    /// News, or all that it knows.
+    pub reports: Vec<PushbackReport>,
+    /// Whether it tells all other instances itself, so that nobody has to pass it on.
+    pub to_all: bool,
+}
+
 /// An instance's requests for one pool, running or waiting.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PoolDemand {
--- a/crates/flaxtide-fleet/tests/common/mod.rs
+++ b/crates/flaxtide-fleet/tests/common/mod.rs
@@ -7,9 +7,10 @@
 use std::time::Duration;
 
 use flaxtide_fleet::{
-    FleetNode, FleetNotice, FleetTiming, NodeDemand, OutgoingCrashes, OwnLoad, PeerInfo,
+    FleetNode, FleetNotice, FleetTiming, NodeDemand, OutgoingCrashes, OutgoingPushback,
+    OwnLoad, PeerInfo,
 };
-use flaxtide_policy::{CallProgress, CrashLog};
+use flaxtide_policy::{CallProgress, CrashLog, PushbackLog, PushbackReport, RequestRate};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -44,6 +45,8 @@
     pub sums: BTreeMap<(SocketAddr, String), Vec<OwnLoad>>,
     /// What each instance has been told of crashes.
     pub crashes: BTreeMap<SocketAddr, CrashLog>,
+    /// What each instance has been told that servers say.
+    pub pushback: BTreeMap<SocketAddr, PushbackLog>,
     /// The part of messages about crashes that get lost, and of answers to them.
     pub loss: f64,
     /// Draws what gets lost.
@@ -69,6 +72,7 @@
             messages: 0,
             sums: BTreeMap::new(),
             crashes: BTreeMap::new(),
+            pushback: BTreeMap::new(),
             loss: 0.0,
             random: StdRng::seed_from_u64(1),
         };
@@ -100,6 +104,7 @@
     pub fn kill(&mut self, number: usize) {
         self.nodes.remove(&address(number));
         self.crashes.remove(&address(number));
+        self.pushback.remove(&address(number));
     }
 
     /// Returns whether a message passes.
@@ -152,6 +157,43 @@
         for outgoing in crashes {
             self.tell_crashes(from, &outgoing);
         }
+        for outgoing in self.nodes.get_mut(&from).unwrap().due_pushback(now) {
+            self.tell_pushback(from, &outgoing);
+        }
+    }
+
+    /// Carries a notice of what servers say, or loses it or its answer.
+    fn tell_pushback(&mut self, from: SocketAddr, outgoing: &OutgoingPushback) {
+        let (now, to) = (self.now, outgoing.to.address);
+        if self.random.random_bool(self.loss) {
+            return;
+        }
+        let Some(peer) = self.reach(from, to) else { return };
+        let notices = peer.handle_pushback(&outgoing.notice, now);
+        self.note(to, notices);
+        if !self.random.random_bool(self.loss) {
+            let node = self.nodes.get_mut(&from).unwrap();
+            node.handle_pushback_reply(&outgoing.to.name);
+        }
+    }
+
+    /// Has an instance hear a server state a rate, or none.
+    pub fn hear_rate(&mut self, number: usize, server: u32, requests: Option<f64>) {
+        let (at, now) = (address(number), self.now);
+        let rate = requests.and_then(RequestRate::from_per_second);
+        let report = PushbackReport { server, rate, age_ms: 0 };
+        self.pushback.entry(at).or_default().apply(&report, now);
+        self.nodes.get_mut(&at).unwrap().record_pushback(&[report], now);
+    }
+
+    /// Returns how many live instances believe that a server states a rate, or none.
+    pub fn believing(&self, server: u32, requests: Option<f64>) -> usize {
+        let rate = requests.and_then(RequestRate::from_per_second);
+        let believed = |at| {
+            let report = self.pushback.get(at)?.report_of(server, self.now)?;
+            Some(report.rate == rate)
+        };
+        self.nodes.keys().filter(|at| believed(at) == Some(true)).count()
     }
 
     /// Carries a notice of crashes, or loses it or its answer.
@@ -206,6 +248,12 @@
                 FleetNotice::GroupLoads(data_centre, loads) => {
                     self.sums.insert((at, data_centre), loads);
                 }
+                FleetNotice::Pushback(reports) => {
+                    let log = self.pushback.entry(at).or_default();
+                    for report in reports {
+                        log.apply(&report, self.now);
+                    }
+                }
                 FleetNotice::Crashes(reports) => {
                     let log = self.crashes.entry(at).or_default();
                     for report in reports {
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -123,7 +123,8 @@
                 | FleetNotice::GroupLoads(..)
                 | FleetNotice::PeerReads(_)
                 | FleetNotice::PeerUnresponsive(_)
-                | FleetNotice::Crashes(_) => {}
+                | FleetNotice::Crashes(_)
+                | FleetNotice::Pushback(_) => {}
                 FleetNotice::Share(share, until) => {
                     self.shares.insert((name.into(), share.server), (share.slots, until));
                 }
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -38,8 +38,8 @@
 pub use self::lease::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch};
 pub use self::options::PolicyOptions;
 pub use self::pushback::{
-    DataCentreKey, GroupMember, InstanceGroup, InstanceKey, RequestRate, ServerStatement,
-    StatedRate,
+    DataCentreKey, GroupMember, InstanceGroup, InstanceKey, PushbackLog, PushbackReport,
+    ReportEffect, RequestRate, ServerStatement, StatedRate,
 };
 pub use self::quarantine::{
     CrashLog, CrashReport, Fingerprint, ServerStart, request_fingerprint,
--- a/crates/flaxtide-policy/src/pushback/mod.rs
+++ b/crates/flaxtide-policy/src/pushback/mod.rs
@@ -4,9 +4,11 @@
 mod bucket;
 mod group;
 mod limit;
+mod report;
 mod server;
 mod statement;
 
 pub use self::group::{DataCentreKey, GroupMember, InstanceGroup, InstanceKey};
+pub use self::report::{PushbackLog, PushbackReport, ReportEffect};
 pub(crate) use self::server::ServerPushback;
 pub use self::statement::{RequestRate, ServerStatement, StatedRate};
--- /dev/null
+++ b/crates/flaxtide-policy/src/pushback/report.rs
@@ -0,0 +1,133 @@
+//! What instances tell each other of what backend servers have said.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::statement::RequestRate;
+use crate::quarantine::ServerStart;
+
+/// How long it is remembered what a server said: longer than the time after which instances
+/// that still hear it say so again.
+const LIFE: Duration = Duration::from_secs(120);
+
+/// The most servers of which it is remembered.
+const MOST_SERVERS: usize = 4096;
+
+/// What one start of a server has said, as an instance tells its peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PushbackReport {
+    /// The server.
+    pub server: ServerStart,
+    /// The rate that it takes from all instances; nothing if it takes what it can.
+    pub rate: Option<RequestRate>,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What a report does to what is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ReportEffect {
+    /// It is news.
+    News,
+    /// It says what is known.
+    Known,
+    /// The server has said something else since; whoever reports should know.
+    Outdated,
+}
+
+/// What servers have said, as far as instances have told each other.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_policy::{PushbackLog, PushbackReport, ReportEffect, RequestRate};
+/// let mut log = PushbackLog::default();
+/// let now = Duration::from_secs(9);
+/// let limited = PushbackReport { server: 1, rate: RequestRate::from_per_second(2.0), age_ms: 10 };
+/// let older = PushbackReport { rate: None, age_ms: 500, ..limited };
+/// assert_eq!(log.apply(&limited, now), ReportEffect::News);
+/// assert_eq!(log.apply(&older, now), ReportEffect::Outdated);
+/// ```
+#[derive(Debug, Default)]
+pub struct PushbackLog {
+    /// What each server said last.
+    words: HashMap<ServerStart, ServerWord>,
+}
+
+/// What a server said last.
+#[derive(Debug, Clone, Copy)]
+struct ServerWord {
+    /// The rate that it takes from all instances.
+    rate: Option<RequestRate>,
+    /// When an instance heard it.
+    heard: Duration,
+}
+
+impl PushbackLog {
+    /// Returns whether nothing is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.words.is_empty()
+    }
+
+    /// Adds a report. Returns what it does to what is known.
+    pub fn apply(&mut self, report: &PushbackReport, now: Duration) -> ReportEffect {
+        let heard = report.heard(now);
+        let rate = report.rate;
+        let Some(word) = self.words.get_mut(&report.server) else {
+            self.make_place(now);
+            self.words.insert(report.server, ServerWord { rate, heard });
+            return ReportEffect::News;
+        };
+        let effect = match (rate == word.rate, heard > word.heard) {
+            (true, _) => ReportEffect::Known,
+            (false, true) => ReportEffect::News,
+            (false, false) => return ReportEffect::Outdated,
+        };
+        *word = ServerWord { rate, heard: heard.max(word.heard) };
+        effect
+    }
+
+    /// Returns the report of a server.
+    #[must_use]
+    pub fn report_of(
+        &self,
+        server: ServerStart,
+        now: Duration,
+    ) -> Option<PushbackReport> {
+        let word = self.words.get(&server)?;
+        let age = now.saturating_sub(word.heard).as_millis();
+        let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+        Some(PushbackReport { server, rate: word.rate, age_ms })
+    }
+
+    /// Returns the reports of all servers that state a rate, up to so many.
+    #[must_use]
+    pub fn reports(&self, most: usize, now: Duration) -> Vec<PushbackReport> {
+        let limited = self.words.iter().filter(|(_, word)| word.rate.is_some());
+        let reports = limited.filter_map(|(server, _)| self.report_of(*server, now));
+        reports.take(most).collect()
+    }
+
+    /// Forgets what is old, and the oldest if there is no place for one more.
+    fn make_place(&mut self, now: Duration) {
+        if self.words.len() < MOST_SERVERS {
+            return;
+        }
+        self.words.retain(|_, word| now < word.heard + LIFE);
+        let oldest = self.words.iter().min_by_key(|(_, word)| word.heard);
+        let oldest = oldest.map(|(server, _)| *server);
+        if let Some(server) = oldest.filter(|_| self.words.len() >= MOST_SERVERS) {
+            self.words.remove(&server);
+        }
+    }
+}
+
+impl PushbackReport {
+    /// Returns when the server said so.
+    #[must_use]
+    pub fn heard(&self, now: Duration) -> Duration {
+        now.saturating_sub(Duration::from_millis(u64::from(self.age_ms)))
+    }
+}
--- a/crates/flaxtide-policy/src/pushback/server.rs
+++ b/crates/flaxtide-policy/src/pushback/server.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::limit::RateLimit;
+use super::report::ReportEffect;
 use super::statement::{RequestRate, StatedRate};
 
 /// What one start of a backend server has said of itself.
@@ -48,6 +49,31 @@
         self.set_rate(rate, part, now)
     }
 
+    /// Records that a peer heard the server state a rate, or none, at `heard`. Returns what that
+    /// does to what is known.
+    pub(crate) fn hear_peer(
+        &mut self,
+        rate: Option<RequestRate>,
+        part: impl FnOnce(RequestRate) -> f64,
+        heard: Duration,
+        now: Duration,
+    ) -> ReportEffect {
+        if heard <= self.rate_heard && rate != self.rate() {
+            return ReportEffect::Outdated;
+        }
+        self.rate_heard = self.rate_heard.max(heard);
+        if self.set_rate(rate, part, now) {
+            ReportEffect::News
+        } else {
+            ReportEffect::Known
+        }
+    }
+
+    /// Returns when the rate, or that there is none, was last heard.
+    pub(crate) fn rate_heard(&self) -> Duration {
+        self.rate_heard
+    }
+
     /// Sets the rate. Returns whether it is another one.
     fn set_rate(
         &mut self,
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -9,7 +9,7 @@
 use super::call::{CallPlace, RoutedCall};
 use super::server::{RoutedServer, ServerState};
 use super::{RefusalCause, RouteAction, RouteCore};
-use crate::pushback::{InstanceGroup, RequestRate, ServerStatement};
+use crate::pushback::{InstanceGroup, ReportEffect, RequestRate, ServerStatement};
 use crate::rendezvous::numbered_weight;
 
 /// The part of the time until a server may be sent a request by which callers are spread that
@@ -60,6 +60,34 @@
         changed.then(|| StatementNote { rate: pushback.rate(), part: pushback.part() })
     }
 
+    /// Takes in that a peer heard a server state a rate, or none, at `heard`. Returns what that
+    /// does to what is known; nothing if the server isn't known.
+    pub fn hear_peer_rate(
+        &mut self,
+        server: ServerId,
+        rate: Option<RequestRate>,
+        heard: Duration,
+        now: Duration,
+    ) -> Option<ReportEffect> {
+        let group = self.group.as_deref();
+        let mut pools = self.pools.values_mut();
+        let server = pools.find_map(|pool| pool.servers.get_mut(&server))?;
+        let part = |rate| own_part(group, &server.facts, rate);
+        Some(server.pushback.hear_peer(rate, part, heard, now))
+    }
+
+    /// Returns the rate that a server states, or none, and when that was last heard; nothing if
+    /// the server isn't known.
+    #[must_use]
+    pub fn stated_rate(
+        &self,
+        server: ServerId,
+    ) -> Option<(Option<RequestRate>, Duration)> {
+        let mut pools = self.pools.values();
+        let server = pools.find_map(|pool| pool.servers.get(&server))?;
+        Some((server.pushback.rate(), server.pushback.rate_heard()))
+    }
+
     /// Returns whether a request may be written now to the server that it was given. Between the
     /// choice of the server and this moment the server may have asked for less.
     pub fn passes_gate(&mut self, request: RequestId, now: Duration) -> bool {
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -221,7 +221,8 @@
             | FleetNotice::PeerReads(_)
             | FleetNotice::PeerUnresponsive(_)
             // Its own interface keeps no requests in quarantine yet.
-            | FleetNotice::Crashes(_) => {}
+            | FleetNotice::Crashes(_)
+            | FleetNotice::Pushback(_) => {}
             FleetNotice::Version(version, ref _peer) => {
                 // A full ring wakes the thread as well.
                 let _ = shared.settings_news.try_send(version);
