--- a/crates/flaxtide-lab/tests/rate.rs
+++ b/crates/flaxtide-lab/tests/rate.rs
@@ -66,15 +66,18 @@
     used: f64,
 }
 
+/// An answer under way: when it comes, to which instance, for which request, from which server,
+/// and when the request was sent.
+type PendingAnswer = (Duration, usize, u64, ServerId, Duration);
+
 /// The play.
 struct RatePlay {
     pattern: RatePattern,
     cores: Vec<RouteCore>,
     /// From when to when each instance was last down; zero if never.
     downs: Vec<(Duration, Duration)>,
-    /// The answers under way: when they come, from which server to which instance, and when the
-    /// request was sent.
-    answers: BinaryHeap<Reverse<(Duration, usize, u64, ServerId, Duration)>>,
+    /// The answers under way.
+    answers: BinaryHeap<Reverse<PendingAnswer>>,
     /// When requests reached each server.
     arrivals: BTreeMap<ServerId, Vec<Duration>>,
     random: SmallRng,
