A server that says in an answer that it leaves gets no more requests

What callers saw: nothing yet; a request that reaches a server as it ends is cut. Cause: that a server leaves was read from its row only. While the table takes no writes the row says nothing, and an instance went on sending by rendezvous homes for as long as it lasted. Class: a statement that is read on one path only. Ruled out: statements taken back by a row (no such line in the log), last resorts (no dispatch had that reason). Change: the statement marks this start of the server as leaving in the directory, where the row's word is kept too: rows that are written or restored afterwards take nothing back, another start isn't bound by it. It goes to peers with the stated rates, for good. The gate before each write holds it too, for requests that had been given the server before. What a server has stated outlives a lapse of its row. Known to all of 9, 81 and 295 instances within 3 s, and to one that starts later.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -158,6 +158,13 @@
         true
     }
 
+    /// Records that a server has said itself that it is leaving: what its row says afterwards
+    /// takes nothing back. Returns whether that changes anything.
+    pub fn mark_leaving(&mut self, name: &str) -> bool {
+        let Some(server) = self.servers.get_mut(name) else { return false };
+        !std::mem::replace(&mut server.entry.leaving, true)
+    }
+
     /// Returns whether a row of an unknown server isn't believed, or not yet: its server has left.
     fn holds_back(&mut self, entry: &ServerEntry, now: Duration) -> bool {
         let departed = self.departed.get(&entry.name);
--- a/crates/flaxtide-entry/src/pushback.rs
+++ b/crates/flaxtide-entry/src/pushback.rs
@@ -43,6 +43,10 @@
         if statement.rate == StatedRate::Unreadable {
             state.metrics.statements_ignored.inc();
         }
+        if statement.leaving && state.mark_leaving(server) {
+            log_leaving(state, server, "server");
+            self.tell(state, server);
+        }
         let note =
             state.ask(|core, now| core.hear_statement(server, statement, sent, now));
         if let Some(StatementNote { rate, part }) = note {
@@ -65,6 +69,9 @@
     /// Handles a report that came at `came`.
     fn hear_peer(&self, state: &TrafficState, report: &PushbackReport, came: Duration) {
         let server = state.server_with_key(report.server);
+        if report.leaving && server.is_some_and(|server| state.mark_leaving(server)) {
+            log_leaving(state, server.unwrap_or_default(), "peer");
+        }
         let effect = server.and_then(|server| {
             let heard = report.heard(came);
             state.ask(|core, now| core.hear_peer_rate(server, report.rate, heard, now))
@@ -114,7 +121,9 @@
             return;
         };
         self.told.borrow_mut().insert(server, state.now());
-        self.send(state, heard, PushbackReport { server: key, rate, age_ms: 0 });
+        let leaving = state.is_leaving(server);
+        let report = PushbackReport { server: key, rate, age_ms: 0, leaving };
+        self.send(state, heard, report);
     }
 
     /// Hands a report to the fleet thread, or keeps it until it takes more.
@@ -128,6 +137,12 @@
     }
 }
 
+/// Logs that a server says that it leaves.
+fn log_leaving(state: &TrafficState, server: ServerId, source: &'static str) {
+    let name = state.server_name(server).unwrap_or_default();
+    log::info!(server = name, source; "server says that it leaves");
+}
+
 /// Logs what rate a server states.
 fn log_rate(
     state: &TrafficState,
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -232,6 +232,33 @@
         directory.get(&name).map(|listed| listed.entry.address)
     }
 
+    /// Records that a start of a server has said that it is leaving. Returns whether that is news.
+    pub(crate) fn mark_leaving(&self, server: ServerId) -> bool {
+        let Some(name) = self.listed_name(server) else { return false };
+        let news = self.directory.borrow_mut().mark_leaving(&name);
+        if news {
+            self.tell_servers();
+        }
+        news
+    }
+
+    /// Returns whether a start of a server is known to be leaving.
+    pub(crate) fn is_leaving(&self, server: ServerId) -> bool {
+        let Some(name) = self.listed_name(server) else { return false };
+        self.directory
+            .borrow()
+            .get(&name)
+            .is_some_and(|listed| listed.entry.leaving)
+    }
+
+    /// Returns the name of a start of a server if it is the one that is listed.
+    fn listed_name(&self, server: ServerId) -> Option<ServerName> {
+        let name = self.server_name(server)?;
+        let directory = self.directory.borrow();
+        let listed = directory.get(&name)?;
+        (self.server_number(&listed.entry) == server).then_some(name)
+    }
+
     /// Returns the server that a key stands for.
     pub(crate) fn server_with_key(&self, key: FleetKey) -> Option<ServerId> {
         self.names.borrow().with_key(key)
--- a/crates/flaxtide-fleet/tests/common/mod.rs
+++ b/crates/flaxtide-fleet/tests/common/mod.rs
@@ -179,13 +179,33 @@
 
     /// Has an instance hear a server state a rate, or none.
     pub fn hear_rate(&mut self, number: usize, server: u32, requests: Option<f64>) {
-        let (at, now) = (address(number), self.now);
         let rate = requests.and_then(RequestRate::from_per_second);
-        let report = PushbackReport { server, rate, age_ms: 0 };
+        let report = PushbackReport { server, rate, age_ms: 0, leaving: false };
+        self.hear(number, report);
+    }
+
+    /// Has an instance hear a server say that it leaves.
+    pub fn hear_leaving(&mut self, number: usize, server: u32) {
+        let report = PushbackReport { server, rate: None, age_ms: 0, leaving: true };
+        self.hear(number, report);
+    }
+
+    /// Has an instance hear a server say something.
+    fn hear(&mut self, number: usize, report: PushbackReport) {
+        let (at, now) = (address(number), self.now);
         self.pushback.entry(at).or_default().apply(&report, now);
         self.nodes.get_mut(&at).unwrap().record_pushback(&[report], now);
     }
 
+    /// Returns how many live instances know that a server leaves.
+    pub fn leaving(&self, server: u32) -> usize {
+        let leaves = |at| {
+            let report = self.pushback.get(at)?.report_of(server, self.now)?;
+            Some(report.leaving)
+        };
+        self.nodes.keys().filter(|at| leaves(at) == Some(true)).count()
+    }
+
     /// Returns how many live instances believe that a server states a rate, or none.
     pub fn believing(&self, server: u32, requests: Option<f64>) -> usize {
         let rate = requests.and_then(RequestRate::from_per_second);
--- a/crates/flaxtide-fleet/tests/pushback.rs
+++ b/crates/flaxtide-fleet/tests/pushback.rs
@@ -37,6 +37,21 @@
     }
 }
 
+#[test]
+fn a_server_that_leaves_is_known_to_all_and_takes_nothing_back() {
+    for (instances, data_centres) in SIZES {
+        let mut fleet = settled(instances, data_centres);
+        fleet.hear_leaving(3, SERVER);
+        fleet.run(STABLE);
+        assert_eq!(fleet.leaving(SERVER), instances, "of {instances}");
+        // An answer that was made before comes late to another instance.
+        fleet.hear_rate(5, SERVER, None);
+        fleet.start(instances, 1);
+        fleet.run(STABLE * 2);
+        assert_eq!(fleet.leaving(SERVER), instances + 1, "of {instances}");
+    }
+}
+
 #[test]
 fn they_are_known_though_a_third_of_the_messages_get_lost() {
     for seed in 0..3 {
--- a/crates/flaxtide-policy/src/pushback/mod.rs
+++ b/crates/flaxtide-policy/src/pushback/mod.rs
@@ -7,8 +7,10 @@
 mod report;
 mod server;
 mod statement;
+mod unlisted;
 
 pub use self::group::{DataCentreKey, GroupMember, InstanceGroup, InstanceKey};
 pub use self::report::{PushbackLog, PushbackReport, ReportEffect};
 pub(crate) use self::server::ServerPushback;
 pub use self::statement::{RequestRate, ServerStatement, StatedRate};
+pub(crate) use self::unlisted::UnlistedPushback;
--- a/crates/flaxtide-policy/src/pushback/report.rs
+++ b/crates/flaxtide-policy/src/pushback/report.rs
@@ -24,6 +24,8 @@
     pub rate: Option<RequestRate>,
     /// How long ago it said so, in milliseconds.
     pub age_ms: u32,
+    /// Whether it has ever said that it is leaving.
+    pub leaving: bool,
 }
 
 /// What a report does to what is known.
@@ -44,7 +46,8 @@
 /// use flaxtide_policy::{PushbackLog, PushbackReport, ReportEffect, RequestRate};
 /// let mut log = PushbackLog::default();
 /// let now = Duration::from_secs(9);
-/// let limited = PushbackReport { server: 1, rate: RequestRate::from_per_second(2.0), age_ms: 10 };
+/// let rate = RequestRate::from_per_second(2.0);
+/// let limited = PushbackReport { server: 1, rate, age_ms: 10, leaving: false };
 /// let older = PushbackReport { rate: None, age_ms: 500, ..limited };
 /// assert_eq!(log.apply(&limited, now), ReportEffect::News);
 /// assert_eq!(log.apply(&older, now), ReportEffect::Outdated);
@@ -62,6 +65,8 @@
     rate: Option<RequestRate>,
     /// When an instance heard it.
     heard: Duration,
+    /// Whether it has ever said that it is leaving.
+    leaving: bool,
 }
 
 impl PushbackLog {
@@ -73,20 +78,27 @@
 
     /// Adds a report. Returns what it does to what is known.
     pub fn apply(&mut self, report: &PushbackReport, now: Duration) -> ReportEffect {
+        let PushbackReport { rate, leaving, .. } = *report;
         let heard = report.heard(now);
-        let rate = report.rate;
         let Some(word) = self.words.get_mut(&report.server) else {
             self.make_place(now);
-            self.words.insert(report.server, ServerWord { rate, heard });
+            self.words.insert(report.server, ServerWord { rate, heard, leaving });
             return ReportEffect::News;
         };
-        let effect = match (rate == word.rate, heard > word.heard) {
-            (true, _) => ReportEffect::Known,
-            (false, true) => ReportEffect::News,
-            (false, false) => return ReportEffect::Outdated,
-        };
-        *word = ServerWord { rate, heard: heard.max(word.heard) };
-        effect
+        // Leaving is for good, so it needs no time.
+        let leaves = leaving && !word.leaving;
+        word.leaving |= leaving;
+        let outdated = rate != word.rate && heard <= word.heard;
+        let changes = rate != word.rate && !outdated;
+        if !outdated {
+            word.rate = rate;
+            word.heard = heard.max(word.heard);
+        }
+        match (leaves || changes, outdated) {
+            (true, _) => ReportEffect::News,
+            (false, true) => ReportEffect::Outdated,
+            (false, false) => ReportEffect::Known,
+        }
     }
 
     /// Returns the report of a server.
@@ -99,14 +111,18 @@
         let word = self.words.get(&server)?;
         let age = now.saturating_sub(word.heard).as_millis();
         let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
-        Some(PushbackReport { server, rate: word.rate, age_ms })
+        let ServerWord { rate, leaving, .. } = *word;
+        Some(PushbackReport { server, rate, age_ms, leaving })
     }
 
-    /// Returns the reports of all servers that state a rate, up to so many.
+    /// Returns the reports of all servers that state a rate or leave, up to so many.
     #[must_use]
     pub fn reports(&self, most: usize, now: Duration) -> Vec<PushbackReport> {
-        let limited = self.words.iter().filter(|(_, word)| word.rate.is_some());
-        let reports = limited.filter_map(|(server, _)| self.report_of(*server, now));
+        let said = self
+            .words
+            .iter()
+            .filter(|(_, word)| word.rate.is_some() || word.leaving);
+        let reports = said.filter_map(|(server, _)| self.report_of(*server, now));
         reports.take(most).collect()
     }
 
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -37,9 +37,10 @@
 use self::budget::RetryWindow;
 use self::call::{CallPlace, RoutedCall};
 use self::lane::LaneSplit;
+use self::pushback::own_part;
 use self::read::ReadLog;
 use self::server::ServerState;
-use crate::pushback::InstanceGroup;
+use crate::pushback::{InstanceGroup, UnlistedPushback};
 use crate::queue::{PoolQueue, QueueEntry};
 
 /// A request that waits for a server is refused after this part of its target: the rest is
@@ -133,6 +134,8 @@
     instances: u32,
     /// The instances that are seen alive, once that is known.
     group: Option<Arc<InstanceGroup>>,
+    /// What servers have said that aren't listed now.
+    unlisted: UnlistedPushback,
     /// The shared parts that servers have read lately for this instance.
     reads: ReadLog,
     /// What has been decided in the current event.
@@ -151,6 +154,7 @@
             calls: HashMap::new(),
             instances,
             group: None,
+            unlisted: UnlistedPushback::default(),
             reads: ReadLog::default(),
             actions: vec![],
         }
@@ -171,14 +175,17 @@
     ) -> Vec<RouteAction> {
         let guess = self.options.prefill_tokens_per_ms;
         let state = self.pools.entry(pool).or_default();
-        state
-            .servers
-            .retain(|id, _| servers.iter().any(|server| server.server == *id));
+        let listed = |id: &ServerId| servers.iter().any(|server| server.server == *id);
+        let unlisted = state.servers.extract_if(.., |id, _| !listed(id));
+        self.unlisted.keep(unlisted.map(|(id, server)| (id, server.pushback)));
         for server in servers {
             match state.servers.get_mut(&server.server) {
                 Some(known) => known.facts = server.clone(),
                 None => {
-                    let fresh = ServerState::new(server.clone(), guess, now);
+                    let mut fresh = ServerState::new(server.clone(), guess, now);
+                    fresh.pushback = self.unlisted.take(server.server);
+                    let part = |rate| own_part(self.group.as_deref(), server, rate);
+                    fresh.pushback.set_part(part, now);
                     state.servers.insert(server.server, fresh);
                 }
             }
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -97,6 +97,9 @@
         let Some(server) = pool.and_then(|pool| pool.servers.get_mut(&server)) else {
             return false;
         };
+        if !server.facts.in_service() {
+            return false;
+        }
         let counted = call.counted || server.pushback.rate().is_none();
         counted || server.pushback.take(now)
     }
