A server that asks for rest gets nothing until then

What callers saw: 503 for requests that were sent to a resting server again and again until the retry budget of their instance was spent, beside servers that were well. Cause: a 503 gave its server a pause of a fixed 150 ms, whatever it asked for; and where all others were kept from work, a paused server was used as the last resort. Class: a stated time that is taken for another one. Ruled out: rests taken back by other answers (the pauses were 0.1 to 0.4 s each time). Change: the rest is kept by itself, beside the pauses for faults, up to a setting (60 s): no answer shortens it, no last resort goes past it, and the gate before the write holds it. The fixed pause is the case without a stated time. A try again at servers that all rest isn't granted, so it costs no budget; where all of a service rest, callers are told at once when the first is back. The new table of tests found one more: a request that was chosen a server before that stated a rate counted as one within the rate at the gate. Mended here, with a test.

--- a/crates/flaxtide-entry/src/pushback.rs
+++ b/crates/flaxtide-entry/src/pushback.rs
@@ -49,13 +49,18 @@
         }
         let note =
             state.ask(|core, now| core.hear_statement(server, statement, sent, now));
-        if let Some(StatementNote { rate, part }) = note {
-            log_rate(state, server, rate, part, "server");
-            self.tell(state, server);
-        } else if matches!(statement.rate, StatedRate::Limited(_))
-            && self.is_told_long_ago(server, state.now())
-        {
-            self.tell(state, server);
+        if let Some(span) = note.and_then(|note| note.rests) {
+            log_rest(state, server, span);
+        }
+        let renews = matches!(statement.rate, StatedRate::Limited(_))
+            && self.is_told_long_ago(server, state.now());
+        match note.filter(|note| note.restated) {
+            Some(StatementNote { rate, part, .. }) => {
+                log_rate(state, server, rate, part, "server");
+                self.tell(state, server);
+            }
+            None if renews => self.tell(state, server),
+            None => {}
         }
     }
 
@@ -143,6 +148,12 @@
     log::info!(server = name, source; "server says that it leaves");
 }
 
+/// Logs that a server wants nothing from this instance for a while.
+fn log_rest(state: &TrafficState, server: ServerId, span: Duration) {
+    let name = state.server_name(server).unwrap_or_default();
+    log::info!(server = name, rest_ms = span.as_millis() as u64; "server asks for rest");
+}
+
 /// Logs what rate a server states.
 fn log_rate(
     state: &TrafficState,
--- a/crates/flaxtide-policy/src/pushback/server.rs
+++ b/crates/flaxtide-policy/src/pushback/server.rs
@@ -14,6 +14,8 @@
     limit: Option<RateLimit>,
     /// When that, or that there is none, was last heard from the server by any instance.
     rate_heard: Duration,
+    /// Until when it wants nothing from this instance.
+    rests_until: Duration,
 }
 
 impl ServerPushback {
@@ -92,6 +94,15 @@
         true
     }
 
+    /// Records that the server wants nothing from this instance for a while. Nothing that it
+    /// answers meanwhile shortens that. Returns whether that is news.
+    pub(crate) fn rest(&mut self, span: Duration, now: Duration) -> bool {
+        let until = now + span;
+        let news = until > self.rests_until;
+        self.rests_until = self.rests_until.max(until);
+        news
+    }
+
     /// Works out anew what this instance's part of the rate is.
     pub(crate) fn set_part(
         &mut self,
@@ -110,14 +121,20 @@
         }
     }
 
+    /// Returns whether the server wants nothing from this instance now.
+    pub(crate) fn rests(&self, now: Duration) -> bool {
+        now < self.rests_until
+    }
+
     /// Returns whether a request may be sent now.
     pub(crate) fn is_open(&self, now: Duration) -> bool {
-        self.limit.as_ref().is_none_or(|limit| limit.is_ready(now))
+        !self.rests(now) && self.limit.as_ref().is_none_or(|limit| limit.is_ready(now))
     }
 
     /// Returns when a request may be sent; nothing if that can't be told.
     pub(crate) fn opens_at(&self, now: Duration) -> Option<Duration> {
-        self.limit.as_ref().map_or(Some(now), |limit| limit.ready_at(now))
+        let ready = self.limit.as_ref().map_or(Some(now), |limit| limit.ready_at(now))?;
+        Some(ready.max(self.rests_until))
     }
 
     /// Counts a request against what may be sent. Returns whether it may be.
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -426,7 +426,8 @@
         if let Some(state) = self.pools.get_mut(&call.call.pool)
             && let Some(server) = state.servers.get_mut(&server)
         {
-            call.counted = server.pushback.take(now);
+            let limited = server.pushback.rate().is_some();
+            call.counted = limited && server.pushback.take(now);
             let long = call.call.prompt.is_long(&self.options);
             server.load.start(request, long, &self.calls, now);
         }
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -105,9 +105,12 @@
     /// The longest such pause.
     #[serde(deserialize_with = "deserialize_span")]
     pub longest_pause: Duration,
-    /// How long a full server gets no work.
+    /// How long a full server gets no work if it doesn't say for how long.
     #[serde(deserialize_with = "deserialize_span")]
     pub full_pause: Duration,
+    /// The longest rest that a server may ask for.
+    #[serde(deserialize_with = "deserialize_span")]
+    pub longest_rest: Duration,
     /// At most this part of a pool is kept from work for its faults.
     pub ejected_part: f64,
     /// When a caller without any server is asked to come back.
@@ -162,6 +165,7 @@
             pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
             full_pause: Duration::from_millis(150),
+            longest_rest: Duration::from_secs(60),
             ejected_part: 0.5,
             no_server_retry: Duration::from_millis(500),
             shortest_retry: Duration::from_millis(100),
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -23,6 +23,10 @@
     pub rate: Option<RequestRate>,
     /// This instance's part of it, in requests a second.
     pub part: Option<f64>,
+    /// Whether the rate is another one than before.
+    pub restated: bool,
+    /// For how long it wants nothing from this instance, if that is new.
+    pub rests: Option<Duration>,
 }
 
 impl RouteCore {
@@ -56,8 +60,16 @@
         let server = pools.find_map(|pool| pool.servers.get_mut(&server))?;
         let part = |rate| own_part(group, &server.facts, rate);
         let pushback = &mut server.pushback;
-        let changed = pushback.hear_rate(statement.rate, part, sent, now);
-        changed.then(|| StatementNote { rate: pushback.rate(), part: pushback.part() })
+        let rest = statement.rest.map(|rest| rest.min(self.options.longest_rest));
+        let rests = rest.filter(|rest| pushback.rest(*rest, now));
+        let restated = pushback.hear_rate(statement.rate, part, sent, now);
+        let (rate, part) = (pushback.rate(), pushback.part());
+        (restated || rests.is_some()).then_some(StatementNote {
+            rate,
+            part,
+            restated,
+            rests,
+        })
     }
 
     /// Takes in that a peer heard a server state a rate, or none, at `heard`. Returns what that
@@ -97,7 +109,7 @@
         let Some(server) = pool.and_then(|pool| pool.servers.get_mut(&server)) else {
             return false;
         };
-        if !server.facts.in_service() {
+        if !server.facts.in_service() || server.pushback.rests(now) {
             return false;
         }
         let counted = call.counted || server.pushback.rate().is_none();
--- /dev/null
+++ b/crates/flaxtide-policy/tests/pushback.rs
@@ -0,0 +1,231 @@
+//! What servers say of themselves, as the router keeps to it: at the choice of a server, and at the
+//! gate before each write.
+
+mod common;
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use flaxtide_policy::{
+    GroupMember, InstanceGroup, RefusalCause, RequestRate, RetryVerdict, RouteAction,
+    RouteCall, RouteCore, RouteFault, RouteOptions, ServerStatement, StatedRate,
+};
+
+use self::common::{POOL, call, core_with, engine, ms, server_of};
+
+/// Says that a server takes so many requests a second.
+fn limited(requests: f64) -> ServerStatement {
+    let rate = RequestRate::from_per_second(requests).unwrap();
+    ServerStatement {
+        rate: StatedRate::Limited(rate),
+        ..ServerStatement::default()
+    }
+}
+
+/// Says that a server wants nothing for a while.
+fn rest(millis: u64) -> ServerStatement {
+    ServerStatement {
+        rest: Some(ms(millis)),
+        ..ServerStatement::default()
+    }
+}
+
+/// Says nothing.
+fn nothing() -> ServerStatement {
+    ServerStatement::default()
+}
+
+/// The only instance.
+fn alone() -> Arc<InstanceGroup> {
+    let own = GroupMember { instance: 1, data_centre: 0 };
+    Arc::new(InstanceGroup { own, members: vec![own], others: vec![] })
+}
+
+/// Starts a core of the only instance.
+fn core_alone(servers: u32) -> RouteCore {
+    let mut core = core_with(servers);
+    core.set_group(alone(), ms(0));
+    core
+}
+
+/// Returns how many of several requests are sent; all that are sent are answered at once.
+fn count_sent(core: &mut RouteCore, first: u64, count: u64, now: Duration) -> usize {
+    let mut sent = 0;
+    for request in first..first + count {
+        let arrival = RouteCall { give_up: now + ms(1), ..call(request, 100, true) };
+        let actions = core.arrive(arrival, now);
+        if server_of(&actions).is_some() && core.passes_gate(request, now) {
+            sent += 1;
+            core.finish(request, now);
+        }
+        core.tick(now + ms(1));
+    }
+    sent
+}
+
+/// What a server says while a request waits for its connection was not known when the server was
+/// chosen.
+#[test]
+fn a_word_between_the_choice_of_a_server_and_the_write_holds() {
+    for word in ["rest", "rate", "leaves", "gone"] {
+        let mut core = core_alone(1);
+        let server = server_of(&core.arrive(call(1, 100, true), ms(0))).unwrap();
+        assert!(core.passes_gate(1, ms(0)));
+        let now = ms(5);
+        match word {
+            "rest" => _ = core.hear_statement(server, rest(1000), ms(1), now),
+            "rate" => _ = core.hear_statement(server, limited(0.5), ms(1), now),
+            "leaves" => {
+                let mut left = engine(server);
+                left.leaving = true;
+                core.set_servers(POOL, &[left], now);
+            }
+            _ => _ = core.set_servers(POOL, &[], now),
+        }
+        assert!(!core.passes_gate(1, now), "{word}");
+        // It goes to another server, and costs nothing of the budget of repeats.
+        core.set_servers(POOL, &[engine(server), engine(server + 1)], now);
+        let (verdict, actions) = core.fail(1, RouteFault::Withheld, false, now);
+        assert_eq!(verdict, RetryVerdict::Again, "{word}");
+        assert_eq!(server_of(&actions), Some(server + 1), "{word}");
+    }
+}
+
+#[test]
+fn a_request_takes_its_part_of_a_rate_once() {
+    let mut core = core_alone(1);
+    core.hear_statement(0, limited(1.0), ms(0), ms(1));
+    let now = ms(1001);
+    assert!(server_of(&core.arrive(call(1, 100, true), now)).is_some());
+    // A kept connection that turns out to be closed has it written anew.
+    assert!(core.passes_gate(1, now));
+    assert!(core.passes_gate(1, now));
+    assert_eq!(count_sent(&mut core, 2, 5, now), 0);
+    assert_eq!(count_sent(&mut core, 10, 5, now + ms(1000)), 1);
+}
+
+#[test]
+fn what_was_saved_up_while_idle_is_no_burst() {
+    let mut core = core_alone(1);
+    core.hear_statement(0, limited(2.0), ms(0), ms(1));
+    assert_eq!(count_sent(&mut core, 1, 20, ms(60_000)), 1);
+}
+
+/// An answer that the server made before its newest word may come after it.
+#[test]
+fn an_answer_to_an_older_request_does_not_raise_a_rate() {
+    let cases = [
+        // statement of the late answer, when its request was sent, rate that is held then
+        (nothing(), ms(90), Some(1.0)),
+        (limited(5.0), ms(90), Some(1.0)),
+        (limited(0.5), ms(90), Some(0.5)),
+        (nothing(), ms(110), None),
+        (limited(5.0), ms(110), Some(5.0)),
+    ];
+    for (statement, sent, expected) in cases {
+        let mut core = core_alone(1);
+        core.hear_statement(0, limited(1.0), ms(50), ms(100));
+        core.hear_statement(0, statement, sent, ms(150));
+        let (rate, _) = core.stated_rate(0).unwrap();
+        assert_eq!(rate.map(RequestRate::per_second), expected, "{statement:?}");
+    }
+}
+
+#[test]
+fn a_word_that_is_not_understood_changes_nothing() {
+    let mut core = core_alone(1);
+    core.hear_statement(0, limited(1.0), ms(50), ms(100));
+    let unread = ServerStatement { rate: StatedRate::Unreadable, ..nothing() };
+    assert_eq!(core.hear_statement(0, unread, ms(110), ms(150)), None);
+    assert!(core.stated_rate(0).unwrap().0.is_some());
+}
+
+#[test]
+fn what_a_server_said_outlives_a_lapse_of_its_row() {
+    let mut core = core_alone(2);
+    core.hear_statement(0, limited(1.0), ms(0), ms(1));
+    core.hear_statement(1, rest(30_000), ms(0), ms(1));
+    core.set_servers(POOL, &[], ms(10));
+    core.set_servers(POOL, &[engine(0), engine(1)], ms(20));
+    core.set_group(alone(), ms(20));
+    assert_eq!(count_sent(&mut core, 1, 20, ms(5000)), 1);
+}
+
+#[test]
+fn no_answer_shortens_a_rest() {
+    let mut core = core_alone(1);
+    core.arrive(call(1, 100, true), ms(0));
+    core.hear_statement(0, rest(2000), ms(0), ms(10));
+    // One that was under way ends well, another one asks for less.
+    core.hear_statement(0, nothing(), ms(5), ms(20));
+    core.finish(1, ms(20));
+    core.hear_statement(0, rest(100), ms(15), ms(30));
+    assert_eq!(count_sent(&mut core, 2, 5, ms(2005)), 0);
+    assert_eq!(count_sent(&mut core, 10, 5, ms(2010)), 5);
+}
+
+#[test]
+fn no_server_rests_for_longer_than_is_believed() {
+    let longest = RouteOptions::default().longest_rest;
+    let mut core = core_alone(1);
+    core.hear_statement(0, rest(1000 * 60 * 60 * 24 * 365), ms(0), ms(0));
+    assert_eq!(count_sent(&mut core, 1, 5, longest - ms(1)), 0);
+    assert_eq!(count_sent(&mut core, 10, 5, longest), 5);
+}
+
+#[test]
+fn where_all_servers_rest_callers_are_told_at_once_when_the_first_is_back() {
+    let mut core = core_alone(2);
+    core.hear_statement(0, rest(3000), ms(0), ms(0));
+    core.hear_statement(1, rest(2000), ms(0), ms(0));
+    let arrival = RouteCall { give_up: ms(250), ..call(1, 100, true) };
+    let actions = core.arrive(arrival, ms(0));
+    let [RouteAction::Refuse { reason, retry_after, .. }] = &actions[..] else {
+        panic!("{actions:?}");
+    };
+    assert_eq!(*reason, RefusalCause::NoServer);
+    assert!((ms(2000)..=ms(2500)).contains(retry_after), "{retry_after:?}");
+    // One that is back in time is waited for.
+    let arrival = RouteCall { give_up: ms(2050), ..call(2, 100, true) };
+    assert!(core.arrive(arrival, ms(1900)).is_empty());
+    assert_eq!(server_of(&core.tick(ms(2000))), Some(1));
+}
+
+#[test]
+fn a_request_that_one_server_turned_away_is_not_tried_at_others_that_rest() {
+    let mut core = core_alone(3);
+    for server in 0..3 {
+        core.hear_statement(server, rest(500_000), ms(0), ms(0));
+    }
+    core.set_servers(POOL, &[engine(0), engine(1), engine(2), engine(3)], ms(1));
+    let arrival = RouteCall { deadline: ms(1000), ..call(1, 100, true) };
+    assert_eq!(server_of(&core.arrive(arrival, ms(1))), Some(3));
+    let (verdict, _) = core.fail(1, RouteFault::Full, false, ms(2));
+    assert_eq!(verdict, RetryVerdict::End);
+}
+
+/// An instance that was frozen sees nobody alive for a moment, and would take all of a rate.
+#[test]
+fn a_larger_part_of_a_rate_is_taken_with_a_delay_and_a_smaller_one_at_once() {
+    let member = |instance| GroupMember { instance, data_centre: 0 };
+    let group = |members: u32| {
+        let members = (1..=members).map(member).collect();
+        Arc::new(InstanceGroup { own: member(1), members, others: vec![] })
+    };
+    let mut core = core_with(1);
+    core.set_group(group(2), ms(0));
+    core.hear_statement(0, limited(100.0), ms(0), ms(0));
+    let sent_in_a_second = |core: &mut RouteCore, members, from: u64| -> usize {
+        let steps = (0..100u64).map(|step| {
+            let now = ms(from + step * 10);
+            core.set_group(group(members), now);
+            count_sent(core, from * 100 + step * 10, 10, now)
+        });
+        steps.sum()
+    };
+    assert!(sent_in_a_second(&mut core, 2, 1000) <= 63);
+    assert!(sent_in_a_second(&mut core, 1, 2000) <= 63, "it grew at once");
+    let grown = sent_in_a_second(&mut core, 1, 5000);
+    assert!((90..=125).contains(&grown), "{grown}");
+    assert!(sent_in_a_second(&mut core, 2, 6000) <= 76, "it didn't shrink");
+}
