--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -24,6 +24,7 @@
 use crate::listen::{accept_callers, accept_probes, listen};
 use crate::logging::settle_log;
 use crate::metrics::EntryMetrics;
+use crate::pushback::show_pushback;
 use crate::reader::ListLog;
 use crate::shared_rules::SharedRules;
 use crate::source::ListSource;
@@ -282,6 +283,7 @@
                 show_duties(&state, board);
             }
             show_peer_bytes(&state.metrics, &bytes);
+            show_pushback(&state);
         }
     }
 }
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -47,6 +47,8 @@
     pub(crate) store_era: IntGauge,
     /// Rows of servers that weren't understood.
     pub(crate) rows_ignored: IntCounter,
+    /// Servers that ask for less, by what they ask for.
+    pub(crate) pushback: IntGaugeVec,
     /// Answers that state a rate which isn't understood.
     pub(crate) statements_ignored: IntCounter,
     /// Servers that ended under a request of this instance.
@@ -115,6 +117,11 @@
             time_jumps: counter("time_jumps", "Suspensions and freezes."),
             store_era: gauge("store_era", "How often the store came back from a copy."),
             rows_ignored: counter("rows_ignored", "Rows of servers not understood."),
+            pushback: gauges(
+                "servers_pushing_back",
+                "Servers that state a rate, or want nothing for a while.",
+                &["kind"],
+            ),
             statements_ignored: counter(
                 "statements_ignored",
                 "Answers with a stated rate that isn't understood.",
@@ -136,7 +143,7 @@
 
     /// Registers every metric.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 24] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 25] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -154,6 +161,7 @@
             Box::new(self.time_jumps.clone()),
             Box::new(self.store_era.clone()),
             Box::new(self.rows_ignored.clone()),
+            Box::new(self.pushback.clone()),
             Box::new(self.statements_ignored.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
--- a/crates/flaxtide-entry/src/pushback.rs
+++ b/crates/flaxtide-entry/src/pushback.rs
@@ -142,6 +142,14 @@
     }
 }
 
+/// Shows how many servers ask for less.
+pub(crate) fn show_pushback(state: &TrafficState) {
+    let count = state.ask(|core, now| core.count_pushback(now));
+    for (kind, count) in [("limited", count.limited), ("resting", count.resting)] {
+        state.metrics.pushback.with_label_values(&[kind]).set(count as i64);
+    }
+}
+
 /// Logs that a server says that it leaves.
 fn log_leaving(state: &TrafficState, server: ServerId, source: &'static str) {
     let name = state.server_name(server).unwrap_or_default();
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -29,7 +29,7 @@
 pub use self::choose::{PartFetch, RouteChoice, RouteReason};
 pub use self::load::{LEVELS, LevelTokens, PeerKey, PeerLoad, ServerLoad};
 pub use self::options::RouteOptions;
-pub use self::pushback::StatementNote;
+pub use self::pushback::{PushbackCount, StatementNote};
 pub use self::read::ReadNote;
 pub use self::retry::RetryVerdict;
 pub use self::server::{EngineShape, RoutedServer};
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -29,6 +29,15 @@
     pub rests: Option<Duration>,
 }
 
+/// How many servers ask for less.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PushbackCount {
+    /// Servers that state a rate.
+    pub limited: usize,
+    /// Servers that want nothing from this instance now.
+    pub resting: usize,
+}
+
 impl RouteCore {
     /// Sets which instances are seen alive. To be called often: larger parts of rates are taken
     /// with a delay.
@@ -100,6 +109,17 @@
         Some((server.pushback.rate(), server.pushback.rate_heard()))
     }
 
+    /// Returns how many servers state a rate, and how many want nothing from this instance now.
+    #[must_use]
+    pub fn count_pushback(&self, now: Duration) -> PushbackCount {
+        let mut count = PushbackCount::default();
+        for server in self.pools.values().flat_map(|pool| pool.servers.values()) {
+            count.limited += usize::from(server.pushback.rate().is_some());
+            count.resting += usize::from(server.pushback.rests(now));
+        }
+        count
+    }
+
     /// Returns whether a request may be written now to the server that it was given. Between the
     /// choice of the server and this moment the server may have asked for less.
     pub fn passes_gate(&mut self, request: RequestId, now: Duration) -> bool {
