A row that is found missing late is used no longer for that; a new reader shows no trouble

Suspected, by reading: the parts of the bound add up to 1.1 of it where a reader is out of reach (word .25 old, question .25, others .1, wait .1, row .4); and readers that have just been drawn or started answer that they can't tell, which was taken for trouble of the platform, so it was left alone for up to 3 s. Change: each batch of rows says for how long before it nothing was known; a row that is found missing is used until .85 of the bound after it may have gone, whatever kept the list from being looked at. A peer's word that it can't tell is trouble only 3 s after the plan of readers last changed; a peer that has started again changes it. Ruled out: a shorter wait wherever readers answer (0.45 s): an_outage_is_not_met_by_the_calls_of_all and a_standby_calls_before_others hold that off, as all of a data centre would call within a second. Tests that failed before: a_row_that_is_found_missing_late_is_used_no_longer_for_that (unseen for 1.5 s, gone 2.7 s after), a_reader_that_has_just_been_drawn_or_started_shows_no_trouble_of_the_platform (new).

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -21,6 +21,11 @@
 /// the whole stays within it.
 const LONGEST_PART: f64 = 0.55;
 
+/// A row that is found missing late is used for no longer than this part of that time since it
+/// may have gone, whatever it was that kept the list from being looked at. The rest is for a
+/// request that is on its way.
+const UNSEEN_PART: f64 = 0.85;
+
 /// The time between two looks at the list, as a part of that time.
 pub(crate) const FEED_PART: f64 = 0.35;
 
@@ -99,7 +104,16 @@
     /// What the platform told of it.
     pub(crate) entry: ServerEntry,
     /// When its row went, if it has.
-    missing: Option<Duration>,
+    missing: Option<MissingRow>,
+}
+
+/// When a row went that is missing.
+#[derive(Debug, Clone, Copy)]
+struct MissingRow {
+    /// When this instance learnt of it.
+    learnt: Duration,
+    /// Since when it may have been missing: the list was known to have it until then.
+    since: Duration,
 }
 
 impl DirectoryEntry {
@@ -224,8 +238,14 @@
         self.servers.remove(name).is_some()
     }
 
-    /// Takes in that a row has gone. Returns whether that changes anything.
+    /// Takes in that a row has just gone. Returns whether that changes anything.
     pub fn remove(&mut self, name: &str, now: Duration) -> bool {
+        self.remove_unseen(name, Duration::ZERO, now)
+    }
+
+    /// Takes in that a row has gone at some time in the last `unseen`. Returns whether that
+    /// changes anything.
+    pub fn remove_unseen(&mut self, name: &str, unseen: Duration, now: Duration) -> bool {
         self.held.remove(name);
         let Some(server) = self.servers.get_mut(name) else { return false };
         if server.entry.leaving {
@@ -237,18 +257,24 @@
         if server.missing.is_some() {
             return false;
         }
-        server.missing = Some(now);
+        let since = now.saturating_sub(unseen);
+        server.missing = Some(MissingRow { learnt: now, since });
         true
     }
 
-    /// Takes in a whole list: what it lacks has gone.
-    pub(crate) fn keep_only(&mut self, listed: &[ServerName], now: Duration) -> bool {
+    /// Takes in a whole list: what it lacks has gone at some time in the last `unseen`.
+    pub(crate) fn keep_only(
+        &mut self,
+        listed: &[ServerName],
+        unseen: Duration,
+        now: Duration,
+    ) -> bool {
         let known = self.servers.keys().chain(self.held.keys());
         let known: Vec<ServerName> = known.cloned().collect();
         let mut changed = false;
         for name in known {
             if !listed.contains(&name) {
-                changed |= self.remove(&name, now);
+                changed |= self.remove_unseen(&name, unseen, now);
             }
         }
         changed
@@ -270,19 +296,14 @@
     }
 
     /// Returns until when a server of a service is used whose row has gone.
-    fn gone_at(&self, service: &str, missing: Duration) -> Duration {
-        let members = || {
-            let servers = self.servers.values();
-            servers.filter(|server| server.entry.service == service)
-        };
-        let together = members().filter(|server| {
-            server.missing.is_some_and(|other| other.abs_diff(missing) < TOGETHER)
-        });
-        let together = together.count();
-        if together >= 2 && together as f64 >= LAPSE_PART * members().count() as f64 {
+    fn gone_at(&self, service: &str, row: MissingRow) -> Duration {
+        let missing = row.learnt;
+        if self.is_lapse(service, missing) {
             return missing + LAPSE_GRACE;
         }
-        let usual = missing + self.leave_within.mul_f64(GONE_PART);
+        let part = |part| self.leave_within.mul_f64(part);
+        let latest = row.since + part(UNSEEN_PART);
+        let usual = (missing + part(GONE_PART)).min(latest);
         // A row that went while the platform answered went for good, though it is out by now.
         let Some(outage) = self.outage.filter(|outage| missing >= outage.since) else {
             return usual;
@@ -291,7 +312,21 @@
             return outage.last + RETURN_GRACE;
         }
         let returned = (outage.last + RETURN_GRACE).max(usual);
-        returned.min(missing + self.leave_within.mul_f64(LONGEST_PART))
+        returned.min(missing + part(LONGEST_PART)).min(latest)
+    }
+
+    /// Returns whether a row went together with many others of its service.
+    fn is_lapse(&self, service: &str, missing: Duration) -> bool {
+        let members = || {
+            let servers = self.servers.values();
+            servers.filter(|server| server.entry.service == service)
+        };
+        let together = members().filter(|server| {
+            let others = server.missing;
+            others.is_some_and(|other| other.learnt.abs_diff(missing) < TOGETHER)
+        });
+        let together = together.count();
+        together >= 2 && together as f64 >= LAPSE_PART * members().count() as f64
     }
 
     /// Tells whether any server's row is missing.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -25,6 +25,8 @@
         batch: FeedBatch,
         /// Whether these are all rows of the topic.
         whole: bool,
+        /// For how long before them nothing was known of changes.
+        unseen: Duration,
     },
     /// The platform doesn't answer.
     Lost,
@@ -73,8 +75,8 @@
                     }
                 }
             }
-            FeedEvent::Batch { topic: FeedTopic::Servers, batch, whole } => {
-                take_servers(&state, &*feed, batch, whole);
+            FeedEvent::Batch { topic: FeedTopic::Servers, batch, whole, unseen } => {
+                take_servers(&state, &*feed, batch, whole, unseen);
             }
             FeedEvent::Lost | FeedEvent::Regained => {
                 state.directory.borrow_mut().trouble(now);
@@ -152,16 +154,17 @@
     feed: &dyn PlatformFeed,
     batch: FeedBatch,
     whole: bool,
+    unseen: Duration,
 ) {
     let now = state.now();
     let mut changed = false;
     state.directory.borrow_mut().enter_era(store_era(batch.version));
     let names: Vec<ServerName> = batch.rows.iter().map(|row| row.name.clone()).collect();
     for row in batch.rows {
-        changed |= take_server(state, feed, row, now);
+        changed |= take_server(state, feed, row, unseen, now);
     }
     if whole {
-        changed |= state.directory.borrow_mut().keep_only(&names, now);
+        changed |= state.directory.borrow_mut().keep_only(&names, unseen, now);
     }
     let first = !state.listed.replace(true);
     if changed || first {
@@ -174,13 +177,15 @@
     state: &TrafficState,
     feed: &dyn PlatformFeed,
     row: FeedRow,
+    unseen: Duration,
     now: Duration,
 ) -> bool {
     let mut directory = state.directory.borrow_mut();
     let Some(text) = row.text else {
-        let changed = directory.remove(&row.name, now);
+        let changed = directory.remove_unseen(&row.name, unseen, now);
         if changed {
-            log::info!(server = row.name; "server not listed any more");
+            let unseen_ms = unseen.as_millis() as u64;
+            log::info!(server = row.name, unseen_ms; "server not listed any more");
         }
         return changed;
     };
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -144,6 +144,8 @@
     gone: Option<Duration>,
     /// Until when calls don't wait long.
     cautious_until: Duration,
+    /// Up to when all changes are known.
+    known_until: Option<Duration>,
 }
 
 /// What an answer of the platform, or of a peer in its stead, was.
@@ -191,6 +193,15 @@
         FollowAnswer { whole, regained: self.pause.take().is_some() }
     }
 
+    /// Records that an answer tells of all changes up to a time. Returns for how long before `now`
+    /// nothing was known of changes.
+    pub(crate) fn cover(&mut self, until: Duration, now: Duration) -> Duration {
+        let known = self
+            .known_until
+            .replace(self.known_until.map_or(until, |at| at.max(until)));
+        known.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
     /// Records that peers which should tell don't: the platform may be in trouble, and a call that
     /// waits long for it is one that a store which comes back never answers.
     pub fn doubt(&mut self, now: Duration) {
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -26,6 +26,10 @@
 /// How often an instance that has just started looks whether it knows who reads.
 const SETTLING_PERIOD: Duration = Duration::from_millis(100);
 
+/// A call that took longer than this has waited for changes: the platform answers others within a
+/// few milliseconds, and those that wait as soon as there is a change.
+const WAITED: Duration = Duration::from_millis(100);
+
 /// What peers tell of a topic.
 enum PeerWord {
     /// These rows have changed.
@@ -109,6 +113,12 @@
         timing.unwrap_or((FOLLOW_WAIT, self.pace))
     }
 
+    /// Returns up to when an answer of the platform tells of changes, if its call was made at
+    /// `called`. One that had to wait tells of what has just changed.
+    fn covered(called: Duration, answered: Duration) -> Duration {
+        if answered > called + WAITED { answered - WAITED } else { called }
+    }
+
     /// Calls the platform and handles its answer, then pauses. Returns whether somebody
     /// listens.
     fn call_platform(
@@ -119,10 +129,15 @@
     ) -> bool {
         let most = state.longest_wait(clock.now());
         let rest = self.timing().1;
+        let called = clock.now();
         match self.call(state.after(), most) {
             Ok(batch) => {
-                backoff.succeed(clock.now());
-                let listened = self.take_batch(state, batch);
+                let now = clock.now();
+                backoff.succeed(now);
+                let unseen = state.cover(Self::covered(called, now), now);
+                let waited = now.saturating_sub(called);
+                let unseen = if waited > WAITED { unseen.min(WAITED) } else { unseen };
+                let listened = self.take_batch(state, batch, unseen);
                 thread::sleep(rest);
                 listened
             }
@@ -136,7 +151,12 @@
     }
 
     /// Handles an answer. Returns whether somebody listens.
-    fn take_batch(&self, state: &mut FollowState, batch: FeedBatch) -> bool {
+    fn take_batch(
+        &self,
+        state: &mut FollowState,
+        batch: FeedBatch,
+        unseen: Duration,
+    ) -> bool {
         let FollowAnswer { whole, regained } = state.take_version(batch.version);
         self.metrics.store_era.set(store_era(batch.version) as i64);
         if regained {
@@ -146,7 +166,7 @@
             }
         }
         let news = whole || !batch.rows.is_empty();
-        !news || self.tell(FeedEvent::Batch { topic: self.topic, batch, whole })
+        !news || self.tell(FeedEvent::Batch { topic: self.topic, batch, whole, unseen })
     }
 
     /// Handles a failed call, and pauses. Returns whether somebody listens.
@@ -187,10 +207,13 @@
     let mut state = FollowState::default();
     let mut backoff = CallBackoff::default();
     loop {
+        let asked = clock.now();
         let listened = match follower.told_by_peers(state.after()) {
             Some(PeerWord::Rows(batch)) => {
                 backoff.reset();
-                follower.take_batch(&mut state, batch)
+                let covered = follower.source.covered(asked);
+                let unseen = state.cover(covered, clock.now());
+                follower.take_batch(&mut state, batch, unseen)
             }
             Some(PeerWord::Elsewhere) => {
                 backoff.reset();
--- a/crates/flaxtide-entry/src/pauses.rs
+++ b/crates/flaxtide-entry/src/pauses.rs
@@ -7,6 +7,11 @@
 /// The longest pause, and that after a question without an answer.
 const LONGEST_PAUSE: Duration = Duration::from_secs(2);
 
+/// For how long after peers have been drawn anew, or one of them has started again, their word
+/// that they can't tell isn't taken for trouble of the platform: they may only not know from where to
+/// tell.
+const DRAWN_LATELY: Duration = Duration::from_secs(3);
+
 /// Peers that had nothing to tell, until one tells again.
 ///
 /// ```
@@ -24,6 +29,8 @@
     first: Duration,
     /// The pauses.
     pauses: HashMap<SocketAddr, PeerPause>,
+    /// When the peers that are asked were last drawn.
+    drawn: Option<Duration>,
 }
 
 /// The pause of one peer.
@@ -41,7 +48,7 @@
     /// Starts without any.
     #[must_use]
     pub fn new(first: Duration) -> Self {
-        Self { first, pauses: HashMap::new() }
+        Self { first, pauses: HashMap::new(), drawn: None }
     }
 
     /// Returns whether a peer may be asked.
@@ -56,9 +63,18 @@
         self.pauses.values().any(|pause| pause.answers)
     }
 
-    /// Forgets all peers but these.
-    pub fn keep_only(&mut self, peers: &[SocketAddr]) {
+    /// Returns whether the platform seems to be in trouble: a peer that should know has answered
+    /// that it can't tell.
+    #[must_use]
+    pub fn show_trouble(&self, now: Duration) -> bool {
+        let settled = self.drawn.is_none_or(|at| now >= at + DRAWN_LATELY);
+        settled && self.any_answers()
+    }
+
+    /// Forgets all peers but these, which are asked from now on.
+    pub fn draw(&mut self, peers: &[SocketAddr], now: Duration) {
         self.pauses.retain(|peer, _| peers.contains(peer));
+        self.drawn = Some(now);
     }
 
     /// Records that a peer has told. What others couldn't before says nothing of the next time
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -22,7 +22,7 @@
 /// How old a reader's last answer of the platform may be for its word to count, as a part of
 /// the time within which a leaving server gets no more work. All parts together leave room
 /// for a row that has gone to be missed (`directory.rs`).
-const FRESH_PART: f64 = 0.25;
+pub(crate) const FRESH_PART: f64 = 0.25;
 
 /// How long a reader's call to the platform waits for changes, and the pause after it, as
 /// parts of that time; together they stay below [`FRESH_PART`]. The pause is the longer part:
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -12,6 +12,7 @@
 use crate::fleet::FleetLink;
 use crate::follow::first_call_window;
 use crate::pauses::PeerPauses;
+use crate::reader::FRESH_PART;
 
 /// How long a question to a reader waits for changes, as a part of the time within which a
 /// leaving server gets no more work.
@@ -84,11 +85,12 @@
 
     /// Sets who is to be asked. Returns whether that has changed.
     pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
+        let now = self.clock.now();
         let mut state = self.lock();
         if state.plan == plan {
             return false;
         }
-        state.pauses.keep_only(&peers_of(&plan));
+        state.pauses.draw(&peers_of(&plan), now);
         state.plan = plan;
         true
     }
@@ -130,11 +132,17 @@
         since.is_some_and(|since| self.clock.now() >= since + HANDED_ON_WITHIN)
     }
 
+    /// Returns up to when a peer that was asked at a time tells of changes at least.
+    pub(crate) fn covered(&self, asked: Duration) -> Duration {
+        asked.saturating_sub(self.leave_within.mul_f64(FRESH_PART))
+    }
+
     /// Returns within what time this instance calls the platform itself, once no peer tells.
     pub(crate) fn start_window(&self) -> Duration {
+        let now = self.clock.now();
         let state = self.lock();
-        let answers = state.pauses.any_answers();
-        first_call_window(state.plan.standby, answers, self.leave_within)
+        let troubled = state.pauses.show_trouble(now);
+        first_call_window(state.plan.standby, troubled, self.leave_within)
     }
 
     /// Asks peers for the changes after a version: the first in order, which waits for some,
--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -75,3 +75,22 @@
     let gone = gone_at(&mut directory, 10_600, 18_000).unwrap();
     assert!(gone >= 18_000 + 2_000, "gone at {gone}");
 }
+
+/// Suspected in a day on which a request reached an engine 171 ms too late: readers were restarted
+/// one after the other, so the list was looked at late, and the row that was found missing was
+/// still given the time of one that has just gone.
+#[test]
+fn a_row_that_is_found_missing_late_is_used_no_longer_for_that() {
+    for unseen in (0..=2500).step_by(100) {
+        let mut directory = directory();
+        let learnt = 20_000 + unseen;
+        directory.remove_unseen("i-0", ms(unseen), ms(learnt));
+        let gone = (learnt..learnt + 5_000)
+            .find(|now| !directory.expire(ms(*now)).is_empty())
+            .unwrap();
+        assert!(
+            gone <= learnt.max(20_000 + 2_600),
+            "unseen for {unseen} ms, gone at {gone}"
+        );
+    }
+}
--- a/crates/flaxtide-entry/tests/pauses.rs
+++ b/crates/flaxtide-entry/tests/pauses.rs
@@ -60,7 +60,27 @@
     let mut pauses = PeerPauses::new(FIRST);
     pauses.record_unable(peer(1), Duration::ZERO);
     pauses.record_unreachable(peer(2), Duration::ZERO);
-    pauses.keep_only(&[peer(2), peer(3)]);
+    pauses.draw(&[peer(2), peer(3)], Duration::ZERO);
     assert!(!pauses.any_answers());
     assert!(!pauses.may_ask(peer(2), Duration::ZERO));
 }
+
+/// Suspected in a day on which a request reached a server 171 ms too late: readers were restarted one
+/// after the other and answered that they couldn't tell, so the platform was taken to be in
+/// trouble, and left alone for up to 3 s.
+#[test]
+fn a_reader_that_has_just_been_drawn_or_started_shows_no_trouble_of_the_platform() {
+    let mut pauses = PeerPauses::new(FIRST);
+    let start = Duration::from_secs(100);
+    for now in (0..3000)
+        .step_by(100)
+        .map(|millis| start + Duration::from_millis(millis))
+    {
+        pauses.draw(&[peer(1), peer(2)], start);
+        pauses.record_unable(peer(1), now);
+        assert!(pauses.any_answers());
+        assert!(!pauses.show_trouble(now), "after {:?}", now - start);
+    }
+    let later = start + Duration::from_secs(3);
+    assert!(pauses.show_trouble(later));
+}
--- a/crates/flaxtide-fleet/src/node/lists.rs
+++ b/crates/flaxtide-fleet/src/node/lists.rs
@@ -33,11 +33,13 @@
         };
         let count = self.reader_count();
         let end = (count + STANDBYS).min(self.list_order.len());
-        let others = self.list_order[..end].iter();
-        let others = others.filter_map(|place| self.address_at(*place));
+        let places = &self.list_order[..end];
+        let others = places.iter().filter_map(|place| self.address_at(*place));
+        let peers = places.iter().filter_map(|place| self.peers.get(&self.live[*place]));
         ListPlan {
             reader,
             others: others.filter(|address| *address != asked_first).collect(),
+            epochs: peers.filter_map(|peer| peer.epoch).collect(),
             standby: self.is_among(&self.list_order[count..end]),
         }
     }
--- a/crates/flaxtide-fleet/src/node/pushback.rs
+++ b/crates/flaxtide-fleet/src/node/pushback.rs
@@ -12,7 +12,7 @@
 use crate::news::NewsQueue;
 use crate::wire::PushbackNotice;
 
-/// The most reports in one message: 16 KB.
+/// The most reports in one message: 14 KB.
 const MOST_REPORTS: usize = 1024;
 
 /// A notice of what servers have said, on its way to a peer.
--- a/crates/flaxtide-fleet/src/rows.rs
+++ b/crates/flaxtide-fleet/src/rows.rs
@@ -66,6 +66,8 @@
     /// Who else may have read it, in the order in which they are asked: the other readers,
     /// then the standbys.
     pub others: Vec<SocketAddr>,
+    /// The epochs of all of these: one that has started again makes another plan.
+    pub epochs: Vec<u32>,
     /// Whether this instance is a standby, which reads as soon as no reader tells.
     pub standby: bool,
 }
