--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -7,7 +7,9 @@
 
 use bytes::Bytes;
 use flaxtide_core::{RequestId, ServerId, TierRank};
-use flaxtide_policy::{Fingerprint, RouteChoice, RouteFault, request_fingerprint};
+use flaxtide_policy::{
+    Fingerprint, RouteChoice, RouteFault, StatedRate, request_fingerprint,
+};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::header::{
@@ -236,7 +238,12 @@
     // Another request's answer is that of a connection which can't be trusted any more.
     let ours = head.attempt == request.attempt;
     if ours || (head.not_run && head.attempt.is_none()) {
-        state.pushback.hear_server(state, server, head.statement, sent);
+        let mut statement = head.statement;
+        let vouches = parts.status.is_success() && head.sealed;
+        if statement.rate == StatedRate::Unlimited && !vouches {
+            statement.rate = StatedRate::Unstated;
+        }
+        state.pushback.hear_server(state, server, statement, sent);
     }
     if head.not_run && (ours || head.attempt.is_none()) {
         let link = Some(link);
--- a/crates/flaxtide-policy/src/pushback/server.rs
+++ b/crates/flaxtide-policy/src/pushback/server.rs
@@ -40,7 +40,7 @@
         now: Duration,
     ) -> bool {
         let rate = match stated {
-            StatedRate::Unreadable => return false,
+            StatedRate::Unreadable | StatedRate::Unstated => return false,
             StatedRate::Unlimited => None,
             StatedRate::Limited(rate) => Some(rate),
         };
--- a/crates/flaxtide-policy/src/pushback/statement.rs
+++ b/crates/flaxtide-policy/src/pushback/statement.rs
@@ -56,6 +56,9 @@
     Limited(RequestRate),
     /// Something that isn't understood; what was known before holds on.
     Unreadable,
+    /// Nothing that counts, as errors and refusals may leave a rate out; what was known before
+    /// holds on.
+    Unstated,
 }
 
 /// What a backend server states of itself in one answer.
--- a/crates/flaxtide-policy/tests/pushback.rs
+++ b/crates/flaxtide-policy/tests/pushback.rs
@@ -135,9 +135,11 @@
 fn a_word_that_is_not_understood_changes_nothing() {
     let mut core = core_alone(1);
     core.hear_statement(0, limited(1.0), ms(50), ms(100));
-    let unread = ServerStatement { rate: StatedRate::Unreadable, ..nothing() };
-    assert_eq!(core.hear_statement(0, unread, ms(110), ms(150)), None);
-    assert!(core.stated_rate(0).unwrap().0.is_some());
+    for rate in [StatedRate::Unreadable, StatedRate::Unstated] {
+        let unread = ServerStatement { rate, ..nothing() };
+        assert_eq!(core.hear_statement(0, unread, ms(110), ms(150)), None);
+        assert!(core.stated_rate(0).unwrap().0.is_some());
+    }
 }
 
 #[test]
