Reports of servers merge alike in any order; capacity of what servers state

A property test: two instances that have had the same reports in another order, late or doubled believe the same, the newest rate holds, and leaving is for good.

--- /dev/null
+++ b/crates/flaxtide-policy/tests/pushback_merge.rs
@@ -0,0 +1,74 @@
+//! What instances tell each other of servers: however reports come, all who have had the same
+//! ones believe the same.
+
+use std::time::Duration;
+
+use flaxtide_policy::{PushbackLog, PushbackReport, RequestRate};
+use proptest::prelude::*;
+
+/// When the last report is read.
+const END: Duration = Duration::from_secs(100);
+
+/// A statement of a server: which, its rate, whether it leaves, and when it was heard, in seconds.
+type Statement = (u32, Option<u8>, bool, u64);
+
+/// A statement of one of two servers.
+fn statement() -> impl Strategy<Value = Statement> {
+    (0u32..2, proptest::option::of(1u8..4), any::<bool>(), 1u64..20).prop_map(
+        |(server, rate, leaving, second)| {
+            (server, rate.map(|rate| rate + second as u8), leaving, second)
+        },
+    )
+}
+
+/// Has a log hear statements in an order, each some time after it was made.
+fn believe(statements: &[Statement], delays: &[u64]) -> Vec<PushbackReport> {
+    let mut log = PushbackLog::default();
+    for ((server, rate, leaving, second), delay) in statements.iter().zip(delays) {
+        let heard = Duration::from_secs(*second);
+        let report = PushbackReport {
+            server: *server,
+            rate: rate.and_then(|rate| RequestRate::from_per_second(f64::from(rate))),
+            age_ms: *delay as u32 * 1000,
+            leaving: *leaving,
+        };
+        log.apply(&report, heard + Duration::from_secs(*delay));
+    }
+    (0..2).filter_map(|server| log.report_of(server, END)).collect()
+}
+
+/// Returns statements of which no two of a server were heard at the same moment.
+fn distinct(statements: Vec<Statement>) -> Vec<Statement> {
+    let mut seen = std::collections::BTreeSet::new();
+    statements
+        .into_iter()
+        .filter(|(server, .., second)| seen.insert((*server, *second)))
+        .collect()
+}
+
+proptest! {
+    /// Two instances that have had the same news in another order, late, or doubled.
+    #[test]
+    fn all_who_have_had_the_same_reports_believe_the_same(
+        statements in proptest::collection::vec(statement(), 0..12).prop_map(distinct),
+        delays in proptest::collection::vec(0u64..30, 24),
+        order in any::<u64>(),
+    ) {
+        let mut other: Vec<_> = statements.iter().chain(&statements).copied().collect();
+        let length = other.len().max(1);
+        other.rotate_left(order as usize % length);
+        if order % 2 == 1 {
+            other.reverse();
+        }
+        let one = believe(&statements, &delays);
+        let two = believe(&other, &delays);
+        prop_assert_eq!(&one, &two);
+        for report in &one {
+            let of_server = statements.iter().filter(|(server, ..)| *server == report.server);
+            let newest = of_server.clone().max_by_key(|(.., second)| *second).unwrap();
+            let rate = newest.1.and_then(|rate| RequestRate::from_per_second(f64::from(rate)));
+            prop_assert_eq!(report.rate, rate, "the newest holds");
+            prop_assert_eq!(report.leaving, of_server.clone().any(|(_, _, leaving, _)| *leaving));
+        }
+    }
+}
