The end of a rate is told once more; reports of servers that have long left aren't told

Found in review: a report of a rate that is on its way when the rate ends may come late and pass for later than the end. An instance without a part of the rate sends nothing to that server, so it would go on believing it: the end was told once. Now it is told again 3 s later by who hears it, with a fresh time. Now a word is forgotten 120 s after something newer was learnt; rates that go on are told again each 30 s. When peers are told is a pure state (ReportSchedule).

--- a/crates/flaxtide-entry/src/pushback.rs
+++ b/crates/flaxtide-entry/src/pushback.rs
@@ -8,14 +8,12 @@
 use flaxtide_core::ServerId;
 use flaxtide_fleet::FleetKey;
 use flaxtide_policy::{
-    PushbackReport, ReportEffect, RequestRate, ServerStatement, StatedRate, StatementNote,
+    PushbackReport, ReportEffect, ReportSchedule, RequestRate, ServerStatement,
+    StatedRate, StatementNote,
 };
 
 use crate::state::TrafficState;
 
-/// How often peers are told again of a rate that a server goes on stating.
-const RENEWAL: Duration = Duration::from_secs(30);
-
 /// Of how many servers it is kept that peers reported before the platform listed them, and how
 /// many reports wait for the fleet thread.
 const MOST_KEPT: usize = 1024;
@@ -27,8 +25,8 @@
     unsent: RefCell<Vec<(Duration, PushbackReport)>>,
     /// Reports of servers that aren't listed yet, and when they came.
     unplaced: RefCell<HashMap<FleetKey, (Duration, PushbackReport)>>,
-    /// When peers were last told of each server.
-    told: RefCell<HashMap<ServerId, Duration>>,
+    /// When peers are told again of each server.
+    schedule: RefCell<ReportSchedule>,
 }
 
 impl PushbackExchange {
@@ -52,14 +50,13 @@
         if let Some(span) = note.and_then(|note| note.rests) {
             log_rest(state, server, span);
         }
-        let renews = matches!(statement.rate, StatedRate::Limited(_))
-            && self.is_told_long_ago(server, state.now());
+        let due = self.schedule.borrow().is_due(server, statement.rate, state.now());
         match note.filter(|note| note.restated) {
             Some(StatementNote { rate, part, .. }) => {
                 log_rate(state, server, rate, part, "server");
                 self.tell(state, server);
             }
-            None if renews => self.tell(state, server),
+            None if due => self.tell(state, server),
             None => {}
         }
     }
@@ -88,12 +85,19 @@
             // The server has told this instance something else since.
             (Some(server), Some(ReportEffect::Outdated)) => self.tell(state, server),
             (Some(_), Some(ReportEffect::Known)) => {}
-            _ => {
-                let mut unplaced = self.unplaced.borrow_mut();
-                if unplaced.len() < MOST_KEPT {
-                    unplaced.insert(report.server, (came, *report));
-                }
-            }
+            _ => self.keep_unplaced(*report, came),
+        }
+    }
+
+    /// Keeps a report until its server is listed. The oldest goes if there are too many: its server
+    /// may have left before this instance started.
+    fn keep_unplaced(&self, report: PushbackReport, came: Duration) {
+        let mut unplaced = self.unplaced.borrow_mut();
+        unplaced.insert(report.server, (came, report));
+        if unplaced.len() > MOST_KEPT {
+            let oldest = unplaced.iter().min_by_key(|(_, (came, _))| *came);
+            let oldest = oldest.map(|(server, _)| *server);
+            oldest.and_then(|server| unplaced.remove(&server));
         }
     }
 
@@ -109,14 +113,7 @@
         for (at, report) in self.unsent.take() {
             self.send(state, at, report);
         }
-        let now = state.now();
-        self.told.borrow_mut().retain(|_, at| now < *at + RENEWAL);
-    }
-
-    /// Returns whether peers haven't been told of a server lately.
-    fn is_told_long_ago(&self, server: ServerId, now: Duration) -> bool {
-        let told = self.told.borrow();
-        told.get(&server).is_none_or(|at| now >= *at + RENEWAL)
+        self.schedule.borrow_mut().expire(state.now());
     }
 
     /// Tells peers what a server has said.
@@ -125,7 +122,8 @@
         let (Some(key), Some((rate, heard))) = (state.server_key(server), known) else {
             return;
         };
-        self.told.borrow_mut().insert(server, state.now());
+        let stated = rate.map_or(StatedRate::Unlimited, StatedRate::Limited);
+        self.schedule.borrow_mut().record_told(server, stated, state.now());
         let leaving = state.is_leaving(server);
         let report = PushbackReport { server: key, rate, age_ms: 0, leaving };
         self.send(state, heard, report);
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -39,7 +39,7 @@
 pub use self::options::PolicyOptions;
 pub use self::pushback::{
     DataCentreKey, GroupMember, InstanceGroup, InstanceKey, PushbackLog, PushbackReport,
-    ReportEffect, RequestRate, ServerStatement, StatedRate,
+    ReportEffect, ReportSchedule, RequestRate, ServerStatement, StatedRate,
 };
 pub use self::quarantine::{
     CrashLog, CrashReport, Fingerprint, ServerStart, request_fingerprint,
--- a/crates/flaxtide-policy/src/pushback/report.rs
+++ b/crates/flaxtide-policy/src/pushback/report.rs
@@ -67,6 +67,8 @@
     heard: Duration,
     /// Whether it has ever said that it is leaving.
     leaving: bool,
+    /// When a report last told something newer.
+    learnt: Duration,
 }
 
 impl PushbackLog {
@@ -82,11 +84,15 @@
         let heard = report.heard(now);
         let Some(word) = self.words.get_mut(&report.server) else {
             self.make_place(now);
-            self.words.insert(report.server, ServerWord { rate, heard, leaving });
+            self.words
+                .insert(report.server, ServerWord { rate, heard, leaving, learnt: now });
             return ReportEffect::News;
         };
         // Leaving is for good, so it needs no time.
         let leaves = leaving && !word.leaving;
+        if leaves || heard > word.heard {
+            word.learnt = now;
+        }
         word.leaving |= leaving;
         let outdated = rate != word.rate && heard <= word.heard;
         let changes = rate != word.rate && !outdated;
@@ -118,21 +124,27 @@
     /// Returns the reports of all servers that state a rate or leave, up to so many.
     #[must_use]
     pub fn reports(&self, most: usize, now: Duration) -> Vec<PushbackReport> {
+        let recent = |word: &ServerWord| now < word.learnt + LIFE;
         let said = self
             .words
             .iter()
-            .filter(|(_, word)| word.rate.is_some() || word.leaving);
+            .filter(|(_, word)| (word.rate.is_some() || word.leaving) && recent(word));
         let reports = said.filter_map(|(server, _)| self.report_of(*server, now));
         reports.take(most).collect()
     }
 
+    /// Forgets servers of which nothing newer has been learnt for long.
+    pub fn expire(&mut self, now: Duration) {
+        self.words.retain(|_, word| now < word.learnt + LIFE);
+    }
+
     /// Forgets what is old, and the oldest if there is no place for one more.
     fn make_place(&mut self, now: Duration) {
         if self.words.len() < MOST_SERVERS {
             return;
         }
-        self.words.retain(|_, word| now < word.heard + LIFE);
-        let oldest = self.words.iter().min_by_key(|(_, word)| word.heard);
+        self.expire(now);
+        let oldest = self.words.iter().min_by_key(|(_, word)| word.learnt);
         let oldest = oldest.map(|(server, _)| *server);
         if let Some(server) = oldest.filter(|_| self.words.len() >= MOST_SERVERS) {
             self.words.remove(&server);
--- a/crates/flaxtide-policy/tests/pushback_merge.rs
+++ b/crates/flaxtide-policy/tests/pushback_merge.rs
@@ -3,7 +3,9 @@
 
 use std::time::Duration;
 
-use flaxtide_policy::{PushbackLog, PushbackReport, RequestRate};
+use flaxtide_policy::{
+    PushbackLog, PushbackReport, ReportSchedule, RequestRate, StatedRate,
+};
 use proptest::prelude::*;
 
 /// When the last report is read.
@@ -72,3 +74,44 @@
         }
     }
 }
+
+/// A late report of a rate may pass for later than the rate's end. An instance without a part of
+/// the rate sends nothing to the server, and would go on believing it if the end were told once.
+#[test]
+fn the_end_of_a_rate_is_told_once_more_and_a_rate_as_long_as_it_goes_on() {
+    let seconds = Duration::from_secs;
+    let limited = StatedRate::Limited(RequestRate::from_per_second(2.0).unwrap());
+    let tell = |stated, until: u64| {
+        let mut schedule = ReportSchedule::default();
+        schedule.record_told(1, stated, seconds(0));
+        let told = (1..until).filter(|second| {
+            let due = schedule.is_due(1, stated, seconds(*second));
+            if due {
+                schedule.record_told(1, stated, seconds(*second));
+            }
+            schedule.expire(seconds(*second));
+            due
+        });
+        told.collect::<Vec<u64>>()
+    };
+    assert_eq!(tell(StatedRate::Unlimited, 100), [3]);
+    assert_eq!(tell(limited, 100), [30, 60, 90]);
+    // Nobody is told of servers that never stated anything.
+    let schedule = ReportSchedule::default();
+    assert!(!schedule.is_due(1, StatedRate::Unlimited, seconds(50)));
+    assert!(schedule.is_due(1, limited, seconds(50)));
+}
+
+/// Each release of servers leaves reports of those that have left: who starts isn't told of all.
+#[test]
+fn who_starts_is_told_only_of_servers_that_said_something_lately() {
+    let mut log = PushbackLog::default();
+    for server in 0..500 {
+        let now = Duration::from_secs(u64::from(server));
+        let report = PushbackReport { server, rate: None, age_ms: 0, leaving: true };
+        log.apply(&report, now);
+    }
+    let told = log.reports(1024, Duration::from_secs(500));
+    assert!(told.len() <= 120, "{}", told.len());
+    assert!(told.iter().any(|report| report.server == 499));
+}
