--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -164,7 +164,7 @@
         if regained {
             log_dependency(self.topic, true, None, &self.metrics);
         }
-        if regained && was_out && !self.tell(FeedEvent::Regained) {
+        if regained && was_out && !self.tell_outage(FeedEvent::Regained) {
             return false;
         }
         let news = whole || !batch.rows.is_empty();
@@ -183,11 +183,17 @@
         if lost {
             log_dependency(self.topic, false, Some(fault), &self.metrics);
         }
-        let listened = !state.is_out(now) || self.tell(FeedEvent::Lost);
+        let listened = !state.is_out(now) || self.tell_outage(FeedEvent::Lost);
         thread::sleep(pause);
         listened
     }
 
+    /// Tells the traffic thread of an outage, if this follows the list of servers: what peers hand
+    /// on of other topics says nothing of how fresh the list is. Returns whether it listens.
+    fn tell_outage(&self, event: FeedEvent) -> bool {
+        self.topic != FeedTopic::Servers || self.tell(event)
+    }
+
     /// Tells the traffic thread. Returns whether it listens.
     fn tell(&self, event: FeedEvent) -> bool {
         self.events.blocking_send(event).is_ok()
@@ -232,7 +238,7 @@
                     state.doubt(clock.now());
                     thread::sleep(rest.min(REST_PERIOD));
                     // Rows that lapse meanwhile may do so since the platform is out.
-                    !state.is_out(clock.now()) || follower.tell(FeedEvent::Lost)
+                    !state.is_out(clock.now()) || follower.tell_outage(FeedEvent::Lost)
                 }
                 None => follower.call_platform(&mut state, &mut backoff, &clock),
             },
