One piece of code delivers notices to peers; a wrapper, a public call and five comments less

Found in the last reading of the change: telling peers of crashes and of what servers state were twins but for the call and for what the node does about a notice that doesn't arrive; `deliver` serves both. `ServerState::is_open` only passed a question on; `PushbackLog::expire` was public and called once, from inside. Comments say "records" for "takes in". Behaviour and tests as before; one debug line is worded alike for both notices.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -238,12 +238,12 @@
         self.servers.remove(name).is_some()
     }
 
-    /// Takes in that a row has just gone. Returns whether that changes anything.
+    /// Records that a row has just gone. Returns whether that changes anything.
     pub fn remove(&mut self, name: &str, now: Duration) -> bool {
         self.remove_unseen(name, Duration::ZERO, now)
     }
 
-    /// Takes in that a row has gone at some time in the last `unseen`. Returns whether that
+    /// Records that a row has gone at some time in the last `unseen`. Returns whether that
     /// changes anything.
     pub fn remove_unseen(&mut self, name: &str, unseen: Duration, now: Duration) -> bool {
         self.held.remove(name);
@@ -262,7 +262,7 @@
         true
     }
 
-    /// Takes in a whole list: what it lacks has gone at some time in the last `unseen`.
+    /// Applies a whole list: what it lacks has gone at some time in the last `unseen`.
     pub(crate) fn keep_only(
         &mut self,
         listed: &[ServerName],
--- a/crates/flaxtide-entry/src/pushback.rs
+++ b/crates/flaxtide-entry/src/pushback.rs
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Takes in that servers may have been listed of which peers have reported.
+    /// Applies the reports of servers that are listed by now.
     pub(crate) fn place(&self, state: &TrafficState) {
         for (came, report) in self.unplaced.take().into_values() {
             self.hear_peer(state, &report, came);
--- a/crates/flaxtide-fleet/src/node/pushback.rs
+++ b/crates/flaxtide-fleet/src/node/pushback.rs
@@ -1,5 +1,5 @@
 //! What backend servers have said of themselves: news go to peers at once and are told again
-//! until they have arrived; whoever starts or comes back is told all.
+//! until they have arrived; an instance that starts or comes back is told all.
 
 use std::time::Duration;
 
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -1,13 +1,15 @@
 //! The fleet thread: it carries messages over tarpc. Nothing else in flaxtide is async.
 
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use crossbeam::channel::{Receiver, TryRecvError};
-use flaxtide_core::{MilliClock, SettingsVersion};
+use flaxtide_core::{InstanceName, MilliClock, SettingsVersion};
 use tarpc::client::RpcError;
+use tarpc::context::Context;
 use tokio::net::TcpListener;
 use tokio::runtime::{Builder, Runtime};
 use tokio::task::JoinHandle;
@@ -15,6 +17,7 @@
 use crate::counted::LinkBytes;
 use crate::duty::DutyExchange;
 use crate::fetch::fetch_settings;
+use crate::info::PeerInfo;
 use crate::links::call;
 use crate::node::{
     FleetNode, FleetNotice, OutgoingCrashes, OutgoingHeartbeat, OutgoingHello,
@@ -272,47 +275,68 @@
 /// Tells a peer of servers that ended under requests, and handles its answer.
 async fn tell_crashes(shared: Arc<FleetShared>, outgoing: OutgoingCrashes) {
     let OutgoingCrashes { to, notice } = outgoing;
-    let Some(link) = shared.links.open(to.address).await else {
-        let now = shared.clock.now();
-        shared.node().handle_crash_miss(&to.name, now);
-        return;
+    let faults = NoticeFaults {
+        missed: FleetNode::handle_crash_miss,
+        broken: FleetNode::handle_crash_break,
     };
-    let tell = |context| link.client.crashes(context, notice);
-    match call(ANSWER_TIMEOUT, tell).await {
-        Ok(reply) => {
-            let now = shared.clock.now();
-            let notices = shared.node().handle_crash_reply(&to.name, &reply, now);
-            shared.notify(notices);
-        }
-        Err(cause) => {
-            log::debug!("no answer of {} about crashes: {cause}", to.name);
-            if !matches!(cause, RpcError::DeadlineExceeded) {
-                let now = shared.clock.now();
-                shared.node().handle_crash_break(&to.name, now);
-            }
-            shared.links.close(to.address, &link).await;
-        }
-    }
+    let tell = |client: PeerLinkClient, context| async move {
+        client.crashes(context, notice).await
+    };
+    let Some(reply) = deliver(&shared, &to, faults, tell).await else { return };
+    let now = shared.clock.now();
+    let notices = shared.node().handle_crash_reply(&to.name, &reply, now);
+    shared.notify(notices);
 }
 
 /// Tells a peer what backend servers have said of themselves.
 async fn tell_pushback(shared: Arc<FleetShared>, outgoing: OutgoingPushback) {
     let OutgoingPushback { to, notice } = outgoing;
+    let faults = NoticeFaults {
+        missed: FleetNode::handle_pushback_miss,
+        broken: FleetNode::handle_pushback_break,
+    };
+    let tell = |client: PeerLinkClient, context| async move {
+        client.pushback(context, notice).await
+    };
+    if deliver(&shared, &to, faults, tell).await.is_some() {
+        shared.node().handle_pushback_reply(&to.name);
+    }
+}
+
+/// What a node does about a notice that doesn't arrive.
+struct NoticeFaults {
+    /// There was no link for it.
+    missed: fn(&mut FleetNode, &InstanceName, Duration),
+    /// It broke its link.
+    broken: fn(&mut FleetNode, &InstanceName, Duration),
+}
+
+/// Delivers a notice to a peer. Returns the reply, if one came in time.
+async fn deliver<Reply, Answer>(
+    shared: &FleetShared,
+    to: &PeerInfo,
+    faults: NoticeFaults,
+    tell: impl FnOnce(PeerLinkClient, Context) -> Answer,
+) -> Option<Reply>
+where
+    Answer: Future<Output = Result<Reply, RpcError>>,
+{
     let Some(link) = shared.links.open(to.address).await else {
         let now = shared.clock.now();
-        shared.node().handle_pushback_miss(&to.name, now);
-        return;
+        (faults.missed)(&mut shared.node(), &to.name, now);
+        return None;
     };
-    let tell = |context| link.client.pushback(context, notice);
-    match call(ANSWER_TIMEOUT, tell).await {
-        Ok(()) => shared.node().handle_pushback_reply(&to.name),
+    let client = link.client.clone();
+    match call(ANSWER_TIMEOUT, |context| tell(client, context)).await {
+        Ok(reply) => Some(reply),
         Err(cause) => {
-            log::debug!("no answer of {} about servers: {cause}", to.name);
+            log::debug!("no answer of {} to a notice: {cause}", to.name);
             if !matches!(cause, RpcError::DeadlineExceeded) {
                 let now = shared.clock.now();
-                shared.node().handle_pushback_break(&to.name, now);
+                (faults.broken)(&mut shared.node(), &to.name, now);
             }
             shared.links.close(to.address, &link).await;
+            None
         }
     }
 }
--- a/crates/flaxtide-policy/src/pushback/report.rs
+++ b/crates/flaxtide-policy/src/pushback/report.rs
@@ -133,17 +133,12 @@
         reports.take(most).collect()
     }
 
-    /// Forgets servers of which nothing newer has been learnt for long.
-    pub fn expire(&mut self, now: Duration) {
-        self.words.retain(|_, word| now < word.learnt + LIFE);
-    }
-
     /// Forgets what is old, and the oldest if there is no place for one more.
     fn make_place(&mut self, now: Duration) {
         if self.words.len() < MOST_SERVERS {
             return;
         }
-        self.expire(now);
+        self.words.retain(|_, word| now < word.learnt + LIFE);
         let oldest = self.words.iter().min_by_key(|(_, word)| word.learnt);
         let oldest = oldest.map(|(server, _)| *server);
         if let Some(server) = oldest.filter(|_| self.words.len() >= MOST_SERVERS) {
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -7,7 +7,7 @@
 use flaxtide_core::{RequestId, ServerId};
 
 use super::call::{CallPlace, RoutedCall};
-use super::server::{RoutedServer, ServerState};
+use super::server::RoutedServer;
 use super::{RefusalCause, RouteAction, RouteCore};
 use crate::pushback::{InstanceGroup, ReportEffect, RequestRate, ServerStatement};
 use crate::rendezvous::numbered_weight;
@@ -55,7 +55,7 @@
         self.group = Some(group);
     }
 
-    /// Takes in what a server states in an answer to a request that was sent at `sent`. Returns
+    /// Records what a server states in an answer to a request that was sent at `sent`. Returns
     /// what is new, if anything is.
     pub fn hear_statement(
         &mut self,
@@ -81,7 +81,7 @@
         })
     }
 
-    /// Takes in that a peer heard a server state a rate, or none, at `heard`. Returns what that
+    /// Records that a peer heard a server state a rate, or none, at `heard`. Returns what that
     /// does to what is known; nothing if the server isn't known.
     pub fn hear_peer_rate(
         &mut self,
@@ -221,10 +221,3 @@
 ) -> f64 {
     group.map_or(0.0, |group| group.rate_part(facts.rank, facts.data_centre, rate))
 }
-
-impl ServerState {
-    /// Returns whether a request may be sent there, by what the server says of itself.
-    pub(super) fn is_open(&self, now: Duration) -> bool {
-        self.pushback.is_open(now)
-    }
-}
