What came while a process stood still is read before its server is taken to be silent

When it goes on, its timers fire before its connections are read, so the stream counts as silent for 1 s and is broken off, though its events lie in the socket. The next tries then found servers that had ended during the freeze, out of reach, until all four sends were used up.

Ruled out: a kill of the process or its server, the budget, the quarantine, planned stops (none at that moment).

Change: a wait whose timer fires a quarter of a second late or more goes on for 200 ms, in which what has come is read. The same cause elsewhere: the router held the time of a standstill against servers (no work for those with streams; peers were told so) and learnt it as their pace. Both leave it out now.

--- a/crates/flaxtide-entry/src/jump.rs
+++ b/crates/flaxtide-entry/src/jump.rs
@@ -15,6 +15,13 @@
 /// were told meanwhile are read, and peers are heard.
 const REJOIN_TIME: Duration = Duration::from_secs(1);
 
+/// A timer that fires so much later than it was due shows that the process stood still or had no
+/// time: what has come meanwhile may not have been read.
+const LATE_TIMER: Duration = Duration::from_millis(250);
+
+/// How long what has come meanwhile may take to be read.
+const READ_TIME: Duration = Duration::from_millis(200);
+
 /// Notices jumps by the time between two ticks.
 #[derive(Debug)]
 pub(crate) struct JumpWatch {
@@ -41,32 +48,40 @@
 }
 
 /// Handles a jump. Ages are counted on a clock that has jumped too, so peers' words, rate windows
-/// and heartbeats need nothing; what waits on timers, and connections, do.
+/// and heartbeats need nothing; what waits on timers, connections, and the silence of servers do.
 fn handle_jump(state: &TrafficState, span: Duration, now: Duration) {
     state.metrics.time_jumps.inc();
     log::warn!(span_ms = span.as_millis() as u64; "time jumped");
     state.rejoined_at.set(now + REJOIN_TIME);
     state.links.close_idle();
+    state.ask(|core, now| core.resume(span, now));
     state.jumped.notify_waiters();
 }
 
 impl TrafficState {
     /// Waits for something until a time on the clock; nothing if it hasn't come then. Timers
-    /// leave out the time of a suspension, so the clock is asked again after a jump.
+    /// leave out the time of a suspension, so the clock is asked again after a jump; and who is
+    /// asked this late gets the time to read what has come.
     pub(crate) async fn wait_until<Outcome>(
         &self,
-        until: Duration,
+        mut until: Duration,
         outcome: impl Future<Output = Outcome>,
     ) -> Option<Outcome> {
         let mut outcome = pin!(outcome);
         loop {
             let left = until.saturating_sub(self.now());
             let jumped = self.jumped.notified();
-            tokio::select! {
+            let over = tokio::select! {
                 biased;
                 outcome = &mut outcome => return Some(outcome),
-                () = tokio::time::sleep(left) => return None,
-                () = jumped => {}
+                () = tokio::time::sleep(left) => true,
+                () = jumped => false,
+            };
+            let now = self.now();
+            if now >= until + LATE_TIMER {
+                until = now + READ_TIME;
+            } else if over {
+                return None;
             }
         }
     }
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -139,6 +139,8 @@
     pub(crate) excluded: Vec<ServerId>,
     /// How often it was sent.
     pub(crate) sends: u32,
+    /// For how long this instance has stood still since it was sent.
+    pub(crate) stood_still: Duration,
     /// Whether its next try is paid for.
     pub(crate) granted: bool,
     /// Whether its present server's rate, if it states one, has room for it.
@@ -184,6 +186,7 @@
             place: CallPlace::Waiting,
             excluded: vec![],
             sends: 0,
+            stood_still: Duration::ZERO,
             granted: false,
             counted: false,
             runs: 0,
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -44,6 +44,11 @@
         self.doubted = None;
     }
 
+    /// Leaves out a time in which nothing could be heard.
+    pub(crate) fn resume(&mut self, span: Duration, now: Duration) {
+        self.heard = (self.heard + span).min(now);
+    }
+
     /// Records a whole answer.
     pub(crate) fn succeed(&mut self, now: Duration) {
         self.hear(now);
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod read;
 mod retry;
 mod server;
+mod standstill;
 mod wait;
 
 use std::collections::{BTreeMap, HashMap};
@@ -297,7 +298,8 @@
         server.health.hear(now);
         if first {
             server.load.read(now);
-            let seen = now.saturating_sub(since).as_secs_f64() * 1000.0;
+            let seen = now.saturating_sub(since + call.stood_still);
+            let seen = seen.as_secs_f64() * 1000.0;
             server.pace.learn(call.ahead, seen, now);
             server.remember(&call.call.prompt, now);
             self.reads.add(&call.call, id, &self.options, now);
@@ -317,7 +319,8 @@
         if let CallPlace::Running { server, since, .. } = call.place
             && let Some(state) = self.pools.get_mut(&pool)
         {
-            state.span.add(now.saturating_sub(since).as_secs_f64());
+            let span = now.saturating_sub(since + call.stood_still);
+            state.span.add(span.as_secs_f64());
             if let Some(server) = state.servers.get_mut(&server) {
                 server.load.end(request, call.call.prompt.is_long(&self.options));
                 server.health.succeed(now);
@@ -414,6 +417,7 @@
         let server = choice.server;
         call.place = CallPlace::Running { server, since: now, heard: None };
         call.sends += 1;
+        call.stood_still = Duration::ZERO;
         call.counted = false;
         call.uncached = choice.uncached;
         call.ahead = choice.ahead;
--- a/crates/flaxtide-policy/tests/router_silence.rs
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use flaxtide_policy::{RetryVerdict, RouteFault};
+use flaxtide_policy::{RetryVerdict, RouteAction, RouteFault};
 
 use self::common::{call, core_with, ms, server_of};
 
@@ -121,3 +121,35 @@
         );
     }
 }
+
+#[test]
+fn servers_are_not_silent_for_the_time_in_which_the_instance_stood_still() {
+    let mut core = core_with(2);
+    let first = server_of(&core.arrive(call(1, 100, true), ms(0)));
+    core.heard(1, ms(100));
+    core.resume(ms(5000), ms(5200));
+    assert!(core.silent_servers(ms(5200)).is_empty());
+    // Both servers may get work.
+    let second = server_of(&core.arrive(call(2, 100, true), ms(5200)));
+    let third = server_of(&core.arrive(call(3, 100, true), ms(5200)));
+    assert!([second, third].contains(&first));
+    // From there on silence counts as ever.
+    assert_eq!(core.silent_servers(ms(6200)), first.into_iter().collect::<Vec<_>>());
+}
+
+#[test]
+fn a_standstill_does_not_count_as_time_that_a_server_took() {
+    let expected_after = |standstill: u64| {
+        let mut core = core_with(1);
+        core.arrive(call(1, 20_000, true), ms(0));
+        core.resume(ms(standstill), ms(600 + standstill));
+        core.heard(1, ms(700 + standstill));
+        core.finish(1, ms(800 + standstill));
+        let actions = core.arrive(call(2, 20_000, true), ms(800 + standstill));
+        match &actions[..] {
+            [RouteAction::Dispatch { choice, .. }] => choice.expected,
+            other => panic!("not sent: {other:?}"),
+        }
+    };
+    assert_eq!(expected_after(4000), expected_after(0));
+}
