--- a/crates/flaxtide-policy/tests/lease_model.rs
+++ b/crates/flaxtide-policy/tests/lease_model.rs
@@ -320,3 +320,23 @@
     world.turn(1, true, true);
     assert_eq!(world.watches[1].fence(world.now, true), Some(2));
 }
+
+#[test]
+fn a_holder_that_lapsed_does_not_follow_the_one_that_followed_it_within_a_term() {
+    let mut world = World::new();
+    // It renews the lease without learning so, acts, and isn't heard of any more.
+    let lapses = [Happening::Turn(0), Happening::Tick, Happening::LoseAnswer(0)];
+    let acts = [Happening::Turn(1), Happening::Tick, Happening::Act(0)];
+    let taken_over = [Happening::Tick; 3];
+    let released = [Happening::Turn(1), Happening::Act(1), Happening::Release(1)];
+    let back = [Happening::Turn(1), Happening::Turn(0), Happening::Act(0)];
+    for happening in [lapses, acts, taken_over, released, back].as_flattened() {
+        world.play(*happening);
+    }
+    // Another instance may follow at once.
+    assert_eq!(world.watches[0].fence(world.now, true), None);
+    for _ in 0..2 {
+        world.turn(2, true, true);
+    }
+    assert_eq!(world.watches[2].fence(world.now, true), Some(3));
+}
