A holder that lapsed waits a term before it follows whoever gave the lease up

A holder whose lease had lapsed could follow its follower within a term of its last act. With released leases mended, the drawn runs showed two more, both without a row after a restore: a holder that lapsed, and one that had just started, took the lease at once.

Ruled out: the check is too strict (rule: holders A, B, A inside the term; nothing in the drawn case is out of touch with the store), and the restore (the first case fails before it).

A row that is seen unchanged for a term is taken as before.

--- a/crates/flaxtide-policy/src/lease.rs
+++ b/crates/flaxtide-policy/src/lease.rs
@@ -91,6 +91,8 @@
     looked: Option<Duration>,
     /// The lease, while this instance holds it.
     held: Option<HeldLease>,
+    /// Until when it may have held the lease last.
+    held_until: Duration,
     /// A write of which it isn't known whether it has taken effect.
     unknown: Option<UnknownWrite>,
     /// What the holder is to change in the row.
@@ -140,6 +142,7 @@
             seen: None,
             looked: None,
             held: None,
+            held_until: Duration::ZERO,
             unknown: None,
             change: None,
         }
@@ -247,10 +250,14 @@
 
     /// Returns whether the lease may be taken, as of the last look.
     fn is_free(&self, now: Duration) -> bool {
-        let Some((row, _, since)) = &self.seen else { return true };
-        // One that has just started may have held it under its last life. The one who holds it
-        // now and gives it up would be followed by the one before it.
-        let settled = now >= self.started + self.timing.term;
+        // Whoever holds it now may be unknown to a store that came back from a copy, or gives it
+        // up. The one before isn't to follow: this instance, or its last life.
+        let last = self.started.max(self.held_until);
+        let settled = now >= last + self.timing.term;
+        let Some((row, _, since)) = &self.seen else {
+            // Nobody has a number yet.
+            return self.floor == 0 || settled;
+        };
         (row.released && settled) || now >= *since + self.timing.term
     }
 
@@ -333,6 +340,7 @@
         }
         let since = self.held.map_or(from, |held| held.since);
         self.held = Some(HeldLease { fence, version, since, from });
+        self.held_until = from + self.timing.term;
         self.floor = self.floor.max(fence);
     }
 
