Rules that change in a row, each handed on in time, are no lag

That was looked at every 100 ms as one bit, "newer rules are known". When version 9 came out within 100 ms of version 8 coming into force, the bit never fell, and the second was counted from version 8 on (behind for 1,023 and 1,351 ms at the two calls that were read, though each version had come within some 700 ms). Two calls are lost each time: the late one, and the next, as the platform has answered.

Ruled out, though suspected: a plan of readers that still changes (one plan in each failing run, at 102 to 153 ms), a reader that isn't fresh or an old word of it (told 161 to 288 ms before). Load has a part: it decides how close the versions follow.

Change: RulesLag counts anew with each version in force.

--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -283,10 +283,10 @@
         silent.iter().filter_map(|server| state.server_key(*server)).collect();
     let events = events.clone();
     let source = state.source.clone();
-    source.set_behind(state.behind());
+    let version = state.rules_version();
+    source.note_rules(version, state.newest_rules.get());
     let duties = state.duties.clone();
     let alone_below = state.config().read_alone_below;
-    let version = state.rules_version();
     link.update(move |node, now| {
         // Told again each time, as the ring may have been full when the rules came.
         node.set_version(version);
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -26,6 +26,7 @@
 mod follower;
 mod instance;
 mod jump;
+mod lag;
 mod listen;
 mod logging;
 mod metrics;
@@ -57,6 +58,7 @@
     CallBackoff, FollowAnswer, FollowFault, FollowState, first_call_window,
 };
 pub use self::instance::{EntryInstance, StopHandle};
+pub use self::lag::RulesLag;
 pub use self::logging::init_entry_logging;
 pub use self::pauses::PeerPauses;
 pub use self::reader::ListLog;
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -6,11 +6,12 @@
 use std::time::Duration;
 
 use crossbeam::channel::bounded;
-use flaxtide_core::{MilliClock, StoreVersion};
+use flaxtide_core::{MilliClock, SettingsVersion, StoreVersion};
 use flaxtide_fleet::{ListPlan, ListReader, RowAnswer, RowChanges, RowQuestion};
 
 use crate::fleet::FleetLink;
 use crate::follow::first_call_window;
+use crate::lag::RulesLag;
 use crate::pauses::PeerPauses;
 use crate::reader::FRESH_PART;
 
@@ -59,8 +60,8 @@
     pauses: PeerPauses,
     /// When a peer last told.
     told: Option<Duration>,
-    /// Since when peers have told of newer rules than those in force.
-    behind_since: Option<Duration>,
+    /// How long peers have known newer rules than those in force.
+    lag: RulesLag,
 }
 
 impl ListSource {
@@ -73,7 +74,7 @@
             plan: ListPlan::default(),
             pauses: PeerPauses::new(leave_within.mul_f64(UNABLE_PART)),
             told: None,
-            behind_since: None,
+            lag: RulesLag::default(),
         };
         Self {
             settled_at: clock.now() + settling,
@@ -117,19 +118,17 @@
         self.follows_peers() && told.is_some_and(|at| self.clock.now() < at + life)
     }
 
-    /// Sets whether peers have told of newer rules than those in force.
-    pub(crate) fn set_behind(&self, behind: bool) {
+    /// Records which rules are in force, and which are the newest that peers have told of.
+    pub(crate) fn note_rules(&self, in_force: SettingsVersion, newest: SettingsVersion) {
         let now = self.clock.now();
-        let mut state = self.lock();
-        let since = state.behind_since.get_or_insert(now);
-        state.behind_since = behind.then_some(*since);
+        self.lock().lag.note(in_force, newest, now);
     }
 
     /// Returns whether newer rules have been known for so long that peers can't be waited
     /// for.
     pub(crate) fn is_behind(&self) -> bool {
-        let since = self.lock().behind_since;
-        since.is_some_and(|since| self.clock.now() >= since + HANDED_ON_WITHIN)
+        let lag = self.lock().lag.get(self.clock.now());
+        lag.is_some_and(|lag| lag >= HANDED_ON_WITHIN)
     }
 
     /// Returns up to when a peer that was asked at a time tells of changes at least.
