A test of a faltering giver counts all copies, whoever gives the newest settings

Then that provider fetches version 9 itself, and under load the requester asks it, rather than the other one, for version 9: the second copy. Nothing is sent twice; the check took it that only the other one gives version 9.

The check now counts all three instances: one copy of what was begun and one of the newest settings for each that lacks it, 2.9 to 3.4 in all, the same .4 of a copy allowed for waste, and it waits for the provider too.

--- a/crates/flaxtide-fleet/tests/transfer.rs
+++ b/crates/flaxtide-fleet/tests/transfer.rs
@@ -176,10 +176,13 @@
     provider.relay.set_fault(RelayFault::Cut);
     wait_until("the link is cut", || provider.relay.open() == 0);
     provider.relay.set_fault(RelayFault::Delay(1));
-    wait_until("the newest settings come", || requester.version() == 9);
-    let copies = provider.sent() as f64 / SIZE as f64;
-    assert!(
-        (0.9..1.4).contains(&copies),
-        "{copies:.1} copies came from the first provider"
-    );
+    let behind = [&requester, &provider];
+    wait_until("the newest settings come", || {
+        behind.iter().all(|one| one.version() == 9)
+    });
+    // What was begun comes once, and the newest settings once for each; whoever has those first
+    // may give them to the other.
+    let sent: u64 = [&requester, &provider, &newer].map(Instance::sent).iter().sum();
+    let copies = sent as f64 / SIZE as f64;
+    assert!((2.9..3.4).contains(&copies), "{copies:.1} copies were sent");
 }
