A test of standstills whose callers waited too little

The second request was refused whatever the standstill, as its first token was expected 508 ms later and its target is 500 ms. With a target of 5 s it passes, and fails without the mechanism.

--- a/crates/flaxtide-policy/tests/router_silence.rs
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use flaxtide_policy::{RetryVerdict, RouteAction, RouteFault};
+use flaxtide_policy::{RetryVerdict, RouteAction, RouteCall, RouteFault};
 
 use self::common::{call, core_with, ms, server_of};
 
@@ -140,12 +140,14 @@
 #[test]
 fn a_standstill_does_not_count_as_time_that_a_server_took() {
     let expected_after = |standstill: u64| {
+        let patient =
+            |request| RouteCall { target: ms(5000), ..call(request, 20_000, true) };
         let mut core = core_with(1);
-        core.arrive(call(1, 20_000, true), ms(0));
+        core.arrive(patient(1), ms(0));
         core.resume(ms(standstill), ms(600 + standstill));
         core.heard(1, ms(700 + standstill));
         core.finish(1, ms(800 + standstill));
-        let actions = core.arrive(call(2, 20_000, true), ms(800 + standstill));
+        let actions = core.arrive(patient(2), ms(800 + standstill));
         match &actions[..] {
             [RouteAction::Dispatch { choice, .. }] => choice.expected,
             other => panic!("not sent: {other:?}"),
