While servers ask for rest, work goes first to those that have just answered

Cause: each instance finds out by itself which servers shed, a refusal for each server and rest. With many instances nearly every second request meets a server that this instance doesn't know to be shedding; the repeats use up the budget (a fifth), and callers are turned away although the other half of the servers has room.

Ruled out, in the lab: it isn't room (the others have 64 slots and at most 31 requests), nor the time that refusals take (2 ms).

Change: the router estimates how likely a server of which it knows nothing turns a request away (refusals with a rest raise it, answers of strange servers lower it, halved each 3 s) and charges that, times 100 ms, to servers by how long ago they last answered. While nobody asks for rest nothing is charged: choices are as before.

One word for all instances (refusals told to peers) wasn't built.

--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -246,6 +246,7 @@
         let homes = homes(&call.prompt, servers);
         let holder = self.holder(&call.prompt, sources, now);
         let span_ms = self.span_ms(call.pool);
+        let refusal_ms = self.refusal_ms(call.pool, now);
         let shared = call.prompt.shared_tokens();
         let own = call.prompt.tokens.saturating_sub(shared);
         let candidates =
@@ -269,6 +270,10 @@
                         None => uncached.saturating_sub(own),
                     };
                     candidate.cost_ms += self.spread_ms(server, request);
+                    if refusal_ms > 0.0 {
+                        let strangeness = server.health.strangeness(now, &self.options);
+                        candidate.cost_ms += refusal_ms * strangeness;
+                    }
                     let again_ms = f64::from(again) / server.pace.get(now);
                     candidate.cost_ms += self.options.reread_weight * again_ms;
                     candidate
@@ -375,6 +380,13 @@
         span.unwrap_or_default() * 1000.0
     }
 
+    /// Returns what it costs on average to send a request to a server of a pool of which nothing
+    /// is known, as it may turn the request away, in milliseconds.
+    fn refusal_ms(&self, pool: PoolId, now: Duration) -> f64 {
+        let odds = self.pools.get(&pool).map_or(0.0, |state| state.shed.get(now));
+        odds * self.options.refused_cost_ms
+    }
+
     /// Returns how long a server reads what it was sent before a new request of a level,
     /// in milliseconds.
     fn backlog_ms(&self, server: &ServerState, level: u8, now: Duration) -> f64 {
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -20,6 +20,8 @@
     pause: Duration,
     /// When anything last came from it.
     heard: Duration,
+    /// When it last answered a request as it should, unless it has turned one away since.
+    served: Option<Duration>,
     /// When it was last found silent or out of reach, unless it has answered since.
     doubted: Option<Duration>,
     /// The decayed part of its requests that failed.
@@ -33,6 +35,7 @@
             paused_until: Duration::ZERO,
             pause: Duration::ZERO,
             heard: now,
+            served: None,
             doubted: None,
             failures: 0.0,
         }
@@ -49,9 +52,15 @@
         self.heard = (self.heard + span).min(now);
     }
 
+    /// Records that a part of an answer came.
+    pub(crate) fn serve(&mut self, now: Duration) {
+        self.hear(now);
+        self.served = Some(now);
+    }
+
     /// Records a whole answer.
     pub(crate) fn succeed(&mut self, now: Duration) {
-        self.hear(now);
+        self.serve(now);
         self.pause = Duration::ZERO;
         self.failures *= 1.0 - NEWEST_OUTCOME;
     }
@@ -68,6 +77,7 @@
             RouteFault::Withheld => {}
             RouteFault::Full => {
                 self.hear(now);
+                self.served = None;
                 self.paused_until = self.paused_until.max(now + options.full_pause);
             }
             RouteFault::Replaced => self.rest(now, options.longest_pause, options),
@@ -116,6 +126,14 @@
         self.failures += (1.0 - self.failures) * NEWEST_OUTCOME;
     }
 
+    /// Returns how little is known of whether it turns requests away: 0 if it has just answered
+    /// one, 1 if it has turned one away since or has answered none lately.
+    pub(crate) fn strangeness(&self, now: Duration, options: &RouteOptions) -> f64 {
+        let Some(served) = self.served else { return 1.0 };
+        let age = now.saturating_sub(served).as_secs_f64();
+        1.0 - 0.5f64.powf(age / options.served_half_life.as_secs_f64())
+    }
+
     /// Returns when anything last came.
     pub(crate) fn heard(&self) -> Duration {
         self.heard
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -15,6 +15,7 @@
 mod read;
 mod retry;
 mod server;
+mod shed;
 mod standstill;
 mod wait;
 
@@ -41,6 +42,7 @@
 use self::pushback::own_part;
 use self::read::ReadLog;
 use self::server::ServerState;
+use self::shed::ShedOdds;
 use crate::pushback::{InstanceGroup, UnlistedPushback};
 use crate::queue::{PoolQueue, QueueEntry};
 
@@ -107,6 +109,8 @@
     retries: Vec<RequestId>,
     /// What may be spent on further tries.
     budget: RetryWindow,
+    /// How likely servers that haven't answered lately turn requests away.
+    shed: ShedOdds,
     /// How the servers are shared between long and short prompts.
     split: LaneSplit,
     /// The mean time from dispatch to the end of an answer, in seconds.
@@ -295,7 +299,8 @@
         let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
         let id = server;
         let Some(server) = state.servers.get_mut(&id) else { return };
-        server.health.hear(now);
+        state.shed.record_answer(&server.health, &self.options, now);
+        server.health.serve(now);
         if first {
             server.load.read(now);
             let seen = now.saturating_sub(since + call.stood_still);
@@ -323,6 +328,7 @@
             state.span.add(span.as_secs_f64());
             if let Some(server) = state.servers.get_mut(&server) {
                 server.load.end(request, call.call.prompt.is_long(&self.options));
+                state.shed.record_answer(&server.health, &self.options, now);
                 server.health.succeed(now);
             }
         }
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -161,6 +161,9 @@
         let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
         let Some(server) = state.servers.get_mut(&server) else { return };
         server.health.fail(fault, now, &self.options);
+        if fault == RouteFault::Full && server.pushback.rests(now) {
+            state.shed.record_refusal(now);
+        }
     }
 
     /// Gives servers to the requests that are tried again.
