--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -20,8 +20,10 @@
     pause: Duration,
     /// When anything last came from it.
     heard: Duration,
-    /// When it last answered a request as it should, unless it has turned one away since.
-    served: Option<Duration>,
+    /// When it last began to answer a request, unless it has turned one away since.
+    admitted: Option<Duration>,
+    /// When it last turned a request away.
+    refused: Option<Duration>,
     /// When it was last found silent or out of reach, unless it has answered since.
     doubted: Option<Duration>,
     /// The decayed part of its requests that failed.
@@ -35,7 +37,8 @@
             paused_until: Duration::ZERO,
             pause: Duration::ZERO,
             heard: now,
-            served: None,
+            admitted: None,
+            refused: None,
             doubted: None,
             failures: 0.0,
         }
@@ -52,15 +55,17 @@
         self.heard = (self.heard + span).min(now);
     }
 
-    /// Records that a part of an answer came.
-    pub(crate) fn serve(&mut self, now: Duration) {
-        self.hear(now);
-        self.served = Some(now);
+    /// Records that it has begun to answer a request that was sent at `sent`. What was sent before
+    /// it turned another one away tells nothing of what it takes now.
+    pub(crate) fn admit(&mut self, sent: Duration, now: Duration) {
+        if self.refused.is_none_or(|at| sent > at) {
+            self.admitted = Some(now);
+        }
     }
 
     /// Records a whole answer.
     pub(crate) fn succeed(&mut self, now: Duration) {
-        self.serve(now);
+        self.hear(now);
         self.pause = Duration::ZERO;
         self.failures *= 1.0 - NEWEST_OUTCOME;
     }
@@ -77,7 +82,8 @@
             RouteFault::Withheld => {}
             RouteFault::Full => {
                 self.hear(now);
-                self.served = None;
+                self.admitted = None;
+                self.refused = Some(now);
                 self.paused_until = self.paused_until.max(now + options.full_pause);
             }
             RouteFault::Replaced => self.rest(now, options.longest_pause, options),
@@ -126,12 +132,12 @@
         self.failures += (1.0 - self.failures) * NEWEST_OUTCOME;
     }
 
-    /// Returns how little is known of whether it turns requests away: 0 if it has just answered
-    /// one, 1 if it has turned one away since or has answered none lately.
+    /// Returns how little is known of whether it turns requests away: 0 if it has just begun to
+    /// answer one, 1 if it has turned one away since or has answered none lately.
     pub(crate) fn strangeness(&self, now: Duration, options: &RouteOptions) -> f64 {
-        let Some(served) = self.served else { return 1.0 };
-        let age = now.saturating_sub(served).as_secs_f64();
-        1.0 - 0.5f64.powf(age / options.served_half_life.as_secs_f64())
+        let Some(admitted) = self.admitted else { return 1.0 };
+        let age = now.saturating_sub(admitted).as_secs_f64();
+        1.0 - 0.5f64.powf(age / options.admitted_half_life.as_secs_f64())
     }
 
     /// Returns when anything last came.
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -299,9 +299,10 @@
         let Some(state) = self.pools.get_mut(&call.call.pool) else { return };
         let id = server;
         let Some(server) = state.servers.get_mut(&id) else { return };
-        state.shed.record_answer(&server.health, &self.options, now);
-        server.health.serve(now);
+        server.health.hear(now);
         if first {
+            state.shed.record_answer(&server.health, &self.options, now);
+            server.health.admit(since, now);
             server.load.read(now);
             let seen = now.saturating_sub(since + call.stood_still);
             let seen = seen.as_secs_f64() * 1000.0;
@@ -328,7 +329,10 @@
             state.span.add(span.as_secs_f64());
             if let Some(server) = state.servers.get_mut(&server) {
                 server.load.end(request, call.call.prompt.is_long(&self.options));
-                state.shed.record_answer(&server.health, &self.options, now);
+                if !call.begun() {
+                    state.shed.record_answer(&server.health, &self.options, now);
+                    server.health.admit(since, now);
+                }
                 server.health.succeed(now);
             }
         }
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -107,7 +107,7 @@
     pub longest_pause: Duration,
     /// After so long, an answer of a server tells half as much of whether it turns requests away.
     #[serde(deserialize_with = "deserialize_span")]
-    pub served_half_life: Duration,
+    pub admitted_half_life: Duration,
     /// What it costs, in milliseconds, to be turned away by a server: a repeat that the budget may
     /// lack later.
     pub refused_cost_ms: f64,
@@ -170,7 +170,7 @@
             long_silence: Duration::from_millis(1500),
             pause: Duration::from_millis(500),
             longest_pause: Duration::from_secs(4),
-            served_half_life: Duration::from_millis(1000),
+            admitted_half_life: Duration::from_millis(1000),
             refused_cost_ms: 500.0,
             full_pause: Duration::from_millis(150),
             longest_rest: Duration::from_secs(60),
