--- a/crates/flaxtide-lab/tests/rate.rs
+++ b/crates/flaxtide-lab/tests/rate.rs
@@ -1,6 +1,8 @@
 //! Servers that state a rate for all instances together, under three times as much demand, on a
 //! manual clock: how much reaches them, and how much of the rate is used.
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::sync::Arc;
@@ -8,14 +10,13 @@
 
 use flaxtide_core::ServerId;
 use flaxtide_policy::{
-    GroupMember, InstanceGroup, PromptShape, RequestRate, RouteAction, RouteCall,
-    RouteCore, RouteOptions, RoutedServer, ServerStatement, StatedRate,
+    GroupMember, InstanceGroup, RequestRate, RouteAction, RouteCore, RouteOptions,
+    RoutedServer, ServerStatement, StatedRate,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// The pool.
-const POOL: u16 = 1;
+use self::common::{POOL, call, plain_server};
 
 /// How long a server takes for a request.
 const WORK: Duration = Duration::from_millis(60);
@@ -234,15 +235,9 @@
 fn fresh_core(pattern: &RatePattern, number: usize) -> RouteCore {
     let mut core = RouteCore::new(RouteOptions::default());
     core.set_seed(number as u64);
-    let servers = (0..pattern.data_centres as u32).map(|server| RoutedServer {
-        server,
-        rank: u64::from(server) + 1000,
-        slots: 64,
-        engine: None,
-        data_centre: server,
-        near: server as usize == number % pattern.data_centres,
-        leaving: false,
-        lapsed: false,
+    let servers = (0..pattern.data_centres as u32).map(|server| {
+        let near = server as usize == number % pattern.data_centres;
+        plain_server(server, u64::from(server) + 1000, server, near)
     });
     let servers: Vec<RoutedServer> = servers.collect();
     core.set_servers(POOL, &servers, Duration::ZERO);
@@ -254,24 +249,6 @@
     core
 }
 
-/// Makes a call that waits for half a second.
-fn call(request: u64, now: Duration) -> RouteCall {
-    RouteCall {
-        request,
-        pool: POOL,
-        class: 1,
-        organisation: 1,
-        tier: 1,
-        level: 1,
-        prompt: PromptShape::default(),
-        target: Duration::from_secs(1),
-        give_up: now + Duration::from_millis(500),
-        deadline: now + Duration::from_secs(2),
-        repeatable: true,
-        run_limit: 2,
-    }
-}
-
 /// Sizes of fleets, and in how many data centres they stand.
 const SIZES: [(usize, usize); 4] = [(9, 4), (81, 4), (295, 6), (580, 10)];
 
--- a/crates/flaxtide-lab/tests/shed.rs
+++ b/crates/flaxtide-lab/tests/shed.rs
@@ -1,20 +1,21 @@
 //! Half of the servers turn requests away and ask for rest, on a manual clock: how often requests
 //! are sent, what callers get, and how work comes back afterwards.
 
+mod common;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
 use flaxtide_policy::{
-    PromptShape, RetryVerdict, RouteAction, RouteCall, RouteCore, RouteFault,
-    RouteOptions, RoutedServer, ServerStatement,
+    RetryVerdict, RouteAction, RouteCore, RouteFault, RouteOptions, RoutedServer,
+    ServerStatement,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// The pool.
-const POOL: u16 = 1;
+use self::common::{POOL, call, plain_server};
 
 /// How long a server takes for a request.
 const WORK: Duration = Duration::from_millis(100);
@@ -202,39 +203,15 @@
     let mut core = RouteCore::new(RouteOptions::default());
     core.set_seed(number as u64);
     core.set_instances(pattern.instances as u32);
-    let servers = (0..pattern.servers).map(|server| RoutedServer {
-        server,
-        rank: u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15),
-        slots: 64,
-        engine: None,
-        data_centre: 0,
-        near: true,
-        leaving: false,
-        lapsed: false,
+    let servers = (0..pattern.servers).map(|server| {
+        let rank = u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        plain_server(server, rank, 0, true)
     });
     let servers: Vec<RoutedServer> = servers.collect();
     core.set_servers(POOL, &servers, Duration::ZERO);
     core
 }
 
-/// Makes a call that waits for half a second.
-fn call(request: RequestId, now: Duration) -> RouteCall {
-    RouteCall {
-        request,
-        pool: POOL,
-        class: 1,
-        organisation: 1,
-        tier: 1,
-        level: 1,
-        prompt: PromptShape::default(),
-        target: Duration::from_secs(1),
-        give_up: now + Duration::from_millis(500),
-        deadline: now + Duration::from_secs(2),
-        repeatable: true,
-        run_limit: 2,
-    }
-}
-
 /// Instances, servers and requests a second.
 const PATTERNS: [ShedPattern; 5] = [
     ShedPattern { instances: 9, servers: 16, demand: 400.0 },
