One lookup of a server, one call of a peer, an opening with three states; seven comments

No behaviour is meant to change: - the lookup of a server over all pools stood in three places (find_server); - `deliver` opened, called and closed a link as call_peer does; both go through try_call_peer, which says why there is no answer. A broken link is now closed before the node is told that it broke, rather than after; - Option<ServerOpening> was three states in two types; - comments in words of our own.

--- a/crates/flaxtide-entry/src/jump.rs
+++ b/crates/flaxtide-entry/src/jump.rs
@@ -60,8 +60,8 @@
 
 impl TrafficState {
     /// Waits for something until a time on the clock; nothing if it hasn't come then. Timers
-    /// leave out the time of a suspension, so the clock is asked again after a jump; and who is
-    /// asked this late gets the time to read what has come.
+    /// leave out the time of a suspension, so the clock is asked again after a jump. After a late
+    /// timer there is some more time to read what has come.
     pub(crate) async fn wait_until<Outcome>(
         &self,
         mut until: Duration,
--- a/crates/flaxtide-fleet/src/node/pushback.rs
+++ b/crates/flaxtide-fleet/src/node/pushback.rs
@@ -96,7 +96,7 @@
         for report in &notice.reports {
             match self.pushback.log.apply(report, now) {
                 ReportEffect::Known => {}
-                // Whoever says this doesn't know better.
+                // The peer lacks what the server has said since, and is told.
                 ReportEffect::Outdated => self.pushback.news.push(report.server),
                 ReportEffect::News => {
                     news.push(*report);
--- a/crates/flaxtide-fleet/src/shared.rs
+++ b/crates/flaxtide-fleet/src/shared.rs
@@ -57,6 +57,17 @@
     partial: Mutex<PartialCopy>,
 }
 
+/// Why a peer hasn't answered a call.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallFault {
+    /// There was no link to it.
+    NoLink,
+    /// No answer came in time.
+    Late,
+    /// The call broke its link.
+    Broken,
+}
+
 impl FleetShared {
     /// Starts without links or rows to give.
     pub(crate) fn new(
@@ -99,14 +110,32 @@
     where
         Call: Future<Output = Result<Answer, RpcError>>,
     {
-        let link = self.links.open(peer.address).await?;
+        self.try_call_peer(peer, timeout, ask).await.ok()
+    }
+
+    /// The same.
+    ///
+    /// # Errors
+    ///
+    /// Returns why there is no answer.
+    pub(crate) async fn try_call_peer<Answer, Call>(
+        &self,
+        peer: &PeerInfo,
+        timeout: Duration,
+        ask: impl FnOnce(PeerLinkClient, Context) -> Call,
+    ) -> Result<Answer, CallFault>
+    where
+        Call: Future<Output = Result<Answer, RpcError>>,
+    {
+        let link = self.links.open(peer.address).await.ok_or(CallFault::NoLink)?;
         let client = link.client.clone();
         match call(timeout, |context| ask(client, context)).await {
-            Ok(answer) => Some(answer),
+            Ok(answer) => Ok(answer),
             Err(cause) => {
                 log::debug!("no answer from {}: {cause}", peer.name);
                 self.links.close(peer.address, &link).await;
-                None
+                let late = matches!(cause, RpcError::DeadlineExceeded);
+                Err(if late { CallFault::Late } else { CallFault::Broken })
             }
         }
     }
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -26,7 +26,7 @@
 use crate::rows::{RowAnswer, RowQuestion, RowSource};
 use crate::serve::serve;
 use crate::settings::SettingsCopy;
-use crate::shared::{ANSWER_TIMEOUT, FleetOutput, FleetShared};
+use crate::shared::{ANSWER_TIMEOUT, CallFault, FleetOutput, FleetShared};
 use crate::usage::UsageRound;
 use crate::wire::PeerLinkClient;
 
@@ -321,24 +321,17 @@
 where
     Answer: Future<Output = Result<Reply, RpcError>>,
 {
-    let Some(link) = shared.links.open(to.address).await else {
-        let now = shared.clock.now();
-        (faults.missed)(&mut shared.node(), &to.name, now);
-        return None;
+    let fault = match shared.try_call_peer(to, ANSWER_TIMEOUT, tell).await {
+        Ok(reply) => return Some(reply),
+        Err(fault) => fault,
     };
-    let client = link.client.clone();
-    match call(ANSWER_TIMEOUT, |context| tell(client, context)).await {
-        Ok(reply) => Some(reply),
-        Err(cause) => {
-            log::debug!("no answer of {} to a notice: {cause}", to.name);
-            if !matches!(cause, RpcError::DeadlineExceeded) {
-                let now = shared.clock.now();
-                (faults.broken)(&mut shared.node(), &to.name, now);
-            }
-            shared.links.close(to.address, &link).await;
-            None
-        }
+    let now = shared.clock.now();
+    match fault {
+        CallFault::NoLink => (faults.missed)(&mut shared.node(), &to.name, now),
+        CallFault::Broken => (faults.broken)(&mut shared.node(), &to.name, now),
+        CallFault::Late => {}
     }
+    None
 }
 
 /// Asks a peer for the rows that it has read. An answer that is late doesn't close the link:
--- a/crates/flaxtide-fleet/tests/transfer.rs
+++ b/crates/flaxtide-fleet/tests/transfer.rs
@@ -180,7 +180,7 @@
     wait_until("the newest settings come", || {
         behind.iter().all(|one| one.version() == 9)
     });
-    // What was begun comes once, and the newest settings once for each; whoever has those first
+    // What was begun comes once, and the newest settings once for each; the first to have those
     // may give them to the other.
     let sent: u64 = [&requester, &provider, &newer].map(Instance::sent).iter().sum();
     let copies = sent as f64 / SIZE as f64;
--- a/crates/flaxtide-policy/benches/gate.rs
+++ b/crates/flaxtide-policy/benches/gate.rs
@@ -9,7 +9,7 @@
 };
 use hdrhistogram::Histogram;
 
-/// How many requests are measured.
+/// The number of requests in a measurement.
 const REQUESTS: u64 = 200_000;
 
 /// How many requests are at servers at a time.
--- a/crates/flaxtide-policy/src/lease.rs
+++ b/crates/flaxtide-policy/src/lease.rs
@@ -250,8 +250,8 @@
 
     /// Returns whether the lease may be taken, as of the last look.
     fn is_free(&self, now: Duration) -> bool {
-        // Whoever holds it now may be unknown to a store that came back from a copy, or gives it
-        // up. The one before isn't to follow: this instance, or its last life.
+        // A store that came back from a copy may not know the present holder, and that holder may
+        // give the lease up. The holder before it isn't to follow: this instance, or its last life.
         let last = self.started.max(self.held_until);
         let settled = now >= last + self.timing.term;
         let Some((row, _, since)) = &self.seen else {
--- a/crates/flaxtide-policy/src/pushback/limit.rs
+++ b/crates/flaxtide-policy/src/pushback/limit.rs
@@ -5,8 +5,8 @@
 use super::bucket::TokenBucket;
 use super::statement::RequestRate;
 
-/// For how long a larger part must be due before it is taken: whoever had it may not know yet
-/// that it has it no more, and an instance that was frozen sees nobody alive for a moment.
+/// For how long a larger part must be due before it is taken: its former owner may still use it, and
+/// an instance that was frozen sees nobody alive for a moment.
 const GROWTH_DELAY: Duration = Duration::from_secs(2);
 
 /// This instance's part of the rate that a server takes from all instances.
--- a/crates/flaxtide-policy/src/pushback/report.rs
+++ b/crates/flaxtide-policy/src/pushback/report.rs
@@ -35,7 +35,7 @@
     News,
     /// It says what is known.
     Known,
-    /// The server has said something else since; whoever reports should know.
+    /// The server has said something else since, which the reporter is to be told.
     Outdated,
 }
 
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -218,8 +218,7 @@
     /// Takes in what a peer saw servers read.
     pub fn hear_reads(&mut self, reads: &[(ServerId, PartKey)], now: Duration) {
         for (server, part) in reads {
-            let mut pools = self.pools.values_mut();
-            if let Some(server) = pools.find_map(|pool| pool.servers.get_mut(server)) {
+            if let Some(server) = find_server(&mut self.pools, *server) {
                 server.hear_read(*part, now);
             }
         }
@@ -453,3 +452,11 @@
         std::mem::take(&mut self.actions)
     }
 }
+
+/// Returns what is known of a server.
+fn find_server(
+    pools: &mut BTreeMap<PoolId, RoutePool>,
+    server: ServerId,
+) -> Option<&mut ServerState> {
+    pools.values_mut().find_map(|pool| pool.servers.get_mut(&server))
+}
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -8,7 +8,7 @@
 
 use super::call::{CallPlace, RoutedCall};
 use super::server::RoutedServer;
-use super::{RefusalCause, RouteAction, RouteCore};
+use super::{RefusalCause, RouteAction, RouteCore, find_server};
 use crate::pushback::{InstanceGroup, ReportEffect, RequestRate, ServerStatement};
 use crate::rendezvous::numbered_weight;
 
@@ -65,8 +65,7 @@
         now: Duration,
     ) -> Option<StatementNote> {
         let group = self.group.as_deref();
-        let mut pools = self.pools.values_mut();
-        let server = pools.find_map(|pool| pool.servers.get_mut(&server))?;
+        let server = find_server(&mut self.pools, server)?;
         let part = |rate| own_part(group, &server.facts, rate);
         let pushback = &mut server.pushback;
         let rest = statement.rest.map(|rest| rest.min(self.options.longest_rest));
@@ -91,8 +90,7 @@
         now: Duration,
     ) -> Option<ReportEffect> {
         let group = self.group.as_deref();
-        let mut pools = self.pools.values_mut();
-        let server = pools.find_map(|pool| pool.servers.get_mut(&server))?;
+        let server = find_server(&mut self.pools, server)?;
         let part = |rate| own_part(group, &server.facts, rate);
         Some(server.pushback.hear_peer(rate, part, heard, now))
     }
@@ -136,14 +134,11 @@
         counted || server.pushback.take(now)
     }
 
-    /// Returns when the first server will take a request that none takes now; nothing if one does
-    /// already, though it has no room.
-    pub(super) fn opens_at(
-        &self,
-        call: &RoutedCall,
-        now: Duration,
-    ) -> Option<ServerOpening> {
-        let state = self.pools.get(&call.call.pool)?;
+    /// Returns when the first server takes a request.
+    fn opens_at(&self, call: &RoutedCall, now: Duration) -> ServerOpening {
+        let Some(state) = self.pools.get(&call.call.pool) else {
+            return ServerOpening::Now;
+        };
         let servers = state.servers.values();
         let usable = servers.filter(|server| {
             let excluded = call.excluded.contains(&server.facts.server);
@@ -153,11 +148,11 @@
         for server in usable {
             let Some(at) = server.pushback.opens_at(now) else { continue };
             if at <= now {
-                return None;
+                return ServerOpening::Now;
             }
             first = Some(first.map_or(at, |first: Duration| first.min(at)));
         }
-        Some(first.map_or(ServerOpening::Unknown, ServerOpening::At))
+        first.map_or(ServerOpening::Unknown, ServerOpening::At)
     }
 
     /// Returns whether no server takes a request before a time.
@@ -168,9 +163,9 @@
         now: Duration,
     ) -> bool {
         match self.opens_at(call, now) {
-            None => false,
-            Some(ServerOpening::At(at)) => at >= time,
-            Some(ServerOpening::Unknown) => true,
+            ServerOpening::Now => false,
+            ServerOpening::At(at) => at >= time,
+            ServerOpening::Unknown => true,
         }
     }
 
@@ -184,8 +179,8 @@
     pub(super) fn refuse_closed(&mut self, request: RequestId, now: Duration) {
         let Some(call) = self.calls.remove(&request) else { return };
         let retry_after = match self.opens_at(&call, now) {
-            Some(ServerOpening::At(at)) => self.spread(request, at.saturating_sub(now)),
-            _ => self.options.no_server_retry,
+            ServerOpening::At(at) => self.spread(request, at.saturating_sub(now)),
+            ServerOpening::Now | ServerOpening::Unknown => self.options.no_server_retry,
         };
         let longest = self.options.longest_retry;
         self.actions.push(RouteAction::Refuse {
@@ -205,7 +200,9 @@
 
 /// When the first server of a pool takes a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum ServerOpening {
+enum ServerOpening {
+    /// One does already, though it may have no room.
+    Now,
     /// At this time.
     At(Duration),
     /// That can't be told.
