Leaving servers: gaps are read at once, no call waits longer than the bound, readers from ten instances on

Change: replies to requests for rows tell a gap from a lag, and a gap lets the platform be called within a tenth of the longest wait; calls wait for .9 of the bound at most; the fallback of instances with readers waits for .25 of it instead of 2 s; groups of ten and more have a reader.

Tests: following, reading, reader, follow pass.

--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -175,9 +175,10 @@
     Duration::from_secs(10)
 }
 
-/// The default of `read_alone_below`. In smaller fleets, a shared reader costs the platform more
-/// calls than it saves: it makes about 100 calls a minute, an instance by itself 20.
-const DEFAULT_READ_ALONE_BELOW: usize = 17;
+/// The default of `read_alone_below`. In smaller groups, a shared reader costs the platform more
+/// calls than it saves: with a bound of 2 s for leaving servers it makes about 135 calls a minute,
+/// an instance by itself 15 to 25.
+const DEFAULT_READ_ALONE_BELOW: usize = 10;
 
 /// Returns the default of `read_alone_below`.
 fn usual_alone_below() -> usize {
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -9,7 +9,7 @@
 
 /// How long a call waits for changes. It is the longest wait that such platforms commonly
 /// allow, as each call costs them some load.
-pub(crate) const FOLLOW_WAIT: Duration = Duration::from_secs(25);
+const FOLLOW_WAIT: Duration = Duration::from_secs(25);
 
 /// How long a call waits for changes soon after a failed one. A store that has just
 /// recovered may not report all changes to calls that wait for them, so the calls are
@@ -132,6 +132,23 @@
         *self = Self { next_call: Some(now), pause: None };
     }
 
+    /// Schedules the next call within `window`, however many have failed: the platform
+    /// answers others. `random` lies between 0 and 1.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flaxtide_entry::CallBackoff;
+    /// let (mut backoff, now) = (CallBackoff::default(), Duration::from_secs(9));
+    /// backoff.record_failure(0.5, now);
+    /// backoff.expect_answer(Duration::from_millis(200), 0.5, now);
+    /// let delay = backoff.delay(Duration::from_secs(3), 0.5, now);
+    /// assert_eq!(delay, Some(Duration::from_millis(100)));
+    /// ```
+    pub fn expect_answer(&mut self, window: Duration, random: f64, now: Duration) {
+        let due_at = now + window.mul_f64(random);
+        self.next_call = Some(self.next_call.map_or(due_at, |at| at.min(due_at)));
+    }
+
     /// Resets the delays after a peer has answered.
     pub fn reset(&mut self) {
         *self = Self::default();
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -12,11 +12,19 @@
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
 use crate::feed::FeedEvent;
 use crate::fleet::FleetLink;
-use crate::follow::{CallBackoff, FOLLOW_WAIT, FollowAnswer, FollowFault, FollowState};
+use crate::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState};
 use crate::metrics::EntryMetrics;
 use crate::reader::ServerListLog;
 use crate::source::ServerListSource;
 
+/// How long a call to the platform waits for changes, as a fraction of the time within which
+/// a leaving server must stop getting requests.
+pub(crate) const POLL_WAIT_FRACTION: f64 = 0.9;
+
+/// The window within which instances call the platform whose readers have just read from it
+/// and lack some changes, as a fraction of the longest wait of a call.
+const GAP_WINDOW_FRACTION: f64 = 0.1;
+
 /// How often an instance checks whether peers still push newer rules to it.
 const PEER_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -49,6 +57,10 @@
     /// The pause between two calls to the platform. Rows may change all the time, and
     /// each call costs the platform some load.
     pub(crate) call_pause: Duration,
+    /// How long a call to the platform waits for changes at most. A store that fell silent
+    /// and recovered never answers the calls from before, so changes may be missed for as
+    /// long.
+    pub(crate) poll_wait: Duration,
     /// Knows which peer to ask instead of the platform.
     pub(crate) source: Arc<ServerListSource>,
     /// The log from which peers are answered, and the link over which they are asked.
@@ -93,9 +105,19 @@
         if !self.source.reads_from_peers() || overdue {
             return None;
         }
+        let has_gap = self.topic == FeedTopic::Servers && self.source.take_gap();
+        if has_gap {
+            backoff.expect_answer(self.gap_window(), rand::random(), now);
+        }
         backoff.delay(self.source.call_window(), rand::random(), now)
     }
 
+    /// Returns the window within which instances whose readers lack some changes call the
+    /// platform.
+    fn gap_window(&self) -> Duration {
+        self.poll_wait.mul_f64(GAP_WINDOW_FRACTION)
+    }
+
     /// Calls the platform. The call waits for changes for at most `max_wait`.
     fn fetch(
         &self,
@@ -120,7 +142,7 @@
         let timing = list.and_then(|(list, _)| {
             list.reader_timing(self.source.reader(), self.call_pause)
         });
-        timing.unwrap_or((FOLLOW_WAIT, self.call_pause))
+        timing.unwrap_or((self.poll_wait, self.call_pause))
     }
 
     /// Returns the time up to which an answer of the platform includes all changes. An
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -21,7 +21,7 @@
 use crate::fleet::{
     FleetLink, RulesDownloadMonitor, export_peer_bytes, open_fleet, publish_to_peers,
 };
-use crate::follower::{TopicFollower, follow_topic};
+use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
 use crate::jump::JumpDetector;
 use crate::listen::{accept_callers, bind_listener, serve_probes};
 use crate::logging::flush_log;
@@ -176,10 +176,12 @@
             };
             let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
             let source = source.clone();
+            let poll_wait = config.leave_within.mul_f64(POLL_WAIT_FRACTION);
             spawn_feed(TopicFollower {
                 feed,
                 topic,
                 call_pause,
+                poll_wait,
                 source,
                 log_and_link,
                 events,
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -36,8 +36,9 @@
 const READER_PAUSE_FRACTION: f64 = 0.15;
 
 /// How long a call to the platform waits for changes if the instance's readers don't
-/// answer. It is short, because the readers are asked again after it.
-const FALLBACK_WAIT: Duration = Duration::from_secs(2);
+/// answer, as a fraction of `leave_within`. It is short, because the readers are asked
+/// again after it.
+const FALLBACK_WAIT_FRACTION: f64 = 0.25;
 
 /// The changes of the server list that this instance has read from the platform, for
 /// peers that ask.
@@ -146,10 +147,16 @@
             ListReader::ForPeers => {
                 Some((span(READER_WAIT_FRACTION), span(READER_PAUSE_FRACTION)))
             }
-            ListReader::Peer(_) => Some((FALLBACK_WAIT, usual_pause)),
+            ListReader::Peer(_) => Some((span(FALLBACK_WAIT_FRACTION), usual_pause)),
         }
     }
 
+    /// Returns whether the platform has answered lately.
+    fn is_fresh(&self, state: &LogState, now: Duration) -> bool {
+        let max_age = self.leave_within.mul_f64(MAX_AGE_FRACTION);
+        state.confirmed_at.is_some_and(|at| now <= at + max_age)
+    }
+
     /// Locks the state, even if a thread has panicked while it held the lock.
     fn lock(&self) -> MutexGuard<'_, LogState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -160,13 +167,16 @@
     fn changes_after(&self, version: u64) -> Option<RowChanges> {
         let now = self.clock.now();
         let state = self.lock();
-        let max_age = self.leave_within.mul_f64(MAX_AGE_FRACTION);
-        let confirmed_at = state.confirmed_at?;
-        let unknown = version < state.base || version > state.version;
-        if now > confirmed_at + max_age || unknown || state.is_in_diffed_span(version) {
-            return None;
-        }
-        Some(state.answer(version))
+        let known = self.is_fresh(&state, now)
+            && version <= state.version
+            && !state.has_gap_after(version);
+        known.then(|| state.answer(version))
+    }
+
+    fn has_gap_after(&self, version: u64) -> bool {
+        let now = self.clock.now();
+        let state = self.lock();
+        self.is_fresh(&state, now) && state.has_gap_after(version)
     }
 
     fn change_notifier(&self) -> Arc<Notify> {
@@ -219,12 +229,11 @@
         self.base = base;
     }
 
-    /// Returns whether a version lies strictly inside a span of which only the difference
-    /// is known.
-    fn is_in_diffed_span(&self, version: StoreVersion) -> bool {
-        self.diffed_spans
-            .iter()
-            .any(|(from, to)| *from < version && version < *to)
+    /// Returns whether the changes after a version aren't known: they begin later, or the
+    /// version lies strictly inside a span of which only the difference is known.
+    fn has_gap_after(&self, version: StoreVersion) -> bool {
+        let mut spans = self.diffed_spans.iter();
+        version < self.base || spans.any(|(from, to)| *from < version && version < *to)
     }
 
     /// Returns the oldest changes after a version that fit into one answer. The answer's
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -65,6 +65,9 @@
     last_answer: Option<Duration>,
     /// How long the rules in force have been older than those that peers have announced.
     lag: RulesLag,
+    /// Whether a peer that has just read from the platform lacks the changes after the
+    /// version of this instance, and the platform hasn't been called since.
+    has_gap: bool,
 }
 
 impl ServerListSource {
@@ -79,6 +82,7 @@
             backoff: PeerBackoff::new(leave_within.mul_f64(UNABLE_PAUSE_FRACTION)),
             last_answer: None,
             lag: RulesLag::default(),
+            has_gap: false,
         };
         Self {
             startup_until: clock.now() + startup_wait,
@@ -157,6 +161,13 @@
         first_call_window(state.plan.standby, readers_reachable, self.leave_within)
     }
 
+    /// Returns, once after each such answer, whether a peer that has just read from the
+    /// platform lacks the changes that this instance wants. The platform answers then, and
+    /// has to be called.
+    pub(crate) fn take_gap(&self) -> bool {
+        std::mem::take(&mut self.lock().has_gap)
+    }
+
     /// Asks peers for the changes after a version. The first one waits for changes; if it
     /// can't answer, all others are asked at once, without waiting. Returns `None` if
     /// nobody answers.
@@ -211,6 +222,10 @@
                     return Some(changes);
                 }
                 RowAnswer::Unavailable => self.record_no_rows(peer, true),
+                RowAnswer::Gap => {
+                    self.lock().has_gap = true;
+                    self.record_no_rows(peer, true);
+                }
                 RowAnswer::Unreachable => self.record_no_rows(peer, false),
             }
         }
--- a/crates/flaxtide-entry/tests/reader.rs
+++ b/crates/flaxtide-entry/tests/reader.rs
@@ -253,3 +253,15 @@
 fn names_after(log: &ServerListLog, after: u64) -> Vec<String> {
     names_if_known(log, after).unwrap()
 }
+
+/// A reader whose changes begin later shows that the platform answers; one that is behind
+/// doesn't.
+#[test]
+fn a_reader_tells_a_gap_from_its_own_lag() {
+    let log = ServerListLog::new(Duration::from_secs(3));
+    assert!(!log.has_gap_after(10), "nothing has been read");
+    log.record(&FeedBatch { rows: vec![], version: 50 }, None);
+    assert!(log.has_gap_after(49));
+    assert!(!log.has_gap_after(50));
+    assert!(!log.has_gap_after(51));
+}
--- a/crates/flaxtide-fleet/src/rows.rs
+++ b/crates/flaxtide-fleet/src/rows.rs
@@ -30,6 +30,15 @@
     pub text: Option<String>,
 }
 
+/// The reply to a request for rows.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct RowsReply {
+    /// The changes; `None` if they aren't known.
+    pub(crate) changes: Option<RowChanges>,
+    /// Whether the known changes begin after the wanted version.
+    pub(crate) has_gap: bool,
+}
+
 /// The rows that changed after a version.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RowChanges {
@@ -44,6 +53,10 @@
     /// Returns the rows that changed after a version; `None` if the changes aren't known.
     fn changes_after(&self, version: StoreVersion) -> Option<RowChanges>;
 
+    /// Returns whether the changes after a version aren't known although the platform has
+    /// answered lately, because the known changes begin later.
+    fn has_gap_after(&self, version: StoreVersion) -> bool;
+
     /// Returns the notifier that is signalled when rows change.
     fn change_notifier(&self) -> Arc<Notify>;
 }
@@ -83,6 +96,9 @@
     /// The peer answered that it doesn't know the changes, because it hasn't read enough from
     /// the platform lately.
     Unavailable,
+    /// The peer has just read from the platform, but its changes begin after the wanted version.
+    /// They have to be read from the platform, which answers.
+    Gap,
     /// No answer arrived in time.
     Unreachable,
 }
--- a/crates/flaxtide-fleet/src/serve.rs
+++ b/crates/flaxtide-fleet/src/serve.rs
@@ -11,7 +11,7 @@
 use tokio::net::TcpListener;
 
 use crate::links::transport;
-use crate::rows::RowChanges;
+use crate::rows::RowsReply;
 use crate::settings::{PieceAnswer, PieceQuestion};
 use crate::shared::{ANSWER_TIMEOUT, FleetShared};
 use crate::wire::{
@@ -99,24 +99,25 @@
         answer
     }
 
-    async fn rows(
-        self,
-        _: Context,
-        after: StoreVersion,
-        wait_ms: u32,
-    ) -> Option<RowChanges> {
-        let source = self.shared.row_source.get()?.clone();
+    async fn rows(self, _: Context, after: StoreVersion, wait_ms: u32) -> RowsReply {
+        let Some(source) = self.shared.row_source.get().cloned() else {
+            return RowsReply::default();
+        };
         let wait = Duration::from_millis(wait_ms.into()).min(ANSWER_TIMEOUT);
         let notifier = source.change_notifier();
         let notified = notifier.notified();
-        let changes = source.changes_after(after)?;
-        if !changes.rows.is_empty() {
-            return Some(changes);
+        match source.changes_after(after) {
+            Some(changes) if changes.rows.is_empty() => {}
+            changes => {
+                let has_gap = changes.is_none() && source.has_gap_after(after);
+                return RowsReply { changes, has_gap };
+            }
         }
         // Without changes in time, the answer has no rows, and the version up to which there
         // are none.
         let _ = tokio::time::timeout(wait, notified).await;
-        source.changes_after(after)
+        let changes = source.changes_after(after);
+        RowsReply { changes, has_gap: false }
     }
 }
 
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -23,7 +23,7 @@
     FleetNode, NodeEvent, OutgoingCrashes, OutgoingHeartbeat, OutgoingHello,
     OutgoingPushback,
 };
-use crate::rows::{RowAnswer, RowRequest, RowSource};
+use crate::rows::{RowAnswer, RowRequest, RowSource, RowsReply};
 use crate::serve::serve;
 use crate::settings::SettingsCopy;
 use crate::shared::{ANSWER_TIMEOUT, CallFault, FleetOutput, FleetShared};
@@ -350,8 +350,9 @@
         let wait_ms = wait.as_millis() as u32;
         let rows = |context| link.client.rows(context, after, wait_ms);
         match call_with_timeout(wait + margin, rows).await {
-            Ok(Some(changes)) => RowAnswer::Changes(changes),
-            Ok(None) => RowAnswer::Unavailable,
+            Ok(RowsReply { changes: Some(changes), .. }) => RowAnswer::Changes(changes),
+            Ok(RowsReply { has_gap: true, .. }) => RowAnswer::Gap,
+            Ok(_) => RowAnswer::Unavailable,
             Err(cause) => {
                 log::debug!("no rows from {peer}: {cause}");
                 if !matches!(cause, RpcError::DeadlineExceeded) {
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -9,7 +9,7 @@
 
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
-use crate::rows::RowChanges;
+use crate::rows::RowsReply;
 use crate::settings::{PieceAnswer, PieceQuestion};
 
 /// The service that each instance offers its peers.
@@ -22,8 +22,8 @@
     async fn settings(question: PieceQuestion) -> PieceAnswer;
 
     /// Returns the rows that changed after a version, as soon as there are any or after
-    /// `wait_ms` milliseconds; `None` if this instance can't tell which changed.
-    async fn rows(after: StoreVersion, wait_ms: u32) -> Option<RowChanges>;
+    /// `wait_ms` milliseconds.
+    async fn rows(after: StoreVersion, wait_ms: u32) -> RowsReply;
 
     /// Records the state of an instance of another data centre, and answers with this one's
     /// digest.
