--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -37,13 +37,14 @@
 const STANDBY_FRACTION: f64 = 0.05;
 
 /// The window of instances that aren't standbys if no reader is reachable, as a fraction
-/// of `leave_within`. It is much shorter than [`READERS_FAILING_WINDOW`], because the
+/// of `leave_within`. It is much shorter than [`READERS_FAILING_FRACTION`], because the
 /// known rows must not become too old.
 const NO_READER_FRACTION: f64 = 0.1;
 
 /// The window of instances that aren't standbys if readers respond that they can't
-/// answer. The platform is failing then, so the calls to it are spread.
-const READERS_FAILING_WINDOW: Duration = Duration::from_secs(3);
+/// answer, as a fraction of `leave_within`. The platform is failing then, so the calls to
+/// it are spread.
+const READERS_FAILING_FRACTION: f64 = 0.5;
 
 /// Returns the window within which an instance that has readers makes its first call to
 /// the platform after they stop answering. `readers_reachable` says whether they still
@@ -67,7 +68,7 @@
     match (standby, readers_reachable) {
         (true, _) => leave_within.mul_f64(STANDBY_FRACTION),
         (false, false) => leave_within.mul_f64(NO_READER_FRACTION),
-        (false, true) => READERS_FAILING_WINDOW,
+        (false, true) => leave_within.mul_f64(READERS_FAILING_FRACTION),
     }
 }
 
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -140,7 +140,8 @@
     fn timing(&self) -> (Duration, Duration) {
         let list = self.log_and_link.as_ref();
         let timing = list.and_then(|(list, _)| {
-            list.reader_timing(self.source.reader(), self.call_pause)
+            let (reader, is_standby) = (self.source.reader(), self.source.is_standby());
+            list.reader_timing(reader, is_standby, self.call_pause)
         });
         timing.unwrap_or((self.poll_wait, self.call_pause))
     }
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -135,19 +135,23 @@
     }
 
     /// Returns how long a call to the platform waits for changes, and the pause after it,
-    /// or `None` for the usual timing of an instance that reads for itself.
+    /// or `None` for the usual timing of an instance that reads for itself. A standby that
+    /// has to call the platform reads for its peers too.
     pub(crate) fn reader_timing(
         &self,
         reader: ListReader,
+        is_standby: bool,
         usual_pause: Duration,
     ) -> Option<(Duration, Duration)> {
         let span = |fraction| self.leave_within.mul_f64(fraction);
         match reader {
             ListReader::Alone => None,
-            ListReader::ForPeers => {
+            ListReader::Peer(_) if !is_standby => {
+                Some((span(FALLBACK_WAIT_FRACTION), usual_pause))
+            }
+            ListReader::ForPeers | ListReader::Peer(_) => {
                 Some((span(READER_WAIT_FRACTION), span(READER_PAUSE_FRACTION)))
             }
-            ListReader::Peer(_) => Some((span(FALLBACK_WAIT_FRACTION), usual_pause)),
         }
     }
 
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -109,6 +109,11 @@
         self.lock().plan.reader
     }
 
+    /// Returns whether this instance reads for its peers if their readers can't.
+    pub(crate) fn is_standby(&self) -> bool {
+        self.lock().plan.standby
+    }
+
     /// Returns whether peers read the list for this instance.
     pub(crate) fn reads_from_peers(&self) -> bool {
         matches!(self.reader(), ListReader::Peer(_))
