The cost of a decision and of a check no longer grows with the servers

Change: ServerTable keeps the servers of a pool on two rings (all in service, local ones) and a set of active ones. Checks, own loads and shares walk the active servers; a peer's report touches the servers that it names; a changed row updates its own server. The directory keeps its missing rows and the sizes of services. Limits are boxed and incarnations are known by their hash.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -5,7 +5,7 @@
 //! more requests; in the second it stays in use, so that an outage of the platform doesn't
 //! take all servers out of service.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::time::Duration;
 
 use flaxtide_core::ServerName;
@@ -74,6 +74,10 @@
 pub struct ServerDirectory {
     /// The servers by name.
     servers: BTreeMap<ServerName, DirectoryEntry>,
+    /// The servers whose row is missing.
+    missing: BTreeSet<ServerName>,
+    /// The number of servers of each service.
+    service_sizes: HashMap<String, usize>,
     /// The last outage of the platform.
     outage: Option<OutageSpan>,
     /// The time within which a leaving server must get no more requests.
@@ -133,6 +137,27 @@
     last_seen_at: Duration,
 }
 
+/// The missing rows of a service.
+#[derive(Debug)]
+struct ServiceLapse {
+    /// The number of servers of the service.
+    servers: usize,
+    /// When each row was noticed to be missing, in order.
+    noticed_at: Vec<Duration>,
+}
+
+impl ServiceLapse {
+    /// Returns whether a row that was noticed to be missing at a time disappeared together
+    /// with many others.
+    fn is_mass_lapse(&self, noticed_at: Duration) -> bool {
+        let times = &self.noticed_at;
+        let before = times.partition_point(|at| *at + MASS_LAPSE_WINDOW <= noticed_at);
+        let until = times.partition_point(|at| *at < noticed_at + MASS_LAPSE_WINDOW);
+        let together = until - before;
+        together >= 2 && together as f64 >= MASS_LAPSE_FRACTION * self.servers as f64
+    }
+}
+
 impl DirectoryEntry {
     /// Creates the entry of a server that has just been listed.
     fn new(mut entry: ServerEntry, now: Duration) -> Self {
@@ -172,6 +197,8 @@
         Self {
             renewal_period,
             servers: BTreeMap::new(),
+            missing: BTreeSet::new(),
+            service_sizes: HashMap::new(),
             outage: None,
             leave_within,
             era: 0,
@@ -208,15 +235,18 @@
             return false;
         }
         let Some(known) = self.servers.get_mut(&name) else {
-            self.servers.insert(name, DirectoryEntry::new(entry, now));
+            self.insert(name, DirectoryEntry::new(entry, now));
             return true;
         };
-        if known.entry.started != entry.started {
-            *known = DirectoryEntry::new(entry, now);
+        if known.entry.started != entry.started || known.entry.service != entry.service {
+            self.insert(name, DirectoryEntry::new(entry, now));
             return true;
         }
         let mut changed = known.update_cold(entry.cold_left.take(), now);
-        changed |= known.missing.take().is_some();
+        if known.missing.take().is_some() {
+            self.missing.remove(&name);
+            changed = true;
+        }
         changed |= known.entry != entry;
         known.entry = entry;
         changed
@@ -271,7 +301,7 @@
         for name in &due {
             let Some((entry, _)) = self.held.remove(name) else { continue };
             self.departed.remove(name);
-            self.servers.insert(name.clone(), DirectoryEntry::new(entry, now));
+            self.insert(name.clone(), DirectoryEntry::new(entry, now));
         }
         !due.is_empty()
     }
@@ -286,7 +316,7 @@
     /// it was in use.
     pub(crate) fn discard(&mut self, name: &str) -> bool {
         self.held.remove(name);
-        self.servers.remove(name).is_some()
+        self.take(name).is_some()
     }
 
     /// Records that a row has just disappeared. Returns whether that changes anything.
@@ -305,9 +335,9 @@
         self.held.remove(name);
         let Some(server) = self.servers.get_mut(name) else { return false };
         if server.entry.leaving {
-            let entry = server.entry.clone();
-            self.servers.remove(name);
-            self.record_departure(&entry, now);
+            if let Some(server) = self.take(name) {
+                self.record_departure(&server.entry, now);
+            }
             return true;
         }
         if server.missing.is_some() {
@@ -315,47 +345,89 @@
         }
         let last_seen_at = now.saturating_sub(unseen);
         server.missing = Some(MissingRow { noticed_at: now, last_seen_at });
+        self.missing.insert(name.to_owned());
         true
     }
 
     /// Records that all rows that aren't in a complete list have disappeared within the last
-    /// `unseen`.
+    /// `unseen`. Returns the names of the servers for which that is new.
     pub(crate) fn retain_listed(
         &mut self,
-        listed: &[ServerName],
+        listed: &HashSet<ServerName>,
         unseen: Duration,
         now: Duration,
-    ) -> bool {
+    ) -> Vec<ServerName> {
         let known = self.servers.keys().chain(self.held.keys());
-        let known: Vec<ServerName> = known.cloned().collect();
-        let mut changed = false;
-        for name in known {
-            if !listed.contains(&name) {
-                changed |= self.mark_missing_within(&name, unseen, now);
-            }
-        }
-        changed
+        let mut missing: Vec<ServerName> =
+            known.filter(|name| !listed.contains(*name)).cloned().collect();
+        missing.retain(|name| self.mark_missing_within(name, unseen, now));
+        missing
     }
 
     /// Removes servers whose row has been missing for too long. Returns their names.
     pub fn expire(&mut self, now: Duration) -> Vec<ServerName> {
-        let expired = self.servers.iter().filter(|(_, server)| {
-            let Some(missing) = server.missing else { return false };
-            now >= self.grace_end(&server.entry.service, missing)
+        let lapses = self.lapses_by_service();
+        let expired = self.missing.iter().filter(|name| {
+            let server = self.servers.get(*name);
+            let Some((server, row)) = server.and_then(|it| Some((it, it.missing?)))
+            else {
+                return false;
+            };
+            let lapse = lapses.get(server.entry.service.as_str());
+            let is_mass_lapse = lapse.is_some_and(|it| it.is_mass_lapse(row.noticed_at));
+            now >= self.grace_end(is_mass_lapse, row)
         });
-        let expired: Vec<ServerName> = expired.map(|(name, _)| name.clone()).collect();
+        let expired: Vec<ServerName> = expired.cloned().collect();
         for name in &expired {
-            if let Some(server) = self.servers.remove(name) {
+            if let Some(server) = self.take(name) {
                 self.record_departure(&server.entry, now);
             }
         }
         expired
     }
 
+    /// Returns when the rows of each service that are missing disappeared.
+    fn lapses_by_service(&self) -> HashMap<&str, ServiceLapse> {
+        let mut lapses: HashMap<&str, ServiceLapse> = HashMap::new();
+        for server in self.missing.iter().filter_map(|name| self.servers.get(name)) {
+            let Some(row) = server.missing else { continue };
+            let service = server.entry.service.as_str();
+            let lapse = lapses.entry(service).or_insert_with(|| ServiceLapse {
+                servers: self.service_sizes.get(service).copied().unwrap_or_default(),
+                noticed_at: vec![],
+            });
+            lapse.noticed_at.push(row.noticed_at);
+        }
+        for lapse in lapses.values_mut() {
+            lapse.noticed_at.sort_unstable();
+        }
+        lapses
+    }
+
+    /// Adds or replaces a server.
+    fn insert(&mut self, name: ServerName, server: DirectoryEntry) {
+        self.take(&name);
+        *self.service_sizes.entry(server.entry.service.clone()).or_default() += 1;
+        self.servers.insert(name, server);
+    }
+
+    /// Removes and returns a server.
+    fn take(&mut self, name: &str) -> Option<DirectoryEntry> {
+        self.missing.remove(name);
+        let server = self.servers.remove(name)?;
+        if let Some(size) = self.service_sizes.get_mut(&server.entry.service) {
+            *size -= 1;
+            if *size == 0 {
+                self.service_sizes.remove(&server.entry.service);
+            }
+        }
+        Some(server)
+    }
+
     /// Returns until when a server stays in use after its row has disappeared.
-    fn grace_end(&self, service: &str, row: MissingRow) -> Duration {
+    fn grace_end(&self, is_mass_lapse: bool, row: MissingRow) -> Duration {
         let noticed_at = row.noticed_at;
-        if self.is_mass_lapse(service, noticed_at) {
+        if is_mass_lapse {
             return noticed_at + MASS_LAPSE_GRACE;
         }
         let scaled = |fraction| self.leave_within.mul_f64(fraction);
@@ -375,25 +447,9 @@
             .min(latest_end)
     }
 
-    /// Returns whether a row disappeared together with many others of its service.
-    fn is_mass_lapse(&self, service: &str, noticed_at: Duration) -> bool {
-        let members = || {
-            let servers = self.servers.values();
-            servers.filter(|server| server.entry.service == service)
-        };
-        let together = members().filter(|server| {
-            let others = server.missing;
-            others.is_some_and(|other| {
-                other.noticed_at.abs_diff(noticed_at) < MASS_LAPSE_WINDOW
-            })
-        });
-        let together = together.count();
-        together >= 2 && together as f64 >= MASS_LAPSE_FRACTION * members().count() as f64
-    }
-
     /// Returns whether the row of any server is missing.
     pub(crate) fn has_missing_rows(&self) -> bool {
-        self.servers.values().any(DirectoryEntry::is_row_missing)
+        !self.missing.is_empty()
     }
 
     /// Returns a server by name.
@@ -406,8 +462,12 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = &'a DirectoryEntry> {
-        let servers = self.servers.values();
-        servers.filter(move |server| server.entry.service == service)
+        self.iter().filter(move |server| server.entry.service == service)
+    }
+
+    /// Returns all servers.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = &DirectoryEntry> {
+        self.servers.values()
     }
 
     /// Returns the data centres of the servers, with repetitions.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -1,5 +1,6 @@
 //! Applies what the platform and the peers report, on the traffic thread.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -200,24 +201,30 @@
     unseen: Duration,
 ) {
     let now = state.now();
-    let mut changed = false;
+    let mut changed = vec![];
     state.directory.borrow_mut().enter_era(store_era(batch.version));
-    let names: Vec<ServerName> = batch.rows.iter().map(|row| row.name.clone()).collect();
+    let names: HashSet<ServerName> =
+        batch.rows.iter().map(|row| row.name.clone()).collect();
     let mut departing = vec![];
     for row in batch.rows {
         let name = row.name.clone();
         let was_in_use = is_in_use(state, &name);
-        changed |= apply_server(state, feed, row, unseen, now);
+        if apply_server(state, feed, row, unseen, now) {
+            changed.push(name.clone());
+        }
         if was_in_use && !is_in_use(state, &name) {
             departing.extend(leaving_server(state, &name));
         }
     }
     if is_snapshot {
-        changed |= state.directory.borrow_mut().retain_listed(&names, unseen, now);
+        let missing = state.directory.borrow_mut().retain_listed(&names, unseen, now);
+        changed.extend(missing);
     }
     let first = !state.servers_listed.replace(true);
-    if changed || first {
+    if first {
         state.update_router_servers();
+    } else if !changed.is_empty() {
+        state.update_router_servers_named(&changed);
     }
     // Peers whose own readers can't read the platform at the moment may only find the row
     // missing later, and would take a server that has left for one that couldn't renew it.
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -329,7 +329,7 @@
         log::info!(server; "server removed: the platform has not listed it for too long");
     }
     if !removed.is_empty() {
-        state.update_router_servers();
+        state.update_router_servers_named(&removed);
     }
 }
 
--- a/crates/flaxtide-entry/src/names.rs
+++ b/crates/flaxtide-entry/src/names.rs
@@ -4,6 +4,7 @@
 
 use flaxtide_core::{PoolId, ServerId, ServerName};
 use flaxtide_fleet::{FleetKey, fleet_key};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::contract::ServerEntry;
 
@@ -12,8 +13,8 @@
 pub(crate) struct IdTable {
     /// The IDs of pools by service. The router calls the servers of a service a pool.
     pools: HashMap<String, PoolId>,
-    /// The IDs of servers by incarnation.
-    servers: HashMap<String, ServerId>,
+    /// The IDs of servers by the hash of their incarnation.
+    servers: HashMap<u64, ServerId>,
     /// The IDs of servers by their key in messages between instances.
     keys: HashMap<FleetKey, ServerId>,
     /// The incarnations of servers, indexed by ID.
@@ -44,12 +45,13 @@
     /// Returns the ID of an incarnation of a server, and assigns one if it is new.
     pub(crate) fn server_id(&mut self, entry: &ServerEntry) -> ServerId {
         let incarnation = entry.incarnation();
-        if let Some(server) = self.servers.get(&incarnation) {
+        let hash = xxh3_64(incarnation.as_bytes());
+        if let Some(server) = self.servers.get(&hash) {
             return *server;
         }
         let server = self.incarnations.len() as ServerId;
         let key = fleet_key(&incarnation);
-        self.servers.insert(incarnation, server);
+        self.servers.insert(hash, server);
         self.keys.insert(key, server);
         self.incarnations
             .push(ServerIncarnation { name: entry.name.clone(), key });
--- a/crates/flaxtide-entry/src/routes.rs
+++ b/crates/flaxtide-entry/src/routes.rs
@@ -143,10 +143,14 @@
             .map(|organisation| organisation.name.as_str())
     }
 
+    /// Returns a service by name.
+    pub(crate) fn service(&self, name: &str) -> Option<&BackendService> {
+        self.services.iter().find(|service| service.name == name)
+    }
+
     /// Returns whether the servers of a service are engines.
     pub(crate) fn is_engine(&self, service: &str) -> bool {
-        let mut services = self.services.iter();
-        services.any(|other| other.name == service && other.engine.is_some())
+        self.service(service).is_some_and(|service| service.engine.is_some())
     }
 
     /// Returns the holder of a key, or `None` if the key is unknown.
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -1,7 +1,7 @@
 //! The state of the traffic thread, including the router.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -93,6 +93,8 @@
     router: RefCell<RouteCore>,
     /// The requests that wait for a decision of the router.
     waiters: RefCell<HashMap<RequestId, oneshot::Sender<RouteAction>>>,
+    /// The pool and the ID of each server that the router knows, by the hash of its name.
+    routed: RefCell<HashMap<u64, (PoolId, ServerId)>>,
     /// The numeric IDs of services and servers.
     ids: RefCell<IdTable>,
     /// The ID of the next request.
@@ -160,6 +162,7 @@
             servers_listed: Cell::new(false),
             router: RefCell::new(core),
             waiters: RefCell::default(),
+            routed: RefCell::default(),
             ids: RefCell::default(),
             next_request: Cell::new(1),
             rng: RefCell::new(SmallRng::seed_from_u64(seed)),
@@ -267,7 +270,7 @@
         let Some(name) = self.listed_name(server) else { return false };
         let changed = self.directory.borrow_mut().mark_leaving(&name);
         if changed {
-            self.update_router_servers();
+            self.update_router_servers_named(&[name]);
         }
         changed
     }
@@ -322,18 +325,66 @@
         true
     }
 
-    /// Passes the servers of each service to the router.
+    /// Passes all servers to the router.
     pub(crate) fn update_router_servers(&self) {
         let Some(table) = self.route_table() else { return };
+        let mut servers: HashMap<&str, Vec<RoutedServer>> = HashMap::new();
+        let mut routed = HashMap::new();
+        let directory = self.directory.borrow();
+        for listed in directory.iter() {
+            let Some(service) = table.service(&listed.entry.service) else { continue };
+            let server = self.routed_server(service, listed);
+            let place = (self.pool_id(&service.name), server.server);
+            routed.insert(server.name_hash, place);
+            servers.entry(&service.name).or_default().push(server);
+        }
+        drop(directory);
+        *self.routed.borrow_mut() = routed;
         for service in &table.services {
-            let directory = self.directory.borrow();
-            let servers = directory.of_service(&service.name);
-            let servers = servers.map(|listed| self.routed_server(service, listed));
-            let servers: Vec<RoutedServer> = servers.collect();
-            drop(directory);
+            let servers = servers.remove(service.name.as_str()).unwrap_or_default();
             let pool = self.pool_id(&service.name);
             self.run_router(|core, now| core.set_servers(pool, &servers, now));
         }
+        self.finish_server_update();
+    }
+
+    /// Passes the servers with these names to the router, after their entries in the
+    /// directory have changed.
+    pub(crate) fn update_router_servers_named(&self, names: &[ServerName]) {
+        let Some(table) = self.route_table() else { return };
+        let mut changes: BTreeMap<PoolId, (Vec<RoutedServer>, Vec<ServerId>)> =
+            BTreeMap::new();
+        for name in names {
+            let name_hash = xxh3_64(name.as_bytes());
+            let directory = self.directory.borrow();
+            let listed = directory.get(name).and_then(|listed| {
+                let service = table.service(&listed.entry.service)?;
+                let server = self.routed_server(service, listed);
+                Some((self.pool_id(&service.name), server))
+            });
+            let place = listed.as_ref().map(|(pool, server)| (*pool, server.server));
+            let mut routed = self.routed.borrow_mut();
+            let before = match place {
+                Some(place) => routed.insert(name_hash, place),
+                None => routed.remove(&name_hash),
+            };
+            if let Some((pool, server)) = before.filter(|before| Some(*before) != place) {
+                changes.entry(pool).or_default().1.push(server);
+            }
+            if let Some((pool, server)) = listed {
+                changes.entry(pool).or_default().0.push(server);
+            }
+        }
+        for (pool, (listed, unlisted)) in changes {
+            self.run_router(|core, now| {
+                core.update_servers(pool, &listed, &unlisted, now)
+            });
+        }
+        self.finish_server_update();
+    }
+
+    /// Exports the number of servers, and applies what peers have said of new ones.
+    fn finish_server_update(&self) {
         self.metrics.servers.set(self.directory.borrow().len() as i64);
         self.pushback.apply_pending(self);
     }
--- a/crates/flaxtide-policy/benches/gate.rs
+++ b/crates/flaxtide-policy/benches/gate.rs
@@ -101,7 +101,7 @@
 }
 
 fn main() {
-    for engines in [18, 112, 520] {
+    for engines in [18, 100, 520, 1_000, 10_000] {
         measure(engines);
     }
 }
--- a/crates/flaxtide-policy/src/pushback/server.rs
+++ b/crates/flaxtide-policy/src/pushback/server.rs
@@ -19,13 +19,13 @@
 #[derive(Debug, Default)]
 pub(crate) struct ServerPushback {
     /// The limit from the rate that the server states; `None` if it states none.
-    limit: Option<RateLimit>,
+    limit: Option<Box<RateLimit>>,
     /// When any instance last heard the rate, or its absence, from the server.
     rate_heard_at: Duration,
     /// Until when the server has asked this instance not to send requests.
     backoff_until: Duration,
     /// The limit while the server is cold; `None` if it hasn't been.
-    cold: Option<ColdLimit>,
+    cold: Option<Box<ColdLimit>>,
 }
 
 impl ServerPushback {
@@ -36,7 +36,7 @@
 
     /// Returns this instance's share of the rate, in requests a second.
     pub(crate) fn share(&self) -> Option<f64> {
-        self.limit.as_ref().map(RateLimit::share)
+        self.limit.as_ref().map(|limit| limit.share())
     }
 
     /// Applies the rate stated in the response to a request that was sent at `sent`.
@@ -101,7 +101,8 @@
             (limit, None) => *limit = None,
             (Some(limit), Some(rate)) => limit.set(rate, share(rate), now),
             (limit, Some(rate)) => {
-                *limit = Some(RateLimit::new(rate, share(rate), STATED_BURST, now));
+                *limit =
+                    Some(Box::new(RateLimit::new(rate, share(rate), STATED_BURST, now)));
             }
         }
         true
@@ -133,7 +134,7 @@
             Some(cold) if cold.is_active(now) => cold.until = cold.until.max(until),
             cold => {
                 let limit = RateLimit::new(rate, share(rate), COLD_BURST, now);
-                *cold = Some(ColdLimit { limit, until });
+                *cold = Some(Box::new(ColdLimit { limit, until }));
             }
         }
     }
@@ -143,6 +144,11 @@
         self.cold.as_ref().is_some_and(|cold| cold.is_active(now))
     }
 
+    /// Returns whether the server limits requests or has asked for a backoff.
+    pub(crate) fn is_restricted(&self, now: Duration) -> bool {
+        self.is_limited(now) || self.is_backing_off(now)
+    }
+
     /// Returns whether requests to the server take tokens.
     pub(crate) fn is_limited(&self, now: Duration) -> bool {
         self.limit.is_some() || self.is_cold(now)
@@ -160,7 +166,8 @@
             limit.set(limit.rate, stated_share(limit.rate), now);
         }
         self.cold.take_if(|cold| !cold.is_active(now));
-        if let Some(ColdLimit { limit, .. }) = &mut self.cold {
+        if let Some(cold) = &mut self.cold {
+            let limit = &mut cold.limit;
             limit.set(limit.rate, cold_share(limit.rate), now);
         }
     }
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -1,15 +1,16 @@
 //! The choice of a server for a request: every usable server gets a cost, and the
 //! cheapest wins.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
-use super::RouteCore;
-use super::call::PromptShape;
+use super::call::{PromptShape, RoutedCall};
 use super::health::OUTLIER_MARGIN;
 use super::lane::{LaneDemand, PromptLane, in_lane};
 use super::server::ServerState;
+use super::{RouteCore, RoutePool};
 use crate::rendezvous::rendezvous_weight;
 
 /// The additional cost of a server whose row is missing from the newest list, in
@@ -27,9 +28,6 @@
 /// calls met their deadline instead of 98 % (`flaxtide-lab`).
 const PLAIN_JITTER_MS: f64 = 4.0;
 
-/// The hash key of the order in which engines are assigned to long prompts.
-const LANE_SEED: u64 = 0x6c61_6e65;
-
 /// The server chosen for a request, with the estimates behind the choice.
 #[derive(Debug, Clone, PartialEq)]
 pub struct RouteChoice {
@@ -104,7 +102,25 @@
     ) -> Option<RouteChoice> {
         let call = self.calls.get(&request)?;
         let state = self.pools.get(&pool)?;
-        let in_service: Vec<&ServerState> = self.servers_in_service(pool);
+        let shared = call.details.prompt.last_shared_part();
+        let key = shared.map_or(request ^ self.seed, |part| part.key);
+        (0..state.servers.arc_count()).find_map(|arc| {
+            let accepts = |server: &ServerState| server.listing.accepts(&call.details);
+            let candidates = state.servers.candidates(key, arc, accepts);
+            self.choose_among(&candidates, call, state, now)
+        })
+    }
+
+    /// Chooses one of the candidates for a request, or returns `None` if none can take it
+    /// now.
+    fn choose_among(
+        &self,
+        in_service: &[&ServerState],
+        call: &RoutedCall,
+        state: &RoutePool,
+        now: Duration,
+    ) -> Option<RouteChoice> {
+        let request = call.details.request;
         let usable: Vec<&ServerState> = in_service
             .iter()
             .copied()
@@ -115,7 +131,7 @@
         let lane = state.lane_demand.lane(call.details.prompt.tokens, &self.options, now);
         let healthy = self.healthy_servers(&usable, now);
         let preferred =
-            self.lane_servers(&in_service, &healthy, &state.lane_demand, lane, now);
+            self.lane_servers(in_service, &healthy, &state.lane_demand, lane, now);
         for group in [&preferred, &healthy] {
             let best = self.cheapest(group, &healthy, request, now);
             if let Some((best, reason)) = best {
@@ -129,22 +145,10 @@
         Some(build_choice(&best, RouteReason::LastResort, usable.len()))
     }
 
-    /// Returns the servers of a pool that aren't leaving, in an order that is the same on
-    /// all instances.
-    pub(super) fn servers_in_service(&self, pool: PoolId) -> Vec<&ServerState> {
-        let Some(state) = self.pools.get(&pool) else { return vec![] };
-        let servers = state.servers.values();
-        let mut in_service: Vec<&ServerState> =
-            servers.filter(|server| server.listing.in_service()).collect();
-        in_service
-            .sort_by_key(|server| rendezvous_weight(LANE_SEED, server.listing.name_hash));
-        in_service
-    }
-
     /// Returns the servers that are neither paused nor silent and whose failure rate
     /// isn't an outlier in their pool. Outliers are kept if too few servers would remain
     /// without them.
-    pub(super) fn healthy_servers<'a>(
+    fn healthy_servers<'a>(
         &self,
         usable: &[&'a ServerState],
         now: Duration,
@@ -167,8 +171,39 @@
         if (inliers.len() as f64) < least { available } else { inliers }
     }
 
+    /// Returns the active servers of a pool that are healthy by the criteria of
+    /// [`Self::healthy_servers`]. All other servers in service count as healthy, without
+    /// failures.
+    pub(super) fn healthy_active(
+        &self,
+        pool: PoolId,
+        now: Duration,
+    ) -> HashSet<ServerId> {
+        let Some(state) = self.pools.get(&pool) else { return HashSet::new() };
+        let in_service = state.servers.active();
+        let in_service: Vec<&ServerState> =
+            in_service.filter(|server| server.listing.in_service()).collect();
+        let idle = state.servers.count_in_service() - in_service.len();
+        let mut available = in_service.clone();
+        available.retain(|server| self.is_available(server, now));
+        let mut failures: Vec<f64> =
+            available.iter().map(|server| server.health.failure_rate()).collect();
+        failures.sort_by(f64::total_cmp);
+        let middle = (idle + failures.len()) / 2;
+        let median = middle.checked_sub(idle).and_then(|index| failures.get(index));
+        let limit = median.copied().unwrap_or_default() + OUTLIER_MARGIN;
+        let is_inlier = |server: &&ServerState| server.health.failure_rate() <= limit;
+        let inliers = idle + available.iter().copied().filter(is_inlier).count();
+        let least =
+            state.servers.count_in_service() as f64 * (1.0 - self.options.ejected_part);
+        if inliers as f64 >= least {
+            available.retain(is_inlier);
+        }
+        available.iter().map(|server| server.listing.server).collect()
+    }
+
     /// Returns whether a server is neither paused nor silent.
-    fn is_available(&self, server: &ServerState, now: Duration) -> bool {
+    pub(super) fn is_available(&self, server: &ServerState, now: Duration) -> bool {
         // The level `u8::MAX` includes the prompts of all urgency levels.
         let expected = Duration::from_secs_f64(
             self.pending_prefill_ms(server, u8::MAX, now) / 1000.0,
@@ -197,11 +232,10 @@
         let indexed = in_service.iter().enumerate();
         let members =
             indexed.filter(|(index, _)| in_lane(lane, *index, count, long_fraction));
-        let is_member_healthy = |server: &ServerState| {
-            healthy
-                .iter()
-                .any(|other| other.listing.server == server.listing.server)
-        };
+        let healthy: HashSet<ServerId> =
+            healthy.iter().map(|server| server.listing.server).collect();
+        let is_member_healthy =
+            |server: &ServerState| healthy.contains(&server.listing.server);
         members
             .map(|(_, server)| *server)
             .filter(|server| is_member_healthy(server))
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -145,6 +145,12 @@
         self.failure_rate += (1.0 - self.failure_rate) * OUTCOME_WEIGHT;
     }
 
+    /// Returns whether time alone changes whether the server may get requests, or whether
+    /// peers are told that it is silent.
+    pub(crate) fn is_suspect(&self, now: Duration) -> bool {
+        now < self.paused_until || self.silent_at.is_some()
+    }
+
     /// Returns how uncertain it is that the server accepts requests: 0 if it has just
     /// started to respond to one, approaching 1 as that response gets older, and 1 if it
     /// has refused a request since or hasn't responded to any.
--- a/crates/flaxtide-policy/src/router/lane.rs
+++ b/crates/flaxtide-policy/src/router/lane.rs
@@ -6,7 +6,12 @@
 
 use super::call::RouteCall;
 use super::options::RouteOptions;
+use super::server::RoutedServer;
 use crate::estimate::DecayedMean;
+use crate::rendezvous::rendezvous_weight;
+
+/// The hash key of the order in which engines are assigned to long prompts.
+const LANE_SEED: u64 = 0x6c61_6e65;
 
 /// The recent demand for long and short prompts.
 #[derive(Debug, Default)]
@@ -90,6 +95,12 @@
     }
 }
 
+/// Returns the place of a server in the order in which engines are assigned to long
+/// prompts. It is the same on all instances.
+pub(crate) fn lane_rank(listing: &RoutedServer) -> u64 {
+    rendezvous_weight(LANE_SEED, listing.name_hash)
+}
+
 /// Returns whether the server at `index` of `count` belongs to a lane. The order of the
 /// servers is the same on all instances.
 pub(crate) fn in_lane(lane: PromptLane, index: usize, count: usize, part: f64) -> bool {
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -18,6 +18,7 @@
 mod server;
 mod shed;
 mod stall;
+mod table;
 mod wait;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -43,6 +44,7 @@
 use self::prefill_log::PrefillLog;
 use self::server::ServerState;
 use self::shed::ShedProbability;
+use self::table::ServerTable;
 use crate::pushback::{InstanceGroup, UnlistedPushback};
 use crate::queue::{PoolQueue, QueueEntry};
 
@@ -103,8 +105,8 @@
 /// The state of one pool of servers.
 #[derive(Debug, Default)]
 struct RoutePool {
-    /// The servers by identifier.
-    servers: BTreeMap<ServerId, ServerState>,
+    /// The servers.
+    servers: ServerTable,
     /// New requests that wait for a server.
     queue: PoolQueue,
     /// Requests that wait to be retried on another server.
@@ -144,6 +146,8 @@
     instances: u32,
     /// The instances that are alive, or `None` until membership is known.
     group: Option<Arc<InstanceGroup>>,
+    /// The servers that each peer named in its last report of its load.
+    peer_servers: HashMap<PeerKey, Vec<ServerId>>,
     /// The pushback state of servers that [`RouteCore::set_servers`] has removed.
     unlisted: UnlistedPushback,
     /// The shared prompt parts that servers recently prefilled for this instance.
@@ -164,6 +168,7 @@
             calls: HashMap::new(),
             instances,
             group: None,
+            peer_servers: HashMap::new(),
             unlisted: UnlistedPushback::default(),
             prefills: PrefillLog::default(),
             actions: vec![],
@@ -183,23 +188,35 @@
         servers: &[RoutedServer],
         now: Duration,
     ) -> Vec<RouteAction> {
-        let guess = self.options.prefill_tokens_per_ms;
-        let state = self.pools.entry(pool).or_default();
         let listed: HashSet<ServerId> =
             servers.iter().map(|server| server.server).collect();
-        let unlisted = state.servers.extract_if(.., |id, _| !listed.contains(id));
-        self.unlisted.keep(unlisted.map(|(id, server)| (id, server.pushback)));
+        let state = self.pools.entry(pool).or_default();
+        let unlisted = state.servers.ids().filter(|id| !listed.contains(id));
+        let unlisted: Vec<ServerId> = unlisted.collect();
+        self.update_servers(pool, servers, &unlisted, now)
+    }
+
+    /// Adds or updates some servers of a pool, and removes others.
+    pub fn update_servers(
+        &mut self,
+        pool: PoolId,
+        listed: &[RoutedServer],
+        unlisted: &[ServerId],
+        now: Duration,
+    ) -> Vec<RouteAction> {
+        let guess = self.options.prefill_tokens_per_ms;
+        let state = self.pools.entry(pool).or_default();
+        let removed = unlisted.iter().filter_map(|id| state.servers.remove(*id));
+        self.unlisted
+            .keep(removed.map(|server| (server.listing.server, server.pushback)));
         let group = self.group.as_deref();
-        for listing in servers {
-            let server = state.servers.entry(listing.server).or_insert_with(|| {
+        for listing in listed {
+            let server = state.servers.put(listing, || {
                 let mut server = ServerState::new(listing.clone(), guess, now);
                 server.pushback = self.unlisted.take(listing.server);
                 server.update_shares(group, now);
                 server
             });
-            if server.listing != *listing {
-                server.listing.clone_from(listing);
-            }
             if let Some(start) = listing.cold {
                 server.limit_while_cold(start.until, group, self.seed, now);
             }
@@ -217,10 +234,16 @@
 
     /// Replaces everything that is known of a peer's load on the servers.
     pub fn set_peer_loads(&mut self, peer: PeerKey, loads: &[PeerLoad], now: Duration) {
-        for pool in self.pools.values_mut() {
-            for (id, server) in &mut pool.servers {
-                let load = loads.iter().find(|load| load.server == *id);
-                server.load.set_peer(peer, load.copied(), now);
+        let named = loads.iter().map(|load| load.server).collect();
+        let before = self.peer_servers.insert(peer, named).unwrap_or_default();
+        for server in before {
+            if let Some(server) = find_for_peers(&mut self.pools, server) {
+                server.load.set_peer(peer, None, now);
+            }
+        }
+        for load in loads {
+            if let Some(server) = find_for_peers(&mut self.pools, load.server) {
+                server.load.set_peer(peer, Some(*load), now);
             }
         }
     }
@@ -232,7 +255,7 @@
         now: Duration,
     ) {
         for (server, part) in prefills {
-            if let Some(server) = find_server(&mut self.pools, *server) {
+            if let Some(server) = find_for_peers(&mut self.pools, *server) {
                 server.record_peer_prefill(*part, now);
             }
         }
@@ -247,7 +270,7 @@
     pub fn record_silence_reports(&mut self, servers: &[ServerId], now: Duration) {
         for pool in self.pools.values_mut() {
             for server in servers {
-                if let Some(server) = pool.servers.get_mut(server) {
+                if let Some(server) = pool.servers.get_mut(*server) {
                     server.health.record_silence_report(now, &self.options);
                 }
             }
@@ -257,27 +280,24 @@
     /// Returns the servers that this instance recently found silent.
     #[must_use]
     pub fn silent_servers(&self, now: Duration) -> Vec<ServerId> {
-        let servers = self.pools.values().flat_map(|pool| &pool.servers);
-        let silent = servers.filter(|(_, server)| {
+        let servers = self.pools.values().flat_map(|pool| pool.servers.active());
+        let silent = servers.filter(|server| {
             let streams = server.load.has_streams(&self.calls);
             server.health.was_silent(streams, now, &self.options)
         });
-        silent.map(|(id, _)| *id).collect()
+        silent.map(|server| server.listing.server).collect()
     }
 
     /// Returns the load of this instance on each server where it has requests.
     #[must_use]
     pub fn own_loads(&self, now: Duration) -> Vec<ServerLoad> {
-        let servers = self.pools.values().flat_map(|pool| &pool.servers);
-        let loads = servers.map(|(id, server)| {
-            server.load.own_summary(
-                *id,
-                &self.calls,
-                server.prefill_rate.tokens_per_ms(now),
-                now,
-            )
+        let servers = self.pools.values().flat_map(|pool| pool.servers.active());
+        let busy = servers.filter(|server| server.load.own_running() > 0);
+        let loads = busy.map(|server| {
+            let rate = server.prefill_rate.tokens_per_ms(now);
+            server.load.own_summary(server.listing.server, &self.calls, rate, now)
         });
-        loads.filter(|load| load.running() > 0).collect()
+        loads.collect()
     }
 
     /// Handles a new request: dispatches it, queues it or refuses it.
@@ -320,7 +340,7 @@
         let first = call.record_data(now);
         let Some(state) = self.pools.get_mut(&call.details.pool) else { return };
         let id = server;
-        let Some(server) = state.servers.get_mut(&id) else { return };
+        let Some(server) = state.servers.get_mut(id) else { return };
         server.health.record_activity(now);
         if first {
             state.shed.record_response(&server.health, &self.options, now);
@@ -351,7 +371,7 @@
         {
             let span = now.saturating_sub(since + call.stalled_for);
             state.service_time.add(span.as_secs_f64());
-            if let Some(server) = state.servers.get_mut(&server) {
+            if let Some(server) = state.servers.get_mut(server) {
                 server.load.end(request, call.details.prompt.is_long(&self.options));
                 if !call.has_data() {
                     state.shed.record_response(&server.health, &self.options, now);
@@ -383,28 +403,27 @@
         self.take_actions()
     }
 
-    /// Returns the servers whose health changed since the last call.
+    /// Returns the servers whose health changed since the last call. Only the active ones
+    /// are checked: the others are idle and haven't failed any request lately.
     pub fn health_changes(&mut self, now: Duration) -> Vec<HealthChange> {
         let mut changes = vec![];
         for pool in self.pools.keys().copied().collect::<Vec<PoolId>>() {
-            let in_service = self.servers_in_service(pool);
-            let healthy = self.healthy_servers(&in_service, now);
-            let healthy: Vec<ServerId> =
-                healthy.iter().map(|server| server.listing.server).collect();
+            let healthy = self.healthy_active(pool, now);
             let Some(state) = self.pools.get_mut(&pool) else { continue };
-            for (id, server) in &mut state.servers {
-                let is_healthy = healthy.contains(id);
+            state.servers.update_active(|server| {
+                let is_healthy = healthy.contains(&server.listing.server);
                 if !server.listing.in_service() || server.reported_healthy == is_healthy {
-                    continue;
+                    return;
                 }
                 server.reported_healthy = is_healthy;
                 changes.push(HealthChange {
-                    server: *id,
+                    server: server.listing.server,
                     healthy: is_healthy,
                     failure_rate: server.health.failure_rate(),
                     heard_ago: now.saturating_sub(server.health.last_heard()),
                 });
-            }
+            });
+            state.servers.retain_active(now);
         }
         changes
     }
@@ -430,7 +449,7 @@
         let Some(state) = self.pools.get_mut(&details.pool) else { return };
         match call.phase {
             CallPhase::Running { server, .. } => {
-                if let Some(server) = state.servers.get_mut(&server) {
+                if let Some(server) = state.servers.get_mut(server) {
                     server
                         .load
                         .end(details.request, details.prompt.is_long(&self.options));
@@ -466,7 +485,7 @@
             timeout.max(self.options.shortest_patience)
         });
         if let Some(state) = self.pools.get_mut(&call.details.pool)
-            && let Some(server) = state.servers.get_mut(&server)
+            && let Some(server) = state.servers.get_mut(server)
         {
             let limited = server.pushback.is_limited(now);
             call.rate_counted = limited && server.pushback.take(now);
@@ -488,5 +507,13 @@
     pools: &mut BTreeMap<PoolId, RoutePool>,
     server: ServerId,
 ) -> Option<&mut ServerState> {
-    pools.values_mut().find_map(|pool| pool.servers.get_mut(&server))
+    pools.values_mut().find_map(|pool| pool.servers.get_mut(server))
+}
+
+/// Returns the state of a server, to record what peers have reported of it.
+fn find_for_peers(
+    pools: &mut BTreeMap<PoolId, RoutePool>,
+    server: ServerId,
+) -> Option<&mut ServerState> {
+    pools.values_mut().find_map(|pool| pool.servers.get_for_peers(server))
 }
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -48,12 +48,14 @@
     /// call.
     pub fn set_group(&mut self, group: Arc<InstanceGroup>, now: Duration) {
         let unchanged = self.group.as_ref() == Some(&group);
-        for server in self.pools.values_mut().flat_map(|pool| pool.servers.values_mut()) {
-            if unchanged {
-                server.pushback.tick(now);
-                continue;
-            }
-            server.update_shares(Some(&group), now);
+        for pool in self.pools.values_mut() {
+            pool.servers.update_active(|server| {
+                if unchanged {
+                    server.pushback.tick(now);
+                } else {
+                    server.update_shares(Some(&group), now);
+                }
+            });
         }
         self.group = Some(group);
     }
@@ -110,7 +112,7 @@
         server: ServerId,
     ) -> Option<(Option<RequestRate>, Duration)> {
         let mut pools = self.pools.values();
-        let server = pools.find_map(|pool| pool.servers.get(&server))?;
+        let server = pools.find_map(|pool| pool.servers.get(server))?;
         Some((server.pushback.rate(), server.pushback.rate_heard_at()))
     }
 
@@ -119,7 +121,7 @@
     #[must_use]
     pub fn count_pushback(&self, now: Duration) -> PushbackCount {
         let mut count = PushbackCount::default();
-        for server in self.pools.values().flat_map(|pool| pool.servers.values()) {
+        for server in self.pools.values().flat_map(|pool| pool.servers.active()) {
             count.limited += usize::from(server.pushback.rate().is_some());
             count.backing_off += usize::from(server.pushback.is_backing_off(now));
             count.cold += usize::from(server.pushback.is_cold(now));
@@ -134,7 +136,7 @@
         let Some(call) = self.calls.get(&request) else { return false };
         let CallPhase::Running { server, .. } = call.phase else { return false };
         let pool = self.pools.get_mut(&call.details.pool);
-        let Some(server) = pool.and_then(|pool| pool.servers.get_mut(&server)) else {
+        let Some(server) = pool.and_then(|pool| pool.servers.get_mut(server)) else {
             return false;
         };
         if !server.listing.accepts(&call.details) || server.pushback.is_backing_off(now) {
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -54,7 +54,7 @@
         let Some(call) = self.calls.get(&request) else { return false };
         let CallPhase::Running { server, since, .. } = call.phase else { return false };
         let pool = self.pools.get(&call.details.pool);
-        let server = pool.and_then(|pool| pool.servers.get(&server));
+        let server = pool.and_then(|pool| pool.servers.get(server));
         let Some(last_heard) = server.map(|server| server.health.last_heard()) else {
             return false;
         };
@@ -158,8 +158,9 @@
     /// Returns whether there is a server that hasn't failed the request.
     fn has_alternative(&self, call: &RoutedCall) -> bool {
         let Some(state) = self.pools.get(&call.details.pool) else { return false };
-        state.servers.iter().any(|(id, server)| {
-            server.listing.accepts(&call.details) && !call.excluded.contains(id)
+        state.servers.values().any(|server| {
+            server.listing.accepts(&call.details)
+                && !call.excluded.contains(&server.listing.server)
         })
     }
 
@@ -167,7 +168,7 @@
     fn record_fault(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
         let CallPhase::Running { server, .. } = call.phase else { return };
         let Some(state) = self.pools.get_mut(&call.details.pool) else { return };
-        let Some(server) = state.servers.get_mut(&server) else { return };
+        let Some(server) = state.servers.get_mut(server) else { return };
         server.health.record_fault(fault, now, &self.options);
         if fault == RouteFault::Unreachable {
             server.suspect_restart(self.group.as_deref(), self.seed, now);
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -7,6 +7,7 @@
 
 use super::call::{PartKey, PromptShape, RegionKey, RouteCall};
 use super::health::ServerHealth;
+use super::lane::lane_rank;
 use super::load::LoadTracker;
 use super::prefill_rate::PrefillRate;
 use super::pushback::own_rate_share;
@@ -94,6 +95,8 @@
     /// Whether [`RouteCore::health_changes`](super::RouteCore::health_changes) last
     /// reported it as healthy.
     pub(crate) reported_healthy: bool,
+    /// Its place in the order in which engines are assigned to long prompts.
+    pub(crate) lane_rank: u64,
     /// The prompt parts that it has prefilled, and when it last did.
     parts: HashMap<PartKey, Duration>,
 }
@@ -103,6 +106,7 @@
     /// tokens per millisecond.
     pub(crate) fn new(listing: RoutedServer, guess: f64, now: Duration) -> Self {
         Self {
+            lane_rank: lane_rank(&listing),
             listing,
             load: LoadTracker::default(),
             health: ServerHealth::new(now),
--- a/crates/flaxtide-policy/src/router/wait.rs
+++ b/crates/flaxtide-policy/src/router/wait.rs
@@ -46,14 +46,9 @@
         let Some(state) = self.pools.get(&pool) else {
             return self.options.no_server_retry;
         };
-        let slots: u32 = state
-            .servers
-            .values()
-            .filter(|server| server.listing.in_service())
-            .map(|server| server.listing.slots)
-            .sum();
         let span = state.service_time.get().unwrap_or(1.0);
-        let seconds = span * state.queue.len() as f64 / f64::from(slots.max(1));
+        let seconds =
+            span * state.queue.len() as f64 / state.servers.slots().max(1) as f64;
         Duration::from_secs_f64(seconds)
             .clamp(self.options.shortest_retry, self.options.longest_retry)
     }
