--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -99,3 +99,16 @@
         );
     }
 }
+
+/// Servers may leave without having said so. If a third of a service does at once while the
+/// platform answers, its servers are taken for ones that couldn't renew their rows.
+#[test]
+fn servers_that_vanish_together_while_the_platform_answers_are_removed_in_time() {
+    let mut directory = directory();
+    for idx in 0..4 {
+        directory.mark_missing(&format!("i-{idx}"), ms(20_000));
+    }
+    let times = (20_000..40_000).step_by(100);
+    let removed_at = times.into_iter().find(|now| directory.expire(ms(*now)).len() == 4);
+    assert!(removed_at.is_some_and(|at| at <= 23_000), "removed at {removed_at:?}");
+}
