--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -176,8 +176,7 @@
 }
 
 /// The default of `read_alone_below`. In smaller groups, a shared reader costs the platform more
-/// calls than it saves: with a bound of 2 s for leaving servers it makes about 135 calls a minute,
-/// an instance by itself 15 to 25.
+/// calls than it saves.
 const DEFAULT_READ_ALONE_BELOW: usize = 10;
 
 /// Returns the default of `read_alone_below`.
--- a/crates/flaxtide-fleet/src/node/pushback.rs
+++ b/crates/flaxtide-fleet/src/node/pushback.rs
@@ -1,6 +1,6 @@
 //! Exchange of pushback reports: the limits and departures that backend servers announce. The
-//! notices also have the evacuations of data centres. New reports are sent to peers at once and resent until they are acknowledged. An instance that
-//! starts or comes back is sent all reports.
+//! notices also have the evacuations of data centres. New reports are sent to peers at once and
+//! resent until they are acknowledged. An instance that starts or comes back is sent all reports.
 
 use std::time::Duration;
 
