Bodies are charged as they arrive; one function receives whole bodies

Test that failed first: slow_readers, small_bodies_in_chunks_are_charged_as_small. Reservation and collection of bodies stood twice and are one type now. slow_readers, answers, streams and requests pass.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -13,14 +13,14 @@
 };
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 
 use crate::contract::{RequestClass, RequestHead};
 use crate::duty::CallUsage;
 use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
-use crate::memory::BodyReservation;
+use crate::memory::ChargedBody;
 use crate::open_call::{AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR};
 use crate::reply::{CallerResponse, LocalReply};
 use crate::response::{ReceivedResponse, receive_response, start_stream};
@@ -197,26 +197,26 @@
     Some(allowed.map(|region| fleet_key(region)).collect())
 }
 
-/// Reads a whole body, once there is memory for it. A body in chunks is charged with the
-/// greatest length.
+/// Reads a whole body, as far as there is memory for it.
 async fn read_body(
     state: &TrafficState,
     body: Incoming,
     max_bytes: usize,
 ) -> Result<Bytes, LocalReply> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let declared = body.size_hint().exact().unwrap_or(max_bytes as u64);
-    let declared = usize::try_from(declared).unwrap_or(max_bytes).min(max_bytes);
-    let reservation = state.request_memory.reserve(declared).await;
-    let read = Limited::new(body, max_bytes).collect().await;
-    let collected =
-        read.map_err(|error| match error.is::<http_body_util::LengthLimitError>() {
-            true => LocalReply::BodyTooLarge,
-            false => LocalReply::Malformed,
+    let mut body = Limited::new(body, max_bytes);
+    let mut read = ChargedBody::default();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| {
+            match error.is::<http_body_util::LengthLimitError>() {
+                true => LocalReply::BodyTooLarge,
+                false => LocalReply::Malformed,
+            }
         })?;
-    Ok(BodyReservation::attach(vec![reservation], collected.to_bytes()))
+        if let Some(bytes) = frame.data_ref() {
+            read.push(bytes, &state.request_memory).await;
+        }
+    }
+    Ok(read.into_bytes())
 }
 
 /// Runs the attempts of a call until a response starts or the request is given up.
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use prometheus::IntGauge;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -22,7 +22,7 @@
     /// A permit for each [`UNIT_BYTES`].
     permits: Arc<Semaphore>,
     /// The number of all permits.
-    total: u32,
+    total: usize,
     /// Exports the bytes in use.
     used: IntGauge,
 }
@@ -30,66 +30,83 @@
 impl BodyBudget {
     /// Creates the budget of a process that may use `memory_mb` megabytes.
     pub(crate) fn new(memory_mb: u64, used: IntGauge) -> Self {
-        let bytes = memory_mb * 1_000_000 / BUDGET_DIVISOR;
-        let total = u32::try_from(bytes / UNIT_BYTES as u64).unwrap_or(u32::MAX >> 4);
-        let permits = Arc::new(Semaphore::new(total.max(1) as usize));
-        Self { permits, total: total.max(1), used }
+        let units = memory_mb * 1_000_000 / BUDGET_DIVISOR / UNIT_BYTES as u64;
+        let most = u32::MAX.min(Semaphore::MAX_PERMITS as u32);
+        let total = u32::try_from(units).unwrap_or(most).clamp(1, most) as usize;
+        Self {
+            permits: Arc::new(Semaphore::new(total)),
+            total,
+            used,
+        }
     }
 
-    /// Reserves memory for `bytes` bytes, in order of the calls. Waits until there is as
-    /// much, or the whole budget for a body that is larger.
-    pub(crate) async fn reserve(&self, bytes: usize) -> BodyReservation {
-        let units = bytes.div_ceil(UNIT_BYTES).min(self.total as usize) as u32;
-        // The semaphore is never closed; without a permit, nothing would be charged.
-        let permit = self.permits.clone().acquire_many_owned(units).await.ok();
-        let reserved = units as usize * UNIT_BYTES;
-        self.used.add(reserved as i64);
-        BodyReservation { reserved, _permit: permit, used: self.used.clone() }
+    /// Reserves a number of units, in the order of the calls. Waits until they are free.
+    async fn reserve(&self, units: usize) -> Option<BodyReservation> {
+        let permit = self.permits.clone().acquire_many_owned(units as u32).await;
+        // The semaphore is never closed.
+        let permit = permit.ok()?;
+        self.used.add((units * UNIT_BYTES) as i64);
+        Some(BodyReservation { permit, used: self.used.clone() })
     }
 }
 
 /// Memory that is reserved for a body until this is dropped.
 #[derive(Debug)]
-pub(crate) struct BodyReservation {
-    /// The number of reserved bytes.
-    reserved: usize,
+struct BodyReservation {
     /// Returns the memory to the budget.
-    _permit: Option<OwnedSemaphorePermit>,
+    permit: OwnedSemaphorePermit,
     /// Exports the bytes in use.
     used: IntGauge,
 }
 
-impl BodyReservation {
-    /// Returns whether a body of this length exceeds the reservation.
-    pub(crate) fn is_exceeded_by(&self, bytes: usize) -> bool {
-        bytes > self.reserved
+impl Drop for BodyReservation {
+    fn drop(&mut self) {
+        self.used.sub((self.permit.num_permits() * UNIT_BYTES) as i64);
     }
+}
 
-    /// Ties reservations to a body. They end when the last reference to it is dropped.
-    pub(crate) fn attach(reservations: Vec<Self>, body: Bytes) -> Bytes {
-        if body.is_empty() {
-            return body;
-        }
-        Bytes::from_owner(ReservedBody { body, _reservations: reservations })
-    }
+/// A body that is being received, charged to a budget.
+#[derive(Debug, Default)]
+pub(crate) struct ChargedBody {
+    /// What has been received.
+    bytes: BytesMut,
+    /// The memory reserved for it.
+    reservations: Vec<BodyReservation>,
+    /// The units of all reservations.
+    reserved: usize,
 }
 
-impl Drop for BodyReservation {
-    fn drop(&mut self) {
-        self.used.sub(self.reserved as i64);
+impl ChargedBody {
+    /// Reserves memory for a body of `length` bytes, as far as that isn't done yet. A body
+    /// that exceeds the budget is charged with all of it.
+    pub(crate) async fn reserve(&mut self, length: usize, budget: &BodyBudget) {
+        let due = length.div_ceil(UNIT_BYTES).min(budget.total);
+        let Some(missing) = due.checked_sub(self.reserved).filter(|units| *units > 0)
+        else {
+            return;
+        };
+        self.reservations.extend(budget.reserve(missing).await);
+        self.reserved = due;
     }
-}
 
-/// A body with the memory that is reserved for it.
-struct ReservedBody {
-    /// The body.
-    body: Bytes,
-    /// Its reservations.
-    _reservations: Vec<BodyReservation>,
+    /// Adds received bytes, once there is memory for them.
+    pub(crate) async fn push(&mut self, bytes: &[u8], budget: &BodyBudget) {
+        self.reserve(self.bytes.len() + bytes.len(), budget).await;
+        self.bytes.extend_from_slice(bytes);
+    }
+
+    /// Returns the complete body, which holds its memory until the last reference to it is
+    /// dropped.
+    pub(crate) fn into_bytes(self) -> Bytes {
+        if self.reservations.is_empty() {
+            return self.bytes.freeze();
+        }
+        Bytes::from_owner(self)
+    }
 }
 
-impl AsRef<[u8]> for ReservedBody {
+impl AsRef<[u8]> for ChargedBody {
     fn as_ref(&self) -> &[u8] {
-        &self.body
+        &self.bytes
     }
 }
