Evacuations reach peers although the queue to the fleet thread is full; one function for shares

Faults found in reading: a report of an evacuation was dropped for good if the queue to the fleet thread was full, and a new evacuation was ignored once 256 data centres were known. Peers without requests take no place in the table of what peers named. Two functions that computed a share are one.

--- a/crates/flaxtide-entry/src/evacuation.rs
+++ b/crates/flaxtide-entry/src/evacuation.rs
@@ -29,8 +29,13 @@
         self.ended_at.borrow().get(&data_centre).copied()
     }
 
+    /// Returns the newest state of each data centre that is or was evacuated.
+    pub(crate) fn records(&self) -> Vec<EvacuationRecord> {
+        self.log.borrow().records()
+    }
+
     /// Applies changes read from the platform, or all evacuations at a version if
-    /// `snapshot` is given, and tells peers of what is new.
+    /// `snapshot` is given.
     pub(crate) fn apply_rows(
         &self,
         state: &TrafficState,
@@ -41,10 +46,7 @@
             Some(version) => self.log.borrow_mut().apply_snapshot(records, version),
             None => self.merge(records),
         };
-        if !new.is_empty() {
-            state.fleet.report_evacuations(new.clone());
-            self.enforce(state, &new, "platform");
-        }
+        self.enforce(state, &new, "platform");
     }
 
     /// Applies what a peer knows.
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -15,8 +15,7 @@
     SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{
-    CrashReport, EvacuationRecord, PartKey, PeerLoad, PrefillRecord, PushbackReport,
-    ServerLoad,
+    CrashReport, PartKey, PeerLoad, PrefillRecord, PushbackReport, ServerLoad,
 };
 use tokio::sync::mpsc;
 
@@ -115,11 +114,6 @@
         })
     }
 
-    /// Reports to peers which data centres are now evacuated, or no longer are.
-    pub(crate) fn report_evacuations(&self, records: Vec<EvacuationRecord>) {
-        self.update(move |node, _| node.record_evacuations(&records));
-    }
-
     /// Schedules a change of the node on the fleet thread. Returns whether there was room
     /// in the queue.
     fn update(
@@ -305,12 +299,14 @@
     let events = events.clone();
     let source = state.source.clone();
     let version = state.rules_version();
+    let evacuations = state.evacuations.records();
     source.record_rules(version, state.newest_rules.get());
     let duties = state.duties.clone();
     let read_alone_below = state.config().read_alone_below;
     link.update(move |node, now| {
-        // Repeated each time, as the queue may have been full when the rules changed.
+        // Repeated each time, as the queue may have been full when they changed.
         node.set_version(version);
+        node.record_evacuations(&evacuations);
         // Each heartbeat reports the prefills since the previous one, with a margin of
         // two updates.
         let recent = node.period() + PUBLISH_PERIOD * 2;
--- a/crates/flaxtide-fleet/src/node/evacuation.rs
+++ b/crates/flaxtide-fleet/src/node/evacuation.rs
@@ -7,8 +7,8 @@
 use super::{FleetNode, NodeEvent};
 
 impl FleetNode {
-    /// Records evacuations that this instance has read from the platform, and queues them
-    /// for its peers.
+    /// Records the evacuations that this instance knows, and queues those for its peers that
+    /// it hasn't from them.
     pub fn record_evacuations(&mut self, records: &[EvacuationRecord]) {
         self.apply_evacuations(records, true);
     }
--- a/crates/flaxtide-fleet/tests/evacuation.rs
+++ b/crates/flaxtide-fleet/tests/evacuation.rs
@@ -57,3 +57,16 @@
         assert_eq!(fleet.count_evacuated(DATA_CENTRE), instances, "of {instances}");
     }
 }
+
+/// Each instance hands its evacuations to its node again and again, as a message between its
+/// threads may be lost. That must not be sent to peers again.
+#[test]
+fn known_evacuations_are_not_sent_again() {
+    let mut fleet = Fleet::new(9, 4);
+    fleet.run(Duration::from_secs(15));
+    fleet.read_evacuation(3, record(7, true));
+    fleet.run(EXCHANGE_TIME);
+    let node = fleet.nodes.get_mut(&common::address(3)).unwrap();
+    node.record_evacuations(&[record(7, true)]);
+    assert_eq!(node.due_pushback(fleet.now), []);
+}
--- a/crates/flaxtide-policy/src/evacuation.rs
+++ b/crates/flaxtide-policy/src/evacuation.rs
@@ -49,10 +49,10 @@
         if known.is_some_and(|known| known.version >= record.version) {
             return false;
         }
-        if known.is_none() && self.records.len() >= MAX_DATA_CENTRES {
-            return false;
-        }
         self.records.insert(record.data_centre, *record);
+        if self.records.len() > MAX_DATA_CENTRES {
+            self.forget_oldest();
+        }
         before != record.evacuated
     }
 
@@ -79,6 +79,14 @@
         records
     }
 
+    /// Removes the oldest record, preferably of a data centre that isn't evacuated.
+    fn forget_oldest(&mut self) {
+        let records = self.records.values();
+        let oldest = records.min_by_key(|record| (record.evacuated, record.version));
+        let oldest = oldest.map(|record| record.data_centre);
+        oldest.and_then(|data_centre| self.records.remove(&data_centre));
+    }
+
     /// Returns whether a data centre is evacuated.
     #[must_use]
     pub fn is_evacuated(&self, data_centre: DataCentreKey) -> bool {
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -234,8 +234,7 @@
 
     /// Replaces everything that is known of a peer's load on the servers.
     pub fn set_peer_loads(&mut self, peer: PeerKey, loads: &[PeerLoad], now: Duration) {
-        let named = loads.iter().map(|load| load.server).collect();
-        let before = self.peer_servers.insert(peer, named).unwrap_or_default();
+        let before = self.peer_servers.remove(&peer).unwrap_or_default();
         for server in before {
             if let Some(server) = find_for_peers(&mut self.pools, server) {
                 server.load.set_peer(peer, None, now);
@@ -246,6 +245,10 @@
                 server.load.set_peer(peer, Some(*load), now);
             }
         }
+        if !loads.is_empty() {
+            let named = loads.iter().map(|load| load.server).collect();
+            self.peer_servers.insert(peer, named);
+        }
     }
 
     /// Records which shared prompt parts servers prefilled for a peer.
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -9,7 +9,9 @@
 use super::call::{CallPhase, RoutedCall};
 use super::server::RoutedServer;
 use super::{RefusalCause, RouteAction, RouteCore, find_server};
-use crate::pushback::{InstanceGroup, ReportEffect, RequestRate, ServerStatement};
+use crate::pushback::{
+    DataCentreKey, InstanceGroup, ReportEffect, RequestRate, ServerStatement,
+};
 use crate::rendezvous::rendezvous_weight;
 
 /// The maximum random extension of a retry-after time, as a fraction of it. It keeps the
@@ -74,7 +76,8 @@
         if let Some(span) = statement.cold {
             server.limit_while_cold(now + span, group, self.seed, now);
         }
-        let rate_share = |rate| own_rate_share(group, &server.listing, rate);
+        let rate_share =
+            |rate| own_share(group, &server.listing, rate, InstanceGroup::rate_share);
         let pushback = &mut server.pushback;
         let backoff = statement.backoff.map(|span| span.min(self.options.longest_rest));
         let new_backoff = backoff.filter(|span| pushback.back_off(*span, now));
@@ -100,7 +103,8 @@
     ) -> Option<ReportEffect> {
         let group = self.group.as_deref();
         let server = find_server(&mut self.pools, server)?;
-        let rate_share = |rate| own_rate_share(group, &server.listing, rate);
+        let rate_share =
+            |rate| own_share(group, &server.listing, rate, InstanceGroup::rate_share);
         Some(server.pushback.apply_report(rate, rate_share, heard_at, now))
     }
 
@@ -222,13 +226,16 @@
     Unknown,
 }
 
-/// Returns this instance's share of a server's rate. It is 0 until membership is known.
-pub(super) fn own_rate_share(
+/// Computes an instance's share of a rate of a server, given the hash of the server's name
+/// and its data centre.
+type ShareRule = fn(&InstanceGroup, u64, DataCentreKey, RequestRate) -> f64;
+
+/// Returns this instance's share of a rate of a server. It is 0 until membership is known.
+pub(super) fn own_share(
     group: Option<&InstanceGroup>,
     listing: &RoutedServer,
     rate: RequestRate,
+    rule: ShareRule,
 ) -> f64 {
-    group.map_or(0.0, |group| {
-        group.rate_share(listing.name_hash, listing.data_centre, rate)
-    })
+    group.map_or(0.0, |group| rule(group, listing.name_hash, listing.data_centre, rate))
 }
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -10,10 +10,8 @@
 use super::lane::lane_rank;
 use super::load::LoadTracker;
 use super::prefill_rate::PrefillRate;
-use super::pushback::own_rate_share;
-use crate::pushback::{
-    ColdStart, DataCentreKey, InstanceGroup, RequestRate, ServerPushback,
-};
+use super::pushback::own_share;
+use crate::pushback::{ColdStart, DataCentreKey, InstanceGroup, ServerPushback};
 use crate::rendezvous::rendezvous_weight;
 
 /// About the maximum number of prompt parts that are remembered for one server. Beyond
@@ -121,8 +119,10 @@
     /// changed.
     pub(crate) fn update_shares(&mut self, group: Option<&InstanceGroup>, now: Duration) {
         let listing = &self.listing;
-        let stated_share = |rate| own_rate_share(group, listing, rate);
-        let cold_share = |rate| cold_rate_share(group, listing, rate);
+        let stated_share =
+            |rate| own_share(group, listing, rate, InstanceGroup::rate_share);
+        let cold_share =
+            |rate| own_share(group, listing, rate, InstanceGroup::cold_share);
         self.pushback.update_shares(stated_share, cold_share, now);
     }
 
@@ -141,7 +141,7 @@
         let draw = rendezvous_weight(seed, self.listing.name_hash) as f64;
         let ramp = start.span.mul_f64(COLD_RAMP_FRACTION * draw / u64::MAX as f64);
         let listing = &self.listing;
-        let share = |rate| cold_rate_share(group, listing, rate);
+        let share = |rate| own_share(group, listing, rate, InstanceGroup::cold_share);
         self.pushback.limit_while_cold(start.rate, share, until + ramp, now);
     }
 
@@ -196,15 +196,3 @@
         cached.min(prompt.tokens)
     }
 }
-
-/// Returns this instance's share of the rate of a cold server. It is 0 until membership is
-/// known.
-pub(super) fn cold_rate_share(
-    group: Option<&InstanceGroup>,
-    listing: &RoutedServer,
-    rate: RequestRate,
-) -> f64 {
-    group.map_or(0.0, |group| {
-        group.cold_share(listing.name_hash, listing.data_centre, rate)
-    })
-}
