Servers that vanish together leave within the bound; what is stated of cold servers can't overflow

Change: such servers stay for .85 of the bound, counted from when their row was last seen; 8 s are left for the case in which the rows of all servers of a service disappear, as it would have none. Times that rows and responses state for cold servers saturate and end after ten minutes.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -11,43 +11,7 @@
 use flaxtide_core::ServerName;
 
 use crate::contract::ServerEntry;
-
-/// How long a server whose row is missing stays in use if nothing points to an outage, as a
-/// fraction of `leave_within`, the time within which a leaving server must get no more
-/// requests. A leaving server serves for longer than this, so requests sent to it meanwhile
-/// aren't lost, and the remaining servers take over its work.
-const REMOVAL_GRACE_FRACTION: f64 = 0.4;
-
-/// The longest time for which a server stays in use whose row disappears while the platform
-/// answers, even after an outage; as a fraction of `leave_within`. The sum of this, of
-/// [`CALL_PAUSE_FRACTION`] and of the period in which rows are checked stays below
-/// `leave_within`.
-const MAX_GRACE_FRACTION: f64 = 0.55;
-
-/// The longest time for which a server stays in use, counted from when its row was last seen, if
-/// the row is found missing late for whatever reason; as a fraction of `leave_within`. The rest
-/// is for requests that are already on their way.
-const MAX_GRACE_SINCE_SEEN_FRACTION: f64 = 0.85;
-
-/// The pause between two reads of the server list, as a fraction of `leave_within`.
-pub(crate) const CALL_PAUSE_FRACTION: f64 = 0.35;
-
-/// How long servers have to rewrite their rows after the platform returns. They do so within
-/// two seconds. Records of an outage that are no further apart belong to one outage.
-const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
-
-/// How long a server stays in use whose row disappeared together with many others.
-const MASS_LAPSE_GRACE: Duration = Duration::from_secs(8);
-
-/// Rows found missing this soon after the platform returns disappeared during the outage.
-const RECOVERY_WINDOW: Duration = Duration::from_millis(500);
-
-/// Rows that disappear within this time of each other count as disappearing together.
-const MASS_LAPSE_WINDOW: Duration = Duration::from_millis(1500);
-
-/// If at least this fraction of a service's rows, and at least two, disappear together, the
-/// servers haven't left: their rows weren't renewed in time.
-const MASS_LAPSE_FRACTION: f64 = 0.34;
+use crate::lapse::{MissingRow, OutageSpan, ServiceLapses, grace_end};
 
 /// How long a departed server isn't used after a store restored from a backup lists it again, in
 /// renewal periods. If the server doesn't renew its row, the row expires after three.
@@ -93,15 +57,6 @@
     held: BTreeMap<ServerName, (ServerEntry, Duration)>,
 }
 
-/// The times at which an outage of the platform was recorded.
-#[derive(Debug, Clone, Copy)]
-struct OutageSpan {
-    /// When it was first recorded.
-    since: Duration,
-    /// When it was last recorded.
-    last: Duration,
-}
-
 /// An incarnation of a server that has left.
 #[derive(Debug)]
 struct DepartedServer {
@@ -128,40 +83,10 @@
     cold_until: Option<Duration>,
 }
 
-/// The times that are known about a missing row.
-#[derive(Debug, Clone, Copy)]
-struct MissingRow {
-    /// When this instance noticed that the row was missing.
-    noticed_at: Duration,
-    /// The last time at which the row was known to be listed.
-    last_seen_at: Duration,
-}
-
-/// The missing rows of a service.
-#[derive(Debug)]
-struct ServiceLapse {
-    /// The number of servers of the service.
-    servers: usize,
-    /// When each row was noticed to be missing, in order.
-    noticed_at: Vec<Duration>,
-}
-
-impl ServiceLapse {
-    /// Returns whether a row that was noticed to be missing at a time disappeared together
-    /// with many others.
-    fn is_mass_lapse(&self, noticed_at: Duration) -> bool {
-        let times = &self.noticed_at;
-        let before = times.partition_point(|at| *at + MASS_LAPSE_WINDOW <= noticed_at);
-        let until = times.partition_point(|at| *at < noticed_at + MASS_LAPSE_WINDOW);
-        let together = until - before;
-        together >= 2 && together as f64 >= MASS_LAPSE_FRACTION * self.servers as f64
-    }
-}
-
 impl DirectoryEntry {
     /// Creates the entry of a server that has just been listed.
     fn new(mut entry: ServerEntry, now: Duration) -> Self {
-        let cold_until = entry.cold_left.take().map(|left| now + left);
+        let cold_until = entry.cold_left.take().map(|left| now.saturating_add(left));
         Self { entry, missing: None, listed_at: now, cold_until }
     }
 
@@ -172,16 +97,18 @@
 
     /// Returns until when the server is cold, if it stays cold for `span` after its start.
     pub(crate) fn cold_until(&self, span: Duration) -> Duration {
-        self.cold_until.unwrap_or(self.listed_at + span)
+        self.cold_until.unwrap_or(self.listed_at.saturating_add(span))
     }
 
     /// Applies what a newer row says about how long the server is cold. Returns whether
     /// that is notably longer than known.
     fn update_cold(&mut self, cold_left: Option<Duration>, now: Duration) -> bool {
         let Some(left) = cold_left else { return false };
-        let until = now + left;
+        let until = now.saturating_add(left);
         let longer = !left.is_zero()
-            && self.cold_until.is_none_or(|known| until > known + COLD_SLACK);
+            && self
+                .cold_until
+                .is_none_or(|known| until > known.saturating_add(COLD_SLACK));
         if longer || self.cold_until.is_none() {
             self.cold_until = Some(until);
         }
@@ -209,10 +136,7 @@
 
     /// Records that the platform is unavailable.
     pub fn record_outage(&mut self, now: Duration) {
-        match &mut self.outage {
-            Some(outage) if now <= outage.last + RECOVERY_GRACE => outage.last = now,
-            _ => self.outage = Some(OutageSpan { since: now, last: now }),
-        }
+        self.outage = Some(OutageSpan::extend(self.outage, now));
     }
 
     /// Records the era of the store that the following rows are from.
@@ -366,18 +290,19 @@
 
     /// Removes servers whose row has been missing for too long. Returns their names.
     pub fn expire(&mut self, now: Duration) -> Vec<ServerName> {
-        let lapses = self.lapses_by_service();
-        let expired = self.missing.iter().filter(|name| {
-            let server = self.servers.get(*name);
-            let Some((server, row)) = server.and_then(|it| Some((it, it.missing?)))
-            else {
-                return false;
-            };
-            let lapse = lapses.get(server.entry.service.as_str());
-            let is_mass_lapse = lapse.is_some_and(|it| it.is_mass_lapse(row.noticed_at));
-            now >= self.grace_end(is_mass_lapse, row)
+        let missing = self.missing.iter().filter_map(|name| {
+            let server = self.servers.get(name)?;
+            Some((name, server.entry.service.as_str(), server.missing?))
+        });
+        let missing: Vec<(&ServerName, &str, MissingRow)> = missing.collect();
+        let rows = missing.iter().map(|(_, service, row)| (*service, *row));
+        let lapses = ServiceLapses::new(rows, &self.service_sizes);
+        let expired = missing.iter().filter(|(_, service, row)| {
+            let extent = lapses.extent(service, *row);
+            now >= grace_end(*row, extent, self.outage, self.leave_within)
         });
-        let expired: Vec<ServerName> = expired.cloned().collect();
+        let expired: Vec<ServerName> =
+            expired.map(|(name, ..)| (*name).clone()).collect();
         for name in &expired {
             if let Some(server) = self.take(name) {
                 self.record_departure(&server.entry, now);
@@ -386,24 +311,6 @@
         expired
     }
 
-    /// Returns when the rows of each service that are missing disappeared.
-    fn lapses_by_service(&self) -> HashMap<&str, ServiceLapse> {
-        let mut lapses: HashMap<&str, ServiceLapse> = HashMap::new();
-        for server in self.missing.iter().filter_map(|name| self.servers.get(name)) {
-            let Some(row) = server.missing else { continue };
-            let service = server.entry.service.as_str();
-            let lapse = lapses.entry(service).or_insert_with(|| ServiceLapse {
-                servers: self.service_sizes.get(service).copied().unwrap_or_default(),
-                noticed_at: vec![],
-            });
-            lapse.noticed_at.push(row.noticed_at);
-        }
-        for lapse in lapses.values_mut() {
-            lapse.noticed_at.sort_unstable();
-        }
-        lapses
-    }
-
     /// Adds or replaces a server.
     fn insert(&mut self, name: ServerName, server: DirectoryEntry) {
         self.take(&name);
@@ -424,29 +331,6 @@
         Some(server)
     }
 
-    /// Returns until when a server stays in use after its row has disappeared.
-    fn grace_end(&self, is_mass_lapse: bool, row: MissingRow) -> Duration {
-        let noticed_at = row.noticed_at;
-        if is_mass_lapse {
-            return noticed_at + MASS_LAPSE_GRACE;
-        }
-        let scaled = |fraction| self.leave_within.mul_f64(fraction);
-        let latest_end = row.last_seen_at + scaled(MAX_GRACE_SINCE_SEEN_FRACTION);
-        let normal_end = (noticed_at + scaled(REMOVAL_GRACE_FRACTION)).min(latest_end);
-        // A row that disappeared while the platform answered means that the server has left, even
-        // if an outage has begun since.
-        let Some(outage) = self.outage.filter(|outage| noticed_at >= outage.since) else {
-            return normal_end;
-        };
-        if noticed_at <= outage.last + RECOVERY_WINDOW {
-            return outage.last + RECOVERY_GRACE;
-        }
-        let recovery_end = (outage.last + RECOVERY_GRACE).max(normal_end);
-        recovery_end
-            .min(noticed_at + scaled(MAX_GRACE_FRACTION))
-            .min(latest_end)
-    }
-
     /// Returns whether the row of any server is missing.
     pub(crate) fn has_missing_rows(&self) -> bool {
         !self.missing.is_empty()
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -28,8 +28,8 @@
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
 /// Without an answer from the platform or a peer for this long, the platform counts as
-/// down, and rows may lapse because servers can't renew them. Servers renew their rows
-/// every 1.2 s, and a row lapses after three missed renewals.
+/// down, and rows may lapse because servers can't renew them. Rows last for several
+/// renewals, so an outage is recorded before any lapses.
 const OUTAGE_AFTER: Duration = Duration::from_secs(2);
 
 /// The time within which a standby calls the platform once no peer answers, as a fraction
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -14,7 +14,6 @@
 
 use crate::config::EntryConfig;
 use crate::contract::{DutyPlatform, FeedTopic, PlatformFeed, WireDialect};
-use crate::directory::CALL_PAUSE_FRACTION;
 use crate::duty::{DutyThread, SharedDuties, update_duty_view};
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, handle_feed_events};
@@ -23,6 +22,7 @@
 };
 use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
 use crate::jump::JumpDetector;
+use crate::lapse::CALL_PAUSE_FRACTION;
 use crate::listen::{accept_callers, bind_listener, serve_probes};
 use crate::logging::flush_log;
 use crate::metrics::EntryMetrics;
--- /dev/null
+++ b/crates/flaxtide-entry/src/lapse.rs
@@ -0,0 +1,157 @@
+//! How long a server stays in use after its row has disappeared from the platform's list.
+//!
+//! The row of a server that has left is gone for good. That of a server that couldn't renew it,
+//! because the platform was unavailable, comes back within about two seconds.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+/// How long a server whose row is missing stays in use if nothing points to an outage, as a
+/// fraction of `leave_within`, the time within which a leaving server must get no more
+/// requests. A leaving server serves for longer than this, so requests sent to it meanwhile
+/// aren't lost, and the remaining servers take over its work.
+const REMOVAL_GRACE_FRACTION: f64 = 0.4;
+
+/// The longest time for which a server stays in use whose row disappears while the platform
+/// answers, even after an outage; as a fraction of `leave_within`. The sum of this, of
+/// [`CALL_PAUSE_FRACTION`] and of the period in which rows are checked stays below
+/// `leave_within`.
+const MAX_GRACE_FRACTION: f64 = 0.55;
+
+/// The longest time for which a server stays in use, counted from when its row was last seen, if
+/// the row is found missing late for whatever reason; as a fraction of `leave_within`. The rest
+/// is for requests that are already on their way.
+const MAX_GRACE_SINCE_SEEN_FRACTION: f64 = 0.85;
+
+/// The pause between two reads of the server list, as a fraction of `leave_within`.
+pub(crate) const CALL_PAUSE_FRACTION: f64 = 0.35;
+
+/// How long servers have to rewrite their rows after the platform returns. They do so within
+/// two seconds. Records of an outage that are no further apart belong to one outage.
+const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
+
+/// How long servers stay in use if the rows of all servers of their service disappeared
+/// together. Without them the service would have none.
+const TOTAL_LAPSE_GRACE: Duration = Duration::from_secs(8);
+
+/// Rows found missing this soon after the platform returns disappeared during the outage.
+const RECOVERY_WINDOW: Duration = Duration::from_millis(500);
+
+/// Rows that disappear within this time of each other count as disappearing together.
+const MASS_LAPSE_WINDOW: Duration = Duration::from_millis(1500);
+
+/// If at least this fraction of a service's rows, and at least two, disappear together, they
+/// may not have been renewed in time. The servers stay in use for as long as is allowed for
+/// servers that have left.
+const MASS_LAPSE_FRACTION: f64 = 0.34;
+
+/// The times at which an outage of the platform was recorded.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct OutageSpan {
+    /// When it was first recorded.
+    since: Duration,
+    /// When it was last recorded.
+    last: Duration,
+}
+
+impl OutageSpan {
+    /// Extends the last outage to `now`, or begins another one.
+    pub(crate) fn extend(last: Option<Self>, now: Duration) -> Self {
+        let last = last.filter(|outage| now <= outage.last + RECOVERY_GRACE);
+        Self {
+            since: last.map_or(now, |outage| outage.since),
+            last: now,
+        }
+    }
+}
+
+/// The times that are known about a missing row.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct MissingRow {
+    /// When this instance noticed that the row was missing.
+    pub(crate) noticed_at: Duration,
+    /// The last time at which the row was known to be listed.
+    pub(crate) last_seen_at: Duration,
+}
+
+/// How many rows of a service disappeared together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LapseExtent {
+    /// A few rows.
+    Few,
+    /// Many rows.
+    Many,
+    /// The rows of all servers.
+    All,
+}
+
+/// The missing rows of all services.
+#[derive(Debug)]
+pub(crate) struct ServiceLapses<'a> {
+    /// When the rows of each service were noticed to be missing, in order.
+    noticed_at: HashMap<&'a str, Vec<Duration>>,
+    /// The number of servers of each service.
+    sizes: &'a HashMap<String, usize>,
+}
+
+impl<'a> ServiceLapses<'a> {
+    /// Sorts the missing rows of services by time.
+    pub(crate) fn new(
+        rows: impl Iterator<Item = (&'a str, MissingRow)>,
+        sizes: &'a HashMap<String, usize>,
+    ) -> Self {
+        let mut noticed_at: HashMap<&str, Vec<Duration>> = HashMap::new();
+        for (service, row) in rows {
+            noticed_at.entry(service).or_default().push(row.noticed_at);
+        }
+        noticed_at.values_mut().for_each(|times| times.sort_unstable());
+        Self { noticed_at, sizes }
+    }
+
+    /// Returns how many rows of a service disappeared together with `row`.
+    pub(crate) fn extent(&self, service: &str, row: MissingRow) -> LapseExtent {
+        let times = self.noticed_at.get(service).map_or(&[][..], Vec::as_slice);
+        let servers = self.sizes.get(service).copied().unwrap_or_default();
+        let at = row.noticed_at;
+        let first = times.partition_point(|other| *other + MASS_LAPSE_WINDOW <= at);
+        let end = times.partition_point(|other| *other < at + MASS_LAPSE_WINDOW);
+        let together = end - first;
+        if together < 2 || (together as f64) < MASS_LAPSE_FRACTION * servers as f64 {
+            LapseExtent::Few
+        } else if together < servers {
+            LapseExtent::Many
+        } else {
+            LapseExtent::All
+        }
+    }
+}
+
+/// Returns until when a server stays in use whose row has disappeared. `leave_within` is the
+/// time within which a leaving server must get no more requests.
+pub(crate) fn grace_end(
+    row: MissingRow,
+    extent: LapseExtent,
+    outage: Option<OutageSpan>,
+    leave_within: Duration,
+) -> Duration {
+    let noticed_at = row.noticed_at;
+    let scaled = |fraction| leave_within.mul_f64(fraction);
+    let latest_end = row.last_seen_at + scaled(MAX_GRACE_SINCE_SEEN_FRACTION);
+    let normal_end = match extent {
+        LapseExtent::All => return noticed_at + TOTAL_LAPSE_GRACE,
+        LapseExtent::Many => latest_end,
+        LapseExtent::Few => (noticed_at + scaled(REMOVAL_GRACE_FRACTION)).min(latest_end),
+    };
+    // A row that disappeared while the platform answered means that the server has left, even
+    // if an outage has begun since.
+    let Some(outage) = outage.filter(|outage| noticed_at >= outage.since) else {
+        return normal_end;
+    };
+    if noticed_at <= outage.last + RECOVERY_WINDOW {
+        return outage.last + RECOVERY_GRACE;
+    }
+    let recovery_end = (outage.last + RECOVERY_GRACE).max(normal_end);
+    recovery_end
+        .min(noticed_at + scaled(MAX_GRACE_FRACTION))
+        .min(latest_end)
+}
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -30,6 +30,7 @@
 mod instance;
 mod jump;
 mod lag;
+mod lapse;
 mod listen;
 mod logging;
 mod memory;
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -403,7 +403,8 @@
         let cold = service.cold_start.map(|start| {
             let until = listed.cold_until(start.span);
             let ended_at = self.evacuations.ended_at(data_centre);
-            let until = ended_at.map_or(until, |at| until.max(at + start.span));
+            let until =
+                ended_at.map_or(until, |at| until.max(at.saturating_add(start.span)));
             ColdStart { rate: start.rate, span: start.span, until }
         });
         RoutedServer {
--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -100,8 +100,7 @@
     }
 }
 
-/// Servers may leave without having said so. If a third of a service does at once while the
-/// platform answers, its servers are taken for ones that couldn't renew their rows.
+/// Servers may leave without having announced it, also a third of a service at once.
 #[test]
 fn servers_that_vanish_together_while_the_platform_answers_are_removed_in_time() {
     let mut directory = directory();
@@ -112,3 +111,32 @@
     let removed_at = times.into_iter().find(|now| directory.expire(ms(*now)).len() == 4);
     assert!(removed_at.is_some_and(|at| at <= 23_000), "removed at {removed_at:?}");
 }
+
+/// If all rows of a service disappear, its servers are better than none.
+#[test]
+fn a_service_keeps_its_servers_if_all_of_them_vanish() {
+    let mut directory = directory();
+    for idx in 0..10 {
+        directory.mark_missing(&format!("i-{idx}"), ms(20_000));
+    }
+    assert!(directory.expire(ms(27_900)).is_empty());
+    assert_eq!(directory.expire(ms(28_000)).len(), 10);
+}
+
+#[test]
+fn a_row_that_claims_to_be_cold_forever_stops_nothing() {
+    let mut directory = directory();
+    let entry = ServerEntry {
+        name: "i-99".into(),
+        service: "pool".into(),
+        address: ([10, 0, 0, 99], 80).into(),
+        data_centre: "north".into(),
+        slots: 8,
+        leaving: false,
+        spot: false,
+        started: None,
+        cold_left: Some(Duration::MAX),
+    };
+    assert!(directory.put(entry.clone(), ms(5)));
+    assert!(!directory.put(entry, ms(10)));
+}
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -74,7 +74,7 @@
         let group = self.group.as_deref();
         let server = find_server(&mut self.pools, server)?;
         if let Some(span) = statement.cold {
-            server.limit_while_cold(now + span, group, self.seed, now);
+            server.limit_while_cold(now.saturating_add(span), group, self.seed, now);
         }
         let rate_share =
             |rate| own_share(group, &server.listing, rate, InstanceGroup::rate_share);
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -22,6 +22,9 @@
 /// fraction of the time for which servers stay cold.
 const COLD_RAMP_FRACTION: f64 = 0.5;
 
+/// The longest time for which a server is taken to be cold, whatever it states.
+const MAX_COLD_SPAN: Duration = Duration::from_secs(600);
+
 /// A backend server as listed by the platform.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct RoutedServer {
@@ -142,7 +145,8 @@
         let ramp = start.span.mul_f64(COLD_RAMP_FRACTION * draw / u64::MAX as f64);
         let listing = &self.listing;
         let share = |rate| own_share(group, listing, rate, InstanceGroup::cold_share);
-        self.pushback.limit_while_cold(start.rate, share, until + ramp, now);
+        let until = until.min(now + MAX_COLD_SPAN) + ramp.min(MAX_COLD_SPAN);
+        self.pushback.limit_while_cold(start.rate, share, until, now);
     }
 
     /// Records that the server may have started again, because it couldn't be reached.
@@ -153,7 +157,7 @@
         now: Duration,
     ) {
         if let Some(start) = self.listing.cold {
-            self.limit_while_cold(now + start.span, group, seed, now);
+            self.limit_while_cold(now.saturating_add(start.span), group, seed, now);
         }
     }
 
--- a/crates/flaxtide-policy/tests/cold.rs
+++ b/crates/flaxtide-policy/tests/cold.rs
@@ -110,6 +110,19 @@
     assert_eq!(sent_in_second(&mut core, ms(2_000)), 0);
 }
 
+/// Rows and responses are written by others, and may say anything.
+#[test]
+fn a_server_that_claims_to_be_cold_forever_is_limited_for_a_while() {
+    let mut core = core_alone(cold_engine(0, Duration::MAX));
+    let statement = ServerStatement {
+        cold: Some(Duration::MAX),
+        ..ServerStatement::default()
+    };
+    core.record_statement(0, statement, ms(900), ms(1_000));
+    assert!(sent_in_second(&mut core, ms(2_000)) <= 5);
+    assert_eq!(sent_in_second(&mut core, ms(1_300_000)), 400);
+}
+
 /// In the worst second, the tokens saved by each owner are spent together, and in a fleet an
 /// owner that has just been lost may still spend its share.
 #[test]
