The router's eligibility and the passing of servers to it have files of their own

No change of behaviour: healthy servers of a choice and of a check are found by one function; sets of names are built for complete reads only. Tests of flaxtide-policy and flaxtide-entry pass.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -203,8 +203,8 @@
     let now = state.now();
     let mut changed = vec![];
     state.directory.borrow_mut().enter_era(store_era(batch.version));
-    let names: HashSet<ServerName> =
-        batch.rows.iter().map(|row| row.name.clone()).collect();
+    let listed: Option<HashSet<ServerName>> =
+        is_snapshot.then(|| batch.rows.iter().map(|row| row.name.clone()).collect());
     let mut departing = vec![];
     for row in batch.rows {
         let name = row.name.clone();
@@ -216,8 +216,8 @@
             departing.extend(leaving_server(state, &name));
         }
     }
-    if is_snapshot {
-        let missing = state.directory.borrow_mut().retain_listed(&names, unseen, now);
+    if let Some(listed) = listed {
+        let missing = state.directory.borrow_mut().retain_listed(&listed, unseen, now);
         changed.extend(missing);
     }
     let first = !state.servers_listed.replace(true);
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -44,6 +44,7 @@
 mod reply;
 mod response;
 mod routes;
+mod servers;
 mod shared_rules;
 mod source;
 mod state;
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -31,8 +31,7 @@
     /// Creates the budget of a process that may use `memory_mb` megabytes.
     pub(crate) fn new(memory_mb: u64, used: IntGauge) -> Self {
         let units = memory_mb * 1_000_000 / BUDGET_DIVISOR / UNIT_BYTES as u64;
-        let most = u32::MAX.min(Semaphore::MAX_PERMITS as u32);
-        let total = u32::try_from(units).unwrap_or(most).clamp(1, most) as usize;
+        let total = u32::try_from(units).unwrap_or(u32::MAX).max(1) as usize;
         Self {
             permits: Arc::new(Semaphore::new(total)),
             total,
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -1,7 +1,7 @@
 //! The state of the traffic thread, including the router.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -10,21 +10,16 @@
 use flaxtide_core::{
     MilliClock, PoolId, RequestId, ServerId, ServerName, SettingsVersion,
 };
-use flaxtide_fleet::{FleetKey, fleet_key};
-use flaxtide_policy::{
-    ColdStart, DataCentreKey, EngineShape, RouteAction, RouteCore, RouteOptions,
-    RoutedServer,
-};
+use flaxtide_fleet::FleetKey;
+use flaxtide_policy::{RouteAction, RouteCore, RouteOptions};
 use rand::SeedableRng;
 use rand::rngs::SmallRng;
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::config::EntryConfig;
-use crate::contract::{
-    BackendService, CallerLimits, EntryRules, ServerEntry, WireDialect,
-};
-use crate::directory::{DirectoryEntry, ServerDirectory};
+use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
+use crate::directory::ServerDirectory;
 use crate::duty::SharedDuties;
 use crate::evacuation::DataCentreEvacuations;
 use crate::fleet::FleetLink;
@@ -34,14 +29,11 @@
 use crate::pushback::PushbackExchange;
 use crate::quarantine::CallQuarantine;
 use crate::routes::RouteTable;
+use crate::servers::RoutedPlaces;
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
 use crate::upstream::ServerConnections;
 
-/// How many requests a plain server runs at once if neither its service's settings nor its row in
-/// the platform's store states a number.
-const DEFAULT_PLAIN_SERVER_SLOTS: u32 = 6;
-
 /// The phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum ShutdownPhase {
@@ -94,7 +86,7 @@
     /// The requests that wait for a decision of the router.
     waiters: RefCell<HashMap<RequestId, oneshot::Sender<RouteAction>>>,
     /// The pool and the ID of each server that the router knows, by the hash of its name.
-    routed: RefCell<HashMap<u64, (PoolId, ServerId)>>,
+    pub(crate) routed: RefCell<RoutedPlaces>,
     /// The numeric IDs of services and servers.
     ids: RefCell<IdTable>,
     /// The ID of the next request.
@@ -325,113 +317,6 @@
         true
     }
 
-    /// Passes all servers to the router.
-    pub(crate) fn update_router_servers(&self) {
-        let Some(table) = self.route_table() else { return };
-        let mut servers: HashMap<&str, Vec<RoutedServer>> = HashMap::new();
-        let mut routed = HashMap::new();
-        let directory = self.directory.borrow();
-        for listed in directory.iter() {
-            let Some(service) = table.service(&listed.entry.service) else { continue };
-            let server = self.routed_server(service, listed);
-            let place = (self.pool_id(&service.name), server.server);
-            routed.insert(server.name_hash, place);
-            servers.entry(&service.name).or_default().push(server);
-        }
-        drop(directory);
-        *self.routed.borrow_mut() = routed;
-        for service in &table.services {
-            let servers = servers.remove(service.name.as_str()).unwrap_or_default();
-            let pool = self.pool_id(&service.name);
-            self.run_router(|core, now| core.set_servers(pool, &servers, now));
-        }
-        self.finish_server_update();
-    }
-
-    /// Passes the servers with these names to the router, after their entries in the
-    /// directory have changed.
-    pub(crate) fn update_router_servers_named(&self, names: &[ServerName]) {
-        let Some(table) = self.route_table() else { return };
-        let mut changes: BTreeMap<PoolId, (Vec<RoutedServer>, Vec<ServerId>)> =
-            BTreeMap::new();
-        for name in names {
-            let name_hash = xxh3_64(name.as_bytes());
-            let directory = self.directory.borrow();
-            let listed = directory.get(name).and_then(|listed| {
-                let service = table.service(&listed.entry.service)?;
-                let server = self.routed_server(service, listed);
-                Some((self.pool_id(&service.name), server))
-            });
-            let place = listed.as_ref().map(|(pool, server)| (*pool, server.server));
-            let mut routed = self.routed.borrow_mut();
-            let before = match place {
-                Some(place) => routed.insert(name_hash, place),
-                None => routed.remove(&name_hash),
-            };
-            if let Some((pool, server)) = before.filter(|before| Some(*before) != place) {
-                changes.entry(pool).or_default().1.push(server);
-            }
-            if let Some((pool, server)) = listed {
-                changes.entry(pool).or_default().0.push(server);
-            }
-        }
-        for (pool, (listed, unlisted)) in changes {
-            self.run_router(|core, now| {
-                core.update_servers(pool, &listed, &unlisted, now)
-            });
-        }
-        self.finish_server_update();
-    }
-
-    /// Exports the number of servers, and applies what peers have said of new ones.
-    fn finish_server_update(&self) {
-        self.metrics.servers.set(self.directory.borrow().len() as i64);
-        self.pushback.apply_pending(self);
-    }
-
-    /// Converts a listed server of a service to the form of the router.
-    fn routed_server(
-        &self,
-        service: &BackendService,
-        listed: &DirectoryEntry,
-    ) -> RoutedServer {
-        let entry = &listed.entry;
-        let config = self.config();
-        let engine = service.engine;
-        let slots = engine.map_or(entry.slots, |engine| engine.slots);
-        let data_centre = fleet_key(&entry.data_centre);
-        let cold = service.cold_start.map(|start| {
-            let until = listed.cold_until(start.span);
-            let ended_at = self.evacuations.ended_at(data_centre);
-            let until =
-                ended_at.map_or(until, |at| until.max(at.saturating_add(start.span)));
-            ColdStart { rate: start.rate, span: start.span, until }
-        });
-        RoutedServer {
-            server: self.server_id(entry),
-            name_hash: xxh3_64(entry.name.as_bytes()),
-            slots: if slots == 0 { DEFAULT_PLAIN_SERVER_SLOTS } else { slots },
-            engine: engine.map(|engine| EngineShape {
-                memory_tokens: engine.memory_tokens,
-                fetch_tokens_per_ms: engine.fetch_tokens_per_ms,
-            }),
-            data_centre,
-            region: config.region_of(&entry.data_centre).map(fleet_key),
-            local: entry.data_centre == config.data_centre,
-            leaving: entry.leaving || self.evacuations.is_evacuated(data_centre),
-            row_missing: listed.is_row_missing(),
-            cold,
-        }
-    }
-
-    /// Returns the name of the data centre that a key denotes, or the key as a number if
-    /// no server in it is listed.
-    pub(crate) fn data_centre_name(&self, key: DataCentreKey) -> String {
-        let directory = self.directory.borrow();
-        let name = directory.data_centres().find(|name| fleet_key(name) == key);
-        name.map_or_else(|| key.to_string(), ToOwned::to_owned)
-    }
-
     /// Runs the router on an event and delivers its decisions to the requests that wait for
     /// them.
     pub(crate) fn run_router(
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -7,7 +7,6 @@
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
 use super::call::{PromptShape, RoutedCall};
-use super::health::OUTLIER_MARGIN;
 use super::lane::{LaneDemand, PromptLane, in_lane};
 use super::server::ServerState;
 use super::{RouteCore, RoutePool};
@@ -145,76 +144,6 @@
         Some(build_choice(&best, RouteReason::LastResort, usable.len()))
     }
 
-    /// Returns the servers that are neither paused nor silent and whose failure rate
-    /// isn't an outlier in their pool. Outliers are kept if too few servers would remain
-    /// without them.
-    fn healthy_servers<'a>(
-        &self,
-        usable: &[&'a ServerState],
-        now: Duration,
-    ) -> Vec<&'a ServerState> {
-        let available: Vec<&ServerState> = usable
-            .iter()
-            .copied()
-            .filter(|server| self.is_available(server, now))
-            .collect();
-        let mut failures: Vec<f64> =
-            available.iter().map(|server| server.health.failure_rate()).collect();
-        failures.sort_by(f64::total_cmp);
-        let median = failures.get(failures.len() / 2).copied().unwrap_or_default();
-        let inliers: Vec<&ServerState> = available
-            .iter()
-            .copied()
-            .filter(|server| server.health.failure_rate() <= median + OUTLIER_MARGIN)
-            .collect();
-        let least = usable.len() as f64 * (1.0 - self.options.ejected_part);
-        if (inliers.len() as f64) < least { available } else { inliers }
-    }
-
-    /// Returns the active servers of a pool that are healthy by the criteria of
-    /// [`Self::healthy_servers`]. All other servers in service count as healthy, without
-    /// failures.
-    pub(super) fn healthy_active(
-        &self,
-        pool: PoolId,
-        now: Duration,
-    ) -> HashSet<ServerId> {
-        let Some(state) = self.pools.get(&pool) else { return HashSet::new() };
-        let in_service = state.servers.active();
-        let in_service: Vec<&ServerState> =
-            in_service.filter(|server| server.listing.in_service()).collect();
-        let idle = state.servers.count_in_service() - in_service.len();
-        let mut available = in_service.clone();
-        available.retain(|server| self.is_available(server, now));
-        let mut failures: Vec<f64> =
-            available.iter().map(|server| server.health.failure_rate()).collect();
-        failures.sort_by(f64::total_cmp);
-        let middle = (idle + failures.len()) / 2;
-        let median = middle.checked_sub(idle).and_then(|index| failures.get(index));
-        let limit = median.copied().unwrap_or_default() + OUTLIER_MARGIN;
-        let is_inlier = |server: &&ServerState| server.health.failure_rate() <= limit;
-        let inliers = idle + available.iter().copied().filter(is_inlier).count();
-        let least =
-            state.servers.count_in_service() as f64 * (1.0 - self.options.ejected_part);
-        if inliers as f64 >= least {
-            available.retain(is_inlier);
-        }
-        available.iter().map(|server| server.listing.server).collect()
-    }
-
-    /// Returns whether a server is neither paused nor silent.
-    pub(super) fn is_available(&self, server: &ServerState, now: Duration) -> bool {
-        // The level `u8::MAX` includes the prompts of all urgency levels.
-        let expected = Duration::from_secs_f64(
-            self.pending_prefill_ms(server, u8::MAX, now) / 1000.0,
-        );
-        let streams = server.load.has_streams(&self.calls);
-        let waiting = server.load.waiting_since(&self.calls);
-        server
-            .health
-            .is_available(streams, waiting, expected, now, &self.options)
-    }
-
     /// Returns the healthy servers that belong to a lane.
     fn lane_servers<'a>(
         &self,
@@ -459,7 +388,12 @@
 
     /// Returns how long a server is busy prefilling other prompts before a new request of
     /// an urgency level, in milliseconds.
-    fn pending_prefill_ms(&self, server: &ServerState, level: u8, now: Duration) -> f64 {
+    pub(super) fn pending_prefill_ms(
+        &self,
+        server: &ServerState,
+        level: u8,
+        now: Duration,
+    ) -> f64 {
         self.pending_prefill(server, level, now) / server.prefill_rate.tokens_per_ms(now)
     }
 
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -7,6 +7,7 @@
 mod budget;
 mod call;
 mod choose;
+mod eligible;
 mod health;
 mod lane;
 mod load;
@@ -31,6 +32,7 @@
     CallProgress, PartKey, PromptPart, PromptShape, RegionKey, RouteCall, RouteFault,
 };
 pub use self::choose::{PartFetch, RouteChoice, RouteReason};
+pub use self::eligible::HealthChange;
 pub use self::load::{LevelTokens, PeerKey, PeerLoad, ServerLoad, URGENCY_LEVELS};
 pub use self::options::RouteOptions;
 pub use self::prefill_log::PrefillRecord;
@@ -78,19 +80,6 @@
     },
 }
 
-/// A change in whether a server is considered healthy.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct HealthChange {
-    /// The server whose health changed.
-    pub server: ServerId,
-    /// Whether the server gets requests from now on.
-    pub healthy: bool,
-    /// The decayed fraction of its requests that failed, from 0 to 1.
-    pub failure_rate: f64,
-    /// The time since anything was last received from the server.
-    pub heard_ago: Duration,
-}
-
 /// The reason why the router refuses a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RefusalCause {
@@ -406,31 +395,6 @@
         self.take_actions()
     }
 
-    /// Returns the servers whose health changed since the last call. Only the active ones
-    /// are checked: the others are idle and haven't failed any request lately.
-    pub fn health_changes(&mut self, now: Duration) -> Vec<HealthChange> {
-        let mut changes = vec![];
-        for pool in self.pools.keys().copied().collect::<Vec<PoolId>>() {
-            let healthy = self.healthy_active(pool, now);
-            let Some(state) = self.pools.get_mut(&pool) else { continue };
-            state.servers.update_active(|server| {
-                let is_healthy = healthy.contains(&server.listing.server);
-                if !server.listing.in_service() || server.reported_healthy == is_healthy {
-                    return;
-                }
-                server.reported_healthy = is_healthy;
-                changes.push(HealthChange {
-                    server: server.listing.server,
-                    healthy: is_healthy,
-                    failure_rate: server.health.failure_rate(),
-                    heard_ago: now.saturating_sub(server.health.last_heard()),
-                });
-            });
-            state.servers.retain_active(now);
-        }
-        changes
-    }
-
     /// Returns whether any request is waiting for a server.
     #[must_use]
     pub fn has_waiting_requests(&self) -> bool {
