Interfaces of engine reports: sightings, digests, the calls to engines

Cause: in a burst a busy engine is taken for a dead one, and nobody knows what engines hold (docs/design/hard-load.md). Several parts will answer that side by side; they need one place for the types between them.

Change: what engines report and what watchers have seen of them (flaxtide-policy/src/engine), the trait by which engines are asked, the messages between instances, and where the router records them. Nothing is asked or decided yet, so behaviour is unchanged. The order of instances for a server's rate is used for watchers too.

--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -57,6 +57,10 @@
     /// With fewer instances than this, each reads the server list from the platform itself.
     #[serde(default = "usual_alone_below")]
     pub read_alone_below: usize,
+    /// With fewer instances than this, engines aren't watched: each instance then has requests
+    /// at most engines, which show whether they are alive.
+    #[serde(default = "usual_alone_below")]
+    pub watch_engines_from: usize,
     /// The duties that one instance carries out for all; `None` if there are none.
     #[serde(default)]
     pub duties: Option<DutyConfig>,
--- a/crates/flaxtide-entry/src/contract/mod.rs
+++ b/crates/flaxtide-entry/src/contract/mod.rs
@@ -3,6 +3,7 @@
 
 mod dialect;
 mod duty;
+mod engine;
 mod feed;
 mod rules;
 
@@ -10,6 +11,7 @@
 pub use self::duty::{
     DutyAnswer, DutyCredentials, DutyPlatform, DutyRead, DutyRow, UsageReport,
 };
+pub use self::engine::{CacheBatch, CacheChange, CachePosition, EngineDialect};
 pub use self::feed::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed, RulesRow};
 pub use self::rules::{
     BackendService, CallKind, CallerLimits, EntryRules, OrganisationRules, RequestClass,
--- a/crates/flaxtide-entry/src/contract/rules.rs
+++ b/crates/flaxtide-entry/src/contract/rules.rs
@@ -129,6 +129,9 @@
     /// The number of tokens per millisecond that an engine can fetch from another
     /// engine's memory, or `None` if it can't.
     pub fetch_tokens_per_ms: Option<f64>,
+    /// The number of waiting calls for cache changes that an engine accepts; 0 if engines
+    /// can't be watched.
+    pub watch_calls: u32,
 }
 
 /// An organisation whose members call the services.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, ServerId, ServerName, SettingsVersion, store_era};
-use flaxtide_fleet::{FleetKey, OwnLoad, PartRead, fleet_key};
+use flaxtide_fleet::{EngineDigest, FleetKey, OwnLoad, PartRead, PartUpdate, fleet_key};
 use flaxtide_policy::{CrashReport, EvacuationRecord, InstanceGroup, PushbackReport};
 use tokio::sync::mpsc::Receiver;
 
 use crate::contract::{FeedBatch, FeedRow, FeedTopic, PlatformFeed, RulesRow};
 use crate::fleet::{apply_peer_loads, apply_peer_prefills, apply_peer_unresponsive};
 use crate::shared_rules::{RulesCopy, SharedRules};
+use crate::sightings::{record_digests, record_part_updates};
 use crate::state::TrafficState;
 
 /// An event for the traffic thread from a thread that follows the platform or talks to
@@ -42,6 +43,10 @@
     Prefills(Vec<PartRead>),
     /// A peer has found servers unresponsive.
     PeerUnresponsive(Vec<FleetKey>),
+    /// Watchers have reported what they have seen of engines.
+    Engines(Vec<EngineDigest>),
+    /// Watchers have reported changes of prompt parts that engines have cached.
+    PartUpdates(Vec<PartUpdate>),
     /// Peers have reported servers that crashed while running requests.
     Crashes(Vec<CrashReport>),
     /// Peers have reported statements that servers made about themselves.
@@ -96,6 +101,12 @@
                 apply_peer_unresponsive(&state, &servers);
             }
             FeedEvent::Prefills(reads) => apply_peer_prefills(&state, &reads),
+            FeedEvent::Engines(engines) => state.with_router(|core, now| {
+                record_digests(core, &engines, |key| state.server_with_key(key), now);
+            }),
+            FeedEvent::PartUpdates(parts) => state.with_router(|core, now| {
+                record_part_updates(core, &parts, |key| state.server_with_key(key), now);
+            }),
             FeedEvent::Crashes(reports) => {
                 state.quarantine.apply_reports(&state, &reports);
             }
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -10,9 +10,9 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
-    DutyHolder, FleetCommand, FleetKey, FleetNode, FleetThread, FleetTiming, FleetUpdate,
-    LinkBytes, NodeEvent, NodeStatus, OwnLoad, PartRead, PeerInfo, RowRequest,
-    SettingsCopy, fleet_key,
+    DutyHolder, EngineDigest, FleetCommand, FleetKey, FleetNode, FleetThread,
+    FleetTiming, FleetUpdate, LinkBytes, NodeEvent, NodeStatus, OwnLoad, PartRead,
+    PartUpdate, PeerInfo, RowRequest, SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{
     CrashReport, PartKey, PeerLoad, PrefillRecord, PushbackReport, ServerLoad,
@@ -26,6 +26,7 @@
 use crate::metrics::EntryMetrics;
 use crate::reader::ServerListLog;
 use crate::shared_rules::{RulesCopy, SharedRules};
+use crate::sightings::{to_digest, to_part_update};
 use crate::state::TrafficState;
 
 /// The capacity of the queue to the fleet thread.
@@ -217,6 +218,10 @@
             NodeEvent::Evacuations(records) => {
                 forward_reliably(events.clone(), FeedEvent::Evacuations(records));
             }
+            NodeEvent::Engines(engines) => forward(events, FeedEvent::Engines(engines)),
+            NodeEvent::PartUpdates(parts) => {
+                forward(events, FeedEvent::PartUpdates(parts));
+            }
             // Slots and rates aren't shared out among instances here, as every instance
             // may use every server. The fleet thread fetches newer rules by itself.
             NodeEvent::Load(_)
@@ -296,6 +301,18 @@
         .iter()
         .filter_map(|server| state.server_key(*server))
         .collect();
+    let sightings = state.own_sightings.sightings(state.now());
+    let engines: Vec<EngineDigest> = sightings
+        .iter()
+        .filter_map(|seen| Some(to_digest(seen, state.server_key(seen.server)?)))
+        .collect();
+    let changes = state.own_sightings.take_changes();
+    let parts: Vec<PartUpdate> = changes
+        .iter()
+        .filter_map(|change| {
+            Some(to_part_update(change, state.server_key(change.server)?))
+        })
+        .collect();
     let events = events.clone();
     let source = state.source.clone();
     let version = state.rules_version();
@@ -317,6 +334,8 @@
                 loads,
                 reads,
                 unresponsive,
+                engines,
+                parts,
                 ..NodeStatus::default()
             },
             now,
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -46,19 +46,22 @@
 mod routes;
 mod servers;
 mod shared_rules;
+mod sightings;
 mod source;
 mod state;
 mod stop;
 mod upstream;
+mod watch;
 
 pub use self::backoff::PeerBackoff;
 pub use self::config::{DutyConfig, EntryConfig};
 pub use self::contract::{
-    BackendService, CallKind, CallerLimits, DutyAnswer, DutyCredentials, DutyPlatform,
-    DutyRead, DutyRow, EntryRules, FeedBatch, FeedError, FeedRow, FeedTopic,
-    OrganisationRules, PlatformFeed, RequestClass, RequestHead, ResponseHead, RulesRow,
-    ServerEntry, ServiceColdStart, ServiceEngine, TargetService, UpstreamHead,
-    UsageReport, WireDialect,
+    BackendService, CacheBatch, CacheChange, CachePosition, CallKind, CallerLimits,
+    DutyAnswer, DutyCredentials, DutyPlatform, DutyRead, DutyRow, EngineDialect,
+    EntryRules, FeedBatch, FeedError, FeedRow, FeedTopic, OrganisationRules,
+    PlatformFeed, RequestClass, RequestHead, ResponseHead, RulesRow, ServerEntry,
+    ServiceColdStart, ServiceEngine, TargetService, UpstreamHead, UsageReport,
+    WireDialect,
 };
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -33,6 +33,7 @@
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
 use crate::upstream::ServerConnections;
+use crate::watch::OwnSightings;
 
 /// The phase of a planned stop.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -79,6 +80,8 @@
     pub(crate) evacuations: DataCentreEvacuations,
     /// The newest version of the rules that peers have announced.
     pub(crate) newest_rules: Cell<SettingsVersion>,
+    /// What this instance has seen of the engines that it watches.
+    pub(crate) own_sightings: OwnSightings,
     /// Whether the server list has been read at least once.
     pub(crate) servers_listed: Cell<bool>,
     /// The router, which decides where and when requests are sent.
@@ -151,6 +154,7 @@
             directory: RefCell::new(ServerDirectory::new(leave_within, renewal_period)),
             evacuations: DataCentreEvacuations::default(),
             newest_rules: Cell::new(0),
+            own_sightings: OwnSightings::default(),
             servers_listed: Cell::new(false),
             router: RefCell::new(core),
             waiters: RefCell::default(),
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -43,7 +43,8 @@
 };
 pub use self::thread::{FleetCommand, FleetThread, FleetUpdate};
 pub use self::wire::{
-    CrashNotice, CrashReply, DutyHolder, FleetHeartbeat, GroupDigest, GroupHello,
-    HeartbeatReply, OwnLoad, PartRead, PoolDemand, PushbackNotice, RatePart,
-    ServerDigest, ServerShare, UsageCount, UsageNotice,
+    CrashNotice, CrashReply, DutyHolder, EngineDigest, FleetHeartbeat, GroupDigest,
+    GroupHello, HeartbeatReply, OwnLoad, PartRead, PartUpdate, PoolDemand,
+    PushbackNotice, RatePart, ReportDigest, ServerDigest, ServerShare, UsageCount,
+    UsageNotice,
 };
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -80,6 +80,8 @@
             contacts: self.rotating_contacts(&live),
             loads: sum_loads(live.iter().map(|peer| &peer.loads), &self.status.loads),
             reads: self.recent_prefills(now),
+            engines: vec![],
+            parts: vec![],
         }
     }
 
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -197,6 +197,8 @@
             wants_peers: self.list_failed
                 && (peer.heard_at.is_none() || queried == Some(&peer.info.name)),
             duty: self.duty,
+            engines: vec![],
+            parts: vec![],
         }
     }
 
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -40,8 +40,8 @@
 use crate::peer::PeerRecord;
 use crate::rows::READER_KEY;
 use crate::wire::{
-    DutyHolder, FleetHeartbeat, OwnLoad, PartRead, PoolDemand, RatePart, ServerDigest,
-    ServerShare, UsageCount,
+    DutyHolder, EngineDigest, FleetHeartbeat, OwnLoad, PartRead, PartUpdate, PoolDemand,
+    RatePart, ServerDigest, ServerShare, UsageCount,
 };
 
 /// The weight of the newest count in the moving average of an organisation's request rate at
@@ -83,6 +83,10 @@
     pub reads: Vec<PartRead>,
     /// The servers that recently failed to respond to the instance.
     pub unresponsive: Vec<FleetKey>,
+    /// What the instance has seen of the engines that it watches.
+    pub engines: Vec<EngineDigest>,
+    /// The changes of their cached prompt parts since the last status.
+    pub parts: Vec<PartUpdate>,
     /// The requests of each rate-limited organisation since the last status.
     pub usage: Vec<UsageCount>,
 }
@@ -113,6 +117,10 @@
     PeerReads(Vec<PartRead>),
     /// The servers that failed to respond to a peer.
     PeerUnresponsive(Vec<FleetKey>),
+    /// What watchers have seen of engines, as of now.
+    Engines(Vec<EngineDigest>),
+    /// Changes of prompt parts that engines have cached.
+    PartUpdates(Vec<PartUpdate>),
     /// New reports of servers that crashed while they handled a request.
     Crashes(Vec<CrashReport>),
     /// New reports of the limits and departures that backend servers have announced.
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -101,6 +101,10 @@
     pub wants_peers: bool,
     /// The known holder of the duties.
     pub duty: Option<DutyHolder>,
+    /// What the instance has seen of the engines that it watches.
+    pub engines: Vec<EngineDigest>,
+    /// Recent changes of the prompt parts that these engines have cached.
+    pub parts: Vec<PartUpdate>,
 }
 
 /// The reply to a heartbeat.
@@ -152,6 +156,10 @@
     /// The shared prompt parts that servers have recently prefilled for the instances, newest
     /// first.
     pub reads: Vec<PartRead>,
+    /// What the instances have seen of the engines that they watch.
+    pub engines: Vec<EngineDigest>,
+    /// Recent changes of the prompt parts that these engines have cached, newest first.
+    pub parts: Vec<PartUpdate>,
 }
 
 /// Reports of crashed servers, sent to a peer.
@@ -220,6 +228,53 @@
     pub leaving: bool,
 }
 
+/// What a watcher has last seen of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EngineDigest {
+    /// The key of the engine.
+    pub server: FleetKey,
+    /// The key of the instance that watches it.
+    pub watcher: FleetKey,
+    /// How long ago the engine last answered, in units of 10 milliseconds; the largest number
+    /// if it never has.
+    pub answered: u16,
+    /// For how long calls have failed, in units of 10 milliseconds; 0 if they don't.
+    pub failing: u16,
+    /// The engine's report, if it has given one.
+    pub report: Option<ReportDigest>,
+}
+
+/// The report of an engine in a digest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReportDigest {
+    /// The age of the report, in units of 10 milliseconds.
+    pub age: u16,
+    /// The number of waiting requests.
+    pub waiting: u16,
+    /// The number of running requests.
+    pub running: u16,
+    /// The number of running requests whose prompts are being prefilled.
+    pub prefilling: u16,
+    /// The prompt tokens of the first waiting request, in units of 16 tokens.
+    pub next: u16,
+    /// The memory that can't be evicted, in units of 1/65535 of the whole.
+    pub memory: u16,
+    /// How much longer the engine runs, in units of 10 milliseconds; the largest number if it
+    /// doesn't say.
+    pub leaves: u16,
+}
+
+/// A change of a prompt part in the cache of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PartUpdate {
+    /// The key of the engine.
+    pub server: FleetKey,
+    /// The key of the prompt part.
+    pub part: u32,
+    /// Whether the engine has the whole part cached now.
+    pub cached: bool,
+}
+
 /// One instance's requests at a backend server, or the sum over several instances.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnLoad {
--- a/crates/flaxtide-fleet/tests/node.rs
+++ b/crates/flaxtide-fleet/tests/node.rs
@@ -125,6 +125,8 @@
                 | NodeEvent::GroupLoads(..)
                 | NodeEvent::PeerReads(_)
                 | NodeEvent::PeerUnresponsive(_)
+                | NodeEvent::Engines(_)
+                | NodeEvent::PartUpdates(_)
                 | NodeEvent::Crashes(_)
                 | NodeEvent::Pushback(_)
                 | NodeEvent::Evacuations(_) => {}
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -182,6 +182,8 @@
         loads: vec![],
         reads: vec![],
         unresponsive: vec![],
+        engines: vec![],
+        parts: vec![],
         usage: usage.collect(),
     }
 }
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod choice;
 mod claim;
 mod core;
+mod engine;
 mod estimate;
 mod evacuation;
 mod event;
@@ -36,6 +37,9 @@
     ClaimAttempt, ClaimRow, ClaimSettlement, ClaimStep, RowPhase, TableReply,
 };
 pub use self::core::{DecisionCore, PoolSummary};
+pub use self::engine::{
+    EngineReport, EngineSighting, EngineSightings, PartChange, SIGHTING_BOUND,
+};
 pub use self::evacuation::{EvacuationLog, EvacuationRecord};
 pub use self::event::{CallArrival, LoadReport, PolicyEvent, ServerFault};
 pub use self::lease::{LeaseRow, LeaseStep, LeaseTiming, LeaseWatch};
--- a/crates/flaxtide-policy/src/pushback/group.rs
+++ b/crates/flaxtide-policy/src/pushback/group.rs
@@ -23,6 +23,9 @@
 /// owner.
 const MIN_OWNERS: usize = 2;
 
+/// The number of instances that watch an engine.
+const WATCHERS: usize = 2;
+
 /// How many owners the rate of a cold server has for each request a second, besides
 /// [`MIN_OWNERS`].
 const COLD_OWNERS_PER_REQUEST: f64 = 0.4;
@@ -108,6 +111,36 @@
         self.share_among(owners, name_hash, data_centre, rate)
     }
 
+    /// Returns this instance's rank among the watchers of an engine: 0 for the first, 1 for
+    /// the second, `None` if it isn't one of them. Two instances watch an engine, as one
+    /// may be gone; those in the engine's data centre come first.
+    ///
+    /// ```
+    /// use flaxtide_policy::{GroupMember, InstanceGroup};
+    /// let member = |instance| GroupMember { instance, data_centre: 1 };
+    /// let group = |own| InstanceGroup {
+    ///     own: member(own),
+    ///     members: (0..9).map(member).collect(),
+    ///     other_data_centres: vec![],
+    /// };
+    /// let ranks = (0..9).filter_map(|own| group(own).watch_rank(7, 1));
+    /// let mut ranks: Vec<usize> = ranks.collect();
+    /// ranks.sort_unstable();
+    /// assert_eq!(ranks, [0, 1]);
+    /// ```
+    #[must_use]
+    pub fn watch_rank(
+        &self,
+        name_hash: u64,
+        data_centre: DataCentreKey,
+    ) -> Option<usize> {
+        if !self.shares_servers_of(name_hash, data_centre) {
+            return None;
+        }
+        let rank = self.rank(name_hash, data_centre);
+        (rank < WATCHERS).then_some(rank)
+    }
+
     /// Returns this instance's share of a rate that `owners` instances divide equally.
     fn share_among(
         &self,
@@ -121,6 +154,12 @@
         }
         let rate = rate.per_second().max(MIN_RATE);
         let count = owners.min(self.members.len());
+        let preceding = self.rank(name_hash, data_centre);
+        if preceding < count { rate / count as f64 } else { 0.0 }
+    }
+
+    /// Returns how many members come before this instance in a server's order.
+    fn rank(&self, name_hash: u64, data_centre: DataCentreKey) -> usize {
         let order = |member: &GroupMember| {
             // Instances in the server's data centre go first, as a network partition is
             // least likely to separate them from it.
@@ -128,8 +167,7 @@
             (remote, Reverse(rendezvous_weight(name_hash, u64::from(member.instance))))
         };
         let own = order(&self.own);
-        let preceding = self.members.iter().filter(|member| order(member) < own).count();
-        if preceding < count { rate / count as f64 } else { 0.0 }
+        self.members.iter().filter(|member| order(member) < own).count()
     }
 
     /// Returns whether the members share the rate of a server in `data_centre`. If all
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -21,6 +21,7 @@
 mod stall;
 mod table;
 mod wait;
+mod watched;
 
 use std::collections::{BTreeMap, HashMap, HashSet};
 use std::sync::Arc;
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -11,6 +11,7 @@
 use super::load::LoadTracker;
 use super::prefill_rate::PrefillRate;
 use super::pushback::own_share;
+use crate::engine::EngineSightings;
 use crate::pushback::{ColdStart, DataCentreKey, InstanceGroup, ServerPushback};
 use crate::rendezvous::rendezvous_weight;
 
@@ -98,6 +99,8 @@
     pub(crate) reported_healthy: bool,
     /// Its place in the order in which engines are assigned to long prompts.
     pub(crate) lane_rank: u64,
+    /// What its watchers have seen of it, if it is an engine.
+    pub(crate) sightings: EngineSightings,
     /// The prompt parts that it has prefilled, and when it last did.
     parts: HashMap<PartKey, Duration>,
 }
@@ -114,6 +117,7 @@
             pushback: ServerPushback::default(),
             prefill_rate: PrefillRate::new(guess, now),
             reported_healthy: true,
+            sightings: EngineSightings::default(),
             parts: HashMap::new(),
         }
     }
@@ -181,6 +185,20 @@
         }
     }
 
+    /// Records that the server has cached or evicted a part, as it reported itself.
+    pub(crate) fn record_part_change(
+        &mut self,
+        part: PartKey,
+        cached: bool,
+        now: Duration,
+    ) {
+        if cached {
+            self.record_peer_prefill(part, now);
+        } else {
+            self.parts.remove(&part);
+        }
+    }
+
     /// Returns how many tokens of a prompt the server has cached, if prefilled tokens
     /// stay cached for `life`. A server that has prefilled a part has also prefilled all
     /// parts before it.
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -166,6 +166,8 @@
         reads: vec![],
         unresponsive: vec![],
         loads: vec![],
+        engines: vec![],
+        parts: vec![],
         usage: usage.collect(),
     }
 }
@@ -220,6 +222,8 @@
             | NodeEvent::GroupLoads(..)
             | NodeEvent::PeerReads(_)
             | NodeEvent::PeerUnresponsive(_)
+            | NodeEvent::Engines(_)
+            | NodeEvent::PartUpdates(_)
             // Its own interface keeps no requests in quarantine yet.
             | NodeEvent::Crashes(_)
             | NodeEvent::Pushback(_)
