An instance that knows only part of a divided fleet joins its group

Cause (seen on a manual clock, 60 to 87 instances in three data centres): while a fleet divides, an instance that knows exactly as many peers as a single group may have keeps taking all of them for its group. Divided peers answer its heartbeats but list only a few instances of each data centre, so it never learns that there are more. It sends heartbeats across data centres, gets no digests, and misjudges its group for good; 2 of 60 instances did after 30 s.

Change: a divided instance that gets a heartbeat from another data centre answers with all of its group, by which the sender exceeds the limit and divides.

The tests of groups pass.

--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -279,17 +279,19 @@
     }
 
     /// Returns the instances that are listed to a peer: all of the group if the peer belongs to
-    /// it, and a few of each other data centre.
+    /// it, and a few of each other data centre. A peer that still takes the fleet for a single
+    /// group gets all of this group, which shows it that there are more than it knows.
     pub(super) fn peers_for(
         &self,
         data_centre: &DataCentreName,
+        is_undivided: bool,
         now: Duration,
     ) -> Vec<PeerInfo> {
         let (group_timeout, contact_timeout) =
             (self.liveness_timeout(), self.contact_liveness_timeout());
         // Without digests, the size of other data centres is only known from these lists.
         let all = self.group.is_single || !self.uses_digests();
-        let in_group = *data_centre == self.own.data_centre;
+        let in_group = is_undivided || *data_centre == self.own.data_centre;
         let mut counts: BTreeMap<&DataCentreName, usize> = BTreeMap::new();
         let known = self.peers.values();
         let known = known.filter(|peer| {
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -216,6 +216,9 @@
     /// Builds the reply to a heartbeat.
     fn reply_to(&self, heartbeat: &FleetHeartbeat, now: Duration) -> HeartbeatReply {
         let same_data_centre = heartbeat.data_centre == self.own.data_centre;
+        // In a divided fleet, heartbeats don't cross data centres.
+        let is_undivided =
+            !same_data_centre && self.uses_digests() && !self.group.is_single;
         let organisations: Vec<FleetKey> =
             heartbeat.usage.iter().map(|usage| usage.organisation).collect();
         let from = &heartbeat.from;
@@ -229,8 +232,8 @@
             } else {
                 vec![]
             },
-            peers: if heartbeat.wants_peers {
-                self.peers_for(&heartbeat.data_centre, now)
+            peers: if heartbeat.wants_peers || is_undivided {
+                self.peers_for(&heartbeat.data_centre, is_undivided, now)
             } else {
                 vec![]
             },
--- a/crates/flaxtide-fleet/tests/groups.rs
+++ b/crates/flaxtide-fleet/tests/groups.rs
@@ -153,3 +153,13 @@
         assert_eq!(of("engine-2").short, 40, "{at}");
     }
 }
+
+#[test]
+fn an_instance_that_knows_only_part_of_a_divided_fleet_joins_its_group() {
+    // One instance knows as many peers as a single group may have when the others divide.
+    for instances in [60, 69, 79, 87] {
+        let mut fleet = Fleet::new(instances, 3);
+        let took = fleet.run_until_informed(Duration::from_secs(30));
+        println!("{instances} instances informed after {took:?}");
+    }
+}
