The router tells watchers of engines what they need to know

Cause: a watcher must know which engines its instance watches, whether another watcher has a recent report, and whether an evicted part was taken to be cached; only the router knows.

--- a/crates/flaxtide-policy/src/engine/sighting.rs
+++ b/crates/flaxtide-policy/src/engine/sighting.rs
@@ -124,4 +124,11 @@
         let reports = self.by_watcher.values().filter_map(|dated| dated.report);
         reports.max_by_key(|(_, at)| *at)
     }
+
+    /// Returns the time of the newest report of a watcher other than `own`.
+    #[must_use]
+    pub fn peer_reported_at(&self, own: InstanceKey) -> Option<Duration> {
+        let peers = self.by_watcher.iter().filter(|(watcher, _)| **watcher != own);
+        peers.filter_map(|(_, dated)| Some(dated.report?.1)).max()
+    }
 }
