Engines are watched by two instances each

Cause: nobody asks engines what they do, so that a busy engine is taken for a dead one, and nobody knows what engines have cached.

Change: each watched engine has a task on the traffic thread with a connection of its own. It holds one call for cache changes at a time and reads the report; the first watcher once a second, the second only if nobody else has. Every answer proves life; what isn't answered within 700 ms beyond its wait is a failure. Sightings and changes go to the own router and, at most 64 changes at a time, to peers. A call that spans a standstill of the instance blames the engine for no more than the call's own limit.

--- a/crates/flaxtide-entry/src/contract/engine.rs
+++ b/crates/flaxtide-entry/src/contract/engine.rs
@@ -19,12 +19,12 @@
     /// [`FeedError::BadContent`] with the cause.
     fn parse_report(&self, body: &[u8]) -> Result<EngineReport, FeedError>;
 
-    /// Returns the path and query of a call for changes of the cache, which the engine
-    /// answers as soon as there are any, or after `wait`. `after` is the position up to which
-    /// changes are known; `None` asks for no earlier changes.
-    fn cache_path(&self, after: Option<CachePosition>, wait: Duration) -> String;
+    /// Returns the path and query of a call for changes of the cache. `after` is the position
+    /// up to which changes are known; `None` asks for all changes that the engine still has.
+    fn cache_path(&self, after: Option<CachePosition>) -> String;
 
-    /// Returns the headers of a call for changes of the cache.
+    /// Returns the headers of a call for changes of the cache, which the engine answers as
+    /// soon as there are any, or after `wait`.
     fn cache_headers(&self, wait: Duration) -> Vec<(&'static str, String)>;
 
     /// Parses the answer to a call for changes of the cache.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -119,6 +119,7 @@
             FeedEvent::Fleet { live, newest_rules, has_synced_crashes, group } => {
                 state.quarantine.set_synced(has_synced_crashes);
                 state.newest_rules.set(newest_rules);
+                state.live_instances.set(live);
                 state.metrics.instances.set(i64::from(live));
                 state.with_router(|core, now| {
                     core.set_instances(live);
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -13,7 +13,9 @@
 use tokio::task::LocalSet;
 
 use crate::config::EntryConfig;
-use crate::contract::{DutyPlatform, FeedTopic, PlatformFeed, WireDialect};
+use crate::contract::{
+    DutyPlatform, EngineDialect, FeedTopic, PlatformFeed, WireDialect,
+};
 use crate::duty::{DutyThread, SharedDuties, update_duty_view};
 use crate::error::EntryError;
 use crate::feed::{FeedEvent, handle_feed_events};
@@ -34,6 +36,7 @@
 use crate::stop::{
     SignalEvent, handle_signals, register_signals, reload_config, watch_signals,
 };
+use crate::watch::{EngineWatches, update_watches};
 
 /// The capacity of the queue from the feed threads to the traffic thread.
 const FEED_QUEUE_LEN: usize = 64;
@@ -63,6 +66,8 @@
     feed: Arc<dyn PlatformFeed>,
     /// Carries out the duties at the platform; `None` if the instance has no duties.
     duties: Option<Arc<dyn DutyPlatform>>,
+    /// Translates the calls with which engines are watched; `None` if they aren't.
+    engines: Option<Arc<dyn EngineDialect>>,
     /// The clock of the traffic thread.
     clock: MilliClock,
     /// Both ends of the queue of signals.
@@ -99,6 +104,7 @@
             dialect,
             feed,
             duties: None,
+            engines: None,
             clock: MilliClock::real(),
             signals: channel(SIGNAL_QUEUE_LEN),
         }
@@ -116,6 +122,12 @@
         Self { duties: Some(duties), ..self }
     }
 
+    /// Makes the instance watch engines.
+    #[must_use]
+    pub fn with_engines(self, engines: Arc<dyn EngineDialect>) -> Self {
+        Self { engines: Some(engines), ..self }
+    }
+
     /// Returns a handle that stops the instance.
     #[must_use]
     pub fn stop_handle(&self) -> StopHandle {
@@ -146,6 +158,7 @@
             dialect,
             feed,
             duties,
+            engines,
             clock,
             signals: (_, mut signals),
         } = self;
@@ -212,8 +225,15 @@
             shared_rules,
             feed_events,
         ));
-        let maintenance =
-            run_maintenance(state.clone(), path.clone(), events, monitor, peer_bytes);
+        let watches = engines.map(EngineWatches::new);
+        let maintenance = run_maintenance(
+            state.clone(),
+            path.clone(),
+            events,
+            monitor,
+            peer_bytes,
+            watches,
+        );
         tokio::task::spawn_local(maintenance);
         handle_signals(&state, &path, &mut signals).await;
         Ok(())
@@ -287,6 +307,7 @@
     events: Sender<FeedEvent>,
     mut monitor: RulesDownloadMonitor,
     peer_bytes: LinkBytes,
+    mut watches: Option<EngineWatches>,
 ) {
     let mut ticks = 0u64;
     let mut jumps = JumpDetector::new(state.now());
@@ -311,6 +332,9 @@
             }
             export_peer_bytes(&state.metrics, &peer_bytes);
             update_pushback_metrics(&state);
+            if let Some(watches) = &mut watches {
+                update_watches(&state, watches);
+            }
         }
     }
 }
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -67,6 +67,10 @@
     pub(crate) body_bytes: IntGaugeVec,
     /// Connections closed because their callers read nothing.
     pub(crate) stalled_readers: IntCounter,
+    /// Engines that this instance watches, by whether they answer.
+    pub(crate) watched_engines: IntGaugeVec,
+    /// Calls to watched engines, by call and outcome.
+    pub(crate) watch_calls: IntCounterVec,
     /// Seconds to the first event of a stream, or to a whole response.
     pub(crate) latency: Histogram,
 }
@@ -149,6 +153,12 @@
                 "stalled_readers",
                 "Connections of callers that read nothing.",
             ),
+            watched_engines: gauges("watched_engines", "Engines watched.", &["kind"]),
+            watch_calls: counters(
+                "watch_calls",
+                "Calls to watched engines.",
+                &["call", "outcome"],
+            ),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
         };
@@ -158,7 +168,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 28] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 30] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -186,6 +196,8 @@
             Box::new(self.instances.clone()),
             Box::new(self.body_bytes.clone()),
             Box::new(self.stalled_readers.clone()),
+            Box::new(self.watched_engines.clone()),
+            Box::new(self.watch_calls.clone()),
             Box::new(self.latency.clone()),
         ];
         for collector in collectors {
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -80,6 +80,8 @@
     pub(crate) evacuations: DataCentreEvacuations,
     /// The newest version of the rules that peers have announced.
     pub(crate) newest_rules: Cell<SettingsVersion>,
+    /// The number of live instances, as last seen.
+    pub(crate) live_instances: Cell<u32>,
     /// What this instance has seen of the engines that it watches.
     pub(crate) own_sightings: OwnSightings,
     /// Whether the server list has been read at least once.
@@ -154,6 +156,7 @@
             directory: RefCell::new(ServerDirectory::new(leave_within, renewal_period)),
             evacuations: DataCentreEvacuations::default(),
             newest_rules: Cell::new(0),
+            live_instances: Cell::new(0),
             own_sightings: OwnSightings::default(),
             servers_listed: Cell::new(false),
             router: RefCell::new(core),
--- a/crates/flaxtide-entry/src/watch/mod.rs
+++ b/crates/flaxtide-entry/src/watch/mod.rs
@@ -1,39 +1,27 @@
-//! The engines that this instance watches, and what it has seen of them.
+//! Watching engines: two instances call each engine regularly, so that all know whether it is
+//! alive, what it works on and which prompt parts it has cached.
+//!
+//! - `engines.rs`: the engines that this instance watches, each with a task;
+//! - `watcher.rs`: the task, which makes one call after the other over its own connection;
+//! - `pace.rs`: which call is next, and when;
+//! - `record.rs`: what the calls have shown of the engine itself;
+//! - `parts.rs`: which prompt parts the watcher has reported as cached;
+//! - `link.rs`: the connection;
+//! - `own.rs`: what is passed on to peers;
+//! - `host.rs`: what a watcher needs of the instance.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
-use std::time::Duration;
+mod engines;
+mod host;
+mod link;
+mod own;
+mod pace;
+mod parts;
+mod record;
+mod watcher;
 
-use flaxtide_core::ServerId;
-use flaxtide_policy::{EngineSighting, PartChange};
-
-/// What this instance has seen of the engines that it watches, for its router and its peers.
-#[derive(Debug, Default)]
-pub(crate) struct OwnSightings {
-    /// The last sighting of each watched engine, and when it was made.
-    sightings: RefCell<BTreeMap<ServerId, (EngineSighting, Duration)>>,
-    /// The changes of cached prompt parts that peers haven't been told yet.
-    changes: RefCell<Vec<PartChange>>,
-}
-
-impl OwnSightings {
-    /// Returns the last sightings, with ages as of now.
-    pub(crate) fn sightings(&self, now: Duration) -> Vec<EngineSighting> {
-        let sightings = self.sightings.borrow();
-        let aged = sightings.values().map(|(sighting, seen_at)| {
-            let since = now.saturating_sub(*seen_at);
-            EngineSighting {
-                answered_ago: sighting.answered_ago.map(|ago| ago + since),
-                failing_for: sighting.failing_for.map(|span| span + since),
-                report: sighting.report.map(|(report, age)| (report, age + since)),
-                ..*sighting
-            }
-        });
-        aged.collect()
-    }
-
-    /// Returns and clears the changes that peers haven't been told.
-    pub(crate) fn take_changes(&self) -> Vec<PartChange> {
-        std::mem::take(&mut self.changes.borrow_mut())
-    }
-}
+pub(crate) use self::engines::EngineWatches;
+pub(crate) use self::host::update_watches;
+pub(crate) use self::own::OwnSightings;
+pub use self::pace::{WatchCall, WatchPace};
+pub use self::parts::ReportedParts;
+pub use self::record::EngineRecord;
--- /dev/null
+++ b/crates/flaxtide-entry/src/watch/own.rs
@@ -0,0 +1,76 @@
+//! What this instance has seen of engines, for its peers.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, VecDeque};
+use std::time::Duration;
+
+use flaxtide_core::ServerId;
+use flaxtide_policy::{EngineSighting, PartChange};
+
+/// The maximum number of changes that one publication to peers has.
+const MAX_PUBLISHED_CHANGES: usize = 64;
+
+/// The maximum number of changes that wait for a publication. Beyond it, the oldest are
+/// dropped.
+const MAX_WAITING_CHANGES: usize = 2048;
+
+/// What this instance has seen of the engines that it watches, for its peers.
+#[derive(Debug, Default)]
+pub(crate) struct OwnSightings {
+    /// The last sighting of each watched engine, and when it was made.
+    sightings: RefCell<BTreeMap<ServerId, (EngineSighting, Duration)>>,
+    /// The changes of cached prompt parts that peers haven't been told yet, oldest first.
+    changes: RefCell<VecDeque<PartChange>>,
+}
+
+impl OwnSightings {
+    /// Records a sighting in place of the last one of its engine.
+    pub(crate) fn record(&self, sighting: EngineSighting, now: Duration) {
+        self.sightings.borrow_mut().insert(sighting.server, (sighting, now));
+    }
+
+    /// Removes the sighting of an engine that is no longer watched.
+    pub(crate) fn remove(&self, server: ServerId) {
+        self.sightings.borrow_mut().remove(&server);
+    }
+
+    /// Adds changes of cached prompt parts.
+    pub(crate) fn add_changes(&self, new: &[PartChange]) {
+        let mut changes = self.changes.borrow_mut();
+        changes.extend(new);
+        let surplus = changes.len().saturating_sub(MAX_WAITING_CHANGES);
+        changes.drain(..surplus);
+    }
+
+    /// Returns the last sightings, with ages as of now.
+    pub(crate) fn sightings(&self, now: Duration) -> Vec<EngineSighting> {
+        let sightings = self.sightings.borrow();
+        let aged = sightings.values().map(|(sighting, seen_at)| {
+            let since = now.saturating_sub(*seen_at);
+            EngineSighting {
+                answered_ago: sighting.answered_ago.map(|ago| ago + since),
+                failing_for: sighting.failing_for.map(|span| span + since),
+                report: sighting.report.map(|(report, age)| (report, age + since)),
+                ..*sighting
+            }
+        });
+        aged.collect()
+    }
+
+    /// Returns the number of watched engines that have failed their last call.
+    pub(crate) fn failing_count(&self) -> usize {
+        let sightings = self.sightings.borrow();
+        let failing = sightings
+            .values()
+            .filter(|(sighting, _)| sighting.failing_for.is_some());
+        failing.count()
+    }
+
+    /// Removes and returns the oldest changes that peers haven't been told, as many as one
+    /// publication has.
+    pub(crate) fn take_changes(&self) -> Vec<PartChange> {
+        let mut changes = self.changes.borrow_mut();
+        let count = changes.len().min(MAX_PUBLISHED_CHANGES);
+        changes.drain(..count).collect()
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-entry/tests/watch.rs
@@ -0,0 +1,261 @@
+//! What a watcher asks an engine, and what it makes of the answers.
+
+use std::time::Duration;
+
+use flaxtide_entry::{
+    CacheBatch, CacheChange, CachePosition, EngineRecord, ReportedParts, WatchCall,
+    WatchPace,
+};
+use flaxtide_policy::{EngineReport, PartChange, PartKey};
+
+/// The engine.
+const ENGINE: u32 = 7;
+
+/// How long a call may take.
+const LIMIT: Duration = Duration::from_millis(1200);
+
+/// Returns so many milliseconds.
+fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Makes calls until a time, each of which takes as long as `call_time` says and may change
+/// the pace after it. Returns the calls and when they began.
+fn calls_until(
+    pace: &mut WatchPace,
+    reads_reports: bool,
+    (mut now, end): (Duration, Duration),
+    call_time: impl Fn(WatchCall) -> Duration,
+    after: impl Fn(&mut WatchPace, WatchCall, Duration),
+) -> Vec<(WatchCall, Duration)> {
+    let mut calls = vec![];
+    loop {
+        let (call, at) = pace.next_call(reads_reports, now);
+        assert!(at >= now);
+        if at >= end {
+            return calls;
+        }
+        pace.begin(call, at);
+        calls.push((call, at));
+        now = at + call_time(call);
+        after(pace, call, now);
+    }
+}
+
+/// Returns when calls of a kind began, in milliseconds.
+fn times_of(calls: &[(WatchCall, Duration)], wanted: WatchCall) -> Vec<u128> {
+    let calls = calls.iter().filter(|(call, _)| *call == wanted);
+    calls.map(|(_, at)| at.as_millis()).collect()
+}
+
+/// Returns how long calls take at an engine whose cache doesn't change.
+fn quiet(call: WatchCall) -> Duration {
+    match call {
+        WatchCall::Report => ms(1),
+        WatchCall::Cache => ms(500),
+    }
+}
+
+/// Does nothing after a call.
+fn nothing(_: &mut WatchPace, _: WatchCall, _: Duration) {}
+
+#[test]
+fn the_first_watcher_reads_the_report_about_once_a_second() {
+    let mut pace = WatchPace::default();
+    let calls = calls_until(&mut pace, true, (ms(0), ms(5000)), quiet, nothing);
+    assert_eq!(times_of(&calls, WatchCall::Report), [0, 1001, 2002, 3003, 4004]);
+    assert_eq!(times_of(&calls, WatchCall::Cache).len(), 10);
+}
+
+#[test]
+fn a_report_that_differs_much_is_read_again_after_half_a_second() {
+    // waiting and running in the reports, and the time to the one after them
+    let cases = [
+        ((4, 8), (4, 8), 1001),
+        ((4, 8), (5, 10), 1001),
+        ((4, 8), (6, 8), 501),
+        ((4, 8), (4, 5), 501),
+        ((0, 0), (0, 1), 501),
+    ];
+    for (first, second, expected) in cases {
+        let mut pace = WatchPace::default();
+        for (waiting, running) in [first, second] {
+            pace.record_report(&EngineReport { waiting, running, ..Default::default() });
+        }
+        let calls = calls_until(&mut pace, true, (ms(0), ms(1500)), quiet, nothing);
+        let reports = times_of(&calls, WatchCall::Report);
+        assert_eq!(reports[1] - reports[0], expected, "{first:?} {second:?}");
+    }
+}
+
+#[test]
+fn a_watcher_whose_peer_reads_the_reports_reads_only_changes() {
+    let mut pace = WatchPace::default();
+    let calls = calls_until(&mut pace, false, (ms(0), ms(3000)), quiet, nothing);
+    assert_eq!(times_of(&calls, WatchCall::Cache), [0, 500, 1000, 1500, 2000, 2500]);
+    assert!(times_of(&calls, WatchCall::Report).is_empty());
+}
+
+#[test]
+fn calls_that_are_answered_at_once_begin_a_quarter_second_apart() {
+    let mut pace = WatchPace::default();
+    let calls = calls_until(&mut pace, true, (ms(0), ms(4000)), |_| ms(0), nothing);
+    let starts = times_of(&calls, WatchCall::Cache);
+    assert_eq!(starts.len(), 16);
+    assert!(starts.windows(2).all(|pair| pair[1] - pair[0] == 250));
+    assert_eq!(times_of(&calls, WatchCall::Report), [0, 1000, 2000, 3000]);
+}
+
+#[test]
+fn without_changes_the_report_proves_life_for_five_seconds() {
+    for reads_reports in [true, false] {
+        let mut pace = WatchPace::default();
+        pace.begin(WatchCall::Cache, ms(0));
+        pace.pause_cache(ms(0));
+        let calls = calls_until(
+            &mut pace,
+            reads_reports,
+            (ms(0), ms(11_000)),
+            |_| ms(1),
+            |pace, call, now| {
+                if call == WatchCall::Cache {
+                    pace.pause_cache(now);
+                }
+            },
+        );
+        assert_eq!(times_of(&calls, WatchCall::Cache), [5001, 10_002]);
+        let reports = times_of(&calls, WatchCall::Report);
+        assert_eq!(reports[..5], [0, 1000, 2000, 3000, 4000]);
+        assert!(reports.windows(2).all(|pair| pair[1] - pair[0] >= 1000));
+    }
+}
+
+#[test]
+fn failing_counts_from_the_first_call_without_an_answer() {
+    let mut record = EngineRecord::new(ENGINE, 3);
+    assert_eq!(record.sighting(ms(900)).answered_ago, None);
+    assert_eq!(record.record_answer(ms(1000)), None);
+    assert!(record.record_failure(ms(1200), LIMIT, ms(2400)));
+    assert!(!record.record_failure(ms(2400), LIMIT, ms(3600)));
+    let seen = record.sighting(ms(4000));
+    assert_eq!((seen.server, seen.watcher), (ENGINE, 3));
+    assert_eq!(seen.answered_ago, Some(ms(3000)));
+    assert_eq!(seen.failing_for, Some(ms(2800)));
+    assert_eq!(record.record_answer(ms(4500)), Some(ms(3300)));
+    let seen = record.sighting(ms(4600));
+    assert_eq!((seen.answered_ago, seen.failing_for), (Some(ms(100)), None));
+}
+
+#[test]
+fn an_engine_is_not_blamed_for_the_time_that_the_watcher_stood_still() {
+    let mut record = EngineRecord::new(ENGINE, 3);
+    record.record_failure(ms(1000), LIMIT, ms(31_000));
+    assert_eq!(record.sighting(ms(31_000)).failing_for, Some(LIMIT));
+}
+
+#[test]
+fn a_report_ages_until_the_next() {
+    let mut record = EngineRecord::new(ENGINE, 3);
+    let report = EngineReport { running: 4, ..Default::default() };
+    record.record_report(report, ms(1000));
+    record.record_answer(ms(1800));
+    assert_eq!(record.sighting(ms(2000)).report, Some((report, ms(1000))));
+}
+
+/// Returns changes of parts, given by key and tokens; none mean that a part is evicted.
+fn batch(epoch: u64, next: u64, has_gap: bool, changes: &[(u64, u32)]) -> CacheBatch {
+    let change =
+        |&(part, tokens): &(u64, u32)| CacheChange { part, added: tokens > 0, tokens };
+    CacheBatch {
+        position: CachePosition { epoch, next },
+        has_gap,
+        changes: changes.iter().map(change).collect(),
+    }
+}
+
+/// Applies a batch. Returns the parts that are reported as cached, and as evicted, sorted.
+fn apply(
+    parts: &mut ReportedParts,
+    batch: &CacheBatch,
+    known: &[PartKey],
+) -> (Vec<PartKey>, Vec<PartKey>) {
+    let changes = parts.apply(batch, |part| known.contains(&part));
+    assert!(changes.iter().all(|change| change.server == ENGINE));
+    let keys = |cached| {
+        let wanted = changes.iter().filter(move |change| change.cached == cached);
+        let mut keys: Vec<PartKey> = wanted.map(|change| change.part).collect();
+        keys.sort_unstable();
+        keys
+    };
+    (keys(true), keys(false))
+}
+
+#[test]
+fn only_what_is_news_is_reported() {
+    let mut parts = ReportedParts::new(ENGINE);
+    assert_eq!(parts.position(), None);
+    let first = batch(1, 4, true, &[(1, 900), (2, 499), (3, 500), (1, 1200)]);
+    assert_eq!(apply(&mut parts, &first, &[]), (vec![1, 3], vec![]));
+    assert_eq!(parts.position(), Some(CachePosition { epoch: 1, next: 4 }));
+    // Parts 2 and 8 were never reported; the router takes 9 to be cached there.
+    let second = batch(1, 8, false, &[(1, 0), (2, 0), (8, 0), (9, 0)]);
+    assert_eq!(apply(&mut parts, &second, &[9]), (vec![], vec![1, 9]));
+    let third = batch(1, 9, false, &[(1, 700)]);
+    assert_eq!(apply(&mut parts, &third, &[]), (vec![1], vec![]));
+}
+
+#[test]
+fn a_part_of_which_some_tokens_are_evicted_is_evicted() {
+    let mut parts = ReportedParts::new(ENGINE);
+    apply(&mut parts, &batch(1, 1, false, &[(1, 900)]), &[]);
+    let mut partly = batch(1, 2, false, &[]);
+    partly
+        .changes
+        .push(CacheChange { part: 1, added: false, tokens: 600 });
+    assert_eq!(apply(&mut parts, &partly, &[]), (vec![], vec![1]));
+}
+
+#[test]
+fn keys_are_reported_in_their_short_form() {
+    let mut parts = ReportedParts::new(ENGINE);
+    let key = 0x1234_5678_9abc_def0;
+    let (cached, _) = apply(&mut parts, &batch(1, 1, false, &[(key, 900)]), &[]);
+    assert_eq!(cached, [0x1234_5678 ^ 0x9abc_def0]);
+}
+
+#[test]
+fn a_gap_evicts_what_was_reported_before_it() {
+    let mut parts = ReportedParts::new(ENGINE);
+    apply(&mut parts, &batch(1, 3, false, &[(1, 900), (2, 900)]), &[]);
+    let after_gap = batch(1, 90, true, &[(2, 900), (3, 900)]);
+    let changes = parts.apply(&after_gap, |_| false);
+    // Part 2 is evicted first and cached again after that.
+    let last_of_2 = changes.iter().rfind(|change| change.part == 2);
+    let cached = PartChange { server: ENGINE, part: 2, cached: true };
+    assert_eq!(last_of_2, Some(&cached));
+    assert!(changes.contains(&PartChange { part: 1, cached: false, ..cached }));
+    assert!(changes.contains(&PartChange { part: 3, ..cached }));
+    assert_eq!(parts.position(), Some(CachePosition { epoch: 1, next: 90 }));
+}
+
+#[test]
+fn a_new_epoch_evicts_everything_and_is_read_from_its_start() {
+    let mut parts = ReportedParts::new(ENGINE);
+    apply(&mut parts, &batch(1, 3, false, &[(1, 900), (2, 900)]), &[]);
+    let restarted = batch(2, 5, false, &[(3, 900)]);
+    assert_eq!(apply(&mut parts, &restarted, &[]), (vec![], vec![1, 2]));
+    assert_eq!(parts.position(), None);
+    let from_start = batch(2, 5, false, &[(1, 900), (3, 900)]);
+    assert_eq!(apply(&mut parts, &from_start, &[]), (vec![1, 3], vec![]));
+    assert_eq!(parts.position(), Some(CachePosition { epoch: 2, next: 5 }));
+}
+
+#[test]
+fn no_more_parts_are_reported_than_an_engine_can_hold() {
+    let mut parts = ReportedParts::new(ENGINE);
+    let many: Vec<(u64, u32)> = (0..100_000).map(|part| (part, 900)).collect();
+    let (cached, _) = apply(&mut parts, &batch(1, 100_000, false, &many), &[]);
+    assert_eq!(cached.len(), 4096);
+    let (_, evicted) = apply(&mut parts, &batch(2, 1, false, &[]), &[]);
+    assert_eq!(evicted.len(), 4096);
+}
