Full engines aren't logged as if their answers couldn't be used

Cause: a 429 for a waiting call is expected, but took the one log line that an engine has for answers that can't be used. The bounds of what waits for peers had no test.

Change: a 429 is counted only. `OwnSightings` is public for its tests, like the other parts without I/O.

--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -72,4 +72,4 @@
 pub use self::lag::RulesLag;
 pub use self::logging::init_entry_logging;
 pub use self::reader::ServerListLog;
-pub use self::watch::{EngineRecord, ReportedParts, WatchCall, WatchPace};
+pub use self::watch::{EngineRecord, OwnSightings, ReportedParts, WatchCall, WatchPace};
--- a/crates/flaxtide-entry/src/watch/mod.rs
+++ b/crates/flaxtide-entry/src/watch/mod.rs
@@ -21,7 +21,7 @@
 
 pub(crate) use self::engines::EngineWatches;
 pub(crate) use self::host::update_watches;
-pub(crate) use self::own::OwnSightings;
+pub use self::own::OwnSightings;
 pub use self::pace::{WatchCall, WatchPace};
 pub use self::parts::ReportedParts;
 pub use self::record::EngineRecord;
--- a/crates/flaxtide-entry/src/watch/own.rs
+++ b/crates/flaxtide-entry/src/watch/own.rs
@@ -16,7 +16,7 @@
 
 /// What this instance has seen of the engines that it watches, for its peers.
 #[derive(Debug, Default)]
-pub(crate) struct OwnSightings {
+pub struct OwnSightings {
     /// The last sighting of each watched engine, and when it was made.
     sightings: RefCell<BTreeMap<ServerId, (EngineSighting, Duration)>>,
     /// The changes of cached prompt parts that peers haven't been told yet, oldest first.
@@ -25,17 +25,17 @@
 
 impl OwnSightings {
     /// Records a sighting in place of the last one of its engine.
-    pub(crate) fn record(&self, sighting: EngineSighting, now: Duration) {
+    pub fn record(&self, sighting: EngineSighting, now: Duration) {
         self.sightings.borrow_mut().insert(sighting.server, (sighting, now));
     }
 
     /// Removes the sighting of an engine that is no longer watched.
-    pub(crate) fn remove(&self, server: ServerId) {
+    pub fn remove(&self, server: ServerId) {
         self.sightings.borrow_mut().remove(&server);
     }
 
     /// Adds changes of cached prompt parts.
-    pub(crate) fn add_changes(&self, new: &[PartChange]) {
+    pub fn add_changes(&self, new: &[PartChange]) {
         let mut changes = self.changes.borrow_mut();
         changes.extend(new);
         let surplus = changes.len().saturating_sub(MAX_WAITING_CHANGES);
@@ -43,7 +43,8 @@
     }
 
     /// Returns the last sightings, with ages as of now.
-    pub(crate) fn sightings(&self, now: Duration) -> Vec<EngineSighting> {
+    #[must_use]
+    pub fn sightings(&self, now: Duration) -> Vec<EngineSighting> {
         let sightings = self.sightings.borrow();
         let aged = sightings.values().map(|(sighting, seen_at)| {
             let since = now.saturating_sub(*seen_at);
@@ -58,7 +59,8 @@
     }
 
     /// Returns the number of watched engines that have failed their last call.
-    pub(crate) fn failing_count(&self) -> usize {
+    #[must_use]
+    pub fn failing_count(&self) -> usize {
         let sightings = self.sightings.borrow();
         let failing = sightings
             .values()
@@ -68,7 +70,8 @@
 
     /// Removes and returns the oldest changes that peers haven't been told, as many as one
     /// publication has.
-    pub(crate) fn take_changes(&self) -> Vec<PartChange> {
+    #[must_use]
+    pub fn take_changes(&self) -> Vec<PartChange> {
         let mut changes = self.changes.borrow_mut();
         let count = changes.len().min(MAX_PUBLISHED_CHANGES);
         changes.drain(..count).collect()
--- a/crates/flaxtide-entry/src/watch/watcher.rs
+++ b/crates/flaxtide-entry/src/watch/watcher.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use flaxtide_core::ServerId;
+use hyper::StatusCode;
 
 use super::host::WatchHost;
 use super::link::{CallFault, CallHead, EngineAnswer, EngineLink};
@@ -147,6 +148,9 @@
 
     /// Uses the content of an answer. Returns the outcome of the call.
     fn use_answer(&mut self, call: WatchCall, answer: EngineAnswer) -> String {
+        // The engine has as many waiting calls as it accepts.
+        let is_at_limit =
+            matches!(answer, EngineAnswer::Refused(StatusCode::TOO_MANY_REQUESTS));
         let (outcome, cause) = match answer {
             EngineAnswer::Content(body) => match self.use_content(call, &body) {
                 Ok(()) => return "answered".into(),
@@ -158,7 +162,9 @@
         if call == WatchCall::Cache {
             self.pace.pause_cache(self.host.now());
         }
-        self.log_answer(call, &cause);
+        if !is_at_limit {
+            self.log_answer(call, &cause);
+        }
         outcome.into()
     }
 
--- a/crates/flaxtide-entry/tests/watch.rs
+++ b/crates/flaxtide-entry/tests/watch.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use flaxtide_entry::{
-    CacheBatch, CacheChange, CachePosition, EngineRecord, ReportedParts, WatchCall,
-    WatchPace,
+    CacheBatch, CacheChange, CachePosition, EngineRecord, OwnSightings, ReportedParts,
+    WatchCall, WatchPace,
 };
 use flaxtide_policy::{EngineReport, PartChange, PartKey};
 
@@ -259,3 +259,39 @@
     let (_, evicted) = apply(&mut parts, &batch(2, 1, false, &[]), &[]);
     assert_eq!(evicted.len(), 4096);
 }
+
+#[test]
+fn sightings_for_peers_age_until_they_are_removed() {
+    let own = OwnSightings::default();
+    let mut record = EngineRecord::new(ENGINE, 3);
+    record.record_answer(ms(1000));
+    record.record_report(EngineReport::default(), ms(1000));
+    record.record_failure(ms(1200), LIMIT, ms(2400));
+    own.record(record.sighting(ms(2400)), ms(2400));
+    assert_eq!(own.sightings(ms(4000)), [record.sighting(ms(4000))]);
+    assert_eq!(own.failing_count(), 1);
+    own.remove(ENGINE);
+    assert!(own.sightings(ms(4000)).is_empty());
+    assert_eq!(own.failing_count(), 0);
+}
+
+#[test]
+fn changes_are_published_oldest_first_and_the_oldest_are_dropped() {
+    let own = OwnSightings::default();
+    let change = |part| PartChange { server: ENGINE, part, cached: true };
+    for first in (0..5000).step_by(500) {
+        let changes: Vec<PartChange> = (first..first + 500).map(change).collect();
+        own.add_changes(&changes);
+    }
+    let mut published = vec![];
+    loop {
+        let changes = own.take_changes();
+        if changes.is_empty() {
+            break;
+        }
+        assert!(changes.len() <= 64);
+        published.extend(changes);
+    }
+    let kept: Vec<PartChange> = (5000 - 2048..5000).map(change).collect();
+    assert_eq!(published, kept);
+}
