Changes of a server's health state their cause

Change: HealthChange has a typed cause, which is logged and listed in OPERATIONS.md. The pause after a peer's report is kept apart from the one after a fault; together they act as before.

--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -341,8 +341,10 @@
         } else {
             "server not eligible: unhealthy"
         };
+        let cause = change.cause.map(|cause| format!("{cause:?}")).unwrap_or_default();
         log::info!(
             server = state.server_name(change.server).unwrap_or_default(),
+            cause = cause,
             failures_percent = (change.failure_rate * 100.0) as u64,
             heard_ago_ms = change.heard_ago.as_millis() as u64;
             "{event}"
--- a/crates/flaxtide-policy/src/router/eligible.rs
+++ b/crates/flaxtide-policy/src/router/eligible.rs
@@ -1,12 +1,12 @@
 //! Which servers may get requests, judged by their health, and changes of it.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use flaxtide_core::{PoolId, ServerId};
 
 use super::RouteCore;
-use super::health::OUTLIER_MARGIN;
+use super::health::{HealthCause, OUTLIER_MARGIN, ServerWork};
 use super::server::ServerState;
 
 /// A change in whether a server is considered healthy.
@@ -16,6 +16,8 @@
     pub server: ServerId,
     /// Whether the server gets requests from now on.
     pub healthy: bool,
+    /// Why it gets none; `None` if it does.
+    pub cause: Option<HealthCause>,
     /// The decayed fraction of its requests that failed, from 0 to 1.
     pub failure_rate: f64,
     /// The time since anything was last received from the server.
@@ -28,10 +30,11 @@
     pub fn health_changes(&mut self, now: Duration) -> Vec<HealthChange> {
         let mut changes = vec![];
         for pool in self.pools.keys().copied().collect::<Vec<PoolId>>() {
-            let healthy = self.healthy_active(pool, now);
+            let unhealthy = self.unhealthy_active(pool, now);
             let Some(state) = self.pools.get_mut(&pool) else { continue };
             state.servers.update_active(|server| {
-                let is_healthy = healthy.contains(&server.listing.server);
+                let cause = unhealthy.get(&server.listing.server).copied();
+                let is_healthy = cause.is_none();
                 if !server.listing.in_service() || server.reported_healthy == is_healthy {
                     return;
                 }
@@ -39,6 +42,7 @@
                 changes.push(HealthChange {
                     server: server.listing.server,
                     healthy: is_healthy,
+                    cause,
                     failure_rate: server.health.failure_rate(),
                     heard_ago: now.saturating_sub(server.health.last_heard()),
                 });
@@ -59,17 +63,30 @@
         self.available_inliers(usable.to_vec(), 0, now)
     }
 
-    /// Returns the active servers of a pool that are healthy by the criteria of
-    /// [`Self::healthy_servers`]. All other servers in service count as healthy, without
-    /// failures.
-    fn healthy_active(&self, pool: PoolId, now: Duration) -> HashSet<ServerId> {
-        let Some(state) = self.pools.get(&pool) else { return HashSet::new() };
+    /// Returns the active servers of a pool that are unhealthy by the criteria of
+    /// [`Self::healthy_servers`], with the causes. All other servers in service count as
+    /// healthy, without failures.
+    fn unhealthy_active(
+        &self,
+        pool: PoolId,
+        now: Duration,
+    ) -> HashMap<ServerId, HealthCause> {
+        let Some(state) = self.pools.get(&pool) else { return HashMap::new() };
         let in_service = state.servers.active();
         let in_service: Vec<&ServerState> =
             in_service.filter(|server| server.listing.in_service()).collect();
         let idle = state.servers.count_in_service() - in_service.len();
-        let healthy = self.available_inliers(in_service, idle, now);
-        healthy.iter().map(|server| server.listing.server).collect()
+        let healthy = self.available_inliers(in_service.clone(), idle, now);
+        let healthy: HashSet<ServerId> =
+            healthy.iter().map(|server| server.listing.server).collect();
+        let unhealthy = in_service
+            .into_iter()
+            .filter(|server| !healthy.contains(&server.listing.server));
+        let causes = unhealthy.map(|server| {
+            let cause = self.obstacle(server, now).unwrap_or(HealthCause::Failures);
+            (server.listing.server, cause)
+        });
+        causes.collect()
     }
 
     /// Returns the servers that are available and whose failure rate isn't an outlier among
@@ -82,7 +99,7 @@
     ) -> Vec<&'a ServerState> {
         let least = (servers.len() + idle) as f64 * (1.0 - self.options.ejected_part);
         let mut available = servers;
-        available.retain(|server| self.is_available(server, now));
+        available.retain(|server| self.obstacle(server, now).is_none());
         let mut failures: Vec<f64> =
             available.iter().map(|server| server.health.failure_rate()).collect();
         failures.sort_by(f64::total_cmp);
@@ -96,16 +113,17 @@
         if ((inliers.len() + idle) as f64) < least { available } else { inliers }
     }
 
-    /// Returns whether a server is neither paused nor silent.
-    fn is_available(&self, server: &ServerState, now: Duration) -> bool {
+    /// Returns why a server counts as paused or silent, or `None` if it doesn't.
+    fn obstacle(&self, server: &ServerState, now: Duration) -> Option<HealthCause> {
         // The level `u8::MAX` includes the prompts of all urgency levels.
         let expected = Duration::from_secs_f64(
             self.pending_prefill_ms(server, u8::MAX, now) / 1000.0,
         );
-        let streams = server.load.has_streams(&self.calls);
-        let waiting = server.load.waiting_since(&self.calls);
-        server
-            .health
-            .is_available(streams, waiting, expected, now, &self.options)
+        let work = ServerWork {
+            streaming: server.load.has_streams(&self.calls),
+            waiting_since: server.load.waiting_since(&self.calls),
+            expected,
+        };
+        server.health.obstacle(work, now, &self.options)
     }
 }
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -13,11 +13,37 @@
 /// outlier.
 pub(crate) const OUTLIER_MARGIN: f64 = 0.3;
 
+/// The reason why a server gets no requests for the sake of its health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthCause {
+    /// It is paused after a fault that a request of this instance had.
+    Fault,
+    /// A peer reported it as silent.
+    PeerReport,
+    /// It has sent nothing for too long.
+    Silence,
+    /// Too many of its requests failed.
+    Failures,
+}
+
+/// The requests of this instance on a server, as far as they show whether it is silent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ServerWork {
+    /// Whether responses are being streamed from the server.
+    pub(crate) streaming: bool,
+    /// Since when the oldest unanswered request has been waiting.
+    pub(crate) waiting_since: Option<Duration>,
+    /// How long that request may take.
+    pub(crate) expected: Duration,
+}
+
 /// The recent responses and faults of a server.
 #[derive(Debug, Clone)]
 pub(crate) struct ServerHealth {
-    /// The server gets no requests until this time.
+    /// The server gets no requests until this time, because of a fault.
     paused_until: Duration,
+    /// The server gets no requests until this time, because of a peer's report.
+    reported_until: Duration,
     /// The length of the last pause. It is doubled with each further pause up to
     /// `longest_pause`, and reset by a complete response.
     pause: Duration,
@@ -38,6 +64,7 @@
     pub(crate) fn new(now: Duration) -> Self {
         Self {
             paused_until: Duration::ZERO,
+            reported_until: Duration::ZERO,
             pause: Duration::ZERO,
             last_heard: now,
             admitted_at: None,
@@ -122,7 +149,7 @@
         options: &RouteOptions,
     ) {
         if now > self.last_heard + options.rumour_silence {
-            self.paused_until = self.paused_until.max(now + options.pause);
+            self.reported_until = self.reported_until.max(now + options.pause);
         }
     }
 
@@ -133,7 +160,7 @@
         min_pause: Duration,
         options: &RouteOptions,
     ) {
-        if now < self.paused_until {
+        if now < self.paused_until.max(self.reported_until) {
             return;
         }
         self.pause = (self.pause * 2).clamp(min_pause, options.longest_pause);
@@ -148,7 +175,7 @@
     /// Returns whether time alone changes whether the server may get requests, or whether
     /// peers are told that it is silent.
     pub(crate) fn is_suspect(&self, now: Duration) -> bool {
-        now < self.paused_until || self.silent_at.is_some()
+        now < self.paused_until.max(self.reported_until) || self.silent_at.is_some()
     }
 
     /// Returns how uncertain it is that the server accepts requests: 0 if it has just
@@ -170,26 +197,26 @@
         self.failure_rate
     }
 
-    /// Returns whether the server may get requests, judged by its recent responses.
-    /// `streaming` tells whether responses are being streamed from it, `waiting_since`
-    /// since when its oldest unanswered request has been waiting, and `expected` how long
-    /// that request may take. A server that is streaming sends data continuously; one
-    /// that only prefills prompts may be silent for longer.
-    pub(crate) fn is_available(
+    /// Returns why the server may get no requests, judged by its recent responses, or `None`
+    /// if it may. A server that is streaming sends data continuously; one that only prefills
+    /// prompts may be silent for longer.
+    pub(crate) fn obstacle(
         &self,
-        streaming: bool,
-        waiting_since: Option<Duration>,
-        expected: Duration,
+        work: ServerWork,
         now: Duration,
         options: &RouteOptions,
-    ) -> bool {
+    ) -> Option<HealthCause> {
         if now < self.paused_until {
-            return false;
+            return Some(HealthCause::Fault);
+        }
+        if now < self.reported_until {
+            return Some(HealthCause::PeerReport);
         }
-        if streaming && now > self.last_heard + options.silence {
-            return false;
+        if work.streaming && now > self.last_heard + options.silence {
+            return Some(HealthCause::Silence);
         }
-        let Some(since) = waiting_since else { return true };
-        now < since.max(self.last_heard) + options.long_silence + expected * 2
+        let heard = work.waiting_since?.max(self.last_heard);
+        let silent = now >= heard + options.long_silence + work.expected * 2;
+        silent.then_some(HealthCause::Silence)
     }
 }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -34,6 +34,7 @@
 };
 pub use self::choose::{PartFetch, RouteChoice, RouteReason};
 pub use self::eligible::HealthChange;
+pub use self::health::HealthCause;
 pub use self::load::{LevelTokens, PeerKey, PeerLoad, ServerLoad, URGENCY_LEVELS};
 pub use self::options::RouteOptions;
 pub use self::prefill_log::PrefillRecord;
--- a/crates/flaxtide-policy/tests/router_silence.rs
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use flaxtide_policy::{RetryDecision, RouteAction, RouteCall, RouteFault};
+use flaxtide_policy::{HealthCause, RetryDecision, RouteAction, RouteCall, RouteFault};
 
 use self::common::{call, core_with, ms, server_of};
 
@@ -168,3 +168,25 @@
     };
     assert_eq!(expected_after(4000), expected_after(0));
 }
+
+#[test]
+fn changes_of_health_state_their_cause() {
+    let causes = |silence: u64, report: bool, fault: Option<RouteFault>| {
+        let mut core = core_with(1);
+        core.arrive(call(1, 100, true), ms(0));
+        core.record_response_data(1, ms(10));
+        if report {
+            core.record_silence_reports(&[0], ms(silence));
+        }
+        if let Some(fault) = fault {
+            core.fail_without_retry(1, fault, ms(silence));
+        }
+        let changes = core.health_changes(ms(silence + 1));
+        changes.into_iter().map(|change| change.cause).collect::<Vec<_>>()
+    };
+    assert!(causes(100, false, None).is_empty());
+    assert_eq!(causes(600, false, None), [Some(HealthCause::Silence)]);
+    assert_eq!(causes(400, true, None), [Some(HealthCause::PeerReport)]);
+    let fault = Some(RouteFault::Unreachable);
+    assert_eq!(causes(100, false, fault), [Some(HealthCause::Fault)]);
+}
