Watchers' answers tell a busy engine from a dead one

Cause: a burst makes engines slow to answer. All left such engines for 0.5 to 4 s, and the rest grew slow in turn.

Change: one judge (router/liveness.rs) for engines of which a watcher was heard within 3 s. While anybody in touch has had an answer within 3 s, silence is no fault and peers' reports of silence change nothing. Once all watchers in touch have failed for 1.2 s and no own data is fresher, the engine is dead: not eligible, for instances with nothing there and as a last resort too, and its requests may leave at once; they ask every 0.5 s. Failed connections, streams that pause for 2 s and requests that a later report doesn't contain show a bad path of this instance. Without watchers' word, everything is as before; failure rates count as before. A broken connection is no sign of life any more, a watcher without an outcome doesn't count, and an own stall doesn't prolong failures.

--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -275,6 +275,12 @@
         }
     }
 
+    /// Returns after which silence of the stream to ask [`Self::may_abort_silent`].
+    pub(crate) fn stream_patience(&self, usual: Duration) -> Duration {
+        self.state
+            .with_router(|core, now| core.stream_patience(self.request_id, usual, now))
+    }
+
     /// Returns whether the attempt may be aborted because its server is silent. `resumable` tells
     /// whether another server can resume the stream.
     pub(crate) fn may_abort_silent(&self, resumable: bool) -> bool {
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -104,7 +104,11 @@
         let state = self.call.state.clone();
         loop {
             let left = self.call.time_left();
-            let wait = if resumable { left.min(STALL_TIMEOUT) } else { left };
+            let wait = if resumable {
+                left.min(self.call.stream_patience(STALL_TIMEOUT))
+            } else {
+                left
+            };
             let until = state.now() + wait;
             match state.wait_until(until, source.next(&state)).await {
                 Some(Ok(Some(bytes))) => {
--- a/crates/flaxtide-policy/src/engine/sighting.rs
+++ b/crates/flaxtide-policy/src/engine/sighting.rs
@@ -92,6 +92,15 @@
         self.by_watcher.insert(sighting.watcher, dated);
     }
 
+    /// Excludes a stall of this instance from the time for which watchers have failed: what
+    /// they have seen since hasn't been heard yet.
+    pub(crate) fn discount_stall(&mut self, span: Duration, now: Duration) {
+        for dated in self.by_watcher.values_mut() {
+            let failing_since = dated.failing_since;
+            dated.failing_since = failing_since.map(|since| (since + span).min(now));
+        }
+    }
+
     /// Returns when the engine last answered any watcher.
     #[must_use]
     pub fn answered_at(&self) -> Option<Duration> {
@@ -99,12 +108,15 @@
     }
 
     /// Returns since when the engine has answered none of the watchers heard within
-    /// [`SIGHTING_BOUND`]; `None` if it has answered one of them, or if none was heard.
+    /// [`SIGHTING_BOUND`]; `None` if it has answered one of them, or if none was heard. A
+    /// watcher that has only begun, and has had neither an answer nor a failure, doesn't count.
     #[must_use]
     pub fn failing_since(&self, now: Duration) -> Option<Duration> {
         let mut latest = None;
         for dated in self.by_watcher.values() {
-            if now < dated.recorded_at.saturating_add(SIGHTING_BOUND) {
+            let has_outcome =
+                dated.answered_at.is_some() || dated.failing_since.is_some();
+            if has_outcome && now < dated.recorded_at.saturating_add(SIGHTING_BOUND) {
                 latest = latest.max(Some(dated.failing_since?));
             }
         }
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -158,6 +158,13 @@
     pub(crate) sends: u32,
     /// The time since the last dispatch during which this instance was stalled.
     pub(crate) stalled_for: Duration,
+    /// When data last arrived from the current server, or `None` if none has.
+    pub(crate) last_data_at: Option<Duration>,
+    /// How long the current server may be silent before the request is retried elsewhere.
+    pub(crate) patience: Duration,
+    /// Until when the silence of the current server isn't held against it. In the past if
+    /// the sender itself waits for as long.
+    pub(crate) patient_until: Duration,
     /// Whether the retry budget has already been charged for the next retry.
     pub(crate) retry_granted: bool,
     /// Whether the request has been counted against the rate limit of its server.
@@ -205,6 +212,9 @@
             excluded: vec![],
             sends: 0,
             stalled_for: Duration::ZERO,
+            last_data_at: None,
+            patience: Duration::ZERO,
+            patient_until: Duration::ZERO,
             retry_granted: false,
             rate_counted: false,
             runs: 0,
@@ -215,6 +225,7 @@
 
     /// Records that response data arrived. Returns whether it was the first.
     pub(crate) fn record_data(&mut self, now: Duration) -> bool {
+        self.last_data_at = Some(now);
         match &mut self.phase {
             CallPhase::Running { first_data_at: first_data_at @ None, .. } => {
                 *first_data_at = Some(now);
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -140,8 +140,9 @@
         if !healthy.is_empty() {
             return None;
         }
-        let (best, _) = self.cheapest(&usable, &[], request, now)?;
-        Some(build_choice(&best, RouteReason::LastResort, usable.len()))
+        let left = self.not_dead(&usable, now);
+        let (best, _) = self.cheapest(&left, &[], request, now)?;
+        Some(build_choice(&best, RouteReason::LastResort, left.len()))
     }
 
     /// Returns the healthy servers that belong to a lane.
--- a/crates/flaxtide-policy/src/router/eligible.rs
+++ b/crates/flaxtide-policy/src/router/eligible.rs
@@ -7,6 +7,7 @@
 
 use super::RouteCore;
 use super::health::{HealthCause, OUTLIER_MARGIN, ServerWork};
+use super::liveness::EngineLiveness;
 use super::server::ServerState;
 
 /// A change in whether a server is considered healthy.
@@ -113,7 +114,20 @@
         if ((inliers.len() + idle) as f64) < least { available } else { inliers }
     }
 
-    /// Returns why a server counts as paused or silent, or `None` if it doesn't.
+    /// Returns the servers that aren't known to be dead, or all of them if none is left.
+    pub(super) fn not_dead<'a>(
+        &self,
+        usable: &[&'a ServerState],
+        now: Duration,
+    ) -> Vec<&'a ServerState> {
+        let is_dead =
+            |server: &&ServerState| server.liveness(now) == EngineLiveness::Dead;
+        let left = usable.iter().copied().filter(|server| !is_dead(server));
+        let left: Vec<&ServerState> = left.collect();
+        if left.is_empty() { usable.to_vec() } else { left }
+    }
+
+    /// Returns why a server counts as paused, silent or dead, or `None` if it doesn't.
     fn obstacle(&self, server: &ServerState, now: Duration) -> Option<HealthCause> {
         // The level `u8::MAX` includes the prompts of all urgency levels.
         let expected = Duration::from_secs_f64(
@@ -124,6 +138,6 @@
             waiting_since: server.load.waiting_since(&self.calls),
             expected,
         };
-        server.health.obstacle(work, now, &self.options)
+        server.health.obstacle(work, server.liveness(now), now, &self.options)
     }
 }
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -1,9 +1,10 @@
 //! The health of a backend server, judged by this instance's own requests and the silence
-//! reports of peers.
+//! reports of peers. Of engines that have watchers, these tell whether they are alive.
 
 use std::time::Duration;
 
 use super::call::RouteFault;
+use super::liveness::{EngineLiveness, STREAM_GAP};
 use super::options::RouteOptions;
 
 /// The weight of the newest outcome in the decayed failure rate.
@@ -20,6 +21,8 @@
     Fault,
     /// A peer reported it as silent.
     PeerReport,
+    /// Its watchers report that it is dead.
+    WatcherReport,
     /// It has sent nothing for too long.
     Silence,
     /// Too many of its requests failed.
@@ -49,6 +52,8 @@
     pause: Duration,
     /// When anything was last received from the server.
     last_heard: Duration,
+    /// When the server last sent anything, if it ever has. A broken connection doesn't count.
+    answered_at: Option<Duration>,
     /// When it last started to respond to a request; reset when it refuses one.
     admitted_at: Option<Duration>,
     /// When it last refused a request.
@@ -67,6 +72,7 @@
             reported_until: Duration::ZERO,
             pause: Duration::ZERO,
             last_heard: now,
+            answered_at: None,
             admitted_at: None,
             refused_at: None,
             silent_at: None,
@@ -77,6 +83,7 @@
     /// Records that something was received.
     pub(crate) fn record_activity(&mut self, now: Duration) {
         self.last_heard = now;
+        self.answered_at = Some(now);
         self.silent_at = None;
     }
 
@@ -123,32 +130,46 @@
                 self.count_failure();
                 self.start_pause(now, options.pause, options);
             }
-            RouteFault::Broken | RouteFault::Failed => {
+            RouteFault::Failed => {
                 self.record_activity(now);
                 self.count_failure();
             }
+            // A server that exits breaks its connections, so this is no sign of life.
+            RouteFault::Broken => {
+                self.last_heard = now;
+                self.silent_at = None;
+                self.count_failure();
+            }
         }
     }
 
-    /// Returns whether this instance itself recently found the server silent. `streaming`
-    /// tells whether responses are being streamed from the server.
+    /// Returns whether this instance itself recently found the server silent, so that peers
+    /// are told. `streaming` tells whether responses are being streamed from the server.
+    /// The silence of streams from an engine that is alive concerns this instance only.
     pub(crate) fn was_silent(
         &self,
         streaming: bool,
+        liveness: EngineLiveness,
         now: Duration,
         options: &RouteOptions,
     ) -> bool {
-        let silent = streaming && now > self.last_heard + options.silence;
+        let silent = streaming
+            && liveness != EngineLiveness::Alive
+            && now > self.last_heard + options.silence;
         silent || self.silent_at.is_some_and(|at| now < at + options.rumour_life)
     }
 
-    /// Records that a peer reported the server as silent.
+    /// Records that a peer reported the server as silent. The report says nothing of an
+    /// engine that is alive: the peer may wait for a busy one, or have lost the path to it.
     pub(crate) fn record_silence_report(
         &mut self,
+        liveness: EngineLiveness,
         now: Duration,
         options: &RouteOptions,
     ) {
-        if now > self.last_heard + options.rumour_silence {
+        if liveness != EngineLiveness::Alive
+            && now > self.last_heard + options.rumour_silence
+        {
             self.reported_until = self.reported_until.max(now + options.pause);
         }
     }
@@ -192,30 +213,48 @@
         self.last_heard
     }
 
+    /// Returns when the server last sent anything, if it ever has.
+    pub(crate) fn answered_at(&self) -> Option<Duration> {
+        self.answered_at
+    }
+
+    /// Returns whether nothing was received since the server was found unreachable or silent.
+    pub(crate) fn is_path_suspect(&self) -> bool {
+        self.silent_at.is_some()
+    }
+
     /// Returns the decayed fraction of failed requests.
     pub(crate) fn failure_rate(&self) -> f64 {
         self.failure_rate
     }
 
-    /// Returns why the server may get no requests, judged by its recent responses, or `None`
-    /// if it may. A server that is streaming sends data continuously; one that only prefills
-    /// prompts may be silent for longer.
+    /// Returns why the server may get no requests, judged by its recent responses and its
+    /// watchers, or `None` if it may. Without watchers that get answers, a server that is
+    /// streaming counts as sending data continuously; one that only prefills prompts may be
+    /// silent for longer.
     pub(crate) fn obstacle(
         &self,
         work: ServerWork,
+        liveness: EngineLiveness,
         now: Duration,
         options: &RouteOptions,
     ) -> Option<HealthCause> {
+        if liveness == EngineLiveness::Dead {
+            return Some(HealthCause::WatcherReport);
+        }
         if now < self.paused_until {
             return Some(HealthCause::Fault);
         }
-        if now < self.reported_until {
+        let alive = liveness == EngineLiveness::Alive;
+        if !alive && now < self.reported_until {
             return Some(HealthCause::PeerReport);
         }
-        if work.streaming && now > self.last_heard + options.silence {
+        let silence = if alive { STREAM_GAP } else { options.silence };
+        if work.streaming && now > self.last_heard + silence {
             return Some(HealthCause::Silence);
         }
-        let heard = work.waiting_since?.max(self.last_heard);
+        let since = work.waiting_since.filter(|_| !alive)?;
+        let heard = since.max(self.last_heard);
         let silent = now >= heard + options.long_silence + work.expected * 2;
         silent.then_some(HealthCause::Silence)
     }
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -0,0 +1,103 @@
+//! Whether an engine that has watchers is alive. Silence doesn't tell a busy engine from a
+//! dead one; the answers that watchers get do.
+
+use std::time::Duration;
+
+use super::server::ServerState;
+use crate::engine::SIGHTING_BOUND;
+
+/// The period in which watchers call an engine.
+pub(crate) const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
+/// How long all watchers in touch must have failed to reach an engine until it counts as
+/// dead: two missed calls, and the way of the second one's result.
+pub(crate) const DEAD_BOUND: Duration = Duration::from_millis(1200);
+
+/// How long a running response may pause before the path to its engine is suspect. Callers
+/// abandon streams after gaps of two seconds at the earliest.
+pub(crate) const STREAM_GAP: Duration = Duration::from_secs(2);
+
+/// The minimum age that a request must have had at the time of an engine's report to be
+/// contained in it. Reports are some hundred milliseconds old when they are received.
+const REPORT_LAG: Duration = Duration::from_secs(1);
+
+/// What is known of the life of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum EngineLiveness {
+    /// No watcher was heard recently: this instance's own requests and the reports of peers
+    /// have to tell.
+    Unwatched,
+    /// Somebody in touch has recently had an answer. Silence means that it is busy.
+    Alive,
+    /// Watchers fail to reach it, though not for long enough, or its last answer is old, or
+    /// this instance couldn't reach it and hasn't heard it since. Judged as if it had no
+    /// watchers.
+    Doubtful,
+    /// All watchers in touch have failed to reach it, and this instance hasn't heard it.
+    Dead,
+}
+
+/// The evidence of the life of an engine.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct LifeEvidence {
+    /// Whether any watcher was heard recently.
+    pub(crate) watched: bool,
+    /// When this instance last received an answer.
+    pub(crate) own_answer: Option<Duration>,
+    /// Whether this instance has heard nothing since it found the path interrupted.
+    pub(crate) path_suspect: bool,
+    /// When a watcher last received an answer.
+    pub(crate) watch_answer: Option<Duration>,
+    /// Since when all watchers in touch have received no answer; `None` if one has.
+    pub(crate) failing_since: Option<Duration>,
+}
+
+impl LifeEvidence {
+    /// Judges the evidence.
+    pub(crate) fn judge(&self, now: Duration) -> EngineLiveness {
+        if !self.watched {
+            return EngineLiveness::Unwatched;
+        }
+        if let Some(failing_since) = self.failing_since {
+            let since = failing_since.max(self.own_answer.unwrap_or_default());
+            return match now >= since.saturating_add(DEAD_BOUND) {
+                true => EngineLiveness::Dead,
+                false => EngineLiveness::Doubtful,
+            };
+        }
+        match self.own_answer.max(self.watch_answer) {
+            Some(at) if !self.path_suspect && now < at.saturating_add(SIGHTING_BOUND) => {
+                EngineLiveness::Alive
+            }
+            _ => EngineLiveness::Doubtful,
+        }
+    }
+}
+
+impl ServerState {
+    /// Returns what is known of the life of the server.
+    pub(crate) fn liveness(&self, now: Duration) -> EngineLiveness {
+        let evidence = LifeEvidence {
+            watched: self.is_watched(now),
+            own_answer: self.health.answered_at(),
+            path_suspect: self.health.is_path_suspect(),
+            watch_answer: self.sightings.answered_at(),
+            failing_since: self.sightings.failing_since(now),
+        };
+        evidence.judge(now)
+    }
+
+    /// Returns whether watchers of the server were heard recently.
+    pub(crate) fn is_watched(&self, now: Duration) -> bool {
+        self.sightings.is_watched(now)
+    }
+
+    /// Returns whether the engine lacks a request that was sent at `sent` and hasn't been
+    /// responded to: a later report contains no unread prompt. Then the request or its
+    /// response is lost on the way.
+    pub(crate) fn lacks_request(&self, sent: Duration) -> bool {
+        self.sightings.report().is_some_and(|(report, at)| {
+            report.waiting == 0 && report.prefilling == 0 && at >= sent + REPORT_LAG
+        })
+    }
+}
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -10,6 +10,7 @@
 mod eligible;
 mod health;
 mod lane;
+mod liveness;
 mod load;
 mod options;
 mod prefill_log;
@@ -45,6 +46,7 @@
 use self::budget::RetryWindow;
 use self::call::{CallPhase, RoutedCall};
 use self::lane::LaneDemand;
+use self::liveness::WATCH_PERIOD;
 use self::prefill_log::PrefillLog;
 use self::server::ServerState;
 use self::shed::ShedProbability;
@@ -265,7 +267,8 @@
         for pool in self.pools.values_mut() {
             for server in servers {
                 if let Some(server) = pool.servers.get_mut(*server) {
-                    server.health.record_silence_report(now, &self.options);
+                    let liveness = server.liveness(now);
+                    server.health.record_silence_report(liveness, now, &self.options);
                 }
             }
         }
@@ -277,7 +280,8 @@
         let servers = self.pools.values().flat_map(|pool| pool.servers.active());
         let silent = servers.filter(|server| {
             let streams = server.load.has_streams(&self.calls);
-            server.health.was_silent(streams, now, &self.options)
+            let liveness = server.liveness(now);
+            server.health.was_silent(streams, liveness, now, &self.options)
         });
         silent.map(|server| server.listing.server).collect()
     }
@@ -444,23 +448,31 @@
         call.phase = CallPhase::Running { server, since: now, first_data_at: None };
         call.sends += 1;
         call.stalled_for = Duration::ZERO;
+        call.last_data_at = None;
         call.rate_counted = false;
         call.uncached = choice.uncached;
         call.tokens_ahead = choice.tokens_ahead;
         let retryable = call.details.repeatable && call.runs + 1 < call.details.run_limit;
         let expected = choice.expected;
-        let silence_timeout = retryable.then(|| {
-            let timeout = expected.mul_f64(self.options.patience_factor);
-            timeout.max(self.options.shortest_patience)
-        });
+        let patience = expected.mul_f64(self.options.patience_factor);
+        let patience = patience.max(self.options.shortest_patience);
+        call.patience = patience;
+        call.patient_until = now;
+        let mut timeout = patience;
         if let Some(state) = self.pools.get_mut(&call.details.pool)
             && let Some(server) = state.servers.get_mut(server)
         {
             let limited = server.pushback.is_limited(now);
             call.rate_counted = limited && server.pushback.take(now);
+            if server.is_watched(now) {
+                // The watchers may report the death of the engine sooner.
+                timeout = timeout.min(WATCH_PERIOD);
+                call.patient_until = now + patience;
+            }
             let long = call.details.prompt.is_long(&self.options);
             server.load.start(request, long, &self.calls, now);
         }
+        let silence_timeout = retryable.then_some(timeout);
         self.actions
             .push(RouteAction::Dispatch { request, choice, silence_timeout });
     }
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -6,6 +6,8 @@
 use flaxtide_core::{PoolId, RequestId};
 
 use super::call::{CallPhase, RouteFault, RoutedCall};
+use super::liveness::{EngineLiveness, STREAM_GAP, WATCH_PERIOD};
+use super::server::ServerState;
 use super::{QUEUE_WAIT_DIVISOR, RouteAction, RouteCore};
 
 /// The decision after a request failed on a server.
@@ -17,18 +19,29 @@
     Stop,
 }
 
+/// What the silence of a server means for one of its requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SilenceVerdict {
+    /// The server may still respond in time: the request stays.
+    Patience,
+    /// The server or the path to it has failed.
+    Fault,
+}
+
 impl RouteCore {
     /// Returns whether a request on a silent server may be aborted there. This is so only
     /// if a retry is granted, which is charged to the budget: without one the request
-    /// would be lost, although the server may still respond. `resumable` is as in
-    /// [`RouteCore::fail`], which must be called next if this returns `true`.
+    /// would be lost, although the server may still respond. On an engine that its watchers
+    /// report to be alive, a request is aborted only if it is lost on the way. `resumable` is as in [`RouteCore::fail`], which must be called next
+    /// if this returns `true`.
     pub fn may_abort_silent(
         &mut self,
         request: RequestId,
         resumable: bool,
         now: Duration,
     ) -> bool {
-        if self.answered_others(request, now) {
+        let verdict = self.judge_silence(request, now);
+        if verdict == SilenceVerdict::Patience {
             return false;
         }
         let Some(mut call) = self.calls.remove(&request) else { return false };
@@ -41,6 +54,9 @@
         call.excluded.pop();
         call.retry_granted = granted;
         if !granted {
+            if call.progress().is_some_and(|at| call.patient_until > at.sent) {
+                call.patient_until = now + call.patience;
+            }
             // The request stays on the server, but new requests avoid it.
             self.record_fault(&call, RouteFault::Silent, now);
         }
@@ -48,17 +64,57 @@
         granted
     }
 
+    /// Returns after which silence of a stream [`Self::may_abort_silent`] is asked: `usual`,
+    /// or sooner if watchers may report the death of the server before.
+    #[must_use]
+    pub fn stream_patience(
+        &self,
+        request: RequestId,
+        usual: Duration,
+        now: Duration,
+    ) -> Duration {
+        let server = self.call_and_server(request).map(|(_, server)| server);
+        match server.is_some_and(|server| server.is_watched(now)) {
+            true => usual.min(WATCH_PERIOD),
+            false => usual,
+        }
+    }
+
+    /// Judges the silence of the server of a request.
+    fn judge_silence(&self, request: RequestId, now: Duration) -> SilenceVerdict {
+        let Some((call, server)) = self.call_and_server(request) else {
+            return SilenceVerdict::Fault;
+        };
+        let liveness = server.liveness(now);
+        if liveness == EngineLiveness::Dead {
+            return SilenceVerdict::Fault;
+        }
+        if (now < call.patient_until && !call.has_data())
+            || self.answered_others(request, now)
+        {
+            return SilenceVerdict::Patience;
+        }
+        if liveness != EngineLiveness::Alive || is_lost(call, server, now) {
+            return SilenceVerdict::Fault;
+        }
+        SilenceVerdict::Patience
+    }
+
+    /// Returns a running request and its server.
+    fn call_and_server(&self, request: RequestId) -> Option<(&RoutedCall, &ServerState)> {
+        let call = self.calls.get(&request)?;
+        let CallPhase::Running { server, .. } = call.phase else { return None };
+        let pool = self.pools.get(&call.details.pool)?;
+        Some((call, pool.servers.get(server)?))
+    }
+
     /// Returns whether the server of a request has recently sent something for other
     /// requests, and after this one was sent. Then it is busy and not unreachable.
     fn answered_others(&self, request: RequestId, now: Duration) -> bool {
-        let Some(call) = self.calls.get(&request) else { return false };
-        let CallPhase::Running { server, since, .. } = call.phase else { return false };
-        let pool = self.pools.get(&call.details.pool);
-        let server = pool.and_then(|pool| pool.servers.get(server));
-        let Some(last_heard) = server.map(|server| server.health.last_heard()) else {
-            return false;
-        };
-        last_heard > since && now < last_heard + self.options.shortest_patience
+        let Some((call, server)) = self.call_and_server(request) else { return false };
+        let Some(progress) = call.progress() else { return false };
+        let last_heard = server.health.last_heard();
+        last_heard > progress.sent && now < last_heard + self.options.shortest_patience
     }
 
     /// Records that a server failed a request, and decides whether the request is
@@ -164,11 +220,18 @@
         })
     }
 
-    /// Records a fault in the state of the server and its pool.
+    /// Records a fault in the state of the server and its pool. The silence of an engine
+    /// that is alive is none, unless the path to it is suspect.
     fn record_fault(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
         let CallPhase::Running { server, .. } = call.phase else { return };
         let Some(state) = self.pools.get_mut(&call.details.pool) else { return };
         let Some(server) = state.servers.get_mut(server) else { return };
+        if fault == RouteFault::Silent
+            && server.liveness(now) == EngineLiveness::Alive
+            && !is_lost(call, server, now)
+        {
+            return;
+        }
         server.health.record_fault(fault, now, &self.options);
         if fault == RouteFault::Unreachable {
             server.suspect_restart(self.group.as_deref(), self.seed, now);
@@ -193,3 +256,13 @@
         }
     }
 }
+
+/// Returns whether a request on an engine that is alive, or its response, is lost on the way:
+/// its stream has paused for longer than callers accept, or the engine doesn't have it.
+fn is_lost(call: &RoutedCall, server: &ServerState, now: Duration) -> bool {
+    match (call.last_data_at, call.progress()) {
+        (Some(at), _) => now >= at + STREAM_GAP,
+        (None, Some(progress)) => server.lacks_request(progress.sent),
+        (None, None) => false,
+    }
+}
--- a/crates/flaxtide-policy/src/router/stall.rs
+++ b/crates/flaxtide-policy/src/router/stall.rs
@@ -12,11 +12,16 @@
         for pool in self.pools.values_mut() {
             for server in pool.servers.values_mut() {
                 server.health.discount_stall(span, now);
+                server.sightings.discount_stall(span, now);
             }
         }
         for call in self.calls.values_mut() {
             if let CallPhase::Running { since, .. } = call.phase {
                 call.stalled_for += span.min(now.saturating_sub(since));
+                if call.patient_until > since {
+                    call.patient_until += span;
+                }
+                call.last_data_at = call.last_data_at.map(|at| (at + span).min(now));
             }
         }
     }
--- a/crates/flaxtide-policy/src/router/watched.rs
+++ b/crates/flaxtide-policy/src/router/watched.rs
@@ -2,14 +2,19 @@
 
 use std::time::Duration;
 
-use super::{RouteCore, find_for_peers};
+use super::{RouteCore, find_for_peers, find_server};
 use crate::engine::{EngineSighting, PartChange};
 
 impl RouteCore {
     /// Records what watchers have seen of engines, this instance among them.
     pub fn record_sightings(&mut self, sightings: &[EngineSighting], now: Duration) {
         for sighting in sightings {
-            if let Some(server) = find_for_peers(&mut self.pools, sighting.server) {
+            // An engine that may be dead is checked periodically.
+            let find = match sighting.failing_for {
+                Some(_) => find_server,
+                None => find_for_peers,
+            };
+            if let Some(server) = find(&mut self.pools, sighting.server) {
                 server.sightings.record(sighting, now);
             }
         }
