A prompt on a living engine is sent again only if that is sooner

Cause: 1,187 prompts that engines were reading were sent a second time in a burst, for silence alone. That is work done twice while there is least room for it.

Change: with nothing heard from a living engine for the usual patience, what is left to be read there (the unread tokens known now, at most those at the send, by the learnt rate) is compared with the expected time of the best other engine, and the prompt leaves only if that is shorter with a quarter more. Such an abort is no fault: the engine isn't paused, and no failure is counted. The retry budget is as before.

Result: a new test of five cases of work here and there, which fails without the change.

--- a/crates/flaxtide-policy/src/router/liveness.rs
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -21,6 +21,10 @@
 /// contained in it. Reports are some hundred milliseconds old when they are received.
 const REPORT_LAG: Duration = Duration::from_secs(1);
 
+/// By how much reading a prompt again elsewhere must be faster than waiting for the engine
+/// that has it, as a fraction. The repeated prefill also delays requests on the other engine.
+const RESEND_MARGIN: f64 = 0.25;
+
 /// What is known of the life of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EngineLiveness {
@@ -101,3 +105,9 @@
         })
     }
 }
+
+/// Returns whether a prompt is read sooner if it is sent to another engine, where that takes
+/// `again_ms`, than by the engine that has it and needs `left_ms`. Both in milliseconds.
+pub(crate) fn is_sooner_elsewhere(left_ms: f64, again_ms: f64) -> bool {
+    again_ms * (1.0 + RESEND_MARGIN) < left_ms
+}
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -6,7 +6,8 @@
 use flaxtide_core::{PoolId, RequestId};
 
 use super::call::{CallPhase, RouteFault, RoutedCall};
-use super::liveness::{EngineLiveness, STREAM_GAP, WATCH_PERIOD};
+use super::choose::RouteReason;
+use super::liveness::{EngineLiveness, STREAM_GAP, WATCH_PERIOD, is_sooner_elsewhere};
 use super::server::ServerState;
 use super::{QUEUE_WAIT_DIVISOR, RouteAction, RouteCore};
 
@@ -24,6 +25,8 @@
 enum SilenceVerdict {
     /// The server may still respond in time: the request stays.
     Patience,
+    /// The server works, but another one would respond sooner.
+    Busy,
     /// The server or the path to it has failed.
     Fault,
 }
@@ -32,7 +35,8 @@
     /// Returns whether a request on a silent server may be aborted there. This is so only
     /// if a retry is granted, which is charged to the budget: without one the request
     /// would be lost, although the server may still respond. On an engine that its watchers
-    /// report to be alive, a request is aborted only if it is lost on the way. `resumable` is as in [`RouteCore::fail`], which must be called next
+    /// report to be alive, a request is aborted only if it is sooner served elsewhere or
+    /// lost on the way. `resumable` is as in [`RouteCore::fail`], which must be called next
     /// if this returns `true`.
     pub fn may_abort_silent(
         &mut self,
@@ -81,7 +85,7 @@
     }
 
     /// Judges the silence of the server of a request.
-    fn judge_silence(&self, request: RequestId, now: Duration) -> SilenceVerdict {
+    fn judge_silence(&mut self, request: RequestId, now: Duration) -> SilenceVerdict {
         let Some((call, server)) = self.call_and_server(request) else {
             return SilenceVerdict::Fault;
         };
@@ -97,7 +101,31 @@
         if liveness != EngineLiveness::Alive || is_lost(call, server, now) {
             return SilenceVerdict::Fault;
         }
-        SilenceVerdict::Patience
+        match !call.has_data() && self.is_sooner_served_elsewhere(request, now) {
+            true => SilenceVerdict::Busy,
+            false => SilenceVerdict::Patience,
+        }
+    }
+
+    /// Returns whether another engine would read the prompt of a request sooner, although it
+    /// has to begin with it.
+    fn is_sooner_served_elsewhere(&mut self, request: RequestId, now: Duration) -> bool {
+        let Some((call, server)) = self.call_and_server(request) else { return false };
+        let rate = server.prefill_rate.tokens_per_ms(now);
+        let pending = self.pending_prefill_ms(server, call.details.level, now);
+        let left_ms = pending.min(call.tokens_ahead / rate);
+        let (pool, current) = (call.details.pool, server.listing.server);
+        let Some(call) = self.calls.get_mut(&request) else { return false };
+        call.excluded.push(current);
+        let choice = self.choose(pool, request, now);
+        if let Some(call) = self.calls.get_mut(&request) {
+            call.excluded.pop();
+        }
+        choice.is_some_and(|choice| {
+            let again_ms = choice.expected.as_secs_f64() * 1000.0;
+            choice.reason != RouteReason::LastResort
+                && is_sooner_elsewhere(left_ms, again_ms)
+        })
     }
 
     /// Returns a running request and its server.
--- a/crates/flaxtide-policy/tests/router_liveness.rs
+++ b/crates/flaxtide-policy/tests/router_liveness.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use flaxtide_policy::{
-    EngineReport, EngineSighting, HealthCause, RetryDecision, RouteAction, RouteCall,
-    RouteCore, RouteFault, RouteOptions, SIGHTING_BOUND,
+    EngineReport, EngineSighting, HealthCause, LevelTokens, PeerLoad, RetryDecision,
+    RouteAction, RouteCall, RouteCore, RouteFault, RouteOptions, SIGHTING_BOUND,
 };
 
 use self::common::{call, core_with, ms, server_of};
@@ -319,3 +319,44 @@
     core.fail(1, RouteFault::Silent, false, ms(1700));
     assert!(!gets_calls(&mut core, 0, 1701), "the path is suspect");
 }
+
+#[test]
+fn a_prompt_is_read_again_elsewhere_only_if_that_is_sooner() {
+    // The tokens to be read at the engine that has the prompt of 6,000 tokens and at the
+    // other one, and whether the prompt is sent to the other.
+    let cases = [
+        (60_000, 0, true),
+        (60_000, 30_000, true),
+        (60_000, 50_000, false),
+        (9_000, 0, true),
+        (7_000, 0, false),
+    ];
+    for (here, there, sent) in cases {
+        let mut core = core_with(2);
+        let loads = |here, there| {
+            let load = |(server, tokens)| PeerLoad {
+                server,
+                short: 1,
+                long: 0,
+                pending_prefill: LevelTokens::from([0, tokens, 0]),
+            };
+            [(0, here), (1, there)].map(load)
+        };
+        let slow = RouteCall { target: ms(10_000), ..call(1, 6000, true) };
+        core.set_peer_loads(5, &loads(here, 200_000), ms(0));
+        for server in [0, 1] {
+            sight(&mut core, server, 7, Word::Answered(0), 0);
+        }
+        assert_eq!(server_of(&core.arrive(slow, ms(0))), Some(0));
+        // Nothing has been read since, although that was expected.
+        let now = 4000;
+        core.set_peer_loads(5, &loads(here, there), ms(now));
+        sight(&mut core, 0, 7, Word::Answered(0), now);
+        let aborts = core.may_abort_silent(1, false, ms(now));
+        assert_eq!(aborts, sent, "{here} tokens here and {there} there");
+        if aborts {
+            core.fail(1, RouteFault::Silent, false, ms(now));
+        }
+        assert_eq!(cause_of(&mut core, 0, now), None, "a busy engine isn't paused");
+    }
+}
