--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -1,9 +1,10 @@
 //! The health of a backend server, judged by this instance's own requests and the silence
-//! reports of peers.
+//! reports of peers. Of engines that have watchers, these tell whether they are alive.
 
 use std::time::Duration;
 
 use super::call::RouteFault;
+use super::liveness::{EngineLiveness, STREAM_GAP};
 use super::options::RouteOptions;
 
 /// The weight of the newest outcome in the decayed failure rate.
@@ -13,16 +14,46 @@
 /// outlier.
 pub(crate) const OUTLIER_MARGIN: f64 = 0.3;
 
+/// The reason why a server gets no requests for the sake of its health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum HealthCause {
+    /// It is paused after a fault that a request of this instance had.
+    Fault,
+    /// A peer reported it as silent.
+    PeerReport,
+    /// Its watchers report that it is dead.
+    WatcherReport,
+    /// It has sent nothing for too long.
+    Silence,
+    /// Too many of its requests failed.
+    Failures,
+}
+
+/// The requests of this instance on a server, as far as they show whether it is silent.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ServerWork {
+    /// Whether responses are being streamed from the server.
+    pub(crate) streaming: bool,
+    /// Since when the oldest unanswered request has been waiting.
+    pub(crate) waiting_since: Option<Duration>,
+    /// How long that request may take.
+    pub(crate) expected: Duration,
+}
+
 /// The recent responses and faults of a server.
 #[derive(Debug, Clone)]
 pub(crate) struct ServerHealth {
-    /// The server gets no requests until this time.
+    /// The server gets no requests until this time, because of a fault.
     paused_until: Duration,
+    /// The server gets no requests until this time, because of a peer's report.
+    reported_until: Duration,
     /// The length of the last pause. It is doubled with each further pause up to
     /// `longest_pause`, and reset by a complete response.
     pause: Duration,
     /// When anything was last received from the server.
     last_heard: Duration,
+    /// When the server last sent anything, if it ever has. A broken connection doesn't count.
+    answered_at: Option<Duration>,
     /// When it last started to respond to a request; reset when it refuses one.
     admitted_at: Option<Duration>,
     /// When it last refused a request.
@@ -38,8 +69,10 @@
     pub(crate) fn new(now: Duration) -> Self {
         Self {
             paused_until: Duration::ZERO,
+            reported_until: Duration::ZERO,
             pause: Duration::ZERO,
             last_heard: now,
+            answered_at: None,
             admitted_at: None,
             refused_at: None,
             silent_at: None,
@@ -50,6 +83,7 @@
     /// Records that something was received.
     pub(crate) fn record_activity(&mut self, now: Duration) {
         self.last_heard = now;
+        self.answered_at = Some(now);
         self.silent_at = None;
     }
 
@@ -96,33 +130,47 @@
                 self.count_failure();
                 self.start_pause(now, options.pause, options);
             }
-            RouteFault::Broken | RouteFault::Failed => {
+            RouteFault::Failed => {
                 self.record_activity(now);
                 self.count_failure();
             }
+            // A server that exits breaks its connections, so this is no sign of life.
+            RouteFault::Broken => {
+                self.last_heard = now;
+                self.silent_at = None;
+                self.count_failure();
+            }
         }
     }
 
-    /// Returns whether this instance itself recently found the server silent. `streaming`
-    /// tells whether responses are being streamed from the server.
+    /// Returns whether this instance itself recently found the server silent, so that peers
+    /// are told. `streaming` tells whether responses are being streamed from the server.
+    /// The silence of streams from an engine that is alive concerns this instance only.
     pub(crate) fn was_silent(
         &self,
         streaming: bool,
+        liveness: EngineLiveness,
         now: Duration,
         options: &RouteOptions,
     ) -> bool {
-        let silent = streaming && now > self.last_heard + options.silence;
+        let silent = streaming
+            && liveness != EngineLiveness::Alive
+            && now > self.last_heard + options.silence;
         silent || self.silent_at.is_some_and(|at| now < at + options.rumour_life)
     }
 
-    /// Records that a peer reported the server as silent.
+    /// Records that a peer reported the server as silent. The report says nothing of an
+    /// engine that is alive: the peer may wait for a busy one, or have lost the path to it.
     pub(crate) fn record_silence_report(
         &mut self,
+        liveness: EngineLiveness,
         now: Duration,
         options: &RouteOptions,
     ) {
-        if now > self.last_heard + options.rumour_silence {
-            self.paused_until = self.paused_until.max(now + options.pause);
+        if liveness != EngineLiveness::Alive
+            && now > self.last_heard + options.rumour_silence
+        {
+            self.reported_until = self.reported_until.max(now + options.pause);
         }
     }
 
@@ -133,7 +181,7 @@
         min_pause: Duration,
         options: &RouteOptions,
     ) {
-        if now < self.paused_until {
+        if now < self.paused_until.max(self.reported_until) {
             return;
         }
         self.pause = (self.pause * 2).clamp(min_pause, options.longest_pause);
@@ -148,7 +196,7 @@
     /// Returns whether time alone changes whether the server may get requests, or whether
     /// peers are told that it is silent.
     pub(crate) fn is_suspect(&self, now: Duration) -> bool {
-        now < self.paused_until || self.silent_at.is_some()
+        now < self.paused_until.max(self.reported_until) || self.silent_at.is_some()
     }
 
     /// Returns how uncertain it is that the server accepts requests: 0 if it has just
@@ -165,31 +213,49 @@
         self.last_heard
     }
 
+    /// Returns when the server last sent anything, if it ever has.
+    pub(crate) fn answered_at(&self) -> Option<Duration> {
+        self.answered_at
+    }
+
+    /// Returns whether nothing was received since the server was found unreachable or silent.
+    pub(crate) fn is_path_suspect(&self) -> bool {
+        self.silent_at.is_some()
+    }
+
     /// Returns the decayed fraction of failed requests.
     pub(crate) fn failure_rate(&self) -> f64 {
         self.failure_rate
     }
 
-    /// Returns whether the server may get requests, judged by its recent responses.
-    /// `streaming` tells whether responses are being streamed from it, `waiting_since`
-    /// since when its oldest unanswered request has been waiting, and `expected` how long
-    /// that request may take. A server that is streaming sends data continuously; one
-    /// that only prefills prompts may be silent for longer.
-    pub(crate) fn is_available(
+    /// Returns why the server may get no requests, judged by its recent responses and its
+    /// watchers, or `None` if it may. Without watchers that get answers, a server that is
+    /// streaming counts as sending data continuously; one that only prefills prompts may be
+    /// silent for longer.
+    pub(crate) fn obstacle(
         &self,
-        streaming: bool,
-        waiting_since: Option<Duration>,
-        expected: Duration,
+        work: ServerWork,
+        liveness: EngineLiveness,
         now: Duration,
         options: &RouteOptions,
-    ) -> bool {
+    ) -> Option<HealthCause> {
+        if liveness == EngineLiveness::Dead {
+            return Some(HealthCause::WatcherReport);
+        }
         if now < self.paused_until {
-            return false;
+            return Some(HealthCause::Fault);
+        }
+        let alive = liveness == EngineLiveness::Alive;
+        if !alive && now < self.reported_until {
+            return Some(HealthCause::PeerReport);
         }
-        if streaming && now > self.last_heard + options.silence {
-            return false;
+        let silence = if alive { STREAM_GAP } else { options.silence };
+        if work.streaming && now > self.last_heard + silence {
+            return Some(HealthCause::Silence);
         }
-        let Some(since) = waiting_since else { return true };
-        now < since.max(self.last_heard) + options.long_silence + expected * 2
+        let since = work.waiting_since.filter(|_| !alive)?;
+        let heard = since.max(self.last_heard);
+        let silent = now >= heard + options.long_silence + work.expected * 2;
+        silent.then_some(HealthCause::Silence)
     }
 }
--- a/crates/flaxtide-policy/src/router/watched.rs
+++ b/crates/flaxtide-policy/src/router/watched.rs
@@ -6,7 +6,7 @@
 
 use super::call::{PartKey, PromptPart, PromptShape};
 use super::server::ServerState;
-use super::{RouteCore, find_for_peers};
+use super::{RouteCore, find_for_peers, find_server};
 use crate::engine::{EngineSighting, PartChange};
 use crate::pushback::InstanceKey;
 
@@ -14,7 +14,12 @@
     /// Records what watchers have seen of engines, this instance among them.
     pub fn record_sightings(&mut self, sightings: &[EngineSighting], now: Duration) {
         for sighting in sightings {
-            if let Some(server) = find_for_peers(&mut self.pools, sighting.server) {
+            // An engine that may be dead is checked periodically.
+            let find = match sighting.failing_for {
+                Some(_) => find_server,
+                None => find_for_peers,
+            };
+            if let Some(server) = find(&mut self.pools, sighting.server) {
                 server.sightings.record(sighting, now);
             }
         }
