Parts on watched engines count as cached until the engine reports their eviction

Cause: a part counted as cached for 20 s after its last prefill, although engines keep it for longer and tell their watchers when they evict it. Change: CachedParts in a module of its own. On watched engines a part counts until its eviction is reported, for 180 s at most. An eviction within 2 s of a prefill may be older than it: the part then counts for 20 s. A full directory also makes room for what peers report of watched engines.

--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -12,6 +12,7 @@
 mod lane;
 mod load;
 mod options;
+mod parts;
 mod prefill_log;
 mod prefill_rate;
 mod pushback;
--- /dev/null
+++ b/crates/flaxtide-policy/src/router/parts.rs
@@ -0,0 +1,129 @@
+//! What an engine has cached: the prompt parts that it has prefilled for this instance or a
+//! peer, and the changes that it reports to its watchers.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use super::call::{PartKey, PromptShape};
+
+/// About the maximum number of prompt parts that are remembered for one server. Beyond
+/// it, the older half is dropped.
+const MAX_KNOWN_PARTS: usize = 512;
+
+/// How long a part counts as cached on a watched engine that doesn't report its eviction.
+/// Few reports are lost; a part that is sent to an engine which has lost it is read once
+/// and is there again.
+const WATCHED_LIFE: Duration = Duration::from_secs(180);
+
+/// The age below which a prefill may be newer than an eviction that is being reported. The
+/// engine, its watcher and a heartbeat delay the report by up to 2 s. Engines evict the
+/// least recently used parts, so such a part has hardly been evicted since.
+const EVICTION_DELAY: Duration = Duration::from_secs(2);
+
+/// How long parts count as cached on an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct CacheLife {
+    /// The life of parts of which the engine doesn't report evictions.
+    unwatched: Duration,
+    /// Whether the engine reports evictions.
+    watched: bool,
+}
+
+impl CacheLife {
+    /// Creates the lives of parts on an engine. `unwatched` is the life of those of which no
+    /// eviction is reported.
+    pub(crate) fn new(unwatched: Duration, watched: bool) -> Self {
+        Self { unwatched, watched }
+    }
+
+    /// Returns how long a part counts as cached.
+    fn of(&self, part: &CachedPart) -> Duration {
+        if self.watched && !part.doubtful {
+            self.unwatched.max(WATCHED_LIFE)
+        } else {
+            self.unwatched
+        }
+    }
+}
+
+/// A prompt part that an engine has cached.
+#[derive(Debug, Clone, Copy)]
+struct CachedPart {
+    /// When the engine was last known to have the part.
+    known_at: Duration,
+    /// When it last prefilled a prompt with the part.
+    prefilled_at: Option<Duration>,
+    /// Whether it has reported an eviction that may be older than the last prefill.
+    doubtful: bool,
+}
+
+/// The prompt parts that an engine has cached.
+#[derive(Debug, Default)]
+pub(crate) struct CachedParts {
+    /// The parts by key.
+    parts: HashMap<PartKey, CachedPart>,
+}
+
+impl CachedParts {
+    /// Records that the engine has prefilled a part.
+    pub(crate) fn record_prefill(&mut self, part: PartKey, now: Duration) {
+        let prefilled = CachedPart {
+            known_at: now,
+            prefilled_at: Some(now),
+            doubtful: false,
+        };
+        self.parts.insert(part, prefilled);
+    }
+
+    /// Records that the engine has reported a part as cached.
+    pub(crate) fn record_cached(&mut self, part: PartKey, now: Duration) {
+        let prefilled_at = self.parts.get(&part).and_then(|part| part.prefilled_at);
+        let cached = CachedPart { known_at: now, prefilled_at, doubtful: false };
+        self.parts.insert(part, cached);
+    }
+
+    /// Records that the engine has reported the eviction of a part.
+    pub(crate) fn record_eviction(&mut self, part: PartKey, now: Duration) {
+        let Some(cached) = self.parts.get_mut(&part) else { return };
+        if cached.prefilled_at.is_some_and(|at| now < at + EVICTION_DELAY) {
+            cached.doubtful = true;
+        } else {
+            self.parts.remove(&part);
+        }
+    }
+
+    /// Returns whether one more part can be recorded.
+    pub(crate) fn has_room(&self) -> bool {
+        self.parts.len() <= MAX_KNOWN_PARTS
+    }
+
+    /// Drops the older half of the parts if there are too many.
+    pub(crate) fn make_room(&mut self) {
+        if self.has_room() {
+            return;
+        }
+        let mut times: Vec<Duration> =
+            self.parts.values().map(|part| part.known_at).collect();
+        times.sort_unstable();
+        let middle = times[times.len() / 2];
+        self.parts.retain(|_, part| part.known_at > middle);
+    }
+
+    /// Returns how many tokens of a prompt are cached. An engine that has a part has also
+    /// all parts before it.
+    pub(crate) fn tokens_of(
+        &self,
+        prompt: &PromptShape,
+        life: CacheLife,
+        now: Duration,
+    ) -> u32 {
+        let known = prompt.parts.iter().rposition(|part| {
+            self.parts
+                .get(&part.short_key())
+                .is_some_and(|part| now < part.known_at + life.of(part))
+        });
+        let Some(last) = known else { return 0 };
+        let cached: u32 = prompt.parts[..=last].iter().map(|part| part.tokens).sum();
+        cached.min(prompt.tokens)
+    }
+}
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -1,6 +1,5 @@
 //! What the router knows of a backend server.
 
-use std::collections::HashMap;
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
@@ -9,16 +8,13 @@
 use super::health::ServerHealth;
 use super::lane::lane_rank;
 use super::load::LoadTracker;
+use super::parts::{CacheLife, CachedParts};
 use super::prefill_rate::PrefillRate;
 use super::pushback::own_share;
 use crate::engine::EngineSightings;
 use crate::pushback::{ColdStart, DataCentreKey, InstanceGroup, ServerPushback};
 use crate::rendezvous::rendezvous_weight;
 
-/// About the maximum number of prompt parts that are remembered for one server. Beyond
-/// it, the older half is dropped.
-const MAX_KNOWN_PARTS: usize = 512;
-
 /// The time over which instances end the limit of a server that has become warm, as a
 /// fraction of the time for which servers stay cold.
 const COLD_RAMP_FRACTION: f64 = 0.5;
@@ -101,8 +97,8 @@
     pub(crate) lane_rank: u64,
     /// What its watchers have seen of it, if it is an engine.
     pub(crate) sightings: EngineSightings,
-    /// The prompt parts that it has prefilled, and when it last did.
-    parts: HashMap<PartKey, Duration>,
+    /// The prompt parts that it has cached.
+    parts: CachedParts,
 }
 
 impl ServerState {
@@ -118,7 +114,7 @@
             prefill_rate: PrefillRate::new(guess, now),
             reported_healthy: true,
             sightings: EngineSightings::default(),
-            parts: HashMap::new(),
+            parts: CachedParts::default(),
         }
     }
 
@@ -167,21 +163,19 @@
 
     /// Records that the server has prefilled a prompt.
     pub(crate) fn record_cached_parts(&mut self, prompt: &PromptShape, now: Duration) {
-        if self.parts.len() > MAX_KNOWN_PARTS {
-            let mut times: Vec<Duration> = self.parts.values().copied().collect();
-            times.sort_unstable();
-            let middle = times[times.len() / 2];
-            self.parts.retain(|_, prefilled_at| *prefilled_at > middle);
-        }
+        self.parts.make_room();
         for part in &prompt.parts {
-            self.parts.insert(part.short_key(), now);
+            self.parts.record_prefill(part.short_key(), now);
         }
     }
 
     /// Records that the server has prefilled this shared part for a peer.
     pub(crate) fn record_peer_prefill(&mut self, part: PartKey, now: Duration) {
-        if self.parts.len() <= MAX_KNOWN_PARTS {
-            self.parts.insert(part, now);
+        if self.sightings.is_watched(now) {
+            self.parts.make_room();
+        }
+        if self.parts.has_room() {
+            self.parts.record_prefill(part, now);
         }
     }
 
@@ -193,28 +187,22 @@
         now: Duration,
     ) {
         if cached {
-            self.record_peer_prefill(part, now);
+            self.parts.make_room();
+            self.parts.record_cached(part, now);
         } else {
-            self.parts.remove(&part);
+            self.parts.record_eviction(part, now);
         }
     }
 
-    /// Returns how many tokens of a prompt the server has cached, if prefilled tokens
-    /// stay cached for `life`. A server that has prefilled a part has also prefilled all
-    /// parts before it.
+    /// Returns how many tokens of a prompt the server has cached. `life` is how long parts
+    /// stay cached on a server that doesn't report evictions.
     pub(crate) fn cached_tokens(
         &self,
         prompt: &PromptShape,
         life: Duration,
         now: Duration,
     ) -> u32 {
-        let known = prompt.parts.iter().rposition(|part| {
-            self.parts
-                .get(&part.short_key())
-                .is_some_and(|prefilled_at| now < *prefilled_at + life)
-        });
-        let Some(last) = known else { return 0 };
-        let cached: u32 = prompt.parts[..=last].iter().map(|part| part.tokens).sum();
-        cached.min(prompt.tokens)
+        let life = CacheLife::new(life, self.sightings.is_watched(now));
+        self.parts.tokens_of(prompt, life, now)
     }
 }
