Shared parts have homes among all members, as many as their demand needs

Cause: the home of a part was the first of the servers eligible just then, so it wandered; engines that got no requests weren't fetched from; and a fetch cost as much at the home as anywhere, so copies spread. Change, where engines are watched: homes in rendezvous order over the members (homes.rs); the next one stands in for a home that can't get the request; fetches from engines that answer their watchers, where the link is sooner than reading; more homes by the demand of the part, with hysteresis; a part that an own request is having read counts for the next ones; use away from the home costs two transfers (part_scope.rs). Where no engine is watched, choices are as before.

--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -70,6 +70,13 @@
         shared.iter().map(|part| part.tokens).sum()
     }
 
+    /// Returns how many tokens the prompt has in common with another from its beginning.
+    pub(crate) fn common_tokens(&self, other: &Self) -> u32 {
+        let pairs = self.parts.iter().zip(&other.parts);
+        let common = pairs.take_while(|(part, other)| part.key == other.key);
+        common.map(|(part, _)| part.tokens).sum()
+    }
+
     /// Returns the last shared part. An engine that has cached it has also cached all
     /// parts before it.
     #[must_use]
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -6,8 +6,10 @@
 
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
-use super::call::{PromptShape, RoutedCall};
+use super::call::RoutedCall;
+use super::homes::PartPlace;
 use super::lane::{LaneDemand, PromptLane, in_lane};
+use super::part_scope::{PartScope, fetch_ms};
 use super::server::ServerState;
 use super::{RouteCore, RoutePool};
 use crate::rendezvous::rendezvous_weight;
@@ -129,10 +131,14 @@
             .collect();
         let lane = state.lane_demand.lane(call.details.prompt.tokens, &self.options, now);
         let healthy = self.healthy_servers(&usable, now);
-        let preferred =
-            self.lane_servers(in_service, &healthy, &state.lane_demand, lane, now);
+        let lane_members = self.lane_members(in_service, &state.lane_demand, lane, now);
+        let is_preferred =
+            |server: &&ServerState| lane_members.contains(&server.listing.server);
+        let preferred: Vec<&ServerState> =
+            healthy.iter().copied().filter(is_preferred).collect();
+        let scope = self.part_scope(call, in_service, lane_members, &healthy, now);
         for group in [&preferred, &healthy] {
-            let best = self.cheapest(group, &healthy, request, now);
+            let best = self.cheapest(group, &scope, request, now);
             if let Some((best, reason)) = best {
                 return Some(build_choice(&best, reason, group.len()));
             }
@@ -140,34 +146,28 @@
         if !healthy.is_empty() {
             return None;
         }
-        let (best, _) = self.cheapest(&usable, &[], request, now)?;
+        let scope = PartScope { sources: vec![], ..scope };
+        let (best, _) = self.cheapest(&usable, &scope, request, now)?;
         Some(build_choice(&best, RouteReason::LastResort, usable.len()))
     }
 
-    /// Returns the healthy servers that belong to a lane.
-    fn lane_servers<'a>(
+    /// Returns the servers that belong to a lane.
+    fn lane_members(
         &self,
-        in_service: &[&'a ServerState],
-        healthy: &[&'a ServerState],
+        in_service: &[&ServerState],
         lane_demand: &LaneDemand,
         lane: PromptLane,
         now: Duration,
-    ) -> Vec<&'a ServerState> {
+    ) -> HashSet<ServerId> {
+        let ids = in_service.iter().map(|server| server.listing.server);
         if lane == PromptLane::Any {
-            return healthy.to_vec();
+            return ids.collect();
         }
         let count = in_service.len();
         let long_fraction = self.long_fraction(lane_demand, in_service, now);
-        let indexed = in_service.iter().enumerate();
-        let members =
-            indexed.filter(|(index, _)| in_lane(lane, *index, count, long_fraction));
-        let healthy: HashSet<ServerId> =
-            healthy.iter().map(|server| server.listing.server).collect();
-        let is_member_healthy =
-            |server: &ServerState| healthy.contains(&server.listing.server);
-        members
-            .map(|(_, server)| *server)
-            .filter(|server| is_member_healthy(server))
+        ids.enumerate()
+            .filter(|(index, _)| in_lane(lane, *index, count, long_fraction))
+            .map(|(_, server)| server)
             .collect()
     }
 
@@ -214,64 +214,42 @@
         needed.min(left)
     }
 
-    /// Returns the cheapest of `servers` that has room. It may fetch shared prompt parts
-    /// from one of `sources`.
+    /// Returns the cheapest of `servers` that has room.
     fn cheapest<'a>(
         &self,
         servers: &[&'a ServerState],
-        sources: &[&'a ServerState],
+        scope: &PartScope<'_>,
         request: RequestId,
         now: Duration,
     ) -> Option<(Candidate<'a>, RouteReason)> {
         let details = &self.calls.get(&request)?.details;
-        let home_servers = home_servers(&details.prompt, servers);
-        let fetch_source = self.fetch_source(&details.prompt, sources, now);
+        let has_room = |server: &&ServerState| self.has_room(server, now);
+        let with_room: Vec<&ServerState> =
+            servers.iter().copied().filter(has_room).collect();
+        let homes = self.part_homes(details, servers, &with_room, scope, now);
         let service_ms = self.service_ms(details.pool);
         let expected_refusal_ms = self.expected_refusal_ms(details.pool, now);
-        let shared = details.prompt.shared_tokens();
-        let own = details.prompt.tokens.saturating_sub(shared);
-        let candidates =
-            servers
-                .iter()
-                .filter(|server| self.has_room(server, now))
-                .map(|server| {
-                    let cached = self.cached_tokens(&details.prompt, server, now);
-                    let fetch = self.fetch(server, cached, fetch_source);
-                    let fetched = fetch.map_or(0, |fetch| fetch.tokens);
-                    let uncached = details.prompt.tokens.saturating_sub(cached + fetched);
-                    let mut candidate = self.candidate(
-                        server,
-                        uncached,
-                        fetch,
-                        details.level,
-                        service_ms,
-                        now,
-                    );
-                    // Shared tokens that are prefilled again cost extra, so that all
-                    // instances send prompts with the same parts to the same servers. On
-                    // the first home server none count, on the second at most half of the
-                    // shared tokens, on any other server all.
-                    let reread = match home_servers
-                        .iter()
-                        .position(|home| *home == server.listing.server)
-                    {
-                        Some(0) => 0,
-                        Some(_) => uncached.saturating_sub(own).min(shared / 2),
-                        None => uncached.saturating_sub(own),
-                    };
-                    candidate.cost_ms += self.jitter_ms(server, request);
-                    if expected_refusal_ms > 0.0 {
-                        let uncertainty = server.health.uncertainty(now, &self.options);
-                        candidate.cost_ms += expected_refusal_ms * uncertainty;
-                    }
-                    let reread_ms =
-                        f64::from(reread) / server.prefill_rate.tokens_per_ms(now);
-                    candidate.cost_ms += self.options.reread_weight * reread_ms;
-                    candidate
-                });
+        let candidates = with_room.iter().copied().map(|server| {
+            let cached = self.usable_tokens(server, scope, now);
+            let fetch = self.fetch(server, cached, details.level, scope, now);
+            let fetched = fetch.map_or(0, |fetch| fetch.tokens);
+            let uncached = details.prompt.tokens.saturating_sub(cached + fetched);
+            let mut candidate =
+                self.candidate(server, uncached, fetch, details.level, service_ms, now);
+            candidate.cost_ms += self.jitter_ms(server, request);
+            if expected_refusal_ms > 0.0 {
+                let uncertainty = server.health.uncertainty(now, &self.options);
+                candidate.cost_ms += expected_refusal_ms * uncertainty;
+            }
+            let place = homes.place(server.listing.server);
+            candidate.cost_ms +=
+                self.part_cost_ms(server, cached, fetch, place, scope, now);
+            candidate
+        });
         let best =
             candidates.min_by(|one, other| one.cost_ms.total_cmp(&other.cost_ms))?;
-        let reason = if home_servers.first() == Some(&best.server.listing.server) {
+        let place = homes.place(best.server.listing.server);
+        let reason = if matches!(place, PartPlace::Home | PartPlace::Successor) {
             RouteReason::Home
         } else if best.uncached < details.prompt.tokens {
             RouteReason::Cached
@@ -281,47 +259,6 @@
         Some((best, reason))
     }
 
-    /// Returns how many tokens of a prompt a server has cached.
-    fn cached_tokens(
-        &self,
-        prompt: &PromptShape,
-        server: &ServerState,
-        now: Duration,
-    ) -> u32 {
-        server.cached_tokens(prompt, self.options.cache_life, now)
-    }
-
-    /// Returns the server that has most of a prompt's shared parts cached, with the
-    /// number of tokens. `None` if these are too few to be worth a transfer.
-    fn fetch_source(
-        &self,
-        prompt: &PromptShape,
-        servers: &[&ServerState],
-        now: Duration,
-    ) -> Option<PartFetch> {
-        let shared = prompt.shared_tokens();
-        let cached = servers.iter().map(|server| PartFetch {
-            from: server.listing.server,
-            tokens: self.cached_tokens(prompt, server, now).min(shared),
-        });
-        let most = cached.max_by_key(|fetch| fetch.tokens)?;
-        (most.tokens >= self.options.least_fetch).then_some(most)
-    }
-
-    /// Returns what a server that has `cached` tokens would fetch from the fetch source.
-    fn fetch(
-        &self,
-        server: &ServerState,
-        cached: u32,
-        fetch_source: Option<PartFetch>,
-    ) -> Option<PartFetch> {
-        server.listing.engine?.fetch_tokens_per_ms?;
-        let fetch_source = fetch_source?;
-        let tokens = fetch_source.tokens.saturating_sub(cached);
-        (tokens >= self.options.least_fetch)
-            .then_some(PartFetch { from: fetch_source.from, tokens })
-    }
-
     /// Computes the cost of a server that has to prefill `uncached` tokens.
     fn candidate<'a>(
         &self,
@@ -434,31 +371,6 @@
     }
 }
 
-/// Returns how long a server takes to fetch a prompt part, in milliseconds.
-fn fetch_ms(server: &ServerState, fetch: Option<PartFetch>) -> f64 {
-    let Some(fetch) = fetch else { return 0.0 };
-    let rate = server.listing.engine.and_then(|engine| engine.fetch_tokens_per_ms);
-    rate.map_or(0.0, |rate| f64::from(fetch.tokens) / rate)
-}
-
-/// The number of servers that are expected to have the shared parts of a prompt cached:
-/// the first by rendezvous hashing, and the next one for when the first is busy.
-const HOME_SERVERS: usize = 2;
-
-/// Returns the servers that prompts with the same shared parts are sent to first.
-fn home_servers(prompt: &PromptShape, servers: &[&ServerState]) -> Vec<ServerId> {
-    let Some(part) = prompt.last_shared_part() else { return vec![] };
-    let mut ranked: Vec<(u64, ServerId)> = servers
-        .iter()
-        .map(|server| {
-            (rendezvous_weight(part.key, server.listing.name_hash), server.listing.server)
-        })
-        .collect();
-    ranked.sort_unstable_by(|one, other| other.cmp(one));
-    ranked.truncate(HOME_SERVERS);
-    ranked.into_iter().map(|(_, server)| server).collect()
-}
-
 /// Converts a candidate into a choice.
 fn build_choice(
     candidate: &Candidate<'_>,
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -105,7 +105,7 @@
     }
 
     /// Returns this instance's requests for which no response data has arrived.
-    fn unanswered<'a>(
+    pub(crate) fn unanswered<'a>(
         &'a self,
         calls: &'a HashMap<RequestId, RoutedCall>,
     ) -> impl Iterator<Item = &'a RoutedCall> {
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -9,9 +9,11 @@
 mod choose;
 mod eligible;
 mod health;
+mod homes;
 mod lane;
 mod load;
 mod options;
+mod part_scope;
 mod parts;
 mod prefill_log;
 mod prefill_rate;
@@ -44,6 +46,7 @@
 
 use self::budget::RetryWindow;
 use self::call::{CallPhase, RoutedCall};
+use self::homes::DemandTable;
 use self::lane::LaneDemand;
 use self::prefill_log::PrefillLog;
 use self::server::ServerState;
@@ -110,6 +113,8 @@
     shed: ShedProbability,
     /// The recent demand for long and short prompts.
     lane_demand: LaneDemand,
+    /// The demand for shared prompt parts.
+    part_demand: DemandTable,
     /// The mean time from dispatch to the end of the response, in seconds.
     service_time: crate::estimate::DecayedMean,
 }
@@ -249,9 +254,15 @@
         now: Duration,
     ) {
         for (server, part) in prefills {
-            if let Some(server) = find_for_peers(&mut self.pools, *server) {
-                server.record_peer_prefill(*part, now);
-            }
+            let mut pools = self.pools.values_mut();
+            let Some((server, part_demand)) = pools.find_map(|pool| {
+                Some((pool.servers.get_for_peers(*server)?, &mut pool.part_demand))
+            }) else {
+                continue;
+            };
+            server.record_peer_prefill(*part, now);
+            let rate = server.prefill_rate.tokens_per_ms(now);
+            part_demand.record_peer_prefill(*part, rate, now);
         }
     }
 
@@ -345,7 +356,13 @@
             server
                 .prefill_rate
                 .record_first_token(call.tokens_ahead, elapsed, now);
-            server.record_cached_parts(&call.details.prompt, now);
+            let prompt = &call.details.prompt;
+            server.record_cached_parts(prompt, now);
+            if let Some(part) = prompt.last_shared_part() {
+                let own = prompt.tokens.saturating_sub(prompt.shared_tokens());
+                let rate = server.prefill_rate.tokens_per_ms(now);
+                state.part_demand.record_prefill(part.short_key(), own, rate, now);
+            }
             self.prefills.add(&call.details, id, &self.options, now);
         }
     }
