--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxtide_entry::{ServerDirectory, ServerEntry};
+use flaxtide_entry::{FeedError, FollowState, ServerDirectory, ServerEntry};
 
 /// The time within which a leaving server must get no more requests.
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
@@ -112,6 +112,66 @@
     assert!(removed_at.is_some_and(|at| at <= 23_000), "removed at {removed_at:?}");
 }
 
+/// The instances of a data centre.
+const INSTANCES: u64 = 79;
+
+/// Those of them that find a gap in the history.
+const GAP_INSTANCES: u64 = 18;
+
+/// When a peer was last asked with success before the row was removed.
+const LAST_TOLD_AT: u64 = 12_300;
+
+/// When the row was removed from the platform's list.
+const ROW_GONE_AT: u64 = 12_680;
+
+/// Returns when an instance removes the server of a row that was removed at [`ROW_GONE_AT`]
+/// while the platform answered all the while. The instance notices it at `noticed_at`, from
+/// a peer or, after a gap in the history, from a read of all rows.
+fn removed_after_notice(noticed_at: u64, has_gap: bool) -> u64 {
+    let (mut directory, mut state) = (directory(), FollowState::default());
+    state.record_answer(7);
+    // The reader's own read may have been .25 of the bound old.
+    state.record_coverage(ms(LAST_TOLD_AT - 750), ms(LAST_TOLD_AT));
+    if has_gap {
+        state.record_fault(&FeedError::HistoryGone, ms(noticed_at));
+        if state.is_outage(ms(noticed_at)) {
+            directory.record_outage(ms(noticed_at));
+        }
+    }
+    let unseen = state.record_coverage(ms(noticed_at), ms(noticed_at));
+    state.record_answer(9);
+    directory.mark_missing_within("i-0", unseen, ms(noticed_at));
+    let mut ticks = (noticed_at..noticed_at + 20_000).step_by(100);
+    ticks.find(|now| !directory.expire(ms(*now)).is_empty()).unwrap()
+}
+
+/// The history of the store is gone for some instances, which read everything. If that counts
+/// as an outage, they keep a server whose row is gone for as long as after an outage.
+#[test]
+fn instances_that_read_everything_after_a_gap_remove_a_server_in_time() {
+    for number in 0..INSTANCES {
+        let has_gap = number < GAP_INSTANCES;
+        let noticed_at = match has_gap {
+            true => 13_600 + 1300 * number / (GAP_INSTANCES - 1),
+            false => 12_700 + number * 8,
+        };
+        let removed_at = removed_after_notice(noticed_at, has_gap);
+        assert!(
+            removed_at <= ROW_GONE_AT + 3_000,
+            "instance {number} noticed at {noticed_at} and removed at {removed_at}"
+        );
+    }
+}
+
+/// A gap that is found one second after the row was removed leaves time for the usual grace.
+#[test]
+fn a_gap_does_not_cost_a_server_its_grace() {
+    let noticed_at = ROW_GONE_AT + 1_000;
+    let removed_at = removed_after_notice(noticed_at, true);
+    assert!(removed_at > noticed_at, "removed at {removed_at}");
+    assert!(removed_at <= ROW_GONE_AT + 3_000, "removed at {removed_at}");
+}
+
 /// If all rows of a service disappear, its servers are better than none.
 #[test]
 fn a_service_keeps_its_servers_if_all_of_them_vanish() {
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -196,3 +196,36 @@
     }
     assert!(state.is_outage(ms(21_000)));
 }
+
+/// A store that says that its history is gone answers.
+#[test]
+fn a_gap_in_the_history_is_no_outage() {
+    let ms = Duration::from_millis;
+    let mut state = FollowState::default();
+    state.record_answer(7);
+    state.record_coverage(ms(1_000), ms(1_050));
+    for now in (3_100..20_000).step_by(600) {
+        state.record_fault(&FeedError::HistoryGone, ms(now));
+        assert!(!state.is_outage(ms(now)), "at {now}");
+    }
+    // Silence after the last such answer, with calls that fail, is one.
+    state.record_fault(&REFUSED, ms(23_000));
+    assert!(state.is_outage(ms(23_000)));
+}
+
+/// If the first answer after an outage is that the history is gone, the rows that lapsed are
+/// only seen by the read that follows: the outage lasts until then.
+#[test]
+fn an_outage_that_ends_with_a_gap_lasts_until_the_next_read() {
+    let ms = Duration::from_millis;
+    let mut state = FollowState::default();
+    state.record_answer(7);
+    state.record_coverage(ms(1_000), ms(1_050));
+    state.record_fault(&REFUSED, ms(2_000));
+    state.record_fault(&REFUSED, ms(8_000));
+    state.record_fault(&FeedError::HistoryGone, ms(9_000));
+    assert!(state.is_outage(ms(9_300)));
+    assert!(state.record_answer(9).regained);
+    state.record_coverage(ms(9_300), ms(9_350));
+    assert!(!state.is_outage(ms(9_350)));
+}
