A gap in the history is no outage; one budget for the time until a leaving server is removed

Cause: changes that were unknown for 2 s counted as an outage, also when the platform had just answered that its history is gone, and when a reader had merely ended: an instance may know nothing for .25 + .15 + 2 x .1 + .1 of the bound, which is 2.1 s of 3 s. A row noticed then kept its server until 2.2 s after it. Besides, the grace of a row found missing by a slow read of everything began at that read, as if it had been a call that waited for a change.

Change: an outage needs a sign of one beside the silence: a failed call of its own since the last answer, or peers that should have read and can't answer. That the history is gone, told by the platform or a fresh peer, is an answer; after failed calls the outage lasts until the read that follows. The steps from the end of a row to the removal of its server are fractions of leave_within in budget.rs: .25 + .15 + .1 + .1 + .1 + .08 + .07 = .85; the rest is for checks each 100 ms and requests on their way. The pause before everything is read is bounded (.08; it was up to 600 ms), so a reader stays fresh for its peers meanwhile. A row that was seen after an outage gets no more than the budget. Only rows that may have lapsed in an outage, and a service that has lost all rows, may stay for longer.

Ruled out: bounding the grace after an outage by when the row was last seen: in a real one that is always too long ago, so live servers would go at once.

--- /dev/null
+++ b/crates/flaxtide-entry/src/budget.rs
@@ -0,0 +1,115 @@
+//! The budget of the time that passes between the removal of a server's row and the last request
+//! to the server, while the platform answers.
+//!
+//! Each step takes a fraction of `leave_within`, the time within which a leaving server must get
+//! no more requests. An instance that reads the list through peers may go through all of them.
+
+use std::time::Duration;
+
+/// The greatest age of a reader's last answer from the platform at which it still answers peers.
+/// Changes may go unread for as long.
+pub(crate) const MAX_AGE_FRACTION: f64 = 0.25;
+
+/// How long a question to a reader waits for changes.
+pub(crate) const QUESTION_WAIT_FRACTION: f64 = 0.15;
+
+/// How long after the end of a question's wait the answer may arrive. The other readers and the
+/// standbys are asked without a wait, so this is also how long their answers may take.
+pub(crate) const ANSWER_MARGIN_FRACTION: f64 = 0.1;
+
+/// The window in which instances call the platform if no reader is reachable, or if their readers
+/// have just read from it and lack some changes.
+pub(crate) const CALL_WINDOW_FRACTION: f64 = 0.1;
+
+/// The longest pause before everything is read after the platform has dropped its history.
+pub(crate) const REREAD_PAUSE_FRACTION: f64 = 0.08;
+
+/// The pause between two reads of the server list by an instance that reads for itself.
+pub(crate) const CALL_PAUSE_FRACTION: f64 = 0.35;
+
+/// How long a server stays in use whose row is found missing at the latest time that the other
+/// steps allow.
+const LEAST_GRACE_FRACTION: f64 = 0.07;
+
+/// The longest time after the row of a server was last seen for which the server stays in use. The
+/// rest of `leave_within` is for the period in which rows are checked and for requests that are
+/// already on their way.
+pub(crate) const LATEST_REMOVAL_FRACTION: f64 = MAX_AGE_FRACTION
+    + QUESTION_WAIT_FRACTION
+    + ANSWER_MARGIN_FRACTION
+    + ANSWER_MARGIN_FRACTION
+    + CALL_WINDOW_FRACTION
+    + REREAD_PAUSE_FRACTION
+    + LEAST_GRACE_FRACTION;
+
+/// The steps between the removal of a row and the removal of its server, with the longest time
+/// that each may take.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_entry::LeaveBudget;
+/// let leave_within = Duration::from_secs(3);
+/// let budget = LeaveBudget::new(leave_within);
+/// assert!(budget.latest_notice() < budget.latest_removal());
+/// assert!(budget.latest_removal() < leave_within);
+/// ```
+#[derive(Debug, Clone, Copy)]
+pub struct LeaveBudget {
+    /// The time within which a leaving server must get no more requests.
+    leave_within: Duration,
+}
+
+impl LeaveBudget {
+    /// Creates the budget for a bound.
+    #[must_use]
+    pub fn new(leave_within: Duration) -> Self {
+        Self { leave_within }
+    }
+
+    /// Returns the steps of an instance that a peer told last.
+    #[must_use]
+    pub fn steps_after_answer(&self) -> Vec<(&'static str, Duration)> {
+        let mut steps = vec![
+            ("unread by the reader", self.span(MAX_AGE_FRACTION)),
+            ("called in the window", self.span(CALL_WINDOW_FRACTION)),
+        ];
+        steps.extend(self.common_steps());
+        steps
+    }
+
+    /// Returns the steps of an instance that called the platform itself last.
+    #[must_use]
+    pub fn steps_after_call(&self) -> Vec<(&'static str, Duration)> {
+        let mut steps = vec![("paused after the call", self.span(CALL_PAUSE_FRACTION))];
+        steps.extend(self.common_steps());
+        steps
+    }
+
+    /// Returns the steps that both kinds of instances go through.
+    fn common_steps(&self) -> [(&'static str, Duration); 4] {
+        let question = QUESTION_WAIT_FRACTION + ANSWER_MARGIN_FRACTION;
+        [
+            ("unanswered by the reader", self.span(question)),
+            ("unanswered by the others", self.span(ANSWER_MARGIN_FRACTION)),
+            ("paused before everything is read", self.span(REREAD_PAUSE_FRACTION)),
+            ("kept in grace", self.span(LEAST_GRACE_FRACTION)),
+        ]
+    }
+
+    /// Returns the longest time after the removal of a row until an instance notices it.
+    #[must_use]
+    pub fn latest_notice(&self) -> Duration {
+        self.latest_removal() - self.span(LEAST_GRACE_FRACTION)
+    }
+
+    /// Returns the longest time after the removal of a row until its server is removed.
+    #[must_use]
+    pub fn latest_removal(&self) -> Duration {
+        self.span(LATEST_REMOVAL_FRACTION)
+    }
+
+    /// Returns a fraction of the bound.
+    fn span(&self, fraction: f64) -> Duration {
+        self.leave_within.mul_f64(fraction)
+    }
+}
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -5,6 +5,7 @@
 
 use flaxtide_core::StoreVersion;
 
+use crate::budget::CALL_WINDOW_FRACTION;
 use crate::contract::FeedError;
 
 /// How long a call waits for changes. It is the longest wait that such platforms commonly
@@ -36,14 +37,10 @@
 /// of `leave_within`.
 const STANDBY_FRACTION: f64 = 0.05;
 
-/// The window of instances that aren't standbys if no reader is reachable, as a fraction
-/// of `leave_within`. It is much shorter than [`READERS_FAILING_FRACTION`], because the
-/// known rows must not become too old.
-const NO_READER_FRACTION: f64 = 0.1;
-
 /// The window of instances that aren't standbys if readers respond that they can't
 /// answer, as a fraction of `leave_within`. The platform is failing then, so the calls to
-/// it are spread.
+/// it are spread. It is much longer than [`CALL_WINDOW_FRACTION`], as the known rows must
+/// not become too old while the platform answers.
 const READERS_FAILING_FRACTION: f64 = 0.5;
 
 /// Returns the window within which an instance that has readers makes its first call to
@@ -67,7 +64,7 @@
 ) -> Duration {
     match (standby, readers_reachable) {
         (true, _) => leave_within.mul_f64(STANDBY_FRACTION),
-        (false, false) => leave_within.mul_f64(NO_READER_FRACTION),
+        (false, false) => leave_within.mul_f64(CALL_WINDOW_FRACTION),
         (false, true) => leave_within.mul_f64(READERS_FAILING_FRACTION),
     }
 }
@@ -182,6 +179,11 @@
     short_waits_until: Duration,
     /// The time up to which all changes are known.
     known_until: Option<Duration>,
+    /// When the platform last answered this instance or a peer that its history is gone.
+    gap_at: Option<Duration>,
+    /// Whether peers that should have read from the platform couldn't answer since the last
+    /// answer.
+    peers_failing: bool,
 }
 
 /// An answer of the platform, or of a peer in its place.
@@ -227,6 +229,7 @@
         if !is_snapshot {
             self.reread_pause = None;
         }
+        self.peers_failing = false;
         FollowAnswer { is_snapshot, regained: self.pause.take().is_some() }
     }
 
@@ -241,10 +244,28 @@
 
     /// Returns whether changes have been unknown for so long that rows may lapse because
     /// of an outage of the platform. Single failed calls and readers that can't answer
-    /// aren't an outage: the platform may reject some instances and serve others.
+    /// aren't an outage: the platform may reject some instances and serve others. Neither is
+    /// silence without any sign of a failing platform: a reader may have ended.
     #[must_use]
     pub fn is_outage(&self, now: Duration) -> bool {
-        self.known_until.is_none_or(|at| now >= at + OUTAGE_AFTER)
+        let Some(known_until) = self.known_until else { return true };
+        // After failed calls, rows that lapsed are only seen by the next read, so the outage
+        // lasts until then.
+        let gap_at = self.gap_at.filter(|_| self.pause.is_none());
+        let heard_at = gap_at.map_or(known_until, |at| at.max(known_until));
+        let failing = self.pause.is_some() || self.peers_failing;
+        failing && now >= heard_at + OUTAGE_AFTER
+    }
+
+    /// Records that the platform has answered this instance, or a peer, that the wanted
+    /// changes are gone.
+    pub fn record_gap(&mut self, now: Duration) {
+        self.gap_at = Some(now);
+    }
+
+    /// Records that peers that should have read from the platform can't answer.
+    pub fn record_failing_peers(&mut self) {
+        self.peers_failing = true;
     }
 
     /// Shortens the waits of the next calls after the readers have stopped answering. The
@@ -258,6 +279,7 @@
     pub fn record_fault(&mut self, fault: &FeedError, now: Duration) -> FollowFault {
         self.short_waits_until = now + SHORT_WAIT_SPAN;
         if *fault == FeedError::HistoryGone {
+            self.record_gap(now);
             return FollowFault { lost: false, pause: self.restart() };
         }
         let lost = self.pause.is_none();
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -21,10 +21,6 @@
 /// a leaving server must stop getting requests.
 pub(crate) const POLL_WAIT_FRACTION: f64 = 0.9;
 
-/// The window within which instances call the platform whose readers have just read from it
-/// and lack some changes, as a fraction of the longest wait of a call.
-const GAP_WINDOW_FRACTION: f64 = 0.1;
-
 /// How often an instance checks whether peers still push newer rules to it.
 const PEER_CHECK_PERIOD: Duration = Duration::from_millis(500);
 
@@ -98,6 +94,7 @@
     /// answered, or `None` to call it now.
     fn platform_delay(
         &self,
+        state: &mut FollowState,
         backoff: &mut CallBackoff,
         now: Duration,
     ) -> Option<Duration> {
@@ -107,17 +104,12 @@
         }
         let has_gap = self.topic == FeedTopic::Servers && self.source.take_gap();
         if has_gap {
-            backoff.expect_answer(self.gap_window(), rand::random(), now);
+            state.record_gap(now);
+            backoff.expect_answer(self.source.gap_window(), rand::random(), now);
         }
         backoff.delay(self.source.call_window(), rand::random(), now)
     }
 
-    /// Returns the window within which instances whose readers lack some changes call the
-    /// platform.
-    fn gap_window(&self) -> Duration {
-        self.poll_wait.mul_f64(GAP_WINDOW_FRACTION)
-    }
-
     /// Calls the platform. The call waits for changes for at most `max_wait`.
     fn fetch(
         &self,
@@ -147,14 +139,10 @@
     }
 
     /// Returns the time up to which an answer of the platform includes all changes. An
-    /// ordinary answer includes those before the call; one that had to wait reports a
-    /// change that has just happened.
-    fn covered_until(called: Duration, answered: Duration) -> Duration {
-        if answered > called + LONG_POLL_THRESHOLD {
-            answered - LONG_POLL_THRESHOLD
-        } else {
-            called
-        }
+    /// ordinary answer includes those before the call; one that had to wait for a change
+    /// reports one that has just happened.
+    fn covered_until(called: Duration, answered: Duration, has_waited: bool) -> Duration {
+        if has_waited { answered - LONG_POLL_THRESHOLD } else { called }
     }
 
     /// Calls the platform, handles its answer, and pauses. Returns whether the traffic
@@ -168,18 +156,19 @@
         let max_wait = state.max_wait(clock.now());
         let pause = self.timing().1;
         let called = clock.now();
-        match self.fetch(state.after(), max_wait) {
+        let after = state.after();
+        match self.fetch(after, max_wait) {
             Ok(batch) => {
                 let now = clock.now();
                 backoff.record_success(now);
                 let was_outage = state.is_outage(now);
-                let unseen = state.record_coverage(Self::covered_until(called, now), now);
-                let waited = now.saturating_sub(called);
-                let unseen = if waited > LONG_POLL_THRESHOLD {
-                    unseen.min(LONG_POLL_THRESHOLD)
-                } else {
-                    unseen
-                };
+                // A read of all rows doesn't wait for changes, however long it takes.
+                let may_wait = after.is_some() && max_wait > LONG_POLL_THRESHOLD;
+                let has_waited = may_wait && now > called + LONG_POLL_THRESHOLD;
+                let covered_until = Self::covered_until(called, now, has_waited);
+                let unseen = state.record_coverage(covered_until, now);
+                let unseen =
+                    if has_waited { unseen.min(LONG_POLL_THRESHOLD) } else { unseen };
                 let delivered = self.handle_batch(state, batch, unseen, was_outage);
                 thread::sleep(pause);
                 delivered
@@ -229,6 +218,12 @@
         now: Duration,
     ) -> bool {
         let FollowFault { lost, pause } = state.record_fault(fault, now);
+        let pause = match fault {
+            FeedError::HistoryGone if self.topic == FeedTopic::Servers => {
+                pause.min(self.source.max_reread_pause())
+            }
+            _ => pause,
+        };
         log_fault(self.topic, fault, pause);
         if lost {
             log_dependency(self.topic, false, Some(fault), &self.metrics);
@@ -284,17 +279,22 @@
                 thread::sleep(PLAN_CHECK_PERIOD);
                 true
             }
-            None => match follower.platform_delay(&mut backoff, clock.now()) {
-                Some(delay) => {
-                    state.shorten_waits(clock.now());
-                    thread::sleep(delay.min(PEER_RETRY_PERIOD));
-                    // During an outage, rows may lapse merely because servers can't renew
-                    // them, so the traffic thread must know of it.
-                    !state.is_outage(clock.now())
-                        || follower.send_availability(FeedEvent::Lost)
+            None => {
+                match follower.platform_delay(&mut state, &mut backoff, clock.now()) {
+                    Some(delay) => {
+                        if follower.source.suggests_outage() {
+                            state.record_failing_peers();
+                        }
+                        state.shorten_waits(clock.now());
+                        thread::sleep(delay.min(PEER_RETRY_PERIOD));
+                        // During an outage, rows may lapse merely because servers can't renew
+                        // them, so the traffic thread must know of it.
+                        !state.is_outage(clock.now())
+                            || follower.send_availability(FeedEvent::Lost)
+                    }
+                    None => follower.call_platform(&mut state, &mut backoff, &clock),
                 }
-                None => follower.call_platform(&mut state, &mut backoff, &clock),
-            },
+            }
         };
         if !delivered {
             return;
--- a/crates/flaxtide-entry/src/lapse.rs
+++ b/crates/flaxtide-entry/src/lapse.rs
@@ -6,6 +6,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+pub(crate) use crate::budget::CALL_PAUSE_FRACTION;
+use crate::budget::LeaveBudget;
+
 /// How long a server whose row is missing stays in use if nothing points to an outage, as a
 /// fraction of `leave_within`, the time within which a leaving server must get no more
 /// requests. A leaving server serves for longer than this, so requests sent to it meanwhile
@@ -18,14 +21,6 @@
 /// `leave_within`.
 const MAX_GRACE_FRACTION: f64 = 0.55;
 
-/// The longest time for which a server stays in use, counted from when its row was last seen, if
-/// the row is found missing late for whatever reason; as a fraction of `leave_within`. The rest
-/// is for requests that are already on their way.
-const MAX_GRACE_SINCE_SEEN_FRACTION: f64 = 0.85;
-
-/// The pause between two reads of the server list, as a fraction of `leave_within`.
-pub(crate) const CALL_PAUSE_FRACTION: f64 = 0.35;
-
 /// How long servers have to rewrite their rows after the platform returns. They do so within
 /// two seconds. Records of an outage that are no further apart belong to one outage.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
@@ -127,7 +122,9 @@
 }
 
 /// Returns until when a server stays in use whose row has disappeared. `leave_within` is the
-/// time within which a leaving server must get no more requests.
+/// time within which a leaving server must get no more requests. Only rows that may have
+/// disappeared in an outage, and a service that has lost all rows, may keep servers for longer
+/// than [`LeaveBudget`] allows.
 pub(crate) fn grace_end(
     row: MissingRow,
     extent: LapseExtent,
@@ -136,7 +133,7 @@
 ) -> Duration {
     let noticed_at = row.noticed_at;
     let scaled = |fraction| leave_within.mul_f64(fraction);
-    let latest_end = row.last_seen_at + scaled(MAX_GRACE_SINCE_SEEN_FRACTION);
+    let latest_end = row.last_seen_at + LeaveBudget::new(leave_within).latest_removal();
     let normal_end = match extent {
         LapseExtent::All => return noticed_at + TOTAL_LAPSE_GRACE,
         LapseExtent::Many => latest_end,
@@ -147,11 +144,13 @@
     let Some(outage) = outage.filter(|outage| noticed_at >= outage.since) else {
         return normal_end;
     };
+    let recovery_end = outage.last + RECOVERY_GRACE;
     if noticed_at <= outage.last + RECOVERY_WINDOW {
-        return outage.last + RECOVERY_GRACE;
+        let was_seen_since = row.last_seen_at > outage.last;
+        return if was_seen_since { recovery_end.min(latest_end) } else { recovery_end };
     }
-    let recovery_end = (outage.last + RECOVERY_GRACE).max(normal_end);
     recovery_end
+        .max(normal_end)
         .min(noticed_at + scaled(MAX_GRACE_FRACTION))
         .min(latest_end)
 }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`WireDialect`] and [`PlatformFeed`].
 
 mod backoff;
+mod budget;
 mod call;
 mod config;
 mod contract;
@@ -54,6 +55,7 @@
 mod watch;
 
 pub use self::backoff::PeerBackoff;
+pub use self::budget::LeaveBudget;
 pub use self::config::{DutyConfig, EntryConfig};
 pub use self::contract::{
     BackendService, CacheBatch, CacheChange, CachePosition, CallKind, CallerLimits,
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -12,6 +12,7 @@
 use flaxtide_fleet::{ListReader, RowChanges, RowCopy, RowSource};
 use tokio::sync::Notify;
 
+use crate::budget::{MAX_AGE_FRACTION, REREAD_PAUSE_FRACTION};
 use crate::contract::{FeedBatch, FeedRow};
 
 /// The number of chunks of changes that a reader keeps for peers that are behind.
@@ -22,11 +23,6 @@
 /// answer might never arrive over a narrow link.
 const MAX_ANSWER_BYTES: usize = 32 * 1024;
 
-/// The greatest age of a reader's last answer from the platform at which it still answers
-/// peers, as a fraction of `leave_within`. Together with the fractions in `directory.rs`,
-/// it leaves time to notice a row that has been removed.
-pub(crate) const MAX_AGE_FRACTION: f64 = 0.25;
-
 /// How long a reader's call to the platform waits for changes, as a fraction of
 /// `leave_within`. The wait and the pause after it stay below [`MAX_AGE_FRACTION`]. The
 /// pause is the longer one: while servers are being replaced, rows change all the time
@@ -35,6 +31,9 @@
 /// The pause after a reader's call, as a fraction of `leave_within`.
 const READER_PAUSE_FRACTION: f64 = 0.15;
 
+// A reader that has to read everything again still answers its peers meanwhile.
+const _: () = assert!(READER_PAUSE_FRACTION + REREAD_PAUSE_FRACTION < MAX_AGE_FRACTION);
+
 /// How long a call to the platform waits for changes if the instance's readers don't
 /// answer, as a fraction of `leave_within`. It is short, because the readers are asked
 /// again after it.
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -11,17 +11,13 @@
 use flaxtide_fleet::{ListPlan, ListReader, RowAnswer, RowChanges, RowRequest};
 
 use crate::backoff::PeerBackoff;
+use crate::budget::{
+    ANSWER_MARGIN_FRACTION, CALL_WINDOW_FRACTION, MAX_AGE_FRACTION,
+    QUESTION_WAIT_FRACTION, REREAD_PAUSE_FRACTION,
+};
 use crate::fleet::FleetLink;
 use crate::follow::first_call_window;
 use crate::lag::RulesLag;
-use crate::reader::MAX_AGE_FRACTION;
-
-/// How long a question to a reader waits for changes, as a fraction of `leave_within`.
-const QUESTION_WAIT_FRACTION: f64 = 0.15;
-
-/// How long after the end of the question's wait the answer may arrive, as a fraction of
-/// `leave_within`.
-const ANSWER_MARGIN_FRACTION: f64 = 0.1;
 
 /// How long a peer that couldn't answer isn't asked again, as a fraction of
 /// `leave_within`. It doubles each time. The first pause is short, because a standby can
@@ -166,6 +162,25 @@
         first_call_window(state.plan.standby, readers_reachable, self.leave_within)
     }
 
+    /// Returns whether peers that should have read from the platform can't answer, which
+    /// points to an outage of it.
+    pub(crate) fn suggests_outage(&self) -> bool {
+        let now = self.clock.now();
+        self.lock().backoff.suggests_outage(now)
+    }
+
+    /// Returns the window within which instances call the platform whose readers have just
+    /// read from it and lack some changes.
+    pub(crate) fn gap_window(&self) -> Duration {
+        self.leave_within.mul_f64(CALL_WINDOW_FRACTION)
+    }
+
+    /// Returns the longest pause before everything is read, if the platform has dropped the
+    /// changes of the server list.
+    pub(crate) fn max_reread_pause(&self) -> Duration {
+        self.leave_within.mul_f64(REREAD_PAUSE_FRACTION)
+    }
+
     /// Returns, once after each such answer, whether a peer that has just read from the
     /// platform lacks the changes that this instance wants. The platform answers then, and
     /// has to be called.
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -229,3 +229,23 @@
     state.record_coverage(ms(9_300), ms(9_350));
     assert!(!state.is_outage(ms(9_350)));
 }
+
+/// A reader may end while the platform answers. Its peers then know nothing for a while, which
+/// is no outage unless a call fails or peers can't answer.
+#[test]
+fn silence_alone_is_no_outage() {
+    let ms = Duration::from_millis;
+    let mut state = FollowState::default();
+    state.record_answer(7);
+    state.record_coverage(ms(1_000), ms(1_050));
+    assert!(!state.is_outage(ms(4_000)));
+    state.record_failing_peers();
+    assert!(!state.is_outage(ms(2_900)));
+    assert!(state.is_outage(ms(3_000)));
+    // A peer lacks the changes, but the platform has just answered it.
+    state.record_gap(ms(3_000));
+    assert!(!state.is_outage(ms(3_500)));
+    assert!(state.is_outage(ms(5_000)));
+    state.record_answer(8);
+    assert!(!state.is_outage(ms(5_000)));
+}
