A new reader can tell what a dropped history hides, and waiting peers hear of a gap

Cause: a row that vanishes is told to peers through the log of their reader only. An instance that was told by a peer emptied its log; once it read for others itself, it knew changes but not the rows. When the store dropped its history, it had nothing to compare the complete read with, so all its peers had a gap and had to read everything. A peer whose question was waiting just then didn't hear of the gap: after the wait the reply always said that there is none. It took the platform for failing, and its first call came within half of the bound instead of a tenth.

Change: an instance keeps the rows that peers tell it, without the changes, which may be the difference of two reads and aren't passed on (ServerListLog::record_answer). The reply after the wait says whether there is a gap.

Not changed: a vanished row isn't published as a leaving server. That can't be revoked for the same start of the server, and a server whose own path to the store was cut lists itself again. A report that only marks the row as missing needs another message between instances.

--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -80,14 +80,15 @@
             return pushed.then_some(PeerUpdate::Pushed);
         };
         let changes = self.source.fetch_changes(link, after)?;
-        list.clear();
         self.count("peer");
         let row =
             |row: RowCopy| FeedRow { name: row.name, text: row.text, version: None };
-        Some(PeerUpdate::Rows(FeedBatch {
+        let batch = FeedBatch {
             version: changes.version.max(after),
             rows: changes.rows.into_iter().map(row).collect(),
-        }))
+        };
+        list.record_answer(&batch, after);
+        Some(PeerUpdate::Rows(batch))
     }
 
     /// Returns how long to wait before calling the platform although no peer has
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -127,10 +127,19 @@
         }
     }
 
-    /// Clears the log after rows came from a peer instead of the platform: the log misses
-    /// the changes up to that answer, so later changes can't be appended to it.
-    pub(crate) fn clear(&self) {
-        *self.lock() = LogState::default();
+    /// Records the changes after a version that a peer answered instead of the platform. Only
+    /// the rows are kept: the peer may know the difference of two complete reads only, so
+    /// its changes can't be answered to others. But once this instance reads for its peers
+    /// and the store drops its history, the rows show what has changed.
+    pub fn record_answer(&self, batch: &FeedBatch, after: StoreVersion) {
+        let mut state = self.lock();
+        state.confirmed_at = None;
+        if after != state.version {
+            state.rows = None;
+        }
+        state.apply_rows(batch);
+        state.start_at(batch.version);
+        state.version = batch.version;
     }
 
     /// Returns how long a call to the platform waits for changes, and the pause after it,
@@ -216,6 +225,11 @@
             self.rows = None;
         }
         self.chunks.extend(split_batch(batch, after));
+        self.apply_rows(batch);
+    }
+
+    /// Applies changes to the rows, if these are known.
+    fn apply_rows(&mut self, batch: &FeedBatch) {
         let Some(rows) = &mut self.rows else { return };
         for row in &batch.rows {
             match &row.text {
--- a/crates/flaxtide-entry/tests/reader.rs
+++ b/crates/flaxtide-entry/tests/reader.rs
@@ -254,6 +254,38 @@
     names_if_known(log, after).unwrap()
 }
 
+/// An instance that becomes a reader knows the rows from the reader before it. If it didn't,
+/// all its peers would have to read everything once the store drops its history.
+#[test]
+fn a_reader_that_was_told_before_answers_across_a_dropped_history() {
+    let log = log();
+    log.record(&snapshot(10, &[("a", "1"), ("b", "1")]), None);
+    let mut told = snapshot(12, &[("c", "1")]);
+    told.rows.extend(batch(12, &["a"]).rows);
+    log.record_answer(&told, 10);
+    assert!(log.changes_after(12).is_none(), "the platform hasn't answered it");
+    assert!(!log.has_gap_after(10));
+    log.record(&batch(14, &[]), Some(12));
+    log.record(&snapshot(20, &[("c", "1")]), None);
+    assert_eq!(names_after(&log, 12), ["b"]);
+    assert_eq!(names_after(&log, 14), ["b"]);
+    // What peers told isn't answered to others, nor what happened inside a span.
+    assert!(log.has_gap_after(11));
+    assert!(log.has_gap_after(17));
+}
+
+/// Rows that a peer told from another version than the last one are incomplete.
+#[test]
+fn rows_told_after_an_unknown_version_are_not_compared() {
+    let log = log();
+    log.record(&snapshot(10, &[("a", "1")]), None);
+    log.record_answer(&batch(14, &[]), 12);
+    log.record(&batch(15, &[]), Some(14));
+    log.record(&snapshot(20, &[("b", "1")]), None);
+    assert!(log.has_gap_after(15));
+    assert!(log.changes_after(20).is_some());
+}
+
 /// A reader whose changes begin later shows that the platform answers; one that is behind
 /// doesn't.
 #[test]
--- a/crates/flaxtide-fleet/src/serve.rs
+++ b/crates/flaxtide-fleet/src/serve.rs
@@ -106,18 +106,15 @@
         let wait = Duration::from_millis(wait_ms.into()).min(ANSWER_TIMEOUT);
         let notifier = source.change_notifier();
         let notified = notifier.notified();
-        match source.changes_after(after) {
-            Some(changes) if changes.rows.is_empty() => {}
-            changes => {
-                let has_gap = changes.is_none() && source.has_gap_after(after);
-                return RowsReply { changes, has_gap };
-            }
+        let mut changes = source.changes_after(after);
+        if changes.as_ref().is_some_and(|changes| changes.rows.is_empty()) {
+            // Without changes in time, the answer has no rows, and the version up to which
+            // there are none.
+            let _ = tokio::time::timeout(wait, notified).await;
+            changes = source.changes_after(after);
         }
-        // Without changes in time, the answer has no rows, and the version up to which there
-        // are none.
-        let _ = tokio::time::timeout(wait, notified).await;
-        let changes = source.changes_after(after);
-        RowsReply { changes, has_gap: false }
+        let has_gap = changes.is_none() && source.has_gap_after(after);
+        RowsReply { changes, has_gap }
     }
 }
 
