Load tests of busy and dead engines with the routers of a data centre

Cause: nothing without a network showed that a burst makes routers leave engines that live.

Change: flaxtide-lab plays 28 routers before model engines of which a quarter is slow; they tell each other loads, silence and what two watchers an engine see, with the delay of heartbeats. Three patterns: a burst of 2.5 times the long prompts for 9 s, then of short ones; the same with two thirds of 90 engines gone for 10 s; the same while a tenth dies by crash or without a word. Engines of the lab have a pace, report what they do, and can lose requests.

Engines that come back aren't counted: the failure rate from their crash keeps some out, as before.

--- a/crates/flaxtide-lab/src/engine.rs
+++ b/crates/flaxtide-lab/src/engine.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use flaxtide_core::RequestId;
+use flaxtide_policy::EngineReport;
 
 /// The time of a step that reads no prompt.
 const STEP: Duration = Duration::from_micros(3300);
@@ -40,6 +41,8 @@
 pub(crate) struct LabEngine {
     /// How many requests it works on at once.
     slots: usize,
+    /// How fast it is, as a fraction of the usual pace.
+    pace: f64,
     /// The requests that it works on.
     running: Vec<EngineRequest>,
     /// The requests that wait for a slot.
@@ -51,8 +54,14 @@
 impl LabEngine {
     /// Starts an engine without work.
     pub(crate) fn new(slots: usize) -> Self {
+        Self::with_pace(slots, 1.0)
+    }
+
+    /// Starts an engine whose pace is a fraction of the usual one.
+    pub(crate) fn with_pace(slots: usize, pace: f64) -> Self {
         Self {
             slots,
+            pace,
             running: vec![],
             waiting: VecDeque::new(),
             until: Duration::ZERO,
@@ -64,6 +73,31 @@
         self.waiting.push_back(request);
     }
 
+    /// Breaks off a request.
+    pub(crate) fn cancel(&mut self, request: RequestId) {
+        self.running.retain(|running| running.request != request);
+        self.waiting.retain(|waiting| waiting.request != request);
+    }
+
+    /// Loses all requests, and goes on at a time.
+    pub(crate) fn restart(&mut self, now: Duration) {
+        self.running.clear();
+        self.waiting.clear();
+        self.until = now;
+    }
+
+    /// Returns what it reports of itself.
+    pub(crate) fn report(&self) -> EngineReport {
+        let unread = self.running.iter().filter(|request| request.unread > 0);
+        EngineReport {
+            waiting: self.waiting.len() as u32,
+            running: self.running.len() as u32,
+            prefilling: unread.count() as u32,
+            next_tokens: self.waiting.front().map_or(0, |request| request.unread),
+            ..EngineReport::default()
+        }
+    }
+
     /// Goes on until a time. Returns what came, with its time.
     pub(crate) fn advance(&mut self, now: Duration) -> Vec<(Duration, EngineNews)> {
         let mut news = vec![];
@@ -92,7 +126,7 @@
             request.unread -= chunk;
             length += Duration::from_secs_f64(f64::from(chunk) / TOKENS_PER_MS / 1000.0);
         }
-        self.until += length;
+        self.until += length.div_f64(self.pace);
         for request in self.running.iter_mut().filter(|request| request.unread == 0) {
             request.unmade -= 1;
             let end = request.unmade == 0;
--- a/crates/flaxtide-lab/src/lib.rs
+++ b/crates/flaxtide-lab/src/lib.rs
@@ -8,10 +8,14 @@
 mod burst;
 mod engine;
 mod event;
+mod fleet;
 mod pattern;
 mod server;
 mod world;
 
 pub use self::burst::{BurstPattern, BurstReport, StreamShape, play_burst};
+pub use self::fleet::{
+    EngineLoss, FleetPattern, FleetReport, LoadBurst, LossKind, play_fleet,
+};
 pub use self::pattern::{GossipShape, LoadPattern};
 pub use self::world::{LoadReport, play};
