Digests join what all watchers of an engine know

The digest of a data centre had all fields of the watcher with the last answer. So a report was lost to other data centres if the second watcher, which reads none, was the fresher one, and a failure of one watcher's connection was told although the other got answers.

Each field is now joined by itself: the last answer, the youngest report, and a failure only if no watcher with an outcome gets through.

The new test fails before (no report in the digest) and passes now.

--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -85,17 +85,17 @@
             .retain(|_, (_, arrived)| now < *arrived + SIGHTING_LIFETIME);
     }
 
-    /// Returns the freshest sighting of each engine, with ages as of now.
-    fn freshest(&self, now: Duration) -> BTreeMap<FleetKey, EngineDigest> {
-        let mut freshest: BTreeMap<FleetKey, EngineDigest> = BTreeMap::new();
+    /// Returns what all watchers together know of each engine, with ages as of now.
+    fn joined_sightings(&self, now: Duration) -> BTreeMap<FleetKey, EngineDigest> {
+        let mut known: BTreeMap<FleetKey, EngineDigest> = BTreeMap::new();
         for ((server, _), (digest, arrived)) in &self.sightings {
             if now >= *arrived + SIGHTING_LIFETIME {
                 continue;
             }
             let digest = digest.aged(now.saturating_sub(*arrived));
-            keep_fresher(&mut freshest, *server, digest);
+            join(&mut known, *server, digest);
         }
-        freshest
+        known
     }
 
     /// Returns the changes of the group that arrived within a time span, newest first.
@@ -129,17 +129,39 @@
     }
 }
 
-/// Keeps the sighting whose watcher got the last answer. Of two without an answer, the one that
-/// has failed for the shorter time.
-fn keep_fresher(
-    freshest: &mut BTreeMap<FleetKey, EngineDigest>,
+impl EngineDigest {
+    /// Returns whether the watcher has had an answer or a failure. One that has only begun
+    /// proves nothing.
+    fn has_outcome(&self) -> bool {
+        self.answered < u16::MAX || self.failing > 0
+    }
+
+    /// Returns what two watchers know together: the last answer, the youngest report, and a
+    /// failure only if both fail, for the shorter time.
+    fn joined(self, other: Self) -> Self {
+        let failing = match (self.has_outcome(), other.has_outcome()) {
+            (true, false) => self.failing,
+            (false, true) => other.failing,
+            _ => self.failing.min(other.failing),
+        };
+        let reports = self.report.into_iter().chain(other.report);
+        Self {
+            server: self.server,
+            answered: self.answered.min(other.answered),
+            failing,
+            report: reports.min_by_key(|report| report.age),
+        }
+    }
+}
+
+/// Adds what a watcher knows of an engine to what others do.
+fn join(
+    known: &mut BTreeMap<FleetKey, EngineDigest>,
     server: FleetKey,
     digest: EngineDigest,
 ) {
-    let known = freshest.entry(server).or_insert(digest);
-    if (digest.answered, digest.failing) < (known.answered, known.failing) {
-        *known = digest;
-    }
+    let joined = known.get(&server).map_or(digest, |known| known.joined(digest));
+    known.insert(server, joined);
 }
 
 impl FleetNode {
@@ -154,13 +176,13 @@
         self.engines.changes_for_round(self.rounds)
     }
 
-    /// Returns the freshest sighting of each engine by a watcher of the data centre.
+    /// Returns what the watchers of the data centre together know of each engine.
     pub(super) fn digest_engines(&self, now: Duration) -> Vec<EngineDigest> {
-        let mut freshest = self.engines.freshest(now);
+        let mut known = self.engines.joined_sightings(now);
         for digest in &self.status.engines {
-            keep_fresher(&mut freshest, digest.server, *digest);
+            join(&mut known, digest.server, *digest);
         }
-        freshest.into_values().collect()
+        known.into_values().collect()
     }
 
     /// Returns the recent changes of cached parts of the data centre, newest first. They cover
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -120,7 +120,7 @@
     /// The servers that failed to respond to a peer.
     PeerUnresponsive(Vec<FleetKey>),
     /// What a watcher has seen of engines, as of now. The key is that of the watching instance,
-    /// or of a data centre if the sightings are the freshest of its watchers.
+    /// or of a data centre if they are what its watchers know together.
     Engines(FleetKey, Vec<EngineDigest>),
     /// Changes of prompt parts that engines have cached.
     PartUpdates(Vec<PartUpdate>),
--- a/crates/flaxtide-fleet/tests/engines.rs
+++ b/crates/flaxtide-fleet/tests/engines.rs
@@ -189,6 +189,60 @@
     assert_eq!((later.answered, later.failing), (130, 105));
 }
 
+/// Has the instances of the first data centre watch one engine, each with what it has seen.
+fn fleet_with_views(views: &[EngineDigest]) -> Fleet {
+    let mut fleet = Fleet::new(INSTANCES, DATA_CENTRES);
+    fleet.run(SETTLING);
+    for (index, view) in views.iter().enumerate() {
+        fleet.engines.insert(address(index * DATA_CENTRES), vec![*view]);
+    }
+    fleet.run(Duration::from_secs(5));
+    fleet
+}
+
+/// Returns what the instances of other data centres than the first know of an engine.
+fn remote_views(fleet: &Fleet, server: u32) -> Vec<EngineDigest> {
+    let remote = fleet.nodes.keys().filter(|at| fleet.data_centres[*at] != "dc0");
+    remote.map(|at| fleet.seen_engines[&(*at, server)].0).collect()
+}
+
+#[test]
+fn digests_join_what_two_watchers_know() {
+    let younger = ReportDigest { age: 20, ..digest(900).report.unwrap() };
+    let seen = EngineDigest { report: None, answered: 20, ..digest(900) };
+    // The views of two watchers, and whether the engine fails and gives a report in digests.
+    let cases = [
+        ([digest(900), seen], false, true),
+        ([EngineDigest { failing: 10, ..seen }, digest(900)], false, true),
+        (
+            [EngineDigest { failing: 10, ..seen }, EngineDigest { failing: 30, ..seen }],
+            true,
+            false,
+        ),
+        (
+            [EngineDigest { report: Some(younger), answered: 50, ..seen }, digest(900)],
+            false,
+            true,
+        ),
+        // A watcher that has only begun proves nothing.
+        (
+            [
+                EngineDigest { answered: u16::MAX, ..seen },
+                EngineDigest { failing: 30, ..seen },
+            ],
+            true,
+            false,
+        ),
+    ];
+    for (views, fails, reports) in cases {
+        let fleet = fleet_with_views(&views);
+        for view in remote_views(&fleet, 900) {
+            assert_eq!(view.failing > 0, fails, "{views:?}: {view:?}");
+            assert_eq!(view.report.is_some(), reports, "{views:?}: {view:?}");
+        }
+    }
+}
+
 /// The control traffic that sightings may add in a large data centre, in bytes a second: what the
 /// budget of 17 KB/s leaves beside the 13.6 KB/s of heartbeats, plus the 3 KB/s in these of the
 /// loads of watched servers, which sightings replace.
