A digest has each change of a cached part once

A late copy could also be told after a newer state.

One entry is kept for each engine and part, with its newest state and the time at which it was first told. Own changes are among them.

--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::FleetNode;
+use super::part_changes::{GroupParts, MAX_DIGEST_PARTS};
 use crate::key::FleetKey;
 use crate::wire::{EngineDigest, PartUpdate};
 
@@ -15,9 +16,6 @@
 /// The most changes of cached parts in a heartbeat.
 const MAX_HEARTBEAT_PARTS: usize = 64;
 
-/// The most changes of cached parts in a digest.
-const MAX_DIGEST_PARTS: usize = 96;
-
 /// The number of rounds of heartbeats in which a change is sent, as one of them may be lost.
 const SENDS_PER_CHANGE: u64 = 2;
 
@@ -39,8 +37,8 @@
     /// The changes of this instance's own watches that are still to be sent to peers, and the
     /// round of heartbeats before which each was made.
     own_changes: VecDeque<(u64, PartUpdate)>,
-    /// The recent changes of the group, the newest last, and when each arrived.
-    group_changes: VecDeque<(Duration, PartUpdate)>,
+    /// The recent changes of the group, this instance's own among them.
+    group_parts: GroupParts,
     /// The number of engines in the last digest from another data centre.
     pub(super) digest_engines: usize,
 }
@@ -58,14 +56,18 @@
             let key = (digest.server, watcher);
             self.sightings.insert(key, (*digest, now));
         }
-        let parts = parts.iter().take(MAX_HEARTBEAT_PARTS);
-        self.group_changes.extend(parts.map(|part| (now, *part)));
-        let surplus = self.group_changes.len().saturating_sub(MAX_DIGEST_PARTS);
-        self.group_changes.drain(..surplus);
+        let count = parts.len().min(MAX_HEARTBEAT_PARTS);
+        self.group_parts.record(&parts[..count], now);
     }
 
     /// Records changes that this instance's own watches have seen before `round`.
-    pub(super) fn record_own_changes(&mut self, parts: &[PartUpdate], round: u64) {
+    pub(super) fn record_own_changes(
+        &mut self,
+        parts: &[PartUpdate],
+        round: u64,
+        now: Duration,
+    ) {
+        self.group_parts.record(parts, now);
         self.own_changes.extend(parts.iter().map(|part| (round, *part)));
         let surplus = self.own_changes.len().saturating_sub(MAX_HEARTBEAT_PARTS);
         self.own_changes.drain(..surplus);
@@ -78,11 +80,12 @@
         self.own_changes.iter().filter(due).map(|(_, part)| *part).collect()
     }
 
-    /// Forgets own changes that have been sent often enough, and expired sightings.
+    /// Forgets own changes that have been sent often enough, and what has expired.
     pub(super) fn expire(&mut self, round: u64, now: Duration) {
         self.own_changes.retain(|(made, _)| round <= made + SENDS_PER_CHANGE);
         self.sightings
             .retain(|_, (_, arrived)| now < *arrived + SIGHTING_LIFETIME);
+        self.group_parts.expire(now);
     }
 
     /// Returns what all watchers together know of each engine, with ages as of now.
@@ -97,13 +100,6 @@
         }
         known
     }
-
-    /// Returns the changes of the group that arrived within a time span, newest first.
-    fn changes_within(&self, span: Duration, now: Duration) -> Vec<PartUpdate> {
-        let newest = self.group_changes.iter().rev();
-        let recent = newest.take_while(|(at, _)| now < *at + span);
-        recent.map(|(_, part)| *part).collect()
-    }
 }
 
 impl EngineDigest {
@@ -188,11 +184,7 @@
     /// Returns the recent changes of cached parts of the data centre, newest first. They cover
     /// two digest periods, because a digest may be lost.
     pub(super) fn digest_parts(&self, now: Duration) -> Vec<PartUpdate> {
-        let own = self.engines.own_changes.iter().rev().map(|(_, part)| *part);
-        let mut parts: Vec<PartUpdate> = own.collect();
-        parts.extend(self.engines.changes_within(self.digest_period() * 2, now));
-        parts.truncate(MAX_DIGEST_PARTS);
-        parts
+        self.engines.group_parts.within(self.digest_period() * 2, now)
     }
 
     /// Returns the size of the engines and their parts in a digest, in units of the size of a
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeats;
 mod instance_group;
 mod lists;
+mod part_changes;
 mod pushback;
 mod settings;
 mod timing;
@@ -372,7 +373,7 @@
                 &status.loads,
                 self.timing.early_round_load_units,
             ) || status.unresponsive.iter().any(newly_unresponsive);
-        self.engines.record_own_changes(&status.parts, self.rounds);
+        self.engines.record_own_changes(&status.parts, self.rounds, now);
         self.status = status;
         self.update_live(now);
     }
--- a/crates/flaxtide-fleet/tests/engines.rs
+++ b/crates/flaxtide-fleet/tests/engines.rs
@@ -2,6 +2,7 @@
 
 mod common;
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -243,6 +244,77 @@
     }
 }
 
+/// Returns the fractions of changes that the instances of the first data centre and the others
+/// know, if so many engines a second change there, each seen by two watchers.
+fn known_changes(per_second: u32) -> (f64, f64) {
+    let mut fleet = Fleet::new(INSTANCES, DATA_CENTRES);
+    fleet.run(SETTLING);
+    let mut told = vec![];
+    for step in 0..20 {
+        for index in 0..per_second / 2 {
+            let number = ((step * 31 + index * 7) % 26 * 3) as usize;
+            let part = told.len() as u32;
+            let change = PartUpdate { server: number as u32, part, cached: true };
+            for watcher in [number, (number + 3) % 78] {
+                fleet.parts.entry(address(watcher)).or_default().push(change);
+            }
+            told.push(change);
+        }
+        fleet.run(Duration::from_millis(500));
+    }
+    fleet.run(Duration::from_secs(6));
+    let known = |is_local: bool| {
+        let at = fleet.nodes.keys();
+        let at: Vec<_> = at
+            .filter(|at| (fleet.data_centres[*at] == "dc0") == is_local)
+            .collect();
+        let count = |at: &&SocketAddr| {
+            let seen: BTreeSet<u32> = fleet
+                .seen_parts
+                .get(at)
+                .into_iter()
+                .flatten()
+                .map(|part| part.part)
+                .collect();
+            seen.len()
+        };
+        let known: usize = at.iter().map(count).sum();
+        known as f64 / (at.len() * told.len()) as f64
+    };
+    (known(true), known(false))
+}
+
+#[test]
+fn other_data_centres_learn_of_many_changes() {
+    let (local, remote) = known_changes(120);
+    println!("known of 120 changes a second: {local:.3} locally, {remote:.3} elsewhere");
+    assert!(local > 0.99 && remote > 0.99, "{local:.3} {remote:.3}");
+}
+
+#[test]
+fn a_change_is_in_a_digest_once_and_in_its_newest_state() {
+    let mut fleet = fleet_with_watches();
+    fleet.run(Duration::from_secs(5));
+    let cached = PartUpdate { server: 3, part: 77, cached: true };
+    let evicted = PartUpdate { cached: false, ..cached };
+    for watcher in [3, 6] {
+        fleet
+            .parts
+            .entry(address(watcher))
+            .or_default()
+            .extend([cached, evicted]);
+    }
+    fleet.seen_parts.clear();
+    fleet.run(Duration::from_secs(6));
+    let remote = fleet.nodes.keys().filter(|at| fleet.data_centres[*at] != "dc0");
+    for at in remote {
+        let seen = &fleet.seen_parts[at];
+        assert_eq!(seen.last(), Some(&evicted), "{at}");
+        assert!(!seen.contains(&cached), "{at}: {seen:?}");
+        assert!(seen.len() <= 4, "{at}: {} copies", seen.len());
+    }
+}
+
 /// The control traffic that sightings may add in a large data centre, in bytes a second: what the
 /// budget of 17 KB/s leaves beside the 13.6 KB/s of heartbeats, plus the 3 KB/s in these of the
 /// loads of watched servers, which sightings replace.
