Changes of cached parts are queued and sent as the budget allows

Of the changes of a status beyond 64 the oldest were dropped before they were sent once, 64 a round alone took more than the traffic budget, and two early rounds soon after each other used up both sends of a change.

Changes wait in a bounded queue, with the newest state of each part. A round takes as many as the budget leaves beside the sightings, 24 at most; early rounds get their part of that. The second send waits for half a period, and is left out after 10 s if there is no room.

--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -1,11 +1,11 @@
 //! What the group's watchers have seen of engines, for heartbeats and for the digests of other
 //! data centres.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use super::FleetNode;
-use super::part_changes::{GroupParts, MAX_DIGEST_PARTS};
+use super::part_changes::{GroupParts, MAX_DIGEST_PARTS, MAX_HEARTBEAT_PARTS, OwnParts};
 use crate::key::FleetKey;
 use crate::wire::{EngineDigest, PartUpdate};
 
@@ -13,11 +13,21 @@
 /// that is designed for.
 const MAX_HEARTBEAT_ENGINES: usize = 64;
 
-/// The most changes of cached parts in a heartbeat.
-const MAX_HEARTBEAT_PARTS: usize = 64;
+/// The bytes of sightings and changes that an instance sends per second: what the control
+/// traffic budget of 17 KB/s leaves beside the other parts of heartbeats.
+const BYTES_PER_SECOND: f64 = 6_400.0;
 
-/// The number of rounds of heartbeats in which a change is sent, as one of them may be lost.
-const SENDS_PER_CHANGE: u64 = 2;
+/// The approximate size of a sighting without its report, in bytes.
+const SIGHTING_BYTES: f64 = 8.0;
+
+/// The approximate size of a report in a sighting, in bytes.
+const REPORT_BYTES: f64 = 14.0;
+
+/// The approximate size of a change of a cached part, in bytes.
+const PART_BYTES: f64 = 11.0;
+
+/// The changes that an instance may send in a round however many engines it watches.
+const MIN_HEARTBEAT_PARTS: f64 = 1.0;
 
 /// How long the sighting of a watcher is passed on. After that, the watcher has stopped or is
 /// cut off.
@@ -34,9 +44,8 @@
 pub(super) struct EngineNews {
     /// The last sighting by engine and watcher, and when it arrived.
     sightings: BTreeMap<(FleetKey, FleetKey), (EngineDigest, Duration)>,
-    /// The changes of this instance's own watches that are still to be sent to peers, and the
-    /// round of heartbeats before which each was made.
-    own_changes: VecDeque<(u64, PartUpdate)>,
+    /// The changes of this instance's own watches, for peers.
+    own_parts: OwnParts,
     /// The recent changes of the group, this instance's own among them.
     group_parts: GroupParts,
     /// The number of engines in the last digest from another data centre.
@@ -60,29 +69,14 @@
         self.group_parts.record(&parts[..count], now);
     }
 
-    /// Records changes that this instance's own watches have seen before `round`.
-    pub(super) fn record_own_changes(
-        &mut self,
-        parts: &[PartUpdate],
-        round: u64,
-        now: Duration,
-    ) {
+    /// Records changes that this instance's own watches have seen.
+    pub(super) fn record_own_changes(&mut self, parts: &[PartUpdate], now: Duration) {
         self.group_parts.record(parts, now);
-        self.own_changes.extend(parts.iter().map(|part| (round, *part)));
-        let surplus = self.own_changes.len().saturating_sub(MAX_HEARTBEAT_PARTS);
-        self.own_changes.drain(..surplus);
+        self.own_parts.record(parts);
     }
 
-    /// Returns the changes for the heartbeats of a round, and forgets those that have been sent
-    /// often enough.
-    fn changes_for_round(&self, round: u64) -> Vec<PartUpdate> {
-        let due = |(made, _): &&(u64, PartUpdate)| round <= made + SENDS_PER_CHANGE;
-        self.own_changes.iter().filter(due).map(|(_, part)| *part).collect()
-    }
-
-    /// Forgets own changes that have been sent often enough, and what has expired.
-    pub(super) fn expire(&mut self, round: u64, now: Duration) {
-        self.own_changes.retain(|(made, _)| round <= made + SENDS_PER_CHANGE);
+    /// Forgets what has expired.
+    fn expire(&mut self, now: Duration) {
         self.sightings
             .retain(|_, (_, arrived)| now < *arrived + SIGHTING_LIFETIME);
         self.group_parts.expire(now);
@@ -161,6 +155,31 @@
 }
 
 impl FleetNode {
+    /// Forgets what has expired, and chooses the changes of cached parts for a round of
+    /// heartbeats that begins now, `since_last` after the last one. The second send of a change
+    /// waits for half a period, so that early rounds that are lost together don't lose it.
+    pub(super) fn begin_engine_round(&mut self, since_last: Duration, now: Duration) {
+        self.engines.expire(now);
+        let period = self.period();
+        let periods = since_last.as_secs_f64() / period.as_secs_f64();
+        let allowed = self.parts_per_period() * periods.min(1.0);
+        self.engines.own_parts.begin_round(allowed, period / 2, now);
+    }
+
+    /// Returns how many changes of cached parts the traffic budget allows in the heartbeats of a
+    /// period, beside the sightings in them.
+    fn parts_per_period(&self) -> f64 {
+        let peers = f64::from(self.known_group_size() - 1).max(1.0);
+        let bytes = BYTES_PER_SECOND * self.period().as_secs_f64() / peers;
+        let size = |digest: &EngineDigest| {
+            SIGHTING_BYTES + digest.report.map_or(0.0, |_| REPORT_BYTES)
+        };
+        let engines = self.status.engines.iter().take(MAX_HEARTBEAT_ENGINES);
+        let sightings: f64 = engines.map(size).sum();
+        let changes = (bytes - sightings) / PART_BYTES;
+        changes.clamp(MIN_HEARTBEAT_PARTS, MAX_HEARTBEAT_PARTS as f64)
+    }
+
     /// Returns this instance's sightings for heartbeats.
     pub(super) fn heartbeat_engines(&self) -> Vec<EngineDigest> {
         let engines = self.status.engines.iter().take(MAX_HEARTBEAT_ENGINES);
@@ -169,7 +188,7 @@
 
     /// Returns the changes of cached parts for the heartbeats of this round.
     pub(super) fn heartbeat_parts(&self) -> Vec<PartUpdate> {
-        self.engines.changes_for_round(self.rounds)
+        self.engines.own_parts.round().to_vec()
     }
 
     /// Returns what the watchers of the data centre together know of each engine.
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -27,9 +27,9 @@
         let burst_start = now.saturating_sub(cost * self.timing.early_round_burst);
         self.early_round_allowed_at = self.early_round_allowed_at.max(burst_start) + cost;
         self.has_urgent_changes = false;
-        self.last_round_at = Some(now);
+        let last_round_at = self.last_round_at.replace(now).unwrap_or_default();
         self.rounds += 1;
-        self.engines.expire(self.rounds, now);
+        self.begin_engine_round(now.saturating_sub(last_round_at), now);
         self.forget_expired_peers(now);
         self.update_live(now);
         self.heartbeats()
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -373,7 +373,7 @@
                 &status.loads,
                 self.timing.early_round_load_units,
             ) || status.unresponsive.iter().any(newly_unresponsive);
-        self.engines.record_own_changes(&status.parts, self.rounds, now);
+        self.engines.record_own_changes(&status.parts, now);
         self.status = status;
         self.update_live(now);
     }
