Sightings of other data centres count until their next digest

In large fleets, digests come up to 5 s apart, and sightings counted for 3 s whoever told them. So engines elsewhere went from watched to unwatched and back with each digest.

The event carries for how long sightings count: those of an instance for the bound as before, those of a data centre for the bound and the digest period. The same goes for the answers that prove life.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -13,7 +13,7 @@
 use crate::contract::{FeedBatch, FeedRow, FeedTopic, PlatformFeed, RulesRow};
 use crate::fleet::{apply_peer_loads, apply_peer_prefills, apply_peer_unresponsive};
 use crate::shared_rules::{RulesCopy, SharedRules};
-use crate::sightings::{record_digests, record_part_updates};
+use crate::sightings::{record_part_updates, to_sightings};
 use crate::state::TrafficState;
 
 /// An event for the traffic thread from a thread that follows the platform or talks to
@@ -44,7 +44,7 @@
     /// A peer has found servers unresponsive.
     PeerUnresponsive(Vec<FleetKey>),
     /// A watcher has reported what it has seen of engines.
-    Engines(FleetKey, Vec<EngineDigest>),
+    Engines(FleetKey, Vec<EngineDigest>, Duration),
     /// Watchers have reported changes of prompt parts that engines have cached.
     PartUpdates(Vec<PartUpdate>),
     /// Peers have reported servers that crashed while running requests.
@@ -101,15 +101,13 @@
                 apply_peer_unresponsive(&state, &servers);
             }
             FeedEvent::Prefills(reads) => apply_peer_prefills(&state, &reads),
-            FeedEvent::Engines(watcher, engines) => state.with_router(|core, now| {
-                record_digests(
-                    core,
-                    watcher,
-                    &engines,
-                    |key| state.server_with_key(key),
-                    now,
-                );
-            }),
+            FeedEvent::Engines(watcher, engines, counts_for) => {
+                let server_with_key = |key| state.server_with_key(key);
+                state.with_router(|core, now| {
+                    let sightings = to_sightings(&engines, watcher, server_with_key);
+                    core.record_sightings_for(&sightings, counts_for, now);
+                });
+            }
             FeedEvent::PartUpdates(parts) => state.with_router(|core, now| {
                 record_part_updates(core, &parts, |key| state.server_with_key(key), now);
             }),
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -218,8 +218,8 @@
             NodeEvent::Evacuations(records) => {
                 forward_reliably(events.clone(), FeedEvent::Evacuations(records));
             }
-            NodeEvent::Engines(watcher, engines) => {
-                forward(events, FeedEvent::Engines(watcher, engines));
+            NodeEvent::Engines(watcher, engines, counts_for) => {
+                forward(events, FeedEvent::Engines(watcher, engines, counts_for));
             }
             NodeEvent::PartUpdates(parts) => {
                 forward(events, FeedEvent::PartUpdates(parts));
--- a/crates/flaxtide-entry/src/sightings.rs
+++ b/crates/flaxtide-entry/src/sightings.rs
@@ -31,20 +31,17 @@
     PartUpdate { server, part: change.part, cached: change.cached }
 }
 
-/// Records what a watcher has told of engines in the router. `server_with_key` returns the engine that a key
-/// denotes.
-pub(crate) fn record_digests(
-    core: &mut RouteCore,
-    watcher: FleetKey,
+/// Converts what a watcher has told of engines to sightings. `server_with_key` returns the
+/// engine that a key denotes.
+pub(crate) fn to_sightings(
     digests: &[EngineDigest],
+    watcher: FleetKey,
     server_with_key: impl Fn(FleetKey) -> Option<ServerId>,
-    now: Duration,
-) {
+) -> Vec<EngineSighting> {
     let known = digests.iter().filter_map(|digest| {
         Some(to_sighting(digest, watcher, server_with_key(digest.server)?))
     });
-    let sightings: Vec<EngineSighting> = known.collect();
-    core.record_sightings(&sightings, now);
+    known.collect()
 }
 
 /// Records changes of cached prompt parts in the router.
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -4,6 +4,8 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
+use flaxtide_policy::SIGHTING_BOUND;
+
 use super::{FleetNode, NodeEvent};
 use crate::info::PeerInfo;
 use crate::key::{FleetKey, fleet_key};
@@ -111,7 +113,10 @@
         }
         if !digest.engines.is_empty() {
             let watcher = fleet_key(&digest.hello.from.data_centre);
-            events.push(NodeEvent::Engines(watcher, digest.engines.clone()));
+            // The next digest comes after a period, which may be longer than the bound.
+            let counts_for = SIGHTING_BOUND + self.digest_period();
+            let engines = digest.engines.clone();
+            events.push(NodeEvent::Engines(watcher, engines, counts_for));
         }
         if !digest.parts.is_empty() {
             // They are told newest first and take effect in the order in which they were made.
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flaxtide_core::InstanceName;
-use flaxtide_policy::{rendezvous_order, rendezvous_owner};
+use flaxtide_policy::{SIGHTING_BOUND, rendezvous_order, rendezvous_owner};
 
 use super::{FleetNode, NodeEvent, OutgoingHeartbeat};
 use crate::info::PeerInfo;
@@ -130,7 +130,8 @@
             self.engines
                 .record(watcher, &heartbeat.engines, &heartbeat.parts, now);
             if !heartbeat.engines.is_empty() {
-                events.push(NodeEvent::Engines(watcher, heartbeat.engines.clone()));
+                let engines = heartbeat.engines.clone();
+                events.push(NodeEvent::Engines(watcher, engines, SIGHTING_BOUND));
             }
             if !heartbeat.parts.is_empty() {
                 events.push(NodeEvent::PartUpdates(heartbeat.parts.clone()));
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -121,8 +121,9 @@
     /// The servers that failed to respond to a peer.
     PeerUnresponsive(Vec<FleetKey>),
     /// What a watcher has seen of engines, as of now. The key is that of the watching instance,
-    /// or of a data centre if they are what its watchers know together.
-    Engines(FleetKey, Vec<EngineDigest>),
+    /// or of a data centre if they are what its watchers know together. The time span is for how
+    /// long they count.
+    Engines(FleetKey, Vec<EngineDigest>, Duration),
     /// Changes of prompt parts that engines have cached.
     PartUpdates(Vec<PartUpdate>),
     /// New reports of servers that crashed while they handled a request.
--- a/crates/flaxtide-fleet/tests/common/mod.rs
+++ b/crates/flaxtide-fleet/tests/common/mod.rs
@@ -58,6 +58,10 @@
     pub parts: BTreeMap<SocketAddr, Vec<PartUpdate>>,
     /// The last digest that each node received of each engine, and when.
     pub seen_engines: BTreeMap<(SocketAddr, u32), (EngineDigest, Duration)>,
+    /// Until when each engine counts as watched for each node.
+    pub watched_until: BTreeMap<(SocketAddr, u32), Duration>,
+    /// Until when the engine's last answer proves to each node that it is alive.
+    pub alive_until: BTreeMap<(SocketAddr, u32), Duration>,
     /// The changes of cached parts that each node received.
     pub seen_parts: BTreeMap<SocketAddr, Vec<PartUpdate>>,
     /// The fraction of heartbeats and digests that are lost.
@@ -96,6 +100,8 @@
             engines: BTreeMap::new(),
             parts: BTreeMap::new(),
             seen_engines: BTreeMap::new(),
+            watched_until: BTreeMap::new(),
+            alive_until: BTreeMap::new(),
             seen_parts: BTreeMap::new(),
             heartbeat_loss: 0.0,
             loss: 0.0,
@@ -328,10 +334,17 @@
                 NodeEvent::GroupLoads(data_centre, loads) => {
                     self.group_loads.insert((at, data_centre), loads);
                 }
-                NodeEvent::Engines(_, engines) => {
+                NodeEvent::Engines(_, engines, counts_for) => {
                     for digest in engines {
                         let seen = (digest, self.now);
                         self.seen_engines.insert((at, digest.server), seen);
+                        let key = (at, digest.server);
+                        let until = self.now + counts_for;
+                        let known = self.watched_until.entry(key).or_default();
+                        *known = until.max(*known);
+                        let age = Duration::from_millis(u64::from(digest.answered) * 10);
+                        let known = self.alive_until.entry(key).or_default();
+                        *known = until.saturating_sub(age).max(*known);
                     }
                 }
                 NodeEvent::PartUpdates(parts) => {
--- a/crates/flaxtide-fleet/tests/engines.rs
+++ b/crates/flaxtide-fleet/tests/engines.rs
@@ -355,6 +355,36 @@
     assert_eq!(local.filter(told).count(), fleet.count_in("dc0") - 1);
 }
 
+#[test]
+fn engines_of_large_data_centres_stay_watched() {
+    let mut fleet = Fleet::new(174, DATA_CENTRES);
+    fleet.run(SETTLING);
+    for number in 0..174_usize {
+        for engine in 0..9 {
+            let seen = digest(number as u32 * 9 + engine);
+            let second = (number + DATA_CENTRES) % 174;
+            fleet.engines.entry(address(number)).or_default().push(seen);
+            let bare = EngineDigest { report: None, ..seen };
+            fleet.engines.entry(address(second)).or_default().push(bare);
+        }
+    }
+    fleet.run(Duration::from_secs(10));
+    let end = fleet.now + Duration::from_secs(11);
+    let (mut unwatched, mut doubtful, mut views) = (0, 0, 0);
+    while fleet.now < end {
+        fleet.run(Duration::from_millis(250));
+        for at in fleet.nodes.keys().filter(|at| fleet.data_centres[*at] != "dc0") {
+            let until = fleet.watched_until.get(&(*at, 0));
+            unwatched += usize::from(until.is_none_or(|until| fleet.now >= *until));
+            let alive = fleet.alive_until.get(&(*at, 0));
+            doubtful += usize::from(alive.is_none_or(|until| fleet.now >= *until));
+            views += 1;
+        }
+    }
+    println!("{unwatched} unwatched, {doubtful} doubtful of {views}");
+    assert_eq!((unwatched, doubtful), (0, 0), "of {views} views");
+}
+
 /// The control traffic that sightings may add in a large data centre, in bytes a second: what the
 /// budget of 17 KB/s leaves beside the 13.6 KB/s of heartbeats, plus the 3 KB/s in these of the
 /// loads of watched servers, which sightings replace.
--- a/crates/flaxtide-policy/src/engine/sighting.rs
+++ b/crates/flaxtide-policy/src/engine/sighting.rs
@@ -8,7 +8,7 @@
 use super::report::EngineReport;
 use crate::pushback::InstanceKey;
 
-/// How long a sighting proves that an engine is alive. A watcher's call returns after half
+/// How long the sighting of an instance proves that an engine is alive. A watcher's call returns after half
 /// a second at the latest, and peers hear of it with the next heartbeat, at most 1.2 s
 /// later in a data centre of 28 instances; the rest allows for one lost heartbeat.
 pub const SIGHTING_BOUND: Duration = Duration::from_secs(3);
@@ -44,6 +44,15 @@
     report: Option<(EngineReport, Duration)>,
     /// When the sighting was recorded.
     recorded_at: Duration,
+    /// How long it counts, and how long an answer proves that the engine is alive.
+    counts_for: Duration,
+}
+
+impl DatedSighting {
+    /// Returns whether the sighting still counts.
+    fn counts(&self, now: Duration) -> bool {
+        now < self.recorded_at.saturating_add(self.counts_for)
+    }
 }
 
 /// The last sightings of an engine by each of its watchers.
@@ -69,9 +78,19 @@
 }
 
 impl EngineSightings {
-    /// Records a sighting. An older one of the same watcher is replaced, but a later proof of
-    /// life or a later report isn't.
+    /// Records a sighting that counts for [`SIGHTING_BOUND`].
     pub fn record(&mut self, sighting: &EngineSighting, now: Duration) {
+        self.record_for(sighting, SIGHTING_BOUND, now);
+    }
+
+    /// Records a sighting that counts for a time span. An older one of the same watcher is
+    /// replaced, but a later proof of life or a later report isn't.
+    pub fn record_for(
+        &mut self,
+        sighting: &EngineSighting,
+        counts_for: Duration,
+        now: Duration,
+    ) {
         self.by_watcher
             .retain(|_, dated| now < dated.recorded_at.saturating_add(RETENTION));
         let at = |ago: Duration| now.saturating_sub(ago);
@@ -88,6 +107,7 @@
             failing_since: sighting.failing_for.map(at),
             report: newer_report,
             recorded_at: now,
+            counts_for,
         };
         self.by_watcher.insert(sighting.watcher, dated);
     }
@@ -107,27 +127,35 @@
         self.by_watcher.values().filter_map(|dated| dated.answered_at).max()
     }
 
-    /// Returns since when the engine has answered none of the watchers heard within
-    /// [`SIGHTING_BOUND`]; `None` if it has answered one of them, or if none was heard. A
-    /// watcher that has only begun, and has had neither an answer nor a failure, doesn't count.
+    /// Returns until when the last answers prove that the engine is alive.
+    #[must_use]
+    pub fn alive_until(&self) -> Option<Duration> {
+        let until = |dated: &DatedSighting| {
+            Some(dated.answered_at?.saturating_add(dated.counts_for))
+        };
+        self.by_watcher.values().filter_map(until).max()
+    }
+
+    /// Returns since when the engine has answered none of the watchers whose sightings count;
+    /// `None` if it has answered one of them, or if none was heard. A watcher that has only
+    /// begun, and has had neither an answer nor a failure, doesn't count.
     #[must_use]
     pub fn failing_since(&self, now: Duration) -> Option<Duration> {
         let mut latest = None;
         for dated in self.by_watcher.values() {
             let has_outcome =
                 dated.answered_at.is_some() || dated.failing_since.is_some();
-            if has_outcome && now < dated.recorded_at.saturating_add(SIGHTING_BOUND) {
+            if has_outcome && dated.counts(now) {
                 latest = latest.max(Some(dated.failing_since?));
             }
         }
         latest
     }
 
-    /// Returns whether any watcher was heard within [`SIGHTING_BOUND`].
+    /// Returns whether the sighting of any watcher counts.
     #[must_use]
     pub fn is_watched(&self, now: Duration) -> bool {
-        let heard = |dated: &DatedSighting| now < dated.recorded_at + SIGHTING_BOUND;
-        self.by_watcher.values().any(heard)
+        self.by_watcher.values().any(|dated| dated.counts(now))
     }
 
     /// Returns the newest report and the time at which it was made.
--- a/crates/flaxtide-policy/src/router/liveness.rs
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -50,8 +50,8 @@
     pub(crate) own_answer: Option<Duration>,
     /// Whether this instance has heard nothing since it found the path interrupted.
     pub(crate) path_suspect: bool,
-    /// When a watcher last received an answer.
-    pub(crate) watch_answer: Option<Duration>,
+    /// Until when the answers that watchers received prove that the engine is alive.
+    pub(crate) watch_until: Option<Duration>,
     /// Since when all watchers in touch have received no answer; `None` if one has.
     pub(crate) failing_since: Option<Duration>,
 }
@@ -69,10 +69,9 @@
                 false => EngineLiveness::Doubtful,
             };
         }
-        match self.own_answer.max(self.watch_answer) {
-            Some(at) if !self.path_suspect && now < at.saturating_add(SIGHTING_BOUND) => {
-                EngineLiveness::Alive
-            }
+        let own_until = self.own_answer.map(|at| at.saturating_add(SIGHTING_BOUND));
+        match own_until.max(self.watch_until) {
+            Some(until) if !self.path_suspect && now < until => EngineLiveness::Alive,
             _ => EngineLiveness::Doubtful,
         }
     }
@@ -85,7 +84,7 @@
             watched: self.is_watched(now),
             own_answer: self.health.answered_at(),
             path_suspect: self.health.is_path_suspect(),
-            watch_answer: self.sightings.answered_at(),
+            watch_until: self.sightings.alive_until(),
             failing_since: self.sightings.failing_since(now),
         };
         evidence.judge(now)
--- a/crates/flaxtide-policy/src/router/watched.rs
+++ b/crates/flaxtide-policy/src/router/watched.rs
@@ -7,12 +7,23 @@
 use super::call::{PartKey, PromptPart, PromptShape};
 use super::server::ServerState;
 use super::{RouteCore, find_for_peers, find_server};
-use crate::engine::{EngineSighting, PartChange};
+use crate::engine::{EngineSighting, PartChange, SIGHTING_BOUND};
 use crate::pushback::InstanceKey;
 
 impl RouteCore {
     /// Records what watchers have seen of engines, this instance among them.
     pub fn record_sightings(&mut self, sightings: &[EngineSighting], now: Duration) {
+        self.record_sightings_for(sightings, SIGHTING_BOUND, now);
+    }
+
+    /// Records sightings that count for a time span. Those of another data centre count for
+    /// longer than those of an instance, as they are told less often.
+    pub fn record_sightings_for(
+        &mut self,
+        sightings: &[EngineSighting],
+        counts_for: Duration,
+        now: Duration,
+    ) {
         for sighting in sightings {
             // An engine that may be dead is checked periodically.
             let find = match sighting.failing_for {
@@ -20,7 +31,7 @@
                 None => find_for_peers,
             };
             if let Some(server) = find(&mut self.pools, sighting.server) {
-                server.sightings.record(sighting, now);
+                server.sightings.record_for(sighting, counts_for, now);
             }
         }
     }
--- a/crates/flaxtide-policy/tests/router_liveness.rs
+++ b/crates/flaxtide-policy/tests/router_liveness.rs
@@ -4,8 +4,9 @@
 mod common;
 
 use flaxtide_policy::{
-    EngineReport, EngineSighting, HealthCause, LevelTokens, PeerLoad, RetryDecision,
-    RouteAction, RouteCall, RouteCore, RouteFault, RouteOptions, SIGHTING_BOUND,
+    EngineReport, EngineSighting, EngineSightings, HealthCause, LevelTokens, PeerLoad,
+    RetryDecision, RouteAction, RouteCall, RouteCore, RouteFault, RouteOptions,
+    SIGHTING_BOUND,
 };
 
 use self::common::{call, core_with, ms, server_of};
@@ -360,3 +361,37 @@
         assert_eq!(cause_of(&mut core, 0, now), None, "a busy engine isn't paused");
     }
 }
+
+#[test]
+fn the_word_of_a_data_centre_counts_until_its_next_one() {
+    let mut sightings = EngineSightings::default();
+    let digest = EngineSighting {
+        server: 1,
+        watcher: 7,
+        answered_ago: Some(ms(1000)),
+        failing_for: None,
+        report: None,
+    };
+    sightings.record_for(&digest, ms(8000), ms(2000));
+    assert!(sightings.is_watched(ms(9999)));
+    assert!(!sightings.is_watched(ms(10_000)));
+    assert_eq!(sightings.alive_until(), Some(ms(9000)));
+    // The word of an instance counts for the bound only.
+    sightings.record(&digest, ms(10_000));
+    assert!(!sightings.is_watched(ms(10_000) + SIGHTING_BOUND));
+}
+
+#[test]
+fn a_busy_engine_elsewhere_is_alive_between_digests() {
+    let mut core = core_with_busy_engine(3);
+    let digest = EngineSighting {
+        server: 0,
+        watcher: 9,
+        answered_ago: Some(ms(0)),
+        failing_for: None,
+        report: None,
+    };
+    core.record_sightings_for(&[digest], ms(8000), ms(0));
+    assert!(gets_calls(&mut core, 0, 7999));
+    assert!(!gets_calls(&mut core, 0, 8000));
+}
