The time until an engine leaves is as of its report

On the way, the age of a report grew and the time until the engine leaves shrank as well, so that a reader who allows for the age would subtract it twice. Times beyond the range of a digest were told as 655 s.

The time is relative to the report everywhere, and beyond the range an engine counts as not saying it.

The extended test fails before (800 units of 1,000 left after 2 s) and passes now. The conversion beyond the range has no test.

--- a/crates/flaxtide-entry/src/sightings.rs
+++ b/crates/flaxtide-entry/src/sightings.rs
@@ -84,7 +84,7 @@
         prefilling: capped(report.prefilling),
         next: capped(report.next_tokens / TOKEN_UNIT),
         memory: memory as u16,
-        leaves: report.leaves_in.map_or(u16::MAX, age_units),
+        leaves: report.leaves_in.map_or(u16::MAX, units),
     }
 }
 
@@ -103,11 +103,14 @@
     (report, age_span(digest.age))
 }
 
-/// Converts an age to units. The largest unit is kept for "unknown".
+/// Converts an age to units. The largest number is kept for "unknown".
 fn age_units(age: Duration) -> u16 {
-    u16::try_from(age.as_millis() / AGE_UNIT_MS)
-        .unwrap_or(u16::MAX)
-        .min(u16::MAX - 1)
+    units(age).min(u16::MAX - 1)
+}
+
+/// Converts a time span to units; to the largest number if it is beyond the range.
+fn units(span: Duration) -> u16 {
+    u16::try_from(span.as_millis() / AGE_UNIT_MS).unwrap_or(u16::MAX)
 }
 
 /// Converts units to an age.
--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -7,7 +7,7 @@
 use super::FleetNode;
 use super::part_changes::{GroupParts, MAX_DIGEST_PARTS, MAX_HEARTBEAT_PARTS, OwnParts};
 use crate::key::FleetKey;
-use crate::wire::{EngineDigest, PartUpdate};
+use crate::wire::{EngineDigest, PartUpdate, ReportDigest};
 
 /// The most engines in a heartbeat: seven times what an instance watches at the largest size
 /// that is designed for.
@@ -106,14 +106,9 @@
         Self {
             answered: add(self.answered),
             failing: if self.failing == 0 { 0 } else { add(self.failing) },
-            report: self.report.map(|report| crate::wire::ReportDigest {
-                age: add(report.age),
-                leaves: match report.leaves {
-                    u16::MAX => u16::MAX,
-                    left => left.saturating_sub(units),
-                },
-                ..report
-            }),
+            report: self
+                .report
+                .map(|report| ReportDigest { age: add(report.age), ..report }),
             ..self
         }
     }
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -257,8 +257,8 @@
     pub next: u16,
     /// The memory that can't be evicted, in units of 1/65535 of the whole.
     pub memory: u16,
-    /// How much longer the engine runs, in units of 10 milliseconds; the largest number if it
-    /// doesn't say.
+    /// How much longer the engine ran as of the report, in units of 10 milliseconds; the largest
+    /// number if it doesn't say or runs for longer than the range.
     pub leaves: u16,
 }
 
--- a/crates/flaxtide-fleet/tests/engines.rs
+++ b/crates/flaxtide-fleet/tests/engines.rs
@@ -189,6 +189,10 @@
     let failing = EngineDigest { failing: 5, answered: 30, ..seen };
     let later = failing.aged(Duration::from_secs(1));
     assert_eq!((later.answered, later.failing), (130, 105));
+    let report = seen.report.map(|report| ReportDigest { leaves: 1000, ..report });
+    let later = EngineDigest { report, ..seen }.aged(Duration::from_secs(2));
+    // The time until it leaves is as of the report, whose age grows.
+    assert_eq!(later.report.map(|report| (report.age, report.leaves)), Some((260, 1000)));
 }
 
 /// Has the instances of the first data centre watch one engine, each with what it has seen.
--- a/crates/flaxtide-policy/src/engine/report.rs
+++ b/crates/flaxtide-policy/src/engine/report.rs
@@ -19,7 +19,7 @@
     pub memory_used: u32,
     /// The tokens that fit into the memory; 0 if the engine doesn't say.
     pub memory_total: u32,
-    /// How much longer the engine runs, if it says so.
+    /// How much longer the engine ran as of the report, if it says so.
     pub leaves_in: Option<Duration>,
 }
 
