The word of ended watchers isn't passed on beyond its bound

An instance passed on what a watcher had said for 5 s, although it counts for 3 s itself, so that engines of ended watchers counted as watched in other data centres for up to 7 s.

It is passed on for the bound. In other data centres it still counts for that and the time until the next digest after it, though as proof of life only by the age of the answer.

--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -4,6 +4,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use flaxtide_policy::SIGHTING_BOUND;
+
 use super::FleetNode;
 use super::part_changes::{GroupParts, MAX_DIGEST_PARTS, MAX_HEARTBEAT_PARTS, OwnParts};
 use crate::key::FleetKey;
@@ -29,10 +31,6 @@
 /// The changes that an instance may send in a round however many engines it watches.
 const MIN_HEARTBEAT_PARTS: f64 = 1.0;
 
-/// How long the sighting of a watcher is passed on. After that, the watcher has stopped or is
-/// cut off.
-const SIGHTING_LIFETIME: Duration = Duration::from_secs(5);
-
 /// The number of milliseconds in a unit of the ages in digests.
 const AGE_UNIT_MS: u128 = 10;
 
@@ -78,7 +76,7 @@
     /// Forgets what has expired.
     fn expire(&mut self, now: Duration) {
         self.sightings
-            .retain(|_, (_, arrived)| now < *arrived + SIGHTING_LIFETIME);
+            .retain(|_, (_, arrived)| now < *arrived + SIGHTING_BOUND);
         self.group_parts.expire(now);
     }
 
@@ -86,7 +84,7 @@
     fn joined_sightings(&self, now: Duration) -> BTreeMap<FleetKey, EngineDigest> {
         let mut known: BTreeMap<FleetKey, EngineDigest> = BTreeMap::new();
         for ((server, _), (digest, arrived)) in &self.sightings {
-            if now >= *arrived + SIGHTING_LIFETIME {
+            if now >= *arrived + SIGHTING_BOUND {
                 continue;
             }
             let digest = digest.aged(now.saturating_sub(*arrived));
--- a/crates/flaxtide-fleet/tests/engines.rs
+++ b/crates/flaxtide-fleet/tests/engines.rs
@@ -11,7 +11,7 @@
 use flaxtide_policy::SIGHTING_BOUND;
 use serde::Serialize;
 
-use common::{Fleet, address};
+use common::{Fleet, STEP, address};
 
 /// The instances of the fleet, in three data centres.
 const INSTANCES: usize = 79;
@@ -389,6 +389,19 @@
     assert_eq!((unwatched, doubtful), (0, 0), "of {views} views");
 }
 
+#[test]
+fn the_word_of_ended_watchers_ends() {
+    let mut fleet = fleet_with_views(&[digest(900), digest(900)]);
+    fleet.kill(0);
+    fleet.kill(3);
+    let ended = fleet.now;
+    fleet.run(Duration::from_secs(10));
+    let seen = fleet.seen_engines.iter().filter(|((_, server), _)| *server == 900);
+    let last = seen.map(|(_, (_, at))| *at).max().unwrap() - ended;
+    // Up to the sighting's end, and a step of the clock.
+    assert!(last <= SIGHTING_BOUND + STEP, "{last:?}");
+}
+
 /// The control traffic that sightings may add in a large data centre, in bytes a second: what the
 /// budget of 17 KB/s leaves beside the 13.6 KB/s of heartbeats, plus the 3 KB/s in these of the
 /// loads of watched servers, which sightings replace.
