Sightings beyond the limit of a heartbeat take turns

An instance that watches more than 64 engines always left out the same ones. The first one in a heartbeat now moves on with each round.

The new test fails before (64 of 100 engines told) and passes now.

--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -11,8 +11,8 @@
 use crate::key::FleetKey;
 use crate::wire::{EngineDigest, PartUpdate, ReportDigest};
 
-/// The most engines in a heartbeat: seven times what an instance watches at the largest size
-/// that is designed for.
+/// The most engines in a heartbeat: three and a half times what an instance watches at the
+/// largest size that is designed for.
 const MAX_HEARTBEAT_ENGINES: usize = 64;
 
 /// The bytes of sightings and changes that an instance sends per second: what the control
@@ -173,10 +173,15 @@
         changes.clamp(MIN_HEARTBEAT_PARTS, MAX_HEARTBEAT_PARTS as f64)
     }
 
-    /// Returns this instance's sightings for heartbeats.
+    /// Returns this instance's sightings for heartbeats. If there are too many, they take turns.
     pub(super) fn heartbeat_engines(&self) -> Vec<EngineDigest> {
-        let engines = self.status.engines.iter().take(MAX_HEARTBEAT_ENGINES);
-        engines.copied().collect()
+        let engines = &self.status.engines;
+        let count = engines.len().min(MAX_HEARTBEAT_ENGINES);
+        let start = match engines.len() > count {
+            true => self.rounds as usize * count % engines.len(),
+            false => 0,
+        };
+        engines.iter().cycle().skip(start).take(count).copied().collect()
     }
 
     /// Returns the changes of cached parts for the heartbeats of this round.
--- a/crates/flaxtide-fleet/tests/engines.rs
+++ b/crates/flaxtide-fleet/tests/engines.rs
@@ -402,6 +402,16 @@
     assert!(last <= SIGHTING_BOUND + STEP, "{last:?}");
 }
 
+#[test]
+fn no_engine_is_always_left_out_of_heartbeats() {
+    let mut fleet = Fleet::new(9, 1);
+    fleet.run(SETTLING);
+    fleet.engines.insert(address(0), (0..100).map(digest).collect());
+    fleet.run(Duration::from_secs(5));
+    let told = |server: &u32| fleet.seen_engines.contains_key(&(address(1), *server));
+    assert_eq!((0..100).filter(told).count(), 100);
+}
+
 /// The control traffic that sightings may add in a large data centre, in bytes a second: what the
 /// budget of 17 KB/s leaves beside the 13.6 KB/s of heartbeats, plus the 3 KB/s in these of the
 /// loads of watched servers, which sightings replace.
