--- a/crates/flaxtide-policy/src/engine/sighting.rs
+++ b/crates/flaxtide-policy/src/engine/sighting.rs
@@ -8,9 +8,10 @@
 use super::report::EngineReport;
 use crate::pushback::InstanceKey;
 
-/// How long the sighting of an instance proves that an engine is alive. A watcher's call returns after half
-/// a second at the latest, and peers hear of it with the next heartbeat, at most 1.2 s
-/// later in a data centre of 28 instances; the rest allows for one lost heartbeat.
+/// How long the sighting of an instance proves that an engine is alive. A watcher's call
+/// returns after half a second at the latest, and peers hear of it with the next heartbeat,
+/// at most 1.2 s later in a data centre of 28 instances; the rest allows for one lost
+/// heartbeat.
 pub const SIGHTING_BOUND: Duration = Duration::from_secs(3);
 
 /// How long the last sighting of a watcher is kept.
