--- a/crates/flaxtide-fleet/src/node/engines.rs
+++ b/crates/flaxtide-fleet/src/node/engines.rs
@@ -1,29 +1,35 @@
 //! What the group's watchers have seen of engines, for heartbeats and for the digests of other
 //! data centres.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use flaxtide_policy::SIGHTING_BOUND;
+
 use super::FleetNode;
+use super::part_changes::{GroupParts, MAX_DIGEST_PARTS, MAX_HEARTBEAT_PARTS, OwnParts};
 use crate::key::FleetKey;
-use crate::wire::{EngineDigest, PartUpdate};
+use crate::wire::{EngineDigest, PartUpdate, ReportDigest};
 
-/// The most engines in a heartbeat: seven times what an instance watches at the largest size
-/// that is designed for.
+/// The most engines in a heartbeat: three and a half times what an instance watches at the
+/// largest size that is designed for.
 const MAX_HEARTBEAT_ENGINES: usize = 64;
 
-/// The most changes of cached parts in a heartbeat.
-const MAX_HEARTBEAT_PARTS: usize = 64;
+/// The bytes of sightings and changes that an instance sends per second: what the control
+/// traffic budget of 17 KB/s leaves beside the other parts of heartbeats.
+const BYTES_PER_SECOND: f64 = 6_400.0;
+
+/// The approximate size of a sighting without its report, in bytes.
+const SIGHTING_BYTES: f64 = 8.0;
 
-/// The most changes of cached parts in a digest.
-const MAX_DIGEST_PARTS: usize = 96;
+/// The approximate size of a report in a sighting, in bytes.
+const REPORT_BYTES: f64 = 14.0;
 
-/// The number of rounds of heartbeats in which a change is sent, as one of them may be lost.
-const SENDS_PER_CHANGE: u64 = 2;
+/// The approximate size of a change of a cached part, in bytes.
+const PART_BYTES: f64 = 11.0;
 
-/// How long the sighting of a watcher is passed on. After that, the watcher has stopped or is
-/// cut off.
-const SIGHTING_LIFETIME: Duration = Duration::from_secs(5);
+/// The changes that an instance may send in a round however many engines it watches.
+const MIN_HEARTBEAT_PARTS: f64 = 1.0;
 
 /// The number of milliseconds in a unit of the ages in digests.
 const AGE_UNIT_MS: u128 = 10;
@@ -36,11 +42,10 @@
 pub(super) struct EngineNews {
     /// The last sighting by engine and watcher, and when it arrived.
     sightings: BTreeMap<(FleetKey, FleetKey), (EngineDigest, Duration)>,
-    /// The changes of this instance's own watches that are still to be sent to peers, and the
-    /// round of heartbeats before which each was made.
-    own_changes: VecDeque<(u64, PartUpdate)>,
-    /// The recent changes of the group, the newest last, and when each arrived.
-    group_changes: VecDeque<(Duration, PartUpdate)>,
+    /// The changes of this instance's own watches, for peers.
+    own_parts: OwnParts,
+    /// The recent changes of the group, this instance's own among them.
+    group_parts: GroupParts,
     /// The number of engines in the last digest from another data centre.
     pub(super) digest_engines: usize,
 }
@@ -58,51 +63,34 @@
             let key = (digest.server, watcher);
             self.sightings.insert(key, (*digest, now));
         }
-        let parts = parts.iter().take(MAX_HEARTBEAT_PARTS);
-        self.group_changes.extend(parts.map(|part| (now, *part)));
-        let surplus = self.group_changes.len().saturating_sub(MAX_DIGEST_PARTS);
-        self.group_changes.drain(..surplus);
-    }
-
-    /// Records changes that this instance's own watches have seen before `round`.
-    pub(super) fn record_own_changes(&mut self, parts: &[PartUpdate], round: u64) {
-        self.own_changes.extend(parts.iter().map(|part| (round, *part)));
-        let surplus = self.own_changes.len().saturating_sub(MAX_HEARTBEAT_PARTS);
-        self.own_changes.drain(..surplus);
+        let count = parts.len().min(MAX_HEARTBEAT_PARTS);
+        self.group_parts.record(&parts[..count], now);
     }
 
-    /// Returns the changes for the heartbeats of a round, and forgets those that have been sent
-    /// often enough.
-    fn changes_for_round(&self, round: u64) -> Vec<PartUpdate> {
-        let due = |(made, _): &&(u64, PartUpdate)| round <= made + SENDS_PER_CHANGE;
-        self.own_changes.iter().filter(due).map(|(_, part)| *part).collect()
+    /// Records changes that this instance's own watches have seen.
+    pub(super) fn record_own_changes(&mut self, parts: &[PartUpdate], now: Duration) {
+        self.group_parts.record(parts, now);
+        self.own_parts.record(parts);
     }
 
-    /// Forgets own changes that have been sent often enough, and expired sightings.
-    pub(super) fn expire(&mut self, round: u64, now: Duration) {
-        self.own_changes.retain(|(made, _)| round <= made + SENDS_PER_CHANGE);
+    /// Forgets what has expired.
+    fn expire(&mut self, now: Duration) {
         self.sightings
-            .retain(|_, (_, arrived)| now < *arrived + SIGHTING_LIFETIME);
+            .retain(|_, (_, arrived)| now < *arrived + SIGHTING_BOUND);
+        self.group_parts.expire(now);
     }
 
-    /// Returns the freshest sighting of each engine, with ages as of now.
-    fn freshest(&self, now: Duration) -> BTreeMap<FleetKey, EngineDigest> {
-        let mut freshest: BTreeMap<FleetKey, EngineDigest> = BTreeMap::new();
+    /// Returns what all watchers together know of each engine, with ages as of now.
+    fn joined_sightings(&self, now: Duration) -> BTreeMap<FleetKey, EngineDigest> {
+        let mut known: BTreeMap<FleetKey, EngineDigest> = BTreeMap::new();
         for ((server, _), (digest, arrived)) in &self.sightings {
-            if now >= *arrived + SIGHTING_LIFETIME {
+            if now >= *arrived + SIGHTING_BOUND {
                 continue;
             }
             let digest = digest.aged(now.saturating_sub(*arrived));
-            keep_fresher(&mut freshest, *server, digest);
+            join(&mut known, *server, digest);
         }
-        freshest
-    }
-
-    /// Returns the changes of the group that arrived within a time span, newest first.
-    fn changes_within(&self, span: Duration, now: Duration) -> Vec<PartUpdate> {
-        let newest = self.group_changes.iter().rev();
-        let recent = newest.take_while(|(at, _)| now < *at + span);
-        recent.map(|(_, part)| *part).collect()
+        known
     }
 }
 
@@ -116,61 +104,104 @@
         Self {
             answered: add(self.answered),
             failing: if self.failing == 0 { 0 } else { add(self.failing) },
-            report: self.report.map(|report| crate::wire::ReportDigest {
-                age: add(report.age),
-                leaves: match report.leaves {
-                    u16::MAX => u16::MAX,
-                    left => left.saturating_sub(units),
-                },
-                ..report
-            }),
+            report: self
+                .report
+                .map(|report| ReportDigest { age: add(report.age), ..report }),
             ..self
         }
     }
 }
 
-/// Keeps the sighting whose watcher got the last answer. Of two without an answer, the one that
-/// has failed for the shorter time.
-fn keep_fresher(
-    freshest: &mut BTreeMap<FleetKey, EngineDigest>,
+impl EngineDigest {
+    /// Returns whether the watcher has had an answer or a failure. One that has only begun
+    /// proves nothing.
+    fn has_outcome(&self) -> bool {
+        self.answered < u16::MAX || self.failing > 0
+    }
+
+    /// Returns what two watchers know together: the last answer, the youngest report, and a
+    /// failure only if both fail, for the shorter time.
+    fn joined(self, other: Self) -> Self {
+        let failing = match (self.has_outcome(), other.has_outcome()) {
+            (true, false) => self.failing,
+            (false, true) => other.failing,
+            _ => self.failing.min(other.failing),
+        };
+        let reports = self.report.into_iter().chain(other.report);
+        Self {
+            server: self.server,
+            answered: self.answered.min(other.answered),
+            failing,
+            report: reports.min_by_key(|report| report.age),
+        }
+    }
+}
+
+/// Adds what a watcher knows of an engine to what others do.
+fn join(
+    known: &mut BTreeMap<FleetKey, EngineDigest>,
     server: FleetKey,
     digest: EngineDigest,
 ) {
-    let known = freshest.entry(server).or_insert(digest);
-    if (digest.answered, digest.failing) < (known.answered, known.failing) {
-        *known = digest;
-    }
+    let joined = known.get(&server).map_or(digest, |known| known.joined(digest));
+    known.insert(server, joined);
 }
 
 impl FleetNode {
-    /// Returns this instance's sightings for heartbeats.
-    pub(super) fn heartbeat_engines(&self) -> Vec<EngineDigest> {
+    /// Forgets what has expired, and chooses the changes of cached parts for a round of
+    /// heartbeats that begins now, `since_last` after the last one. The second send of a change
+    /// waits for half a period, so that early rounds that are lost together don't lose it.
+    pub(super) fn begin_engine_round(&mut self, since_last: Duration, now: Duration) {
+        self.engines.expire(now);
+        let period = self.period();
+        let periods = since_last.as_secs_f64() / period.as_secs_f64();
+        let allowed = self.parts_per_period() * periods.min(1.0);
+        self.engines.own_parts.begin_round(allowed, period / 2, now);
+    }
+
+    /// Returns how many changes of cached parts the traffic budget allows in the heartbeats of a
+    /// period, beside the sightings in them.
+    fn parts_per_period(&self) -> f64 {
+        let peers = f64::from(self.known_group_size() - 1).max(1.0);
+        let bytes = BYTES_PER_SECOND * self.period().as_secs_f64() / peers;
+        let size = |digest: &EngineDigest| {
+            SIGHTING_BYTES + digest.report.map_or(0.0, |_| REPORT_BYTES)
+        };
         let engines = self.status.engines.iter().take(MAX_HEARTBEAT_ENGINES);
-        engines.copied().collect()
+        let sightings: f64 = engines.map(size).sum();
+        let changes = (bytes - sightings) / PART_BYTES;
+        changes.clamp(MIN_HEARTBEAT_PARTS, MAX_HEARTBEAT_PARTS as f64)
+    }
+
+    /// Returns this instance's sightings for heartbeats. If there are too many, they take turns.
+    pub(super) fn heartbeat_engines(&self) -> Vec<EngineDigest> {
+        let engines = &self.status.engines;
+        let count = engines.len().min(MAX_HEARTBEAT_ENGINES);
+        let start = match engines.len() > count {
+            true => self.rounds as usize * count % engines.len(),
+            false => 0,
+        };
+        engines.iter().cycle().skip(start).take(count).copied().collect()
     }
 
     /// Returns the changes of cached parts for the heartbeats of this round.
     pub(super) fn heartbeat_parts(&self) -> Vec<PartUpdate> {
-        self.engines.changes_for_round(self.rounds)
+        self.engines.own_parts.round().to_vec()
     }
 
-    /// Returns the freshest sighting of each engine by a watcher of the data centre.
+    /// Returns what the watchers of the data centre together know of each engine.
     pub(super) fn digest_engines(&self, now: Duration) -> Vec<EngineDigest> {
-        let mut freshest = self.engines.freshest(now);
+        let mut known = self.engines.joined_sightings(now);
         for digest in &self.status.engines {
-            keep_fresher(&mut freshest, digest.server, *digest);
+            join(&mut known, digest.server, *digest);
         }
-        freshest.into_values().collect()
+        known.into_values().collect()
     }
 
     /// Returns the recent changes of cached parts of the data centre, newest first. They cover
     /// two digest periods, because a digest may be lost.
     pub(super) fn digest_parts(&self, now: Duration) -> Vec<PartUpdate> {
-        let own = self.engines.own_changes.iter().rev().map(|(_, part)| *part);
-        let mut parts: Vec<PartUpdate> = own.collect();
-        parts.extend(self.engines.changes_within(self.digest_period() * 2, now));
-        parts.truncate(MAX_DIGEST_PARTS);
-        parts
+        self.engines.group_parts.within(self.digest_period() * 2, now)
     }
 
     /// Returns the size of the engines and their parts in a digest, in units of the size of a
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use flaxtide_core::InstanceName;
-use flaxtide_policy::{rendezvous_order, rendezvous_owner};
+use flaxtide_policy::{SIGHTING_BOUND, rendezvous_order, rendezvous_owner};
 
 use super::{FleetNode, NodeEvent, OutgoingHeartbeat};
 use crate::info::PeerInfo;
@@ -27,9 +27,9 @@
         let burst_start = now.saturating_sub(cost * self.timing.early_round_burst);
         self.early_round_allowed_at = self.early_round_allowed_at.max(burst_start) + cost;
         self.has_urgent_changes = false;
-        self.last_round_at = Some(now);
+        let last_round_at = self.last_round_at.replace(now).unwrap_or_default();
         self.rounds += 1;
-        self.engines.expire(self.rounds, now);
+        self.begin_engine_round(now.saturating_sub(last_round_at), now);
         self.forget_expired_peers(now);
         self.update_live(now);
         self.heartbeats()
@@ -130,7 +130,8 @@
             self.engines
                 .record(watcher, &heartbeat.engines, &heartbeat.parts, now);
             if !heartbeat.engines.is_empty() {
-                events.push(NodeEvent::Engines(watcher, heartbeat.engines.clone()));
+                let engines = heartbeat.engines.clone();
+                events.push(NodeEvent::Engines(watcher, engines, SIGHTING_BOUND));
             }
             if !heartbeat.parts.is_empty() {
                 events.push(NodeEvent::PartUpdates(heartbeat.parts.clone()));
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -11,6 +11,7 @@
 mod heartbeats;
 mod instance_group;
 mod lists;
+mod part_changes;
 mod pushback;
 mod settings;
 mod timing;
@@ -120,8 +121,9 @@
     /// The servers that failed to respond to a peer.
     PeerUnresponsive(Vec<FleetKey>),
     /// What a watcher has seen of engines, as of now. The key is that of the watching instance,
-    /// or of a data centre if the sightings are the freshest of its watchers.
-    Engines(FleetKey, Vec<EngineDigest>),
+    /// or of a data centre if they are what its watchers know together. The time span is for how
+    /// long they count.
+    Engines(FleetKey, Vec<EngineDigest>, Duration),
     /// Changes of prompt parts that engines have cached.
     PartUpdates(Vec<PartUpdate>),
     /// New reports of servers that crashed while they handled a request.
@@ -372,7 +374,7 @@
                 &status.loads,
                 self.timing.early_round_load_units,
             ) || status.unresponsive.iter().any(newly_unresponsive);
-        self.engines.record_own_changes(&status.parts, self.rounds);
+        self.engines.record_own_changes(&status.parts, now);
         self.status = status;
         self.update_live(now);
     }
