An outage known from peers lasts until the next read after a gap

Cause: a gap in the history ended an outage that a follower knew of only from peers that can't answer. Rows that had lapsed meanwhile were read afterwards, and their servers were removed at once as last seen too long ago. Change: FollowState::record_gap ignores a gap that is reported during an outage.

--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -258,9 +258,12 @@
     }
 
     /// Records that the platform has answered this instance, or a peer, that the wanted
-    /// changes are gone.
+    /// changes are gone. That doesn't end an outage: rows that lapsed are only seen by the next
+    /// read.
     pub fn record_gap(&mut self, now: Duration) {
-        self.gap_at = Some(now);
+        if !self.is_outage(now) {
+            self.gap_at = Some(now);
+        }
     }
 
     /// Records that peers that should have read from the platform can't answer.
--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -200,3 +200,33 @@
     assert!(directory.put(entry.clone(), ms(5)));
     assert!(!directory.put(entry, ms(10)));
 }
+
+/// An instance knows of an outage from peers that can't answer. Rows that lapsed are back within
+/// two seconds of the platform's return, also if its history is gone then.
+#[test]
+fn an_outage_known_from_peers_keeps_servers_whether_or_not_history_is_gone() {
+    for has_gap in [false, true] {
+        let (mut directory, mut state) = (directory(), FollowState::default());
+        state.record_answer(7);
+        state.record_coverage(ms(9_250), ms(10_000));
+        for at in (10_800..13_300).step_by(100) {
+            // The platform returns at 12.4 s, and is called 0.9 s later.
+            if at < 12_400 {
+                state.record_failing_peers();
+            }
+            if has_gap && at == 12_500 {
+                state.record_gap(ms(at));
+            }
+            if state.is_outage(ms(at)) {
+                directory.record_outage(ms(at));
+            }
+        }
+        let read_at = ms(13_300);
+        let unseen = state.record_coverage(read_at, read_at);
+        state.record_answer(9);
+        directory.mark_missing_within("i-0", unseen, read_at);
+        let mut ticks = (13_300..20_000).step_by(100);
+        let removed_at = ticks.find(|now| !directory.expire(ms(*now)).is_empty());
+        assert!(removed_at >= Some(15_300), "gap: {has_gap}, {removed_at:?}");
+    }
+}
