A late answer covers no more than the wait that was asked for

Cause: a call counted as one that waited for a change whenever calls may wait for 25 s, though a reader asks for 0.07 of the bound. So an answer that arrived 2 s late counted as known until just before its arrival, and ServerListLog counted it as fresh from then. Change: the wait that was asked for limits covered_until, and record takes the age of the answer. Measured: with the old rules put back, the new tests fail (a_late_answer_covers_no_more_than_the_wait_that_was_asked_for in follow, a_late_answer_is_as_old_as_its_rows in reader); with the change both files pass (17, 14).

--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -69,6 +69,30 @@
     }
 }
 
+/// A call that took longer than this was a long poll that waited for a change: the
+/// platform answers other calls within a few milliseconds, and a long poll as soon as
+/// something changes.
+const LONG_POLL_THRESHOLD: Duration = Duration::from_millis(100);
+
+/// Returns the time up to which an answer of the platform includes all changes, given the wait
+/// that the call asked for. An ordinary answer includes those before the call; one that had to
+/// wait for a change reports one that has just happened. An answer that takes longer than the
+/// wait is late, and says nothing about the time since.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_entry::covered_until;
+/// let ms = Duration::from_millis;
+/// assert_eq!(covered_until(ms(1000), ms(1020), ms(200)), ms(1000));
+/// assert_eq!(covered_until(ms(1000), ms(1180), ms(200)), ms(1080));
+/// assert_eq!(covered_until(ms(1000), ms(4000), ms(200)), ms(1100));
+/// ```
+#[must_use]
+pub fn covered_until(called: Duration, answered: Duration, wait: Duration) -> Duration {
+    let wait_end = answered.min(called + wait);
+    wait_end.saturating_sub(LONG_POLL_THRESHOLD).max(called)
+}
+
 /// The base of the delay after the first failed call of an instance whose readers don't
 /// answer. It doubles with each further one.
 const FIRST_BACKOFF: Duration = Duration::from_secs(4);
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -12,7 +12,7 @@
 use crate::contract::{FeedBatch, FeedError, FeedRow, FeedTopic, PlatformFeed};
 use crate::feed::FeedEvent;
 use crate::fleet::FleetLink;
-use crate::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState};
+use crate::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until};
 use crate::metrics::EntryMetrics;
 use crate::reader::ServerListLog;
 use crate::source::ServerListSource;
@@ -31,11 +31,6 @@
 /// How often an instance that has just started checks whether it knows its reader.
 const PLAN_CHECK_PERIOD: Duration = Duration::from_millis(100);
 
-/// A call that took longer than this was a long poll that waited for a change: the
-/// platform answers other calls within a few milliseconds, and a long poll as soon as
-/// something changes.
-const LONG_POLL_THRESHOLD: Duration = Duration::from_millis(100);
-
 /// What peers contribute to a topic.
 enum PeerUpdate {
     /// A reader has answered with these changes.
@@ -111,21 +106,18 @@
         backoff.delay(self.source.call_window(), rand::random(), now)
     }
 
-    /// Calls the platform. The call waits for changes for at most `max_wait`.
+    /// Reads everything from the platform if `after` is `None`, else the changes after this
+    /// version, for which the call waits for at most `wait`.
     fn fetch(
         &self,
         after: Option<StoreVersion>,
-        max_wait: Duration,
+        wait: Duration,
     ) -> Result<FeedBatch, FeedError> {
-        let wait = self.timing().0.min(max_wait);
         let read = match after {
             None => self.feed.read(self.topic),
             Some(version) => self.feed.follow(self.topic, version, wait),
         };
         self.count(if read.is_ok() { "ok" } else { "failed" });
-        if let (Ok(batch), Some((list, _))) = (&read, &self.log_and_link) {
-            list.record(batch, after);
-        }
         read
     }
 
@@ -139,13 +131,6 @@
         timing.unwrap_or((self.poll_wait, self.call_pause))
     }
 
-    /// Returns the time up to which an answer of the platform includes all changes. An
-    /// ordinary answer includes those before the call; one that had to wait for a change
-    /// reports one that has just happened.
-    fn covered_until(called: Duration, answered: Duration, has_waited: bool) -> Duration {
-        if has_waited { answered - LONG_POLL_THRESHOLD } else { called }
-    }
-
     /// Calls the platform, handles its answer, and pauses. Returns whether the traffic
     /// thread still receives events.
     fn call_platform(
@@ -154,22 +139,26 @@
         backoff: &mut CallBackoff,
         clock: &MilliClock,
     ) -> bool {
-        let max_wait = state.max_wait(clock.now());
-        let pause = self.timing().1;
+        let (max_wait, pause) = self.timing();
         let called = clock.now();
         let after = state.after();
-        match self.fetch(after, max_wait) {
+        // A read of everything doesn't wait for changes.
+        let wait = after.map_or(Duration::ZERO, |_| max_wait.min(state.max_wait(called)));
+        match self.fetch(after, wait) {
             Ok(batch) => {
                 let now = clock.now();
                 backoff.record_success(now);
+                if let Some((list, _)) = &self.log_and_link {
+                    list.record(&batch, after, now.saturating_sub(called + wait));
+                }
                 let was_outage = state.is_outage(now);
-                // A read of all rows doesn't wait for changes, however long it takes.
-                let may_wait = after.is_some() && max_wait > LONG_POLL_THRESHOLD;
-                let has_waited = may_wait && now > called + LONG_POLL_THRESHOLD;
-                let covered_until = Self::covered_until(called, now, has_waited);
+                let covered_until = covered_until(called, now, wait);
                 let unseen = state.record_coverage(covered_until, now);
-                let unseen =
-                    if has_waited { unseen.min(LONG_POLL_THRESHOLD) } else { unseen };
+                // Changes before the call would have been answered without a wait.
+                let unseen = match covered_until > called {
+                    true => unseen.min(now - covered_until),
+                    false => unseen,
+                };
                 let delivered = self.handle_batch(state, batch, unseen, was_outage);
                 thread::sleep(pause);
                 delivered
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -68,7 +68,7 @@
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
 pub use self::follow::{
-    CallBackoff, FollowAnswer, FollowFault, FollowState, first_call_window,
+    CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until, first_call_window,
 };
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::lag::RulesLag;
--- a/crates/flaxtide-entry/src/reader.rs
+++ b/crates/flaxtide-entry/src/reader.rs
@@ -48,7 +48,7 @@
 /// use flaxtide_fleet::RowSource;
 /// let log = ServerListLog::new(Duration::from_secs(3));
 /// assert!(log.changes_after(0).is_none());
-/// log.record(&FeedBatch { rows: vec![], version: 7 }, None);
+/// log.record(&FeedBatch { rows: vec![], version: 7 }, None, Duration::ZERO);
 /// assert_eq!(log.changes_after(7).unwrap().version, 7);
 /// ```
 pub struct ServerListLog {
@@ -76,7 +76,7 @@
     diffed_spans: Vec<(StoreVersion, StoreVersion)>,
     /// The changes after `base`, oldest first.
     chunks: VecDeque<LogChunk>,
-    /// When the platform last answered this instance.
+    /// When the platform read its rows for its last answer to this instance.
     confirmed_at: Option<Duration>,
 }
 
@@ -105,11 +105,11 @@
     }
 
     /// Records an answer of the platform: the changes after a version, or all rows if
-    /// `after` is `None`.
-    pub fn record(&self, batch: &FeedBatch, after: Option<StoreVersion>) {
+    /// `after` is `None`. `age` is the time since the platform read its rows for the answer.
+    pub fn record(&self, batch: &FeedBatch, after: Option<StoreVersion>, age: Duration) {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.confirmed_at = Some(now);
+        state.confirmed_at = now.checked_sub(age);
         match after {
             None => state.record_all(batch),
             Some(after) => state.record_changes(batch, after),
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -3,7 +3,8 @@
 use std::time::Duration;
 
 use flaxtide_entry::{
-    CallBackoff, FeedError, FollowAnswer, FollowFault, FollowState, first_call_window,
+    CallBackoff, FeedError, FollowAnswer, FollowFault, FollowState, covered_until,
+    first_call_window,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -275,3 +276,27 @@
     state.record_answer(8);
     assert!(!state.is_outage(ms(3_450)));
 }
+
+/// A call that asked for a short wait, or for none, may be answered late. A row that was removed
+/// after the platform had read its rows isn't in the answer.
+#[test]
+fn a_late_answer_covers_no_more_than_the_wait_that_was_asked_for() {
+    let ms = Duration::from_millis;
+    let called = ms(5_000);
+    for (answered, wait, expected) in [
+        (5_003, 210, 5_000),
+        (5_150, 210, 5_050),
+        (5_220, 210, 5_110),
+        (7_000, 210, 5_110),
+        (7_000, 2_700, 6_900),
+        (7_000, 90, 5_000),
+        (7_000, 0, 5_000),
+    ] {
+        let covered = covered_until(called, ms(answered), ms(wait));
+        assert_eq!(
+            covered,
+            ms(expected),
+            "answered at {answered} after a wait of {wait}"
+        );
+    }
+}
--- a/crates/flaxtide-entry/tests/reader.rs
+++ b/crates/flaxtide-entry/tests/reader.rs
@@ -85,10 +85,10 @@
 #[test]
 fn changes_are_answered_in_order_from_each_version() {
     let log = log();
-    log.record(&batch(5, &["a", "b"]), None);
-    log.record(&batch(7, &["a"]), Some(5));
-    log.record(&batch(8, &[]), Some(7));
-    log.record(&batch(9, &["b"]), Some(8));
+    log.record(&batch(5, &["a", "b"]), None, Duration::ZERO);
+    log.record(&batch(7, &["a"]), Some(5), Duration::ZERO);
+    log.record(&batch(8, &[]), Some(7), Duration::ZERO);
+    log.record(&batch(9, &["b"]), Some(8), Duration::ZERO);
     assert_eq!(names_if_known(&log, 5), Some(vec!["a".into(), "b".into()]));
     assert_eq!(names_if_known(&log, 7), Some(vec!["b".into()]));
     assert_eq!(names_if_known(&log, 9), Some(vec![]));
@@ -98,7 +98,7 @@
 fn versions_outside_the_log_are_not_answered() {
     let log = log();
     assert_eq!(names_if_known(&log, 0), None, "nothing has been read");
-    log.record(&batch(5, &["a"]), None);
+    log.record(&batch(5, &["a"]), None, Duration::ZERO);
     assert_eq!(names_if_known(&log, 4), None, "older than the first read");
     assert_eq!(names_if_known(&log, 6), None, "newer than the last read");
 }
@@ -107,9 +107,9 @@
 #[test]
 fn versions_before_a_gap_are_not_answered() {
     let log = log();
-    log.record(&batch(5, &["a"]), None);
+    log.record(&batch(5, &["a"]), None, Duration::ZERO);
     // Between 5 and 12, another instance was the reader.
-    log.record(&batch(14, &["c"]), Some(12));
+    log.record(&batch(14, &["c"]), Some(12), Duration::ZERO);
     assert_eq!(names_if_known(&log, 5), None);
     assert_eq!(names_if_known(&log, 12), Some(vec!["c".into()]));
 }
@@ -118,21 +118,32 @@
 fn an_outdated_log_does_not_answer() {
     // With no time for leaving servers, any answer of the platform is too old.
     let log = ServerListLog::new(Duration::ZERO);
-    log.record(&batch(5, &["a"]), None);
+    log.record(&batch(5, &["a"]), None, Duration::ZERO);
     std::thread::sleep(Duration::from_millis(5));
     assert_eq!(names_if_known(&log, 5), None);
 }
 
+/// The answer to a call may arrive long after the platform has read its rows. An instance that
+/// has read such an answer doesn't know what has changed since.
+#[test]
+fn a_late_answer_is_as_old_as_its_rows() {
+    let log = log();
+    log.record(&batch(5, &["a"]), None, Duration::from_secs(61));
+    assert_eq!(names_if_known(&log, 5), None);
+    log.record(&batch(6, &["b"]), Some(5), Duration::ZERO);
+    assert_eq!(names_if_known(&log, 5), Some(vec!["b".into()]));
+}
+
 /// A long answer over a narrow link misses its deadline and is requested again and again.
 #[test]
 fn many_batches_are_answered_in_short_answers() {
     let log = log();
-    log.record(&batch(5, &[]), None);
+    log.record(&batch(5, &[]), None, Duration::ZERO);
     // Ten rows per batch, so that the log keeps all batches.
     for first in (0..ROW_COUNT).step_by(10) {
         let rows = (first..first + 10).map(|number| long_row(number, None)).collect();
         let batch = FeedBatch { rows, version: 15 + first };
-        log.record(&batch, Some(5 + first));
+        log.record(&batch, Some(5 + first), Duration::ZERO);
     }
     assert_all_in_short_answers(&ask_until_current(&log, 5), "many batches");
 }
@@ -142,11 +153,11 @@
 #[test]
 fn a_large_batch_is_answered_in_short_answers() {
     let log = log();
-    log.record(&batch(5, &[]), None);
+    log.record(&batch(5, &[]), None, Duration::ZERO);
     // Rows of other tables increase the store's version as well.
     let rows = (0..ROW_COUNT).map(|number| long_row(number, Some(7 + 2 * number)));
     let version = 10 + 2 * ROW_COUNT;
-    log.record(&FeedBatch { rows: rows.collect(), version }, Some(5));
+    log.record(&FeedBatch { rows: rows.collect(), version }, Some(5), Duration::ZERO);
     let answers = ask_until_current(&log, 5);
     assert_all_in_short_answers(&answers, "one batch");
     assert_eq!(answers.last().unwrap().version, version);
@@ -174,10 +185,14 @@
     ];
     for (case, version) in cases {
         let log = log();
-        log.record(&batch(5, &[]), None);
+        log.record(&batch(5, &[]), None, Duration::ZERO);
         let rows = (0..ROW_COUNT).map(|number| long_row(number, version(number)));
         let end = 5 + ROW_COUNT;
-        log.record(&FeedBatch { rows: rows.collect(), version: end }, Some(5));
+        log.record(
+            &FeedBatch { rows: rows.collect(), version: end },
+            Some(5),
+            Duration::ZERO,
+        );
         let answers = ask_until_current(&log, 5);
         assert_eq!(answers.len(), 1, "{case}");
         assert_eq!(answers[0].rows.len() as u64, ROW_COUNT, "{case}");
@@ -189,10 +204,10 @@
 #[test]
 fn rows_of_one_version_stay_together() {
     let log = log();
-    log.record(&batch(5, &[]), None);
+    log.record(&batch(5, &[]), None, Duration::ZERO);
     // Forty rows of one version don't fit into one answer.
     let rows = (0..ROW_COUNT).map(|number| long_row(number, Some(6 + number / 40)));
-    log.record(&FeedBatch { rows: rows.collect(), version: 50 }, Some(5));
+    log.record(&FeedBatch { rows: rows.collect(), version: 50 }, Some(5), Duration::ZERO);
     let counts = ask_until_current(&log, 5)
         .into_iter()
         .map(|changes| (changes.version, changes.rows.len()));
@@ -215,9 +230,17 @@
 #[test]
 fn the_difference_of_a_second_snapshot_is_answered_as_changes() {
     let log = log();
-    log.record(&snapshot(10, &[("a", "1"), ("b", "1"), ("c", "1")]), None);
+    log.record(
+        &snapshot(10, &[("a", "1"), ("b", "1"), ("c", "1")]),
+        None,
+        Duration::ZERO,
+    );
     // The store has dropped its history, so everything is read again.
-    log.record(&snapshot(20, &[("a", "1"), ("b", "2"), ("d", "1")]), None);
+    log.record(
+        &snapshot(20, &[("a", "1"), ("b", "2"), ("d", "1")]),
+        None,
+        Duration::ZERO,
+    );
     let changes = log.changes_after(10).unwrap();
     let rows: Vec<(&str, Option<&str>)> = changes
         .rows
@@ -229,7 +252,7 @@
     // Which changes happened before and which after 15 isn't known, so a peer at 15 can't
     // be answered.
     assert!(log.changes_after(15).is_none());
-    log.record(&batch(22, &["e"]), Some(20));
+    log.record(&batch(22, &["e"]), Some(20), Duration::ZERO);
     assert_eq!(names_after(&log, 10), ["c", "b", "d", "e"]);
 }
 
@@ -237,8 +260,8 @@
 fn peers_continue_from_an_earlier_era_of_the_store() {
     let log = log();
     let (first, second) = (store_version(1, 90), store_version(2, 40));
-    log.record(&snapshot(first, &[("a", "1"), ("lost", "1")]), None);
-    log.record(&snapshot(second, &[("a", "1"), ("again", "1")]), None);
+    log.record(&snapshot(first, &[("a", "1"), ("lost", "1")]), None, Duration::ZERO);
+    log.record(&snapshot(second, &[("a", "1"), ("again", "1")]), None, Duration::ZERO);
     let changes = log.changes_after(first).unwrap();
     assert_eq!(names_after(&log, first), ["lost", "again"]);
     assert_eq!(changes.version, second);
@@ -259,14 +282,14 @@
 #[test]
 fn a_reader_that_was_told_before_answers_across_a_dropped_history() {
     let log = log();
-    log.record(&snapshot(10, &[("a", "1"), ("b", "1")]), None);
+    log.record(&snapshot(10, &[("a", "1"), ("b", "1")]), None, Duration::ZERO);
     let mut told = snapshot(12, &[("c", "1")]);
     told.rows.extend(batch(12, &["a"]).rows);
     log.record_answer(&told, 10);
     assert!(log.changes_after(12).is_none(), "the platform hasn't answered it");
     assert!(!log.has_gap_after(10));
-    log.record(&batch(14, &[]), Some(12));
-    log.record(&snapshot(20, &[("c", "1")]), None);
+    log.record(&batch(14, &[]), Some(12), Duration::ZERO);
+    log.record(&snapshot(20, &[("c", "1")]), None, Duration::ZERO);
     assert_eq!(names_after(&log, 12), ["b"]);
     assert_eq!(names_after(&log, 14), ["b"]);
     // What peers told isn't answered to others, nor what happened inside a span.
@@ -278,10 +301,10 @@
 #[test]
 fn rows_told_after_an_unknown_version_are_not_compared() {
     let log = log();
-    log.record(&snapshot(10, &[("a", "1")]), None);
+    log.record(&snapshot(10, &[("a", "1")]), None, Duration::ZERO);
     log.record_answer(&batch(14, &[]), 12);
-    log.record(&batch(15, &[]), Some(14));
-    log.record(&snapshot(20, &[("b", "1")]), None);
+    log.record(&batch(15, &[]), Some(14), Duration::ZERO);
+    log.record(&snapshot(20, &[("b", "1")]), None, Duration::ZERO);
     assert!(log.has_gap_after(15));
     assert!(log.changes_after(20).is_some());
 }
@@ -292,7 +315,7 @@
 fn a_reader_tells_a_gap_from_its_own_lag() {
     let log = ServerListLog::new(Duration::from_secs(3));
     assert!(!log.has_gap_after(10), "nothing has been read");
-    log.record(&FeedBatch { rows: vec![], version: 50 }, None);
+    log.record(&FeedBatch { rows: vec![], version: 50 }, None, Duration::ZERO);
     assert!(log.has_gap_after(49));
     assert!(!log.has_gap_after(50));
     assert!(!log.has_gap_after(51));
