Standbys that can't answer don't suggest an outage

Change: only the reader itself, which should have read, suggests an outage. If the platform is out as well, the call that is made in place of waiting fails and shows it. PeerBackoff::any_unable, which only tests used otherwise, is replaced by is_unable of a peer; the tests that used it name the peers now. Measured: standbys_that_are_unable_to_answer_do_not_suggest_an_outage fails with the old rule put back; with the change pauses (6), follow (17), budget (5), directory (10), reader (14) pass.

--- a/crates/flaxtide-entry/src/backoff.rs
+++ b/crates/flaxtide-entry/src/backoff.rs
@@ -62,18 +62,19 @@
         self.entries.get(&peer).is_none_or(|entry| now >= entry.until)
     }
 
-    /// Returns whether any peer has been unable to answer since the last success.
+    /// Returns whether a peer has been unable to answer since the last success.
     #[must_use]
-    pub fn any_unable(&self) -> bool {
-        self.entries.values().any(|entry| entry.reachable)
+    pub fn is_unable(&self, peer: SocketAddr) -> bool {
+        self.entries.get(&peer).is_some_and(|entry| entry.reachable)
     }
 
-    /// Returns whether an outage of the platform is likely: a peer that should have read from it
-    /// was unable to answer.
+    /// Returns whether an outage of the platform is likely: the reader, which should have read from
+    /// it, was unable to answer. A standby that is unable to doesn't suggest one, as it only reads
+    /// once the reader doesn't answer it.
     #[must_use]
-    pub fn suggests_outage(&self, now: Duration) -> bool {
+    pub fn suggests_outage(&self, reader: SocketAddr, now: Duration) -> bool {
         let settled = self.peers_set_at.is_none_or(|at| now >= at + PEER_SETTLING_TIME);
-        settled && self.any_unable()
+        settled && self.is_unable(reader)
     }
 
     /// Records that the peers to ask have changed or that one has restarted, and removes the entries
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -158,15 +158,17 @@
     pub(crate) fn call_window(&self) -> Duration {
         let now = self.clock.now();
         let state = self.lock();
-        let readers_reachable = state.backoff.suggests_outage(now);
-        first_call_window(state.plan.standby, readers_reachable, self.leave_within)
+        first_call_window(
+            state.plan.standby,
+            state.suggests_outage(now),
+            self.leave_within,
+        )
     }
 
-    /// Returns whether peers that should have read from the platform can't answer, which
-    /// points to an outage of it.
+    /// Returns whether the reader can't answer, which points to an outage of the platform.
     pub(crate) fn suggests_outage(&self) -> bool {
         let now = self.clock.now();
-        self.lock().backoff.suggests_outage(now)
+        self.lock().suggests_outage(now)
     }
 
     /// Returns the window within which instances call the platform whose readers have just
@@ -285,6 +287,14 @@
     }
 }
 
+impl SourceState {
+    /// Returns whether the reader can't answer.
+    fn suggests_outage(&self, now: Duration) -> bool {
+        let ListReader::Peer(reader) = self.plan.reader else { return false };
+        self.backoff.suggests_outage(reader, now)
+    }
+}
+
 /// Returns the peers of a plan, in the order in which they are asked.
 fn peers_of(plan: &ListPlan) -> Vec<SocketAddr> {
     let ListReader::Peer(reader) = plan.reader else { return vec![] };
--- a/crates/flaxtide-entry/tests/pauses.rs
+++ b/crates/flaxtide-entry/tests/pauses.rs
@@ -45,7 +45,7 @@
         remaining_backoff(&backoff, peer(1), Duration::ZERO),
         Duration::from_secs(2)
     );
-    assert!(!backoff.any_unable());
+    assert!(!backoff.is_unable(peer(1)));
 }
 
 /// Entries left from an earlier failure must not make a later one, with another cause, look like an
@@ -56,7 +56,9 @@
     backoff.record_unable(peer(1), Duration::ZERO);
     backoff.record_unable(peer(2), Duration::ZERO);
     backoff.record_success(peer(1));
-    assert!(!backoff.any_unable(), "there is no sign of an outage");
+    for number in [1, 2] {
+        assert!(!backoff.is_unable(peer(number)), "there is no sign of an outage");
+    }
     let later = Duration::from_secs(3600);
     backoff.record_unable(peer(2), later);
     assert_eq!(remaining_backoff(&backoff, peer(2), later), FIRST);
@@ -68,7 +70,7 @@
     backoff.record_unable(peer(1), Duration::ZERO);
     backoff.record_unreachable(peer(2), Duration::ZERO);
     backoff.retain_peers(&[peer(2), peer(3)], Duration::ZERO);
-    assert!(!backoff.any_unable());
+    assert!([1, 2, 3].iter().all(|number| !backoff.is_unable(peer(*number))));
     assert!(!backoff.may_ask(peer(2), Duration::ZERO));
 }
 
@@ -85,9 +87,24 @@
     {
         backoff.retain_peers(&[peer(1), peer(2)], start);
         backoff.record_unable(peer(1), now);
-        assert!(backoff.any_unable());
-        assert!(!backoff.suggests_outage(now), "after {:?}", now - start);
+        assert!(backoff.is_unable(peer(1)));
+        assert!(!backoff.suggests_outage(peer(1), now), "after {:?}", now - start);
     }
     let later = start + Duration::from_secs(3);
-    assert!(backoff.suggests_outage(later));
+    assert!(backoff.suggests_outage(peer(1), later));
+}
+
+/// A standby doesn't read from the platform while the reader answers it. If it counted as a peer
+/// that should have read, an instance whose reader is merely busy would take a calm platform for
+/// one that is out, and keep servers that have left.
+#[test]
+fn standbys_that_are_unable_to_answer_do_not_suggest_an_outage() {
+    let mut backoff = PeerBackoff::new(FIRST);
+    let now = Duration::from_secs(100);
+    backoff.record_unreachable(peer(1), now);
+    backoff.record_unable(peer(2), now);
+    backoff.record_unable(peer(3), now);
+    assert!(!backoff.suggests_outage(peer(1), now));
+    backoff.record_unable(peer(1), now);
+    assert!(backoff.suggests_outage(peer(1), now));
 }
