One unanswered call doesn't kill an engine

Cause: failing counted from when a call was sent. A call for cache changes may take 500 + 700 ms, so its first time-out already said 1,200 ms, which is DEAD_BOUND.

Change: it counts from when the answer was due (or from a break before that), so that one time-out says 700 ms. A const assertion ties the time-outs of watchers to DEAD_BOUND, which is public for it.

--- a/crates/flaxtide-entry/src/watch/record.rs
+++ b/crates/flaxtide-entry/src/watch/record.rs
@@ -3,7 +3,18 @@
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
-use flaxtide_policy::{EngineReport, EngineSighting, InstanceKey};
+use flaxtide_policy::{DEAD_BOUND, EngineReport, EngineSighting, InstanceKey};
+
+/// How long an engine holds a call for cache changes if there are none.
+pub(super) const CACHE_WAIT: Duration = Duration::from_millis(500);
+
+/// How long an engine may take to answer, beyond the time for which it holds the call.
+pub(super) const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
+
+// An engine is dead only once the answer to a second call is overdue too.
+const _: () = assert!(
+    ANSWER_TIMEOUT.as_millis() + CACHE_WAIT.as_millis() <= DEAD_BOUND.as_millis()
+);
 
 /// What the calls of a watcher have shown of an engine.
 #[derive(Debug)]
@@ -14,7 +25,7 @@
     watcher: InstanceKey,
     /// When the engine last answered.
     answered_at: Option<Duration>,
-    /// When the first of the calls began that have failed since the last answer.
+    /// When the first of the answers was due that haven't come since the last one.
     failing_since: Option<Duration>,
     /// The last report, and when it was received.
     report: Option<(EngineReport, Duration)>,
@@ -46,17 +57,12 @@
         self.report = Some((report, now));
     }
 
-    /// Records that a call has failed which was sent at `sent_at` and might take `limit`.
+    /// Records that a call has failed whose answer was due at `due_at`, or would have been.
     /// Returns whether it is the first one since an answer. If this instance itself stood
     /// still meanwhile, the engine isn't blamed for that time.
-    pub fn record_failure(
-        &mut self,
-        sent_at: Duration,
-        limit: Duration,
-        now: Duration,
-    ) -> bool {
+    pub fn record_failure(&mut self, due_at: Duration, now: Duration) -> bool {
         let is_first = self.failing_since.is_none();
-        let since = sent_at.max(now.saturating_sub(limit));
+        let since = due_at.clamp(now.saturating_sub(ANSWER_TIMEOUT), now);
         self.failing_since.get_or_insert(since);
         is_first
     }
--- a/crates/flaxtide-entry/src/watch/watcher.rs
+++ b/crates/flaxtide-entry/src/watch/watcher.rs
@@ -13,15 +13,9 @@
 use super::link::{CallFault, CallHead, EngineAnswer, EngineLink};
 use super::pace::{WatchCall, WatchPace};
 use super::parts::ReportedParts;
-use super::record::EngineRecord;
+use super::record::{ANSWER_TIMEOUT, CACHE_WAIT, EngineRecord};
 use crate::contract::{EngineDialect, FeedError};
 
-/// How long an engine holds a call for cache changes if there are none.
-const CACHE_WAIT: Duration = Duration::from_millis(500);
-
-/// How long an engine may take to answer, beyond the time for which it holds the call.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// Watches one engine.
 pub(super) struct EngineWatcher<Host> {
     /// The instance.
@@ -99,7 +93,7 @@
                 self.use_answer(call, answer)
             }
             Err(fault) => {
-                self.record_failure(fault, sent_at, limit);
+                self.record_failure(fault, sent_at + wait);
                 fault.to_string()
             }
         };
@@ -133,13 +127,13 @@
     }
 
     /// Records that the engine hasn't answered.
-    fn record_failure(&mut self, fault: CallFault, sent_at: Duration, limit: Duration) {
+    fn record_failure(&mut self, fault: CallFault, due_at: Duration) {
         let now = self.host.now();
         self.last_fault = Some(fault);
-        if self.record.record_failure(sent_at, limit, now) {
+        if self.record.record_failure(due_at, now) {
             log::info!(
                 server = self.host.name_of(self.server),
-                failing_ms = now.saturating_sub(sent_at).as_millis() as u64,
+                failing_ms = now.saturating_sub(due_at).as_millis() as u64,
                 cause = fault.to_string();
                 "engine answers its watcher no more"
             );
--- a/crates/flaxtide-policy/src/router/liveness.rs
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -10,8 +10,9 @@
 pub(crate) const WATCH_PERIOD: Duration = Duration::from_millis(500);
 
 /// How long all watchers in touch must have failed to reach an engine until it counts as
-/// dead: two missed calls, and the way of the second one's result.
-pub(crate) const DEAD_BOUND: Duration = Duration::from_millis(1200);
+/// dead: the time-out of one call beyond the time at which its answer was due, and the time
+/// in which another one must be answered.
+pub const DEAD_BOUND: Duration = Duration::from_millis(1200);
 
 /// How long a running response may pause before the path to its engine is suspect. Callers
 /// abandon streams after gaps of two seconds at the earliest.
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -50,6 +50,7 @@
 use self::call::{CallPhase, RoutedCall};
 use self::homes::DemandTable;
 use self::lane::LaneDemand;
+pub use self::liveness::DEAD_BOUND;
 use self::liveness::WATCH_PERIOD;
 use self::prefill_log::PrefillLog;
 use self::server::ServerState;
