A report without runs doesn't say that an engine has no request

Cause: `prefilling` was 0 if a report has no `runs`, and also while responses that aren't streamed are generated. Both made the engine "lack" a request that it has.

Change: `prefilling` is None if the engine doesn't say (u16::MAX between instances, as in other fields). An engine lacks a request only if a later report says that nothing waits and nothing runs.

Measured: the new test fails before ("0 wait, 1 run, aborted at 1500"); router_liveness 20 of 20 pass.

--- a/crates/flaxtide-entry/src/sightings.rs
+++ b/crates/flaxtide-entry/src/sightings.rs
@@ -84,7 +84,7 @@
         age: age_units(age),
         waiting: capped(report.waiting),
         running: capped(report.running),
-        prefilling: capped(report.prefilling),
+        prefilling: report.prefilling.map_or(u16::MAX, known_count),
         next: capped(report.next_tokens / TOKEN_UNIT),
         memory: memory as u16,
         leaves: report.leaves_in.map_or(u16::MAX, age_units),
@@ -97,7 +97,7 @@
     let report = EngineReport {
         waiting: u32::from(digest.waiting),
         running: u32::from(digest.running),
-        prefilling: u32::from(digest.prefilling),
+        prefilling: (digest.prefilling < u16::MAX).then(|| u32::from(digest.prefilling)),
         next_tokens: u32::from(digest.next) * TOKEN_UNIT,
         memory_used: u32::from(digest.memory),
         memory_total: MEMORY_UNITS,
@@ -118,6 +118,11 @@
     Duration::from_millis(u64::from(units) * AGE_UNIT_MS as u64)
 }
 
+/// Converts a count to the range of a digest. The largest one is kept for "unknown".
+fn known_count(count: u32) -> u16 {
+    capped(count).min(u16::MAX - 1)
+}
+
 /// Converts a count to the range of a digest.
 fn capped(count: u32) -> u16 {
     u16::try_from(count).unwrap_or(u16::MAX)
--- a/crates/flaxtide-lab/src/engine.rs
+++ b/crates/flaxtide-lab/src/engine.rs
@@ -92,7 +92,7 @@
         EngineReport {
             waiting: self.waiting.len() as u32,
             running: self.running.len() as u32,
-            prefilling: unread.count() as u32,
+            prefilling: Some(unread.count() as u32),
             next_tokens: self.waiting.front().map_or(0, |request| request.unread),
             ..EngineReport::default()
         }
--- a/crates/flaxtide-policy/src/engine/report.rs
+++ b/crates/flaxtide-policy/src/engine/report.rs
@@ -11,8 +11,8 @@
     /// The number of requests that the engine runs.
     pub running: u32,
     /// How many of the running requests have produced no output yet: their prompts are
-    /// being prefilled.
-    pub prefilling: u32,
+    /// being prefilled. `None` if the engine doesn't say.
+    pub prefilling: Option<u32>,
     /// The prompt tokens of the first waiting request; 0 if none waits.
     pub next_tokens: u32,
     /// The tokens in memory that can't be evicted.
--- a/crates/flaxtide-policy/src/router/liveness.rs
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -98,11 +98,12 @@
     }
 
     /// Returns whether the engine lacks a request that was sent at `sent` and hasn't been
-    /// responded to: a later report contains no unread prompt. Then the request or its
-    /// response is lost on the way.
+    /// responded to: a later report contains no request at all. Then the request or its
+    /// response is lost on the way. While the engine runs any, it may be this one, even if
+    /// its prompt has been read: responses that aren't streamed show nothing until they end.
     pub(crate) fn lacks_request(&self, sent: Duration) -> bool {
         self.sightings.report().is_some_and(|(report, at)| {
-            report.waiting == 0 && report.prefilling == 0 && at >= sent + REPORT_LAG
+            report.waiting == 0 && report.running == 0 && at >= sent + REPORT_LAG
         })
     }
 }
--- a/crates/flaxtide-policy/tests/router_liveness.rs
+++ b/crates/flaxtide-policy/tests/router_liveness.rs
@@ -17,7 +17,7 @@
     Answered(u64),
     /// Calls have failed for this long.
     Failing(u64),
-    /// The engine answered just now that it has no unread prompts.
+    /// The engine answered just now that it has no requests.
     Idle,
 }
 
@@ -360,3 +360,30 @@
         assert_eq!(cause_of(&mut core, 0, now), None, "a busy engine isn't paused");
     }
 }
+
+/// Passes on a watcher's word that an engine has just reported something.
+fn sight_report(core: &mut RouteCore, server: u32, report: EngineReport, at: u64) {
+    let sighting = EngineSighting {
+        server,
+        watcher: 7,
+        answered_ago: Some(ms(0)),
+        failing_for: None,
+        report: Some((report, ms(0))),
+    };
+    core.record_sightings(&[sighting], ms(at));
+}
+
+#[test]
+fn an_engine_that_runs_anything_may_have_a_request() {
+    // The waiting and the running requests of reports that don't say which are unread.
+    for (waiting, running) in [(0, 1), (0, 12), (1, 0)] {
+        let mut core = core_with_busy_engine(3);
+        for at in (500..=2500).step_by(500) {
+            let report = EngineReport { waiting, running, ..Default::default() };
+            sight_report(&mut core, 0, report, at);
+            let aborts = core.may_abort_silent(1, false, ms(at));
+            assert!(!aborts, "{waiting} wait, {running} run, aborted at {at}");
+            assert_eq!(cause_of(&mut core, 0, at), None);
+        }
+    }
+}
