Streams may pause for as long as their callers wait

Cause: a stream on a living engine was aborted after 2 s whatever its target, although callers wait for four times the target; and the fault was told to peers through `silent_at`.

Change: the gap comes from the call: 2 s or four times its target, the longer one; for the health of an engine it is the shortest of its streams. Peers aren't told of the silence of an engine that its watchers reach. That includes unreachable ones; peers that hear the same watchers ignored these reports before.

Measured: both new tests fail before ("1500, 6099"; `silent_servers` not empty); router_liveness 23, router_silence 11, router_death 1, all pass.

--- a/crates/flaxtide-policy/src/router/eligible.rs
+++ b/crates/flaxtide-policy/src/router/eligible.rs
@@ -134,7 +134,7 @@
             self.pending_prefill_ms(server, u8::MAX, now) / 1000.0,
         );
         let work = ServerWork {
-            streaming: server.load.has_streams(&self.calls),
+            stream_gap: server.load.stream_gap(&self.calls),
             waiting_since: server.load.waiting_since(&self.calls),
             expected,
         };
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use super::call::RouteFault;
-use super::liveness::{EngineLiveness, STREAM_GAP};
+use super::liveness::EngineLiveness;
 use super::options::RouteOptions;
 
 /// The weight of the newest outcome in the decayed failure rate.
@@ -32,8 +32,9 @@
 /// The requests of this instance on a server, as far as they show whether it is silent.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerWork {
-    /// Whether responses are being streamed from the server.
-    pub(crate) streaming: bool,
+    /// How long responses that are being streamed from the server may pause while it is
+    /// alive; `None` if there are none.
+    pub(crate) stream_gap: Option<Duration>,
     /// Since when the oldest unanswered request has been waiting.
     pub(crate) waiting_since: Option<Duration>,
     /// How long that request may take.
@@ -144,18 +145,19 @@
     }
 
     /// Returns whether this instance itself recently found the server silent, so that peers
-    /// are told. `streaming` tells whether responses are being streamed from the server.
-    /// The silence of streams from an engine that is alive concerns this instance only.
+    /// are told. `streaming` tells whether responses are being streamed from the server. The
+    /// silence of an engine that is reached by its watchers concerns this instance only.
     pub(crate) fn was_silent(
         &self,
         streaming: bool,
-        liveness: EngineLiveness,
+        is_reached: bool,
         now: Duration,
         options: &RouteOptions,
     ) -> bool {
-        let silent = streaming
-            && liveness != EngineLiveness::Alive
-            && now > self.last_heard + options.silence;
+        if is_reached {
+            return false;
+        }
+        let silent = streaming && now > self.last_heard + options.silence;
         silent || self.silent_at.is_some_and(|at| now < at + options.rumour_life)
     }
 
@@ -249,8 +251,8 @@
         if !alive && now < self.reported_until {
             return Some(HealthCause::PeerReport);
         }
-        let silence = if alive { STREAM_GAP } else { options.silence };
-        if work.streaming && now > self.last_heard + silence {
+        let pause = work.stream_gap.map(|gap| if alive { gap } else { options.silence });
+        if pause.is_some_and(|pause| now > self.last_heard + pause) {
             return Some(HealthCause::Silence);
         }
         let since = work.waiting_since.filter(|_| !alive)?;
--- a/crates/flaxtide-policy/src/router/liveness.rs
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use super::call::RoutedCall;
 use super::server::ServerState;
 use crate::engine::SIGHTING_BOUND;
 
@@ -14,9 +15,12 @@
 /// in which another one must be answered.
 pub const DEAD_BOUND: Duration = Duration::from_millis(1200);
 
-/// How long a running response may pause before the path to its engine is suspect. Callers
-/// abandon streams after gaps of two seconds at the earliest.
-pub(crate) const STREAM_GAP: Duration = Duration::from_secs(2);
+/// How long a running response may pause at least before the path to its engine is suspect.
+/// Callers abandon streams after gaps of two seconds at the earliest.
+const MIN_STREAM_GAP: Duration = Duration::from_secs(2);
+
+/// By how much longer than its target a running response may pause.
+const STREAM_GAP_FACTOR: u32 = 4;
 
 /// The minimum age that a request must have had at the time of an engine's report to be
 /// contained in it. Reports are some hundred milliseconds old when they are received.
@@ -92,6 +96,14 @@
         evidence.judge(now)
     }
 
+    /// Returns whether watchers in touch recently had an answer of the server, whatever this
+    /// instance has seen.
+    pub(crate) fn is_reached_by_watchers(&self, now: Duration) -> bool {
+        let answered_at = self.sightings.answered_at();
+        self.sightings.failing_since(now).is_none()
+            && answered_at.is_some_and(|at| now < at.saturating_add(SIGHTING_BOUND))
+    }
+
     /// Returns whether watchers of the server were heard recently.
     pub(crate) fn is_watched(&self, now: Duration) -> bool {
         self.sightings.is_watched(now)
@@ -108,6 +120,15 @@
     }
 }
 
+/// Returns how long the response to a call may pause before the path to its engine is
+/// suspect: its caller waits for as long.
+pub(crate) fn stream_gap(call: &RoutedCall) -> Duration {
+    call.details
+        .target
+        .saturating_mul(STREAM_GAP_FACTOR)
+        .max(MIN_STREAM_GAP)
+}
+
 /// Returns whether a prompt is read sooner if it is sent to another engine, where that takes
 /// `again_ms`, than by the engine that has it and needs `left_ms`. Both in milliseconds.
 pub(crate) fn is_sooner_elsewhere(left_ms: f64, again_ms: f64) -> bool {
--- a/crates/flaxtide-policy/src/router/load.rs
+++ b/crates/flaxtide-policy/src/router/load.rs
@@ -7,6 +7,7 @@
 use flaxtide_core::{RequestId, ServerId};
 
 use super::call::{CallPhase, RoutedCall};
+use super::liveness::stream_gap;
 use super::options::RouteOptions;
 
 /// The load of one instance on a server, in the form in which peers are told of it.
@@ -137,6 +138,16 @@
         own.any(RoutedCall::has_data)
     }
 
+    /// Returns the shortest time for which a response to one of this instance's running
+    /// requests may pause; `None` if data has arrived for none.
+    pub(crate) fn stream_gap(
+        &self,
+        calls: &HashMap<RequestId, RoutedCall>,
+    ) -> Option<Duration> {
+        let own = self.own.iter().filter_map(|request| calls.get(request));
+        own.filter(|call| call.has_data()).map(stream_gap).min()
+    }
+
     /// Returns the number of requests on the server, including those of peers.
     pub(crate) fn running(&self, options: &RouteOptions, now: Duration) -> u32 {
         let peers = self.fresh_peers(options, now).map(|(load, _)| load.running());
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -293,8 +293,8 @@
         let servers = self.pools.values().flat_map(|pool| pool.servers.active());
         let silent = servers.filter(|server| {
             let streams = server.load.has_streams(&self.calls);
-            let liveness = server.liveness(now);
-            server.health.was_silent(streams, liveness, now, &self.options)
+            let is_reached = server.is_reached_by_watchers(now);
+            server.health.was_silent(streams, is_reached, now, &self.options)
         });
         silent.map(|server| server.listing.server).collect()
     }
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -7,7 +7,7 @@
 
 use super::call::{CallPhase, RouteFault, RoutedCall};
 use super::choose::RouteReason;
-use super::liveness::{EngineLiveness, STREAM_GAP, WATCH_PERIOD, is_sooner_elsewhere};
+use super::liveness::{EngineLiveness, WATCH_PERIOD, is_sooner_elsewhere, stream_gap};
 use super::server::ServerState;
 use super::{QUEUE_WAIT_DIVISOR, RouteAction, RouteCore};
 
@@ -297,7 +297,7 @@
 /// its stream has paused for longer than callers accept, or the engine doesn't have it.
 fn is_lost(call: &RoutedCall, server: &ServerState, now: Duration) -> bool {
     match (call.last_data_at, call.progress()) {
-        (Some(at), _) => now >= at + STREAM_GAP,
+        (Some(at), _) => now >= at + stream_gap(call),
         (None, Some(progress)) => server.lacks_request(progress.sent),
         (None, None) => false,
     }
--- a/crates/flaxtide-policy/tests/router_liveness.rs
+++ b/crates/flaxtide-policy/tests/router_liveness.rs
@@ -426,3 +426,38 @@
     core.fail(1, RouteFault::Silent, false, ms(aborted_at));
     assert_eq!(cause_of(&mut core, 0, aborted_at), None, "a busy engine isn't paused");
 }
+
+#[test]
+fn a_stream_may_pause_for_as_long_as_its_caller_waits() {
+    // The target of the call, and after what pause its stream may be resumed elsewhere.
+    for (target, gap) in [(100, 2000), (500, 2000), (1500, 6000)] {
+        let mut core = core_with(3);
+        sight(&mut core, 0, 7, Word::Answered(0), 0);
+        send_to(&mut core, 0, RouteCall { target: ms(target), ..call(1, 600, true) }, 0);
+        core.record_response_data(1, ms(100));
+        for at in [1100, 100 + gap - 1] {
+            sight(&mut core, 0, 7, Word::Answered(0), at);
+            assert!(!core.may_abort_silent(1, true, ms(at)), "{target}, {at}");
+            assert_eq!(cause_of(&mut core, 0, at), None, "{target}, {at}");
+        }
+        let at = 100 + gap + 1;
+        sight(&mut core, 0, 7, Word::Answered(0), at);
+        assert!(core.may_abort_silent(1, true, ms(at)), "{target}");
+        assert_eq!(cause_of(&mut core, 0, at), Some(HealthCause::Silence));
+    }
+}
+
+#[test]
+fn peers_are_not_told_of_a_pause_of_an_engine_that_its_watchers_reach() {
+    let mut core = core_with_busy_engine(3);
+    core.record_response_data(1, ms(100));
+    sight(&mut core, 0, 7, Word::Answered(0), 2200);
+    assert!(core.may_abort_silent(1, true, ms(2200)));
+    core.fail(1, RouteFault::Silent, true, ms(2200));
+    assert!(!gets_calls(&mut core, 0, 2201), "the path is suspect");
+    assert!(core.silent_servers(ms(2201)).is_empty());
+    for watcher in [7, 8] {
+        sight(&mut core, 0, watcher, Word::Failing(100), 2210);
+    }
+    assert_eq!(core.silent_servers(ms(2211)), [0], "its watchers fail too");
+}
