A reset of a new connection is no sign that an engine is dead

Cause: any broken connection of a watcher counted as a failure, also one that the engine had just accepted and reset because it has too many. And a complete answer that couldn't be parsed closed the connection.

Change: such a reset ends the failing of the engine without proving its life, so that it is doubtful at most, 3 s after its last answer. Refused connections, calls without an answer and breaks of used connections count as before. The connection stays open after a complete answer.

--- a/crates/flaxtide-entry/src/watch/link.rs
+++ b/crates/flaxtide-entry/src/watch/link.rs
@@ -37,6 +37,9 @@
     /// The connection broke.
     #[display("broken")]
     Broken,
+    /// The connection broke that had been opened for the call.
+    #[display("reset")]
+    Reset,
     /// No answer came in time.
     #[display("unanswered")]
     Unanswered,
@@ -66,7 +69,7 @@
     }
 
     /// Closes the connection.
-    pub(super) fn close(&mut self) {
+    fn close(&mut self) {
         self.connection = None;
     }
 
@@ -133,7 +136,8 @@
                 Err(error) if error.error().is_parse() => return Ok(None),
                 // No byte of it was written, because the engine had closed the connection.
                 Err(error) if reused && error.message().is_some() => self.close(),
-                Err(_) => return Err(CallFault::Broken),
+                Err(_) if reused => return Err(CallFault::Broken),
+                Err(_) => return Err(CallFault::Reset),
             }
         }
     }
--- a/crates/flaxtide-entry/src/watch/record.rs
+++ b/crates/flaxtide-entry/src/watch/record.rs
@@ -67,6 +67,12 @@
         is_first
     }
 
+    /// Records that a connection could be opened, but broke. An engine with too many of them
+    /// does that, so this is no sign of death; nor is it one of life.
+    pub fn record_reset(&mut self) {
+        self.failing_since = None;
+    }
+
     /// Returns what has been seen so far, with ages as of `now`.
     #[must_use]
     pub fn sighting(&self, now: Duration) -> EngineSighting {
--- a/crates/flaxtide-entry/src/watch/watcher.rs
+++ b/crates/flaxtide-entry/src/watch/watcher.rs
@@ -92,6 +92,10 @@
                 self.record_life();
                 self.use_answer(call, answer)
             }
+            Err(fault @ CallFault::Reset) => {
+                self.record.record_reset();
+                fault.to_string()
+            }
             Err(fault) => {
                 self.record_failure(fault, sent_at + wait);
                 fault.to_string()
@@ -166,14 +170,12 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if it can't be parsed. The connection is closed then, as the body
-    /// may belong to another call.
+    /// Returns an error if it can't be parsed.
     fn use_content(&mut self, call: WatchCall, body: &Bytes) -> Result<(), FeedError> {
-        let used = match call {
+        match call {
             WatchCall::Report => self.use_report(body),
             WatchCall::Cache => self.use_changes(body),
-        };
-        used.inspect_err(|_| self.link.close())
+        }
     }
 
     /// Uses a report.
--- a/crates/flaxtide-entry/tests/watch.rs
+++ b/crates/flaxtide-entry/tests/watch.rs
@@ -165,6 +165,16 @@
     assert_eq!(record.sighting(ms(1300)).failing_for, Some(ms(200)));
 }
 
+#[test]
+fn a_reset_of_a_new_connection_is_a_sign_neither_of_death_nor_of_life() {
+    let mut record = EngineRecord::new(ENGINE, 3);
+    record.record_answer(ms(1000));
+    record.record_failure(ms(1700), ms(2400));
+    record.record_reset();
+    let seen = record.sighting(ms(5000));
+    assert_eq!((seen.answered_ago, seen.failing_for), (Some(ms(4000)), None));
+}
+
 #[test]
 fn an_engine_is_not_blamed_for_the_time_that_the_watcher_stood_still() {
     let mut record = EngineRecord::new(ENGINE, 3);
