The oldest reported part gives way when there is no room

Cause: a part whose eviction was lost stayed among the reported ones for good, and at 4,096 entries nothing new was reported.

Change: the oldest part is evicted, with a change that says so; a part that is cached again counts as new.

--- a/crates/flaxtide-entry/src/watch/parts.rs
+++ b/crates/flaxtide-entry/src/watch/parts.rs
@@ -1,6 +1,6 @@
 //! The prompt parts that a watcher has reported as cached on an engine.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashMap};
 
 use flaxtide_core::ServerId;
 use flaxtide_policy::{PartChange, PartKey, PromptPart};
@@ -12,7 +12,7 @@
 const MIN_REPORTED_TOKENS: u32 = 500;
 
 /// The maximum number of parts reported as cached on one engine: more than fit into its
-/// memory.
+/// memory. Beyond it, the oldest are taken back.
 const MAX_REPORTED_PARTS: usize = 4096;
 
 /// The prompt parts that a watcher has reported as cached on an engine, and how far it has
@@ -23,15 +23,25 @@
     server: ServerId,
     /// The position up to which changes are known; `None` before the first.
     position: Option<CachePosition>,
-    /// The parts reported as cached.
-    parts: HashSet<PartKey>,
+    /// The parts reported as cached, with the number of the last change that said so.
+    parts: HashMap<PartKey, u64>,
+    /// The same parts by that number, so that the oldest one is found.
+    by_age: BTreeMap<u64, PartKey>,
+    /// The number of the next change.
+    next_change: u64,
 }
 
 impl ReportedParts {
     /// Creates the parts of an engine of which no changes have been read.
     #[must_use]
     pub fn new(server: ServerId) -> Self {
-        Self { server, position: None, parts: HashSet::new() }
+        Self {
+            server,
+            position: None,
+            parts: HashMap::new(),
+            by_age: BTreeMap::new(),
+            next_change: 0,
+        }
     }
 
     /// Returns the position after which changes are wanted; `None` to read all that the
@@ -59,36 +69,68 @@
         }
         let mut reported = if batch.has_gap { self.evict_all() } else { vec![] };
         self.position = Some(batch.position);
-        let changes = batch
-            .changes
-            .iter()
-            .filter_map(|change| self.apply_change(change, &is_known_cached));
-        reported.extend(changes);
+        for change in &batch.changes {
+            self.apply_change(change, &is_known_cached, &mut reported);
+        }
         reported
     }
 
-    /// Applies one change. Returns it in the form for others, if they are to be told.
+    /// Applies one change. Adds those that others are to be told.
     fn apply_change(
         &mut self,
         change: &CacheChange,
         is_known_cached: impl Fn(PartKey) -> bool,
-    ) -> Option<PartChange> {
+        reported: &mut Vec<PartChange>,
+    ) {
+        let server = self.server;
         let part = PromptPart { key: change.part, tokens: change.tokens }.short_key();
-        let is_news = if change.added {
-            let has_room = self.parts.len() < MAX_REPORTED_PARTS;
-            change.tokens >= MIN_REPORTED_TOKENS && has_room && self.parts.insert(part)
-        } else {
-            self.parts.remove(&part) || is_known_cached(part)
-        };
-        is_news.then_some(PartChange { server: self.server, part, cached: change.added })
+        if !change.added {
+            if self.remove(part) || is_known_cached(part) {
+                reported.push(PartChange { server, part, cached: false });
+            }
+        } else if change.tokens >= MIN_REPORTED_TOKENS {
+            let is_news = !self.remove(part);
+            // Its eviction may have been lost.
+            if let Some(oldest) = self.make_room() {
+                reported.push(PartChange { server, part: oldest, cached: false });
+            }
+            self.insert(part);
+            if is_news {
+                reported.push(PartChange { server, part, cached: true });
+            }
+        }
+    }
+
+    /// Inserts a part as the newest.
+    fn insert(&mut self, part: PartKey) {
+        self.parts.insert(part, self.next_change);
+        self.by_age.insert(self.next_change, part);
+        self.next_change += 1;
+    }
+
+    /// Removes a part. Returns whether it was there.
+    fn remove(&mut self, part: PartKey) -> bool {
+        let number = self.parts.remove(&part);
+        number.is_some_and(|number| self.by_age.remove(&number).is_some())
+    }
+
+    /// Removes and returns the oldest part if there is no room for another.
+    fn make_room(&mut self) -> Option<PartKey> {
+        if self.parts.len() < MAX_REPORTED_PARTS {
+            return None;
+        }
+        let (_, oldest) = self.by_age.pop_first()?;
+        self.parts.remove(&oldest);
+        Some(oldest)
     }
 
     /// Returns changes by which all reported parts are evicted.
     fn evict_all(&mut self) -> Vec<PartChange> {
         let server = self.server;
+        self.by_age.clear();
         let evicted = self.parts.drain();
         evicted
-            .map(|part| PartChange { server, part, cached: false })
+            .map(|(part, _)| PartChange { server, part, cached: false })
             .collect()
     }
 }
