Other engines are compared only after the usual patience

Cause: each question about a silent request, every 0.5 s, compared all engines; and each chunk of a resumable stream asked the router for its patience.

Change: after a comparison that left a request where it is, the next one comes after its usual patience. This has its own time (`compares_at`) instead of `patient_until`: with that one, a lost request was found late (`a_request_that_the_engine_does_not_have_is_sent_again` failed). The relay keeps the patience of a stream until it pauses or changes servers.

The relay's part has no test of its own. No cost was measured.

--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -35,6 +35,9 @@
     first_bytes: Option<Bytes>,
     /// When the last bytes arrived.
     last_received: Duration,
+    /// After which silence the router is asked about the current server; `None` until it has
+    /// said so, and after each pause.
+    patience: Option<Duration>,
     /// Whether the end of the stream has been recorded, and nothing more follows.
     ended: bool,
 }
@@ -55,6 +58,7 @@
             splitter: EventSplitter::default(),
             first_bytes: Some(first_bytes),
             last_received,
+            patience: None,
             ended: false,
         }
     }
@@ -105,7 +109,8 @@
         loop {
             let left = self.call.time_left();
             let wait = if resumable {
-                left.min(self.call.stream_patience(STALL_TIMEOUT))
+                let ask = || self.call.stream_patience(STALL_TIMEOUT);
+                left.min(*self.patience.get_or_insert_with(ask))
             } else {
                 left
             };
@@ -121,6 +126,7 @@
                 Some(Ok(None)) => return Ok(None),
                 Some(Err(fault)) => return Err(AttemptOutcome::Fault(fault)),
                 None if wait < left && !self.call.time_left().is_zero() => {
+                    self.patience = None;
                     if self.call.may_abort_silent(resumable) {
                         return Err(AttemptOutcome::Fault(RouteFault::Silent));
                     }
@@ -169,6 +175,7 @@
             {
                 AttemptOutcome::Started(start) if start.status.is_success() => {
                     self.source = Some(start.body);
+                    self.patience = None;
                     return Ok(());
                 }
                 AttemptOutcome::Started(_) => fault = RouteFault::Failed,
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -172,6 +172,8 @@
     /// Until when the silence of the current server isn't held against it. In the past if
     /// the sender itself waits for as long.
     pub(crate) patient_until: Duration,
+    /// From when on the current server is compared with others.
+    pub(crate) compares_at: Duration,
     /// Whether the retry budget has already been charged for the next retry.
     pub(crate) retry_granted: bool,
     /// Whether the request has been counted against the rate limit of its server.
@@ -222,6 +224,7 @@
             last_data_at: None,
             patience: Duration::ZERO,
             patient_until: Duration::ZERO,
+            compares_at: Duration::ZERO,
             retry_granted: false,
             rate_counted: false,
             runs: 0,
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -477,6 +477,7 @@
         let patience = patience.max(self.options.shortest_patience);
         call.patience = patience;
         call.patient_until = now;
+        call.compares_at = now;
         let mut timeout = patience;
         if let Some(state) = self.pools.get_mut(&call.details.pool)
             && let Some(server) = state.servers.get_mut(server)
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -101,10 +101,17 @@
         if liveness != EngineLiveness::Alive || is_lost(call, server, now) {
             return SilenceVerdict::Fault;
         }
-        match !call.has_data() && self.is_sooner_served_elsewhere(request, now) {
-            true => SilenceVerdict::Busy,
-            false => SilenceVerdict::Patience,
+        if call.has_data() || now < call.compares_at {
+            return SilenceVerdict::Patience;
+        }
+        if self.is_sooner_served_elsewhere(request, now) {
+            return SilenceVerdict::Busy;
+        }
+        // Comparing all engines is costly, and little changes between two questions.
+        if let Some(call) = self.calls.get_mut(&request) {
+            call.compares_at = now + call.patience;
         }
+        SilenceVerdict::Patience
     }
 
     /// Returns whether another engine would read the prompt of a request sooner, although it
--- a/crates/flaxtide-policy/tests/router_liveness.rs
+++ b/crates/flaxtide-policy/tests/router_liveness.rs
@@ -461,3 +461,30 @@
     }
     assert_eq!(core.silent_servers(ms(2211)), [0], "its watchers fail too");
 }
+
+#[test]
+fn other_engines_are_compared_again_only_after_the_usual_patience() {
+    let mut core = core_with(2);
+    let loads = |tokens: [u32; 2]| {
+        [0, 1].map(|server| PeerLoad {
+            server,
+            short: 1,
+            long: 0,
+            pending_prefill: LevelTokens::from([0, tokens[server as usize], 0]),
+        })
+    };
+    core.set_peer_loads(5, &loads([60_000, 200_000]), ms(0));
+    for server in [0, 1] {
+        sight(&mut core, server, 7, Word::Answered(0), 0);
+    }
+    let slow = RouteCall { target: ms(10_000), ..call(1, 6000, true) };
+    assert_eq!(server_of(&core.arrive(slow, ms(0))), Some(0));
+    let mut ask = |at, there| {
+        core.set_peer_loads(5, &loads([60_000, there]), ms(at));
+        sight(&mut core, 0, 7, Word::Answered(0), at);
+        core.may_abort_silent(1, false, ms(at))
+    };
+    assert!(!ask(4000, 50_000), "not sooner elsewhere");
+    assert!(!ask(4500, 0), "compared again at once");
+    assert!(ask(9000, 0));
+}
