Watches whose tasks have ended start again, and peers get no old sightings

Cause: a task that had ended kept its place among the watches; its last sighting was published for good with growing ages, which peers record as heard now; and part changes were lost if the fleet queue was full.

Change: `EngineWatches::update` drops watches whose task has finished and starts them again; sightings older than SIGHTING_BOUND aren't published; part changes go back to the front if the update was dropped.

Measured: the test of old sightings fails before ("own.sightings(ms(4000)).is_empty()"); entry watch.rs 22 of 22 pass. The one of put_back is new with its function. The restart of a task and the full queue have no test of their own.

--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -322,7 +322,7 @@
     source.record_rules(version, state.newest_rules.get());
     let duties = state.duties.clone();
     let read_alone_below = state.config().read_alone_below;
-    link.update(move |node, now| {
+    let has_room = link.update(move |node, now| {
         // Repeated each time, as the queue may have been full when they changed.
         node.set_version(version);
         node.record_evacuations(&evacuations);
@@ -363,6 +363,9 @@
             group,
         });
     });
+    if !has_room {
+        state.own_sightings.put_back(changes);
+    }
 }
 
 /// Converts a prefill of a server to the form for peers, with its age.
--- a/crates/flaxtide-entry/src/watch/engines.rs
+++ b/crates/flaxtide-entry/src/watch/engines.rs
@@ -49,7 +49,8 @@
     }
 
     /// Watches exactly the wanted engines, which come with the rank of this instance. If
-    /// there are too many, those are left out of which it is the second watcher.
+    /// there are too many, those are left out of which it is the second watcher. A watch
+    /// whose task has ended is started again.
     pub(crate) fn update<Host: WatchHost + 'static>(
         &mut self,
         host: &Rc<Host>,
@@ -59,7 +60,7 @@
         wanted.truncate(MAX_WATCHED_ENGINES);
         let wanted: BTreeMap<ServerId, usize> = wanted.into_iter().collect();
         self.watches.retain(|server, watch| {
-            let keeps = wanted.contains_key(server);
+            let keeps = wanted.contains_key(server) && !watch.task.is_finished();
             if !keeps {
                 end_watch(&**host, *server, watch.rank.get());
             }
--- a/crates/flaxtide-entry/src/watch/own.rs
+++ b/crates/flaxtide-entry/src/watch/own.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
-use flaxtide_policy::{EngineSighting, PartChange};
+use flaxtide_policy::{EngineSighting, PartChange, SIGHTING_BOUND};
 
 /// The maximum number of changes that one publication to peers has.
 const MAX_PUBLISHED_CHANGES: usize = 64;
@@ -38,22 +38,31 @@
     pub fn add_changes(&self, new: &[PartChange]) {
         let mut changes = self.changes.borrow_mut();
         changes.extend(new);
-        let surplus = changes.len().saturating_sub(MAX_WAITING_CHANGES);
-        changes.drain(..surplus);
+        drop_surplus(&mut changes);
     }
 
-    /// Returns the last sightings, with ages as of now.
+    /// Puts changes back that were taken but not published. They are the oldest again.
+    pub fn put_back(&self, taken: Vec<PartChange>) {
+        let mut changes = self.changes.borrow_mut();
+        for change in taken.into_iter().rev() {
+            changes.push_front(change);
+        }
+        drop_surplus(&mut changes);
+    }
+
+    /// Returns the last sightings, with ages as of now. Those that are older than
+    /// [`SIGHTING_BOUND`] are left out: to peers, they would look as if they were new.
     #[must_use]
     pub fn sightings(&self, now: Duration) -> Vec<EngineSighting> {
         let sightings = self.sightings.borrow();
-        let aged = sightings.values().map(|(sighting, seen_at)| {
+        let aged = sightings.values().filter_map(|(sighting, seen_at)| {
             let since = now.saturating_sub(*seen_at);
-            EngineSighting {
+            (since < SIGHTING_BOUND).then(|| EngineSighting {
                 answered_ago: sighting.answered_ago.map(|ago| ago + since),
                 failing_for: sighting.failing_for.map(|span| span + since),
                 report: sighting.report.map(|(report, age)| (report, age + since)),
                 ..*sighting
-            }
+            })
         });
         aged.collect()
     }
@@ -77,3 +86,9 @@
         changes.drain(..count).collect()
     }
 }
+
+/// Drops the oldest changes if too many wait.
+fn drop_surplus(changes: &mut VecDeque<PartChange>) {
+    let surplus = changes.len().saturating_sub(MAX_WAITING_CHANGES);
+    changes.drain(..surplus);
+}
--- a/crates/flaxtide-entry/tests/watch.rs
+++ b/crates/flaxtide-entry/tests/watch.rs
@@ -322,6 +322,34 @@
     assert_eq!(own.failing_count(), 0);
 }
 
+#[test]
+fn changes_that_are_put_back_are_the_oldest_again() {
+    let own = OwnSightings::default();
+    let changes: Vec<PartChange> = (0..2048)
+        .map(|part| PartChange { server: ENGINE, part, cached: true })
+        .collect();
+    own.add_changes(&changes);
+    let taken = own.take_changes();
+    own.put_back(taken.clone());
+    assert_eq!(own.take_changes(), taken);
+    // Newer ones have come meanwhile, so that there is no room for all.
+    own.add_changes(&changes[..10]);
+    own.put_back(taken.clone());
+    assert_eq!(own.take_changes()[..54], taken[10..]);
+}
+
+#[test]
+fn old_sightings_are_not_published() {
+    let own = OwnSightings::default();
+    let mut record = EngineRecord::new(ENGINE, 3);
+    record.record_answer(ms(1000));
+    own.record(record.sighting(ms(1000)), ms(1000));
+    assert_eq!(own.sightings(ms(3999)).len(), 1);
+    assert!(own.sightings(ms(4000)).is_empty());
+    own.record(record.sighting(ms(5000)), ms(5000));
+    assert_eq!(own.sightings(ms(5000)).len(), 1);
+}
+
 #[test]
 fn changes_are_published_oldest_first_and_the_oldest_are_dropped() {
     let own = OwnSightings::default();
