--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -50,6 +50,7 @@
 use self::call::{CallPhase, RoutedCall};
 use self::homes::DemandTable;
 use self::lane::LaneDemand;
+pub use self::liveness::DEAD_BOUND;
 use self::liveness::WATCH_PERIOD;
 use self::prefill_log::PrefillLog;
 use self::server::ServerState;
@@ -292,8 +293,8 @@
         let servers = self.pools.values().flat_map(|pool| pool.servers.active());
         let silent = servers.filter(|server| {
             let streams = server.load.has_streams(&self.calls);
-            let liveness = server.liveness(now);
-            server.health.was_silent(streams, liveness, now, &self.options)
+            let is_reached = server.is_reached_by_watchers(now);
+            server.health.was_silent(streams, is_reached, now, &self.options)
         });
         silent.map(|server| server.listing.server).collect()
     }
@@ -476,6 +477,7 @@
         let patience = patience.max(self.options.shortest_patience);
         call.patience = patience;
         call.patient_until = now;
+        call.compares_at = now;
         let mut timeout = patience;
         if let Some(state) = self.pools.get_mut(&call.details.pool)
             && let Some(server) = state.servers.get_mut(server)
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -7,7 +7,7 @@
 
 use super::call::{CallPhase, RouteFault, RoutedCall};
 use super::choose::RouteReason;
-use super::liveness::{EngineLiveness, STREAM_GAP, WATCH_PERIOD, is_sooner_elsewhere};
+use super::liveness::{EngineLiveness, WATCH_PERIOD, is_sooner_elsewhere, stream_gap};
 use super::server::ServerState;
 use super::{QUEUE_WAIT_DIVISOR, RouteAction, RouteCore};
 
@@ -101,10 +101,17 @@
         if liveness != EngineLiveness::Alive || is_lost(call, server, now) {
             return SilenceVerdict::Fault;
         }
-        match !call.has_data() && self.is_sooner_served_elsewhere(request, now) {
-            true => SilenceVerdict::Busy,
-            false => SilenceVerdict::Patience,
+        if call.has_data() || now < call.compares_at {
+            return SilenceVerdict::Patience;
+        }
+        if self.is_sooner_served_elsewhere(request, now) {
+            return SilenceVerdict::Busy;
+        }
+        // Comparing all engines is costly, and little changes between two questions.
+        if let Some(call) = self.calls.get_mut(&request) {
+            call.compares_at = now + call.patience;
         }
+        SilenceVerdict::Patience
     }
 
     /// Returns whether another engine would read the prompt of a request sooner, although it
@@ -113,7 +120,7 @@
         let Some((call, server)) = self.call_and_server(request) else { return false };
         let rate = server.prefill_rate.tokens_per_ms(now);
         let pending = self.pending_prefill_ms(server, call.details.level, now);
-        let left_ms = pending.min(call.tokens_ahead / rate);
+        let left_ms = pending.min(call.tokens_ahead / rate).max(overdue_ms(call, now));
         let (pool, current) = (call.details.pool, server.listing.server);
         let Some(call) = self.calls.get_mut(&request) else { return false };
         call.excluded.push(current);
@@ -285,11 +292,19 @@
     }
 }
 
+/// Returns how long a prompt is overdue beyond the usual patience, in milliseconds. What has
+/// taken so much longer than expected will hardly end sooner than in the same time again.
+fn overdue_ms(call: &RoutedCall, now: Duration) -> f64 {
+    let Some(progress) = call.progress() else { return 0.0 };
+    let elapsed = now.saturating_sub(progress.sent).saturating_sub(call.stalled_for);
+    elapsed.saturating_sub(call.patience).as_secs_f64() * 1000.0
+}
+
 /// Returns whether a request on an engine that is alive, or its response, is lost on the way:
 /// its stream has paused for longer than callers accept, or the engine doesn't have it.
 fn is_lost(call: &RoutedCall, server: &ServerState, now: Duration) -> bool {
     match (call.last_data_at, call.progress()) {
-        (Some(at), _) => now >= at + STREAM_GAP,
+        (Some(at), _) => now >= at + stream_gap(call),
         (None, Some(progress)) => server.lacks_request(progress.sent),
         (None, None) => false,
     }
