--- a/crates/flaxtide-lab/src/fleet.rs
+++ b/crates/flaxtide-lab/src/fleet.rs
@@ -1,7 +1,7 @@
 //! Several routers before model engines: they tell each other their loads and which engines
 //! they find silent, and some of them watch each engine.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
@@ -27,8 +27,9 @@
 /// How often watchers call an engine.
 const WATCH_PERIOD: Duration = Duration::from_millis(500);
 
-/// How long a call of a watcher may stay unanswered.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(1);
+/// For how long an engine holds a watcher's call, and how much later its answer is overdue.
+const WATCH_WAIT: Duration = Duration::from_millis(500);
+const WATCH_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// The age of an engine's report when its watcher gets it.
 const REPORT_AGE: Duration = Duration::from_millis(300);
@@ -113,29 +114,15 @@
 /// What became of a pattern.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct FleetReport {
-    /// How many requests ended with a complete answer.
-    pub answered: u32,
-    /// How many had their first event on time.
-    pub on_time: u32,
-    /// How many were refused.
-    pub refused: u32,
-    /// How many ended without a complete answer.
-    pub failed: u32,
-    /// How many were sent again for silence where the engine was alive.
+    /// How many requests were sent again for silence where the engine was alive.
     pub resent_alive: u32,
-    /// How many seconds at instances an engine that is never lost was ineligible for
-    /// over 200 ms.
-    pub ineligible: u32,
-    /// The largest part of the instances at which that was so for one engine in one second.
+    /// The largest part of the instances at which one engine that is never lost was
+    /// ineligible for over 200 ms in one second.
     pub most_ineligible: f64,
     /// How many requests were sent to engines that had been lost for over the bound.
     pub late_sends: u32,
-    /// How many were sent to lost engines, whenever that was.
-    pub lost_sends: u32,
     /// How long requests waited at lost engines in all, until they left them.
     pub lost_time: Duration,
-    /// The last send to a lost engine, counted from its loss.
-    pub last_send: Duration,
     /// The longest time from an engine's loss until a request that ran there left it.
     pub last_leave: Duration,
 }
@@ -147,12 +134,6 @@
     while world.now < pattern.span {
         world.tick();
     }
-    let parts = world
-        .ineligible
-        .values()
-        .map(|instances| f64::from(*instances) / f64::from(pattern.instances));
-    world.report.most_ineligible = parts.fold(0.0, f64::max);
-    world.report.ineligible = world.ineligible.values().sum();
     world.report
 }
 
@@ -161,8 +142,6 @@
 struct FleetCall {
     /// Whether its prompt is long.
     long: bool,
-    /// When it came.
-    came_at: Duration,
     /// The instance that it came to.
     instance: u32,
     /// The engine that has it, and since when.
@@ -222,12 +201,8 @@
     calls: HashMap<RequestId, FleetCall>,
     /// What peers will hear.
     tidings: Vec<Tidings>,
-    /// How long an engine has been ineligible in this second, by instance.
-    blocked: HashMap<(ServerId, u32), Duration>,
-    /// The engines that are ineligible now, each with the instance.
-    unhealthy: HashSet<(ServerId, u32)>,
-    /// By engine and second, at how many instances it was ineligible for too long.
-    ineligible: HashMap<(ServerId, u64), u32>,
+    /// Whether an engine is ineligible at an instance, and how long it was in this second.
+    ineligible: HashMap<(ServerId, u32), (bool, Duration)>,
     /// What became of the requests.
     report: FleetReport,
     /// The number of the next request.
@@ -274,8 +249,6 @@
             views: vec![EngineView::default(); servers.len()],
             calls: HashMap::new(),
             tidings: vec![],
-            blocked: HashMap::new(),
-            unhealthy: HashSet::new(),
             ineligible: HashMap::new(),
             report: FleetReport::default(),
             next: 1,
@@ -359,9 +332,16 @@
                 continue;
             };
             let crash = self.pattern.loss.is_some_and(|at| at.kind == LossKind::Crash);
-            let noticed = lost_at + if crash { Duration::ZERO } else { WATCH_TIMEOUT };
+            // The call under way began when the engine last answered.
+            let (since, noticed) = match crash {
+                true => (lost_at, lost_at),
+                false => {
+                    let due_at = view.answered_at + WATCH_WAIT;
+                    (due_at, due_at + WATCH_TIMEOUT)
+                }
+            };
             if self.now > noticed {
-                view.failing_since = view.failing_since.or(Some(lost_at));
+                view.failing_since = view.failing_since.or(Some(since));
             }
         }
         for engine in 0..self.pattern.engines {
@@ -427,27 +407,25 @@
     fn check_health(&mut self) {
         for instance in 0..self.pattern.instances {
             for change in self.cores[instance as usize].health_changes(self.now) {
-                match change.healthy {
-                    true => self.unhealthy.remove(&(change.server, instance)),
-                    false => self.unhealthy.insert((change.server, instance)),
-                };
+                let state = self.ineligible.entry((change.server, instance)).or_default();
+                state.0 = !change.healthy;
             }
         }
-        let second = self.now.as_secs();
-        if is_due(Duration::from_secs(1), self.now) {
-            self.blocked.clear();
-        }
-        for (engine, instance) in &self.unhealthy {
-            if *engine < self.lost_count() {
-                continue;
+        let second_begins = is_due(Duration::from_secs(1), self.now);
+        let lost_count = self.lost_count();
+        let mut counts: HashMap<ServerId, u32> = HashMap::new();
+        for ((engine, _), (ineligible, span)) in &mut self.ineligible {
+            if second_begins {
+                *span = Duration::ZERO;
             }
-            let span = self.blocked.entry((*engine, *instance)).or_default();
-            let before = *span;
-            *span += CHECK_PERIOD;
-            if before <= INELIGIBLE_BOUND && *span > INELIGIBLE_BOUND {
-                *self.ineligible.entry((*engine, second)).or_default() += 1;
+            if *ineligible && *engine >= lost_count {
+                *span += CHECK_PERIOD;
             }
+            *counts.entry(*engine).or_default() += u32::from(*span > INELIGIBLE_BOUND);
         }
+        let most = counts.into_values().max().unwrap_or_default();
+        let part = f64::from(most) / f64::from(self.pattern.instances);
+        self.report.most_ineligible = self.report.most_ineligible.max(part);
     }
 
     /// Has a request come to an instance.
@@ -458,7 +436,6 @@
         let shape = self.pattern.shape(long);
         let call = FleetCall {
             long,
-            came_at: self.now,
             instance,
             engine: None,
             tokens: 0,
@@ -498,7 +475,6 @@
                 }
                 RouteAction::Refuse { request, .. } => {
                     self.calls.remove(&request);
-                    self.report.refused += 1;
                 }
             }
         }
@@ -514,8 +490,6 @@
         let unmade = shape.answer - call.tokens;
         if let Some(lost_at) = self.lost_since(engine) {
             let ago = self.now - lost_at;
-            self.report.lost_sends += 1;
-            self.report.last_send = self.report.last_send.max(ago);
             self.report.late_sends += u32::from(ago > self.pattern.loss_bound);
             if self.pattern.loss.is_some_and(|loss| loss.kind == LossKind::Crash) {
                 return self.fail(request, RouteFault::Unreachable);
@@ -540,7 +514,6 @@
         let (decision, actions) = core.fail(request, fault, true, self.now);
         if decision == flaxtide_policy::RetryDecision::Stop {
             self.calls.remove(&request);
-            self.report.failed += 1;
         }
         self.obey(actions);
     }
@@ -581,10 +554,6 @@
             return;
         }
         call.tokens += 1;
-        if call.tokens == EVENT_TOKENS {
-            let target = self.pattern.shape(call.long).target;
-            self.report.on_time += u32::from(at <= call.came_at + target);
-        }
         let instance = call.instance;
         let core = &mut self.cores[instance as usize];
         if end || call.tokens.is_multiple_of(EVENT_TOKENS) {
@@ -593,7 +562,6 @@
         }
         if end {
             self.calls.remove(&request);
-            self.report.answered += 1;
             let actions = core.finish(request, at);
             self.obey(actions);
         }
