A prompt counts only on parts that engines read before it

Cause: engines read more urgent prompts first, but a prompt took any part of an own unanswered request on the engine as read by then. A level 0 prompt after a level 2 one with the same part expected 1,000 tokens ahead instead of 14,000, and its first token taught too low a rate.

Change: only unanswered requests that are at least as urgent count.

Result: a test of four pairs of levels, which failed before with 1,000 instead of 14,000 tokens uncached. Tests of flaxtide-policy pass.

--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -231,7 +231,7 @@
         let service_ms = self.service_ms(details.pool);
         let expected_refusal_ms = self.expected_refusal_ms(details.pool, now);
         let candidates = with_room.iter().copied().map(|server| {
-            let cached = self.usable_tokens(server, scope, now);
+            let cached = self.usable_tokens(server, details.level, scope, now);
             let fetch = self.fetch(server, cached, details.level, scope, now);
             let fetched = fetch.map_or(0, |fetch| fetch.tokens);
             let uncached = details.prompt.tokens.saturating_sub(cached + fetched);
--- a/crates/flaxtide-policy/src/router/part_scope.rs
+++ b/crates/flaxtide-policy/src/router/part_scope.rs
@@ -124,11 +124,13 @@
     }
 
     /// Returns how many tokens of a prompt a server needn't prefill if it gets the request:
-    /// those that it has cached, and those of this instance's requests there. An engine
-    /// prefills prompts one after the other, so it reads a part only once for several.
+    /// those that it has cached, and those of this instance's requests there that are at
+    /// least as urgent. An engine prefills such prompts before, so it reads a part only once
+    /// for several.
     pub(super) fn usable_tokens(
         &self,
         server: &ServerState,
+        level: u8,
         scope: &PartScope<'_>,
         now: Duration,
     ) -> u32 {
@@ -138,7 +140,8 @@
             return cached;
         }
         let unanswered = server.load.unanswered(&self.calls);
-        let coming = unanswered.map(|call| prompt.common_tokens(&call.details.prompt));
+        let sooner = unanswered.filter(|call| call.details.level <= level);
+        let coming = sooner.map(|call| prompt.common_tokens(&call.details.prompt));
         coming.fold(cached, u32::max)
     }
 
--- a/crates/flaxtide-policy/tests/router_homes.rs
+++ b/crates/flaxtide-policy/tests/router_homes.rs
@@ -584,3 +584,22 @@
     let other = probe(&mut core, 10, 3);
     assert_eq!(other.fetch, None);
 }
+
+/// Engines read more urgent prompts first, so that these can't count on a part that a less
+/// urgent one has brought along.
+#[test]
+fn a_part_that_is_being_read_counts_for_prompts_that_are_not_more_urgent() {
+    let whole = SHARED_TOKENS + OWN_TOKENS;
+    for (first, second, uncached) in
+        [(2, 0, whole), (1, 0, whole), (1, 1, OWN_TOKENS), (0, 2, OWN_TOKENS)]
+    {
+        let mut core = RouteCore::new(RouteOptions::default());
+        core.set_servers(POOL, &[fetching_engine(0)], ms(0));
+        core.record_sightings(&[sighting(0)], ms(0));
+        let with_level =
+            |request, level| RouteCall { level, ..call_with(request, shared_part(0)) };
+        core.arrive(with_level(1, first), ms(0));
+        let choice = choice_of(&core.arrive(with_level(2, second), ms(0)));
+        assert_eq!(choice.uncached, uncached, "level {second} after {first}");
+    }
+}
