A peer's repeated report doesn't bring an evicted part back

Cause: heartbeats overlap, early rounds repeat and digests cover two periods, so a report may tell again of a prefill that an engine's eviction has followed. A repeat also cleared the doubt in a part.

Change: evictions are remembered for 5 s, 512 at most for each engine, known parts or not. A peer's report within that time gives an entry of 20 s. An own prefill or the engine's own report ends it.

--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -175,7 +175,7 @@
             self.parts.make_room();
         }
         if self.parts.has_room() {
-            self.parts.record_prefill(part, now);
+            self.parts.record_peer_prefill(part, now);
         }
     }
 
--- a/crates/flaxtide-policy/tests/router_homes.rs
+++ b/crates/flaxtide-policy/tests/router_homes.rs
@@ -603,3 +603,46 @@
         assert_eq!(choice.uncached, uncached, "level {second} after {first}");
     }
 }
+
+/// Peers repeat their reports, so one after an eviction may tell of a prefill before it.
+#[test]
+fn a_repeated_report_does_not_bring_an_evicted_part_back() {
+    let prefill = [(2, shared_part(0).short_key())];
+    // When the repeat comes, and whether the part counts as cached long after it.
+    for (repeated_at, stays) in [(2600, false), (7400, false), (7600, true)] {
+        let mut core = watched_core(212.0);
+        core.record_peer_prefills(&prefill, ms(400));
+        core.record_part_changes(&[part_change(2, false)], ms(2500));
+        assert!(!is_known(&mut core, 1, 2501));
+        core.record_peer_prefills(&prefill, ms(repeated_at));
+        assert!(is_known(&mut core, 2, repeated_at + 1), "the prefill may be new");
+        watch(&mut core, 30_000);
+        assert_eq!(is_known(&mut core, 3, 30_001), stays, "repeated at {repeated_at}");
+    }
+}
+
+#[test]
+fn a_repeated_report_does_not_clear_the_doubt_in_a_part() {
+    let prefill = [(2, shared_part(0).short_key())];
+    let mut core = watched_core(212.0);
+    core.record_peer_prefills(&prefill, ms(10_000));
+    core.record_part_changes(&[part_change(2, false)], ms(10_300));
+    core.record_peer_prefills(&prefill, ms(10_400));
+    watch(&mut core, 31_000);
+    assert!(!is_known(&mut core, 1, 31_001));
+}
+
+/// A report of a prefill may also come only after the engine's word of the eviction.
+#[test]
+fn an_eviction_of_an_unknown_part_is_remembered() {
+    let mut core = watched_core(212.0);
+    core.record_part_changes(&[part_change(2, false)], ms(1000));
+    core.record_peer_prefills(&[(2, shared_part(0).short_key())], ms(1100));
+    watch(&mut core, 25_000);
+    assert!(!is_known(&mut core, 1, 25_001));
+    // The engine itself knows better.
+    core.record_part_changes(&[part_change(2, false)], ms(25_002));
+    core.record_part_changes(&[part_change(2, true)], ms(25_003));
+    watch(&mut core, 60_000);
+    assert!(is_known(&mut core, 2, 60_001));
+}
