The newer half of an engine's parts stays if many were recorded at once

Cause: beyond 512 parts, those known up to the middle time were dropped. With one time for all, as in one message of changes, that was all of them: 600 changes left 87.

Change: the entries are ordered by time, and half of them by number are dropped.

Result: 600 changes at once leave 344; the test failed before with 87. Tests of router_homes pass.

--- a/crates/flaxtide-policy/src/router/parts.rs
+++ b/crates/flaxtide-policy/src/router/parts.rs
@@ -135,11 +135,7 @@
         if self.has_room() {
             return;
         }
-        let mut times: Vec<Duration> =
-            self.parts.values().map(|part| part.known_at).collect();
-        times.sort_unstable();
-        let middle = times[times.len() / 2];
-        self.parts.retain(|_, part| part.known_at > middle);
+        keep_newer_half(&mut self.parts, |part| part.known_at);
     }
 
     /// Returns how many tokens of a prompt are cached. An engine that has a part has also
--- a/crates/flaxtide-policy/tests/router_homes.rs
+++ b/crates/flaxtide-policy/tests/router_homes.rs
@@ -646,3 +646,27 @@
     watch(&mut core, 60_000);
     assert!(is_known(&mut core, 2, 60_001));
 }
+
+/// Changes that are told in one message are recorded at the same instant.
+#[test]
+fn the_newer_half_of_the_parts_stays_if_many_change_at_once() {
+    let mut core = watched_core(212.0);
+    let parts: Vec<PartKey> =
+        (0..1200).map(|number| shared_part(number).short_key()).collect();
+    let changes: Vec<PartChange> = parts
+        .iter()
+        .map(|part| PartChange { server: 2, part: *part, cached: true })
+        .collect();
+    let known = |core: &RouteCore, parts: &[PartKey], now| {
+        parts
+            .iter()
+            .filter(|part| core.has_cached(2, **part, ms(now)))
+            .count()
+    };
+    core.record_part_changes(&changes[..600], ms(10));
+    // The 514th part finds 513, of which 257 stay.
+    assert_eq!(known(&core, &parts, 11), 257 + 87);
+    core.record_part_changes(&changes[600..], ms(20));
+    assert_eq!(known(&core, &parts[..600], 21), 0, "older than the others");
+    assert!((257..=513).contains(&known(&core, &parts[600..], 21)));
+}
