The demand for a part is measured by one rate

Cause: a prefill was added by the rate of the engine that happened to do it, and the homes were counted by the mean rate of the members. A slow engine's prefills raised the number of homes, which then fell only at 0.6 of the demand.

Change: both use the mean rate of the pool's engines in service, updated twice a second and only in watched pools. Without watched engines no demand is recorded, as nothing uses it.

Reports that are told several times still count several times.

--- a/crates/flaxtide-policy/src/router/homes.rs
+++ b/crates/flaxtide-policy/src/router/homes.rs
@@ -126,6 +126,8 @@
     /// Adds a prompt of which `tokens` are to be read at a home that prefills
     /// `home_rate` tokens per millisecond.
     fn add(&mut self, tokens: f64, home_rate: f64, now: Duration) {
+        // The number falls with time as well, and must have fallen before a rise is counted
+        // from it; else what was needed long ago would be kept.
         self.homes = self.homes(home_rate, now);
         let span_ms = DEMAND_SPAN.as_secs_f64() * 1000.0;
         self.tokens_per_ms = self.rate(now) + tokens / span_ms;
@@ -153,8 +155,9 @@
 }
 
 impl DemandTable {
-    /// Records that an engine which prefills `home_rate` tokens per millisecond has
-    /// prefilled a prompt with a part, and `own_tokens` besides the shared ones.
+    /// Records that an engine has prefilled a prompt with a part, and `own_tokens` besides
+    /// the shared ones. `home_rate` is the mean rate of the pool's engines, whichever of
+    /// them it was: any may become a home.
     pub(crate) fn record_prefill(
         &mut self,
         part: PartKey,
@@ -183,8 +186,8 @@
         demand.add(tokens, home_rate, now);
     }
 
-    /// Returns how many homes a part needs if an engine prefills `home_rate` tokens per
-    /// millisecond.
+    /// Returns how many homes a part needs if engines prefill `home_rate` tokens per
+    /// millisecond on average.
     pub(crate) fn homes(&self, part: PartKey, home_rate: f64, now: Duration) -> usize {
         self.parts.get(&part).map_or(1, |demand| demand.homes(home_rate, now))
     }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -14,6 +14,7 @@
 mod liveness;
 mod load;
 mod options;
+mod pace;
 mod part_scope;
 mod parts;
 mod prefill_log;
@@ -51,6 +52,7 @@
 use self::homes::DemandTable;
 use self::lane::LaneDemand;
 use self::liveness::WATCH_PERIOD;
+use self::pace::PoolPace;
 use self::prefill_log::PrefillLog;
 use self::server::ServerState;
 use self::shed::ShedProbability;
@@ -118,6 +120,8 @@
     lane_demand: LaneDemand,
     /// The demand for shared prompt parts.
     part_demand: DemandTable,
+    /// The pace of the engines.
+    pace: PoolPace,
     /// The mean time from dispatch to the end of the response, in seconds.
     service_time: crate::estimate::DecayedMean,
 }
@@ -256,16 +260,21 @@
         prefills: &[(ServerId, PartKey)],
         now: Duration,
     ) {
+        for pool in self.pools.values_mut() {
+            pool.pace.update(&pool.servers, now);
+        }
         for (server, part) in prefills {
             let mut pools = self.pools.values_mut();
-            let Some((server, part_demand)) = pools.find_map(|pool| {
-                Some((pool.servers.get_for_peers(*server)?, &mut pool.part_demand))
-            }) else {
+            let Some(pool) = pools.find(|pool| pool.servers.get(*server).is_some())
+            else {
                 continue;
             };
-            server.record_peer_prefill(*part, now);
-            let rate = server.prefill_rate.tokens_per_ms(now);
-            part_demand.record_peer_prefill(*part, rate, now);
+            if let Some(server) = pool.servers.get_for_peers(*server) {
+                server.record_peer_prefill(*part, now);
+            }
+            if let Some(rate) = pool.pace.mean_rate() {
+                pool.part_demand.record_peer_prefill(*part, rate, now);
+            }
         }
     }
 
@@ -317,6 +326,7 @@
         let state = self.pools.entry(pool).or_default();
         state.budget.record_arrival(now);
         state.lane_demand.record_arrival(&call, &self.options, now);
+        state.pace.update(&state.servers, now);
         if !state.servers.values().any(|server| server.listing.accepts(&call)) {
             let retry_after = self.options.no_server_retry;
             let any = state.servers.values().any(|server| server.listing.in_service());
@@ -363,9 +373,10 @@
                 .record_first_token(call.tokens_ahead, elapsed, now);
             let prompt = &call.details.prompt;
             server.record_cached_parts(prompt, now);
-            if let Some(part) = prompt.last_shared_part() {
+            if let Some(part) = prompt.last_shared_part()
+                && let Some(rate) = state.pace.mean_rate()
+            {
                 let own = prompt.tokens.saturating_sub(prompt.shared_tokens());
-                let rate = server.prefill_rate.tokens_per_ms(now);
                 state.part_demand.record_prefill(part.short_key(), own, rate, now);
             }
             self.prefills.add(&call.details, id, &self.options, now);
--- a/crates/flaxtide-policy/src/router/part_scope.rs
+++ b/crates/flaxtide-policy/src/router/part_scope.rs
@@ -92,25 +92,17 @@
         PartHomes::find(
             part,
             &scope.members,
-            self.home_count(details, part, scope, now),
+            self.home_count(details, part, now),
             |server| scope.lane_members.contains(&server),
             |server| eligible.contains(&server),
         )
     }
 
     /// Returns how many homes a part has.
-    fn home_count(
-        &self,
-        details: &RouteCall,
-        part: &PromptPart,
-        scope: &PartScope<'_>,
-        now: Duration,
-    ) -> usize {
+    fn home_count(&self, details: &RouteCall, part: &PromptPart, now: Duration) -> usize {
         let Some(state) = self.pools.get(&details.pool) else { return 1 };
-        let members = &scope.members;
-        let rates = members.iter().map(|server| server.prefill_rate.tokens_per_ms(now));
-        let mean_rate = rates.sum::<f64>() / members.len().max(1) as f64;
-        state.part_demand.homes(part.short_key(), mean_rate, now)
+        let Some(rate) = state.pace.mean_rate() else { return 1 };
+        state.part_demand.homes(part.short_key(), rate, now)
     }
 
     /// Returns how many tokens of a prompt a server has cached.
--- a/crates/flaxtide-policy/tests/router_homes.rs
+++ b/crates/flaxtide-policy/tests/router_homes.rs
@@ -670,3 +670,63 @@
     assert_eq!(known(&core, &parts[..600], 21), 0, "older than the others");
     assert!((257..=513).contains(&known(&core, &parts[600..], 21)));
 }
+
+/// Creates an instance that has learnt the rates of watched engines, in tokens per
+/// millisecond, and has been idle since.
+fn core_with_rates(rates: &[f64]) -> RouteCore {
+    let mut core = RouteCore::new(RouteOptions::default());
+    learn_rates(&mut core, rates, 0);
+    core
+}
+
+/// Lets each engine prefill five prompts at a rate, from `start` for at most 10 s.
+fn learn_rates(core: &mut RouteCore, rates: &[f64], start: u64) {
+    let servers = 0..rates.len() as u32;
+    for round in 0..5 {
+        let now = start + round * 2000;
+        let mut first_tokens = vec![];
+        for (server, rate) in servers.clone().zip(rates) {
+            let listed = servers.clone().map(|other| RoutedServer {
+                leaving: other != server,
+                ..fetching_engine(other)
+            });
+            core.set_servers(POOL, &listed.collect::<Vec<_>>(), ms(now));
+            let request = (1 + start + round) * 1000 + u64::from(server);
+            let part = shared_part(1_000_000 + request);
+            choice_of(&core.arrive(call_with(request, part), ms(now)));
+            let tokens = f64::from(SHARED_TOKENS + OWN_TOKENS);
+            first_tokens.push(((tokens / rate + OVERHEAD_MS) as u64, request));
+        }
+        first_tokens.sort_unstable();
+        for (elapsed, request) in first_tokens {
+            core.record_response_data(request, ms(now + elapsed));
+            core.finish(request, ms(now + elapsed));
+        }
+    }
+    let listed: Vec<RoutedServer> = servers.map(fetching_engine).collect();
+    core.set_servers(POOL, &listed, ms(start + 10_000));
+}
+
+/// A part may get its next home at any engine, so its demand is measured by the mean rate
+/// of all, also while a slow one has prefilled it.
+#[test]
+fn a_part_that_a_slow_engine_prefills_needs_no_more_homes() {
+    // How many prompts are prefilled, and whether one home is enough for them.
+    for (prompts, is_enough) in [(54, true), (120, false)] {
+        let mut core = core_with_rates(&[10.0, READ_RATE, READ_RATE, READ_RATE]);
+        watch(&mut core, 10_000);
+        let part = shared_part(0);
+        let request = call_with(1, part);
+        let home = choice_of(&core.arrive(request, ms(10_000))).server;
+        core.record_response_data(1, ms(10_250));
+        core.finish(1, ms(10_250));
+        let prefills = vec![(0, part.short_key()); prompts];
+        core.record_peer_prefills(&prefills, ms(10_251));
+        core.record_peer_prefills(&[(home, part.short_key())], ms(10_251));
+        let pending_prefill = [0, 10_000, 0];
+        let load = PeerLoad { server: home, short: 0, long: 1, pending_prefill };
+        core.set_peer_loads(7, &[load], ms(10_252));
+        let stays = probe(&mut core, 2, 10_253).server == home;
+        assert_eq!(stays, is_enough, "{prompts} prompts");
+    }
+}
