A test covers homes with long and short prompts present

Cause: no test had homes while engines are divided between long and short prompts.

Change: a test with 20 engines: homes of long and of short prompts are disjoint and equal on two instances, and a part whose home is in the lane stays there.

--- a/crates/flaxtide-policy/tests/router_homes.rs
+++ b/crates/flaxtide-policy/tests/router_homes.rs
@@ -797,3 +797,38 @@
     assert!(homes_with(READ_RATE * 0.85, 8, 600_000) == slow);
     assert!(homes_with(READ_RATE, 8, 800_000) == before);
 }
+
+/// Returns the home of a short prompt with a shared part.
+fn short_home(core: &mut RouteCore, number: u64, now: u64) -> ServerId {
+    let request = 200_000_000 + number;
+    let part = PromptPart { tokens: 1500, ..shared_part(number) };
+    let actions = core.arrive(call_with(request, part), ms(now));
+    core.cancel(request, ms(now));
+    choice_of(&actions).server
+}
+
+#[test]
+fn with_long_and_short_prompts_homes_are_in_the_lane_and_move_only_into_it() {
+    let homes_of = |seed, with_short: bool| {
+        let mut core = core_with_rates(&[READ_RATE; 20]);
+        core.set_seed(seed);
+        let long = |core: &mut RouteCore| homes_at(core, 20, 60_000);
+        if !with_short {
+            return (long(&mut core), BTreeSet::new());
+        }
+        core.arrive(call_with(300_000_000, shared_part(0)), ms(60_000));
+        core.cancel(300_000_000, ms(60_000));
+        let short = (0..200).map(|number| short_home(&mut core, number, 60_000));
+        let short: BTreeSet<ServerId> = short.collect();
+        (long(&mut core), short)
+    };
+    let (before, _) = homes_of(1, false);
+    let (homes, short) = homes_of(1, true);
+    assert_eq!(homes_of(2, true), (homes.clone(), short.clone()), "on each instance");
+    let lane: BTreeSet<ServerId> = homes.iter().copied().collect();
+    assert!((5..20).contains(&lane.len()), "{lane:?}");
+    assert!(short.len() >= 4 && lane.is_disjoint(&short), "{lane:?}, {short:?}");
+    for (from, to) in before.iter().zip(&homes) {
+        assert!(from == to || !lane.contains(from), "moved from {from} to {to}");
+    }
+}
