--- a/crates/flaxtide-policy/src/router/homes.rs
+++ b/crates/flaxtide-policy/src/router/homes.rs
@@ -54,19 +54,21 @@
 
 impl PartHomes {
     /// Finds the homes of a part among the members of a pool, which are the same on all
-    /// instances. `is_preferred` tells which members the prompt prefers; the others come
-    /// after them. `is_eligible` tells which can get the request now: the order doesn't
+    /// instances. `is_slow` tells which members are homes of half as many parts, and
+    /// `is_preferred` which the prompt prefers; the others come after them. `is_eligible` tells which can get the request now: the order doesn't
     /// depend on it, so a part returns to its home.
     pub(crate) fn find(
         part: &PromptPart,
         members: &[&ServerState],
         count: usize,
+        is_slow: impl Fn(ServerId) -> bool,
         is_preferred: impl Fn(ServerId) -> bool,
         is_eligible: impl Fn(ServerId) -> bool,
     ) -> Self {
         let ranks = members.iter().map(|member| {
             let server = member.listing.server;
             let weight = rendezvous_weight(part.key, member.listing.name_hash);
+            let weight = if is_slow(server) { half_weight(weight) } else { weight };
             (!is_preferred(server), Reverse((weight, server)))
         });
         let mut ranks: Vec<(bool, Reverse<(u64, ServerId)>)> = ranks.collect();
@@ -126,6 +128,8 @@
     /// Adds a prompt of which `tokens` are to be read at a home that prefills
     /// `home_rate` tokens per millisecond.
     fn add(&mut self, tokens: f64, home_rate: f64, now: Duration) {
+        // The number falls with time as well, and must have fallen before a rise is counted
+        // from it; else what was needed long ago would be kept.
         self.homes = self.homes(home_rate, now);
         let span_ms = DEMAND_SPAN.as_secs_f64() * 1000.0;
         self.tokens_per_ms = self.rate(now) + tokens / span_ms;
@@ -153,8 +157,9 @@
 }
 
 impl DemandTable {
-    /// Records that an engine which prefills `home_rate` tokens per millisecond has
-    /// prefilled a prompt with a part, and `own_tokens` besides the shared ones.
+    /// Records that an engine has prefilled a prompt with a part, and `own_tokens` besides
+    /// the shared ones. `home_rate` is the mean rate of the pool's engines, whichever of
+    /// them it was: any may become a home.
     pub(crate) fn record_prefill(
         &mut self,
         part: PartKey,
@@ -183,8 +188,8 @@
         demand.add(tokens, home_rate, now);
     }
 
-    /// Returns how many homes a part needs if an engine prefills `home_rate` tokens per
-    /// millisecond.
+    /// Returns how many homes a part needs if engines prefill `home_rate` tokens per
+    /// millisecond on average.
     pub(crate) fn homes(&self, part: PartKey, home_rate: f64, now: Duration) -> usize {
         self.parts.get(&part).map_or(1, |demand| demand.homes(home_rate, now))
     }
@@ -201,3 +206,11 @@
         self.parts.entry(part).or_default()
     }
 }
+
+/// Returns the rank of a member with half the weight of others in rendezvous hashing: its
+/// draw squared, as a fraction. Weighted rendezvous hashing ranks members by `-w / ln(u)`,
+/// and `-0.5 / ln(u)` is `-1 / ln(u * u)`; the square is the same on all instances.
+fn half_weight(draw: u64) -> u64 {
+    let draw = u128::from(draw);
+    ((draw * draw) >> u64::BITS) as u64
+}
--- a/crates/flaxtide-policy/src/router/part_scope.rs
+++ b/crates/flaxtide-policy/src/router/part_scope.rs
@@ -85,32 +85,26 @@
         if !scope.watched {
             // Nothing is known of what engines evict, so parts don't stay for long, and
             // the first of the servers that may get the request is as good as any.
-            return PartHomes::find(part, servers, 1, |_| true, |_| true);
+            return PartHomes::find(part, servers, 1, |_| false, |_| true, |_| true);
         }
+        let state = self.pools.get(&details.pool);
         let eligible: HashSet<ServerId> =
             with_room.iter().map(|server| server.listing.server).collect();
         PartHomes::find(
             part,
             &scope.members,
-            self.home_count(details, part, scope, now),
+            self.home_count(details, part, now),
+            |server| state.is_some_and(|state| state.pace.is_slow(server)),
             |server| scope.lane_members.contains(&server),
             |server| eligible.contains(&server),
         )
     }
 
     /// Returns how many homes a part has.
-    fn home_count(
-        &self,
-        details: &RouteCall,
-        part: &PromptPart,
-        scope: &PartScope<'_>,
-        now: Duration,
-    ) -> usize {
+    fn home_count(&self, details: &RouteCall, part: &PromptPart, now: Duration) -> usize {
         let Some(state) = self.pools.get(&details.pool) else { return 1 };
-        let members = &scope.members;
-        let rates = members.iter().map(|server| server.prefill_rate.tokens_per_ms(now));
-        let mean_rate = rates.sum::<f64>() / members.len().max(1) as f64;
-        state.part_demand.homes(part.short_key(), mean_rate, now)
+        let Some(rate) = state.pace.mean_rate() else { return 1 };
+        state.part_demand.homes(part.short_key(), rate, now)
     }
 
     /// Returns how many tokens of a prompt a server has cached.
@@ -124,11 +118,13 @@
     }
 
     /// Returns how many tokens of a prompt a server needn't prefill if it gets the request:
-    /// those that it has cached, and those of this instance's requests there. An engine
-    /// prefills prompts one after the other, so it reads a part only once for several.
+    /// those that it has cached, and those of this instance's requests there that are at
+    /// least as urgent. An engine prefills such prompts before, so it reads a part only once
+    /// for several.
     pub(super) fn usable_tokens(
         &self,
         server: &ServerState,
+        level: u8,
         scope: &PartScope<'_>,
         now: Duration,
     ) -> u32 {
@@ -138,7 +134,8 @@
             return cached;
         }
         let unanswered = server.load.unanswered(&self.calls);
-        let coming = unanswered.map(|call| prompt.common_tokens(&call.details.prompt));
+        let sooner = unanswered.filter(|call| call.details.level <= level);
+        let coming = sooner.map(|call| prompt.common_tokens(&call.details.prompt));
         coming.fold(cached, u32::max)
     }
 
--- a/crates/flaxtide-policy/tests/router_homes.rs
+++ b/crates/flaxtide-policy/tests/router_homes.rs
@@ -9,8 +9,8 @@
 use flaxtide_core::ServerId;
 use flaxtide_policy::{
     EngineShape, EngineSighting, PartChange, PartFetch, PartKey, PeerLoad, PromptPart,
-    RouteAction, RouteCall, RouteChoice, RouteCore, RouteOptions, RoutedServer,
-    ServerStatement,
+    RouteAction, RouteCall, RouteChoice, RouteCore, RouteOptions, RouteReason,
+    RoutedServer, ServerStatement,
 };
 
 use self::common::{POOL, call, engine, ms};
@@ -584,3 +584,251 @@
     let other = probe(&mut core, 10, 3);
     assert_eq!(other.fetch, None);
 }
+
+/// Engines read more urgent prompts first, so that these can't count on a part that a less
+/// urgent one has brought along.
+#[test]
+fn a_part_that_is_being_read_counts_for_prompts_that_are_not_more_urgent() {
+    let whole = SHARED_TOKENS + OWN_TOKENS;
+    for (first, second, uncached) in
+        [(2, 0, whole), (1, 0, whole), (1, 1, OWN_TOKENS), (0, 2, OWN_TOKENS)]
+    {
+        let mut core = RouteCore::new(RouteOptions::default());
+        core.set_servers(POOL, &[fetching_engine(0)], ms(0));
+        core.record_sightings(&[sighting(0)], ms(0));
+        let with_level =
+            |request, level| RouteCall { level, ..call_with(request, shared_part(0)) };
+        core.arrive(with_level(1, first), ms(0));
+        let choice = choice_of(&core.arrive(with_level(2, second), ms(0)));
+        assert_eq!(choice.uncached, uncached, "level {second} after {first}");
+    }
+}
+
+/// Peers repeat their reports, so one after an eviction may tell of a prefill before it.
+#[test]
+fn a_repeated_report_does_not_bring_an_evicted_part_back() {
+    let prefill = [(2, shared_part(0).short_key())];
+    // When the repeat comes, and whether the part counts as cached long after it.
+    for (repeated_at, stays) in [(2600, false), (7400, false), (7600, true)] {
+        let mut core = watched_core(212.0);
+        core.record_peer_prefills(&prefill, ms(400));
+        core.record_part_changes(&[part_change(2, false)], ms(2500));
+        assert!(!is_known(&mut core, 1, 2501));
+        core.record_peer_prefills(&prefill, ms(repeated_at));
+        assert!(is_known(&mut core, 2, repeated_at + 1), "the prefill may be new");
+        watch(&mut core, 30_000);
+        assert_eq!(is_known(&mut core, 3, 30_001), stays, "repeated at {repeated_at}");
+    }
+}
+
+#[test]
+fn a_repeated_report_does_not_clear_the_doubt_in_a_part() {
+    let prefill = [(2, shared_part(0).short_key())];
+    let mut core = watched_core(212.0);
+    core.record_peer_prefills(&prefill, ms(10_000));
+    core.record_part_changes(&[part_change(2, false)], ms(10_300));
+    core.record_peer_prefills(&prefill, ms(10_400));
+    watch(&mut core, 31_000);
+    assert!(!is_known(&mut core, 1, 31_001));
+}
+
+/// A report of a prefill may also come only after the engine's word of the eviction.
+#[test]
+fn an_eviction_of_an_unknown_part_is_remembered() {
+    let mut core = watched_core(212.0);
+    core.record_part_changes(&[part_change(2, false)], ms(1000));
+    core.record_peer_prefills(&[(2, shared_part(0).short_key())], ms(1100));
+    watch(&mut core, 25_000);
+    assert!(!is_known(&mut core, 1, 25_001));
+    // The engine itself knows better.
+    core.record_part_changes(&[part_change(2, false)], ms(25_002));
+    core.record_part_changes(&[part_change(2, true)], ms(25_003));
+    watch(&mut core, 60_000);
+    assert!(is_known(&mut core, 2, 60_001));
+}
+
+/// Changes that are told in one message are recorded at the same instant.
+#[test]
+fn the_newer_half_of_the_parts_stays_if_many_change_at_once() {
+    let mut core = watched_core(212.0);
+    let parts: Vec<PartKey> =
+        (0..1200).map(|number| shared_part(number).short_key()).collect();
+    let changes: Vec<PartChange> = parts
+        .iter()
+        .map(|part| PartChange { server: 2, part: *part, cached: true })
+        .collect();
+    let known = |core: &RouteCore, parts: &[PartKey], now| {
+        parts
+            .iter()
+            .filter(|part| core.has_cached(2, **part, ms(now)))
+            .count()
+    };
+    core.record_part_changes(&changes[..600], ms(10));
+    // The 514th part finds 513, of which 257 stay.
+    assert_eq!(known(&core, &parts, 11), 257 + 87);
+    core.record_part_changes(&changes[600..], ms(20));
+    assert_eq!(known(&core, &parts[..600], 21), 0, "older than the others");
+    assert!((257..=513).contains(&known(&core, &parts[600..], 21)));
+}
+
+/// Creates an instance that has learnt the rates of watched engines, in tokens per
+/// millisecond, and has been idle since.
+fn core_with_rates(rates: &[f64]) -> RouteCore {
+    let mut core = RouteCore::new(RouteOptions::default());
+    for round in 0..4 {
+        learn_rates(&mut core, rates, round * 11_000);
+    }
+    core
+}
+
+/// Lets each engine prefill five prompts at a rate, from `start` for at most 10 s.
+fn learn_rates(core: &mut RouteCore, rates: &[f64], start: u64) {
+    let servers = 0..rates.len() as u32;
+    // A region for each engine lets a request choose it.
+    let listed = servers
+        .clone()
+        .map(|server| RoutedServer { region: Some(server), ..fetching_engine(server) });
+    core.set_servers(POOL, &listed.collect::<Vec<_>>(), ms(start));
+    for round in 0..5 {
+        let now = start + round * 2000;
+        let sightings: Vec<EngineSighting> = servers.clone().map(sighting).collect();
+        core.record_sightings(&sightings, ms(now));
+        let mut first_tokens = vec![];
+        for (server, rate) in servers.clone().zip(rates) {
+            let request = (1 + start + round) * 1000 + u64::from(server);
+            let part = shared_part(1_000_000 + request);
+            let mut route_call = call_with(request, part);
+            route_call.regions = Some([server].into());
+            choice_of(&core.arrive(route_call, ms(now)));
+            let tokens = f64::from(SHARED_TOKENS + OWN_TOKENS);
+            first_tokens.push(((tokens / rate + OVERHEAD_MS) as u64, request));
+        }
+        first_tokens.sort_unstable();
+        for (elapsed, request) in first_tokens {
+            core.record_response_data(request, ms(now + elapsed));
+            core.finish(request, ms(now + elapsed));
+        }
+    }
+}
+
+/// A part may get its next home at any engine, so its demand is measured by the mean rate
+/// of all, also while a slow one has prefilled it.
+#[test]
+fn a_part_that_a_slow_engine_prefills_needs_no_more_homes() {
+    // How many prompts are prefilled, and whether one home is enough for them.
+    for (prompts, is_enough) in [(54, true), (120, false)] {
+        let mut core = core_with_rates(&[10.0, READ_RATE, READ_RATE, READ_RATE]);
+        watch(&mut core, 43_000);
+        let part = shared_part(0);
+        let request = call_with(1, part);
+        let home = choice_of(&core.arrive(request, ms(43_000))).server;
+        core.record_response_data(1, ms(43_250));
+        core.finish(1, ms(43_250));
+        let prefills = vec![(0, part.short_key()); prompts];
+        core.record_peer_prefills(&prefills, ms(43_251));
+        core.record_peer_prefills(&[(home, part.short_key())], ms(43_251));
+        let pending_prefill = [0, 10_000, 0];
+        let load = PeerLoad { server: home, short: 0, long: 1, pending_prefill };
+        core.set_peer_loads(7, &[load], ms(43_252));
+        let stays = probe(&mut core, 2, 43_253).server == home;
+        assert_eq!(stays, is_enough, "{prompts} prompts");
+    }
+}
+
+/// Returns the homes of 1,200 parts.
+fn homes_at(core: &mut RouteCore, engines: u32, now: u64) -> Vec<ServerId> {
+    let sightings: Vec<EngineSighting> = (0..engines).map(sighting).collect();
+    core.record_sightings(&sightings, ms(now));
+    let homes = (0..1200).map(|number| {
+        let request = 100_000_000 + number;
+        let actions = core.arrive(call_with(request, shared_part(number)), ms(now));
+        core.cancel(request, ms(now));
+        let choice = choice_of(&actions);
+        assert_eq!(choice.reason, RouteReason::Home);
+        choice.server
+    });
+    homes.collect()
+}
+
+/// Returns the rates of 60 engines, of which each fourth is slow. Each is estimated up to
+/// 5 % too high or too low.
+fn estimated_rates(draw: &mut Draw) -> Vec<f64> {
+    let rates = (0..60).map(|server| if server % 4 == 0 { 33.0 } else { READ_RATE });
+    rates
+        .map(|rate| rate * (0.95 + draw.below(11) as f64 / 100.0))
+        .collect()
+}
+
+#[test]
+fn slow_engines_get_half_as_many_homes_and_all_instances_agree() {
+    let mut draw = Draw(5);
+    let mut first = core_with_rates(&estimated_rates(&mut draw));
+    let mut second = core_with_rates(&estimated_rates(&mut draw));
+    let homes = homes_at(&mut first, 60, 60_000);
+    let slow = homes.iter().filter(|server| **server % 4 == 0).count();
+    let per_slow = slow as f64 / 15.0;
+    let per_fast = (homes.len() - slow) as f64 / 45.0;
+    let ratio = per_slow / per_fast;
+    assert!((0.35..=0.65).contains(&ratio), "{slow} homes at slow engines: {ratio:.2}");
+    let others = homes_at(&mut second, 60, 60_000);
+    let same = homes.iter().zip(&others).filter(|(one, other)| one == other).count();
+    assert!(same * 100 > homes.len() * 95, "{same} of {}", homes.len());
+}
+
+#[test]
+fn only_parts_of_an_engine_that_becomes_slow_move() {
+    let mut rates = [READ_RATE; 20];
+    let mut core = core_with_rates(&rates);
+    let before = homes_at(&mut core, 20, 60_000);
+    let mut homes_with = |rate: f64, rounds: u64, start: u64| {
+        rates[7] = rate;
+        for round in 0..rounds {
+            learn_rates(&mut core, &rates, start + round * 11_000);
+        }
+        homes_at(&mut core, 20, start + 150_000)
+    };
+    // Somewhat slower is not slow yet.
+    assert!(homes_with(READ_RATE * 0.85, 8, 200_000) == before);
+    let slow = homes_with(READ_RATE * 0.4, 4, 400_000);
+    let moved = before.iter().zip(&slow).filter(|(from, to)| from != to);
+    let moved: Vec<ServerId> = moved.map(|(from, _)| *from).collect();
+    assert!(moved.len() > 10 && moved.iter().all(|from| *from == 7), "{moved:?}");
+    // Once slow, it is so until it is nearly as fast as the others.
+    assert!(homes_with(READ_RATE * 0.85, 8, 600_000) == slow);
+    assert!(homes_with(READ_RATE, 8, 800_000) == before);
+}
+
+/// Returns the home of a short prompt with a shared part.
+fn short_home(core: &mut RouteCore, number: u64, now: u64) -> ServerId {
+    let request = 200_000_000 + number;
+    let part = PromptPart { tokens: 1500, ..shared_part(number) };
+    let actions = core.arrive(call_with(request, part), ms(now));
+    core.cancel(request, ms(now));
+    choice_of(&actions).server
+}
+
+#[test]
+fn with_long_and_short_prompts_homes_are_in_the_lane_and_move_only_into_it() {
+    let homes_of = |seed, with_short: bool| {
+        let mut core = core_with_rates(&[READ_RATE; 20]);
+        core.set_seed(seed);
+        let long = |core: &mut RouteCore| homes_at(core, 20, 60_000);
+        if !with_short {
+            return (long(&mut core), BTreeSet::new());
+        }
+        core.arrive(call_with(300_000_000, shared_part(0)), ms(60_000));
+        core.cancel(300_000_000, ms(60_000));
+        let short = (0..200).map(|number| short_home(&mut core, number, 60_000));
+        let short: BTreeSet<ServerId> = short.collect();
+        (long(&mut core), short)
+    };
+    let (before, _) = homes_of(1, false);
+    let (homes, short) = homes_of(1, true);
+    assert_eq!(homes_of(2, true), (homes.clone(), short.clone()), "on each instance");
+    let lane: BTreeSet<ServerId> = homes.iter().copied().collect();
+    assert!((5..20).contains(&lane.len()), "{lane:?}");
+    assert!(short.len() >= 4 && lane.is_disjoint(&short), "{lane:?}, {short:?}");
+    for (from, to) in before.iter().zip(&homes) {
+        assert!(from == to || !lane.contains(from), "moved from {from} to {to}");
+    }
+}
