Slow engines are homes of as many parts as fast ones again

Cause: each instance learns the pace of an engine for itself, so that 69 instances differ on the homes of slow engines. A pace that watchers tell would answer it.

--- a/crates/flaxtide-policy/src/router/homes.rs
+++ b/crates/flaxtide-policy/src/router/homes.rs
@@ -54,21 +54,19 @@
 
 impl PartHomes {
     /// Finds the homes of a part among the members of a pool, which are the same on all
-    /// instances. `is_slow` tells which members are homes of half as many parts, and
-    /// `is_preferred` which the prompt prefers; the others come after them. `is_eligible` tells which can get the request now: the order doesn't
+    /// instances. `is_preferred` tells which members the prompt prefers; the others come
+    /// after them. `is_eligible` tells which can get the request now: the order doesn't
     /// depend on it, so a part returns to its home.
     pub(crate) fn find(
         part: &PromptPart,
         members: &[&ServerState],
         count: usize,
-        is_slow: impl Fn(ServerId) -> bool,
         is_preferred: impl Fn(ServerId) -> bool,
         is_eligible: impl Fn(ServerId) -> bool,
     ) -> Self {
         let ranks = members.iter().map(|member| {
             let server = member.listing.server;
             let weight = rendezvous_weight(part.key, member.listing.name_hash);
-            let weight = if is_slow(server) { half_weight(weight) } else { weight };
             (!is_preferred(server), Reverse((weight, server)))
         });
         let mut ranks: Vec<(bool, Reverse<(u64, ServerId)>)> = ranks.collect();
@@ -206,11 +204,3 @@
         self.parts.entry(part).or_default()
     }
 }
-
-/// Returns the rank of a member with half the weight of others in rendezvous hashing: its
-/// draw squared, as a fraction. Weighted rendezvous hashing ranks members by `-w / ln(u)`,
-/// and `-0.5 / ln(u)` is `-1 / ln(u * u)`; the square is the same on all instances.
-fn half_weight(draw: u64) -> u64 {
-    let draw = u128::from(draw);
-    ((draw * draw) >> u64::BITS) as u64
-}
--- a/crates/flaxtide-policy/src/router/part_scope.rs
+++ b/crates/flaxtide-policy/src/router/part_scope.rs
@@ -85,16 +85,14 @@
         if !scope.watched {
             // Nothing is known of what engines evict, so parts don't stay for long, and
             // the first of the servers that may get the request is as good as any.
-            return PartHomes::find(part, servers, 1, |_| false, |_| true, |_| true);
+            return PartHomes::find(part, servers, 1, |_| true, |_| true);
         }
-        let state = self.pools.get(&details.pool);
         let eligible: HashSet<ServerId> =
             with_room.iter().map(|server| server.listing.server).collect();
         PartHomes::find(
             part,
             &scope.members,
             self.home_count(details, part, now),
-            |server| state.is_some_and(|state| state.pace.is_slow(server)),
             |server| scope.lane_members.contains(&server),
             |server| eligible.contains(&server),
         )
--- a/crates/flaxtide-policy/src/router/prefill_rate.rs
+++ b/crates/flaxtide-policy/src/router/prefill_rate.rs
@@ -23,14 +23,6 @@
 /// measured again.
 const HALF_LIFE: Duration = Duration::from_secs(3);
 
-/// The least number of prefilled tokens from which the learnt rate is learnt. The time of
-/// fewer is mostly spent waiting for prompts that this instance doesn't know of.
-const LEAST_LEARNT_TOKENS: f64 = 4000.0;
-
-/// The weight in the learnt rate of a first token that came later than by that rate. Most
-/// are late because the engine was busy with work that this instance doesn't know of.
-const LATE_WEIGHT: f64 = 0.5;
-
 /// The effective prefill rate of one engine. It includes everything that slows the engine
 /// down, such as the output tokens it generates and the prompts of other instances.
 #[derive(Debug, Clone, Copy)]
@@ -41,10 +33,6 @@
     tokens: f64,
     /// The decayed sum of the time that they took, in milliseconds.
     time_ms: f64,
-    /// The decayed sum of the prefilled tokens, in which late first tokens count less.
-    learnt_tokens: f64,
-    /// The decayed sum of their time, in milliseconds.
-    learnt_time_ms: f64,
     /// When the last sample was recorded.
     updated_at: Duration,
 }
@@ -56,8 +44,6 @@
             guess,
             tokens: GUESS_WEIGHT_TOKENS,
             time_ms: GUESS_WEIGHT_TOKENS / guess,
-            learnt_tokens: GUESS_WEIGHT_TOKENS,
-            learnt_time_ms: GUESS_WEIGHT_TOKENS / guess,
             updated_at: now,
         }
     }
@@ -74,26 +60,6 @@
         self.tokens = self.tokens * SAMPLE_DECAY + tokens;
         self.time_ms = self.time_ms * SAMPLE_DECAY + time_ms;
         self.updated_at = now;
-        self.learn(tokens, time_ms);
-    }
-
-    /// Adds a sample to the learnt rate.
-    fn learn(&mut self, tokens: f64, time_ms: f64) {
-        if tokens < LEAST_LEARNT_TOKENS {
-            return;
-        }
-        let is_late = tokens < self.learnt_tokens_per_ms() * time_ms;
-        let weight = if is_late { LATE_WEIGHT } else { 1.0 };
-        let decay = SAMPLE_DECAY.powf(weight);
-        self.learnt_tokens = self.learnt_tokens * decay + tokens * weight;
-        self.learnt_time_ms = self.learnt_time_ms * decay + time_ms * weight;
-    }
-
-    /// Returns the rate that the engine has shown when it was least busy, in tokens per
-    /// millisecond, however long ago: an engine doesn't become faster while it is idle.
-    pub(crate) fn learnt_tokens_per_ms(&self) -> f64 {
-        let rate = self.learnt_tokens / self.learnt_time_ms;
-        rate.clamp(MIN_TOKENS_PER_MS, MAX_TOKENS_PER_MS)
     }
 
     /// Returns the rate in tokens per millisecond.
