--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -251,7 +251,8 @@
     pub waiting: u16,
     /// The number of running requests.
     pub running: u16,
-    /// The number of running requests whose prompts are being prefilled.
+    /// The number of running requests whose prompts are being prefilled; the largest number
+    /// if the engine doesn't say.
     pub prefilling: u16,
     /// The prompt tokens of the first waiting request, in units of 16 tokens.
     pub next: u16,
