A prompt isn't sent again for a gain below what a send costs

Expected times leave out the round trip and the first step, which a further send costs again.

Change: these 25 ms are added to the time elsewhere.

--- a/crates/flaxtide-policy/src/router/liveness.rs
+++ b/crates/flaxtide-policy/src/router/liveness.rs
@@ -30,6 +30,10 @@
 /// that has it, as a fraction. The repeated prefill also delays requests on the other engine.
 const RESEND_MARGIN: f64 = 0.25;
 
+/// The time to a first token that expected times leave out, and that another send costs
+/// again, in milliseconds: the network round trip and the first decoding step.
+const RESEND_OVERHEAD_MS: f64 = 25.0;
+
 /// What is known of the life of an engine.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EngineLiveness {
@@ -131,5 +135,5 @@
 /// Returns whether a prompt is read sooner if it is sent to another engine, where that takes
 /// `again_ms`, than by the engine that has it and needs `left_ms`. Both in milliseconds.
 pub(crate) fn is_sooner_elsewhere(left_ms: f64, again_ms: f64) -> bool {
-    again_ms * (1.0 + RESEND_MARGIN) < left_ms
+    again_ms * (1.0 + RESEND_MARGIN) + RESEND_OVERHEAD_MS < left_ms
 }
--- a/crates/flaxtide-policy/tests/router_liveness.rs
+++ b/crates/flaxtide-policy/tests/router_liveness.rs
@@ -330,6 +330,8 @@
         (60_000, 30_000, true),
         (60_000, 50_000, false),
         (9_000, 0, true),
+        // Sooner by less than the round trip and the first step that a send costs.
+        (8_000, 0, false),
         (7_000, 0, false),
     ];
     for (here, there, sent) in cases {
