Log and measure whether an instance reaches the servers of a service

The logs of the incident couldn't tell servers that are gone from an instance whose own path is gone: each line names one server. The router now judges for each pool how many servers were reached lately and how many weren't, by attempts to get a new request through. The instance logs each change ("path to servers in doubt" and "restored", with both numbers) and exports flaxtide_entry_doubtful_paths.

--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -320,6 +320,7 @@
         }
         expire_servers(&state);
         log_server_health(&state);
+        log_reach(&state);
         monitor.poll(&state.fleet);
         state.quarantine.maintain(&state);
         state.pushback.maintain(&state);
@@ -376,6 +377,27 @@
     }
 }
 
+/// Logs changes in whether this instance reaches the servers of a service.
+fn log_reach(state: &TrafficState) {
+    for change in state.with_router(|core, now| core.update_reach(now)) {
+        let is_doubtful = change.reach.is_doubtful();
+        let event = match is_doubtful {
+            true => "path to servers in doubt",
+            false => "path to servers restored",
+        };
+        let service = state.pool_name(change.pool).unwrap_or_default();
+        state
+            .metrics
+            .doubtful_paths
+            .with_label_values(&[&service])
+            .set(i64::from(is_doubtful));
+        log::info!(
+            service, reached = change.reach.reached, failed = change.reach.failed;
+            "{event}"
+        );
+    }
+}
+
 /// Closes expired idle connections and reloads the instance file if it has changed.
 fn expire_and_reload(state: &TrafficState, path: &Path) {
     let now = state.now();
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -71,6 +71,8 @@
     pub(crate) watched_engines: IntGaugeVec,
     /// Calls to watched engines, by call and outcome.
     pub(crate) watch_calls: IntCounterVec,
+    /// Services whose servers this instance hardly reaches: 1 while its path is in doubt.
+    pub(crate) doubtful_paths: IntGaugeVec,
     /// Seconds to the first event of a stream, or to a whole response.
     pub(crate) latency: Histogram,
 }
@@ -159,6 +161,11 @@
                 "Calls to watched engines.",
                 &["call", "outcome"],
             ),
+            doubtful_paths: gauges(
+                "doubtful_paths",
+                "1 while most servers of the service can't be reached.",
+                &["service"],
+            ),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
         };
@@ -168,7 +175,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 30] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 31] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -198,6 +205,7 @@
             Box::new(self.stalled_readers.clone()),
             Box::new(self.watched_engines.clone()),
             Box::new(self.watch_calls.clone()),
+            Box::new(self.doubtful_paths.clone()),
             Box::new(self.latency.clone()),
         ];
         for collector in collectors {
--- a/crates/flaxtide-entry/src/names.rs
+++ b/crates/flaxtide-entry/src/names.rs
@@ -42,6 +42,14 @@
         pool
     }
 
+    /// Returns the service whose pool has an ID.
+    pub(crate) fn pool_name(&self, pool: PoolId) -> Option<&str> {
+        let mut pools = self.pools.iter();
+        pools
+            .find(|(_, id)| **id == pool)
+            .map(|(service, _)| service.as_str())
+    }
+
     /// Returns the ID of an incarnation of a server, and assigns one if it is new.
     pub(crate) fn server_id(&mut self, entry: &ServerEntry) -> ServerId {
         let incarnation = entry.incarnation();
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -235,6 +235,11 @@
         self.ids.borrow_mut().pool_id(service)
     }
 
+    /// Returns the service whose servers are in a pool.
+    pub(crate) fn pool_name(&self, pool: PoolId) -> Option<String> {
+        self.ids.borrow().pool_name(pool).map(str::to_owned)
+    }
+
     /// Returns the ID of the incarnation of a server that an entry describes.
     pub(crate) fn server_id(&self, entry: &ServerEntry) -> ServerId {
         self.ids.borrow_mut().server_id(entry)
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -6,6 +6,7 @@
 use super::call::RouteFault;
 use super::liveness::EngineLiveness;
 use super::options::RouteOptions;
+use super::reach::ServerPath;
 
 /// The weight of the newest outcome in the decayed failure rate.
 const OUTCOME_WEIGHT: f64 = 0.15;
@@ -61,6 +62,8 @@
     refused_at: Option<Duration>,
     /// When it was last found silent or unreachable; reset when anything is received.
     silent_at: Option<Duration>,
+    /// Whether new requests get through to it.
+    path: ServerPath,
     /// The decayed fraction of its requests that failed.
     failure_rate: f64,
 }
@@ -77,6 +80,7 @@
             admitted_at: None,
             refused_at: None,
             silent_at: None,
+            path: ServerPath::default(),
             failure_rate: 0.0,
         }
     }
@@ -97,6 +101,7 @@
     /// `sent`. A request that was sent before the last refusal doesn't show what the
     /// server accepts now.
     pub(crate) fn record_admission(&mut self, sent: Duration, now: Duration) {
+        self.path.record_response(sent, now);
         if self.refused_at.is_none_or(|at| sent > at) {
             self.admitted_at = Some(now);
         }
@@ -121,6 +126,7 @@
             RouteFault::Withheld => {}
             RouteFault::Full => {
                 self.record_activity(now);
+                self.path.record_success(now);
                 self.admitted_at = None;
                 self.refused_at = Some(now);
                 self.paused_until = self.paused_until.max(now + options.full_pause);
@@ -128,11 +134,13 @@
             RouteFault::Replaced => self.start_pause(now, options.longest_pause, options),
             RouteFault::Unreachable | RouteFault::Silent => {
                 self.silent_at = Some(now);
+                self.path.record_failure(now);
                 self.count_failure();
                 self.start_pause(now, options.pause, options);
             }
             RouteFault::Failed => {
                 self.record_activity(now);
+                self.path.record_success(now);
                 self.count_failure();
             }
             // A server that exits breaks its connections, so this is no sign of life.
@@ -198,7 +206,14 @@
     /// Returns whether time alone changes whether the server may get requests, or whether
     /// peers are told that it is silent.
     pub(crate) fn is_suspect(&self, now: Duration) -> bool {
-        now < self.paused_until.max(self.reported_until) || self.silent_at.is_some()
+        now < self.paused_until.max(self.reported_until)
+            || self.silent_at.is_some()
+            || self.path.is_failed(now)
+    }
+
+    /// Returns whether new requests get through to the server.
+    pub(crate) fn path(&self) -> &ServerPath {
+        &self.path
     }
 
     /// Returns how uncertain it is that the server accepts requests: 0 if it has just
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -20,6 +20,7 @@
 mod prefill_log;
 mod prefill_rate;
 mod pushback;
+mod reach;
 mod retry;
 mod server;
 mod shed;
@@ -44,6 +45,7 @@
 pub use self::options::RouteOptions;
 pub use self::prefill_log::PrefillRecord;
 pub use self::pushback::{PushbackCount, StatementChange};
+pub use self::reach::{PoolReach, ReachChange};
 pub use self::retry::RetryDecision;
 pub use self::server::{EngineShape, RoutedServer};
 
@@ -123,6 +125,8 @@
     part_demand: DemandTable,
     /// The pace of the engines.
     pace: PoolPace,
+    /// Whether this instance reaches the servers, as of the last update.
+    reach: PoolReach,
     /// The mean time from dispatch to the end of the response, in seconds.
     service_time: crate::estimate::DecayedMean,
 }
