--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -14,12 +14,13 @@
 use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
-use hyper::header::{CONNECTION, HOST, HeaderValue, TRANSFER_ENCODING};
+use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 
 use crate::contract::{RequestClass, RequestHead};
 use crate::duty::CallUsage;
 use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
+use crate::forward::{CarriedCall, ForwardHead, PeerReply};
 use crate::memory::ChargedBody;
 use crate::open_call::{AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR};
 use crate::reply::{CallerResponse, LocalReply};
@@ -30,16 +31,26 @@
 /// Stands for the organisation of requests that have none.
 const NO_ORGANISATION: u16 = u16::MAX;
 
-/// Responds to one request of a caller.
+/// Who sends a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RequestSource {
+    /// A caller.
+    Caller,
+    /// A peer that forwards a caller's request.
+    Peer,
+}
+
+/// Responds to one request of a caller, or to one that a peer forwards.
 pub(crate) async fn serve_request(
     state: Rc<TrafficState>,
     request: Request<Incoming>,
+    source: RequestSource,
 ) -> CallerResponse {
     // hyper ignores Content-Length beside chunked encoding. The sender may regard the bytes
     // after such a request as part of its body, so they must not be read as another request
     // (request smuggling): the connection is closed.
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
-    let mut response = match handle_request(&state, request).await {
+    let mut response = match handle_request(&state, request, source).await {
         Ok(response) => response,
         Err((reply, attempt_id)) => {
             let reply = reply.defer_to_newer_rules(state.has_outdated_rules());
@@ -57,6 +68,10 @@
             reply.into_response(retry_after)
         }
     };
+    let own_reply = response.extensions().get::<LocalReply>().copied();
+    if let (RequestSource::Peer, Some(reply)) = (source, own_reply) {
+        PeerReply::mark(reply, response.headers_mut());
+    }
     if chunked || state.phase() >= ShutdownPhase::Closing {
         response
             .headers_mut()
@@ -91,12 +106,14 @@
 async fn handle_request(
     state: &Rc<TrafficState>,
     request: Request<Incoming>,
+    source: RequestSource,
 ) -> Result<CallerResponse, Rejection> {
     let received_at = state.now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
     let head = state.dialect.read_request(&parts.headers);
     let attempt_id = head.attempt_id.clone().unwrap_or_default();
     let reject = |reply| (reply, attempt_id.clone());
+    let carried = take_carried(state, source, &mut parts.headers).map_err(reject)?;
     let matched = match_rules(state, &parts, &head).map_err(reject)?;
     let MatchedRules {
         class, caller, tier, urgency_level, max_body_bytes, ..
@@ -122,11 +139,14 @@
         streams: class.class().kind.streams(),
         fingerprint: OnceCell::new(),
     };
-    let usage = state
-        .duties
-        .as_ref()
-        .map(|duties| CallUsage::new(duties, &service, caller.name.as_deref()));
-    let call = OpenCall::new(state, class, attempt_id, &head, received_at, usage);
+    // The peer that forwards a request counts it.
+    let duties = state.duties.as_ref().filter(|_| carried.is_none());
+    let usage =
+        duties.map(|duties| CallUsage::new(duties, &service, caller.name.as_deref()));
+    let (forward, carried) = carried.unzip();
+    let call =
+        OpenCall::new(state, class, attempt_id, &head, received_at, usage, carried);
+    let run_limit = call.class.class().attempt_limit;
     let route_call = RouteCall {
         request: call.request_id,
         pool: state.pool_id(&service),
@@ -140,13 +160,31 @@
             .min(received_at + call.class.class().latency_target / QUEUE_WAIT_DIVISOR),
         deadline: call.deadline,
         repeatable: call.class.class().kind.repeatable(),
-        run_limit: call.class.class().attempt_limit,
+        run_limit: forward.map_or(run_limit, |head| head.run_limit.min(run_limit)),
         regions: matched.regions,
         prompt: head.prompt,
     };
     Ok(run_attempts(call, request, route_call).await)
 }
 
+/// Counts a forwarded request and removes the header with which it came. Returns `None` for a
+/// request of a caller.
+fn take_carried(
+    state: &TrafficState,
+    source: RequestSource,
+    headers: &mut HeaderMap,
+) -> Result<Option<(ForwardHead, CarriedCall)>, LocalReply> {
+    if source == RequestSource::Caller {
+        return Ok(None);
+    }
+    let head = ForwardHead::take(headers).ok_or(LocalReply::Malformed)?;
+    if head.rules_version > state.rules_version() {
+        return Err(LocalReply::OutdatedRules);
+    }
+    let carried = state.carried.take().ok_or(LocalReply::TooManyForwarded)?;
+    Ok(Some((head, carried)))
+}
+
 /// Matches a request against the rules in force. The result keeps no reference to the route
 /// table, which would otherwise stay in memory until the request ends, although newer rules
 /// may have replaced it.
@@ -230,7 +268,10 @@
         return call.reply_quarantined(&request);
     }
     let mut decision = state.await_decision(call.request_id);
-    state.run_router(|core, now| core.arrive(route_call, now));
+    state.run_router(|core, now| match call.is_carried() {
+        true => core.arrive_forwarded(route_call, now),
+        false => core.arrive(route_call, now),
+    });
     loop {
         let decided = state.wait_until(call.deadline, decision).await;
         let (choice, silence_timeout) = match decided {
@@ -261,6 +302,7 @@
             }
             AttemptOutcome::Fault(fault) => fault,
             AttemptOutcome::TimedOut => return call.reply_timed_out(),
+            AttemptOutcome::Refused(refusal) => return call.reply_as_peer(refusal),
             AttemptOutcome::Quarantined => return call.reply_quarantined(&request),
         };
         if call.handle_fault(&request, fault, false).await == RetryDecision::Stop {
--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -38,6 +38,9 @@
     pub ready_path: String,
     /// The address on which peers are served.
     pub fleet: SocketAddr,
+    /// The address on which requests are taken that peers forward; `None` if none are taken.
+    #[serde(default)]
+    pub forward: Option<SocketAddr>,
     /// The address on which metrics are served.
     pub metrics: SocketAddr,
     /// Peers to contact at the start; they may not be running.
--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -16,6 +16,9 @@
     /// server.
     fn write_request(&self, headers: &mut HeaderMap, head: &UpstreamHead<'_>);
 
+    /// Sets how long the sender of a request waits, in a request that a peer forwards.
+    fn write_deadline(&self, headers: &mut HeaderMap, time_left: Duration);
+
     /// Reads the status and the headers of a server's response.
     fn read_response(&self, status: u16, headers: &HeaderMap) -> ResponseHead;
 
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -15,9 +15,12 @@
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
 };
+use hyper::http::response;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use crate::contract::UpstreamHead;
+use crate::forward::{ForwardHead, PeerReply};
+use crate::reply::LocalReply;
 use crate::state::TrafficState;
 use crate::upstream::{ServerConnection, connect};
 
@@ -157,7 +160,23 @@
     pub(crate) new_connection: bool,
 }
 
-/// Sends a request to a server and checks the head of the response.
+/// Why an attempt has brought no response of a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum SendFault {
+    /// The attempt failed.
+    Fault(RouteFault),
+    /// The peer that the request was forwarded to responds itself.
+    Refused(PeerReply),
+}
+
+impl From<RouteFault> for SendFault {
+    fn from(fault: RouteFault) -> Self {
+        Self::Fault(fault)
+    }
+}
+
+/// Sends a request to a server, or to the peer that forwards it, and checks the head of the
+/// response.
 ///
 /// # Errors
 ///
@@ -167,7 +186,7 @@
     state: &Rc<TrafficState>,
     request: &CallerRequest,
     attempt: ServerAttempt<'_>,
-) -> Result<ResponseStart, RouteFault> {
+) -> Result<ResponseStart, SendFault> {
     let ServerAttempt {
         request_id,
         choice,
@@ -176,17 +195,17 @@
         new_connection,
     } = attempt;
     let server = choice.server;
-    let name = state.server_name(server).ok_or(RouteFault::Unreachable)?;
-    let address = state.server_address(server).ok_or(RouteFault::Unreachable)?;
-    let fetch_from = choice.fetch.and_then(|fetch| state.server_address(fetch.from));
-    let head = UpstreamHead {
-        time_left,
-        server: &name,
-        organisation: request.organisation.as_deref(),
-        tier: request.tier,
-        fetch_from,
+    let peer = state.forward_peers.find(server);
+    let (address, headers) = match &peer {
+        Some((address, _)) => {
+            (*address, forwarded_headers(state, request, request_id, time_left))
+        }
+        None => {
+            let address = state.server_address(server).ok_or(RouteFault::Unreachable)?;
+            (address, server_headers(state, request, choice, time_left)?)
+        }
     };
-    let mut outgoing = build_request(state, request, &head, last_event);
+    let mut outgoing = build_request(state, request, headers, last_event);
     for _ in 0..MAX_STALE_CONNECTIONS {
         let idle = if new_connection {
             None
@@ -202,36 +221,77 @@
         // The server may have pushed back while the connection was being opened.
         if !state.with_router(|core, now| core.permit_send(request_id, now)) {
             state.connections.keep(server, conn, None, state.now());
-            return Err(RouteFault::Withheld);
+            return Err(RouteFault::Withheld.into());
         }
         let sent = state.now();
         let kind = if conn.used { "kept" } else { "new" };
         conn.used = true;
         state.metrics.connections.with_label_values(&[kind]).inc();
         match conn.sender.try_send_request(outgoing).await {
-            Ok(resp) => return check_head(state, request, server, sent, conn, resp),
+            Ok(resp) if peer.is_some() => {
+                return check_forwarded_head(state, request, server, conn, resp);
+            }
+            Ok(resp) => {
+                let checked = check_head(state, request, server, sent, conn, resp);
+                return checked.map_err(SendFault::Fault);
+            }
             Err(mut error) => match error.take_message() {
                 // No byte of it was written, so it can be sent again.
                 Some(unsent) => outgoing = unsent,
-                None => return Err(RouteFault::Broken),
+                None => return Err(RouteFault::Broken.into()),
             },
         }
     }
-    Err(RouteFault::Unreachable)
+    Err(RouteFault::Unreachable.into())
 }
 
-/// Builds the request as the server gets it.
+/// Builds the headers of a request as the server gets it.
+fn server_headers(
+    state: &TrafficState,
+    request: &CallerRequest,
+    choice: &RouteChoice,
+    time_left: Duration,
+) -> Result<HeaderMap, RouteFault> {
+    let name = state.server_name(choice.server).ok_or(RouteFault::Unreachable)?;
+    let fetch_from = choice.fetch.and_then(|fetch| state.server_address(fetch.from));
+    let head = UpstreamHead {
+        time_left,
+        server: &name,
+        organisation: request.organisation.as_deref(),
+        tier: request.tier,
+        fetch_from,
+    };
+    let mut headers = request.headers.clone();
+    state.dialect.write_request(&mut headers, &head);
+    Ok(headers)
+}
+
+/// Builds the headers of a request as the peer gets it that forwards it: those of the caller,
+/// whose key the peer checks too.
+fn forwarded_headers(
+    state: &TrafficState,
+    request: &CallerRequest,
+    request_id: RequestId,
+    time_left: Duration,
+) -> HeaderMap {
+    let mut headers = request.headers.clone();
+    state.dialect.write_deadline(&mut headers, time_left);
+    let run_limit = state.with_router(|core, _| core.forwarded_run_limit(request_id));
+    let head = ForwardHead { rules_version: state.rules_version(), run_limit };
+    head.write(&mut headers);
+    headers
+}
+
+/// Builds a request with its final headers.
 fn build_request(
     state: &TrafficState,
     request: &CallerRequest,
-    head: &UpstreamHead<'_>,
+    mut headers: HeaderMap,
     last_event: Option<u64>,
 ) -> Request<Full<Bytes>> {
     let mut outgoing = Request::new(Full::new(request.body.clone()));
     *outgoing.method_mut() = request.method.clone();
     *outgoing.uri_mut() = request.uri.clone();
-    let mut headers = request.headers.clone();
-    state.dialect.write_request(&mut headers, head);
     if let Some(event) = last_event {
         state.dialect.write_resume(&mut headers, event);
     }
@@ -279,22 +339,57 @@
     if !matches_request || (parts.status.is_success() && !head.sealed) {
         return Err(RouteFault::Broken);
     }
-    let claims_not_run = [429, 503, 408, 421].contains(&parts.status.as_u16());
-    if claims_not_run || parts.status.is_redirection() {
+    if claims_not_run(parts.status) || parts.status.is_redirection() {
         // These statuses usually mean that a request hasn't run, but the response lacks the
         // header that guarantees it.
         return Err(RouteFault::Failed);
     }
+    let connection = Some(connection);
+    let keep_alive = head.keep_alive;
+    let body = UpstreamBody { body, connection, server, keep_alive };
+    Ok(start_response(parts, body))
+}
+
+/// Checks the head of the response of a peer to a request that was forwarded to it. The peer
+/// has checked the response of the server.
+fn check_forwarded_head(
+    state: &Rc<TrafficState>,
+    request: &CallerRequest,
+    peer: ServerId,
+    connection: ServerConnection,
+    response: Response<Incoming>,
+) -> Result<ResponseStart, SendFault> {
+    let (parts, body) = response.into_parts();
+    let connection = Some(connection);
+    let body = UpstreamBody { body, connection, server: peer, keep_alive: None };
+    if let Some(refusal) = PeerReply::read(&parts.headers) {
+        drain_refusal(state, body);
+        return Err(match refusal.reply {
+            LocalReply::TooLate
+            | LocalReply::Quarantined
+            | LocalReply::ServerFailed
+            | LocalReply::TimedOut => SendFault::Refused(refusal),
+            // The peer can't serve it, and another one may.
+            _ => SendFault::Fault(RouteFault::Unreachable),
+        });
+    }
+    let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
+    if head.attempt_id != request.attempt_id || claims_not_run(parts.status) {
+        return Err(RouteFault::Broken.into());
+    }
+    Ok(start_response(parts, body))
+}
+
+/// Returns whether a status usually means that a request hasn't run.
+fn claims_not_run(status: StatusCode) -> bool {
+    [429, 503, 408, 421].contains(&status.as_u16())
+}
+
+/// Builds the start of an accepted response.
+fn start_response(parts: response::Parts, body: UpstreamBody) -> ResponseStart {
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
-    let keep_alive = head.keep_alive;
-    let body = UpstreamBody {
-        body,
-        connection: Some(connection),
-        server,
-        keep_alive,
-    };
-    Ok(ResponseStart { status: parts.status, headers, body })
+    ResponseStart { status: parts.status, headers, body }
 }
 
 /// Reads the rest of a refusal in the background, so that its connection can be reused.
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -6,7 +6,10 @@
 use std::time::Duration;
 
 use flaxtide_core::{InstanceName, ServerId, ServerName, SettingsVersion, store_era};
-use flaxtide_fleet::{EngineDigest, FleetKey, OwnLoad, PartRead, PartUpdate, fleet_key};
+use flaxtide_fleet::{
+    EngineDigest, FleetKey, OwnLoad, PartRead, PartUpdate, PeerInfo, ReachReply,
+    fleet_key,
+};
 use flaxtide_policy::{CrashReport, EvacuationRecord, InstanceGroup, PushbackReport};
 use tokio::sync::mpsc::Receiver;
 
@@ -43,6 +46,8 @@
     Prefills(Vec<PartRead>),
     /// A peer has found servers unresponsive.
     PeerUnresponsive(Vec<FleetKey>),
+    /// A peer has told which servers it reaches.
+    PeerReach(PeerInfo, ReachReply),
     /// A watcher has reported what it has seen of engines.
     Engines(FleetKey, Vec<EngineDigest>, Duration),
     /// Watchers have reported changes of prompt parts that engines have cached.
@@ -100,6 +105,12 @@
             FeedEvent::PeerUnresponsive(servers) => {
                 apply_peer_unresponsive(&state, &servers);
             }
+            FeedEvent::PeerReach(peer, reply) => {
+                state.forward_peers.record(peer, reply, now);
+                for pool in state.with_router(|core, _| core.doubtful_pools()) {
+                    state.forward_peers.update_router(&state, pool);
+                }
+            }
             FeedEvent::Prefills(reads) => apply_peer_prefills(&state, &reads),
             FeedEvent::Engines(watcher, engines, counts_for) => {
                 let server_with_key = |key| state.server_with_key(key);
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -12,7 +12,7 @@
 use flaxtide_fleet::{
     DutyHolder, EngineDigest, FleetCommand, FleetKey, FleetNode, FleetThread,
     FleetTiming, FleetUpdate, LinkBytes, NodeEvent, NodeStatus, OwnLoad, PartRead,
-    PartUpdate, PeerInfo, RowRequest, SettingsCopy, fleet_key,
+    PartUpdate, PeerInfo, ReachRequest, RowRequest, SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{
     CrashReport, PartKey, PeerLoad, PrefillRecord, PushbackReport, ServerLoad,
@@ -23,6 +23,7 @@
 use crate::contract::{FeedTopic, PlatformFeed};
 use crate::error::EntryError;
 use crate::feed::FeedEvent;
+use crate::forward::offer;
 use crate::metrics::EntryMetrics;
 use crate::reader::ServerListLog;
 use crate::shared_rules::{RulesCopy, SharedRules};
@@ -84,6 +85,11 @@
         self.send(FleetCommand::AskRows(request));
     }
 
+    /// Asks peers which servers they reach.
+    pub(crate) fn ask_reach(&self, request: ReachRequest) {
+        self.send(FleetCommand::AskReach(request));
+    }
+
     /// Reports crashes to peers. The ages in the reports count from `since` on `clock`.
     /// Returns whether the fleet thread will get them.
     pub(crate) fn report_crashes(
@@ -308,6 +314,7 @@
         .iter()
         .filter_map(|seen| Some(to_digest(seen, state.server_key(seen.server)?)))
         .collect();
+    let reach = offer(state);
     let changes = state.own_sightings.take_changes();
     let parts: Vec<PartUpdate> = changes
         .iter()
@@ -338,6 +345,7 @@
                 unresponsive,
                 engines,
                 parts,
+                reach,
                 ..NodeStatus::default()
             },
             now,
--- /dev/null
+++ b/crates/flaxtide-entry/src/forward/head.rs
@@ -0,0 +1,74 @@
+//! The headers of requests that a peer forwards, and of their responses. Both are exchanged
+//! between instances only: callers and servers never see them.
+
+use std::time::Duration;
+
+use flaxtide_core::SettingsVersion;
+use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+
+use crate::reply::LocalReply;
+
+/// `VERSION,RUNS`: the version of the rules under which the request was accepted, and how many
+/// servers it may still run on.
+const FORWARD: HeaderName = HeaderName::from_static("x-flaxtide-forward");
+
+/// The name of the [`LocalReply`] with which the peer itself responds.
+const REPLY: HeaderName = HeaderName::from_static("x-flaxtide-reply");
+
+/// What an instance tells the peer that it forwards a request to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct ForwardHead {
+    /// The version of the rules under which the request was accepted. A peer with older rules
+    /// doesn't take it.
+    pub(crate) rules_version: SettingsVersion,
+    /// The number of servers that the request may still run on.
+    pub(crate) run_limit: u32,
+}
+
+impl ForwardHead {
+    /// Removes the header from a request and decodes it.
+    pub(crate) fn take(headers: &mut HeaderMap) -> Option<Self> {
+        let value = headers.remove(FORWARD)?;
+        let (version, runs) = value.to_str().ok()?.split_once(',')?;
+        Some(Self {
+            rules_version: version.parse().ok()?,
+            run_limit: runs.parse().ok()?,
+        })
+    }
+
+    /// Adds the header to a request, in place of one that the caller sent.
+    pub(crate) fn write(&self, headers: &mut HeaderMap) {
+        let text = format!("{},{}", self.rules_version, self.run_limit);
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            headers.insert(FORWARD, value);
+        }
+    }
+}
+
+/// The response of a peer itself to a forwarded request.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) struct PeerReply {
+    /// Why the peer responds.
+    pub(crate) reply: LocalReply,
+    /// When the caller should come back.
+    pub(crate) retry_after: Option<Duration>,
+}
+
+impl PeerReply {
+    /// Marks a response as that of this instance itself.
+    pub(crate) fn mark(reply: LocalReply, headers: &mut HeaderMap) {
+        headers.insert(REPLY, HeaderValue::from_static(reply.name()));
+    }
+
+    /// Decodes the headers of a response; `None` if it is that of a server.
+    pub(crate) fn read(headers: &HeaderMap) -> Option<Self> {
+        let name = headers.get(REPLY)?.to_str().ok()?;
+        let retry_after = headers.get(RETRY_AFTER).and_then(|value| {
+            let seconds: f64 = value.to_str().ok()?.parse().ok()?;
+            Duration::try_from_secs_f64(seconds).ok()
+        });
+        // A name of a later version comes without a promise.
+        let reply = LocalReply::from_name(name).unwrap_or(LocalReply::ServerFailed);
+        Some(Self { reply, retry_after })
+    }
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/forward/mod.rs
@@ -0,0 +1,17 @@
+//! Forwarding through peers: an instance whose path to the backend servers is in doubt passes
+//! its callers' requests to peers that reach them. The router decides when and to whom.
+//!
+//! - `head.rs`: the headers of forwarded requests and their responses;
+//! - `peers.rs`: which peers take forwarded requests, and what they reach;
+//! - `carried.rs`: the forwarded requests that this instance has taken, which are limited;
+//! - `probe.rs`: finds out whether the own path is back.
+
+mod carried;
+mod head;
+mod peers;
+mod probe;
+
+pub(crate) use self::carried::{CarriedCall, CarriedCalls};
+pub(crate) use self::head::{ForwardHead, PeerReply};
+pub(crate) use self::peers::{ForwardPeers, offer};
+pub(crate) use self::probe::probe_paths;
--- /dev/null
+++ b/crates/flaxtide-entry/src/forward/probe.rs
@@ -0,0 +1,32 @@
+//! Probes of the path to servers.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use flaxtide_core::ServerId;
+
+use crate::state::TrafficState;
+use crate::upstream::connect;
+
+/// How long a path may take to reset a connection that it has accepted.
+const RESET_TIME: Duration = Duration::from_millis(50);
+
+/// Starts the probes that are due: connections to servers that couldn't be reached lately.
+pub(crate) fn probe_paths(state: &Rc<TrafficState>) {
+    for server in state.with_router(|core, now| core.due_probes(now)) {
+        tokio::task::spawn_local(probe(state.clone(), server));
+    }
+}
+
+/// Opens a connection to a server, and keeps it for requests unless it is reset.
+async fn probe(state: Rc<TrafficState>, server: ServerId) {
+    let Some(address) = state.server_address(server) else { return };
+    let connection = connect(&state.connections, address).await.ok();
+    tokio::time::sleep(RESET_TIME).await;
+    let connection = connection.filter(|connection| !connection.sender.is_closed());
+    let is_reached = connection.is_some();
+    if let Some(connection) = connection {
+        state.connections.keep(server, connection, None, state.now());
+    }
+    state.with_router(|core, now| core.record_probe(server, is_reached, now));
+}
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -13,6 +13,7 @@
 use tokio::task::LocalSet;
 
 use crate::budget::CALL_PAUSE_FRACTION;
+use crate::call::RequestSource;
 use crate::config::EntryConfig;
 use crate::contract::{
     DutyPlatform, EngineDialect, FeedTopic, PlatformFeed, WireDialect,
@@ -24,8 +25,9 @@
     FleetLink, RulesDownloadMonitor, export_peer_bytes, open_fleet, publish_to_peers,
 };
 use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
+use crate::forward::probe_paths;
 use crate::jump::JumpDetector;
-use crate::listen::{accept_callers, bind_listener, serve_probes};
+use crate::listen::{accept_requests, bind_listener, serve_probes};
 use crate::logging::flush_log;
 use crate::metrics::EntryMetrics;
 use crate::pushback::update_pushback_metrics;
@@ -164,6 +166,10 @@
         } = self;
         let callers = open_listener("callers", config.callers)?;
         let ready = open_listener("the balancer", config.ready)?;
+        let forward = config
+            .forward
+            .map(|address| open_listener("forwarded requests", address));
+        let forward = forward.transpose()?;
         let metrics_listener = open_listener("metrics", config.metrics)?;
         log::info!(
             instance = config.name, data_centre = config.data_centre, region = config.region,
@@ -215,7 +221,15 @@
             shared_duties,
         );
         let state = Rc::new(state);
-        tokio::task::spawn_local(accept_callers(state.clone(), callers));
+        tokio::task::spawn_local(accept_requests(
+            state.clone(),
+            callers,
+            RequestSource::Caller,
+        ));
+        if let Some(forward) = forward {
+            let source = RequestSource::Peer;
+            tokio::task::spawn_local(accept_requests(state.clone(), forward, source));
+        }
         tokio::task::spawn_local(serve_probes(state.clone(), ready));
         tokio::task::spawn_local(serve_probes(state.clone(), metrics_listener));
         let monitor = RulesDownloadMonitor::new(feed.clone());
@@ -321,6 +335,8 @@
         expire_servers(&state);
         log_server_health(&state);
         log_reach(&state);
+        state.forward_peers.maintain(&state, &events);
+        probe_paths(&state);
         monitor.poll(&state.fleet);
         state.quarantine.maintain(&state);
         state.pushback.maintain(&state);
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -28,6 +28,7 @@
 mod fleet;
 mod follow;
 mod follower;
+mod forward;
 mod instance;
 mod jump;
 mod lag;
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -1,4 +1,4 @@
-//! Connections from callers: accepts them, times them out and closes them gracefully.
+//! Connections from callers and peers: accepts them, times them out and closes them gracefully.
 
 use std::cell::Cell;
 use std::io;
@@ -16,7 +16,7 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
-use crate::call::serve_request;
+use crate::call::{RequestSource, serve_request};
 use crate::reply::{CallerResponse, full_body};
 use crate::state::{ShutdownPhase, TrafficState};
 use crate::upstream::enable_keepalive;
@@ -174,8 +174,13 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts connections from callers until the process ends.
-pub(crate) async fn accept_callers(state: Rc<TrafficState>, listener: TcpListener) {
+/// Accepts connections from callers, or from peers that forward requests, until the process
+/// ends.
+pub(crate) async fn accept_requests(
+    state: Rc<TrafficState>,
+    listener: TcpListener,
+    source: RequestSource,
+) {
     let open_connections = Rc::new(Cell::new(0u64));
     loop {
         let Some(stream) = accept(&listener).await else { continue };
@@ -191,7 +196,7 @@
         open_connections.set(open_connections.get() + 1);
         let (state, open_connections) = (state.clone(), open_connections.clone());
         tokio::task::spawn_local(async move {
-            handle_connection(state, stream).await;
+            handle_connection(state, stream, source).await;
             open_connections.set(open_connections.get() - 1);
         });
     }
@@ -209,8 +214,12 @@
     }
 }
 
-/// Serves one connection from a caller until it ends.
-async fn handle_connection(state: Rc<TrafficState>, stream: TcpStream) {
+/// Serves one connection until it ends.
+async fn handle_connection(
+    state: Rc<TrafficState>,
+    stream: TcpStream,
+    source: RequestSource,
+) {
     let configured = stream.set_nodelay(true).and_then(|()| enable_keepalive(&stream));
     if let Err(cause) = configured {
         log::debug!(cause = cause.to_string(); "failed to configure a caller's connection");
@@ -228,7 +237,7 @@
         service_fn(move |request: Request<Incoming>| {
             let (state, guard) = (state.clone(), RequestGuard::new(&activity));
             async move {
-                let response = serve_request(state, request).await;
+                let response = serve_request(state, request, source).await;
                 drop(guard);
                 Ok::<_, std::convert::Infallible>(response)
             }
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -73,6 +73,8 @@
     pub(crate) watch_calls: IntCounterVec,
     /// Services whose servers this instance hardly reaches: 1 while its path is in doubt.
     pub(crate) doubtful_paths: IntGaugeVec,
+    /// Requests in progress that peers have forwarded.
+    pub(crate) carried_calls: IntGauge,
     /// Seconds to the first event of a stream, or to a whole response.
     pub(crate) latency: Histogram,
 }
@@ -166,6 +168,7 @@
                 "1 while most servers of the service can't be reached.",
                 &["service"],
             ),
+            carried_calls: gauge("carried_calls", "Requests that peers forwarded."),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
         };
@@ -175,7 +178,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 31] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 32] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -206,6 +209,7 @@
             Box::new(self.watched_engines.clone()),
             Box::new(self.watch_calls.clone()),
             Box::new(self.doubtful_paths.clone()),
+            Box::new(self.carried_calls.clone()),
             Box::new(self.latency.clone()),
         ];
         for collector in collectors {
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -11,7 +11,10 @@
 use crate::contract::RequestHead;
 use crate::crash::server_has_exited;
 use crate::duty::CallUsage;
-use crate::exchange::{CallerRequest, ResponseStart, ServerAttempt, send_attempt};
+use crate::exchange::{
+    CallerRequest, ResponseStart, SendFault, ServerAttempt, send_attempt,
+};
+use crate::forward::{CarriedCall, PeerReply};
 use crate::reply::{CallerResponse, LocalReply};
 use crate::routes::ClassMatch;
 use crate::state::TrafficState;
@@ -54,6 +57,8 @@
     sent_at: Cell<Duration>,
     /// Counts it in the usage report; `None` if usage isn't reported.
     usage: Option<CallUsage>,
+    /// Counts it among the forwarded requests; `None` if a caller sent it.
+    carried: Option<CarriedCall>,
 }
 
 /// The outcome of one attempt at a server.
@@ -66,6 +71,8 @@
     TimedOut,
     /// The request was not sent, because it crashes servers.
     Quarantined,
+    /// The peer that the request was forwarded to responds itself.
+    Refused(PeerReply),
 }
 
 impl OpenCall {
@@ -77,6 +84,7 @@
         head: &RequestHead,
         received_at: Duration,
         usage: Option<CallUsage>,
+        carried: Option<CarriedCall>,
     ) -> Self {
         let timeout = class.class().timeout;
         let wait = head.deadline.map_or(timeout, |deadline| deadline.min(timeout));
@@ -97,9 +105,15 @@
             end_recorded: Cell::new(false),
             sent_at: Cell::new(received_at),
             usage,
+            carried,
         }
     }
 
+    /// Returns whether a peer has forwarded the request.
+    pub(crate) fn is_carried(&self) -> bool {
+        self.carried.is_some()
+    }
+
     /// Logs and counts the outcome of the request. Has no effect if they
     /// have already been recorded.
     pub(crate) fn record_end(&self, end: &'static str, status: u16) {
@@ -205,6 +219,16 @@
         self.reply_locally(LocalReply::Quarantined, None)
     }
 
+    /// Responds as the peer does that the request was forwarded to.
+    pub(crate) fn reply_as_peer(&self, refusal: PeerReply) -> CallerResponse {
+        let PeerReply { reply, retry_after } = refusal;
+        if self.may_have_run.get() && !reply.may_have_run() {
+            return self.reply_locally(LocalReply::ServerFailed, None);
+        }
+        let longest = self.time_left() / RETRY_DIVISOR;
+        self.reply_locally(reply, retry_after.map(|span| span.min(longest)))
+    }
+
     /// Responds to a request whose deadline has passed.
     pub(crate) fn reply_timed_out(&self) -> CallerResponse {
         if self.may_have_run.get() {
@@ -234,7 +258,7 @@
         self.sent_at.set(self.state.now());
         log::info!(
             request = self.attempt_id, class = self.class.class().name,
-            server = self.state.server_name(choice.server).unwrap_or_default(),
+            server = self.state.target_name(choice.server),
             reason:? = choice.reason, cost_ms = choice.cost_ms as u64, expected_ms = choice.expected.as_millis() as u64,
             running = choice.running, uncached = choice.uncached, taken_over = choice.fetch.map_or(0, |fetch| fetch.tokens), tokens = request.tokens, tier = request.tier.unwrap_or_default(),
             eligible = choice.eligible, left_ms = time_left.as_millis() as u64,
@@ -261,7 +285,12 @@
             let until = self.state.now() + wait;
             match self.state.wait_until(until, &mut sent).await {
                 Some(Ok(start)) => return AttemptOutcome::Started(start),
-                Some(Err(fault)) => return AttemptOutcome::Fault(fault),
+                Some(Err(SendFault::Fault(fault))) => {
+                    return AttemptOutcome::Fault(fault);
+                }
+                Some(Err(SendFault::Refused(refusal))) => {
+                    return AttemptOutcome::Refused(refusal);
+                }
                 None if wait < time_left && !self.time_left().is_zero() => {
                     if self.may_abort_silent(false) {
                         return AttemptOutcome::Fault(RouteFault::Silent);
@@ -330,7 +359,7 @@
         });
         let label = format!("{fault:?}");
         self.state.metrics.faults.with_label_values(&[&label]).inc();
-        let server = self.server.get().and_then(|server| self.state.server_name(server));
+        let server = self.server.get().map(|server| self.state.target_name(server));
         log::info!(
             request = self.attempt_id, server = server.unwrap_or_default(), fault = label, again = decision == RetryDecision::Retry,
             left_ms = self.time_left().as_millis() as u64;
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -181,7 +181,9 @@
                 AttemptOutcome::Started(_) => fault = RouteFault::Failed,
                 AttemptOutcome::Fault(next) => fault = next,
                 AttemptOutcome::TimedOut => return Err(self.abort("timed_out")),
-                AttemptOutcome::Quarantined => return Err(self.abort("stream_broken")),
+                AttemptOutcome::Refused(_) | AttemptOutcome::Quarantined => {
+                    return Err(self.abort("stream_broken"));
+                }
             }
         }
     }
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -35,6 +35,8 @@
     NoRules,
     /// The rules in force don't allow the request, but newer rules, which may allow it, exist.
     OutdatedRules,
+    /// The instance has too many requests that peers have forwarded.
+    TooManyForwarded,
     /// The instance will stop before the request could be completed.
     Stopping,
     /// No server is available.
@@ -50,6 +52,24 @@
 }
 
 impl LocalReply {
+    /// All replies.
+    const ALL: [Self; 14] = [
+        Self::Malformed,
+        Self::BodyTooLarge,
+        Self::BodyTooSlow,
+        Self::UnknownKey,
+        Self::UnknownTarget,
+        Self::NoRules,
+        Self::OutdatedRules,
+        Self::TooManyForwarded,
+        Self::Stopping,
+        Self::NoServer,
+        Self::TooLate,
+        Self::Quarantined,
+        Self::ServerFailed,
+        Self::TimedOut,
+    ];
+
     /// Replaces a rejection that newer rules might lift by a temporary one, if the rules in
     /// force are outdated: callers don't retry after a permanent rejection.
     pub(crate) fn defer_to_newer_rules(self, rules_outdated: bool) -> Self {
@@ -72,6 +92,7 @@
             Self::UnknownTarget => StatusCode::NOT_FOUND,
             Self::NoRules
             | Self::OutdatedRules
+            | Self::TooManyForwarded
             | Self::Stopping
             | Self::NoServer
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -81,7 +102,7 @@
     }
 
     /// Returns the short name used in responses, logs and metrics.
-    pub(crate) fn name(self) -> &'static str {
+    pub(crate) const fn name(self) -> &'static str {
         match self {
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
@@ -90,6 +111,7 @@
             Self::UnknownTarget => "unknown_target",
             Self::NoRules => "no_rules",
             Self::OutdatedRules => "old_rules",
+            Self::TooManyForwarded => "too_many_forwarded",
             Self::Stopping => "stopping",
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
@@ -99,6 +121,16 @@
         }
     }
 
+    /// Returns the reply with a name.
+    pub(crate) fn from_name(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|reply| reply.name() == name)
+    }
+
+    /// Returns whether a server may have run the request.
+    pub(crate) fn may_have_run(self) -> bool {
+        matches!(self, Self::ServerFailed | Self::TimedOut)
+    }
+
     /// Returns what the caller can do.
     fn remedy(self) -> &'static str {
         match self {
@@ -109,6 +141,7 @@
             Self::UnknownTarget => "check the host and the path",
             Self::NoRules
             | Self::OutdatedRules
+            | Self::TooManyForwarded
             | Self::Stopping
             | Self::NoServer
             | Self::TooLate => "it hasn't run; come back after the time in Retry-After",
@@ -131,6 +164,7 @@
         let body = json!({ "ran": ran, "reason": self.name(), "remedy": self.remedy() });
         let mut response = Response::new(full_body(Bytes::from(body.to_string())));
         *response.status_mut() = status;
+        response.extensions_mut().insert(self);
         let headers = response.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
         if let Some(delay) = retry_after
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -23,6 +23,7 @@
 use crate::duty::SharedDuties;
 use crate::evacuation::DataCentreEvacuations;
 use crate::fleet::FleetLink;
+use crate::forward::{CarriedCalls, ForwardPeers};
 use crate::memory::BodyBudget;
 use crate::metrics::{EntryMetrics, GaugeGuard};
 use crate::names::IdTable;
@@ -82,6 +83,10 @@
     pub(crate) newest_rules: Cell<SettingsVersion>,
     /// The number of live instances, as last seen.
     pub(crate) live_instances: Cell<u32>,
+    /// The peers that take forwarded requests.
+    pub(crate) forward_peers: ForwardPeers,
+    /// The forwarded requests that this instance has taken.
+    pub(crate) carried: CarriedCalls,
     /// What this instance has seen of the engines that it watches.
     pub(crate) own_sightings: OwnSightings,
     /// Whether the server list has been read at least once.
@@ -136,6 +141,7 @@
             BodyBudget::new(config.memory_mb, used)
         };
         let (request_memory, response_memory) = (budget("request"), budget("response"));
+        let carried = CarriedCalls::new(metrics.carried_calls.clone());
         let quarantine = CallQuarantine::new(!config.seeds.is_empty());
         let mut core = RouteCore::new(options);
         core.set_seed(seed);
@@ -157,6 +163,8 @@
             evacuations: DataCentreEvacuations::default(),
             newest_rules: Cell::new(0),
             live_instances: Cell::new(0),
+            forward_peers: ForwardPeers::default(),
+            carried,
             own_sightings: OwnSightings::default(),
             servers_listed: Cell::new(false),
             router: RefCell::new(core),
@@ -253,6 +261,12 @@
             .map(|incarnation| incarnation.name.clone())
     }
 
+    /// Returns the name of a server, or of a peer that forwards requests, for log lines.
+    pub(crate) fn target_name(&self, target: ServerId) -> ServerName {
+        let peer = || self.forward_peers.find(target).map(|(_, name)| name);
+        self.server_name(target).or_else(peer).unwrap_or_default()
+    }
+
     /// Returns the key of a server's incarnation in messages between instances.
     pub(crate) fn server_key(&self, server: ServerId) -> Option<FleetKey> {
         self.ids
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -17,6 +17,7 @@
 mod partial;
 mod peer;
 mod rate;
+mod reach;
 mod rows;
 mod serve;
 mod settings;
@@ -34,6 +35,7 @@
     OutgoingHeartbeat, OutgoingHello, OutgoingPushback, SettingsSource,
 };
 pub use self::rate::rate_share;
+pub use self::reach::{ReachHandler, ReachRequest};
 pub use self::rows::{
     ListPlan, ListReader, RowAnswer, RowChanges, RowCopy, RowRequest, RowSource,
 };
@@ -45,6 +47,6 @@
 pub use self::wire::{
     CrashNotice, CrashReply, DutyHolder, EngineDigest, FleetHeartbeat, GroupDigest,
     GroupHello, HeartbeatReply, OwnLoad, PartRead, PartUpdate, PoolDemand,
-    PushbackNotice, RatePart, ReportDigest, ServerDigest, ServerShare, UsageCount,
-    UsageNotice,
+    PushbackNotice, RatePart, ReachDigest, ReachReply, ReportDigest, ServerDigest,
+    ServerShare, UsageCount, UsageNotice,
 };
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -13,6 +13,7 @@
 mod lists;
 mod part_changes;
 mod pushback;
+mod reach;
 mod settings;
 mod timing;
 
@@ -44,7 +45,7 @@
 use crate::rows::READER_KEY;
 use crate::wire::{
     DutyHolder, EngineDigest, FleetHeartbeat, OwnLoad, PartRead, PartUpdate, PoolDemand,
-    RatePart, ServerDigest, ServerShare, UsageCount,
+    RatePart, ReachReply, ServerDigest, ServerShare, UsageCount,
 };
 
 /// The weight of the newest count in the moving average of an organisation's request rate at
@@ -92,6 +93,8 @@
     pub parts: Vec<PartUpdate>,
     /// The requests of each rate-limited organisation since the last status.
     pub usage: Vec<UsageCount>,
+    /// Which servers the instance reaches, and where it takes forwarded requests.
+    pub reach: ReachReply,
 }
 
 /// A heartbeat to be sent to a peer.
--- a/crates/flaxtide-fleet/src/serve.rs
+++ b/crates/flaxtide-fleet/src/serve.rs
@@ -16,7 +16,7 @@
 use crate::shared::{ANSWER_TIMEOUT, FleetShared};
 use crate::wire::{
     CrashNotice, CrashReply, FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply,
-    PeerLink, PushbackNotice, UsageNotice,
+    PeerLink, PushbackNotice, ReachReply, UsageNotice,
 };
 
 /// The pause after a failure to accept a link, for example because file descriptors have run
@@ -83,6 +83,10 @@
         self.shared.emit(events);
     }
 
+    async fn reach(self, _: Context) -> ReachReply {
+        self.shared.node().reach_reply()
+    }
+
     async fn usage(self, _: Context, notice: UsageNotice) -> bool {
         self.shared
             .usage_exchange
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -23,6 +23,7 @@
     FleetNode, NodeEvent, OutgoingCrashes, OutgoingHeartbeat, OutgoingHello,
     OutgoingPushback,
 };
+use crate::reach::{ReachRequest, ask_reach};
 use crate::rows::{RowAnswer, RowRequest, RowSource, RowsReply};
 use crate::serve::serve;
 use crate::settings::SettingsCopy;
@@ -48,6 +49,8 @@
     SendHeartbeats,
     /// Asks a peer for the rows that it has read from the platform.
     AskRows(RowRequest),
+    /// Asks some peers which servers they reach.
+    AskReach(ReachRequest),
     /// Ends the thread.
     Stop,
 }
@@ -230,6 +233,7 @@
             Ok(FleetCommand::AskRows(request)) => {
                 tokio::spawn(ask_rows(shared.clone(), request));
             }
+            Ok(FleetCommand::AskReach(request)) => ask_reach(shared, &request),
             Err(TryRecvError::Empty) => return true,
             Ok(FleetCommand::Stop) | Err(TryRecvError::Disconnected) => return false,
         }
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -39,6 +39,30 @@
 
     /// Records a peer's pushback reports.
     async fn pushback(notice: PushbackNotice);
+
+    /// Returns which servers this instance reaches, for a peer whose own path is in doubt.
+    async fn reach() -> ReachReply;
+}
+
+/// What an instance offers to peers whose path to the backend servers is in doubt.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachReply {
+    /// The address at which the instance takes requests that peers forward; `None` if it takes
+    /// none.
+    pub address: Option<SocketAddr>,
+    /// The servers that the instance reaches.
+    pub pools: Vec<ReachDigest>,
+}
+
+/// How many servers of a pool an instance has lately reached.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReachDigest {
+    /// The key of the pool.
+    pub pool: FleetKey,
+    /// The number of servers that were reached.
+    pub reached: u16,
+    /// The number of servers that couldn't be reached.
+    pub failed: u16,
 }
 
 /// The instance that holds the duties that a single instance carries out for the fleet.
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -7,7 +7,7 @@
 use bincode::Options;
 use flaxtide_fleet::{
     FleetNode, FleetServer, FleetTiming, NodeStatus, OwnLoad, PeerInfo, PoolDemand,
-    ServerDigest, UsageCount, fleet_key,
+    ReachReply, ServerDigest, UsageCount, fleet_key,
 };
 use serde::Serialize;
 
@@ -185,5 +185,6 @@
         engines: vec![],
         parts: vec![],
         usage: usage.collect(),
+        reach: ReachReply::default(),
     }
 }
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -54,11 +54,12 @@
 };
 pub use self::rendezvous::{bounded_owners, rendezvous_order, rendezvous_owner};
 pub use self::router::{
-    CallProgress, DEAD_BOUND, EngineShape, HealthCause, HealthChange, LevelTokens,
-    PartFetch, PartKey, PeerKey, PeerLoad, PoolReach, PrefillRecord, PromptPart,
-    PromptShape, PushbackCount, QUEUE_WAIT_DIVISOR, ReachChange, RefusalCause, RegionKey,
-    RetryDecision, RouteAction, RouteCall, RouteChoice, RouteCore, RouteFault,
-    RouteOptions, RouteReason, RoutedServer, ServerLoad, StatementChange, URGENCY_LEVELS,
+    CallProgress, DEAD_BOUND, EngineShape, ForwardPeer, HealthCause, HealthChange,
+    LevelTokens, PartFetch, PartKey, PeerKey, PeerLoad, PoolReach, PrefillRecord,
+    PromptPart, PromptShape, PushbackCount, QUEUE_WAIT_DIVISOR, ReachChange,
+    RefusalCause, RegionKey, RetryDecision, RouteAction, RouteCall, RouteChoice,
+    RouteCore, RouteFault, RouteOptions, RouteReason, RoutedServer, ServerLoad,
+    StatementChange, URGENCY_LEVELS,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::scaling::{
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -157,6 +157,8 @@
 pub(crate) struct RoutedCall {
     /// The request as it arrived.
     pub(crate) details: RouteCall,
+    /// Whether a peer has forwarded the request to this instance.
+    pub(crate) forwarded: bool,
     /// Whether the request is waiting or running.
     pub(crate) phase: CallPhase,
     /// The servers that already failed this request.
@@ -217,6 +219,7 @@
     pub(crate) fn new(details: RouteCall) -> Self {
         Self {
             details,
+            forwarded: false,
             phase: CallPhase::Waiting,
             excluded: vec![],
             sends: 0,
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -73,6 +73,8 @@
     Cheapest,
     /// No healthy server is left.
     LastResort,
+    /// The path to the servers is in doubt: a peer forwards the request.
+    Forwarded,
 }
 
 /// A server with its predicted cost.
@@ -103,6 +105,10 @@
     ) -> Option<RouteChoice> {
         let call = self.calls.get(&request)?;
         let state = self.pools.get(&pool)?;
+        let forwarded = self.choose_forward_peer(state, call, now);
+        if forwarded.is_some() {
+            return forwarded;
+        }
         let shared = call.details.prompt.last_shared_part();
         let key = shared.map_or(request ^ self.seed, |part| part.key);
         (0..state.servers.arc_count()).find_map(|arc| {
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -211,6 +211,33 @@
             || self.path.is_failed(now)
     }
 
+    /// Records that a connection to the server could be opened after its path had failed.
+    pub(crate) fn record_connection(&mut self, now: Duration) {
+        self.path.record_success(now);
+        self.end_path_pause(now);
+    }
+
+    /// Records that no connection to the server could be opened.
+    pub(crate) fn record_path_failure(&mut self, now: Duration) {
+        self.path.record_failure(now);
+    }
+
+    /// Forgets that the path to the server has failed.
+    pub(crate) fn forget_path_failure(&mut self, now: Duration) {
+        if self.path.is_failed(now) {
+            self.path.forget_failure();
+            self.end_path_pause(now);
+        }
+    }
+
+    /// Ends a pause that a failed path has caused.
+    fn end_path_pause(&mut self, now: Duration) {
+        if self.silent_at.take().is_some() {
+            self.paused_until = self.paused_until.min(now);
+            self.pause = Duration::ZERO;
+        }
+    }
+
     /// Returns whether new requests get through to the server.
     pub(crate) fn path(&self) -> &ServerPath {
         &self.path
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -8,6 +8,7 @@
 mod call;
 mod choose;
 mod eligible;
+mod forward;
 mod health;
 mod homes;
 mod lane;
@@ -40,6 +41,7 @@
 };
 pub use self::choose::{PartFetch, RouteChoice, RouteReason};
 pub use self::eligible::HealthChange;
+pub use self::forward::ForwardPeer;
 pub use self::health::HealthCause;
 pub use self::load::{LevelTokens, PeerKey, PeerLoad, ServerLoad, URGENCY_LEVELS};
 pub use self::options::RouteOptions;
@@ -57,6 +59,7 @@
 use self::liveness::WATCH_PERIOD;
 use self::pace::PoolPace;
 use self::prefill_log::PrefillLog;
+use self::reach::ReachProbes;
 use self::server::ServerState;
 use self::shed::ShedProbability;
 use self::table::ServerTable;
@@ -127,6 +130,8 @@
     pace: PoolPace,
     /// Whether this instance reaches the servers, as of the last update.
     reach: PoolReach,
+    /// The probes of the servers while the path is in doubt.
+    probes: ReachProbes,
     /// The mean time from dispatch to the end of the response, in seconds.
     service_time: crate::estimate::DecayedMean,
 }
@@ -326,13 +331,40 @@
 
     /// Handles a new request: dispatches it, queues it or refuses it.
     pub fn arrive(&mut self, call: RouteCall, now: Duration) -> Vec<RouteAction> {
+        let state = self.pools.entry(call.pool).or_default();
+        state.budget.record_arrival(now);
+        self.admit(RoutedCall::new(call), now)
+    }
+
+    /// Handles a request that a peer has forwarded. It adds nothing to the retry budget, as it
+    /// has done so at the peer, and it isn't forwarded again.
+    pub fn arrive_forwarded(
+        &mut self,
+        call: RouteCall,
+        now: Duration,
+    ) -> Vec<RouteAction> {
+        let reach = self.reach(call.pool);
+        if reach.is_doubtful() && reach.reached == 0 {
+            // The peer tries another instance.
+            return vec![RouteAction::Refuse {
+                request: call.request,
+                reason: RefusalCause::NoServer,
+                retry_after: self.options.no_server_retry,
+                expected: None,
+            }];
+        }
+        self.admit(RoutedCall { forwarded: true, ..RoutedCall::new(call) }, now)
+    }
+
+    /// Dispatches, queues or refuses a request.
+    fn admit(&mut self, routed: RoutedCall, now: Duration) -> Vec<RouteAction> {
+        let call = &routed.details;
         let pool = call.pool;
         let request = call.request;
         let state = self.pools.entry(pool).or_default();
-        state.budget.record_arrival(now);
-        state.lane_demand.record_arrival(&call, &self.options, now);
+        state.lane_demand.record_arrival(call, &self.options, now);
         state.pace.update(&state.servers, now);
-        if !state.servers.values().any(|server| server.listing.accepts(&call)) {
+        if !state.servers.values().any(|server| server.listing.accepts(call)) {
             let retry_after = self.options.no_server_retry;
             let any = state.servers.values().any(|server| server.listing.in_service());
             let reason = match any {
@@ -353,7 +385,7 @@
             work: call.prompt.work(),
         };
         state.queue.push(call.tier, call.class, call.organisation, entry, now);
-        self.calls.insert(request, RoutedCall::new(call));
+        self.calls.insert(request, routed);
         self.dispatch_queued(pool, now);
         self.take_actions()
     }
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -139,10 +139,12 @@
     pub fn permit_send(&mut self, request: RequestId, now: Duration) -> bool {
         let Some(call) = self.calls.get(&request) else { return false };
         let CallPhase::Running { server, .. } = call.phase else { return false };
-        let pool = self.pools.get_mut(&call.details.pool);
-        let Some(server) = pool.and_then(|pool| pool.servers.get_mut(server)) else {
-            return false;
-        };
+        let Some(pool) = self.pools.get_mut(&call.details.pool) else { return false };
+        if pool.servers.is_forward_peer(server) {
+            // The peer checks what the server accepts.
+            return true;
+        }
+        let Some(server) = pool.servers.get_mut(server) else { return false };
         if !server.listing.accepts(&call.details) || server.pushback.is_backing_off(now) {
             return false;
         }
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -3,10 +3,11 @@
 
 use std::time::Duration;
 
-use flaxtide_core::PoolId;
+use flaxtide_core::{PoolId, ServerId};
 
-use super::RouteCore;
+use super::server::ServerState;
 use super::table::ServerTable;
+use super::{RouteCore, find_server};
 
 /// How long a failed attempt to reach a server counts.
 const FAILURE_VALIDITY: Duration = Duration::from_secs(5);
@@ -17,6 +18,18 @@
 /// The number of servers that must have failed to put the path in doubt.
 const MIN_FAILED_SERVERS: u32 = 2;
 
+/// How often servers that fail are tried while the path is in doubt.
+const PROBE_PERIOD: Duration = Duration::from_millis(500);
+
+/// How often they are tried once one of them has been reached again.
+const RECOVERY_PROBE_PERIOD: Duration = Duration::from_millis(100);
+
+/// How many servers are tried at a time.
+const PROBED_SERVERS: usize = 2;
+
+/// After this many probes in a row that reached a server, the path is taken to be restored.
+const RESTORING_PROBES: u32 = 3;
+
 /// The last attempts to get a new request through to a server. Data on a response that had
 /// started before says nothing: connections may live on while new ones fail.
 #[derive(Debug, Clone, Copy, Default)]
@@ -41,6 +54,11 @@
         self.failed_at = None;
     }
 
+    /// Forgets a failure, so that the server counts as untried.
+    pub(crate) fn forget_failure(&mut self) {
+        self.failed_at = None;
+    }
+
     /// Records that the server couldn't be reached.
     pub(crate) fn record_failure(&mut self, now: Duration) {
         self.failed_at = Some(now);
@@ -48,13 +66,18 @@
 
     /// Returns whether the last attempt failed.
     pub(crate) fn is_failed(&self, now: Duration) -> bool {
-        self.failed_at
-            .is_some_and(|at| now < at.saturating_add(FAILURE_VALIDITY))
+        self.failure(now).is_some()
     }
 
-    /// Returns whether the last attempt succeeded.
-    fn is_reached(&self, now: Duration) -> bool {
-        let is_recent = |at: Duration| now < at.saturating_add(SUCCESS_VALIDITY);
+    /// Returns when the last attempt failed, if it did.
+    fn failure(&self, now: Duration) -> Option<Duration> {
+        self.failed_at.filter(|at| now < at.saturating_add(FAILURE_VALIDITY))
+    }
+
+    /// Returns whether the last attempt succeeded, after `since`.
+    fn is_reached_since(&self, since: Duration, now: Duration) -> bool {
+        let is_recent =
+            |at: Duration| at > since && now < at.saturating_add(SUCCESS_VALIDITY);
         !self.is_failed(now) && self.succeeded_at.is_some_and(is_recent)
     }
 }
@@ -92,21 +115,51 @@
         }
     }
 
-    /// Counts the servers in service that were tried lately.
+    /// Counts the servers in service that were tried lately. Of those that were reached, only
+    /// the ones since the first of the failures count: an instance that was cut off a moment
+    /// ago has lately reached all servers.
     pub(super) fn count(servers: &ServerTable, now: Duration) -> Self {
-        let in_service =
-            |server: &&super::server::ServerState| server.listing.in_service();
+        let in_service = |server: &&ServerState| server.listing.in_service();
         let failed = servers.active().filter(in_service);
-        let failed = failed.filter(|server| server.health.path().is_failed(now)).count();
-        let failed = u32::try_from(failed).unwrap_or(u32::MAX);
-        if failed < MIN_FAILED_SERVERS {
-            // The common case, in which the other servers needn't be counted.
-            return Self { reached: 1, failed };
+        let failed = failed.filter_map(|server| server.health.path().failure(now));
+        let (mut count, mut first_at) = (0, now);
+        for at in failed {
+            count += 1;
+            first_at = first_at.min(at);
         }
-        let reached = servers.values().filter(in_service);
-        let reached = reached.filter(|server| server.health.path().is_reached(now));
-        let reached = u32::try_from(reached.count()).unwrap_or(u32::MAX);
-        Self { reached, failed }
+        let is_reached = |since: Duration| {
+            move |server: &&ServerState| {
+                server.listing.in_service()
+                    && server.health.path().is_reached_since(since, now)
+            }
+        };
+        let reached = match count < MIN_FAILED_SERVERS {
+            // The idle servers needn't be counted.
+            true => servers.active().filter(is_reached(Duration::ZERO)).count(),
+            false => servers.values().filter(is_reached(first_at)).count(),
+        };
+        let reached = u32::try_from(reached).unwrap_or(u32::MAX);
+        Self { reached, failed: count }
+    }
+}
+
+/// The probes of the servers of a pool while the path is in doubt.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct ReachProbes {
+    /// When servers were last probed.
+    probed_at: Option<Duration>,
+    /// How many probes in a row have reached a server.
+    successes: u32,
+}
+
+impl ReachProbes {
+    /// Returns whether probes are due.
+    fn is_due(&self, now: Duration) -> bool {
+        let period = match self.successes {
+            0 => PROBE_PERIOD,
+            _ => RECOVERY_PROBE_PERIOD,
+        };
+        self.probed_at.is_none_or(|at| now >= at + period)
     }
 }
 
@@ -141,4 +194,89 @@
             .get(&pool)
             .map_or_else(PoolReach::default, |state| state.reach)
     }
+
+    /// Returns what is known of the paths to the servers of each pool.
+    #[must_use]
+    pub fn reached_pools(&self) -> Vec<(PoolId, PoolReach)> {
+        self.pools.iter().map(|(pool, state)| (*pool, state.reach)).collect()
+    }
+
+    /// Returns the pools to whose servers the path is in doubt.
+    #[must_use]
+    pub fn doubtful_pools(&self) -> Vec<PoolId> {
+        let pools = self.pools.iter().filter(|(_, state)| state.reach.is_doubtful());
+        pools.map(|(pool, _)| *pool).collect()
+    }
+
+    /// Returns whether the path to the servers of the pool of a server is in doubt.
+    #[must_use]
+    pub fn is_path_doubtful(&self, server: ServerId) -> bool {
+        let mut pools = self.pools.values();
+        let pool = pools.find(|pool| pool.servers.get(server).is_some());
+        pool.is_some_and(|pool| pool.reach.is_doubtful())
+    }
+
+    /// Returns the servers that should be probed now, by opening a connection, to find out
+    /// whether the path is back. Those that failed longest ago come first.
+    pub fn due_probes(&mut self, now: Duration) -> Vec<ServerId> {
+        let mut due = vec![];
+        for state in self.pools.values_mut() {
+            if !state.reach.is_doubtful() {
+                state.probes = ReachProbes::default();
+                continue;
+            }
+            if !state.probes.is_due(now) {
+                continue;
+            }
+            state.probes.probed_at = Some(now);
+            let servers = state.servers.active();
+            let servers = servers.filter(|server| server.listing.in_service());
+            let mut failed: Vec<(Duration, ServerId)> = servers
+                .filter_map(|server| {
+                    let at = server.health.path().failure(now)?;
+                    Some((at, server.listing.server))
+                })
+                .collect();
+            failed.sort_unstable();
+            due.extend(failed.iter().take(PROBED_SERVERS).map(|(_, server)| *server));
+        }
+        due
+    }
+
+    /// Returns another server of the pool, which this instance hasn't failed to reach: an
+    /// attempt to reach it shows whether the failure of `server` is its own.
+    #[must_use]
+    pub fn control_server(&self, server: ServerId, now: Duration) -> Option<ServerId> {
+        let mut pools = self.pools.values();
+        let pool = pools.find(|pool| pool.servers.get(server).is_some())?;
+        let others = pool.servers.values().filter(|other| {
+            other.listing.in_service()
+                && other.listing.server != server
+                && !other.health.path().is_failed(now)
+        });
+        others
+            .max_by_key(|other| other.health.answered_at())
+            .map(|other| other.listing.server)
+    }
+
+    /// Records whether a connection to a server could be opened.
+    pub fn record_probe(&mut self, server: ServerId, is_reached: bool, now: Duration) {
+        if let Some(server) = find_server(&mut self.pools, server) {
+            match is_reached {
+                true => server.health.record_connection(now),
+                false => server.health.record_path_failure(now),
+            }
+        }
+        let mut pools = self.pools.values_mut();
+        let Some(state) = pools.find(|pool| pool.servers.get(server).is_some()) else {
+            return;
+        };
+        let probes = &mut state.probes;
+        probes.successes = if is_reached { probes.successes + 1 } else { 0 };
+        if probes.successes >= RESTORING_PROBES {
+            let forget =
+                |server: &mut ServerState| server.health.forget_path_failure(now);
+            state.servers.update_active(forget);
+        }
+    }
 }
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -52,9 +52,10 @@
         if let CallPhase::Running { server, .. } = call.phase {
             call.excluded.push(server);
         }
-        call.runs += 1;
+        let runs = self.count_runs(&call);
+        call.runs += runs;
         let granted = self.grant_retry(&call, RouteFault::Silent, resumable, now);
-        call.runs -= 1;
+        call.runs -= runs;
         call.excluded.pop();
         call.retry_granted = granted;
         if !granted {
@@ -171,7 +172,7 @@
             call.excluded.push(server);
         }
         if !fault.not_run() {
-            call.runs += 1;
+            call.runs += self.count_runs(&call);
         }
         let granted = std::mem::take(&mut call.retry_granted);
         let retry = granted || self.grant_retry(&call, fault, resumable, now);
@@ -218,15 +219,18 @@
         if !(fault.not_run() || details.repeatable || resumable) {
             return false;
         }
-        if call.runs >= details.run_limit.max(1) || call.sends >= self.options.send_limit
-        {
+        let has_forward_peer = self.has_forward_peer(call, now);
+        // The sends that showed the path to be in doubt reached no server.
+        let sends = if has_forward_peer { 2 } else { 1 } * self.options.send_limit;
+        if call.runs >= details.run_limit.max(1) || call.sends >= sends {
             return false;
         }
         if now + self.options.least_time >= details.deadline {
             return false;
         }
-        if !self.has_alternative(call)
-            || self.no_server_before(call, details.deadline, now)
+        if !has_forward_peer
+            && (!self.has_alternative(call)
+                || self.no_server_before(call, details.deadline, now))
         {
             return false;
         }
@@ -268,6 +272,9 @@
             return;
         }
         server.health.record_fault(fault, now, &self.options);
+        if fault == RouteFault::Broken && !call.has_data() {
+            server.health.record_path_failure(now);
+        }
         if fault == RouteFault::Unreachable {
             server.suspect_restart(self.group.as_deref(), self.seed, now);
         }
--- a/crates/flaxtide-policy/src/router/table.rs
+++ b/crates/flaxtide-policy/src/router/table.rs
@@ -6,6 +6,7 @@
 
 use flaxtide_core::ServerId;
 
+use super::forward::ForwardState;
 use super::server::{RoutedServer, ServerState};
 use crate::rendezvous::rendezvous_weight;
 
@@ -49,24 +50,46 @@
     active: BTreeSet<ServerId>,
     /// The slots of the servers in service.
     slots: u64,
+    /// The peers that forward requests to the servers. They aren't among the servers.
+    forward_peers: BTreeMap<ServerId, ForwardState>,
 }
 
 /// The place of a server on a ring.
 type RingPlace = (u64, ServerId);
 
 impl ServerTable {
-    /// Returns a server.
+    /// Returns a server, or a peer that forwards requests.
     pub(crate) fn get(&self, id: ServerId) -> Option<&ServerState> {
-        self.servers.get(&id)
+        let peer = self.forward_peers.get(&id).map(|peer| &peer.server);
+        peer.or_else(|| self.servers.get(&id))
     }
 
-    /// Returns a server to change what this instance itself has recorded of it.
+    /// Returns a server, or a peer that forwards requests, to change what this instance itself
+    /// has recorded of it.
     pub(crate) fn get_mut(&mut self, id: ServerId) -> Option<&mut ServerState> {
+        if let Some(peer) = self.forward_peers.get_mut(&id) {
+            return Some(&mut peer.server);
+        }
         let server = self.servers.get_mut(&id)?;
         self.active.insert(id);
         Some(server)
     }
 
+    /// Returns the peers that forward requests.
+    pub(super) fn forward_peers(&self) -> impl Iterator<Item = &ForwardState> {
+        self.forward_peers.values()
+    }
+
+    /// Returns the peers that forward requests, to replace them.
+    pub(super) fn forward_peers_mut(&mut self) -> &mut BTreeMap<ServerId, ForwardState> {
+        &mut self.forward_peers
+    }
+
+    /// Returns whether an identifier is that of a peer that forwards requests.
+    pub(super) fn is_forward_peer(&self, id: ServerId) -> bool {
+        self.forward_peers.contains_key(&id)
+    }
+
     /// Returns a server to record what peers have reported of it. That changes nothing
     /// that is checked periodically.
     pub(crate) fn get_for_peers(&mut self, id: ServerId) -> Option<&mut ServerState> {
