--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -7,7 +7,7 @@
 use flaxtide_core::{ServerId, SettingsTree, SettingsVersion};
 use flaxtide_fleet::{
     FleetNode, FleetServer, FleetThread, FleetTiming, NodeEvent, NodeStatus, PeerInfo,
-    PoolDemand, ServerDigest, SettingsCopy, UsageCount,
+    PoolDemand, ReachReply, ServerDigest, SettingsCopy, UsageCount,
 };
 use flaxtide_policy::{LoadReport, PolicyEvent};
 
@@ -169,6 +169,8 @@
         engines: vec![],
         parts: vec![],
         usage: usage.collect(),
+        // Instances of this interface don't forward requests.
+        reach: ReachReply::default(),
     }
 }
 
