An instance whose own path is in doubt takes no servers from its peers

In the incident the instances that reached all servers had taken 22 to 30 servers out of rotation by the word of peers that were cut off; nothing had failed at the servers. Cause: an instance told its peers of each silent server, and watchers of each engine that didn't answer, without asking whether its own path had failed. Now neither is told for a pool to which the own path is in doubt, and a report that names three servers and most of a pool counts as one about the peer's path.

--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -15,7 +15,8 @@
     PartUpdate, PeerInfo, ReachRequest, RowRequest, SettingsCopy, fleet_key,
 };
 use flaxtide_policy::{
-    CrashReport, PartKey, PeerLoad, PrefillRecord, PushbackReport, ServerLoad,
+    CrashReport, EngineSighting, PartKey, PeerLoad, PrefillRecord, PushbackReport,
+    ServerLoad,
 };
 use tokio::sync::mpsc;
 
@@ -310,8 +311,14 @@
         .filter_map(|server| state.server_key(*server))
         .collect();
     let sightings = state.own_sightings.sightings(state.now());
+    // A failure says nothing of an engine while the own path is in doubt.
+    let is_telling = |seen: &&EngineSighting| {
+        seen.failing_for.is_none()
+            || !state.with_router(|core, _| core.is_path_doubtful(seen.server))
+    };
     let engines: Vec<EngineDigest> = sightings
         .iter()
+        .filter(is_telling)
         .filter_map(|seen| Some(to_digest(seen, state.server_key(seen.server)?)))
         .collect();
     let reach = offer(state);
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -293,9 +293,14 @@
         self.prefills.recent(&self.options, now)
     }
 
-    /// Records that a peer reported servers as silent.
+    /// Records that a peer reported servers as silent. A report of most servers of a pool
+    /// says something of the peer's path and not of the servers.
     pub fn record_silence_reports(&mut self, servers: &[ServerId], now: Duration) {
         for pool in self.pools.values_mut() {
+            let named = servers.iter().filter(|id| pool.servers.get(**id).is_some());
+            if is_path_report(named.count(), pool.servers.count_in_service()) {
+                continue;
+            }
             for server in servers {
                 if let Some(server) = pool.servers.get_mut(*server) {
                     let liveness = server.liveness(now);
@@ -305,10 +310,12 @@
         }
     }
 
-    /// Returns the servers that this instance recently found silent.
+    /// Returns the servers that this instance recently found silent, without those of pools to
+    /// which its own path is in doubt.
     #[must_use]
     pub fn silent_servers(&self, now: Duration) -> Vec<ServerId> {
-        let servers = self.pools.values().flat_map(|pool| pool.servers.active());
+        let pools = self.pools.values().filter(|pool| !pool.reach.is_doubtful());
+        let servers = pools.flat_map(|pool| pool.servers.active());
         let silent = servers.filter(|server| {
             let streams = server.load.has_streams(&self.calls);
             let is_reached = server.is_reached_by_watchers(now);
@@ -550,6 +557,14 @@
     }
 }
 
+/// Returns whether a peer names so many silent servers of a pool that its own path must have
+/// failed.
+fn is_path_report(named: usize, in_service: usize) -> bool {
+    /// A pool may be so small that all its servers fail.
+    const MIN_NAMED: usize = 3;
+    named >= MIN_NAMED && named * 2 > in_service
+}
+
 /// Returns the state of a server, whichever pool it is in.
 fn find_server(
     pools: &mut BTreeMap<PoolId, RoutePool>,
