The own path is doubted only after enough servers were tried

Two failed servers of six put the path in doubt while all requests went to one server and the others weren't tried, so a crash of two could send requests the long way. With fewer than four failures the untried servers must now be fewer than the failed ones; untried servers are probed meanwhile. Tests: router_reach, which also covers forwarding: whom, how much, run limits, no second forwarding, probes, and what peers are told.

--- a/crates/flaxtide-entry/src/forward/peers.rs
+++ b/crates/flaxtide-entry/src/forward/peers.rs
@@ -61,6 +61,7 @@
         Some(PoolReach {
             reached: digest.reached.into(),
             failed: digest.failed.into(),
+            untried: 0,
         })
     }
 }
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -18,6 +18,9 @@
 /// The number of servers that must have failed to put the path in doubt.
 const MIN_FAILED_SERVERS: u32 = 2;
 
+/// The number of failed servers that puts the path in doubt however many weren't tried.
+const CONCLUSIVE_FAILURES: u32 = 4;
+
 /// How often servers that fail are tried while the path is in doubt.
 const PROBE_PERIOD: Duration = Duration::from_millis(500);
 
@@ -74,6 +77,11 @@
         self.failed_at.filter(|at| now < at.saturating_add(FAILURE_VALIDITY))
     }
 
+    /// Returns when the last attempt was made.
+    fn tried_at(&self) -> Option<Duration> {
+        self.failed_at.max(self.succeeded_at)
+    }
+
     /// Returns whether the last attempt succeeded, after `since`.
     fn is_reached_since(&self, since: Duration, now: Duration) -> bool {
         let is_recent =
@@ -86,23 +94,31 @@
 ///
 /// ```
 /// use flaxtide_policy::PoolReach;
-/// assert!(PoolReach { reached: 0, failed: 2 }.is_doubtful());
+/// assert!(PoolReach { reached: 0, failed: 3, untried: 15 }.is_doubtful());
 /// // Servers fail one by one while the others are reached.
-/// assert!(!PoolReach { reached: 15, failed: 3 }.is_doubtful());
+/// assert!(!PoolReach { reached: 15, failed: 3, untried: 0 }.is_doubtful());
 /// ```
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct PoolReach {
-    /// The number of servers that were reached.
+    /// The number of servers that were reached; if some have failed, since the first of them
+    /// has.
     pub reached: u32,
     /// The number of servers that couldn't be reached.
     pub failed: u32,
+    /// The number of servers that weren't tried since the first of the others failed.
+    pub untried: u32,
 }
 
 impl PoolReach {
     /// Returns whether the path of this instance to the servers is in doubt: more of them
-    /// fail than are reached.
+    /// fail than are reached, and enough were tried.
     #[must_use]
     pub fn is_doubtful(&self) -> bool {
+        self.is_suspect() && self.failed >= self.untried.min(CONCLUSIVE_FAILURES)
+    }
+
+    /// Returns whether more servers fail than are reached.
+    fn is_suspect(&self) -> bool {
         self.failed >= MIN_FAILED_SERVERS && self.failed > self.reached
     }
 
@@ -133,16 +149,27 @@
                     && server.health.path().is_reached_since(since, now)
             }
         };
-        let reached = match count < MIN_FAILED_SERVERS {
+        if count < MIN_FAILED_SERVERS {
             // The idle servers needn't be counted.
-            true => servers.active().filter(is_reached(Duration::ZERO)).count(),
-            false => servers.values().filter(is_reached(first_at)).count(),
-        };
-        let reached = u32::try_from(reached).unwrap_or(u32::MAX);
-        Self { reached, failed: count }
+            let reached = servers.active().filter(is_reached(Duration::ZERO)).count();
+            return Self {
+                reached: to_count(reached),
+                failed: count,
+                untried: 0,
+            };
+        }
+        let reached = to_count(servers.values().filter(is_reached(first_at)).count());
+        let untried =
+            to_count(servers.count_in_service()).saturating_sub(reached + count);
+        Self { reached, failed: count, untried }
     }
 }
 
+/// Converts a number of servers.
+fn to_count(servers: usize) -> u32 {
+    u32::try_from(servers).unwrap_or(u32::MAX)
+}
+
 /// The probes of the servers of a pool while the path is in doubt.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct ReachProbes {
@@ -216,29 +243,29 @@
         pool.is_some_and(|pool| pool.reach.is_doubtful())
     }
 
-    /// Returns the servers that should be probed now, by opening a connection, to find out
-    /// whether the path is back. Those that failed longest ago come first.
+    /// Returns the servers that should be probed now by opening a connection. While the path is
+    /// in doubt, they show whether it is back: those that failed longest ago come first. While
+    /// too few were tried to tell, they are servers that weren't.
     pub fn due_probes(&mut self, now: Duration) -> Vec<ServerId> {
         let mut due = vec![];
         for state in self.pools.values_mut() {
-            if !state.reach.is_doubtful() {
+            let is_doubtful = state.reach.is_doubtful();
+            if !state.reach.is_suspect() {
                 state.probes = ReachProbes::default();
                 continue;
             }
-            if !state.probes.is_due(now) {
+            if is_doubtful && !state.probes.is_due(now) {
                 continue;
             }
             state.probes.probed_at = Some(now);
-            let servers = state.servers.active();
-            let servers = servers.filter(|server| server.listing.in_service());
-            let mut failed: Vec<(Duration, ServerId)> = servers
-                .filter_map(|server| {
-                    let at = server.health.path().failure(now)?;
-                    Some((at, server.listing.server))
-                })
+            let servers =
+                state.servers.values().filter(|server| server.listing.in_service());
+            let mut probed: Vec<(Option<Duration>, ServerId)> = servers
+                .filter(|server| server.health.path().is_failed(now) == is_doubtful)
+                .map(|server| (server.health.path().tried_at(), server.listing.server))
                 .collect();
-            failed.sort_unstable();
-            due.extend(failed.iter().take(PROBED_SERVERS).map(|(_, server)| *server));
+            probed.sort_unstable();
+            due.extend(probed.iter().take(PROBED_SERVERS).map(|(_, server)| *server));
         }
         due
     }
--- /dev/null
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -0,0 +1,254 @@
+//! An instance whose own path to the servers has failed: how it finds out, that it forwards
+//! requests through peers, and what it tells them.
+
+mod common;
+
+use flaxtide_core::ServerId;
+use flaxtide_policy::{
+    ForwardPeer, PoolReach, RefusalCause, RetryDecision, RouteAction, RouteCall,
+    RouteCore, RouteFault, RouteReason,
+};
+
+use self::common::{POOL, call, core_with, ms, server_of};
+
+/// The peers, by identifier.
+const NEAR: ServerId = 1000;
+const FAR: ServerId = 1001;
+
+/// What a peer that reaches all servers says.
+const SOUND: PoolReach = PoolReach { reached: 6, failed: 0, untried: 0 };
+
+/// What a peer that reaches none says.
+const CUT: PoolReach = PoolReach { reached: 0, failed: 6, untried: 0 };
+
+/// Returns a peer in the own data centre.
+fn peer(peer: ServerId, reach: PoolReach) -> ForwardPeer {
+    ForwardPeer { peer, local: peer == NEAR, reach }
+}
+
+/// Creates a core that has lately reached all of its six servers.
+fn reaching() -> RouteCore {
+    let mut core = core_with(6);
+    for request in 0..60 {
+        let at = ms(1000 + request * 5);
+        core.arrive(call(request, 100, true), at);
+        core.record_response_data(request, at + ms(2));
+        core.finish(request, at + ms(4));
+    }
+    core.update_reach(ms(1400));
+    assert!(!core.reach(POOL).is_doubtful());
+    core
+}
+
+/// Creates a core whose path to all servers has failed at 1.5 s.
+fn cut() -> RouteCore {
+    let mut core = reaching();
+    fail_servers(&mut core, 6);
+    core.update_reach(ms(1500));
+    assert!(core.reach(POOL).is_doubtful());
+    core
+}
+
+/// Fails connections until so many servers have failed.
+fn fail_servers(core: &mut RouteCore, count: u32) {
+    let mut request = 100;
+    while core.silent_servers(ms(1500)).len() < count as usize {
+        if server_of(&core.arrive(call(request, 100, true), ms(1500))).is_some() {
+            core.fail_without_retry(request, RouteFault::Unreachable, ms(1500));
+        }
+        request += 1;
+        assert!(request < 1000, "the core doesn't send to all servers");
+    }
+}
+
+/// Returns the choice of a core for a request, if it is sent.
+fn choice(actions: &[RouteAction]) -> Option<(ServerId, RouteReason)> {
+    actions.iter().find_map(|action| match action {
+        RouteAction::Dispatch { choice, .. } => Some((choice.server, choice.reason)),
+        RouteAction::Refuse { .. } => None,
+    })
+}
+
+#[test]
+fn servers_that_fail_beside_others_leave_the_path_sound() {
+    let mut core = reaching();
+    fail_servers(&mut core, 2);
+    // All requests go to one server, so only probes tell how the others are.
+    for request in 2000..2030 {
+        let actions = core.arrive(call(request, 100, true), ms(1510));
+        if server_of(&actions).is_some() {
+            core.finish(request, ms(1520));
+        }
+    }
+    assert!(core.update_reach(ms(1600)).is_empty());
+    assert_eq!(core.reach(POOL).failed, 2);
+    let probed = core.due_probes(ms(1600));
+    assert_eq!(probed.len(), 2);
+    for server in probed {
+        core.record_probe(server, true, ms(1602));
+    }
+    assert!(core.update_reach(ms(1700)).is_empty());
+    assert!(core.due_probes(ms(1700)).is_empty());
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND)], ms(1700));
+    let actions = core.arrive(call(1, 100, true), ms(1700));
+    assert_ne!(server_of(&actions), Some(NEAR));
+}
+
+#[test]
+fn a_few_failures_are_followed_by_probes_of_other_servers() {
+    let mut core = reaching();
+    fail_servers(&mut core, 2);
+    assert!(core.update_reach(ms(1510)).is_empty());
+    for server in core.due_probes(ms(1510)) {
+        core.record_probe(server, false, ms(1600));
+    }
+    assert!(core.update_reach(ms(1610))[0].reach.is_doubtful());
+}
+
+// Guards against requests being sent from one server that can't be reached to the next, and then
+// refused, although peers reach the servers.
+#[test]
+fn requests_are_forwarded_while_no_server_is_reached() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND), peer(FAR, CUT)], ms(1500));
+    for request in 0..20 {
+        let actions = core.arrive(call(request, 100, false), ms(1510));
+        assert_eq!(choice(&actions), Some((NEAR, RouteReason::Forwarded)), "{request}");
+        assert!(core.permit_send(request, ms(1510)));
+        assert!(core.finish(request, ms(1530)).is_empty());
+    }
+}
+
+#[test]
+fn nothing_is_forwarded_to_peers_that_reach_no_more() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, CUT), peer(FAR, CUT)], ms(1500));
+    let actions = core.arrive(call(1, 100, true), ms(1510));
+    assert!(choice(&actions).is_none_or(|(server, _)| server < NEAR));
+}
+
+#[test]
+fn forwarded_requests_are_not_forwarded_again() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND)], ms(1500));
+    let actions = core.arrive_forwarded(call(1, 100, true), ms(1510));
+    let refused = |action: &RouteAction| {
+        matches!(action, RouteAction::Refuse { reason: RefusalCause::NoServer, .. })
+    };
+    assert!(actions.iter().all(refused) && !actions.is_empty(), "{actions:?}");
+}
+
+#[test]
+fn a_request_that_a_peer_cannot_take_goes_to_the_next() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND), peer(FAR, SOUND)], ms(1500));
+    let actions = core.arrive(call(1, 100, false), ms(1510));
+    assert_eq!(choice(&actions), Some((NEAR, RouteReason::Forwarded)));
+    let (decision, actions) = core.fail(1, RouteFault::Unreachable, false, ms(1520));
+    assert_eq!(decision, RetryDecision::Retry);
+    assert_eq!(choice(&actions), Some((FAR, RouteReason::Forwarded)));
+    // It may have run there, and may not be repeated.
+    let (decision, _) = core.fail(1, RouteFault::Broken, false, ms(1530));
+    assert_eq!(decision, RetryDecision::Stop);
+}
+
+#[test]
+fn the_runs_at_a_peer_count_against_the_limit_of_the_request() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND), peer(FAR, SOUND)], ms(1500));
+    core.arrive(RouteCall { run_limit: 3, ..call(1, 100, true) }, ms(1510));
+    assert_eq!(core.forwarded_run_limit(1), 2);
+    let (decision, _) = core.fail(1, RouteFault::Broken, false, ms(1520));
+    assert_eq!(decision, RetryDecision::Retry);
+    assert_eq!(core.forwarded_run_limit(1), 1);
+    let (decision, _) = core.fail(1, RouteFault::Broken, false, ms(1530));
+    assert_eq!(decision, RetryDecision::Stop);
+}
+
+#[test]
+fn peers_share_requests_and_those_of_the_data_centre_come_first() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND), peer(FAR, SOUND)], ms(1500));
+    let mut counts = [0, 0];
+    for request in 0..40 {
+        let actions = core.arrive(call(request, 100, true), ms(1510));
+        let (server, _) = choice(&actions).unwrap();
+        counts[(server - NEAR) as usize] += 1;
+    }
+    assert_eq!(counts, [22, 18]);
+}
+
+#[test]
+fn servers_that_are_still_reached_get_their_part_of_the_requests() {
+    let mut core = reaching();
+    fail_servers(&mut core, 5);
+    let left: Vec<ServerId> = (0..6)
+        .filter(|server| !core.silent_servers(ms(1500)).contains(server))
+        .collect();
+    core.record_probe(left[0], true, ms(1501));
+    core.update_reach(ms(1502));
+    assert_eq!(core.reach(POOL), PoolReach { reached: 1, failed: 5, untried: 0 });
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND)], ms(1502));
+    let mut own = 0;
+    for request in 3000..3300 {
+        let actions = core.arrive(call(request, 100, true), ms(1510));
+        let (server, _) = choice(&actions).unwrap();
+        assert!(server == left[0] || server == NEAR, "{server}");
+        own += u32::from(server == left[0]);
+        core.finish(request, ms(1511));
+    }
+    assert!((25..=75).contains(&own), "{own} of 300 to one server of six");
+}
+
+#[test]
+fn probes_find_out_that_the_path_is_back() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND)], ms(1500));
+    let probed = core.due_probes(ms(1600));
+    assert_eq!(probed.len(), 2);
+    assert!(core.due_probes(ms(1700)).is_empty(), "they are limited");
+    for server in &probed {
+        core.record_probe(*server, false, ms(1700));
+    }
+    core.update_reach(ms(1700));
+    assert!(core.reach(POOL).is_doubtful());
+    let next = core.due_probes(ms(2100));
+    assert!(next.iter().all(|server| !probed.contains(server)), "others come next");
+    for server in next {
+        core.record_probe(server, true, ms(2110));
+    }
+    let last = core.due_probes(ms(2200));
+    assert!(!last.is_empty(), "after a success, probes are made sooner");
+    core.record_probe(last[0], true, ms(2210));
+    let changes = core.update_reach(ms(2220));
+    assert!(changes.iter().any(|change| !change.reach.is_doubtful()));
+    let actions = core.arrive(call(9000, 100, true), ms(2230));
+    assert!(server_of(&actions).is_some_and(|server| server < NEAR));
+}
+
+// Guards against an instance that reaches no server taking servers from its peers.
+#[test]
+fn peers_are_not_told_of_silent_servers_while_the_own_path_is_in_doubt() {
+    let mut core = reaching();
+    fail_servers(&mut core, 6);
+    assert_eq!(core.silent_servers(ms(1500)).len(), 6);
+    core.update_reach(ms(1500));
+    assert!(core.silent_servers(ms(1500)).is_empty());
+}
+
+#[test]
+fn a_report_of_most_servers_speaks_of_the_path_of_the_peer() {
+    let mut core = core_with(6);
+    core.record_silence_reports(&[0, 1, 2, 3], ms(1000));
+    let sent = (0..40).filter_map(|request| {
+        server_of(&core.arrive(call(request, 100, true), ms(1001)))
+    });
+    assert!(sent.into_iter().any(|server| server < 4));
+    // A report of a few servers counts.
+    let mut core = core_with(6);
+    core.record_silence_reports(&[0, 1, 2], ms(1000));
+    let mut sent = (0..18).filter_map(|request| {
+        server_of(&core.arrive(call(request, 100, true), ms(1001)))
+    });
+    assert!(sent.all(|server| server >= 3));
+}
