A path that is cut is not taken for servers that exit

Where a cut resets connections and refuses new ones, an instance recorded each broken request as one whose server had exited, and told its peers; identical requests would be quarantined everywhere. Now a server counts as exited only if another server of its pool can be reached a moment later. Test: a_path_that_is_cut_is_not_taken_for_servers_that_exit (6 crashes counted before, none now).

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -12,6 +12,9 @@
 /// running machine answers within a few milliseconds, and the request waits for the result.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
 
+/// The time within which a path that is cut fails for all servers.
+const CUT_SPREAD: Duration = Duration::from_millis(20);
+
 /// How often idle connections are checked for having closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -20,9 +23,10 @@
 const EXIT_VALIDITY: Duration = Duration::from_millis(500);
 
 /// Returns whether a server has exited, after a connection to it broke: its address refuses
-/// connections and no connection to it is left. A server that closes or resets single
-/// connections still listens, and an unreachable one doesn't refuse. If the probe connects,
-/// its connection is kept for the next request.
+/// connections, no connection to it is left, and another server of its pool is reached. A
+/// server that closes or resets single connections still listens. An unreachable one may seem
+/// to refuse connections if the path of this instance is cut, but then all servers do. If a
+/// probe connects, its connection is kept for the next request.
 pub(crate) async fn server_has_exited(state: &TrafficState, server: ServerId) -> bool {
     let now = state.now();
     if state
@@ -32,22 +36,45 @@
     {
         return true;
     }
-    let Some(address) = state.server_address(server) else { return false };
-    let probe = connect(&state.connections, address);
-    match tokio::time::timeout(PROBE_TIMEOUT, probe).await {
+    if probe(state, server).await != Some(ErrorKind::ConnectionRefused) {
+        return false;
+    }
+    let exited =
+        wait_until_closed(state, server).await && reaches_another(state, server).await;
+    if exited {
+        state.connections.record_exit(server, state.now());
+    }
+    exited
+}
+
+/// Opens a connection to a server, and keeps it for requests. Returns the error if it can't be
+/// opened in time.
+async fn probe(state: &TrafficState, server: ServerId) -> Option<ErrorKind> {
+    let Some(address) = state.server_address(server) else {
+        return Some(ErrorKind::AddrNotAvailable);
+    };
+    let connecting = connect(&state.connections, address);
+    let error = match tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
         Ok(Ok(connection)) => {
             state.connections.keep(server, connection, None, state.now());
-            false
-        }
-        Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused => {
-            let exited = wait_until_closed(state, server).await;
-            if exited {
-                state.connections.record_exit(server, state.now());
-            }
-            exited
+            None
         }
-        Ok(Err(_)) | Err(_) => false,
+        Ok(Err(error)) => Some(error.kind()),
+        Err(_) => Some(ErrorKind::TimedOut),
+    };
+    if error.is_some() {
+        // A connection that has been accepted may still be reset.
+        state.with_router(|core, now| core.record_probe(server, false, now));
     }
+    error
+}
+
+/// Returns whether another server of the pool is reached, or there is none.
+async fn reaches_another(state: &TrafficState, server: ServerId) -> bool {
+    let control = state.with_router(|core, now| core.control_server(server, now));
+    let Some(control) = control else { return true };
+    tokio::time::sleep(CUT_SPREAD).await;
+    probe(state, control).await.is_none()
 }
 
 /// Waits until all idle connections to a server are closed; returns whether they are. A closed
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -270,19 +270,25 @@
         due
     }
 
-    /// Returns another server of the pool, which this instance hasn't failed to reach: an
-    /// attempt to reach it shows whether the failure of `server` is its own.
+    /// Returns another server of the pool: an attempt to reach it shows whether the failure of
+    /// `server` is its own. Those without failures come first.
     #[must_use]
     pub fn control_server(&self, server: ServerId, now: Duration) -> Option<ServerId> {
         let mut pools = self.pools.values();
         let pool = pools.find(|pool| pool.servers.get(server).is_some())?;
-        let others = pool.servers.values().filter(|other| {
-            other.listing.in_service()
-                && other.listing.server != server
-                && !other.health.path().is_failed(now)
-        });
+        let others = pool
+            .servers
+            .values()
+            .filter(|other| other.listing.in_service() && other.listing.server != server);
+        let failures = |other: &ServerState| {
+            let is_failed = other.health.path().is_failed(now);
+            other.health.failure_rate() + f64::from(u8::from(is_failed))
+        };
         others
-            .max_by_key(|other| other.health.answered_at())
+            .min_by(|one, other| {
+                let order = failures(one).total_cmp(&failures(other));
+                order.then(other.health.answered_at().cmp(&one.health.answered_at()))
+            })
             .map(|other| other.listing.server)
     }
 
