Servers that bear few refusals are kept from having to refuse

News of the users: a server may state in all answers how many requests a second it can turn away for want of room (Server-Brittle) before it fails (LIMIT). Nothing read the number, and instances filled servers to 1.5 times their slots by what they knew of each other.

Such a server now gets requests freely up to three quarters of an engine's slots; beyond that, and at plain servers, only from a few instances that share its slots by rendezvous order. After a refusal an instance pauses there for so long that all instances together stay below half of the stated number. The statement ends with a vouched response without it.

--- a/crates/flaxtide-policy/src/pushback/statement.rs
+++ b/crates/flaxtide-policy/src/pushback/statement.rs
@@ -73,4 +73,7 @@
     pub backoff: Option<Duration>,
     /// How much longer the server is cold, if it says so.
     pub cold: Option<Duration>,
+    /// How many requests a second the server can refuse for lack of room before it fails;
+    /// `None` if it states no number.
+    pub refusal_limit: Option<u32>,
 }
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -352,8 +352,12 @@
 
     /// Returns whether a server has room for one more request.
     fn has_room(&self, server: &ServerState, now: Duration) -> bool {
+        let running = self.running(server, now);
+        if let Some(has_room) = self.has_sure_room(server, running) {
+            return has_room;
+        }
         let most = f64::from(server.listing.slots) * self.options.fill;
-        f64::from(self.running(server, now)) < most.max(1.0)
+        f64::from(running) < most.max(1.0)
     }
 
     /// Returns the random part of a plain server's cost for a request. Each instance
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -211,6 +211,11 @@
             || self.path.is_failed(now)
     }
 
+    /// Sends no requests until a time.
+    pub(crate) fn pause_until(&mut self, until: Duration) {
+        self.paused_until = self.paused_until.max(until);
+    }
+
     /// Records that a connection to the server could be opened after its path had failed.
     pub(crate) fn record_connection(&mut self, now: Duration) {
         self.path.record_success(now);
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod prefill_rate;
 mod pushback;
 mod reach;
+mod refusals;
 mod retry;
 mod server;
 mod shed;
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -10,7 +10,7 @@
 use super::server::RoutedServer;
 use super::{RefusalCause, RouteAction, RouteCore, find_server};
 use crate::pushback::{
-    DataCentreKey, InstanceGroup, ReportEffect, RequestRate, ServerStatement,
+    DataCentreKey, InstanceGroup, ReportEffect, RequestRate, ServerStatement, StatedRate,
 };
 use crate::rendezvous::rendezvous_weight;
 
@@ -79,6 +79,15 @@
         let rate_share =
             |rate| own_share(group, &server.listing, rate, InstanceGroup::rate_share);
         let pushback = &mut server.pushback;
+        let is_vouched = statement.rate != StatedRate::Unstated;
+        let slot_share = || slot_share(group, &server.listing);
+        pushback.apply_refusal_limit(
+            statement.refusal_limit,
+            slot_share,
+            is_vouched,
+            sent,
+            now,
+        );
         let backoff = statement.backoff.map(|span| span.min(self.options.longest_rest));
         let new_backoff = backoff.filter(|span| pushback.back_off(*span, now));
         let rate_changed =
@@ -232,6 +241,13 @@
 /// and its data centre.
 type ShareRule = fn(&InstanceGroup, u64, DataCentreKey, RequestRate) -> f64;
 
+/// Returns this instance's share of the slots of a server, of which a few instances have all:
+/// there may be more instances than slots. It is 0 until membership is known.
+pub(super) fn slot_share(group: Option<&InstanceGroup>, listing: &RoutedServer) -> f64 {
+    let slots = RequestRate::from_per_second(listing.slots.into());
+    slots.map_or(0.0, |slots| own_share(group, listing, slots, InstanceGroup::rate_share))
+}
+
 /// Returns this instance's share of a rate of a server. It is 0 until membership is known.
 pub(super) fn own_share(
     group: Option<&InstanceGroup>,
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -263,6 +263,9 @@
     /// that is alive is none, unless the path to it is suspect.
     fn record_fault(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
         let CallPhase::Running { server, .. } = call.phase else { return };
+        let known = self.pools.get(&call.details.pool);
+        let known = known.and_then(|pool| pool.servers.get(server));
+        let refusal_pause = known.and_then(|server| self.refusal_pause(server));
         let Some(state) = self.pools.get_mut(&call.details.pool) else { return };
         let Some(server) = state.servers.get_mut(server) else { return };
         if fault == RouteFault::Silent
@@ -279,6 +282,9 @@
             server.suspect_restart(self.group.as_deref(), self.seed, now);
         }
         if fault == RouteFault::Full {
+            if let Some(pause) = refusal_pause {
+                server.health.pause_until(now + pause);
+            }
             state.shed.record_refusal(now);
         }
     }
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -10,7 +10,7 @@
 use super::load::LoadTracker;
 use super::parts::{CacheLife, CachedParts};
 use super::prefill_rate::PrefillRate;
-use super::pushback::own_share;
+use super::pushback::{own_share, slot_share};
 use crate::engine::EngineSightings;
 use crate::pushback::{ColdStart, DataCentreKey, InstanceGroup, ServerPushback};
 use crate::rendezvous::rendezvous_weight;
@@ -126,7 +126,8 @@
             |rate| own_share(group, listing, rate, InstanceGroup::rate_share);
         let cold_share =
             |rate| own_share(group, listing, rate, InstanceGroup::cold_share);
-        self.pushback.update_shares(stated_share, cold_share, now);
+        let slot_share = || slot_share(group, listing);
+        self.pushback.update_shares(stated_share, cold_share, slot_share, now);
     }
 
     /// Limits the requests to the server until `until`, if its service has cold starts.
