One module sets TCP keepalive, and its user time-out agrees with the probes

News of the users: a TCP_USER_TIMEOUT that is set decides when keepalive probes give up, whatever their count. We set both: 4 s, and probes after 1.5 s, thrice a second apart, of which the system counts whole seconds. The time-out is now derived from the probes.

--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod forward;
 mod instance;
 mod jump;
+mod keepalive;
 mod lag;
 mod lapse;
 mod listen;
@@ -72,6 +73,7 @@
     CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until, first_call_window,
 };
 pub use self::instance::{EntryInstance, StopHandle};
+pub use self::keepalive::{DEAD_PEER_TIMEOUT, enable_keepalive};
 pub use self::lag::RulesLag;
 pub use self::logging::init_entry_logging;
 pub use self::reader::ServerListLog;
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -17,9 +17,9 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::call::{RequestSource, serve_request};
+use crate::keepalive::enable_keepalive;
 use crate::reply::{CallerResponse, full_body};
 use crate::state::{ShutdownPhase, TrafficState};
-use crate::upstream::enable_keepalive;
 
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1024;
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -11,10 +11,11 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::keepalive::enable_keepalive;
+
 /// The connect time-out while no connect time is known, and its upper bound. A reachable
 /// server accepts within a few milliseconds; one behind a network partition never does.
 const MAX_CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -28,17 +29,6 @@
 /// The factor by which the longest connect time decays with each new connection.
 const CONNECT_TIME_DECAY: f64 = 0.95;
 
-/// The system closes a connection after sent data has been unacknowledged for this long.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(4);
-
-/// The idle time after which TCP keepalive probes a connection.
-const KEEPALIVE_IDLE: Duration = Duration::from_millis(1500);
-/// The time between two keepalive probes.
-const KEEPALIVE_INTERVAL: Duration = Duration::from_millis(1000);
-/// The number of unanswered probes after which a connection is closed. With the times above,
-/// connections outlive a partition of a few seconds, and streams continue after it.
-const KEEPALIVE_PROBES: u32 = 3;
-
 /// How long an idle connection may be reused if the server doesn't state its time-out.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -222,15 +212,3 @@
     });
     Ok(ServerConnection { sender, task: task.abort_handle(), used: false })
 }
-
-/// Enables TCP keepalive and a time-out, so that the system closes a connection whose other end
-/// is unreachable.
-pub(crate) fn enable_keepalive(stream: &TcpStream) -> io::Result<()> {
-    let socket = SockRef::from(stream);
-    let keepalive = TcpKeepalive::new()
-        .with_time(KEEPALIVE_IDLE)
-        .with_interval(KEEPALIVE_INTERVAL)
-        .with_retries(KEEPALIVE_PROBES);
-    socket.set_tcp_keepalive(&keepalive)?;
-    socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
-}
