Pattern test: callers of cut instances are served, and no peer is overrun

In the lab (no network): 5 and 8 of 9 instances, a data centre of 81, a data centre and most of a second one of 294.

--- /dev/null
+++ b/crates/flaxtide-lab/tests/cut.rs
@@ -0,0 +1,363 @@
+//! Instances that lose the path to all servers, on a manual clock: how many of their callers are
+//! served through peers, and what peers carry.
+
+mod common;
+
+use std::cmp::Reverse;
+use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::time::Duration;
+
+use flaxtide_core::{RequestId, ServerId};
+use flaxtide_policy::{
+    ForwardPeer, RetryDecision, RouteAction, RouteCore, RouteFault, RouteOptions,
+    RoutedServer,
+};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+use self::common::{POOL, call, plain_server};
+
+/// How long a server takes for a request.
+const WORK: Duration = Duration::from_millis(60);
+
+/// The time-out of a connection that can't be opened.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How much the clock moves in a step.
+const STEP: Duration = Duration::from_millis(1);
+
+/// How long is played.
+const SPAN: Duration = Duration::from_secs(14);
+
+/// From when to when instances are cut, and from when on their callers are judged.
+const CUT: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(11));
+const JUDGED_FROM: Duration = Duration::from_secs(6);
+
+/// How often an instance asks peers, and how many.
+const ASK_PERIOD: Duration = Duration::from_millis(300);
+const ASKED_PEERS: usize = 8;
+
+/// The forwarded requests that a peer takes at a time.
+const MAX_CARRIED: usize = 256;
+
+/// The identifier of the first peer.
+const FIRST_PEER: ServerId = 1_000_000;
+
+/// What is played: instances, of which the first `cut` lose the path; each gets `rate` requests a
+/// second. The data centres are equally large and follow each other.
+#[derive(Debug, Clone, Copy)]
+struct CutPattern {
+    instances: usize,
+    data_centres: usize,
+    cut: usize,
+    servers: u32,
+    rate: f64,
+}
+
+/// What was seen.
+#[derive(Debug, Default)]
+struct CutResult {
+    /// Requests at instances that had been cut for a while, and how many were served.
+    cut: (u32, u32),
+    /// The same at the others.
+    others: (u32, u32),
+    /// The most forwarded requests that one instance had at a time.
+    most_carried: usize,
+    /// The time from the end of the cut until all instances send directly again.
+    back_after: Duration,
+}
+
+/// Something that happens to a request at an instance.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// The server has answered.
+    Answered,
+    /// The server, or the peer, can't be reached.
+    Failed,
+}
+
+/// A request at an instance: that of a caller, or one that a peer forwarded, with the instance
+/// and the request there.
+type Origin = Option<(usize, RequestId)>;
+
+/// The play.
+struct CutPlay {
+    pattern: CutPattern,
+    cores: Vec<RouteCore>,
+    events: BinaryHeap<Reverse<(Duration, usize, RequestId, Event)>>,
+    origins: HashMap<(usize, RequestId), Origin>,
+    came_at: HashMap<(usize, RequestId), Duration>,
+    carried: Vec<usize>,
+    asked_at: Vec<Duration>,
+    random: SmallRng,
+    request: RequestId,
+    result: CutResult,
+    now: Duration,
+}
+
+impl CutPlay {
+    fn new(pattern: CutPattern, seed: u64) -> Self {
+        let servers = (0..pattern.servers).map(|server| {
+            let rank = u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            RoutedServer { slots: 12, ..plain_server(server, rank, 0, true) }
+        });
+        let servers: Vec<RoutedServer> = servers.collect();
+        let core = |number: usize| {
+            let mut core = RouteCore::new(RouteOptions::default());
+            core.set_seed(seed ^ (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
+            core.set_instances(pattern.instances as u32);
+            core.set_servers(POOL, &servers, Duration::ZERO);
+            core
+        };
+        Self {
+            cores: (0..pattern.instances).map(core).collect(),
+            events: BinaryHeap::new(),
+            origins: HashMap::new(),
+            came_at: HashMap::new(),
+            carried: vec![0; pattern.instances],
+            asked_at: vec![Duration::ZERO; pattern.instances],
+            random: SmallRng::seed_from_u64(seed),
+            request: 0,
+            result: CutResult::default(),
+            now: Duration::ZERO,
+            pattern,
+        }
+    }
+
+    fn run(mut self) -> CutResult {
+        while self.now < SPAN {
+            self.now += STEP;
+            self.handle_events();
+            if self.now.as_millis().is_multiple_of(100) {
+                (0..self.pattern.instances).for_each(|number| self.maintain(number));
+            }
+            let expected =
+                self.pattern.rate * self.pattern.instances as f64 * STEP.as_secs_f64();
+            let more = u32::from(self.random.random_bool(expected.fract()));
+            for _ in 0..expected as u32 + more {
+                let number = self.random.random_range(0..self.pattern.instances);
+                self.arrive(number, None);
+            }
+        }
+        self.result
+    }
+
+    fn is_cut(&self, number: usize) -> bool {
+        number < self.pattern.cut && self.now >= CUT.0 && self.now < CUT.1
+    }
+
+    fn data_centre(&self, number: usize) -> usize {
+        number * self.pattern.data_centres / self.pattern.instances
+    }
+
+    /// Has a request come to an instance, from a caller or a peer.
+    fn arrive(&mut self, number: usize, origin: Origin) {
+        self.request += 1;
+        let request = self.request;
+        self.origins.insert((number, request), origin);
+        let arrival = call(request, self.now);
+        let actions = match origin {
+            None => {
+                self.came_at.insert((number, request), self.now);
+                if let Some(count) = self.count(number, self.now) {
+                    count.0 += 1;
+                }
+                self.cores[number].arrive(arrival, self.now)
+            }
+            Some(_) => {
+                self.carried[number] += 1;
+                let most = self.result.most_carried.max(self.carried[number]);
+                self.result.most_carried = most;
+                self.cores[number].arrive_forwarded(arrival, self.now)
+            }
+        };
+        self.take(number, actions);
+    }
+
+    /// Returns the counts for a request that came to an instance at a time.
+    fn count(&mut self, number: usize, at: Duration) -> Option<&mut (u32, u32)> {
+        let is_judged = at >= JUDGED_FROM && at < CUT.1 - WORK * 2;
+        let is_cut = number < self.pattern.cut;
+        is_judged.then_some(match is_cut {
+            true => &mut self.result.cut,
+            false => &mut self.result.others,
+        })
+    }
+
+    /// Carries out what an instance has decided.
+    fn take(&mut self, number: usize, actions: Vec<RouteAction>) {
+        for action in actions {
+            match action {
+                RouteAction::Dispatch { request, choice, .. } => {
+                    self.send(number, request, choice.server);
+                }
+                RouteAction::Refuse { request, .. } => self.end(number, request, false),
+            }
+        }
+    }
+
+    /// Sends a request to a server or to a peer.
+    fn send(&mut self, number: usize, request: RequestId, target: ServerId) {
+        if target >= FIRST_PEER {
+            let peer = (target - FIRST_PEER) as usize;
+            if self.carried[peer] >= MAX_CARRIED {
+                let failed = (self.now + STEP, number, request, Event::Failed);
+                self.events.push(Reverse(failed));
+            } else {
+                self.arrive(peer, Some((number, request)));
+            }
+            return;
+        }
+        let event = match self.is_cut(number) {
+            true => (self.now + CONNECT_TIMEOUT, number, request, Event::Failed),
+            false => (self.now + WORK, number, request, Event::Answered),
+        };
+        self.events.push(Reverse(event));
+    }
+
+    /// Handles what happens now.
+    fn handle_events(&mut self) {
+        while self.events.peek().is_some_and(|Reverse(first)| first.0 <= self.now) {
+            let Some(Reverse((_, number, request, event))) = self.events.pop() else {
+                return;
+            };
+            let core = &mut self.cores[number];
+            match event {
+                Event::Answered => {
+                    let actions = core.finish(request, self.now);
+                    self.end(number, request, true);
+                    self.take(number, actions);
+                }
+                Event::Failed => {
+                    let fault = RouteFault::Unreachable;
+                    let (verdict, actions) = core.fail(request, fault, false, self.now);
+                    if verdict == RetryDecision::Stop {
+                        self.end(number, request, false);
+                    }
+                    self.take(number, actions);
+                }
+            }
+        }
+    }
+
+    /// Ends a request at an instance, and tells the peer that forwarded it.
+    fn end(&mut self, number: usize, request: RequestId, served: bool) {
+        match self.origins.remove(&(number, request)).flatten() {
+            Some((from, at_origin)) => {
+                self.carried[number] -= 1;
+                let event = if served { Event::Answered } else { Event::Failed };
+                let told = (self.now + STEP, from, at_origin, event);
+                self.events.push(Reverse(told));
+            }
+            None => {
+                let at = self.came_at.remove(&(number, request)).unwrap_or_default();
+                if let Some(count) = self.count(number, at) {
+                    count.1 += u32::from(served);
+                }
+            }
+        }
+    }
+
+    /// Does what an instance does periodically.
+    fn maintain(&mut self, number: usize) {
+        let now = self.now;
+        let actions = self.cores[number].tick(now);
+        self.take(number, actions);
+        self.cores[number].update_reach(now);
+        if self.cores[number].reach(POOL).is_doubtful() {
+            if now >= CUT.1 {
+                self.result.back_after = self.result.back_after.max(now - CUT.1);
+            }
+            if now >= self.asked_at[number] + ASK_PERIOD {
+                self.asked_at[number] = now;
+                let peers = self.ask(number);
+                let actions = self.cores[number].set_forward_peers(POOL, &peers, now);
+                self.take(number, actions);
+            }
+        }
+        let is_reached = !self.is_cut(number);
+        for server in self.cores[number].due_probes(now) {
+            self.cores[number].record_probe(server, is_reached, now);
+        }
+    }
+
+    /// Asks some peers what they reach, half of them in other data centres.
+    fn ask(&mut self, number: usize) -> Vec<ForwardPeer> {
+        let mut asked = BTreeSet::new();
+        let others = self.pattern.instances - 1;
+        let mut tries = 0;
+        while asked.len() < ASKED_PEERS.min(others) && tries < 1000 {
+            tries += 1;
+            let peer = self.random.random_range(0..self.pattern.instances);
+            let local = self.data_centre(peer) == self.data_centre(number);
+            let wants_local = asked.len() < ASKED_PEERS / 2;
+            let any = tries > 500 || self.pattern.data_centres == 1;
+            if peer != number && (any || local == wants_local) {
+                asked.insert(peer);
+            }
+        }
+        let peer = |peer: usize| ForwardPeer {
+            peer: FIRST_PEER + peer as ServerId,
+            local: self.data_centre(peer) == self.data_centre(number),
+            reach: self.cores[peer].reach(POOL),
+        };
+        asked.into_iter().map(peer).collect()
+    }
+}
+
+/// Some of nine instances; most of them; a data centre and most of a second one of six.
+const PATTERNS: [CutPattern; 4] = [
+    CutPattern {
+        instances: 9,
+        data_centres: 4,
+        cut: 5,
+        servers: 18,
+        rate: 20.0,
+    },
+    CutPattern {
+        instances: 9,
+        data_centres: 4,
+        cut: 8,
+        servers: 18,
+        rate: 20.0,
+    },
+    CutPattern {
+        instances: 81,
+        data_centres: 3,
+        cut: 27,
+        servers: 60,
+        rate: 12.0,
+    },
+    CutPattern {
+        instances: 294,
+        data_centres: 6,
+        cut: 90,
+        servers: 160,
+        rate: 8.0,
+    },
+];
+
+// Guards against callers of instances that reach no server being refused while others are served,
+// and against a few peers getting all the work.
+#[test]
+fn callers_of_cut_instances_are_served_and_no_peer_is_overrun() {
+    println!("instances cut served_cut served_others most_carried back_ms");
+    for pattern in PATTERNS {
+        let result = CutPlay::new(pattern, 7).run();
+        let part = |(came, served): (u32, u32)| f64::from(served) / f64::from(came);
+        println!(
+            "{} {} {:.4} {:.4} {} {}",
+            pattern.instances,
+            pattern.cut,
+            part(result.cut),
+            part(result.others),
+            result.most_carried,
+            result.back_after.as_millis()
+        );
+        // The bound that users set is two thirds of the others' part.
+        assert!(part(result.cut) >= 0.98, "{pattern:?}: {result:?}");
+        assert!(part(result.others) >= 0.98, "{pattern:?}: {result:?}");
+        assert!(result.most_carried <= MAX_CARRIED, "{pattern:?}: {result:?}");
+        assert!(result.back_after <= Duration::from_secs(2), "{pattern:?}: {result:?}");
+    }
+}
