--- a/crates/flaxtide-policy/src/router/forward.rs
+++ b/crates/flaxtide-policy/src/router/forward.rs
@@ -11,6 +11,7 @@
 
 use super::call::{CallPhase, RoutedCall};
 use super::choose::{RouteChoice, RouteReason};
+use super::health::ServerWork;
 use super::liveness::EngineLiveness;
 use super::reach::PoolReach;
 use super::server::{RoutedServer, ServerState};
@@ -165,7 +166,7 @@
 
     /// Returns whether a peer is neither paused nor silent.
     fn is_usable_peer(&self, peer: &ServerState, now: Duration) -> bool {
-        let work = super::health::ServerWork {
+        let work = ServerWork {
             stream_gap: None,
             waiting_since: None,
             expected: Duration::ZERO,
