A peer that declines a request is used again soon

A peer whose rules were older for a moment, that was stopping or had no room, counted as unreachable and got nothing for 0.5 to 4 s; if it was the only one that reached the servers, callers were refused meanwhile. Test: router_reach.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -370,7 +370,7 @@
             | LocalReply::ServerFailed
             | LocalReply::TimedOut => SendFault::Refused(refusal),
             // The peer can't serve it, and another one may.
-            _ => SendFault::Fault(RouteFault::Unreachable),
+            _ => SendFault::Fault(RouteFault::Declined),
         });
     }
     let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -128,6 +128,8 @@
     Withheld,
     /// The server refused the request for lack of capacity and stated that it hasn't run.
     Full,
+    /// The peer that the request was forwarded to can't serve it, so it hasn't run.
+    Declined,
     /// A different server now has the address, so the request hasn't run.
     Replaced,
     /// The connection broke, or the response was incomplete or malformed.
@@ -142,13 +144,20 @@
     /// Returns whether the request reached the server, in which case a retry counts
     /// against the retry budget.
     pub(crate) fn reached_server(self) -> bool {
-        !matches!(self, Self::Unreachable | Self::Withheld)
+        !matches!(self, Self::Unreachable | Self::Withheld | Self::Declined)
     }
 
     /// Returns whether the fault guarantees that the request hasn't run.
     #[must_use]
     pub fn not_run(self) -> bool {
-        matches!(self, Self::Unreachable | Self::Withheld | Self::Full | Self::Replaced)
+        matches!(
+            self,
+            Self::Unreachable
+                | Self::Withheld
+                | Self::Declined
+                | Self::Full
+                | Self::Replaced
+        )
     }
 }
 
--- a/crates/flaxtide-policy/src/router/health.rs
+++ b/crates/flaxtide-policy/src/router/health.rs
@@ -131,6 +131,8 @@
                 self.refused_at = Some(now);
                 self.paused_until = self.paused_until.max(now + options.full_pause);
             }
+            // It may be able to serve the next one, when its rules are newer or its path is back.
+            RouteFault::Declined => self.pause_until(now + options.full_pause),
             RouteFault::Replaced => self.start_pause(now, options.longest_pause, options),
             RouteFault::Unreachable | RouteFault::Silent => {
                 self.silent_at = Some(now);
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -152,6 +152,20 @@
     assert_eq!(decision, RetryDecision::Stop);
 }
 
+// Guards against a peer that turned one request down, as its rules were older for a moment, being
+// left out for seconds while no other peer reaches the servers.
+#[test]
+fn a_peer_that_declines_a_request_gets_others_soon() {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND)], ms(1500));
+    for round in 0..6 {
+        let at = 1510 + round * 200;
+        let actions = core.arrive(call(round, 100, false), ms(at));
+        assert_eq!(choice(&actions), Some((NEAR, RouteReason::Forwarded)), "{round}");
+        core.fail_without_retry(round, RouteFault::Declined, ms(at + 10));
+    }
+}
+
 #[test]
 fn the_runs_at_a_peer_count_against_the_limit_of_the_request() {
     let mut core = cut();
