--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -361,7 +361,9 @@
 ) -> Result<ResponseStart, SendFault> {
     let (parts, body) = response.into_parts();
     let connection = Some(connection);
-    let body = UpstreamBody { body, connection, server: peer, keep_alive: None };
+    // The peer closes idle connections by the same rules.
+    let keep_alive = Some(state.limits().idle_timeout);
+    let body = UpstreamBody { body, connection, server: peer, keep_alive };
     if let Some(refusal) = PeerReply::read(&parts.headers) {
         drain_refusal(state, body);
         return Err(match refusal.reply {
