--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -94,7 +94,7 @@
 ///
 /// ```
 /// use flaxtide_policy::PoolReach;
-/// assert!(PoolReach { reached: 0, failed: 3, untried: 15 }.is_doubtful());
+/// assert!(PoolReach { reached: 0, failed: 4, untried: 14 }.is_doubtful());
 /// // Servers fail one by one while the others are reached.
 /// assert!(!PoolReach { reached: 15, failed: 3, untried: 0 }.is_doubtful());
 /// ```
