Several servers are tried to tell a failed server from a failed path

Cause, read from the code: an instance tried one other server before it counted an exit, and that one could be a server that had exited under another instance's request; then the exit was taken for a cut path. Now up to four others are tried at once, and one that is reached is enough. Tests: quarantine, router_reach.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
+use futures::future::join_all;
 
 use crate::state::TrafficState;
 use crate::upstream::connect;
@@ -71,10 +72,13 @@
 
 /// Returns whether another server of the pool is reached, or there is none.
 async fn reaches_another(state: &TrafficState, server: ServerId) -> bool {
-    let control = state.with_router(|core, now| core.control_server(server, now));
-    let Some(control) = control else { return true };
+    let controls = state.with_router(|core, now| core.control_servers(server, now));
+    if controls.is_empty() {
+        return true;
+    }
     tokio::time::sleep(CUT_SPREAD).await;
-    probe(state, control).await.is_none()
+    let probes = controls.into_iter().map(|control| probe(state, control));
+    join_all(probes).await.iter().any(Option::is_none)
 }
 
 /// Waits until all idle connections to a server are closed; returns whether they are. A closed
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -33,6 +33,9 @@
 /// After this many probes in a row that reached a server, the path is taken to be restored.
 const RESTORING_PROBES: u32 = 3;
 
+/// How many other servers are tried to tell the failure of a server from that of the path.
+const CONTROL_SERVERS: usize = 4;
+
 /// The last attempts to get a new request through to a server. Data on a response that had
 /// started before says nothing: connections may live on while new ones fail.
 #[derive(Debug, Clone, Copy, Default)]
@@ -270,26 +273,27 @@
         due
     }
 
-    /// Returns another server of the pool: an attempt to reach it shows whether the failure of
-    /// `server` is its own. Those without failures come first.
+    /// Returns a few other servers of the pool: attempts to reach them show whether the failure
+    /// of `server` is its own. Those without failures come first. There are several, as some
+    /// may have failed too.
     #[must_use]
-    pub fn control_server(&self, server: ServerId, now: Duration) -> Option<ServerId> {
+    pub fn control_servers(&self, server: ServerId, now: Duration) -> Vec<ServerId> {
         let mut pools = self.pools.values();
-        let pool = pools.find(|pool| pool.servers.get(server).is_some())?;
-        let others = pool
-            .servers
-            .values()
-            .filter(|other| other.listing.in_service() && other.listing.server != server);
+        let pool = pools.find(|pool| pool.servers.get(server).is_some());
+        let servers = pool.into_iter().flat_map(|pool| pool.servers.values());
+        let mut others: Vec<&ServerState> = servers
+            .filter(|other| other.listing.in_service() && other.listing.server != server)
+            .collect();
         let failures = |other: &ServerState| {
             let is_failed = other.health.path().is_failed(now);
             other.health.failure_rate() + f64::from(u8::from(is_failed))
         };
-        others
-            .min_by(|one, other| {
-                let order = failures(one).total_cmp(&failures(other));
-                order.then(other.health.answered_at().cmp(&one.health.answered_at()))
-            })
-            .map(|other| other.listing.server)
+        others.sort_by(|one, other| {
+            let order = failures(one).total_cmp(&failures(other));
+            order.then(other.health.answered_at().cmp(&one.health.answered_at()))
+        });
+        let chosen = others.into_iter().take(CONTROL_SERVERS);
+        chosen.map(|other| other.listing.server).collect()
     }
 
     /// Records whether a connection to a server could be opened.
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -240,6 +240,16 @@
     assert!(server_of(&actions).is_some_and(|server| server < NEAR));
 }
 
+// Guards against a server that has exited being taken for a cut path, because the one other server
+// that was tried had exited too.
+#[test]
+fn several_servers_are_tried_to_tell_a_failed_server_from_a_failed_path() {
+    let core = reaching();
+    let controls = core.control_servers(0, ms(1500));
+    assert_eq!(controls.len(), 4);
+    assert!(!controls.contains(&0));
+}
+
 // Guards against an instance that reaches no server taking servers from its peers.
 #[test]
 fn peers_are_not_told_of_silent_servers_while_the_own_path_is_in_doubt() {
