Callers and peers that forward requests share the file descriptors

Each listener counted its own connections against the whole allowance, so both together could exceed the process' descriptors. Read from the code; no run showed it. Now one count serves both. Also: the name of a pool is an index instead of a search in each tick, and what watches the own path is in one file.

--- a/crates/flaxtide-entry/src/forward/mod.rs
+++ b/crates/flaxtide-entry/src/forward/mod.rs
@@ -5,16 +5,16 @@
 //! - `exchange.rs`: the exchange with a peer;
 //! - `peers.rs`: which peers take forwarded requests, and what they reach;
 //! - `carried.rs`: the forwarded requests that this instance has taken, which are limited;
-//! - `probe.rs`: finds out whether the own path is back.
+//! - `path.rs`: finds out whether the own path is back.
 
 mod carried;
 mod exchange;
 mod head;
+mod path;
 mod peers;
-mod probe;
 
 pub(crate) use self::carried::{CarriedCall, CarriedCalls};
 pub(crate) use self::exchange::{check_forwarded_head, forwarded_headers};
 pub(crate) use self::head::{ForwardHead, PeerReply};
+pub(crate) use self::path::{log_reach, probe_paths};
 pub(crate) use self::peers::{ForwardPeers, offer};
-pub(crate) use self::probe::probe_paths;
--- a/crates/flaxtide-entry/src/forward/probe.rs
+++ b/crates/flaxtide-entry/src/forward/path.rs
@@ -1,4 +1,4 @@
-//! Probes of the path to servers.
+//! The path of this instance to servers: logs when it fails, and probes whether it is back.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +11,27 @@
 /// How long a path may take to reset a connection that it has accepted.
 const RESET_TIME: Duration = Duration::from_millis(50);
 
+/// Logs changes in whether this instance reaches the servers of a service.
+pub(crate) fn log_reach(state: &TrafficState) {
+    for change in state.with_router(|core, now| core.update_reach(now)) {
+        let is_doubtful = change.reach.is_doubtful();
+        let event = match is_doubtful {
+            true => "path to servers in doubt",
+            false => "path to servers restored",
+        };
+        let service = state.pool_name(change.pool).unwrap_or_default();
+        state
+            .metrics
+            .doubtful_paths
+            .with_label_values(&[&service])
+            .set(i64::from(is_doubtful));
+        log::info!(
+            service, reached = change.reach.reached, failed = change.reach.failed;
+            "{event}"
+        );
+    }
+}
+
 /// Starts the probes that are due: connections to servers that couldn't be reached lately.
 pub(crate) fn probe_paths(state: &Rc<TrafficState>) {
     for server in state.with_router(|core, now| core.due_probes(now)) {
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -1,5 +1,6 @@
 //! An entry instance: its threads, from start to stop.
 
+use std::cell::Cell;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
@@ -25,7 +26,7 @@
     FleetLink, RulesDownloadMonitor, export_peer_bytes, open_fleet, publish_to_peers,
 };
 use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
-use crate::forward::probe_paths;
+use crate::forward::{log_reach, probe_paths};
 use crate::jump::JumpDetector;
 use crate::listen::{accept_requests, bind_listener, serve_probes};
 use crate::logging::flush_log;
@@ -221,14 +222,15 @@
             shared_duties,
         );
         let state = Rc::new(state);
-        tokio::task::spawn_local(accept_requests(
-            state.clone(),
-            callers,
-            RequestSource::Caller,
-        ));
-        if let Some(forward) = forward {
-            let source = RequestSource::Peer;
-            tokio::task::spawn_local(accept_requests(state.clone(), forward, source));
+        let open_connections = Rc::new(Cell::new(0));
+        let listeners =
+            [(Some(callers), RequestSource::Caller), (forward, RequestSource::Peer)];
+        for (listener, source) in listeners {
+            let Some(listener) = listener else { continue };
+            let open_connections = open_connections.clone();
+            let accepting =
+                accept_requests(state.clone(), listener, source, open_connections);
+            tokio::task::spawn_local(accepting);
         }
         tokio::task::spawn_local(serve_probes(state.clone(), ready));
         tokio::task::spawn_local(serve_probes(state.clone(), metrics_listener));
@@ -393,27 +395,6 @@
     }
 }
 
-/// Logs changes in whether this instance reaches the servers of a service.
-fn log_reach(state: &TrafficState) {
-    for change in state.with_router(|core, now| core.update_reach(now)) {
-        let is_doubtful = change.reach.is_doubtful();
-        let event = match is_doubtful {
-            true => "path to servers in doubt",
-            false => "path to servers restored",
-        };
-        let service = state.pool_name(change.pool).unwrap_or_default();
-        state
-            .metrics
-            .doubtful_paths
-            .with_label_values(&[&service])
-            .set(i64::from(is_doubtful));
-        log::info!(
-            service, reached = change.reach.reached, failed = change.reach.failed;
-            "{event}"
-        );
-    }
-}
-
 /// Closes expired idle connections and reloads the instance file if it has changed.
 fn expire_and_reload(state: &TrafficState, path: &Path) {
     let now = state.now();
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -175,13 +175,13 @@
 }
 
 /// Accepts connections from callers, or from peers that forward requests, until the process
-/// ends.
+/// ends. `open_connections` counts those of both, which share the file descriptors.
 pub(crate) async fn accept_requests(
     state: Rc<TrafficState>,
     listener: TcpListener,
     source: RequestSource,
+    open_connections: Rc<Cell<u64>>,
 ) {
-    let open_connections = Rc::new(Cell::new(0u64));
     loop {
         let Some(stream) = accept(&listener).await else { continue };
         let most = state
--- a/crates/flaxtide-entry/src/names.rs
+++ b/crates/flaxtide-entry/src/names.rs
@@ -13,6 +13,8 @@
 pub(crate) struct IdTable {
     /// The IDs of pools by service. The router calls the servers of a service a pool.
     pools: HashMap<String, PoolId>,
+    /// The services of pools, indexed by ID.
+    pool_names: Vec<String>,
     /// The IDs of servers by the hash of their incarnation.
     servers: HashMap<u64, ServerId>,
     /// The IDs of servers by their key in messages between instances.
@@ -39,15 +41,13 @@
         }
         let pool = self.pools.len() as PoolId;
         self.pools.insert(service.to_owned(), pool);
+        self.pool_names.push(service.to_owned());
         pool
     }
 
     /// Returns the service whose pool has an ID.
     pub(crate) fn pool_name(&self, pool: PoolId) -> Option<&str> {
-        let mut pools = self.pools.iter();
-        pools
-            .find(|(_, id)| **id == pool)
-            .map(|(service, _)| service.as_str())
+        self.pool_names.get(usize::from(pool)).map(String::as_str)
     }
 
     /// Returns the ID of an incarnation of a server, and assigns one if it is new.
