--- a/crates/flaxtide-policy/src/router/forward.rs
+++ b/crates/flaxtide-policy/src/router/forward.rs
@@ -9,13 +9,13 @@
 
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
-use super::call::{CallPhase, RoutedCall};
+use super::call::{CallPhase, RouteCall, RoutedCall};
 use super::choose::{RouteChoice, RouteReason};
 use super::health::ServerWork;
 use super::liveness::EngineLiveness;
 use super::reach::PoolReach;
 use super::server::{RoutedServer, ServerState};
-use super::{RouteAction, RouteCore, RoutePool};
+use super::{RefusalCause, RouteAction, RouteCore, RoutePool};
 use crate::rendezvous::rendezvous_weight;
 
 /// A peer that isn't itself in doubt has at least this fraction of the servers in reach.
@@ -80,6 +80,26 @@
         self.take_actions()
     }
 
+    /// Handles a request that a peer has forwarded. It adds nothing to the retry budget, as it
+    /// has done so at the peer, and it isn't forwarded again.
+    pub fn arrive_forwarded(
+        &mut self,
+        call: RouteCall,
+        now: Duration,
+    ) -> Vec<RouteAction> {
+        let reach = self.reach(call.pool);
+        if reach.is_doubtful() && reach.reached == 0 {
+            // The peer tries another instance.
+            return vec![RouteAction::Refuse {
+                request: call.request,
+                reason: RefusalCause::NoServer,
+                retry_after: self.options.no_server_retry,
+                expected: None,
+            }];
+        }
+        self.admit(RoutedCall { forwarded: true, ..RoutedCall::new(call) }, now)
+    }
+
     /// Returns how many servers a forwarded request may run on at its peer. One run is kept
     /// back, if there are several, for the loss of the peer.
     #[must_use]
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -26,6 +26,7 @@
 mod room;
 mod server;
 mod shed;
+mod silence;
 mod stall;
 mod table;
 mod wait;
@@ -294,37 +295,6 @@
         self.prefills.recent(&self.options, now)
     }
 
-    /// Records that a peer reported servers as silent. A report of most servers of a pool
-    /// says something of the peer's path and not of the servers.
-    pub fn record_silence_reports(&mut self, servers: &[ServerId], now: Duration) {
-        for pool in self.pools.values_mut() {
-            let named = servers.iter().filter(|id| pool.servers.get(**id).is_some());
-            if is_path_report(named.count(), pool.servers.count_in_service()) {
-                continue;
-            }
-            for server in servers {
-                if let Some(server) = pool.servers.get_mut(*server) {
-                    let liveness = server.liveness(now);
-                    server.health.record_silence_report(liveness, now, &self.options);
-                }
-            }
-        }
-    }
-
-    /// Returns the servers that this instance recently found silent, without those of pools to
-    /// which its own path is in doubt.
-    #[must_use]
-    pub fn silent_servers(&self, now: Duration) -> Vec<ServerId> {
-        let pools = self.pools.values().filter(|pool| !pool.reach.is_doubtful());
-        let servers = pools.flat_map(|pool| pool.servers.active());
-        let silent = servers.filter(|server| {
-            let streams = server.load.has_streams(&self.calls);
-            let is_reached = server.is_reached_by_watchers(now);
-            server.health.was_silent(streams, is_reached, now, &self.options)
-        });
-        silent.map(|server| server.listing.server).collect()
-    }
-
     /// Returns the load of this instance on each server where it has requests.
     #[must_use]
     pub fn own_loads(&self, now: Duration) -> Vec<ServerLoad> {
@@ -344,26 +314,6 @@
         self.admit(RoutedCall::new(call), now)
     }
 
-    /// Handles a request that a peer has forwarded. It adds nothing to the retry budget, as it
-    /// has done so at the peer, and it isn't forwarded again.
-    pub fn arrive_forwarded(
-        &mut self,
-        call: RouteCall,
-        now: Duration,
-    ) -> Vec<RouteAction> {
-        let reach = self.reach(call.pool);
-        if reach.is_doubtful() && reach.reached == 0 {
-            // The peer tries another instance.
-            return vec![RouteAction::Refuse {
-                request: call.request,
-                reason: RefusalCause::NoServer,
-                retry_after: self.options.no_server_retry,
-                expected: None,
-            }];
-        }
-        self.admit(RoutedCall { forwarded: true, ..RoutedCall::new(call) }, now)
-    }
-
     /// Dispatches, queues or refuses a request.
     fn admit(&mut self, routed: RoutedCall, now: Duration) -> Vec<RouteAction> {
         let call = &routed.details;
@@ -558,14 +508,6 @@
     }
 }
 
-/// Returns whether a peer names so many silent servers of a pool that its own path must have
-/// failed.
-fn is_path_report(named: usize, in_service: usize) -> bool {
-    /// A pool may be so small that all its servers fail.
-    const MIN_NAMED: usize = 3;
-    named >= MIN_NAMED && named * 2 > in_service
-}
-
 /// Returns the state of a server, whichever pool it is in.
 fn find_server(
     pools: &mut BTreeMap<PoolId, RoutePool>,
