Streams without length are whole only between events

What callers saw: a stream that its server had broken off arrived as a complete one, with half an event as its last bytes.

Cause: a response with neither a length nor chunks ends with its connection, and each close passed for the end of the body. What was left of the last event was then passed on, too. The splitter knew only LF line ends, so it couldn't tell where such a stream may end: CRLF streams were held back whole and passed on as a partial event.

Change: the splitter reads lines as the format defines them (LF, CRLF, CR, a byte order mark, comments) and tells whether a stream may end. A body whose end only the connection marks is broken if its content may not end there: as after a reset, another server goes on, or the caller sees the cut. Framed bodies are passed on as before.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -101,9 +101,70 @@
     pub(crate) server: ServerId,
     /// For how long the server keeps an idle connection open, if it said so.
     pub(crate) keep_alive: Option<Duration>,
+    /// How the end of the body is marked.
+    framing: BodyFraming,
+}
+
+/// How the end of a response body is marked.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyFraming {
+    /// By a length or by chunks.
+    Explicit,
+    /// By the end of the connection, which may also be that of a server that breaks off.
+    Close,
+}
+
+impl BodyFraming {
+    /// Determines the framing from the headers and the body of a response.
+    fn read(headers: &HeaderMap, body: &Incoming) -> Self {
+        let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
+        let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
+        let is_chunked = last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
+        match is_chunked || body.size_hint().exact().is_some() {
+            true => Self::Explicit,
+            false => Self::Close,
+        }
+    }
 }
 
 impl UpstreamBody {
+    /// Creates the body of a response whose headers are given.
+    pub(crate) fn new(
+        headers: &HeaderMap,
+        body: Incoming,
+        connection: ServerConnection,
+        server: ServerId,
+        keep_alive: Option<Duration>,
+    ) -> Self {
+        let framing = BodyFraming::read(headers, &body);
+        Self {
+            body,
+            connection: Some(connection),
+            server,
+            keep_alive,
+            framing,
+        }
+    }
+
+    /// Checks the end of the body. `is_whole` tells whether its content may end here.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RouteFault::Broken`] if only the end of the connection marks that of the
+    /// body, and its content isn't whole.
+    pub(crate) fn check_end(
+        &self,
+        is_whole: bool,
+        state: &TrafficState,
+    ) -> Result<(), RouteFault> {
+        if self.framing == BodyFraming::Explicit {
+            return Ok(());
+        }
+        let outcome = if is_whole { "whole" } else { "broken" };
+        state.metrics.unframed_ends.with_label_values(&[outcome]).inc();
+        if is_whole { Ok(()) } else { Err(RouteFault::Broken) }
+    }
+
     /// Returns the length that the server has stated for what is left of the body.
     pub(crate) fn stated_length(&self) -> Option<usize> {
         usize::try_from(self.body.size_hint().exact()?).ok()
@@ -312,9 +373,9 @@
         state.pushback.apply_statement(state, server, statement, sent_at);
     }
     if head.not_run && (matches_request || head.attempt_id.is_none()) {
-        let connection = Some(connection);
-        let keep_alive = head.keep_alive;
-        drain_refusal(state, UpstreamBody { body, connection, server, keep_alive });
+        let body =
+            UpstreamBody::new(&parts.headers, body, connection, server, head.keep_alive);
+        drain_refusal(state, body);
         return Err(RouteFault::Full);
     }
     // A response to another request shows that the connection's requests and responses no longer
@@ -327,9 +388,8 @@
         // header that guarantees it.
         return Err(RouteFault::Failed);
     }
-    let connection = Some(connection);
-    let keep_alive = head.keep_alive;
-    let body = UpstreamBody { body, connection, server, keep_alive };
+    let body =
+        UpstreamBody::new(&parts.headers, body, connection, server, head.keep_alive);
     Ok(start_response(parts, body))
 }
 
--- a/crates/flaxtide-entry/src/forward/exchange.rs
+++ b/crates/flaxtide-entry/src/forward/exchange.rs
@@ -45,10 +45,9 @@
     response: Response<Incoming>,
 ) -> Result<ResponseStart, SendFault> {
     let (parts, body) = response.into_parts();
-    let connection = Some(connection);
     // The peer closes idle connections by the same rules.
     let keep_alive = Some(state.limits().idle_timeout);
-    let body = UpstreamBody { body, connection, server: peer, keep_alive };
+    let body = UpstreamBody::new(&parts.headers, body, connection, peer, keep_alive);
     if let Some(refusal) = PeerReply::read(&parts.headers) {
         drain_refusal(state, body);
         return Err(match refusal.reply {
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -23,6 +23,7 @@
 mod duty;
 mod error;
 mod evacuation;
+mod events;
 mod exchange;
 mod feed;
 mod fleet;
@@ -69,6 +70,7 @@
 };
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
+pub use self::events::EventSplitter;
 pub use self::follow::{
     CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until, first_call_window,
 };
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -53,6 +53,8 @@
     pub(crate) evacuated_data_centres: IntGauge,
     /// Responses whose stated rate couldn't be parsed.
     pub(crate) statements_ignored: IntCounter,
+    /// Response bodies that ended with their connection, by whether they were whole.
+    pub(crate) unframed_ends: IntCounterVec,
     /// Servers that exited while they ran a request of this instance.
     pub(crate) crashes: IntCounter,
     /// Requests suspected of crashing servers.
@@ -144,6 +146,11 @@
                 "statements_ignored",
                 "Answers with a stated rate that isn't understood.",
             ),
+            unframed_ends: counters(
+                "unframed_ends",
+                "Bodies of servers that ended with their connection.",
+                &["outcome"],
+            ),
             crashes: counter("server_crashes", "Servers that ended under a request."),
             suspected: gauge("suspected_requests", "Requests that ran on such servers."),
             quarantined: gauge("quarantined_requests", "Requests sent to no server."),
@@ -178,7 +185,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 32] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 33] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -199,6 +206,7 @@
             Box::new(self.pushback.clone()),
             Box::new(self.evacuated_data_centres.clone()),
             Box::new(self.statements_ignored.clone()),
+            Box::new(self.unframed_ends.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use flaxtide_policy::{RetryDecision, RouteAction, RouteFault};
 use futures::StreamExt;
 use futures::stream;
@@ -12,6 +12,7 @@
 use hyper::body::Frame;
 
 use crate::contract::CallKind;
+use crate::events::EventSplitter;
 use crate::exchange::{CallerRequest, UpstreamBody};
 use crate::open_call::{AttemptOutcome, OpenCall};
 use crate::reply::ResponseBody;
@@ -123,7 +124,10 @@
                     });
                     return Ok(Some(bytes));
                 }
-                Some(Ok(None)) => return Ok(None),
+                Some(Ok(None)) => {
+                    let ended = source.check_end(self.splitter.is_whole(), &state);
+                    return ended.map(|()| None).map_err(AttemptOutcome::Fault);
+                }
                 Some(Err(fault)) => return Err(AttemptOutcome::Fault(fault)),
                 None if wait < left && !self.call.time_left().is_zero() => {
                     self.patience = None;
@@ -152,7 +156,7 @@
     /// Lets another server continue after the last complete event.
     async fn resume(&mut self, fault: RouteFault) -> io::Result<()> {
         self.source = None;
-        self.splitter.clear_partial();
+        self.splitter.begin_part();
         let state = self.call.state.clone();
         let mut fault = fault;
         loop {
@@ -167,7 +171,7 @@
             else {
                 return Err(self.abort("stream_broken"));
             };
-            let last = self.splitter.last_event;
+            let last = self.splitter.last_event();
             match self
                 .call
                 .try_server(&self.request, &choice, silence_timeout, last)
@@ -212,48 +216,3 @@
     });
     Either::Right(StreamBody::new(pieces.boxed_local()))
 }
-
-/// Separates complete events from the beginning of the next one.
-#[derive(Debug, Default)]
-struct EventSplitter {
-    /// The beginning of an event that isn't complete yet.
-    partial: BytesMut,
-    /// The last numeric id among the complete events. It stays if newer events have none.
-    last_event: Option<u64>,
-}
-
-impl EventSplitter {
-    /// Adds received bytes. Returns the events that are complete now.
-    fn push(&mut self, bytes: &[u8]) -> Bytes {
-        self.partial.extend_from_slice(bytes);
-        let Some(end) = last_event_end(&self.partial) else { return Bytes::new() };
-        let complete = self.partial.split_to(end).freeze();
-        if let Some(id) = last_event_id(&complete) {
-            self.last_event = Some(id);
-        }
-        complete
-    }
-
-    /// Drops the incomplete event.
-    fn clear_partial(&mut self) {
-        self.partial.clear();
-    }
-
-    /// Removes and returns the incomplete event.
-    fn take_partial(&mut self) -> Bytes {
-        std::mem::take(&mut self.partial).freeze()
-    }
-}
-
-/// Returns the end of the last complete event.
-fn last_event_end(bytes: &[u8]) -> Option<usize> {
-    let idx = bytes.windows(2).rposition(|pair| pair == b"\n\n")?;
-    Some(idx + 2)
-}
-
-/// Returns the id of the last event that has one, if it is a number.
-fn last_event_id(events: &[u8]) -> Option<u64> {
-    let lines = events.split(|byte| *byte == b'\n').rev();
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
-    std::str::from_utf8(id).ok()?.trim().parse().ok()
-}
