An answer without length isn't whole if its server has exited

What callers saw: an answer that ended between two events, or a plain body, looked complete although the server process had exited under it. The end of a process closes its connections as the end of an answer does.

Change: when only the end of the connection marks that of a body, the instance asks whether the server has exited, as it does after a broken connection: its address refuses connections, none of its connections is left, and another server is reached. Such a body is broken: it is fetched again, resumed or failed visibly. A server that is leaving may exit after its last answer, so its answers count as whole, and so do those of servers that are no longer listed. The connection that the check opens is kept for the next request, which needs a new one in any case.

--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -125,7 +125,7 @@
                     return Ok(Some(bytes));
                 }
                 Some(Ok(None)) => {
-                    let ended = source.check_end(self.splitter.is_whole(), &state);
+                    let ended = source.check_end(self.splitter.is_whole(), &state).await;
                     return ended.map(|()| None).map_err(AttemptOutcome::Fault);
                 }
                 Some(Err(fault)) => return Err(AttemptOutcome::Fault(fault)),
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -44,7 +44,11 @@
             }
             // The stream ended without an event, so it isn't whole unless its framing says so.
             None => {
-                start.body.check_end(false, state).map_err(AttemptOutcome::Fault)?;
+                start
+                    .body
+                    .check_end(false, state)
+                    .await
+                    .map_err(AttemptOutcome::Fault)?;
                 return Ok(ReceivedResponse::Whole(finish(
                     call,
                     request,
@@ -75,7 +79,7 @@
         while let Some(bytes) = body.next(state).await? {
             collected.push(&bytes, budget).await;
         }
-        body.check_end(true, state)?;
+        body.check_end(true, state).await?;
         Ok(collected.into_bytes())
     };
     let received = state.wait_until(call.deadline, receive).await;
