Callers of HTTP/1.0 see that a stream broke off

What callers saw: an aborted stream looked complete to callers of HTTP/1.0. Their responses have no chunks and end with the connection, which the instance closed in the middle of a stream as it does at its end.

Change: while such a response is unfinished, the connection is set to be reset when it closes, whatever closes it: an aborted stream, a deadline, a stop or the end of the process.

--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -8,17 +8,21 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use hyper::body::Incoming;
+use bytes::Bytes;
+use futures::{StreamExt, stream};
+use http_body_util::{Either, StreamBody};
+use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode};
+use hyper::{Request, Response, StatusCode, Version};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::call::{RequestSource, serve_request};
 use crate::keepalive::enable_keepalive;
-use crate::reply::{CallerResponse, full_body};
+use crate::reply::{CallerResponse, ResponseBody, full_body};
 use crate::state::{ShutdownPhase, TrafficState};
 
 /// How many connections may wait to be accepted.
@@ -52,6 +56,8 @@
     open_requests: Cell<u32>,
     /// Since when the caller hasn't read, while bytes wait to be written.
     unread_since: Cell<Option<Duration>>,
+    /// Whether the response in progress ends with the connection.
+    open_unframed: Cell<bool>,
 }
 
 impl ConnectionActivity {
@@ -81,6 +87,22 @@
     activity: Rc<ConnectionActivity>,
     /// Provides the clock.
     state: Rc<TrafficState>,
+    /// Whether closing the connection resets it.
+    resets: bool,
+}
+
+impl TrackedStream {
+    /// Makes the connection be reset when it is closed in the middle of a response that ends
+    /// with it, whatever the reason: a close would look like the end of the response.
+    fn reset_if_unfinished(&mut self) -> io::Result<()> {
+        let resets = self.activity.open_unframed.get();
+        if resets != self.resets {
+            let linger = resets.then_some(Duration::ZERO);
+            SockRef::from(&self.stream).set_linger(linger)?;
+            self.resets = resets;
+        }
+        Ok(())
+    }
 }
 
 impl AsyncRead for TrackedStream {
@@ -110,6 +132,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.reset_if_unfinished()?;
         let written = Pin::new(&mut self.stream).poll_write(context, bytes);
         self.activity.record_write(&written, self.state.now());
         written
@@ -120,6 +143,7 @@
         context: &mut Context<'_>,
         parts: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.reset_if_unfinished()?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
         self.activity.record_write(&written, self.state.now());
         written
@@ -140,6 +164,7 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
+        self.reset_if_unfinished()?;
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
@@ -231,13 +256,19 @@
         stream,
         activity: activity.clone(),
         state: state.clone(),
+        resets: false,
     };
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request: Request<Incoming>| {
             let (state, guard) = (state.clone(), RequestGuard::new(&activity));
+            let activity = activity.clone();
             async move {
-                let response = serve_request(state, request, source).await;
+                let knows_chunks = request.version() > Version::HTTP_10;
+                let mut response = serve_request(state, request, source).await;
+                if !knows_chunks {
+                    response = response.map(|body| mark_unfinished(body, activity));
+                }
                 drop(guard);
                 Ok::<_, std::convert::Infallible>(response)
             }
@@ -283,6 +314,18 @@
     }
 }
 
+/// Marks a response without a length as unfinished until its body has ended.
+fn mark_unfinished(body: ResponseBody, activity: Rc<ConnectionActivity>) -> ResponseBody {
+    let Either::Right(stream) = body else { return body };
+    activity.open_unframed.set(true);
+    let end = stream::once(async move {
+        activity.open_unframed.set(false);
+        Ok(Frame::data(Bytes::new()))
+    });
+    // A stream that is aborted ends with an error, after which nothing more is read.
+    Either::Right(StreamBody::new(stream.chain(end).boxed_local()))
+}
+
 /// Logs and counts a caller that read nothing.
 fn record_stalled_reader(state: &TrafficState, activity: &ConnectionActivity) {
     state.metrics.stalled_readers.inc();
