A plain answer that ends before its length is broken

What callers saw (own interface): a plain answer that its server had broken off came as a whole one, with status 200 and a new, shorter length.

Cause: the HTTP client of the own interface takes the end of the connection for the end of a body, also before the length that the response states.

Change: bodies are read by one function that compares both. It reads the objects of the own platform, too. Streams of the own interface were safe: they are whole only after their last event.

--- a/crates/flaxtide-platform/src/client.rs
+++ b/crates/flaxtide-platform/src/client.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::json;
 
+use crate::body::read_whole_body;
 use crate::contract::{
     CommitResult, InstanceList, ListedInstance, ObjectStore, TableRow, TableService,
     TableTransaction,
@@ -116,7 +117,9 @@
             return Ok(None);
         }
         let response = check_status(response)?;
-        response.bytes().map(Some).map_err(|cause| classify_error(&cause))
+        read_whole_body(response)
+            .map(Some)
+            .map_err(|cause| classify_error(&cause))
     }
 }
 
--- a/crates/flaxtide-platform/src/lib.rs
+++ b/crates/flaxtide-platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`SettingsStore`] holds the settings with their audit trail, [`ClaimStore`] the claims that
 //! let a request run at most once, and [`LeaseStore`] the leases.
 
+mod body;
 mod claims;
 mod client;
 mod contract;
@@ -12,6 +13,7 @@
 mod lease;
 mod settings;
 
+pub use self::body::read_whole_body;
 pub use self::claims::{ClaimStore, claim_key};
 pub use self::client::PlatformClient;
 pub use self::contract::{
--- a/crates/flaxtide-standin/src/service.rs
+++ b/crates/flaxtide-standin/src/service.rs
@@ -1,6 +1,6 @@
 //! A stand-in for a server of a plain service.
 
-use std::io;
+use std::io::{self, Write};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::thread;
@@ -28,6 +28,8 @@
     pub delay_ms: u64,
     /// Run this many calls more, and hang up without an answer.
     pub lose_answers: u64,
+    /// Run this many calls more, and hang up in the middle of the answer.
+    pub cut_answers: u64,
     /// Refuse every call, as a server that is leaving does.
     pub leaving: bool,
 }
@@ -133,6 +135,13 @@
             drop(request.into_writer());
             return;
         }
+        if faults.cut_answers > 0 {
+            lock(&self.faults).cut_answers -= 1;
+            let mut writer = request.into_writer();
+            // The caller may have hung up first.
+            let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{}");
+            return;
+        }
         let answer = json!({ "request_id": request_id, "echo": body, "run": number });
         respond_json(request, 200, &answer);
     }
--- a/crates/flaxtide/src/exchange/plain.rs
+++ b/crates/flaxtide/src/exchange/plain.rs
@@ -3,6 +3,7 @@
 use attohttpc::header::CONTENT_TYPE;
 use attohttpc::{Method, RequestBuilder};
 use flaxtide_core::format_request_id;
+use flaxtide_platform::read_whole_body;
 use flaxtide_policy::ServerFault;
 
 use super::{
@@ -21,6 +22,7 @@
     let Ok(method) = Method::from_bytes(payload.method.as_bytes()) else {
         return AttemptOutcome::Fault(ServerFault::Broken);
     };
+    let is_head = method == Method::HEAD;
     let url = format!("http://{}{}", attempt.address, payload.path);
     let id = format_request_id(attempt.request_id);
     let mut request = RequestBuilder::new(method, url).header(REQUEST_ID_HEADER, &id);
@@ -48,7 +50,11 @@
     if response_id.is_some_and(|response_id| response_id.as_bytes() != id.as_bytes()) {
         return AttemptOutcome::Fault(ServerFault::Broken);
     }
-    match response.bytes() {
+    let body = match is_head {
+        true => response.bytes(),
+        false => read_whole_body(response),
+    };
+    match body {
         Ok(body) => {
             AttemptOutcome::Complete(CompleteResponse { status, content_type, body })
         }
--- a/crates/flaxtide/tests/whole_answer.rs
+++ b/crates/flaxtide/tests/whole_answer.rs
@@ -3,7 +3,8 @@
 mod common;
 
 use common::{FleetShape, ORGANISATION_KEYS, TestFleet, together};
-use flaxtide_standin::EngineFaults;
+use flaxtide_core::RanState;
+use flaxtide_standin::{EngineFaults, ServiceFaults};
 
 #[test]
 fn faults_in_an_answer_are_mended_before_the_caller_sees_them() {
@@ -100,3 +101,17 @@
     let whole = answers.iter().filter(|answer| answer.whole()).count();
     assert!(whole >= 50, "{whole} of 60 whole");
 }
+
+// Guards against a body that broke off before its stated length looking complete.
+#[test]
+fn a_plain_answer_that_breaks_off_is_a_failure() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    let faults = ServiceFaults { cut_answers: 1000, ..ServiceFaults::default() };
+    for service in &fleet.services {
+        service.set_faults(faults.clone());
+    }
+    let answer = fleet.instances[0].file("cut", "a");
+    assert_eq!(fleet.runs_of("cut"), 1);
+    let failure = answer.failure.expect("an explicit error");
+    assert_eq!(failure.ran, RanState::Unknown);
+}
