Versions of servers are read from their rows and logged

The logs of the incident of versions showed neither the version of a server nor which attempts continue a stream. Rows are decoded with their version, which may be missing or any value. "server listed" and "dispatch" name it, and "dispatch" names the attempt whose stream a caller takes up again.

No decision depends on either yet.

--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -37,6 +37,15 @@
     pub key: Option<String>,
     /// The tokens of the prompt and its parts, for a request to a model.
     pub prompt: PromptShape,
+    /// What the caller has of a stream that it takes up again; `None` for a new request.
+    pub resumed: Option<ResumedStream>,
+}
+
+/// A stream that a caller takes up again after its connection broke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ResumedStream {
+    /// The id of the attempt that brought the stream's first event, if the caller names it.
+    pub first_attempt: Option<String>,
 }
 
 /// The values of the headers that are added for a server.
--- a/crates/flaxtide-entry/src/contract/mod.rs
+++ b/crates/flaxtide-entry/src/contract/mod.rs
@@ -7,7 +7,9 @@
 mod feed;
 mod rules;
 
-pub use self::dialect::{RequestHead, ResponseHead, UpstreamHead, WireDialect};
+pub use self::dialect::{
+    RequestHead, ResponseHead, ResumedStream, UpstreamHead, WireDialect,
+};
 pub use self::duty::{
     DutyAnswer, DutyCredentials, DutyPlatform, DutyRead, DutyRow, UsageReport,
 };
--- a/crates/flaxtide-entry/src/contract/rules.rs
+++ b/crates/flaxtide-entry/src/contract/rules.rs
@@ -183,6 +183,8 @@
     pub data_centre: DataCentreName,
     /// The number of requests that it runs at once, or 0 for the default.
     pub slots: u32,
+    /// The version of its software, which may be any text; empty if the row doesn't say.
+    pub version: String,
     /// Whether it is leaving: it finishes its open requests and takes no new ones.
     pub leaving: bool,
     /// Whether it is a spot server, which the platform may take away at short notice.
@@ -207,6 +209,7 @@
     ///     address: ([10, 0, 0, 1], 8000).into(),
     ///     data_centre: "north".into(),
     ///     slots: 24,
+    ///     version: "v1".into(),
     ///     leaving: false,
     ///     spot: false,
     ///     started: Some(1000),
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -302,13 +302,14 @@
         }
     };
     let (service, leaving) = (entry.service.clone(), entry.leaving);
+    let version = entry.version.clone();
     if directory.is_restart(&entry) {
         state.metrics.servers_started_again.inc();
         log::info!(server = row.name, service; "server restarted");
     }
     let changed = directory.put(entry, now);
     if changed {
-        log::info!(server = row.name, service, leaving; "server listed");
+        log::info!(server = row.name, service, version = shorten(&version), leaving; "server listed");
     }
     changed
 }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -64,9 +64,9 @@
     BackendService, CacheBatch, CacheChange, CachePosition, CallKind, CallerLimits,
     DutyAnswer, DutyCredentials, DutyPlatform, DutyRead, DutyRow, EngineDialect,
     EntryRules, FeedBatch, FeedError, FeedRow, FeedTopic, OrganisationRules,
-    PlatformFeed, RequestClass, RequestHead, ResponseHead, RulesRow, ServerEntry,
-    ServiceColdStart, ServiceEngine, TargetService, UpstreamHead, UsageReport,
-    WireDialect,
+    PlatformFeed, RequestClass, RequestHead, ResponseHead, ResumedStream, RulesRow,
+    ServerEntry, ServiceColdStart, ServiceEngine, TargetService, UpstreamHead,
+    UsageReport, WireDialect,
 };
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -8,7 +8,7 @@
 use flaxtide_core::{RequestId, ServerId};
 use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault};
 
-use crate::contract::RequestHead;
+use crate::contract::{RequestHead, ResumedStream};
 use crate::crash::server_has_exited;
 use crate::duty::CallUsage;
 use crate::exchange::{
@@ -34,6 +34,8 @@
     pub(crate) request_id: RequestId,
     /// The caller's ID of this attempt; empty if it sent none. Used in log lines.
     pub(crate) attempt_id: String,
+    /// What the caller has of a stream that it takes up again.
+    pub(crate) resumed: Option<ResumedStream>,
     /// The request class that it matched.
     pub(crate) class: ClassMatch,
     /// When its head was received.
@@ -94,6 +96,7 @@
             state: state.clone(),
             request_id: state.next_request_id(),
             attempt_id,
+            resumed: head.resumed.clone(),
             class,
             received_at,
             deadline: received_at + wait,
@@ -262,7 +265,9 @@
             reason:? = choice.reason, cost_ms = choice.cost_ms as u64, expected_ms = choice.expected.as_millis() as u64,
             running = choice.running, uncached = choice.uncached, taken_over = choice.fetch.map_or(0, |fetch| fetch.tokens), tokens = request.tokens, tier = request.tier.unwrap_or_default(),
             eligible = choice.eligible, left_ms = time_left.as_millis() as u64,
-            resume = last_event.unwrap_or_default();
+            resume = last_event.unwrap_or_default(),
+            version = self.state.server_version(choice.server).unwrap_or_default(),
+            resumes = self.resumes();
             "dispatch"
         );
         let reason = format!("{:?}", choice.reason);
@@ -304,6 +309,12 @@
         }
     }
 
+    /// Returns the id of the attempt whose stream the caller takes up, for log lines.
+    fn resumes(&self) -> &str {
+        let first = self.resumed.as_ref().map(|resumed| &resumed.first_attempt);
+        first.map_or("", |first| first.as_deref().unwrap_or("unnamed"))
+    }
+
     /// Returns after which silence of the stream to ask [`Self::may_abort_silent`].
     pub(crate) fn stream_patience(&self, usual: Duration) -> Duration {
         self.state
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -261,6 +261,13 @@
             .map(|incarnation| incarnation.name.clone())
     }
 
+    /// Returns the version of a server's software, if it is listed.
+    pub(crate) fn server_version(&self, server: ServerId) -> Option<String> {
+        let name = self.server_name(server)?;
+        let directory = self.directory.borrow();
+        directory.get(&name).map(|listed| listed.entry.version.clone())
+    }
+
     /// Returns the name of a server, or of a peer that forwards requests, for log lines.
     pub(crate) fn target_name(&self, target: ServerId) -> ServerName {
         let peer = || self.forward_peers.find(target).map(|(_, name)| name);
--- a/crates/flaxtide-entry/tests/budget.rs
+++ b/crates/flaxtide-entry/tests/budget.rs
@@ -30,6 +30,7 @@
             address: ([10, 0, 0, idx], 80).into(),
             data_centre: "north".into(),
             slots: 8,
+            version: "v1".into(),
             leaving: false,
             spot: false,
             started: Some(1000),
