A stream is continued at the version that began it

What callers saw: an answer held events of servers of two software versions.

Cause: when a stream broke, the router chose any server for the rest. It knew nothing of versions.

Change: the router knows the version of each server. A stream is bound to the version of its server with its first bytes, and a bound request is accepted by servers of this version only, in the first choice and in retries. A peer states the version of the server behind a forwarded request, and is told the binding of one that it takes over; a peer that knows no bindings declines it. Where the version isn't known, the stream isn't continued. A bound request waits beside the queue and not in it: it may wait for few servers and would hold up the others.

The tests of the router, of streams, stream ends and cut paths pass.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -162,6 +162,7 @@
         repeatable: call.class.class().kind.repeatable(),
         run_limit: forward.map_or(run_limit, |head| head.run_limit.min(run_limit)),
         regions: matched.regions,
+        version: forward.and_then(|head| head.bound_version),
         prompt: head.prompt,
     };
     Ok(run_attempts(call, request, route_call).await)
@@ -330,7 +331,9 @@
         return call.reply_locally(LocalReply::ServerFailed, None);
     }
     let reply = match cause {
-        RefusalCause::NoServer | RefusalCause::NoServerInRegion => LocalReply::NoServer,
+        RefusalCause::NoServer
+        | RefusalCause::NoServerInRegion
+        | RefusalCause::NoServerOfVersion => LocalReply::NoServer,
         RefusalCause::TooLate => LocalReply::TooLate,
     };
     call.reply_locally(reply, Some(retry_after.min(call.time_left() / RETRY_DIVISOR)))
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use flaxtide_core::{RequestId, ServerId, TierRank};
 use flaxtide_policy::{
-    Fingerprint, RouteChoice, RouteFault, StatedRate, request_fingerprint,
+    Fingerprint, RouteChoice, RouteFault, StatedRate, VersionKey, request_fingerprint,
 };
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
@@ -89,6 +89,8 @@
     pub(crate) headers: HeaderMap,
     /// The body, still to be read.
     pub(crate) body: UpstreamBody,
+    /// The version of the server, if the request was forwarded and the peer states it.
+    pub(crate) peer_version: Option<VersionKey>,
 }
 
 /// The body of a server's response, read from its connection.
@@ -410,7 +412,12 @@
 ) -> ResponseStart {
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
-    ResponseStart { status: parts.status, headers, body }
+    ResponseStart {
+        status: parts.status,
+        headers,
+        body,
+        peer_version: None,
+    }
 }
 
 /// Reads the rest of a refusal in the background, so that its connection can be reused.
--- a/crates/flaxtide-entry/src/forward/exchange.rs
+++ b/crates/flaxtide-entry/src/forward/exchange.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 
-use super::head::{ForwardHead, PeerReply};
+use super::head::{ForwardHead, PeerReply, take_server_version};
 use crate::exchange::{
     CallerRequest, ResponseStart, SendFault, UpstreamBody, claims_not_run, drain_refusal,
     start_response,
@@ -30,7 +30,9 @@
     let mut headers = request.headers.clone();
     state.dialect.write_deadline(&mut headers, time_left);
     let run_limit = state.with_router(|core, _| core.forwarded_run_limit(request_id));
-    let head = ForwardHead { rules_version: state.rules_version(), run_limit };
+    let bound_version = state.with_router(|core, _| core.bound_version(request_id));
+    let rules_version = state.rules_version();
+    let head = ForwardHead { rules_version, run_limit, bound_version };
     head.write(&mut headers);
     headers
 }
@@ -44,7 +46,8 @@
     connection: ServerConnection,
     response: Response<Incoming>,
 ) -> Result<ResponseStart, SendFault> {
-    let (parts, body) = response.into_parts();
+    let (mut parts, body) = response.into_parts();
+    let peer_version = take_server_version(&mut parts.headers);
     // The peer closes idle connections by the same rules.
     let keep_alive = Some(state.limits().idle_timeout);
     let body = UpstreamBody::new(&parts.headers, body, connection, peer, keep_alive);
@@ -63,5 +66,5 @@
     if head.attempt_id != request.attempt_id || claims_not_run(parts.status) {
         return Err(RouteFault::Broken.into());
     }
-    Ok(start_response(parts, body))
+    Ok(ResponseStart { peer_version, ..start_response(parts, body) })
 }
--- a/crates/flaxtide-entry/src/forward/head.rs
+++ b/crates/flaxtide-entry/src/forward/head.rs
@@ -4,17 +4,22 @@
 use std::time::Duration;
 
 use flaxtide_core::SettingsVersion;
+use flaxtide_policy::VersionKey;
 use hyper::header::{HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 
 use crate::reply::LocalReply;
 
-/// `VERSION,RUNS`: the version of the rules under which the request was accepted, and how many
-/// servers it may still run on.
+/// `VERSION,RUNS` or `VERSION,RUNS,BOUND`: the version of the rules under which the request was
+/// accepted, how many servers it may still run on, and the key of the only version of a server
+/// that may get it. A peer that doesn't know the third part declines the request.
 const FORWARD: HeaderName = HeaderName::from_static("x-flaxtide-forward");
 
 /// The name of the [`LocalReply`] with which the peer itself responds.
 const REPLY: HeaderName = HeaderName::from_static("x-flaxtide-reply");
 
+/// The key of the version of the server that responds, in the response to a forwarded request.
+const SERVER_VERSION: HeaderName = HeaderName::from_static("x-flaxtide-version");
+
 /// What an instance tells the peer that it forwards a request to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ForwardHead {
@@ -23,28 +28,47 @@
     pub(crate) rules_version: SettingsVersion,
     /// The number of servers that the request may still run on.
     pub(crate) run_limit: u32,
+    /// The only version of a server that may get the request, because it continues a stream.
+    pub(crate) bound_version: Option<VersionKey>,
 }
 
 impl ForwardHead {
     /// Removes the header from a request and decodes it.
     pub(crate) fn take(headers: &mut HeaderMap) -> Option<Self> {
         let value = headers.remove(FORWARD)?;
-        let (version, runs) = value.to_str().ok()?.split_once(',')?;
+        let mut parts = value.to_str().ok()?.split(',');
+        let (version, runs) = (parts.next()?, parts.next()?);
+        let bound = parts.next().map(str::parse).transpose().ok()?;
         Some(Self {
             rules_version: version.parse().ok()?,
             run_limit: runs.parse().ok()?,
+            bound_version: bound,
         })
     }
 
     /// Adds the header to a request, in place of one that the caller sent.
     pub(crate) fn write(&self, headers: &mut HeaderMap) {
-        let text = format!("{},{}", self.rules_version, self.run_limit);
+        let mut text = format!("{},{}", self.rules_version, self.run_limit);
+        if let Some(version) = self.bound_version {
+            text.push_str(&format!(",{version}"));
+        }
         if let Ok(value) = HeaderValue::from_str(&text) {
             headers.insert(FORWARD, value);
         }
     }
 }
 
+/// States the version of the server that responds to a forwarded request.
+pub(crate) fn write_server_version(headers: &mut HeaderMap, version: VersionKey) {
+    headers.insert(SERVER_VERSION, HeaderValue::from(version));
+}
+
+/// Removes and returns the version of the server that responds to a forwarded request. A peer
+/// of an older version of this program doesn't state it.
+pub(crate) fn take_server_version(headers: &mut HeaderMap) -> Option<VersionKey> {
+    headers.remove(SERVER_VERSION)?.to_str().ok()?.parse().ok()
+}
+
 /// The response of a peer itself to a forwarded request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct PeerReply {
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
-use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault};
+use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault, VersionKey};
 
 use crate::contract::{RequestHead, ResumedStream};
 use crate::crash::server_has_exited;
@@ -309,6 +309,13 @@
         }
     }
 
+    /// Binds a stream that has begun to the version of its server. `stated` is the version that
+    /// a peer has stated. Returns the version, if it is known.
+    pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
+        self.state
+            .with_router(|core, _| core.bind_version(self.request_id, stated))
+    }
+
     /// Returns the id of the attempt whose stream the caller takes up, for log lines.
     fn resumes(&self) -> &str {
         let first = self.resumed.as_ref().map(|resumed| &resumed.first_attempt);
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -39,17 +39,21 @@
     /// After which silence the router is asked about the current server; `None` until it has
     /// said so, and after each pause.
     patience: Option<Duration>,
+    /// Whether the version of the server that began the stream is known.
+    has_version: bool,
     /// Whether the end of the stream has been recorded, and nothing more follows.
     ended: bool,
 }
 
 impl StreamRelay {
-    /// Creates a relay that begins with the first bytes of a stream.
+    /// Creates a relay that begins with the first bytes of a stream. `has_version` tells whether
+    /// the version of its server is known.
     pub(crate) fn new(
         call: OpenCall,
         request: CallerRequest,
         source: UpstreamBody,
         first_bytes: Bytes,
+        has_version: bool,
     ) -> Self {
         let last_received = call.state.now();
         Self {
@@ -60,13 +64,15 @@
             first_bytes: Some(first_bytes),
             last_received,
             patience: None,
+            has_version,
             ended: false,
         }
     }
 
-    /// Returns whether another server can continue the stream.
+    /// Returns whether another server of the same version can continue the stream.
     fn resumable(&self) -> bool {
-        self.call.class.class().kind == (CallKind::Stream { resumable: true })
+        self.has_version
+            && self.call.class.class().kind == (CallKind::Stream { resumable: true })
     }
 
     /// Returns the next complete events, or `None` at the end.
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -6,6 +6,7 @@
 
 use crate::contract::CallKind;
 use crate::exchange::{CallerRequest, ResponseStart, UpstreamBody};
+use crate::forward::write_server_version;
 use crate::memory::ChargedBody;
 use crate::open_call::{AttemptOutcome, OpenCall};
 use crate::relay::{StreamRelay, relay_body};
@@ -149,8 +150,12 @@
 ) -> CallerResponse {
     call.record_first_event();
     call.may_have_run.set(true);
-    let (status, headers) = (start.status, start.headers);
-    let relay = StreamRelay::new(call, request, start.body, first);
+    let (status, mut headers) = (start.status, start.headers);
+    let version = call.bind_version(start.peer_version);
+    if let Some(version) = version.filter(|_| call.is_carried()) {
+        write_server_version(&mut headers, version);
+    }
+    let relay = StreamRelay::new(call, request, start.body, first, version.is_some());
     let mut response = Response::new(relay_body(relay));
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -110,6 +110,7 @@
                 fetch_tokens_per_ms: engine.fetch_tokens_per_ms,
             }),
             data_centre,
+            version: fleet_key(&entry.version),
             region: config.region_of(&entry.data_centre).map(fleet_key),
             local: entry.data_centre == config.data_centre,
             leaving: entry.leaving || self.evacuations.is_evacuated(data_centre),
--- a/crates/flaxtide-lab/src/burst.rs
+++ b/crates/flaxtide-lab/src/burst.rs
@@ -162,6 +162,7 @@
             leaving: false,
             row_missing: false,
             region: None,
+            version: 0,
             cold: None,
         };
         let servers: Vec<RoutedServer> = (0..pattern.engines).map(server).collect();
@@ -239,6 +240,7 @@
             repeatable: false,
             run_limit: 1,
             regions: None,
+            version: None,
         };
         let actions = self.core.arrive(order, self.now);
         self.obey(actions);
--- a/crates/flaxtide-lab/src/fleet.rs
+++ b/crates/flaxtide-lab/src/fleet.rs
@@ -461,6 +461,7 @@
             repeatable: true,
             run_limit: 2,
             regions: None,
+            version: None,
         };
         let actions = self.cores[instance as usize].arrive(order, self.now);
         self.obey(actions);
--- a/crates/flaxtide-lab/src/world.rs
+++ b/crates/flaxtide-lab/src/world.rs
@@ -373,6 +373,7 @@
         leaving: false,
         row_missing: false,
         region: None,
+        version: 0,
         cold: None,
     }
 }
@@ -393,5 +394,6 @@
         repeatable: false,
         run_limit: 1,
         regions: None,
+        version: None,
     }
 }
--- a/crates/flaxtide-lab/tests/common/mod.rs
+++ b/crates/flaxtide-lab/tests/common/mod.rs
@@ -26,6 +26,7 @@
         repeatable: true,
         run_limit: 2,
         regions: None,
+        version: None,
     }
 }
 
@@ -46,6 +47,7 @@
         leaving: false,
         row_missing: false,
         region: None,
+        version: 0,
         cold: None,
     }
 }
--- a/crates/flaxtide-policy/benches/gate.rs
+++ b/crates/flaxtide-policy/benches/gate.rs
@@ -35,6 +35,7 @@
         leaving: false,
         row_missing: false,
         region: None,
+        version: 0,
         cold: None,
     };
     let servers: Vec<RoutedServer> = (0..engines).map(engine).collect();
@@ -67,6 +68,7 @@
         repeatable: true,
         run_limit: 2,
         regions: None,
+        version: None,
     }
 }
 
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -59,7 +59,7 @@
     PromptPart, PromptShape, PushbackCount, QUEUE_WAIT_DIVISOR, ReachChange,
     RefusalCause, RegionKey, RetryDecision, RouteAction, RouteCall, RouteChoice,
     RouteCore, RouteFault, RouteOptions, RouteReason, RoutedServer, ServerLoad,
-    StatementChange, URGENCY_LEVELS,
+    StatementChange, URGENCY_LEVELS, VersionKey,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::scaling::{
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -11,6 +11,9 @@
 /// generate.
 const PROMPT_TOKENS_PER_OUTPUT_TOKEN: f64 = 10.0;
 
+/// A key computed from the version of a server's software. Versions have no order.
+pub type VersionKey = u32;
+
 /// A part of a prompt that other requests may have in common.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct PromptPart {
@@ -117,6 +120,9 @@
     pub run_limit: u32,
     /// The regions whose servers may get the request, or `None` for all.
     pub regions: Option<Arc<[RegionKey]>>,
+    /// The only version of a server's software that may get the request, because it
+    /// continues a stream; `None` for any.
+    pub version: Option<VersionKey>,
 }
 
 /// A fault of a server, as seen by one request.
@@ -170,6 +176,8 @@
     pub(crate) forwarded: bool,
     /// Whether the request is waiting or running.
     pub(crate) phase: CallPhase,
+    /// The version of the current server when the request was sent to it.
+    pub(crate) server_version: Option<VersionKey>,
     /// The servers that already failed this request.
     pub(crate) excluded: Vec<ServerId>,
     /// How many times the request has been sent.
@@ -230,6 +238,7 @@
             details,
             forwarded: false,
             phase: CallPhase::Waiting,
+            server_version: None,
             excluded: vec![],
             sends: 0,
             stalled_for: Duration::ZERO,
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -113,7 +113,8 @@
         let key = shared.map_or(request ^ self.seed, |part| part.key);
         (0..state.servers.arc_count()).find_map(|arc| {
             let accepts = |server: &ServerState| server.listing.accepts(&call.details);
-            let candidates = state.servers.candidates(key, arc, accepts);
+            let version = call.details.version;
+            let candidates = state.servers.candidates(key, arc, version, accepts);
             self.choose_among(&candidates, call, state, now)
         })
     }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -40,6 +40,7 @@
 
 pub use self::call::{
     CallProgress, PartKey, PromptPart, PromptShape, RegionKey, RouteCall, RouteFault,
+    VersionKey,
 };
 pub use self::choose::{PartFetch, RouteChoice, RouteReason};
 pub use self::eligible::HealthChange;
@@ -105,6 +106,8 @@
     NoServer,
     /// Servers of the pool can be used, but none in the regions of the request.
     NoServerInRegion,
+    /// Servers of the pool can be used, but none of the version that began the stream.
+    NoServerOfVersion,
     /// The response would come too late for the caller.
     TooLate,
 }
@@ -322,12 +325,15 @@
         let state = self.pools.entry(pool).or_default();
         state.lane_demand.record_arrival(call, &self.options, now);
         state.pace.update(&state.servers, now);
-        if !state.servers.values().any(|server| server.listing.accepts(call)) {
+        let accepts = |server: &ServerState| server.listing.accepts(call);
+        if !state.servers.of_version(call.version).any(accepts) {
             let retry_after = self.options.no_server_retry;
-            let any = state.servers.values().any(|server| server.listing.in_service());
-            let reason = match any {
-                true => RefusalCause::NoServerInRegion,
-                false => RefusalCause::NoServer,
+            let reason = if state.servers.count_in_service() == 0 {
+                RefusalCause::NoServer
+            } else if state.servers.of_version(call.version).next().is_none() {
+                RefusalCause::NoServerOfVersion
+            } else {
+                RefusalCause::NoServerInRegion
             };
             return vec![RouteAction::Refuse {
                 request,
@@ -336,6 +342,13 @@
                 expected: None,
             }];
         }
+        if call.version.is_some() {
+            // It may wait for few servers, and must not hold up the queue meanwhile.
+            state.retries.push(request);
+            self.calls.insert(request, routed);
+            self.dispatch_queued(pool, now);
+            return self.take_actions();
+        }
         let entry = QueueEntry {
             request,
             arrived: now,
@@ -378,6 +391,27 @@
         }
     }
 
+    /// Binds a request whose stream has begun to the version of its server: it is sent to no
+    /// server of another version from now on. `stated` is the version of the server to which a
+    /// peer has forwarded the request. Returns the version to which the request is bound, or
+    /// `None` if it isn't known; then the stream can't be continued elsewhere.
+    pub fn bind_version(
+        &mut self,
+        request: RequestId,
+        stated: Option<VersionKey>,
+    ) -> Option<VersionKey> {
+        let call = self.calls.get_mut(&request)?;
+        let details = &mut call.details;
+        details.version = details.version.or(call.server_version).or(stated);
+        details.version
+    }
+
+    /// Returns the version to which a request is bound.
+    #[must_use]
+    pub fn bound_version(&self, request: RequestId) -> Option<VersionKey> {
+        self.calls.get(&request)?.details.version
+    }
+
     /// Returns the progress of a request at its server, or `None` if it isn't running.
     #[must_use]
     pub fn progress(&self, request: RequestId) -> Option<CallProgress> {
@@ -484,9 +518,12 @@
         call.patient_until = now;
         call.compares_at = now;
         let mut timeout = patience;
+        call.server_version = None;
         if let Some(state) = self.pools.get_mut(&call.details.pool)
+            && let forwards = state.servers.is_forward_peer(server)
             && let Some(server) = state.servers.get_mut(server)
         {
+            call.server_version = (!forwards).then_some(server.listing.version);
             let limited = server.pushback.is_limited(now);
             call.rate_counted = limited && server.pushback.take(now);
             if server.is_watched(now) {
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -166,7 +166,7 @@
         let Some(state) = self.pools.get(&call.details.pool) else {
             return NextReady::Now;
         };
-        let servers = state.servers.values();
+        let servers = state.servers.of_version(call.details.version);
         let usable = servers.filter(|server| {
             let excluded = call.excluded.contains(&server.listing.server);
             server.listing.accepts(&call.details) && !excluded
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -253,7 +253,7 @@
     /// Returns whether there is a server that hasn't failed the request.
     fn has_alternative(&self, call: &RoutedCall) -> bool {
         let Some(state) = self.pools.get(&call.details.pool) else { return false };
-        state.servers.values().any(|server| {
+        state.servers.of_version(call.details.version).any(|server| {
             server.listing.accepts(&call.details)
                 && !call.excluded.contains(&server.listing.server)
         })
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -4,7 +4,7 @@
 
 use flaxtide_core::ServerId;
 
-use super::call::{PartKey, PromptShape, RegionKey, RouteCall};
+use super::call::{PartKey, PromptShape, RegionKey, RouteCall, VersionKey};
 use super::health::ServerHealth;
 use super::lane::lane_rank;
 use super::load::LoadTracker;
@@ -35,6 +35,8 @@
     pub engine: Option<EngineShape>,
     /// The data centre of the server.
     pub data_centre: DataCentreKey,
+    /// The version of the server's software.
+    pub version: VersionKey,
     /// The region of the server, if it is known.
     pub region: Option<RegionKey>,
     /// Whether the server is in the same data centre as this instance.
@@ -56,14 +58,15 @@
         !self.leaving
     }
 
-    /// Returns whether a request may be sent to the server: it is in service, and in one
-    /// of the request's regions if these are limited.
+    /// Returns whether a request may be sent to the server: it is in service, in one of the
+    /// request's regions if these are limited, and of its version if it continues a stream.
     #[must_use]
     pub fn accepts(&self, call: &RouteCall) -> bool {
         let in_region = call.regions.as_ref().is_none_or(|regions| {
             self.region.is_some_and(|region| regions.contains(&region))
         });
-        self.in_service() && in_region
+        let has_version = call.version.is_none_or(|version| version == self.version);
+        self.in_service() && in_region && has_version
     }
 }
 
--- a/crates/flaxtide-policy/src/router/table.rs
+++ b/crates/flaxtide-policy/src/router/table.rs
@@ -6,6 +6,7 @@
 
 use flaxtide_core::ServerId;
 
+use super::call::VersionKey;
 use super::forward::ForwardState;
 use super::server::{RoutedServer, ServerState};
 use crate::rendezvous::rendezvous_weight;
@@ -45,6 +46,8 @@
     ring: BTreeSet<RingPlace>,
     /// The servers in service that are in the own data centre.
     local_ring: BTreeSet<RingPlace>,
+    /// The servers in service by version, to find the few of a rare version.
+    version_rings: BTreeMap<VersionKey, BTreeSet<RingPlace>>,
     /// The servers whose state may change with time alone, or that have requests of this
     /// instance; and some others, until the next [`ServerTable::retain_active`].
     active: BTreeSet<ServerId>,
@@ -163,6 +166,7 @@
         if listing.in_service() {
             let place = ring_place(listing);
             self.ring.insert(place);
+            self.version_rings.entry(listing.version).or_default().insert(place);
             if listing.local {
                 self.local_ring.insert(place);
             }
@@ -184,6 +188,13 @@
         let Some(server) = self.servers.get(&id) else { return };
         let place = ring_place(&server.listing);
         if self.ring.remove(&place) {
+            let version = server.listing.version;
+            if let Some(ring) = self.version_rings.get_mut(&version) {
+                ring.remove(&place);
+                if ring.is_empty() {
+                    self.version_rings.remove(&version);
+                }
+            }
             self.slots -= u64::from(server.listing.slots);
         }
         self.local_ring.remove(&place);
@@ -194,21 +205,42 @@
         if self.ring.len() <= MAX_WHOLE_POOL { 1 } else { MAX_ARCS }
     }
 
+    /// Returns the servers in service of a version, or of all versions for `None`, in an order
+    /// that is the same on all instances.
+    pub(crate) fn of_version(
+        &self,
+        version: Option<VersionKey>,
+    ) -> impl Iterator<Item = &ServerState> {
+        let ring = self.ring_of(version).into_iter().flatten();
+        ring.filter_map(|(_, id)| self.servers.get(id))
+    }
+
+    /// Returns the ring of the servers of a version, or that of all servers for `None`.
+    fn ring_of(&self, version: Option<VersionKey>) -> Option<&BTreeSet<RingPlace>> {
+        match version {
+            Some(version) => self.version_rings.get(&version),
+            None => Some(&self.ring),
+        }
+    }
+
     /// Returns the servers in service that are considered for a request, in an order that
     /// is the same on all instances: all of a small pool, else some that `accepts` accepts.
-    /// Requests with the same `key` get the same ones; `arc` numbers further sets.
+    /// Requests with the same `key` get the same ones; `arc` numbers further sets. A request
+    /// that is bound to a version gets servers of this version.
     pub(crate) fn candidates(
         &self,
         key: u64,
         arc: u64,
+        version: Option<VersionKey>,
         accepts: impl Fn(&ServerState) -> bool,
     ) -> Vec<&ServerState> {
-        let mut ids: Vec<ServerId> = if self.ring.len() <= MAX_WHOLE_POOL {
-            self.ring.iter().map(|(_, id)| *id).collect()
+        let Some(ring) = self.ring_of(version) else { return vec![] };
+        let mut ids: Vec<ServerId> = if ring.len() <= MAX_WHOLE_POOL {
+            ring.iter().map(|(_, id)| *id).collect()
         } else {
             let start = rendezvous_weight(RING_SEED.wrapping_add(arc), key);
             let accepts = |id: &ServerId| self.get(*id).is_some_and(&accepts);
-            let from_all = ids_from(&self.ring, start).filter(accepts);
+            let from_all = ids_from(ring, start).filter(accepts);
             let local = ids_from(&self.local_ring, start).filter(accepts);
             from_all
                 .take(ARC_SERVERS)
--- a/crates/flaxtide-policy/tests/common/mod.rs
+++ b/crates/flaxtide-policy/tests/common/mod.rs
@@ -30,6 +30,7 @@
         leaving: false,
         row_missing: false,
         region: None,
+        version: 0,
         cold: None,
     }
 }
@@ -63,6 +64,7 @@
         repeatable,
         run_limit: 2,
         regions: None,
+        version: None,
     }
 }
 
