A stream that its caller takes up goes on at its version

What callers saw: after an instance was lost, callers came back to other instances and their streams went on at servers of another version.

Cause: `Resumes` and `Last-Event-Id` were headers like any other. The instance that got the later attempt knew nothing of the earlier one.

Change: while a service has several versions, or had within the time for which streams are taken up again, each instance tells the versions of its streams to three keepers (two in a large fleet), one of them in another data centre, when their first bytes arrive. An instance that gets a later attempt binds it to the version that it has noted. With a single version, which a current list has shown for as long, it needs nothing. Otherwise it asks its peers. A note is certain, and so is a single version in the current list of an instance that has known it for long enough. Without certainty a single version counts if half of the peers know no other; else the attempt is refused as not run.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -27,6 +27,7 @@
 use crate::response::{ReceivedResponse, receive_response, start_stream};
 use crate::routes::{CallerIdentity, ClassMatch};
 use crate::state::{ShutdownPhase, TrafficState};
+use crate::versions::{StreamIdentity, find_version};
 
 /// Stands for the organisation of requests that have none.
 const NO_ORGANISATION: u16 = u16::MAX;
@@ -61,7 +62,9 @@
                 "turned away"
             );
             let retry_after = match reply {
-                LocalReply::NoRules | LocalReply::OutdatedRules => Some(MAX_RETRY_AFTER),
+                LocalReply::NoRules
+                | LocalReply::OutdatedRules
+                | LocalReply::VersionUnknown => Some(MAX_RETRY_AFTER),
                 LocalReply::Stopping => Some(Duration::ZERO),
                 _ => None,
             };
@@ -127,6 +130,11 @@
     strip_hop_by_hop_headers(&mut headers);
     let (service, is_engine) =
         matched.service.ok_or_else(|| reject(LocalReply::UnknownTarget))?;
+    let stream = StreamIdentity::new(class.class(), &service, &head);
+    let bound_version = match &carried {
+        Some((forward, _)) => forward.bound_version,
+        None => find_version(state, stream, &head).await.map_err(reject)?,
+    };
     let request = CallerRequest {
         method: parts.method,
         uri: parts.uri,
@@ -144,8 +152,9 @@
     let usage =
         duties.map(|duties| CallUsage::new(duties, &service, caller.name.as_deref()));
     let (forward, carried) = carried.unzip();
-    let call =
+    let mut call =
         OpenCall::new(state, class, attempt_id, &head, received_at, usage, carried);
+    call.stream = stream.filter(|_| !call.is_carried());
     let run_limit = call.class.class().attempt_limit;
     let route_call = RouteCall {
         request: call.request_id,
@@ -162,7 +171,7 @@
         repeatable: call.class.class().kind.repeatable(),
         run_limit: forward.map_or(run_limit, |head| head.run_limit.min(run_limit)),
         regions: matched.regions,
-        version: forward.and_then(|head| head.bound_version),
+        version: bound_version,
         prompt: head.prompt,
     };
     Ok(run_attempts(call, request, route_call).await)
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -34,6 +34,8 @@
         /// For how long changes of the topic were unknown before this batch.
         unseen: Duration,
     },
+    /// All changes of the server list up to this time on the source's clock have been sent.
+    ListCovered(Duration),
     /// The platform doesn't answer any more.
     Lost,
     /// The platform answers again.
@@ -92,6 +94,7 @@
             } => {
                 apply_servers(&state, &*feed, batch, is_snapshot, unseen);
             }
+            FeedEvent::ListCovered(until) => state.versions.record_covered(until),
             // An outage lasts until the platform answers again, so both events extend it.
             FeedEvent::Lost | FeedEvent::Regained => {
                 state.directory.borrow_mut().record_outage(now);
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -159,7 +159,8 @@
                     true => unseen.min(now - covered_until),
                     false => unseen,
                 };
-                let delivered = self.handle_batch(state, batch, unseen, was_outage);
+                let delivered = self.handle_batch(state, batch, unseen, was_outage)
+                    && self.send_coverage(now.saturating_sub(covered_until));
                 thread::sleep(pause);
                 delivered
             }
@@ -230,6 +231,13 @@
         self.topic != FeedTopic::Servers || self.send_event(event)
     }
 
+    /// Tells the traffic thread that it has been sent all changes of the server list up to so
+    /// long ago. Returns whether it still receives events.
+    fn send_coverage(&self, age: Duration) -> bool {
+        let until = self.source.clock().now().saturating_sub(age);
+        self.topic != FeedTopic::Servers || self.send_event(FeedEvent::ListCovered(until))
+    }
+
     /// Sends an event to the traffic thread. Returns whether it still receives events.
     fn send_event(&self, event: FeedEvent) -> bool {
         self.events.blocking_send(event).is_ok()
@@ -259,6 +267,7 @@
                 let covered_until = follower.source.covered_until(asked);
                 let unseen = state.record_coverage(covered_until, clock.now());
                 follower.handle_batch(&mut state, batch, unseen, was_outage)
+                    && follower.send_coverage(clock.now().saturating_sub(covered_until))
             }
             Some(PeerUpdate::Pushed) => {
                 backoff.reset();
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -211,7 +211,6 @@
         let fleet = open_fleet(&config, &shared_rules, &list, &events, &metrics)?;
         let peer_bytes = fleet.bytes();
         let shared_duties = start_duties(&config, duties, &fleet, &link, &metrics)?;
-        spawn("the fleet thread", move || fleet.run(&fleet_requests))?;
         let state = TrafficState::new(
             config,
             clock,
@@ -221,6 +220,8 @@
             source,
             shared_duties,
         );
+        fleet.set_version_exchange(state.versions.clone());
+        spawn("the fleet thread", move || fleet.run(&fleet_requests))?;
         let state = Rc::new(state);
         let open_connections = Rc::new(Cell::new(0));
         let listeners =
@@ -350,6 +351,7 @@
                 update_duty_view(&state, shared_duties);
             }
             export_peer_bytes(&state.metrics, &peer_bytes);
+            state.metrics.version_notes.set(state.versions.expire() as i64);
             update_pushback_metrics(&state);
             if let Some(watches) = &mut watches {
                 update_watches(&state, watches);
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -55,6 +55,7 @@
 mod state;
 mod stop;
 mod upstream;
+mod versions;
 mod watch;
 
 pub use self::backoff::PeerBackoff;
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -55,6 +55,10 @@
     pub(crate) statements_ignored: IntCounter,
     /// Response bodies that ended with their connection, by whether they were whole.
     pub(crate) unframed_ends: IntCounterVec,
+    /// Streams that callers took up again, by how their version was found.
+    pub(crate) resumed_streams: IntCounterVec,
+    /// Streams whose version is noted.
+    pub(crate) version_notes: IntGauge,
     /// Servers that exited while they ran a request of this instance.
     pub(crate) crashes: IntCounter,
     /// Requests suspected of crashing servers.
@@ -151,6 +155,12 @@
                 "Bodies of servers that ended with their connection.",
                 &["outcome"],
             ),
+            resumed_streams: counters(
+                "resumed_streams",
+                "Streams that callers took up again, by how their version was found.",
+                &["source"],
+            ),
+            version_notes: gauge("version_notes", "Streams whose version is noted."),
             crashes: counter("server_crashes", "Servers that ended under a request."),
             suspected: gauge("suspected_requests", "Requests that ran on such servers."),
             quarantined: gauge("quarantined_requests", "Requests sent to no server."),
@@ -185,7 +195,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 33] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 35] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -207,6 +217,8 @@
             Box::new(self.evacuated_data_centres.clone()),
             Box::new(self.statements_ignored.clone()),
             Box::new(self.unframed_ends.clone()),
+            Box::new(self.resumed_streams.clone()),
+            Box::new(self.version_notes.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -18,6 +18,7 @@
 use crate::reply::{CallerResponse, LocalReply};
 use crate::routes::ClassMatch;
 use crate::state::TrafficState;
+use crate::versions::StreamIdentity;
 
 /// The longest `Retry-After` that a caller is given.
 pub(crate) const MAX_RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -36,6 +37,8 @@
     pub(crate) attempt_id: String,
     /// What the caller has of a stream that it takes up again.
     pub(crate) resumed: Option<ResumedStream>,
+    /// Identifies its stream, if another instance may have to continue it.
+    pub(crate) stream: Option<StreamIdentity>,
     /// The request class that it matched.
     pub(crate) class: ClassMatch,
     /// When its head was received.
@@ -97,6 +100,7 @@
             request_id: state.next_request_id(),
             attempt_id,
             resumed: head.resumed.clone(),
+            stream: None,
             class,
             received_at,
             deadline: received_at + wait,
@@ -309,11 +313,16 @@
         }
     }
 
-    /// Binds a stream that has begun to the version of its server. `stated` is the version that
+    /// Binds a stream that has begun to the version of its server, and notes it. `stated` is the version that
     /// a peer has stated. Returns the version, if it is known.
     pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
-        self.state
-            .with_router(|core, _| core.bind_version(self.request_id, stated))
+        let version = self
+            .state
+            .with_router(|core, _| core.bind_version(self.request_id, stated));
+        if let (Some(stream), Some(version)) = (self.stream, version) {
+            self.state.versions.note(stream, version);
+        }
+        version
     }
 
     /// Returns the id of the attempt whose stream the caller takes up, for log lines.
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -152,6 +152,9 @@
             .state
             .run_router(|core, now| core.finish(self.call.request_id, now));
         self.call.state.quarantine.clear(&self.call.state, &self.request);
+        if let Some(stream) = self.call.stream {
+            self.call.state.versions.forget(stream);
+        }
         self.call.record_missed_target();
         self.call.record_end("streamed", 200);
         self.ended = true;
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -37,6 +37,8 @@
     OutdatedRules,
     /// The instance has too many requests that peers have forwarded.
     TooManyForwarded,
+    /// The request continues a stream, and it isn't known which version of the service began it.
+    VersionUnknown,
     /// The instance will stop before the request could be completed.
     Stopping,
     /// No server is available.
@@ -53,7 +55,7 @@
 
 impl LocalReply {
     /// All replies.
-    const ALL: [Self; 14] = [
+    const ALL: [Self; 15] = [
         Self::Malformed,
         Self::BodyTooLarge,
         Self::BodyTooSlow,
@@ -62,6 +64,7 @@
         Self::NoRules,
         Self::OutdatedRules,
         Self::TooManyForwarded,
+        Self::VersionUnknown,
         Self::Stopping,
         Self::NoServer,
         Self::TooLate,
@@ -93,6 +96,7 @@
             Self::NoRules
             | Self::OutdatedRules
             | Self::TooManyForwarded
+            | Self::VersionUnknown
             | Self::Stopping
             | Self::NoServer
             | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
@@ -112,6 +116,7 @@
             Self::NoRules => "no_rules",
             Self::OutdatedRules => "old_rules",
             Self::TooManyForwarded => "too_many_forwarded",
+            Self::VersionUnknown => "version_unknown",
             Self::Stopping => "stopping",
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
@@ -145,6 +150,10 @@
             | Self::Stopping
             | Self::NoServer
             | Self::TooLate => "it hasn't run; come back after the time in Retry-After",
+            Self::VersionUnknown => {
+                "it hasn't run; come back after the time in Retry-After, or begin the stream \
+                 anew"
+            }
             Self::Quarantined => {
                 "don't repeat it: servers ended each time they ran this path and body"
             }
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -1,10 +1,12 @@
 //! Passes the servers of the directory to the router.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use flaxtide_core::{PoolId, ServerId, ServerName};
 use flaxtide_fleet::fleet_key;
-use flaxtide_policy::{ColdStart, DataCentreKey, EngineShape, RoutedServer};
+use flaxtide_policy::{
+    ColdStart, DataCentreKey, EngineShape, RoutedServer, ServiceKey, VersionKey,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::contract::BackendService;
@@ -77,8 +79,16 @@
         self.finish_server_update();
     }
 
-    /// Exports the number of servers, and applies what peers have said of new ones.
+    /// Exports the number of servers, records their versions, and applies what peers have said
+    /// of new ones.
     fn finish_server_update(&self) {
+        let mut versions: HashMap<ServiceKey, BTreeSet<VersionKey>> = HashMap::new();
+        for listed in self.directory.borrow().iter() {
+            let entry = &listed.entry;
+            let known = versions.entry(fleet_key(&entry.service)).or_default();
+            known.insert(fleet_key(&entry.version));
+        }
+        self.versions.set_listed(versions);
         self.metrics.servers.set(self.directory.borrow().len() as i64);
         self.pushback.apply_pending(self);
     }
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -88,6 +88,11 @@
         }
     }
 
+    /// Returns the clock of the times up to which the list is complete.
+    pub(crate) fn clock(&self) -> &MilliClock {
+        &self.clock
+    }
+
     /// Sets the peers to ask. Returns whether they have changed.
     pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
         let now = self.clock.now();
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -34,6 +34,7 @@
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
 use crate::upstream::ServerConnections;
+use crate::versions::StreamVersions;
 use crate::watch::OwnSightings;
 
 /// The phase of a planned stop.
@@ -89,6 +90,8 @@
     pub(crate) carried: CarriedCalls,
     /// What this instance has seen of the engines that it watches.
     pub(crate) own_sightings: OwnSightings,
+    /// The versions of streams.
+    pub(crate) versions: Arc<StreamVersions>,
     /// Whether the server list has been read at least once.
     pub(crate) servers_listed: Cell<bool>,
     /// The router, which decides where and when requests are sent.
@@ -143,6 +146,7 @@
         let (request_memory, response_memory) = (budget("request"), budget("response"));
         let carried = CarriedCalls::new(metrics.carried_calls.clone());
         let quarantine = CallQuarantine::new(!config.seeds.is_empty());
+        let versions = StreamVersions::new(source.clock().clone(), leave_within);
         let mut core = RouteCore::new(options);
         core.set_seed(seed);
         Self {
@@ -166,6 +170,7 @@
             forward_peers: ForwardPeers::default(),
             carried,
             own_sightings: OwnSightings::default(),
+            versions: Arc::new(versions),
             servers_listed: Cell::new(false),
             router: RefCell::new(core),
             waiters: RefCell::default(),
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -24,6 +24,7 @@
 mod shared;
 mod thread;
 mod usage;
+mod versions;
 mod wire;
 
 pub use self::counted::LinkBytes;
@@ -44,6 +45,7 @@
     PieceQuestion, SettingsCopy, SettingsPiece,
 };
 pub use self::thread::{FleetCommand, FleetThread, FleetUpdate};
+pub use self::versions::{PendingQuestion, VersionExchange, VersionQuestion};
 pub use self::wire::{
     CrashNotice, CrashReply, DutyHolder, EngineDigest, FleetHeartbeat, GroupDigest,
     GroupHello, HeartbeatReply, OwnLoad, PartRead, PartUpdate, PoolDemand,
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -16,6 +16,7 @@
 mod reach;
 mod settings;
 mod timing;
+mod versions;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -197,6 +198,8 @@
     list_failed: bool,
     /// The live instances of the group, including this one, sorted by name.
     live: Vec<InstanceName>,
+    /// The largest number of live instances of the group that was seen.
+    largest_group: usize,
     /// Indices into `live`, in the order in which instances are chosen as list readers.
     reader_order: Vec<usize>,
     /// The servers that this instance watches.
@@ -241,6 +244,7 @@
             rounds: 0,
             list_failed: true,
             live: vec![],
+            largest_group: 0,
             reader_order: vec![],
             watched: vec![],
             status_first_set_at: None,
@@ -414,6 +418,7 @@
             return;
         }
         self.live = live.into_iter().cloned().collect();
+        self.largest_group = self.largest_group.max(self.live.len());
         self.reader_order = rendezvous_order(READER_KEY, &self.live);
         self.assign_watched();
     }
--- a/crates/flaxtide-fleet/src/node/reach.rs
+++ b/crates/flaxtide-fleet/src/node/reach.rs
@@ -44,12 +44,17 @@
     }
 
     /// Returns whether a peer was heard lately and isn't stopping.
-    fn is_peer_alive(&self, peer: &PeerRecord, now: Duration) -> bool {
+    pub(super) fn is_peer_alive(&self, peer: &PeerRecord, now: Duration) -> bool {
+        !peer.leaving && self.is_peer_heard(peer, now)
+    }
+
+    /// Returns whether a peer was heard lately.
+    pub(super) fn is_peer_heard(&self, peer: &PeerRecord, now: Duration) -> bool {
         let timeout = match self.in_own_group(peer) {
             true => self.liveness_timeout(),
             false => self.contact_liveness_timeout(),
         };
-        peer.is_alive(now, timeout)
+        peer.heard_within(now, timeout)
     }
 }
 
--- /dev/null
+++ b/crates/flaxtide-fleet/src/node/versions.rs
@@ -0,0 +1,75 @@
+//! Which peers keep the versions of this instance's streams, and which are asked for those of
+//! others.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use flaxtide_core::InstanceName;
+use flaxtide_policy::rendezvous_order;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::FleetNode;
+use crate::info::PeerInfo;
+use crate::peer::PeerRecord;
+
+/// The number of keepers of an instance in a fleet that is a single group. In a larger one,
+/// each keeper costs more than it helps.
+const SMALL_FLEET_KEEPERS: usize = 3;
+
+/// The number of keepers of an instance in a larger fleet.
+const LARGE_FLEET_KEEPERS: usize = 2;
+
+/// The most peers of which half have to agree if nothing is certain. Instances of other data
+/// centres of a large fleet aren't asked.
+const MAX_COUNTED_PEERS: usize = 8;
+
+impl FleetNode {
+    /// Returns the peers that keep the versions of this instance's streams, with their epochs.
+    /// One of them is in another data centre, if there are several: a whole data centre may be
+    /// lost or cut off.
+    #[must_use]
+    pub fn version_keepers(&self, now: Duration) -> Vec<(PeerInfo, Option<u32>)> {
+        let peers = self.peers.values();
+        let alive: Vec<&PeerRecord> =
+            peers.filter(|peer| self.is_peer_alive(peer, now)).collect();
+        let names: Vec<&InstanceName> =
+            alive.iter().map(|peer| &peer.info.name).collect();
+        let key = xxh3_64(self.own.name.as_bytes());
+        let order = rendezvous_order(key, &names);
+        let is_near = |index: &&usize| self.in_own_data_centre(&alive[**index].info);
+        let near = order.iter().find(is_near);
+        let far = order.iter().find(|index| !is_near(index));
+        let count = match self.group.is_single {
+            true => SMALL_FLEET_KEEPERS,
+            false => LARGE_FLEET_KEEPERS,
+        };
+        let mut keepers: Vec<usize> = near.into_iter().chain(far).copied().collect();
+        for index in order {
+            if keepers.len() < count && !keepers.contains(&index) {
+                keepers.push(index);
+            }
+        }
+        let keeper = |index: usize| (alive[index].info.clone(), alive[index].epoch);
+        keepers.into_iter().map(keeper).collect()
+    }
+
+    /// Returns the peers to ask for the version of a stream: all that were heard lately. One
+    /// that is stopping knows its own streams.
+    #[must_use]
+    pub fn version_peers(&self, now: Duration) -> Vec<PeerInfo> {
+        let peers = self.peers.values();
+        let heard = peers.filter(|peer| self.is_peer_heard(peer, now));
+        heard.map(|peer| peer.info.clone()).collect()
+    }
+
+    /// Returns the number of peers that would answer if all could be reached. An instance that
+    /// has just started knows none yet, but has addresses of some.
+    #[must_use]
+    pub fn version_peer_count(&self, now: Duration) -> usize {
+        let heard = self.version_peers(now).len();
+        let seen = self.largest_group.saturating_sub(1).min(MAX_COUNTED_PEERS);
+        let is_other = |seed: &SocketAddr| *seed != self.own.address;
+        let expected = usize::from(self.seeds.iter().any(is_other));
+        heard.max(seen).max(expected)
+    }
+}
--- a/crates/flaxtide-fleet/src/serve.rs
+++ b/crates/flaxtide-fleet/src/serve.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use flaxtide_core::StoreVersion;
+use flaxtide_policy::{VersionAnswer, VersionNote};
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -14,6 +15,7 @@
 use crate::rows::RowsReply;
 use crate::settings::{PieceAnswer, PieceQuestion};
 use crate::shared::{ANSWER_TIMEOUT, FleetShared};
+use crate::versions::VersionQuestion;
 use crate::wire::{
     CrashNotice, CrashReply, FleetHeartbeat, GroupDigest, GroupHello, HeartbeatReply,
     PeerLink, PushbackNotice, ReachReply, UsageNotice,
@@ -87,6 +89,21 @@
         self.shared.node().reach_reply()
     }
 
+    async fn versions(self, _: Context, notes: Vec<VersionNote>) {
+        if let Some(exchange) = self.shared.versions.get() {
+            exchange.receive(&notes);
+        }
+    }
+
+    async fn ask_versions(
+        self,
+        _: Context,
+        questions: Vec<VersionQuestion>,
+    ) -> Vec<VersionAnswer> {
+        let exchange = self.shared.versions.get();
+        exchange.map_or_else(Vec::new, |exchange| exchange.answer(&questions))
+    }
+
     async fn usage(self, _: Context, notice: UsageNotice) -> bool {
         self.shared
             .usage_exchange
--- a/crates/flaxtide-fleet/src/shared.rs
+++ b/crates/flaxtide-fleet/src/shared.rs
@@ -15,6 +15,7 @@
 use crate::partial::PartialCopy;
 use crate::rows::RowSource;
 use crate::settings::{PieceProvider, SettingsCopy};
+use crate::versions::{VersionExchange, VersionState};
 use crate::wire::PeerLinkClient;
 
 /// How long a peer may take to answer.
@@ -48,6 +49,10 @@
     pub(crate) row_source: OnceLock<Arc<dyn RowSource>>,
     /// The exchange of usage counts with the duty holder, once set.
     pub(crate) usage_exchange: OnceLock<Arc<dyn UsageExchange>>,
+    /// What this instance knows of the versions of streams, once set.
+    pub(crate) versions: OnceLock<Arc<dyn VersionExchange>>,
+    /// What the exchange of versions with peers remembers.
+    pub(crate) version_state: VersionState,
     /// The open links to peers.
     pub(crate) links: PeerLinks,
     /// Sends settings to a few peers at a time.
@@ -68,8 +73,13 @@
     Broken,
 }
 
+/// Locks a mutex. What it protects stays usable after a panic in another task.
+pub(crate) fn lock<Value>(mutex: &Mutex<Value>) -> MutexGuard<'_, Value> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
 impl FleetShared {
-    /// Creates the state without links, row source and usage exchange.
+    /// Creates the state without links and exchanges.
     pub(crate) fn new(
         node: FleetNode,
         clock: MilliClock,
@@ -83,6 +93,8 @@
             settings_newer_than,
             row_source: OnceLock::new(),
             usage_exchange: OnceLock::new(),
+            versions: OnceLock::new(),
+            version_state: VersionState::default(),
             links: PeerLinks::default(),
             provider: Mutex::default(),
             partial: Mutex::default(),
@@ -91,12 +103,12 @@
 
     /// Locks the node. It stays usable after a panic in another task.
     pub(crate) fn node(&self) -> MutexGuard<'_, FleetNode> {
-        self.node.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.node)
     }
 
     /// Locks the settings being fetched.
     pub(crate) fn partial(&self) -> MutexGuard<'_, PartialCopy> {
-        self.partial.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.partial)
     }
 
     /// Calls a peer and returns its answer. Without an answer in time, closes the link and
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -29,6 +29,7 @@
 use crate::settings::SettingsCopy;
 use crate::shared::{ANSWER_TIMEOUT, CallFault, FleetOutput, FleetShared};
 use crate::usage::UsageSender;
+use crate::versions::{VersionExchange, ask_peers, tell_keepers};
 use crate::wire::PeerLinkClient;
 
 /// How often the thread polls for commands and due messages.
@@ -128,6 +129,12 @@
         let _ = self.shared.usage_exchange.set(exchange);
     }
 
+    /// Sets the exchange of the versions of streams. Only the first call has an effect.
+    pub fn set_version_exchange(&self, exchange: Arc<dyn VersionExchange>) {
+        // A second call would be an error of the caller; the first exchange stays in use.
+        let _ = self.shared.versions.set(exchange);
+    }
+
     /// Returns the listening address.
     ///
     /// # Errors
@@ -195,7 +202,21 @@
         for outgoing in pushback {
             tokio::spawn(send_pushback_notice(shared.clone(), outgoing));
         }
-        tokio::time::sleep(POLL_PERIOD).await;
+        tell_keepers(shared);
+        ask_peers(shared);
+        wait_for_work(shared).await;
+    }
+}
+
+/// Waits for the next poll, or for questions of callers that wait for the answers.
+async fn wait_for_work(shared: &FleetShared) {
+    let Some(exchange) = shared.versions.get() else {
+        return tokio::time::sleep(POLL_PERIOD).await;
+    };
+    let notifier = exchange.question_notifier();
+    tokio::select! {
+        () = tokio::time::sleep(POLL_PERIOD) => {}
+        () = notifier.notified() => {}
     }
 }
 
--- /dev/null
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -0,0 +1,256 @@
+//! The exchange of the versions of streams: notes for the keepers of this instance, and
+//! questions to all peers that it knows.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use flaxtide_policy::{
+    ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionNote, VersionPoll,
+};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use serde::{Deserialize, Serialize};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tokio::sync::Notify;
+
+use crate::info::PeerInfo;
+use crate::links::call_with_timeout;
+use crate::shared::{FleetShared, lock};
+use crate::wire::PeerLinkClient;
+
+/// How long a peer may take to answer which version began a stream. The caller waits.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// How long a peer may take to acknowledge notes.
+const NOTES_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// How long nothing about versions is sent to a peer whose link broke by it: it may run an
+/// older version of this program, which doesn't know these messages.
+const UNKNOWN_MESSAGE_PAUSE: Duration = Duration::from_secs(30);
+
+/// A peer is paused after this many links have broken by the same message.
+const MAX_BREAKS: u32 = 2;
+
+/// The pause before another attempt to open a link.
+const REOPEN_PAUSE: Duration = Duration::from_millis(50);
+
+/// The most questions in one message.
+const MAX_QUESTIONS: usize = 256;
+
+/// The most notes in one message.
+const MAX_NOTES: usize = 1024;
+
+/// What an instance knows of the versions of streams.
+pub trait VersionExchange: Send + Sync {
+    /// Records what a peer has told of its streams.
+    fn receive(&self, notes: &[VersionNote]);
+
+    /// Answers a peer's questions, in their order.
+    fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer>;
+
+    /// Removes and returns the notes that keepers haven't been told yet.
+    fn take_notes(&self) -> Vec<VersionNote>;
+
+    /// Returns the notes that a new keeper needs, or nothing while none are told.
+    fn all_notes(&self) -> Vec<VersionNote>;
+
+    /// Removes and returns the questions that haven't been asked yet.
+    fn take_questions(&self) -> Vec<PendingQuestion>;
+
+    /// Returns the notifier that is signalled when there are new questions.
+    fn question_notifier(&self) -> Arc<Notify>;
+}
+
+/// A question which version began a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionQuestion {
+    /// The service.
+    pub service: ServiceKey,
+    /// The stream.
+    pub stream: StreamKey,
+}
+
+/// A question of this instance that waits for a decision.
+pub struct PendingQuestion {
+    /// The question.
+    pub question: VersionQuestion,
+    /// The answer of this instance itself.
+    pub own: VersionAnswer,
+    /// For how long streams are taken up again.
+    pub window: Duration,
+    /// Receives the decision.
+    pub decide: Box<dyn FnOnce(VersionDecision) + Send>,
+}
+
+impl std::fmt::Debug for PendingQuestion {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(formatter, "PendingQuestion {:?}", self.question)
+    }
+}
+
+/// The keepers that have been told the notes of this instance, with their epochs: one that has
+/// restarted has forgotten them.
+type ToldKeepers = Vec<(SocketAddr, Option<u32>)>;
+
+/// What the exchange with peers remembers.
+#[derive(Debug, Default)]
+pub(crate) struct VersionState {
+    /// The keepers that have been told all notes.
+    told: Mutex<ToldKeepers>,
+    /// Until when peers aren't sent anything about versions.
+    paused: Mutex<Vec<(SocketAddr, Duration)>>,
+}
+
+impl VersionState {
+    /// Returns whether a peer may be sent messages about versions.
+    fn may_send(&self, peer: SocketAddr, now: Duration) -> bool {
+        let mut paused = lock(&self.paused);
+        paused.retain(|(_, until)| now < *until);
+        !paused.iter().any(|(address, _)| *address == peer)
+    }
+
+    /// Records that a link broke by a message about versions.
+    fn pause(&self, peer: SocketAddr, now: Duration) {
+        lock(&self.paused).push((peer, now + UNKNOWN_MESSAGE_PAUSE));
+    }
+}
+
+/// Tells the keepers of this instance the versions of its streams.
+pub(crate) fn tell_keepers(shared: &Arc<FleetShared>) {
+    let Some(exchange) = shared.versions.get() else { return };
+    let now = shared.clock.now();
+    let notes = exchange.take_notes();
+    let keepers = shared.node().version_keepers(now);
+    let mut told = lock(&shared.version_state.told);
+    let known = std::mem::take(&mut *told);
+    for (keeper, epoch) in keepers {
+        let address = keeper.address;
+        if !shared.version_state.may_send(address, now) {
+            continue;
+        }
+        let is_new = !known.contains(&(address, epoch));
+        let notes = if is_new { exchange.all_notes() } else { notes.clone() };
+        told.push((address, epoch));
+        if !notes.is_empty() {
+            tokio::spawn(tell(shared.clone(), keeper, notes));
+        }
+    }
+}
+
+/// Sends notes to a keeper. One that doesn't get them is told all of them again.
+async fn tell(shared: Arc<FleetShared>, keeper: PeerInfo, notes: Vec<VersionNote>) {
+    for batch in notes.chunks(MAX_NOTES) {
+        let batch = batch.to_vec();
+        let call = |client: PeerLinkClient, context| {
+            let batch = batch.clone();
+            async move { client.versions(context, batch).await }
+        };
+        if call_peer(&shared, &keeper, NOTES_TIMEOUT, call).await.is_none() {
+            let mut told = lock(&shared.version_state.told);
+            told.retain(|(address, _)| *address != keeper.address);
+            return;
+        }
+    }
+}
+
+/// Asks the peers which versions began some streams, and decides.
+pub(crate) fn ask_peers(shared: &Arc<FleetShared>) {
+    let Some(exchange) = shared.versions.get() else { return };
+    let mut questions = exchange.take_questions();
+    while !questions.is_empty() {
+        let rest = questions.split_off(questions.len().min(MAX_QUESTIONS));
+        tokio::spawn(ask(shared.clone(), questions));
+        questions = rest;
+    }
+}
+
+/// Asks all peers some questions at once.
+async fn ask(shared: Arc<FleetShared>, pending: Vec<PendingQuestion>) {
+    let now = shared.clock.now();
+    let (peers, known) = {
+        let node = shared.node();
+        (node.version_peers(now), node.version_peer_count(now))
+    };
+    let questions: Vec<VersionQuestion> =
+        pending.iter().map(|pending| pending.question).collect();
+    let mut polls: Vec<Option<(VersionPoll, _)>> = pending
+        .into_iter()
+        .map(|pending| {
+            let poll = VersionPoll::new(pending.own, pending.window, known);
+            Some((poll, pending.decide))
+        })
+        .collect();
+    let usable = peers
+        .into_iter()
+        .filter(|peer| shared.version_state.may_send(peer.address, now));
+    let mut answers: FuturesUnordered<_> = usable
+        .map(|peer| ask_peer(shared.clone(), peer, questions.clone()))
+        .collect();
+    while let Some(answer) = answers.next().await {
+        for (slot, answer) in polls.iter_mut().zip(answer.unwrap_or_default()) {
+            let Some((poll, _)) = slot else { continue };
+            poll.add(answer);
+            if let Some(decision) = poll.certain()
+                && let Some((_, decide)) = slot.take()
+            {
+                decide(decision);
+            }
+        }
+        if polls.iter().all(Option::is_none) {
+            return;
+        }
+    }
+    for (poll, decide) in polls.into_iter().flatten() {
+        decide(poll.finish());
+    }
+}
+
+/// Asks one peer.
+async fn ask_peer(
+    shared: Arc<FleetShared>,
+    peer: PeerInfo,
+    questions: Vec<VersionQuestion>,
+) -> Option<Vec<VersionAnswer>> {
+    let call = |client: PeerLinkClient, context| {
+        let questions = questions.clone();
+        async move { client.ask_versions(context, questions).await }
+    };
+    call_peer(&shared, &peer, ANSWER_TIMEOUT, call).await
+}
+
+/// Calls a peer, again if its link can't be opened yet or breaks. A late answer doesn't close
+/// the link: heartbeats tell whether the peer is alive.
+async fn call_peer<Answer, Call>(
+    shared: &FleetShared,
+    peer: &PeerInfo,
+    timeout: Duration,
+    call: impl Fn(PeerLinkClient, Context) -> Call,
+) -> Option<Answer>
+where
+    Call: Future<Output = Result<Answer, RpcError>>,
+{
+    let exchange = async {
+        let mut breaks = 0;
+        while breaks < MAX_BREAKS {
+            let Some(link) = shared.links.open(peer.address).await else {
+                tokio::time::sleep(REOPEN_PAUSE).await;
+                continue;
+            };
+            let client = link.client.clone();
+            match call_with_timeout(timeout, |context| call(client, context)).await {
+                Ok(answer) => return Some(answer),
+                Err(RpcError::DeadlineExceeded) => return None,
+                Err(cause) => {
+                    log::debug!("no versions from {}: {cause}", peer.name);
+                    shared.links.close(peer.address, &link).await;
+                    breaks += 1;
+                }
+            }
+        }
+        shared.version_state.pause(peer.address, shared.clock.now());
+        None
+    };
+    tokio::time::timeout(timeout, exchange).await.ok().flatten()
+}
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -4,13 +4,17 @@
 use std::net::SocketAddr;
 
 use flaxtide_core::{DataCentreName, InstanceName, SettingsVersion, StoreVersion};
-use flaxtide_policy::{CrashReport, EvacuationRecord, PushbackReport, WindowCounts};
+use flaxtide_policy::{
+    CrashReport, EvacuationRecord, PushbackReport, VersionAnswer, VersionNote,
+    WindowCounts,
+};
 use serde::{Deserialize, Serialize};
 
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::rows::RowsReply;
 use crate::settings::{PieceAnswer, PieceQuestion};
+use crate::versions::VersionQuestion;
 
 /// The service that each instance offers its peers.
 #[tarpc::service]
@@ -42,6 +46,12 @@
 
     /// Returns which servers this instance reaches, for a peer whose own path is in doubt.
     async fn reach() -> ReachReply;
+
+    /// Records the versions of a peer's streams.
+    async fn versions(notes: Vec<VersionNote>);
+
+    /// Returns what this instance knows of the versions of some streams, in their order.
+    async fn ask_versions(questions: Vec<VersionQuestion>) -> Vec<VersionAnswer>;
 }
 
 /// What an instance offers to peers whose path to the backend servers is in doubt.
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -31,6 +31,7 @@
 mod server;
 mod share;
 mod usage;
+mod versions;
 
 pub use self::action::{ChoiceRule, PolicyAction, ServerChoice};
 pub use self::claim::{
@@ -70,3 +71,7 @@
     OrganisationKey, UsageCounts, UsageLedger, UsageSource, UsageTally, WindowCounts,
     WindowNumber, WindowTotal, window_end, window_of,
 };
+pub use self::versions::{
+    ServiceKey, StreamKey, VersionAnswer, VersionBook, VersionDecision, VersionNote,
+    VersionPoll, VersionView,
+};
--- /dev/null
+++ b/crates/flaxtide-policy/src/versions/book.rs
@@ -0,0 +1,261 @@
+//! What an instance knows of the versions of services and streams.
+
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::{ServiceKey, StreamKey};
+use crate::router::VersionKey;
+
+/// For at least this long after a version was listed, streams that it began may be taken up.
+const MIN_WINDOW: Duration = Duration::from_secs(30);
+
+/// No stream is taken up later than this after its first event.
+const MAX_WINDOW: Duration = Duration::from_secs(600);
+
+/// The most streams that are noted. Further ones are neither noted nor told.
+const MAX_NOTES: usize = 1 << 16;
+
+/// While there is no room for notes, expired ones are removed at most this often.
+const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
+
+/// The version of a stream, as told to peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionNote {
+    /// The stream.
+    pub stream: StreamKey,
+    /// The version that began it.
+    pub version: VersionKey,
+    /// How much longer its caller may take it up again, in seconds.
+    pub life_s: u16,
+}
+
+/// The versions of a service that an instance has listed lately.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum VersionView {
+    /// None has been listed.
+    Unlisted,
+    /// Only one, for at least this many milliseconds.
+    Sole(VersionKey, u32),
+    /// Several within the time for which streams may be taken up again.
+    Several,
+}
+
+/// What an instance answers a peer that asks for the version of a stream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionAnswer {
+    /// The version of the stream, if it is noted.
+    pub noted: Option<VersionKey>,
+    /// The versions of the service.
+    pub view: VersionView,
+    /// Whether the list of servers is current, so that no stream can have begun at a version
+    /// that isn't listed.
+    pub is_current: bool,
+}
+
+/// What an instance knows of versions: those of the listed servers, and those of streams.
+///
+/// ```
+/// use std::time::Duration;
+/// use flaxtide_policy::{VersionBook, VersionView};
+/// let (mut book, now) = (VersionBook::default(), Duration::ZERO);
+/// book.set_listed(1, [7].into(), now);
+/// assert_eq!(book.view(1, now), VersionView::Sole(7, 0));
+/// book.set_listed(1, [7, 8].into(), now);
+/// book.note_own(5, 8, Duration::from_secs(15), now);
+/// assert_eq!(book.answer(1, 5, true, now).noted, Some(8));
+/// assert_eq!(book.answer(1, 6, true, now).view, VersionView::Several);
+/// ```
+#[derive(Debug, Default)]
+pub struct VersionBook {
+    /// The versions of each service.
+    services: HashMap<ServiceKey, ListedVersions>,
+    /// The versions of streams.
+    notes: HashMap<StreamKey, NotedStream>,
+    /// When expired notes were last removed.
+    expired_at: Duration,
+    /// The longest time for which a stream that was noted may be taken up again.
+    longest_life: Duration,
+}
+
+/// The versions of a service in the list of servers.
+#[derive(Debug, Default)]
+struct ListedVersions {
+    /// The versions of the servers that are listed now.
+    listed: BTreeSet<VersionKey>,
+    /// The last version that was listed alone, or `None` before any.
+    sole: Option<VersionKey>,
+    /// Since when nothing else is known to have been listed.
+    sole_since: Duration,
+    /// When another version was last listed besides or before.
+    mixed_at: Option<Duration>,
+}
+
+/// The version of a stream.
+#[derive(Debug, Clone, Copy)]
+struct NotedStream {
+    /// The version that began it.
+    version: VersionKey,
+    /// Until when its caller may take it up again.
+    expires_at: Duration,
+    /// Whether this instance has served it, and tells its keepers.
+    own: bool,
+}
+
+impl VersionBook {
+    /// Sets the versions of the servers of a service that are listed. Returns whether the
+    /// service has several from now on and had a single one before.
+    pub fn set_listed(
+        &mut self,
+        service: ServiceKey,
+        listed: BTreeSet<VersionKey>,
+        now: Duration,
+    ) -> bool {
+        let was_mixed = self.view(service, now) == VersionView::Several;
+        let known = self.services.entry(service).or_default();
+        if known.listed == listed {
+            return false;
+        }
+        let only = match (listed.len(), listed.first()) {
+            (1, Some(version)) => Some(*version),
+            _ => None,
+        };
+        let is_other = only.is_some() && known.sole.is_some() && known.sole != only;
+        if listed.len() > 1 || known.listed.len() > 1 || is_other {
+            known.mixed_at = Some(now);
+        }
+        if only.is_some() && only != known.sole || known.listed.len() > 1 {
+            known.sole_since = now;
+        }
+        known.sole = only.or(known.sole);
+        known.listed = listed;
+        !was_mixed && self.view(service, now) == VersionView::Several
+    }
+
+    /// Returns the versions of a service that have been listed lately.
+    #[must_use]
+    pub fn view(&self, service: ServiceKey, now: Duration) -> VersionView {
+        let Some(known) = self.services.get(&service) else {
+            return VersionView::Unlisted;
+        };
+        let is_recent = |at: Duration| now < at + self.window();
+        if known.listed.len() > 1 || known.mixed_at.is_some_and(is_recent) {
+            return VersionView::Several;
+        }
+        let Some(sole) = known.sole else { return VersionView::Unlisted };
+        let known_for = now.saturating_sub(known.sole_since).as_millis();
+        VersionView::Sole(sole, u32::try_from(known_for).unwrap_or(u32::MAX))
+    }
+
+    /// Returns whether any service has several versions.
+    #[must_use]
+    pub fn has_several(&self, now: Duration) -> bool {
+        self.services
+            .keys()
+            .any(|service| self.view(*service, now) == VersionView::Several)
+    }
+
+    /// Returns for how long after its first event a stream may be taken up again.
+    #[must_use]
+    pub fn window(&self) -> Duration {
+        self.longest_life.clamp(MIN_WINDOW, MAX_WINDOW)
+    }
+
+    /// Notes the version of a stream that this instance serves, whose caller may take it up
+    /// again for `life`.
+    pub fn note_own(
+        &mut self,
+        stream: StreamKey,
+        version: VersionKey,
+        life: Duration,
+        now: Duration,
+    ) {
+        self.note(stream, version, life, true, now);
+    }
+
+    /// Notes what a peer has told of its streams.
+    pub fn note_told(&mut self, notes: &[VersionNote], now: Duration) {
+        for note in notes {
+            let life = Duration::from_secs(note.life_s.into());
+            self.note(note.stream, note.version, life, false, now);
+        }
+    }
+
+    /// Notes the version of a stream. A stream keeps the version that was noted first.
+    fn note(
+        &mut self,
+        stream: StreamKey,
+        version: VersionKey,
+        life: Duration,
+        own: bool,
+        now: Duration,
+    ) {
+        let life = life.min(MAX_WINDOW);
+        self.longest_life = self.longest_life.max(life);
+        if self.notes.len() >= MAX_NOTES && now >= self.expired_at + EXPIRY_PERIOD {
+            self.expire(now);
+        }
+        if self.notes.len() >= MAX_NOTES && !self.notes.contains_key(&stream) {
+            return;
+        }
+        let expires_at = now + life;
+        let noted = NotedStream { version, expires_at, own };
+        let known = self.notes.entry(stream).or_insert(noted);
+        known.own |= own;
+        known.expires_at = known.expires_at.max(expires_at);
+    }
+
+    /// Removes the note of a stream that is complete.
+    pub fn forget(&mut self, stream: StreamKey) {
+        self.notes.remove(&stream);
+    }
+
+    /// Removes the notes of streams that aren't taken up any more.
+    pub fn expire(&mut self, now: Duration) {
+        self.expired_at = now;
+        self.notes.retain(|_, noted| now < noted.expires_at);
+    }
+
+    /// Returns the number of notes.
+    #[must_use]
+    pub fn note_count(&self) -> usize {
+        self.notes.len()
+    }
+
+    /// Returns the notes of the streams that this instance serves or has lately served.
+    #[must_use]
+    pub fn own_notes(&self, now: Duration) -> Vec<VersionNote> {
+        let own = self.notes.iter().filter(|(_, noted)| noted.own);
+        let notes = own.map(|(stream, noted)| VersionNote {
+            stream: *stream,
+            version: noted.version,
+            life_s: whole_seconds(noted.expires_at.saturating_sub(now)),
+        });
+        notes.filter(|note| note.life_s > 0).collect()
+    }
+
+    /// Answers a peer, or this instance itself, which version began a stream. `is_current`
+    /// tells whether the list of servers is current.
+    #[must_use]
+    pub fn answer(
+        &self,
+        service: ServiceKey,
+        stream: StreamKey,
+        is_current: bool,
+        now: Duration,
+    ) -> VersionAnswer {
+        let noted = self.notes.get(&stream).filter(|noted| now < noted.expires_at);
+        VersionAnswer {
+            noted: noted.map(|noted| noted.version),
+            view: self.view(service, now),
+            is_current,
+        }
+    }
+}
+
+/// Converts a time span to seconds, rounded up.
+fn whole_seconds(span: Duration) -> u16 {
+    let seconds = span.as_millis().div_ceil(1000);
+    u16::try_from(seconds).unwrap_or(u16::MAX)
+}
--- /dev/null
+++ b/crates/flaxtide-policy/src/versions/mod.rs
@@ -0,0 +1,22 @@
+//! At which version of its service a stream has begun, wherever it is taken up again.
+//!
+//! Servers of several versions may serve side by side, and a stream may only be continued by
+//! servers of the version that began it. While a service has a single version there is
+//! nothing to remember. With several, each instance notes the versions of its streams and
+//! tells them to a few peers, its keepers; an instance that doesn't know the version of a
+//! stream asks its peers.
+//!
+//! - `book.rs`: what an instance knows of versions and streams;
+//! - `poll.rs`: what the answers of peers say together.
+
+mod book;
+mod poll;
+
+pub use self::book::{VersionAnswer, VersionBook, VersionNote, VersionView};
+pub use self::poll::{VersionDecision, VersionPoll};
+
+/// Identifies a stream: a hash of the id of the caller's attempt that brought its first event.
+pub type StreamKey = u64;
+
+/// Identifies a service in messages between instances: a hash of its name.
+pub type ServiceKey = u32;
--- /dev/null
+++ b/crates/flaxtide-policy/tests/stream_versions.rs
@@ -0,0 +1,113 @@
+//! What an instance knows of versions, and what it concludes from the answers of its peers.
+
+use std::time::Duration;
+
+use flaxtide_policy::{
+    VersionAnswer, VersionBook, VersionDecision, VersionPoll, VersionView,
+};
+
+/// The service of the tests.
+const SERVICE: u32 = 1;
+
+/// For how long streams are taken up again, unless a longer time was noted.
+const WINDOW: Duration = Duration::from_secs(30);
+
+fn s(seconds: u64) -> Duration {
+    Duration::from_secs(seconds)
+}
+
+#[test]
+fn a_service_has_several_versions_until_no_stream_of_the_last_can_come_back() {
+    let mut book = VersionBook::default();
+    assert_eq!(book.view(SERVICE, s(0)), VersionView::Unlisted);
+    // The second, the versions listed, whether the service turns, and the view two seconds later.
+    let steps: [(u64, &[u32], bool, VersionView); 8] = [
+        (10, &[7], false, VersionView::Sole(7, 2000)),
+        (60, &[7, 8], true, VersionView::Several),
+        (70, &[8], false, VersionView::Several),
+        (98, &[8], false, VersionView::Sole(8, 30_000)),
+        (110, &[], false, VersionView::Sole(8, 42_000)),
+        (120, &[8], false, VersionView::Sole(8, 52_000)),
+        (200, &[9], true, VersionView::Several),
+        (300, &[9], false, VersionView::Sole(9, 102_000)),
+    ];
+    for (at, listed, turns, view) in steps {
+        let listed = listed.iter().copied().collect();
+        assert_eq!(book.set_listed(SERVICE, listed, s(at)), turns, "at {at}");
+        assert_eq!(book.view(SERVICE, s(at + 2)), view, "at {at}");
+    }
+}
+
+#[test]
+fn a_note_lasts_as_long_as_its_caller_may_come_back() {
+    let mut book = VersionBook::default();
+    book.note_own(5, 7, s(15), s(0));
+    book.note_own(5, 8, s(15), s(1));
+    let noted = |book: &VersionBook, at| book.answer(SERVICE, 5, true, at).noted;
+    assert_eq!(noted(&book, s(15)), Some(7), "the first version stays");
+    assert_eq!(noted(&book, s(16)), None);
+    let mut peer = VersionBook::default();
+    peer.note_told(&book.own_notes(s(10)), s(100));
+    assert_eq!(noted(&peer, s(105)), Some(7));
+    assert_eq!(noted(&peer, s(107)), None);
+    assert!(peer.own_notes(s(101)).is_empty(), "only its own are told on");
+    book.note_own(6, 7, s(120), s(0));
+    assert_eq!(book.window(), s(120));
+}
+
+#[test]
+fn notes_are_bounded() {
+    let mut book = VersionBook::default();
+    for stream in 0..100_000 {
+        book.note_own(stream, 7, s(15), s(0));
+    }
+    assert_eq!(book.note_count(), 1 << 16);
+    book.note_own(200_000, 7, s(15), s(16));
+    assert_eq!(book.note_count(), 1, "expired ones make room");
+}
+
+/// An answer without a note.
+fn view(view: VersionView, is_current: bool) -> VersionAnswer {
+    VersionAnswer { noted: None, view, is_current }
+}
+
+#[test]
+fn only_what_is_certain_or_agreed_binds_a_stream() {
+    const LONG: u32 = 30_000;
+    const SHORT: u32 = 29_999;
+    let bound = VersionDecision::Bound;
+    let unknown = VersionDecision::Unknown;
+    let noted = VersionAnswer {
+        noted: Some(8),
+        view: VersionView::Several,
+        is_current: false,
+    };
+    let sole = |version, known| view(VersionView::Sole(version, known), true);
+    let stale = |version| view(VersionView::Sole(version, LONG), false);
+    let several = view(VersionView::Several, true);
+    let unlisted = view(VersionView::Unlisted, true);
+    // The own answer, those of peers, how many peers there are, and the decision.
+    let cases = [
+        (sole(7, LONG), vec![], 8, bound(7)),
+        (several, vec![several, noted], 8, bound(8)),
+        (stale(7), vec![noted], 8, bound(8)),
+        (sole(7, SHORT), vec![sole(7, LONG)], 8, bound(7)),
+        (unlisted, vec![sole(7, LONG)], 8, bound(7)),
+        (several, vec![several; 8], 8, unknown),
+        (several, vec![stale(7); 8], 8, unknown),
+        (stale(7), vec![stale(7); 4], 8, bound(7)),
+        (stale(7), vec![stale(7); 3], 8, unknown),
+        (stale(7), vec![], 8, unknown),
+        (stale(7), vec![stale(7), stale(7), stale(7), stale(8)], 8, unknown),
+        (sole(7, SHORT), vec![sole(7, SHORT); 4], 8, bound(7)),
+        (sole(7, SHORT), vec![], 0, bound(7)),
+        (unlisted, vec![unlisted; 8], 8, unknown),
+    ];
+    for (case, (own, answers, peers, decision)) in cases.into_iter().enumerate() {
+        let mut poll = VersionPoll::new(own, WINDOW, peers);
+        for answer in answers {
+            poll.add(answer);
+        }
+        assert_eq!(poll.finish(), decision, "case {case}");
+    }
+}
