Cut and restarted instances go on with streams of a single version

Half of all peers had to answer, and nothing counted as certain within 30 s after a start.

Change: callers come back to their data centre, so without certainty all peers of the own data centre that were heard lately have to answer, and half of all only if there are none. A single version is certain after the longest time for which callers come back, at least 15 s. A single instance that is cut off from its peers still refuses: they may have begun streams at a version that it can't know of.

--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions.rs
@@ -8,8 +8,8 @@
 use flaxtide_core::MilliClock;
 use flaxtide_fleet::{PendingQuestion, VersionExchange, VersionQuestion, fleet_key};
 use flaxtide_policy::{
-    ServiceKey, StreamKey, VersionAnswer, VersionBook, VersionDecision, VersionKey,
-    VersionNote, VersionPoll, VersionView,
+    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionBook, VersionDecision,
+    VersionKey, VersionNote, VersionPoll, VersionView,
 };
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
@@ -157,7 +157,7 @@
         let own = state.answer(service, stream, self.current_within, now);
         let window = state.book.window();
         if let Some(VersionDecision::Bound(version)) =
-            VersionPoll::new(own, window, 0).certain()
+            VersionPoll::new(own, window, AskedPeers::default()).certain()
         {
             return Ok((version, if own.noted.is_some() { "noted" } else { "sole" }));
         }
--- a/crates/flaxtide-fleet/src/node/versions.rs
+++ b/crates/flaxtide-fleet/src/node/versions.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use flaxtide_core::InstanceName;
-use flaxtide_policy::rendezvous_order;
+use flaxtide_policy::{AskedPeers, rendezvous_order};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::FleetNode;
@@ -53,23 +53,34 @@
         keepers.into_iter().map(keeper).collect()
     }
 
-    /// Returns the peers to ask for the version of a stream: all that were heard lately. One
-    /// that is stopping knows its own streams.
+    /// Returns the peers to ask for the version of a stream, and whether they are in the own data
+    /// centre: all that were heard lately. One that is stopping knows its own streams.
     #[must_use]
-    pub fn version_peers(&self, now: Duration) -> Vec<PeerInfo> {
+    pub fn version_peers(&self, now: Duration) -> Vec<(PeerInfo, bool)> {
         let peers = self.peers.values();
         let heard = peers.filter(|peer| self.is_peer_heard(peer, now));
-        heard.map(|peer| peer.info.clone()).collect()
+        let with_place = heard.map(|peer| {
+            let info = peer.info.clone();
+            let near = self.in_own_data_centre(&info);
+            (info, near)
+        });
+        with_place.collect()
     }
 
-    /// Returns the number of peers that would answer if all could be reached. An instance that
-    /// has just started knows none yet, but has addresses of some.
+    /// Returns how many peers would answer if all could be reached that were heard within
+    /// `window`. An instance that has just started knows none yet, but has addresses of some.
     #[must_use]
-    pub fn version_peer_count(&self, now: Duration) -> usize {
-        let heard = self.version_peers(now).len();
+    pub fn asked_peers(&self, window: Duration, now: Duration) -> AskedPeers {
+        let peers = self.peers.values();
+        let heard = peers.filter(|peer| peer.heard_within(now, window));
+        let (near, far): (Vec<_>, Vec<_>) =
+            heard.partition(|peer| self.in_own_data_centre(&peer.info));
         let seen = self.largest_group.saturating_sub(1).min(MAX_COUNTED_PEERS);
         let is_other = |seed: &SocketAddr| *seed != self.own.address;
         let expected = usize::from(self.seeds.iter().any(is_other));
-        heard.max(seen).max(expected)
+        AskedPeers {
+            all: (near.len() + far.len()).max(seen).max(expected),
+            near: near.len(),
+        }
     }
 }
--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -169,29 +169,27 @@
 /// Asks all peers some questions at once.
 async fn ask(shared: Arc<FleetShared>, pending: Vec<PendingQuestion>) {
     let now = shared.clock.now();
-    let (peers, known) = {
-        let node = shared.node();
-        (node.version_peers(now), node.version_peer_count(now))
-    };
+    let peers = shared.node().version_peers(now);
     let questions: Vec<VersionQuestion> =
         pending.iter().map(|pending| pending.question).collect();
     let mut polls: Vec<Option<(VersionPoll, _)>> = pending
         .into_iter()
         .map(|pending| {
-            let poll = VersionPoll::new(pending.own, pending.window, known);
+            let asked = shared.node().asked_peers(pending.window, now);
+            let poll = VersionPoll::new(pending.own, pending.window, asked);
             Some((poll, pending.decide))
         })
         .collect();
     let usable = peers
         .into_iter()
-        .filter(|peer| shared.version_state.may_send(peer.address, now));
+        .filter(|(peer, _)| shared.version_state.may_send(peer.address, now));
     let mut answers: FuturesUnordered<_> = usable
-        .map(|peer| ask_peer(shared.clone(), peer, questions.clone()))
+        .map(|(peer, near)| ask_peer(shared.clone(), peer, near, questions.clone()))
         .collect();
-    while let Some(answer) = answers.next().await {
+    while let Some((near, answer)) = answers.next().await {
         for (slot, answer) in polls.iter_mut().zip(answer.unwrap_or_default()) {
             let Some((poll, _)) = slot else { continue };
-            poll.add(answer);
+            poll.add(answer, near);
             if let Some(decision) = poll.certain()
                 && let Some((_, decide)) = slot.take()
             {
@@ -207,17 +205,18 @@
     }
 }
 
-/// Asks one peer.
+/// Asks one peer. Returns whether it is in the own data centre, and what it answers.
 async fn ask_peer(
     shared: Arc<FleetShared>,
     peer: PeerInfo,
+    near: bool,
     questions: Vec<VersionQuestion>,
-) -> Option<Vec<VersionAnswer>> {
+) -> (bool, Option<Vec<VersionAnswer>>) {
     let call = |client: PeerLinkClient, context| {
         let questions = questions.clone();
         async move { client.ask_versions(context, questions).await }
     };
-    call_peer(&shared, &peer, ANSWER_TIMEOUT, call).await
+    (near, call_peer(&shared, &peer, ANSWER_TIMEOUT, call).await)
 }
 
 /// Calls a peer, again if its link can't be opened yet or breaks. A late answer doesn't close
--- a/crates/flaxtide-policy/src/versions/book.rs
+++ b/crates/flaxtide-policy/src/versions/book.rs
@@ -9,7 +9,7 @@
 use crate::router::VersionKey;
 
 /// For at least this long after a version was listed, streams that it began may be taken up.
-const MIN_WINDOW: Duration = Duration::from_secs(30);
+const MIN_WINDOW: Duration = Duration::from_secs(15);
 
 /// No stream is taken up later than this after its first event.
 const MAX_WINDOW: Duration = Duration::from_secs(600);
--- a/crates/flaxtide-policy/src/versions/mod.rs
+++ b/crates/flaxtide-policy/src/versions/mod.rs
@@ -13,7 +13,7 @@
 mod poll;
 
 pub use self::book::{VersionAnswer, VersionBook, VersionNote, VersionView};
-pub use self::poll::{VersionDecision, VersionPoll};
+pub use self::poll::{AskedPeers, VersionDecision, VersionPoll};
 
 /// Identifies a stream: a hash of the id of the caller's attempt that brought its first event.
 pub type StreamKey = u64;
--- a/crates/flaxtide-policy/src/versions/poll.rs
+++ b/crates/flaxtide-policy/src/versions/poll.rs
@@ -14,21 +14,31 @@
     Unknown,
 }
 
+/// A number of peers.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct AskedPeers {
+    /// All peers.
+    pub all: usize,
+    /// Those in the own data centre.
+    pub near: usize,
+}
+
 /// A question to peers for the version of a stream, with the answers so far.
 ///
 /// A version is certain if an instance has noted it, or if an instance whose list is current
 /// has listed no other for as long as streams are taken up again. Without certainty, such as
-/// while nobody reads the list or after all instances have restarted, it counts that no other
-/// version is known to this instance and to at least half of the peers: a part of the fleet
-/// that is cut off may not know of a new version.
+/// while nobody can read the list or after all instances have restarted, a version counts if
+/// neither this instance nor any peer of its data centre knows another: callers come back to
+/// the data centre where they were before. If one of these peers doesn't answer, it may have
+/// begun streams at a version that this instance can't know of.
 #[derive(Debug)]
 pub struct VersionPoll {
     /// For how long a version must have been the only one to be certain.
     window: Duration,
-    /// The number of peers that would answer if all could be reached.
-    peers: usize,
-    /// The number of answers of peers.
-    answered: usize,
+    /// The peers that would answer if all could be reached.
+    asked: AskedPeers,
+    /// The peers that have answered.
+    answered: AskedPeers,
     /// The only version that any answer names, or `None` before one.
     only: Option<VersionKey>,
     /// Whether an answer names several versions, or another than the others.
@@ -38,13 +48,13 @@
 }
 
 impl VersionPoll {
-    /// Begins with the answer of this instance itself, which asks `peers` peers.
+    /// Begins with the answer of this instance itself.
     #[must_use]
-    pub fn new(own: VersionAnswer, window: Duration, peers: usize) -> Self {
+    pub fn new(own: VersionAnswer, window: Duration, asked: AskedPeers) -> Self {
         let mut poll = Self {
             window,
-            peers,
-            answered: 0,
+            asked,
+            answered: AskedPeers::default(),
             only: None,
             differs: false,
             certain: None,
@@ -53,9 +63,10 @@
         poll
     }
 
-    /// Adds the answer of a peer.
-    pub fn add(&mut self, answer: VersionAnswer) {
-        self.answered += 1;
+    /// Adds the answer of a peer. `is_near` tells whether it is in the own data centre.
+    pub fn add(&mut self, answer: VersionAnswer, is_near: bool) {
+        self.answered.all += 1;
+        self.answered.near += usize::from(is_near);
         self.read(answer);
     }
 
@@ -71,7 +82,10 @@
         if let Some(decision) = self.certain() {
             return decision;
         }
-        let is_quorum = self.answered * 2 >= self.peers;
+        let is_quorum = match self.asked.near {
+            0 => self.answered.all * 2 >= self.asked.all,
+            near => self.answered.near >= near,
+        };
         match self.only {
             Some(version) if is_quorum && !self.differs => {
                 VersionDecision::Bound(version)
