No stream begins at a version that other instances may not know

An instance that hasn't listed a new version yet takes the old one for the only one, and would continue a stream of the new version there. Rows reach instances within the time after which a leaving server must get no requests, 2 s here.

Change: for 1.25 times as long, no stream begins at the servers of a version that has just been listed, while servers of an earlier one are in service. Other requests, and streams of that version, go there at once. With it, a single version in a current list is certain at all instances without a word between them.

Measured by tests: tables of the versions that settle, and of the requests that wait for it.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -172,6 +172,7 @@
         run_limit: forward.map_or(run_limit, |head| head.run_limit.min(run_limit)),
         regions: matched.regions,
         version: bound_version,
+        begins_stream: stream.is_some() && bound_version.is_none(),
         prompt: head.prompt,
     };
     Ok(run_attempts(call, request, route_call).await)
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -336,6 +336,7 @@
             state.run_router(|core, now| core.tick(now));
         }
         expire_servers(&state);
+        state.update_settling();
         log_server_health(&state);
         log_reach(&state);
         state.forward_peers.maintain(&state, &events);
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -1,17 +1,16 @@
 //! Passes the servers of the directory to the router.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeMap, HashMap};
 
 use flaxtide_core::{PoolId, ServerId, ServerName};
 use flaxtide_fleet::fleet_key;
-use flaxtide_policy::{
-    ColdStart, DataCentreKey, EngineShape, RoutedServer, ServiceKey, VersionKey,
-};
+use flaxtide_policy::{ColdStart, DataCentreKey, EngineShape, RoutedServer};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::contract::BackendService;
 use crate::directory::DirectoryEntry;
 use crate::state::TrafficState;
+use crate::versions::ListedServices;
 
 /// How many requests a plain server runs at once if neither its service's settings nor its row in
 /// the platform's store states a number.
@@ -24,6 +23,7 @@
     /// Passes all servers to the router.
     pub(crate) fn update_router_servers(&self) {
         let Some(table) = self.route_table() else { return };
+        self.update_versions();
         let mut servers: HashMap<&str, Vec<RoutedServer>> = HashMap::new();
         let mut routed = HashMap::new();
         let directory = self.directory.borrow();
@@ -48,6 +48,9 @@
     /// directory have changed.
     pub(crate) fn update_router_servers_named(&self, names: &[ServerName]) {
         let Some(table) = self.route_table() else { return };
+        if self.update_versions() {
+            return self.update_router_servers();
+        }
         let mut changes: BTreeMap<PoolId, (Vec<RoutedServer>, Vec<ServerId>)> =
             BTreeMap::new();
         for name in names {
@@ -79,16 +82,31 @@
         self.finish_server_update();
     }
 
-    /// Exports the number of servers, records their versions, and applies what peers have said
-    /// of new ones.
-    fn finish_server_update(&self) {
-        let mut versions: HashMap<ServiceKey, BTreeSet<VersionKey>> = HashMap::new();
+    /// Records the listed versions of all services. Returns whether those have changed at which
+    /// no streams begin yet.
+    fn update_versions(&self) -> bool {
+        let mut services = ListedServices::new();
         for listed in self.directory.borrow().iter() {
             let entry = &listed.entry;
-            let known = versions.entry(fleet_key(&entry.service)).or_default();
-            known.insert(fleet_key(&entry.version));
+            let service = services.entry(fleet_key(&entry.service)).or_default();
+            let count = service.entry(fleet_key(&entry.version)).or_default();
+            *count += usize::from(!entry.leaving);
+        }
+        self.versions.set_listed(&services);
+        let settling = self.versions.settling(&services);
+        let before = self.settling.replace(settling);
+        before != *self.settling.borrow()
+    }
+
+    /// Lets streams begin at versions that all instances know by now.
+    pub(crate) fn update_settling(&self) {
+        if !self.settling.borrow().is_empty() && self.update_versions() {
+            self.update_router_servers();
         }
-        self.versions.set_listed(versions);
+    }
+
+    /// Exports the number of servers, and applies what peers have said of new ones.
+    fn finish_server_update(&self) {
         self.metrics.servers.set(self.directory.borrow().len() as i64);
         self.pushback.apply_pending(self);
     }
@@ -111,6 +129,9 @@
                 ended_at.map_or(until, |at| until.max(at.saturating_add(start.span)));
             ColdStart { rate: start.rate, span: start.span, until }
         });
+        let version = fleet_key(&entry.version);
+        let settling = self.settling.borrow();
+        let settling = settling.get(&fleet_key(&entry.service));
         RoutedServer {
             server: self.server_id(entry),
             name_hash: xxh3_64(entry.name.as_bytes()),
@@ -120,7 +141,8 @@
                 fetch_tokens_per_ms: engine.fetch_tokens_per_ms,
             }),
             data_centre,
-            version: fleet_key(&entry.version),
+            version,
+            settling: settling.is_some_and(|versions| versions.contains(&version)),
             region: config.region_of(&entry.data_centre).map(fleet_key),
             local: entry.data_centre == config.data_centre,
             leaving: entry.leaving || self.evacuations.is_evacuated(data_centre),
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -34,7 +34,7 @@
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
 use crate::upstream::ServerConnections;
-use crate::versions::StreamVersions;
+use crate::versions::{SettlingVersions, StreamVersions};
 use crate::watch::OwnSightings;
 
 /// The phase of a planned stop.
@@ -90,6 +90,8 @@
     pub(crate) carried: CarriedCalls,
     /// What this instance has seen of the engines that it watches.
     pub(crate) own_sightings: OwnSightings,
+    /// The versions at which no streams begin yet.
+    pub(crate) settling: RefCell<SettlingVersions>,
     /// The versions of streams.
     pub(crate) versions: Arc<StreamVersions>,
     /// Whether the server list has been read at least once.
@@ -170,6 +172,7 @@
             forward_peers: ForwardPeers::default(),
             carried,
             own_sightings: OwnSightings::default(),
+            settling: RefCell::default(),
             versions: Arc::new(versions),
             servers_listed: Cell::new(false),
             router: RefCell::new(core),
--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions.rs
@@ -1,7 +1,7 @@
 //! At which versions of their services streams have begun: notes those of this instance, tells
 //! them to peers, and finds out those of streams that callers take up again.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -24,10 +24,20 @@
 /// The most notes that wait to be told, and questions that wait to be asked.
 const MAX_QUEUED: usize = 4096;
 
+/// How long no stream begins at a new version, as a multiple of the time in which the list of
+/// servers is current at all instances. The rest is for the way of the rows to the router.
+const SETTLING_FACTOR: f64 = 1.25;
+
 /// Without a deadline of its own, a caller is taken to come back to a stream for this many times
 /// the time-out of its class.
 const LIFE_TIMEOUTS: u32 = 2;
 
+/// The versions of each service, with the number of their servers in service.
+pub(crate) type ListedServices = HashMap<ServiceKey, BTreeMap<VersionKey, usize>>;
+
+/// The versions of each service at which no streams begin yet.
+pub(crate) type SettlingVersions = HashMap<ServiceKey, BTreeSet<VersionKey>>;
+
 /// What an instance knows of the versions of streams, shared by the traffic thread and the fleet
 /// thread.
 pub(crate) struct StreamVersions {
@@ -106,12 +116,12 @@
         state.covered_until = state.covered_until.max(Some(until));
     }
 
-    /// Sets the versions of all services.
-    pub(crate) fn set_listed(&self, services: HashMap<ServiceKey, BTreeSet<VersionKey>>) {
+    /// Sets the versions of all services, each with the number of its servers in service.
+    pub(crate) fn set_listed(&self, services: &ListedServices) {
         let now = self.clock.now();
         let mut state = self.lock();
         for (service, listed) in services {
-            if state.book.set_listed(service, listed, now) {
+            if state.book.set_listed(*service, listed, now) {
                 // From now on it has to be known which version began a stream.
                 let notes = state.book.own_notes(now);
                 log::info!(service, notes = notes.len(); "several versions listed");
@@ -120,6 +130,18 @@
         }
     }
 
+    /// Returns the versions that other instances may not have listed yet. They learn of it
+    /// within the time in which the list is current.
+    pub(crate) fn settling(&self, services: &ListedServices) -> SettlingVersions {
+        let now = self.clock.now();
+        let grace = self.current_within.mul_f64(SETTLING_FACTOR);
+        let state = self.lock();
+        let settling =
+            |service: &ServiceKey| (*service, state.book.settling(*service, grace, now));
+        let settling = services.keys().map(settling);
+        settling.filter(|(_, versions)| !versions.is_empty()).collect()
+    }
+
     /// Notes the version at which a stream runs.
     pub(crate) fn note(&self, identity: StreamIdentity, version: VersionKey) {
         let now = self.clock.now();
--- a/crates/flaxtide-lab/src/burst.rs
+++ b/crates/flaxtide-lab/src/burst.rs
@@ -163,6 +163,7 @@
             row_missing: false,
             region: None,
             version: 0,
+            settling: false,
             cold: None,
         };
         let servers: Vec<RoutedServer> = (0..pattern.engines).map(server).collect();
@@ -241,6 +242,7 @@
             run_limit: 1,
             regions: None,
             version: None,
+            begins_stream: false,
         };
         let actions = self.core.arrive(order, self.now);
         self.obey(actions);
--- a/crates/flaxtide-lab/src/fleet.rs
+++ b/crates/flaxtide-lab/src/fleet.rs
@@ -462,6 +462,7 @@
             run_limit: 2,
             regions: None,
             version: None,
+            begins_stream: false,
         };
         let actions = self.cores[instance as usize].arrive(order, self.now);
         self.obey(actions);
--- a/crates/flaxtide-lab/src/world.rs
+++ b/crates/flaxtide-lab/src/world.rs
@@ -374,6 +374,7 @@
         row_missing: false,
         region: None,
         version: 0,
+        settling: false,
         cold: None,
     }
 }
@@ -395,5 +396,6 @@
         run_limit: 1,
         regions: None,
         version: None,
+        begins_stream: false,
     }
 }
--- a/crates/flaxtide-lab/tests/common/mod.rs
+++ b/crates/flaxtide-lab/tests/common/mod.rs
@@ -27,6 +27,7 @@
         run_limit: 2,
         regions: None,
         version: None,
+        begins_stream: false,
     }
 }
 
@@ -48,6 +49,7 @@
         row_missing: false,
         region: None,
         version: 0,
+        settling: false,
         cold: None,
     }
 }
--- a/crates/flaxtide-policy/benches/gate.rs
+++ b/crates/flaxtide-policy/benches/gate.rs
@@ -36,6 +36,7 @@
         row_missing: false,
         region: None,
         version: 0,
+        settling: false,
         cold: None,
     };
     let servers: Vec<RoutedServer> = (0..engines).map(engine).collect();
@@ -69,6 +70,7 @@
         run_limit: 2,
         regions: None,
         version: None,
+        begins_stream: false,
     }
 }
 
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -123,6 +123,8 @@
     /// The only version of a server's software that may get the request, because it
     /// continues a stream; `None` for any.
     pub version: Option<VersionKey>,
+    /// Whether the request begins a stream that may be continued elsewhere.
+    pub begins_stream: bool,
 }
 
 /// A fault of a server, as seen by one request.
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -37,6 +37,8 @@
     pub data_centre: DataCentreKey,
     /// The version of the server's software.
     pub version: VersionKey,
+    /// Whether other instances may not know the version yet, so that no streams begin at it.
+    pub settling: bool,
     /// The region of the server, if it is known.
     pub region: Option<RegionKey>,
     /// Whether the server is in the same data centre as this instance.
@@ -59,13 +61,17 @@
     }
 
     /// Returns whether a request may be sent to the server: it is in service, in one of the
-    /// request's regions if these are limited, and of its version if it continues a stream.
+    /// request's regions if these are limited, of its version if it continues a stream, and of
+    /// a version that other instances know if it begins one.
     #[must_use]
     pub fn accepts(&self, call: &RouteCall) -> bool {
         let in_region = call.regions.as_ref().is_none_or(|regions| {
             self.region.is_some_and(|region| regions.contains(&region))
         });
-        let has_version = call.version.is_none_or(|version| version == self.version);
+        let has_version = match call.version {
+            Some(version) => version == self.version,
+            None => !(call.begins_stream && self.settling),
+        };
         self.in_service() && in_region && has_version
     }
 }
--- a/crates/flaxtide-policy/src/versions/book.rs
+++ b/crates/flaxtide-policy/src/versions/book.rs
@@ -1,6 +1,6 @@
 //! What an instance knows of the versions of services and streams.
 
-use std::collections::{BTreeSet, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -60,9 +60,9 @@
 /// use std::time::Duration;
 /// use flaxtide_policy::{VersionBook, VersionView};
 /// let (mut book, now) = (VersionBook::default(), Duration::ZERO);
-/// book.set_listed(1, [7].into(), now);
+/// book.set_listed(1, &[(7, 18)].into(), now);
 /// assert_eq!(book.view(1, now), VersionView::Sole(7, 0));
-/// book.set_listed(1, [7, 8].into(), now);
+/// book.set_listed(1, &[(7, 18), (8, 1)].into(), now);
 /// book.note_own(5, 8, Duration::from_secs(15), now);
 /// assert_eq!(book.answer(1, 5, true, now).noted, Some(8));
 /// assert_eq!(book.answer(1, 6, true, now).view, VersionView::Several);
@@ -83,7 +83,7 @@
 #[derive(Debug, Default)]
 struct ListedVersions {
     /// The versions of the servers that are listed now.
-    listed: BTreeSet<VersionKey>,
+    listed: BTreeMap<VersionKey, ListedVersion>,
     /// The last version that was listed alone, or `None` before any.
     sole: Option<VersionKey>,
     /// Since when nothing else is known to have been listed.
@@ -92,6 +92,15 @@
     mixed_at: Option<Duration>,
 }
 
+/// A version of a service that is listed.
+#[derive(Debug, Clone, Copy)]
+struct ListedVersion {
+    /// The number of its servers in service.
+    in_service: usize,
+    /// Since when it has been listed.
+    since: Duration,
+}
+
 /// The version of a stream.
 #[derive(Debug, Clone, Copy)]
 struct NotedStream {
@@ -104,20 +113,29 @@
 }
 
 impl VersionBook {
-    /// Sets the versions of the servers of a service that are listed. Returns whether the
-    /// service has several from now on and had a single one before.
+    /// Sets the versions of the servers of a service that are listed, each with the number of
+    /// its servers in service. Returns whether the service has several versions from now on and
+    /// had a single one before.
     pub fn set_listed(
         &mut self,
         service: ServiceKey,
-        listed: BTreeSet<VersionKey>,
+        counts: &BTreeMap<VersionKey, usize>,
         now: Duration,
     ) -> bool {
         let was_mixed = self.view(service, now) == VersionView::Several;
         let known = self.services.entry(service).or_default();
-        if known.listed == listed {
+        let listed: BTreeMap<VersionKey, ListedVersion> = counts
+            .iter()
+            .map(|(version, in_service)| {
+                let since = known.listed.get(version).map_or(now, |known| known.since);
+                (*version, ListedVersion { in_service: *in_service, since })
+            })
+            .collect();
+        if known.listed.keys().eq(listed.keys()) {
+            known.listed = listed;
             return false;
         }
-        let only = match (listed.len(), listed.first()) {
+        let only = match (listed.len(), listed.keys().next()) {
             (1, Some(version)) => Some(*version),
             _ => None,
         };
@@ -148,6 +166,26 @@
         VersionView::Sole(sole, u32::try_from(known_for).unwrap_or(u32::MAX))
     }
 
+    /// Returns the versions of a service that have been listed for less than `grace`, so that
+    /// other instances may not have listed them yet, if the service has servers of others.
+    #[must_use]
+    pub fn settling(
+        &self,
+        service: ServiceKey,
+        grace: Duration,
+        now: Duration,
+    ) -> BTreeSet<VersionKey> {
+        let Some(known) = self.services.get(&service) else { return BTreeSet::new() };
+        let (new, old): (Vec<_>, Vec<_>) = known
+            .listed
+            .iter()
+            .partition(|(_, listed)| now < listed.since + grace);
+        match old.iter().any(|(_, listed)| listed.in_service > 0) {
+            true => new.into_iter().map(|(version, _)| *version).collect(),
+            false => BTreeSet::new(),
+        }
+    }
+
     /// Returns whether any service has several versions.
     #[must_use]
     pub fn has_several(&self, now: Duration) -> bool {
--- a/crates/flaxtide-policy/tests/common/mod.rs
+++ b/crates/flaxtide-policy/tests/common/mod.rs
@@ -31,6 +31,7 @@
         row_missing: false,
         region: None,
         version: 0,
+        settling: false,
         cold: None,
     }
 }
@@ -65,6 +66,7 @@
         run_limit: 2,
         regions: None,
         version: None,
+        begins_stream: false,
     }
 }
 
--- a/crates/flaxtide-policy/tests/stream_versions.rs
+++ b/crates/flaxtide-policy/tests/stream_versions.rs
@@ -32,12 +32,34 @@
         (300, &[9], false, VersionView::Sole(9, 102_000)),
     ];
     for (at, listed, turns, view) in steps {
-        let listed = listed.iter().copied().collect();
-        assert_eq!(book.set_listed(SERVICE, listed, s(at)), turns, "at {at}");
+        let listed = listed.iter().map(|version| (*version, 1)).collect();
+        assert_eq!(book.set_listed(SERVICE, &listed, s(at)), turns, "at {at}");
         assert_eq!(book.view(SERVICE, s(at + 2)), view, "at {at}");
     }
 }
 
+/// A second, the servers in service by version, and the versions that settle.
+type SettlingStep = (u64, &'static [(u32, usize)], &'static [u32]);
+
+#[test]
+fn no_streams_begin_at_a_version_that_others_may_not_know() {
+    let mut book = VersionBook::default();
+    let steps: [SettlingStep; 7] = [
+        (0, &[(7, 3), (8, 1)], &[]),
+        (10, &[(7, 3)], &[]),
+        (20, &[(7, 3), (9, 1)], &[9]),
+        (21, &[(7, 0), (9, 2)], &[]),
+        (22, &[(7, 1), (9, 2)], &[9]),
+        (23, &[(7, 1), (9, 2)], &[]),
+        (30, &[(9, 2)], &[]),
+    ];
+    for (at, listed, settling) in steps {
+        book.set_listed(SERVICE, &listed.iter().copied().collect(), s(at));
+        let settling = settling.iter().copied().collect();
+        assert_eq!(book.settling(SERVICE, s(3), s(at)), settling, "at {at}");
+    }
+}
+
 #[test]
 fn a_note_lasts_as_long_as_its_caller_may_come_back() {
     let mut book = VersionBook::default();
--- a/crates/flaxtide-policy/tests/versions.rs
+++ b/crates/flaxtide-policy/tests/versions.rs
@@ -103,3 +103,19 @@
     };
     assert_eq!(*reason, RefusalCause::NoServerOfVersion);
 }
+
+#[test]
+fn only_streams_that_begin_wait_for_a_version_to_settle() {
+    let mut core = core_with(0);
+    let settling =
+        |server| RoutedServer { version: COMMON, settling: true, ..engine(server) };
+    let old = RoutedServer { version: RARE, ..engine(9) };
+    let servers: Vec<RoutedServer> = (0..8).map(settling).chain([old]).collect();
+    core.set_servers(POOL, &servers, ms(0));
+    for request in 0..4 {
+        let begins = RouteCall { begins_stream: true, ..call(request, 100, true) };
+        assert_eq!(sent_to(&mut core, begins), Some(9));
+    }
+    assert!(sent_to(&mut core, call(4, 100, true)).is_some_and(|server| server < 8));
+    assert!(sent_to(&mut core, bound(5, COMMON)).is_some_and(|server| server < 8));
+}
