Requests that wait for a full version are tried once a pass

Each event at a service tries all requests that wait beside the queue. A hundred of them that wait for the two servers left of a version would each compare these servers again. After one found no room, the others that wait for the same version are left until the next event. They keep their order.

--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -5,7 +5,7 @@
 
 use flaxtide_core::{PoolId, RequestId};
 
-use super::call::{CallPhase, RouteFault, RoutedCall};
+use super::call::{CallPhase, RouteFault, RoutedCall, VersionKey};
 use super::choose::RouteReason;
 use super::liveness::{EngineLiveness, WATCH_PERIOD, is_sooner_elsewhere, stream_gap};
 use super::server::ServerState;
@@ -289,16 +289,24 @@
         }
     }
 
-    /// Dispatches the requests that wait to be retried, and refuses those that no server
-    /// accepts in time.
+    /// Dispatches the requests that wait beside the queue, and refuses those that no server
+    /// accepts in time. Of those that wait for the same version, none is tried after one for
+    /// which there is no room.
     pub(super) fn dispatch_retries(&mut self, pool: PoolId, now: Duration) {
         let Some(state) = self.pools.get_mut(&pool) else { return };
+        let mut full: Vec<VersionKey> = vec![];
         for request in std::mem::take(&mut state.retries) {
-            if let Some(choice) = self.choose(pool, request, now) {
+            let unsent = self.calls.get(&request).filter(|call| {
+                call.excluded.is_empty() && call.details.regions.is_none()
+            });
+            let version = unsent.and_then(|call| call.details.version);
+            let is_full = version.is_some_and(|version| full.contains(&version));
+            if !is_full && let Some(choice) = self.choose(pool, request, now) {
                 self.dispatch(request, choice, now);
-            } else if self.no_server_in_time(request, now) {
+            } else if !is_full && self.no_server_in_time(request, now) {
                 self.refuse_unavailable(request, now);
             } else if let Some(state) = self.pools.get_mut(&pool) {
+                full.extend(version.filter(|_| !is_full));
                 state.retries.push(request);
             }
         }
