--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -48,7 +48,7 @@
     /// directory have changed.
     pub(crate) fn update_router_servers_named(&self, names: &[ServerName]) {
         let Some(table) = self.route_table() else { return };
-        if self.update_versions() {
+        if self.update_versions_named(names) {
             return self.update_router_servers();
         }
         let mut changes: BTreeMap<PoolId, (Vec<RoutedServer>, Vec<ServerId>)> =
@@ -82,25 +82,41 @@
         self.finish_server_update();
     }
 
-    /// Records the listed versions of all services. Returns whether those have changed at which
+    /// Records the versions of all listed servers. Returns whether those have changed at which
     /// no streams begin yet.
     fn update_versions(&self) -> bool {
-        let mut services = ListedServices::new();
-        for listed in self.directory.borrow().iter() {
-            let entry = &listed.entry;
-            let service = services.entry(fleet_key(&entry.service)).or_default();
-            let count = service.entry(fleet_key(&entry.version)).or_default();
-            *count += usize::from(!entry.leaving);
+        let directory = self.directory.borrow();
+        let mut counts = self.version_counts.borrow_mut();
+        counts.clear();
+        for listed in directory.iter() {
+            counts.put(&listed.entry.name, Some(&listed.entry));
         }
-        self.versions.set_listed(&services);
-        let settling = self.versions.settling(&services);
+        self.apply_versions(counts.services())
+    }
+
+    /// Records the versions of the servers with these names. Returns whether the versions have
+    /// changed at which no streams begin yet.
+    fn update_versions_named(&self, names: &[ServerName]) -> bool {
+        let directory = self.directory.borrow();
+        let mut counts = self.version_counts.borrow_mut();
+        for name in names {
+            counts.put(name, directory.get(name).map(|listed| &listed.entry));
+        }
+        self.apply_versions(counts.services())
+    }
+
+    /// Applies the versions of all services. Returns whether those have changed at which no
+    /// streams begin yet.
+    fn apply_versions(&self, services: &ListedServices) -> bool {
+        self.versions.set_listed(services);
+        let settling = self.versions.settling(services);
         let before = self.settling.replace(settling);
         before != *self.settling.borrow()
     }
 
     /// Lets streams begin at versions that all instances know by now.
     pub(crate) fn update_settling(&self) {
-        if !self.settling.borrow().is_empty() && self.update_versions() {
+        if !self.settling.borrow().is_empty() && self.update_versions_named(&[]) {
             self.update_router_servers();
         }
     }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -34,7 +34,7 @@
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
 use crate::upstream::ServerConnections;
-use crate::versions::{SettlingVersions, StreamVersions};
+use crate::versions::{SettlingVersions, StreamVersions, VersionCounts};
 use crate::watch::OwnSightings;
 
 /// The phase of a planned stop.
@@ -90,6 +90,8 @@
     pub(crate) carried: CarriedCalls,
     /// What this instance has seen of the engines that it watches.
     pub(crate) own_sightings: OwnSightings,
+    /// The versions of the servers in the directory.
+    pub(crate) version_counts: RefCell<VersionCounts>,
     /// The versions at which no streams begin yet.
     pub(crate) settling: RefCell<SettlingVersions>,
     /// The versions of streams.
@@ -172,6 +174,7 @@
             forward_peers: ForwardPeers::default(),
             carried,
             own_sightings: OwnSightings::default(),
+            version_counts: RefCell::default(),
             settling: RefCell::default(),
             versions: Arc::new(versions),
             servers_listed: Cell::new(false),
