A refused connection is enough to tell a broken end

Whether an answer without a length has ended with its server was asked as for quarantine: another server has to be reached too, within 50 ms. On a busy machine that may fail, and the broken answer would look complete. The server has just closed a connection to this instance, so the path isn't in question: its own address is asked only.

Also a note that has expired gives way to a new one before it is removed.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -48,6 +48,12 @@
     exited
 }
 
+/// Returns whether a server's address refuses connections, just after the server has closed one.
+/// The path of this instance isn't in question then, so no other server is tried.
+pub(crate) async fn refuses_connections(state: &TrafficState, server: ServerId) -> bool {
+    probe(state, server).await == Some(ErrorKind::ConnectionRefused)
+}
+
 /// Opens a connection to a server, and keeps it for requests. Returns the error if it can't be
 /// opened in time.
 async fn probe(state: &TrafficState, server: ServerId) -> Option<ErrorKind> {
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -19,7 +19,7 @@
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
 use crate::contract::UpstreamHead;
-use crate::crash::server_has_exited;
+use crate::crash::refuses_connections;
 use crate::forward::{PeerReply, check_forwarded_head, forwarded_headers};
 use crate::state::TrafficState;
 use crate::upstream::{ServerConnection, connect};
@@ -154,8 +154,8 @@
     /// # Errors
     ///
     /// Returns [`RouteFault::Broken`] if only the end of the connection marks that of the
-    /// body, and its content isn't whole or the server has exited. A server that is leaving
-    /// may have exited after this response.
+    /// body, and its content isn't whole or the server has exited: its address refuses
+    /// connections. A server that is leaving may have exited after this response.
     pub(crate) async fn check_end(
         &self,
         is_whole: bool,
@@ -166,7 +166,7 @@
         }
         let is_whole = is_whole
             && (state.is_leaving(self.server)
-                || !server_has_exited(state, self.server).await);
+                || !refuses_connections(state, self.server).await);
         let outcome = if is_whole { "whole" } else { "broken" };
         state.metrics.unframed_ends.with_label_values(&[outcome]).inc();
         if is_whole { Ok(()) } else { Err(RouteFault::Broken) }
--- a/crates/flaxtide-policy/src/versions/book.rs
+++ b/crates/flaxtide-policy/src/versions/book.rs
@@ -244,6 +244,9 @@
         let expires_at = now + life;
         let noted = NotedStream { version, expires_at, own };
         let known = self.notes.entry(stream).or_insert(noted);
+        if now >= known.expires_at {
+            *known = noted;
+        }
         known.own |= own;
         known.expires_at = known.expires_at.max(expires_at);
     }
