--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -55,6 +55,7 @@
 mod state;
 mod stop;
 mod upstream;
+mod version_counts;
 mod versions;
 mod watch;
 
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -10,7 +10,7 @@
 use crate::contract::BackendService;
 use crate::directory::DirectoryEntry;
 use crate::state::TrafficState;
-use crate::versions::ListedServices;
+use crate::version_counts::ListedServices;
 
 /// How many requests a plain server runs at once if neither its service's settings nor its row in
 /// the platform's store states a number.
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -34,7 +34,8 @@
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
 use crate::upstream::ServerConnections;
-use crate::versions::{SettlingVersions, StreamVersions, VersionCounts};
+use crate::version_counts::VersionCounts;
+use crate::versions::{SettlingVersions, StreamVersions};
 use crate::watch::OwnSightings;
 
 /// The phase of a planned stop.
--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions.rs
@@ -1,11 +1,11 @@
 //! At which versions of their services streams have begun: notes those of this instance, tells
 //! them to peers, and finds out those of streams that callers take up again.
 
-use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::collections::{BTreeSet, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
-use flaxtide_core::{MilliClock, ServerName};
+use flaxtide_core::MilliClock;
 use flaxtide_fleet::{PendingQuestion, VersionExchange, VersionQuestion, fleet_key};
 use flaxtide_policy::{
     AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionBook, VersionDecision,
@@ -14,9 +14,10 @@
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::contract::{CallKind, RequestClass, RequestHead, ServerEntry};
+use crate::contract::{CallKind, RequestClass, RequestHead};
 use crate::reply::LocalReply;
 use crate::state::TrafficState;
+use crate::version_counts::ListedServices;
 
 /// How long a caller waits at most for what peers know of its stream.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(500);
@@ -32,55 +33,6 @@
 /// the time-out of its class.
 const LIFE_TIMEOUTS: u32 = 2;
 
-/// The versions of each service, with the number of their servers in service.
-pub(crate) type ListedServices = HashMap<ServiceKey, BTreeMap<VersionKey, usize>>;
-
-/// Counts the listed servers of each version, without a walk over all of them at each change.
-#[derive(Debug, Default)]
-pub(crate) struct VersionCounts {
-    /// The service and the version of each server, and whether it is in service.
-    servers: HashMap<ServerName, (ServiceKey, VersionKey, bool)>,
-    /// The versions of each service.
-    services: ListedServices,
-    /// The number of servers of each version, in service or not.
-    sizes: HashMap<(ServiceKey, VersionKey), usize>,
-}
-
-impl VersionCounts {
-    /// Removes all servers. Services stay known.
-    pub(crate) fn clear(&mut self) {
-        self.servers.clear();
-        self.sizes.clear();
-        self.services.values_mut().for_each(BTreeMap::clear);
-    }
-
-    /// Replaces what is known of a server; `None` if it isn't listed.
-    pub(crate) fn put(&mut self, name: &str, entry: Option<&ServerEntry>) {
-        if let Some((service, version, in_service)) = self.servers.remove(name) {
-            let size = self.sizes.entry((service, version)).or_default();
-            *size -= 1;
-            let versions = self.services.entry(service).or_default();
-            if *size == 0 {
-                versions.remove(&version);
-            } else if in_service && let Some(count) = versions.get_mut(&version) {
-                *count -= 1;
-            }
-        }
-        let Some(entry) = entry else { return };
-        let (service, version) = (fleet_key(&entry.service), fleet_key(&entry.version));
-        *self.sizes.entry((service, version)).or_default() += 1;
-        let versions = self.services.entry(service).or_default();
-        *versions.entry(version).or_default() += usize::from(!entry.leaving);
-        let known = (service, version, !entry.leaving);
-        self.servers.insert(entry.name.clone(), known);
-    }
-
-    /// Returns the versions of each service.
-    pub(crate) fn services(&self) -> &ListedServices {
-        &self.services
-    }
-}
-
 /// The versions of each service at which no streams begin yet.
 pub(crate) type SettlingVersions = HashMap<ServiceKey, BTreeSet<VersionKey>>;
 
