--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions.rs
@@ -8,8 +8,8 @@
 use flaxtide_core::MilliClock;
 use flaxtide_fleet::{PendingQuestion, VersionExchange, VersionQuestion, fleet_key};
 use flaxtide_policy::{
-    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionBook, VersionDecision,
-    VersionKey, VersionNote, VersionPoll, VersionView,
+    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionKey,
+    VersionNote, VersionPoll, VersionRegistry, VersionView,
 };
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
@@ -53,7 +53,7 @@
 #[derive(Default)]
 struct VersionsState {
     /// The versions of services and streams.
-    book: VersionBook,
+    registry: VersionRegistry,
     /// The time up to which the list of servers is complete.
     covered_until: Option<Duration>,
     /// The notes that haven't been told yet.
@@ -119,9 +119,9 @@
         let now = self.clock.now();
         let mut state = self.lock();
         for (service, listed) in services {
-            if state.book.set_listed(*service, listed, now) {
+            if state.registry.set_listed(*service, listed, now) {
                 // From now on it has to be known which version began a stream.
-                let notes = state.book.own_notes(now);
+                let notes = state.registry.own_notes(now);
                 log::info!(service, notes = notes.len(); "several versions listed");
                 state.queue_notes(notes);
             }
@@ -134,8 +134,9 @@
         let now = self.clock.now();
         let grace = self.current_within.mul_f64(SETTLING_FACTOR);
         let state = self.lock();
-        let settling =
-            |service: &ServiceKey| (*service, state.book.settling(*service, grace, now));
+        let settling = |service: &ServiceKey| {
+            (*service, state.registry.settling(*service, grace, now))
+        };
         let settling = services.keys().map(settling);
         settling.filter(|(_, versions)| !versions.is_empty()).collect()
     }
@@ -145,8 +146,8 @@
         let now = self.clock.now();
         let mut state = self.lock();
         let StreamIdentity { service, stream, life } = identity;
-        state.book.note_own(stream, version, life, now);
-        if state.book.view(service, now) == VersionView::Several {
+        state.registry.note_own(stream, version, life, now);
+        if state.registry.view(service, now) == VersionView::Several {
             let life_s = u16::try_from(life.as_secs() + 1).unwrap_or(u16::MAX);
             state.queue_notes([VersionNote { stream, version, life_s }]);
         }
@@ -154,15 +155,15 @@
 
     /// Forgets a stream that is complete.
     pub(crate) fn forget(&self, identity: StreamIdentity) {
-        self.lock().book.forget(identity.stream);
+        self.lock().registry.forget(identity.stream);
     }
 
     /// Removes expired notes. Returns how many are left.
     pub(crate) fn expire(&self) -> usize {
         let now = self.clock.now();
         let mut state = self.lock();
-        state.book.expire(now);
-        state.book.note_count()
+        state.registry.expire(now);
+        state.registry.note_count()
     }
 
     /// Returns the version at which a stream may be continued, as far as this instance is
@@ -175,7 +176,7 @@
         let mut state = self.lock();
         let StreamIdentity { service, stream, .. } = identity;
         let own = state.answer(service, stream, self.current_within, now);
-        let window = state.book.window();
+        let window = state.registry.window();
         if let Some(VersionDecision::Bound(version)) =
             VersionPoll::new(own, window, AskedPeers::default()).certain()
         {
@@ -214,10 +215,10 @@
     ) -> VersionAnswer {
         let is_current =
             self.covered_until.is_some_and(|until| now <= until + current_within);
-        self.book.answer(service, stream, is_current, now)
+        self.registry.answer(service, stream, is_current, now)
     }
 
-    /// Queues notes for the keepers. What doesn't fit isn't told.
+    /// Queues notes for the replicas. What doesn't fit isn't told.
     fn queue_notes(&mut self, notes: impl IntoIterator<Item = VersionNote>) {
         let room = MAX_QUEUED.saturating_sub(self.untold.len());
         self.untold.extend(notes.into_iter().take(room));
@@ -227,7 +228,7 @@
 impl VersionExchange for StreamVersions {
     fn receive(&self, notes: &[VersionNote]) {
         let now = self.clock.now();
-        self.lock().book.note_told(notes, now);
+        self.lock().registry.note_told(notes, now);
     }
 
     fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer> {
@@ -246,8 +247,8 @@
     fn all_notes(&self) -> Vec<VersionNote> {
         let now = self.clock.now();
         let state = self.lock();
-        match state.book.has_several(now) {
-            true => state.book.own_notes(now),
+        match state.registry.has_several(now) {
+            true => state.registry.own_notes(now),
             false => vec![],
         }
     }
--- a/crates/flaxtide-fleet/src/node/versions.rs
+++ b/crates/flaxtide-fleet/src/node/versions.rs
@@ -12,12 +12,12 @@
 use crate::info::PeerInfo;
 use crate::peer::PeerRecord;
 
-/// The number of keepers of an instance in a fleet that is a single group. In a larger one,
-/// each keeper costs more than it helps.
-const SMALL_FLEET_KEEPERS: usize = 3;
+/// The number of replicas of an instance in a fleet that is a single group. In a larger one,
+/// each replica costs more than it helps.
+const SMALL_FLEET_REPLICAS: usize = 3;
 
-/// The number of keepers of an instance in a larger fleet.
-const LARGE_FLEET_KEEPERS: usize = 2;
+/// The number of replicas of an instance in a larger fleet.
+const LARGE_FLEET_REPLICAS: usize = 2;
 
 /// The most peers of which half have to agree if nothing is certain. Instances of other data
 /// centres of a large fleet aren't asked.
@@ -28,7 +28,7 @@
     /// One of them is in another data centre, if there are several: a whole data centre may be
     /// lost or cut off.
     #[must_use]
-    pub fn version_keepers(&self, now: Duration) -> Vec<(PeerInfo, Option<u32>)> {
+    pub fn version_replicas(&self, now: Duration) -> Vec<(PeerInfo, Option<u32>)> {
         let peers = self.peers.values();
         let alive: Vec<&PeerRecord> =
             peers.filter(|peer| self.is_peer_alive(peer, now)).collect();
@@ -40,17 +40,17 @@
         let near = order.iter().find(is_near);
         let far = order.iter().find(|index| !is_near(index));
         let count = match self.group.is_single {
-            true => SMALL_FLEET_KEEPERS,
-            false => LARGE_FLEET_KEEPERS,
+            true => SMALL_FLEET_REPLICAS,
+            false => LARGE_FLEET_REPLICAS,
         };
-        let mut keepers: Vec<usize> = near.into_iter().chain(far).copied().collect();
+        let mut replicas: Vec<usize> = near.into_iter().chain(far).copied().collect();
         for index in order {
-            if keepers.len() < count && !keepers.contains(&index) {
-                keepers.push(index);
+            if replicas.len() < count && !replicas.contains(&index) {
+                replicas.push(index);
             }
         }
-        let keeper = |index: usize| (alive[index].info.clone(), alive[index].epoch);
-        keepers.into_iter().map(keeper).collect()
+        let replica = |index: usize| (alive[index].info.clone(), alive[index].epoch);
+        replicas.into_iter().map(replica).collect()
     }
 
     /// Returns the peers to ask for the version of a stream, and whether they are in the own data
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -29,7 +29,7 @@
 use crate::settings::SettingsCopy;
 use crate::shared::{ANSWER_TIMEOUT, CallFault, FleetOutput, FleetShared};
 use crate::usage::UsageSender;
-use crate::versions::{VersionExchange, ask_peers, tell_keepers};
+use crate::versions::{VersionExchange, ask_peers, tell_replicas};
 use crate::wire::PeerLinkClient;
 
 /// How often the thread polls for commands and due messages.
@@ -202,7 +202,7 @@
         for outgoing in pushback {
             tokio::spawn(send_pushback_notice(shared.clone(), outgoing));
         }
-        tell_keepers(shared);
+        tell_replicas(shared);
         ask_peers(shared);
         wait_for_work(shared).await;
     }
--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -1,4 +1,4 @@
-//! The exchange of the versions of streams: notes for the keepers of this instance, and
+//! The exchange of the versions of streams: notes for the replicas of this instance, and
 //! questions to all peers that it knows.
 
 use std::net::SocketAddr;
@@ -50,10 +50,10 @@
     /// Answers a peer's questions, in their order.
     fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer>;
 
-    /// Removes and returns the notes that keepers haven't been told yet.
+    /// Removes and returns the notes that replicas haven't been told yet.
     fn take_notes(&self) -> Vec<VersionNote>;
 
-    /// Returns the notes that a new keeper needs, or nothing while none are told.
+    /// Returns the notes that a new replica needs, or nothing while none are told.
     fn all_notes(&self) -> Vec<VersionNote>;
 
     /// Removes and returns the questions that haven't been asked yet.
@@ -90,15 +90,15 @@
     }
 }
 
-/// The keepers that have been told the notes of this instance, with their epochs: one that has
+/// The replicas that have been told the notes of this instance, with their epochs: one that has
 /// restarted has forgotten them.
-type ToldKeepers = Vec<(SocketAddr, Option<u32>)>;
+type ToldReplicas = Vec<(SocketAddr, Option<u32>)>;
 
 /// What the exchange with peers remembers.
 #[derive(Debug, Default)]
 pub(crate) struct VersionState {
-    /// The keepers that have been told all notes.
-    told: Mutex<ToldKeepers>,
+    /// The replicas that have been told all notes.
+    told: Mutex<ToldReplicas>,
     /// Until when peers aren't sent anything about versions.
     paused: Mutex<Vec<(SocketAddr, Duration)>>,
 }
@@ -117,16 +117,16 @@
     }
 }
 
-/// Tells the keepers of this instance the versions of its streams.
-pub(crate) fn tell_keepers(shared: &Arc<FleetShared>) {
+/// Tells the replicas of this instance the versions of its streams.
+pub(crate) fn tell_replicas(shared: &Arc<FleetShared>) {
     let Some(exchange) = shared.versions.get() else { return };
     let now = shared.clock.now();
     let notes = exchange.take_notes();
-    let keepers = shared.node().version_keepers(now);
+    let replicas = shared.node().version_replicas(now);
     let mut told = lock(&shared.version_state.told);
     let known = std::mem::take(&mut *told);
-    for (keeper, epoch) in keepers {
-        let address = keeper.address;
+    for (replica, epoch) in replicas {
+        let address = replica.address;
         if !shared.version_state.may_send(address, now) {
             continue;
         }
@@ -134,22 +134,22 @@
         let notes = if is_new { exchange.all_notes() } else { notes.clone() };
         told.push((address, epoch));
         if !notes.is_empty() {
-            tokio::spawn(tell(shared.clone(), keeper, notes));
+            tokio::spawn(tell(shared.clone(), replica, notes));
         }
     }
 }
 
-/// Sends notes to a keeper. One that doesn't get them is told all of them again.
-async fn tell(shared: Arc<FleetShared>, keeper: PeerInfo, notes: Vec<VersionNote>) {
+/// Sends notes to a replica. One that doesn't get them is told all of them again.
+async fn tell(shared: Arc<FleetShared>, replica: PeerInfo, notes: Vec<VersionNote>) {
     for batch in notes.chunks(MAX_NOTES) {
         let batch = batch.to_vec();
         let call = |client: PeerLinkClient, context| {
             let batch = batch.clone();
             async move { client.versions(context, batch).await }
         };
-        if call_peer(&shared, &keeper, NOTES_TIMEOUT, call).await.is_none() {
+        if call_peer(&shared, &replica, NOTES_TIMEOUT, call).await.is_none() {
             let mut told = lock(&shared.version_state.told);
-            told.retain(|(address, _)| *address != keeper.address);
+            told.retain(|(address, _)| *address != replica.address);
             return;
         }
     }
--- a/crates/flaxtide-lab/src/versions.rs
+++ b/crates/flaxtide-lab/src/versions.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use flaxtide_policy::{
-    AskedPeers, ServiceKey, StreamKey, VersionBook, VersionDecision, VersionKey,
-    VersionNote, VersionPoll, VersionView,
+    AskedPeers, ServiceKey, StreamKey, VersionDecision, VersionKey, VersionNote,
+    VersionPoll, VersionRegistry, VersionView,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -29,8 +29,8 @@
 /// How long an instance that was killed is down.
 const DOWN: Duration = Duration::from_secs(1);
 
-/// The number of keepers of an instance.
-const KEEPERS: usize = 3;
+/// The number of replicas of an instance.
+const REPLICAS: usize = 3;
 
 /// What happens to a fleet.
 #[derive(Debug, Clone)]
@@ -60,13 +60,13 @@
     pub joined: u32,
     /// Streams that were refused because nobody knew their version.
     pub refused: u32,
-    /// Notes that were sent to keepers.
+    /// Notes that were sent to replicas.
     pub notes_sent: u64,
 }
 
 /// An instance.
 struct LabInstance {
-    book: VersionBook,
+    registry: VersionRegistry,
     /// The versions that the instance has listed.
     listed: BTreeMap<VersionKey, usize>,
     /// How far its list lags behind, and up to when it is complete.
@@ -116,7 +116,7 @@
     fn new(pattern: &'a VersionPattern, seed: u64) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let instance = |lag: u64| LabInstance {
-            book: VersionBook::default(),
+            registry: VersionRegistry::default(),
             listed: BTreeMap::new(),
             lag: Duration::from_millis(lag),
             covered_until: Duration::ZERO,
@@ -196,29 +196,29 @@
             let instance = &mut self.instances[index];
             instance.covered_until = until;
             instance.listed.clone_from(listed);
-            if instance.book.set_listed(SERVICE, listed, now) {
-                instance.untold.extend(instance.book.own_notes(now));
+            if instance.registry.set_listed(SERVICE, listed, now) {
+                instance.untold.extend(instance.registry.own_notes(now));
             }
         }
     }
 
-    /// Sends notes to the keepers of each instance.
+    /// Sends notes to the replicas of each instance.
     fn send_notes(&mut self) {
         for index in 0..self.instances.len() {
             let notes = std::mem::take(&mut self.instances[index].untold);
             if notes.is_empty() || !self.is_up(index) {
                 continue;
             }
-            for keeper in self.keepers(index) {
+            for replica in self.replicas(index) {
                 self.outcome.notes_sent += notes.len() as u64;
                 let now = self.now;
-                self.instances[keeper].book.note_told(&notes, now);
+                self.instances[replica].registry.note_told(&notes, now);
             }
         }
     }
 
-    /// Returns the keepers of an instance: one of its data centre, one of another, and the next.
-    fn keepers(&self, index: usize) -> Vec<usize> {
+    /// Returns the replicas of an instance: one of its data centre, one of another, and the next.
+    fn replicas(&self, index: usize) -> Vec<usize> {
         let count = self.instances.len();
         let others = (1..count).map(|step| (index + step) % count);
         let reached: Vec<usize> =
@@ -226,9 +226,10 @@
         let is_near = |other: &usize| self.place(*other) == self.place(index);
         let near = reached.iter().copied().find(is_near);
         let far = reached.iter().copied().find(|other| !is_near(other));
-        let mut keepers: BTreeSet<usize> = near.into_iter().chain(far).collect();
-        keepers.extend(reached.into_iter().take(KEEPERS.saturating_sub(keepers.len())));
-        keepers.into_iter().collect()
+        let mut replicas: BTreeSet<usize> = near.into_iter().chain(far).collect();
+        replicas
+            .extend(reached.into_iter().take(REPLICAS.saturating_sub(replicas.len())));
+        replicas.into_iter().collect()
     }
 
     /// Kills instances: their streams are cut, and they forget everything.
@@ -253,7 +254,7 @@
                     }
                 }
                 let instance = &mut self.instances[index];
-                instance.book = VersionBook::default();
+                instance.registry = VersionRegistry::default();
                 instance.listed.clear();
                 instance.untold.clear();
                 instance.covered_until = Duration::ZERO;
@@ -271,7 +272,7 @@
             }
             let now = self.now;
             let instance = &self.instances[index];
-            let settling = instance.book.settling(SERVICE, GRACE, now);
+            let settling = instance.registry.settling(SERVICE, GRACE, now);
             let listed = instance.listed.iter();
             let usable = listed.filter(|(version, _)| !settling.contains(version));
             let servers = usable.flat_map(|(version, count)| vec![*version; *count]);
@@ -299,8 +300,8 @@
     fn note(&mut self, index: usize, stream: StreamKey, version: VersionKey) {
         let now = self.now;
         let instance = &mut self.instances[index];
-        instance.book.note_own(stream, version, LIFE, now);
-        if instance.book.view(SERVICE, now) == VersionView::Several {
+        instance.registry.note_own(stream, version, LIFE, now);
+        if instance.registry.view(SERVICE, now) == VersionView::Several {
             let life_s = LIFE.as_secs() as u16;
             instance.untold.push(VersionNote { stream, version, life_s });
         }
@@ -346,14 +347,14 @@
         let answer = |index: usize| {
             let instance = &self.instances[index];
             let is_current = self.now <= instance.covered_until + CURRENT_WITHIN;
-            instance.book.answer(SERVICE, stream, is_current, self.now)
+            instance.registry.answer(SERVICE, stream, is_current, self.now)
         };
         let others = (0..self.instances.len()).filter(|other| *other != index);
         let near = others.clone().filter(|other| self.place(*other) == self.place(index));
         // Peers that are down aren't expected to answer once they were silent for a while.
         let near = near.filter(|other| self.is_up(*other)).count();
         let asked = AskedPeers { all: self.instances.len() - 1, near };
-        let window = self.instances[index].book.window();
+        let window = self.instances[index].registry.window();
         let mut poll = VersionPoll::new(answer(index), window, asked);
         for other in others.filter(|other| self.reaches(index, *other)) {
             poll.add(answer(other), self.place(other) == self.place(index));
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -72,6 +72,6 @@
     WindowNumber, WindowTotal, window_end, window_of,
 };
 pub use self::versions::{
-    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionBook, VersionDecision,
-    VersionNote, VersionPoll, VersionView,
+    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionNote,
+    VersionPoll, VersionRegistry, VersionView,
 };
--- a/crates/flaxtide-policy/src/versions/mod.rs
+++ b/crates/flaxtide-policy/src/versions/mod.rs
@@ -3,17 +3,17 @@
 //! Servers of several versions may serve side by side, and a stream may only be continued by
 //! servers of the version that began it. While a service has a single version there is
 //! nothing to remember. With several, each instance notes the versions of its streams and
-//! tells them to a few peers, its keepers; an instance that doesn't know the version of a
+//! tells them to a few peers, which hold replicas of its notes; an instance that doesn't know the version of a
 //! stream asks its peers.
 //!
-//! - `book.rs`: what an instance knows of versions and streams;
+//! - `registry.rs`: what an instance knows of versions and streams;
 //! - `poll.rs`: what the answers of peers say together.
 
-mod book;
 mod poll;
+mod registry;
 
-pub use self::book::{VersionAnswer, VersionBook, VersionNote, VersionView};
 pub use self::poll::{AskedPeers, VersionDecision, VersionPoll};
+pub use self::registry::{VersionAnswer, VersionNote, VersionRegistry, VersionView};
 
 /// Identifies a stream: a hash of the id of the caller's attempt that brought its first event.
 pub type StreamKey = u64;
--- a/crates/flaxtide-policy/src/versions/poll.rs
+++ b/crates/flaxtide-policy/src/versions/poll.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::book::{VersionAnswer, VersionView};
+use super::registry::{VersionAnswer, VersionView};
 use crate::router::VersionKey;
 
 /// At which version a stream may be continued.
--- a/crates/flaxtide-policy/src/versions/book.rs
+++ b/crates/flaxtide-policy/src/versions/registry.rs
@@ -58,17 +58,17 @@
 ///
 /// ```
 /// use std::time::Duration;
-/// use flaxtide_policy::{VersionBook, VersionView};
-/// let (mut book, now) = (VersionBook::default(), Duration::ZERO);
-/// book.set_listed(1, &[(7, 18)].into(), now);
-/// assert_eq!(book.view(1, now), VersionView::Sole(7, 0));
-/// book.set_listed(1, &[(7, 18), (8, 1)].into(), now);
-/// book.note_own(5, 8, Duration::from_secs(15), now);
-/// assert_eq!(book.answer(1, 5, true, now).noted, Some(8));
-/// assert_eq!(book.answer(1, 6, true, now).view, VersionView::Several);
+/// use flaxtide_policy::{VersionRegistry, VersionView};
+/// let (mut registry, now) = (VersionRegistry::default(), Duration::ZERO);
+/// registry.set_listed(1, &[(7, 18)].into(), now);
+/// assert_eq!(registry.view(1, now), VersionView::Sole(7, 0));
+/// registry.set_listed(1, &[(7, 18), (8, 1)].into(), now);
+/// registry.note_own(5, 8, Duration::from_secs(15), now);
+/// assert_eq!(registry.answer(1, 5, true, now).noted, Some(8));
+/// assert_eq!(registry.answer(1, 6, true, now).view, VersionView::Several);
 /// ```
 #[derive(Debug, Default)]
-pub struct VersionBook {
+pub struct VersionRegistry {
     /// The versions of each service.
     services: HashMap<ServiceKey, ListedVersions>,
     /// The versions of streams.
@@ -108,11 +108,11 @@
     version: VersionKey,
     /// Until when its caller may take it up again.
     expires_at: Duration,
-    /// Whether this instance has served it, and tells its keepers.
+    /// Whether this instance has served it, and tells its replicas.
     own: bool,
 }
 
-impl VersionBook {
+impl VersionRegistry {
     /// Sets the versions of the servers of a service that are listed, each with the number of
     /// its servers in service. Returns whether the service has several versions from now on and
     /// had a single one before.
--- a/crates/flaxtide-policy/tests/stream_versions.rs
+++ b/crates/flaxtide-policy/tests/stream_versions.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use flaxtide_policy::{
-    AskedPeers, VersionAnswer, VersionBook, VersionDecision, VersionPoll, VersionView,
+    AskedPeers, VersionAnswer, VersionDecision, VersionPoll, VersionRegistry, VersionView,
 };
 
 /// The service of the tests.
@@ -18,8 +18,8 @@
 
 #[test]
 fn a_service_has_several_versions_until_no_stream_of_the_last_can_come_back() {
-    let mut book = VersionBook::default();
-    assert_eq!(book.view(SERVICE, s(0)), VersionView::Unlisted);
+    let mut registry = VersionRegistry::default();
+    assert_eq!(registry.view(SERVICE, s(0)), VersionView::Unlisted);
     // The second, the versions listed, whether the service turns, and the view two seconds later.
     let steps: [(u64, &[u32], bool, VersionView); 8] = [
         (10, &[7], false, VersionView::Sole(7, 2000)),
@@ -33,8 +33,8 @@
     ];
     for (at, listed, turns, view) in steps {
         let listed = listed.iter().map(|version| (*version, 1)).collect();
-        assert_eq!(book.set_listed(SERVICE, &listed, s(at)), turns, "at {at}");
-        assert_eq!(book.view(SERVICE, s(at + 2)), view, "at {at}");
+        assert_eq!(registry.set_listed(SERVICE, &listed, s(at)), turns, "at {at}");
+        assert_eq!(registry.view(SERVICE, s(at + 2)), view, "at {at}");
     }
 }
 
@@ -43,7 +43,7 @@
 
 #[test]
 fn no_streams_begin_at_a_version_that_others_may_not_know() {
-    let mut book = VersionBook::default();
+    let mut registry = VersionRegistry::default();
     let steps: [SettlingStep; 7] = [
         (0, &[(7, 3), (8, 1)], &[8]),
         (10, &[(7, 3)], &[]),
@@ -54,38 +54,39 @@
         (30, &[(9, 2)], &[]),
     ];
     for (at, listed, settling) in steps {
-        book.set_listed(SERVICE, &listed.iter().copied().collect(), s(at));
+        registry.set_listed(SERVICE, &listed.iter().copied().collect(), s(at));
         let settling = settling.iter().copied().collect();
-        assert_eq!(book.settling(SERVICE, s(3), s(at)), settling, "at {at}");
+        assert_eq!(registry.settling(SERVICE, s(3), s(at)), settling, "at {at}");
     }
 }
 
 #[test]
 fn a_note_lasts_as_long_as_its_caller_may_come_back() {
-    let mut book = VersionBook::default();
-    book.note_own(5, 7, s(15), s(0));
-    book.note_own(5, 8, s(15), s(1));
-    let noted = |book: &VersionBook, at| book.answer(SERVICE, 5, true, at).noted;
-    assert_eq!(noted(&book, s(15)), Some(7), "the first version stays");
-    assert_eq!(noted(&book, s(16)), None);
-    let mut peer = VersionBook::default();
-    peer.note_told(&book.own_notes(s(10)), s(100));
+    let mut registry = VersionRegistry::default();
+    registry.note_own(5, 7, s(15), s(0));
+    registry.note_own(5, 8, s(15), s(1));
+    let noted =
+        |registry: &VersionRegistry, at| registry.answer(SERVICE, 5, true, at).noted;
+    assert_eq!(noted(&registry, s(15)), Some(7), "the first version stays");
+    assert_eq!(noted(&registry, s(16)), None);
+    let mut peer = VersionRegistry::default();
+    peer.note_told(&registry.own_notes(s(10)), s(100));
     assert_eq!(noted(&peer, s(105)), Some(7));
     assert_eq!(noted(&peer, s(107)), None);
     assert!(peer.own_notes(s(101)).is_empty(), "only its own are told on");
-    book.note_own(6, 7, s(120), s(0));
-    assert_eq!(book.window(), s(120));
+    registry.note_own(6, 7, s(120), s(0));
+    assert_eq!(registry.window(), s(120));
 }
 
 #[test]
 fn notes_are_bounded() {
-    let mut book = VersionBook::default();
+    let mut registry = VersionRegistry::default();
     for stream in 0..100_000 {
-        book.note_own(stream, 7, s(15), s(0));
+        registry.note_own(stream, 7, s(15), s(0));
     }
-    assert_eq!(book.note_count(), 1 << 16);
-    book.note_own(200_000, 7, s(15), s(16));
-    assert_eq!(book.note_count(), 1, "expired ones make room");
+    assert_eq!(registry.note_count(), 1 << 16);
+    registry.note_own(200_000, 7, s(15), s(16));
+    assert_eq!(registry.note_count(), 1, "expired ones make room");
 }
 
 /// An answer without a note.
