An answer on a stream route that is no stream of events is read whole

A body without a length was broken unless it ended between two events, also where its type says that it is none, such as a JSON answer of a stream route. Only bodies of the type of event streams, or of none, are judged as such; the others are read like plain answers.

--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use flaxtide_policy::{RetryDecision, RouteFault};
+use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Response, StatusCode};
 
 use crate::contract::CallKind;
@@ -33,7 +34,8 @@
         // The request may be retried elsewhere. The error is kept, to be passed on if not.
         return receive_server_error(call, request, start).await;
     }
-    if request.streams && start.status.is_success() {
+    if request.streams && start.status.is_success() && may_be_event_stream(&start.headers)
+    {
         let next = state.wait_until(call.deadline, start.body.next(state)).await;
         match next.ok_or_else(|| time_out(call))?.map_err(AttemptOutcome::Fault)? {
             Some(bytes) => {
@@ -63,6 +65,15 @@
     Ok(ReceivedResponse::Whole(finish(call, request, start, body)))
 }
 
+/// Returns whether a response may be a stream of events: its type is that of one, or isn't stated.
+fn may_be_event_stream(headers: &HeaderMap) -> bool {
+    let stated = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    stated.is_none_or(|text| {
+        let kind = text.split(';').next().unwrap_or_default();
+        kind.trim().eq_ignore_ascii_case("text/event-stream")
+    })
+}
+
 /// Receives a whole body, charged to the memory for responses.
 async fn receive_body(
     call: &OpenCall,
@@ -128,7 +139,7 @@
 fn build_response(
     call: &OpenCall,
     status: StatusCode,
-    headers: hyper::HeaderMap,
+    headers: HeaderMap,
     body: Bytes,
 ) -> CallerResponse {
     call.record_first_event();
