The change read once more: files by one job, no walk without need

- The body of a response and its end have a file; the call's versions stand with the versions; what concerns listed servers stands in servers.rs.
- Replicas are chosen only while there is something to tell, not at each poll.
Peers are counted once for a batch of questions.
Paused peers are found by address, and stand once.
- Notes that don't fit the queue are logged.
- Headers of the users' platform left the tests of the product: soak and version soak take them from the adapter's tests.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -9,8 +9,8 @@
 use flaxtide_policy::{
     Fingerprint, RouteChoice, RouteFault, StatedRate, VersionKey, request_fingerprint,
 };
-use http_body_util::{BodyExt, Full};
-use hyper::body::{Body, Incoming};
+use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::header::{
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderMap, HeaderName, HeaderValue, TE, TRAILER,
     TRANSFER_ENCODING, UPGRADE,
@@ -18,8 +18,8 @@
 use hyper::http::response;
 use hyper::{Method, Request, Response, StatusCode, Uri};
 
+use crate::body::{UpstreamBody, drain_refusal};
 use crate::contract::UpstreamHead;
-use crate::crash::refuses_connections;
 use crate::forward::{PeerReply, check_forwarded_head, forwarded_headers};
 use crate::state::TrafficState;
 use crate::upstream::{ServerConnection, connect};
@@ -41,9 +41,6 @@
 /// any byte was written.
 const MAX_STALE_CONNECTIONS: usize = 3;
 
-/// How long reading the rest of a refusal may take.
-const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// A caller's request with its whole body.
 #[derive(Debug)]
 pub(crate) struct CallerRequest {
@@ -93,126 +90,6 @@
     pub(crate) peer_version: Option<VersionKey>,
 }
 
-/// The body of a server's response, read from its connection.
-pub(crate) struct UpstreamBody {
-    /// The body, as hyper reads it.
-    pub(crate) body: Incoming,
-    /// The connection, which becomes idle at the end of the body. `None` after that, or after
-    /// an error.
-    pub(crate) connection: Option<ServerConnection>,
-    /// The server at the other end.
-    pub(crate) server: ServerId,
-    /// For how long the server keeps an idle connection open, if it said so.
-    pub(crate) keep_alive: Option<Duration>,
-    /// How the end of the body is marked.
-    framing: BodyFraming,
-}
-
-/// How the end of a response body is marked.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum BodyFraming {
-    /// By a length or by chunks.
-    Explicit,
-    /// By the end of the connection, which may also be that of a server that breaks off.
-    Close,
-}
-
-impl BodyFraming {
-    /// Determines the framing from the headers and the body of a response.
-    fn read(headers: &HeaderMap, body: &Incoming) -> Self {
-        let codings = headers.get_all(TRANSFER_ENCODING).iter().next_back();
-        let last = codings.and_then(|value| value.to_str().ok()?.rsplit(',').next());
-        let is_chunked = last.is_some_and(|c| c.trim().eq_ignore_ascii_case("chunked"));
-        match is_chunked || body.size_hint().exact().is_some() {
-            true => Self::Explicit,
-            false => Self::Close,
-        }
-    }
-}
-
-impl UpstreamBody {
-    /// Creates the body of a response whose headers are given.
-    pub(crate) fn new(
-        headers: &HeaderMap,
-        body: Incoming,
-        connection: ServerConnection,
-        server: ServerId,
-        keep_alive: Option<Duration>,
-    ) -> Self {
-        let framing = BodyFraming::read(headers, &body);
-        Self {
-            body,
-            connection: Some(connection),
-            server,
-            keep_alive,
-            framing,
-        }
-    }
-
-    /// Checks the end of the body. `is_whole` tells whether its content may end here.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`RouteFault::Broken`] if only the end of the connection marks that of the
-    /// body, and its content isn't whole or the server has exited: its address refuses
-    /// connections. A server that is leaving may have exited after this response.
-    pub(crate) async fn check_end(
-        &self,
-        is_whole: bool,
-        state: &TrafficState,
-    ) -> Result<(), RouteFault> {
-        if self.framing == BodyFraming::Explicit {
-            return Ok(());
-        }
-        let is_whole = is_whole
-            && (state.is_leaving(self.server)
-                || !refuses_connections(state, self.server).await);
-        let outcome = if is_whole { "whole" } else { "broken" };
-        state.metrics.unframed_ends.with_label_values(&[outcome]).inc();
-        if is_whole { Ok(()) } else { Err(RouteFault::Broken) }
-    }
-
-    /// Returns the length that the server has stated for what is left of the body.
-    pub(crate) fn stated_length(&self) -> Option<usize> {
-        usize::try_from(self.body.size_hint().exact()?).ok()
-    }
-
-    /// Returns the next bytes of the body, or `None` at its end.
-    ///
-    /// # Errors
-    ///
-    /// Returns [`RouteFault::Broken`] if the connection breaks before the end of the body.
-    pub(crate) async fn next(
-        &mut self,
-        state: &TrafficState,
-    ) -> Result<Option<Bytes>, RouteFault> {
-        loop {
-            match self.body.frame().await {
-                Some(Ok(frame)) => {
-                    if let Ok(bytes) = frame.into_data() {
-                        return Ok(Some(bytes));
-                    }
-                }
-                Some(Err(_)) => {
-                    self.connection = None;
-                    return Err(RouteFault::Broken);
-                }
-                None => {
-                    if let Some(connection) = self.connection.take() {
-                        state.connections.keep(
-                            self.server,
-                            connection,
-                            self.keep_alive,
-                            state.now(),
-                        );
-                    }
-                    return Ok(None);
-                }
-            }
-        }
-    }
-}
-
 /// The parameters of one attempt of a request at a server.
 pub(crate) struct ServerAttempt<'a> {
     /// The ID under which the router knows the request.
@@ -420,16 +297,6 @@
     }
 }
 
-/// Reads the rest of a refusal in the background, so that its connection can be reused.
-pub(crate) fn drain_refusal(state: &Rc<TrafficState>, mut body: UpstreamBody) {
-    let state = state.clone();
-    tokio::task::spawn_local(async move {
-        let read = async { while let Ok(Some(_)) = body.next(&state).await {} };
-        // If it doesn't end in time, the connection is closed.
-        let _ = tokio::time::timeout(REFUSAL_DRAIN_TIMEOUT, read).await;
-    });
-}
-
 /// Removes the hop-by-hop headers.
 pub(crate) fn strip_hop_by_hop_headers(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
--- a/crates/flaxtide-entry/src/forward/exchange.rs
+++ b/crates/flaxtide-entry/src/forward/exchange.rs
@@ -11,9 +11,9 @@
 use hyper::header::HeaderMap;
 
 use super::head::{ForwardHead, PeerReply, take_server_version};
+use crate::body::{UpstreamBody, drain_refusal};
 use crate::exchange::{
-    CallerRequest, ResponseStart, SendFault, UpstreamBody, claims_not_run, drain_refusal,
-    start_response,
+    CallerRequest, ResponseStart, SendFault, claims_not_run, start_response,
 };
 use crate::reply::LocalReply;
 use crate::state::TrafficState;
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -33,6 +33,7 @@
 use crate::metrics::EntryMetrics;
 use crate::pushback::update_pushback_metrics;
 use crate::reader::ServerListLog;
+use crate::servers::expire_servers;
 use crate::shared_rules::SharedRules;
 use crate::source::ServerListSource;
 use crate::state::TrafficState;
@@ -361,24 +362,6 @@
     }
 }
 
-/// Puts held servers into use whose hold has ended, and removes servers whose row has been missing
-/// for too long.
-fn expire_servers(state: &TrafficState) {
-    if state.directory.borrow_mut().release_held(state.now()) {
-        state.update_router_servers();
-    }
-    if !state.directory.borrow().has_missing_rows() {
-        return;
-    }
-    let removed = state.directory.borrow_mut().expire(state.now());
-    for server in &removed {
-        log::info!(server; "server removed: the platform has not listed it for too long");
-    }
-    if !removed.is_empty() {
-        state.update_router_servers_named(&removed);
-    }
-}
-
 /// Logs changes in the router's view of the health of servers.
 fn log_server_health(state: &TrafficState) {
     for change in state.with_router(|core, now| core.health_changes(now)) {
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`WireDialect`] and [`PlatformFeed`].
 
 mod backoff;
+mod body;
 mod budget;
 mod call;
 mod config;
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
-use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault, VersionKey};
+use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault};
 
 use crate::contract::{RequestHead, ResumedStream};
 use crate::crash::server_has_exited;
@@ -313,24 +313,6 @@
         }
     }
 
-    /// Binds a stream that has begun to the version of its server, and notes it. `stated` is the version that
-    /// a peer has stated. Returns the version, if it is known.
-    pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
-        let version = self
-            .state
-            .with_router(|core, _| core.bind_version(self.request_id, stated));
-        if let (Some(stream), Some(version)) = (self.stream, version) {
-            self.state.versions.note(stream, version);
-        }
-        version
-    }
-
-    /// Returns the id of the attempt whose stream the caller takes up, for log lines.
-    fn resumes(&self) -> &str {
-        let first = self.resumed.as_ref().map(|resumed| &resumed.first_attempt);
-        first.map_or("", |first| first.as_deref().unwrap_or("unnamed"))
-    }
-
     /// Returns after which silence of the stream to ask [`Self::may_abort_silent`].
     pub(crate) fn stream_patience(&self, usual: Duration) -> Duration {
         self.state
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -11,9 +11,10 @@
 use http_body_util::{Either, StreamBody};
 use hyper::body::Frame;
 
+use crate::body::UpstreamBody;
 use crate::contract::CallKind;
 use crate::events::EventSplitter;
-use crate::exchange::{CallerRequest, UpstreamBody};
+use crate::exchange::CallerRequest;
 use crate::open_call::{AttemptOutcome, OpenCall};
 use crate::reply::ResponseBody;
 
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -5,8 +5,9 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Response, StatusCode};
 
+use crate::body::UpstreamBody;
 use crate::contract::CallKind;
-use crate::exchange::{CallerRequest, ResponseStart, UpstreamBody};
+use crate::exchange::{CallerRequest, ResponseStart};
 use crate::forward::write_server_version;
 use crate::memory::ChargedBody;
 use crate::open_call::{AttemptOutcome, OpenCall};
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -167,6 +167,41 @@
         }
     }
 
+    /// Returns the version of a server's software, if it is listed.
+    pub(crate) fn server_version(&self, server: ServerId) -> Option<String> {
+        let name = self.server_name(server)?;
+        let directory = self.directory.borrow();
+        directory.get(&name).map(|listed| listed.entry.version.clone())
+    }
+
+    /// Records that a server has announced that it is leaving. Returns whether that is new. Has
+    /// no effect if another incarnation of the server is listed.
+    pub(crate) fn mark_leaving(&self, server: ServerId) -> bool {
+        let Some(name) = self.listed_name(server) else { return false };
+        let changed = self.directory.borrow_mut().mark_leaving(&name);
+        if changed {
+            self.update_router_servers_named(&[name]);
+        }
+        changed
+    }
+
+    /// Returns whether an incarnation of a server is known to be leaving.
+    pub(crate) fn is_leaving(&self, server: ServerId) -> bool {
+        let Some(name) = self.listed_name(server) else { return false };
+        self.directory
+            .borrow()
+            .get(&name)
+            .is_some_and(|listed| listed.entry.leaving)
+    }
+
+    /// Returns the name of a server if this is the incarnation that is listed.
+    fn listed_name(&self, server: ServerId) -> Option<ServerName> {
+        let name = self.server_name(server)?;
+        let directory = self.directory.borrow();
+        let listed = directory.get(&name)?;
+        (self.server_id(&listed.entry) == server).then_some(name)
+    }
+
     /// Returns the name of the data centre that a key denotes, or the key as a number if
     /// no server in it is listed.
     pub(crate) fn data_centre_name(&self, key: DataCentreKey) -> String {
@@ -175,3 +210,21 @@
         name.map_or_else(|| key.to_string(), ToOwned::to_owned)
     }
 }
+
+/// Puts held servers into use whose hold has ended, and removes servers whose row has been missing
+/// for too long.
+pub(crate) fn expire_servers(state: &TrafficState) {
+    if state.directory.borrow_mut().release_held(state.now()) {
+        state.update_router_servers();
+    }
+    if !state.directory.borrow().has_missing_rows() {
+        return;
+    }
+    let removed = state.directory.borrow_mut().expire(state.now());
+    for server in &removed {
+        log::info!(server; "server removed: the platform has not listed it for too long");
+    }
+    if !removed.is_empty() {
+        state.update_router_servers_named(&removed);
+    }
+}
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -273,13 +273,6 @@
             .map(|incarnation| incarnation.name.clone())
     }
 
-    /// Returns the version of a server's software, if it is listed.
-    pub(crate) fn server_version(&self, server: ServerId) -> Option<String> {
-        let name = self.server_name(server)?;
-        let directory = self.directory.borrow();
-        directory.get(&name).map(|listed| listed.entry.version.clone())
-    }
-
     /// Returns the name of a server, or of a peer that forwards requests, for log lines.
     pub(crate) fn target_name(&self, target: ServerId) -> ServerName {
         let peer = || self.forward_peers.find(target).map(|(_, name)| name);
@@ -301,34 +294,6 @@
         directory.get(&name).map(|listed| listed.entry.address)
     }
 
-    /// Records that a server has announced that it is leaving. Returns whether that is new. Has
-    /// no effect if another incarnation of the server is listed.
-    pub(crate) fn mark_leaving(&self, server: ServerId) -> bool {
-        let Some(name) = self.listed_name(server) else { return false };
-        let changed = self.directory.borrow_mut().mark_leaving(&name);
-        if changed {
-            self.update_router_servers_named(&[name]);
-        }
-        changed
-    }
-
-    /// Returns whether an incarnation of a server is known to be leaving.
-    pub(crate) fn is_leaving(&self, server: ServerId) -> bool {
-        let Some(name) = self.listed_name(server) else { return false };
-        self.directory
-            .borrow()
-            .get(&name)
-            .is_some_and(|listed| listed.entry.leaving)
-    }
-
-    /// Returns the name of a server if this is the incarnation that is listed.
-    fn listed_name(&self, server: ServerId) -> Option<ServerName> {
-        let name = self.server_name(server)?;
-        let directory = self.directory.borrow();
-        let listed = directory.get(&name)?;
-        (self.server_id(&listed.entry) == server).then_some(name)
-    }
-
     /// Returns the server that a key from a peer denotes.
     pub(crate) fn server_with_key(&self, key: FleetKey) -> Option<ServerId> {
         self.ids.borrow().server_with_key(key)
--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions.rs
@@ -15,6 +15,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::contract::{CallKind, RequestClass, RequestHead};
+use crate::open_call::OpenCall;
 use crate::reply::LocalReply;
 use crate::state::TrafficState;
 use crate::version_counts::ListedServices;
@@ -123,7 +124,7 @@
                 // From now on it has to be known which version began a stream.
                 let notes = state.registry.own_notes(now);
                 log::info!(service, notes = notes.len(); "several versions listed");
-                state.queue_notes(notes);
+                state.queue_notes(&notes);
             }
         }
     }
@@ -149,7 +150,7 @@
         state.registry.note_own(stream, version, life, now);
         if state.registry.view(service, now) == VersionView::Several {
             let life_s = u16::try_from(life.as_secs() + 1).unwrap_or(u16::MAX);
-            state.queue_notes([VersionNote { stream, version, life_s }]);
+            state.queue_notes(&[VersionNote { stream, version, life_s }]);
         }
     }
 
@@ -219,9 +220,14 @@
     }
 
     /// Queues notes for the replicas. What doesn't fit isn't told.
-    fn queue_notes(&mut self, notes: impl IntoIterator<Item = VersionNote>) {
+    fn queue_notes(&mut self, notes: &[VersionNote]) {
         let room = MAX_QUEUED.saturating_sub(self.untold.len());
-        self.untold.extend(notes.into_iter().take(room));
+        let fitting = &notes[..notes.len().min(room)];
+        self.untold.extend_from_slice(fitting);
+        if fitting.len() < notes.len() {
+            let dropped = notes.len() - fitting.len();
+            log::warn!(dropped; "queue of version notes is full, notes dropped");
+        }
     }
 }
 
@@ -240,17 +246,18 @@
         questions.iter().map(answer).collect()
     }
 
+    fn is_telling(&self) -> bool {
+        let now = self.clock.now();
+        self.lock().registry.has_several(now)
+    }
+
     fn take_notes(&self) -> Vec<VersionNote> {
         std::mem::take(&mut self.lock().untold)
     }
 
     fn all_notes(&self) -> Vec<VersionNote> {
         let now = self.clock.now();
-        let state = self.lock();
-        match state.registry.has_several(now) {
-            true => state.registry.own_notes(now),
-            false => vec![],
-        }
+        self.lock().registry.own_notes(now)
     }
 
     fn take_questions(&self) -> Vec<PendingQuestion> {
@@ -262,6 +269,26 @@
     }
 }
 
+impl OpenCall {
+    /// Binds a stream that has begun to the version of its server, and notes it. `stated` is the version that
+    /// a peer has stated. Returns the version, if it is known.
+    pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
+        let version = self
+            .state
+            .with_router(|core, _| core.bind_version(self.request_id, stated));
+        if let (Some(stream), Some(version)) = (self.stream, version) {
+            self.state.versions.note(stream, version);
+        }
+        version
+    }
+
+    /// Returns the id of the attempt whose stream the caller takes up, for log lines.
+    pub(crate) fn resumes(&self) -> &str {
+        let first = self.resumed.as_ref().map(|resumed| &resumed.first_attempt);
+        first.map_or("", |first| first.as_deref().unwrap_or("unnamed"))
+    }
+}
+
 /// Finds out at which version a stream is to be continued that a caller takes up again. Returns
 /// `None` for a request that begins one.
 ///
--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -1,6 +1,7 @@
 //! The exchange of the versions of streams: notes for the replicas of this instance, and
 //! questions to all peers that it knows.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -40,7 +41,7 @@
 const MAX_QUESTIONS: usize = 256;
 
 /// The most notes in one message.
-const MAX_NOTES: usize = 1024;
+const MAX_BATCH_NOTES: usize = 1024;
 
 /// What an instance knows of the versions of streams.
 pub trait VersionExchange: Send + Sync {
@@ -50,10 +51,13 @@
     /// Answers a peer's questions, in their order.
     fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer>;
 
+    /// Returns whether replicas are told anything: a service has several versions.
+    fn is_telling(&self) -> bool;
+
     /// Removes and returns the notes that replicas haven't been told yet.
     fn take_notes(&self) -> Vec<VersionNote>;
 
-    /// Returns the notes that a new replica needs, or nothing while none are told.
+    /// Returns the notes that a new replica needs.
     fn all_notes(&self) -> Vec<VersionNote>;
 
     /// Removes and returns the questions that haven't been asked yet.
@@ -100,26 +104,27 @@
     /// The replicas that have been told all notes.
     told: Mutex<ToldReplicas>,
     /// Until when peers aren't sent anything about versions.
-    paused: Mutex<Vec<(SocketAddr, Duration)>>,
+    paused: Mutex<BTreeMap<SocketAddr, Duration>>,
 }
 
 impl VersionState {
     /// Returns whether a peer may be sent messages about versions.
     fn may_send(&self, peer: SocketAddr, now: Duration) -> bool {
-        let mut paused = lock(&self.paused);
-        paused.retain(|(_, until)| now < *until);
-        !paused.iter().any(|(address, _)| *address == peer)
+        lock(&self.paused).get(&peer).is_none_or(|until| now >= *until)
     }
 
     /// Records that a link broke by a message about versions.
     fn pause(&self, peer: SocketAddr, now: Duration) {
-        lock(&self.paused).push((peer, now + UNKNOWN_MESSAGE_PAUSE));
+        let mut paused = lock(&self.paused);
+        paused.retain(|_, until| now < *until);
+        paused.insert(peer, now + UNKNOWN_MESSAGE_PAUSE);
     }
 }
 
 /// Tells the replicas of this instance the versions of its streams.
 pub(crate) fn tell_replicas(shared: &Arc<FleetShared>) {
-    let Some(exchange) = shared.versions.get() else { return };
+    let exchange = shared.versions.get().filter(|exchange| exchange.is_telling());
+    let Some(exchange) = exchange else { return };
     let now = shared.clock.now();
     let notes = exchange.take_notes();
     let replicas = shared.node().version_replicas(now);
@@ -141,7 +146,7 @@
 
 /// Sends notes to a replica. One that doesn't get them is told all of them again.
 async fn tell(shared: Arc<FleetShared>, replica: PeerInfo, notes: Vec<VersionNote>) {
-    for batch in notes.chunks(MAX_NOTES) {
+    for batch in notes.chunks(MAX_BATCH_NOTES) {
         let batch = batch.to_vec();
         let call = |client: PeerLinkClient, context| {
             let batch = batch.clone();
@@ -169,13 +174,17 @@
 /// Asks all peers some questions at once.
 async fn ask(shared: Arc<FleetShared>, pending: Vec<PendingQuestion>) {
     let now = shared.clock.now();
-    let peers = shared.node().version_peers(now);
+    let windows = pending.iter().map(|pending| pending.window);
+    let window = windows.max().unwrap_or_default();
+    let (peers, asked) = {
+        let node = shared.node();
+        (node.version_peers(now), node.asked_peers(window, now))
+    };
     let questions: Vec<VersionQuestion> =
         pending.iter().map(|pending| pending.question).collect();
     let mut polls: Vec<Option<(VersionPoll, _)>> = pending
         .into_iter()
         .map(|pending| {
-            let asked = shared.node().asked_peers(pending.window, now);
             let poll = VersionPoll::new(pending.own, pending.window, asked);
             Some((poll, pending.decide))
         })
--- a/crates/flaxtide-policy/src/versions/registry.rs
+++ b/crates/flaxtide-policy/src/versions/registry.rs
@@ -185,7 +185,9 @@
             new.iter().map(|(version, _)| **version).collect();
         if !old.iter().any(|(_, listed)| listed.in_service > 0) {
             let largest = new.iter().max_by_key(|(_, listed)| listed.in_service);
-            largest.map(|(version, _)| settling.remove(version));
+            if let Some((version, _)) = largest {
+                settling.remove(version);
+            }
         }
         settling
     }
--- a/crates/flaxtide/tests/soak/traffic.rs
+++ b/crates/flaxtide/tests/soak/traffic.rs
@@ -10,7 +10,7 @@
 use crate::Soak;
 use crate::common::caller::{Answer, request};
 use crate::common::server::{
-    SEAL, Script, Seen, Step, answer, chunk, event, event_text, stream_head,
+    NOT_RUN, SEAL, Script, Seen, Step, answer, chunk, event, event_text, stream_head,
 };
 
 /// The body of a request that crashes whatever runs it.
@@ -74,8 +74,7 @@
                 vec![Step::Write(answer(seen, 500, SEAL, "failed"))]
             }
             ServerWhim::NotRun => {
-                let headers = "Flaxtide-Not-Executed: 1\r\n";
-                vec![Step::Write(answer(seen, 503, headers, "full"))]
+                vec![Step::Write(answer(seen, 503, NOT_RUN, "full"))]
             }
             ServerWhim::Right if streams => stream(seen),
             ServerWhim::Right => vec![
@@ -128,10 +127,10 @@
         if answer.status != 200 {
             return None;
         }
-        if answer.header("flaxtide-attempt-id") != Some(self.attempt.as_str()) {
+        if answer.attempt() != Some(self.attempt.as_str()) {
             return Some("another's answer");
         }
-        if answer.header("flaxtide-response-seal").is_none() {
+        if !answer.is_sealed() {
             return Some("no seal");
         }
         let streams = ["draft", "chat"].contains(&self.class);
--- a/crates/flaxtide/tests/version_soak/callers.rs
+++ b/crates/flaxtide/tests/version_soak/callers.rs
@@ -10,7 +10,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use super::common::{Answer, Caller, caller::request};
+use super::common::caller::{Answer, Caller, request, resume_request};
 use super::process::EntryProcess;
 use super::servers::{EVENTS, VersionedServers};
 
@@ -186,10 +186,10 @@
 
 /// Spells the request of an attempt.
 fn spell(id: &str, first: Option<&str>, last: u64) -> String {
-    let text = request("POST", "/chat/a", id, "");
-    let Some(first) = first else { return text };
-    let headers = format!("\r\nLast-Event-Id: {last}\r\nResumes: {first}\r\n\r\n");
-    text.replacen("\r\n\r\n", &headers, 1)
+    match first {
+        Some(first) => resume_request("/chat/a", id, first, last),
+        None => request("POST", "/chat/a", id, ""),
+    }
 }
 
 /// Reads an event, if it is complete.
