A forwarded request with more than a peer knows is declined

A fourth part of the forward header was ignored, so a later version couldn't add a condition that older peers must not overlook. Any further part is now declined, as an unknown third part is by peers before versions.

--- a/crates/flaxtide-entry/src/forward/head.rs
+++ b/crates/flaxtide-entry/src/forward/head.rs
@@ -11,7 +11,7 @@
 
 /// `VERSION,RUNS` or `VERSION,RUNS,BOUND`: the version of the rules under which the request was
 /// accepted, how many servers it may still run on, and the key of the only version of a server
-/// that may get it. A peer that doesn't know the third part declines the request.
+/// that may get it. A peer declines a request with more parts than it knows.
 const FORWARD: HeaderName = HeaderName::from_static("x-flaxtide-forward");
 
 /// The name of the [`LocalReply`] with which the peer itself responds.
@@ -39,6 +39,9 @@
         let mut parts = value.to_str().ok()?.split(',');
         let (version, runs) = (parts.next()?, parts.next()?);
         let bound = parts.next().map(str::parse).transpose().ok()?;
+        if parts.next().is_some() {
+            return None;
+        }
         Some(Self {
             rules_version: version.parse().ok()?,
             run_limit: runs.parse().ok()?,
