An event that never ends isn't held back without a bound

Bytes after the last complete event were held until it was complete, however many came. Beyond 1 MiB they are passed on; the stream can't be continued by another server until that event is complete.

The new test pushes an event of 3 MB: at most 1 MiB is held, and its end is read as before.

--- a/crates/flaxtide-entry/src/events.rs
+++ b/crates/flaxtide-entry/src/events.rs
@@ -6,6 +6,9 @@
 /// The byte order mark with which a stream may begin.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
+/// An event that exceeds this is passed on before it is complete.
+const MAX_HELD_BYTES: usize = 1 << 20;
+
 /// Separates complete events from the beginning of the next one. Lines may end with LF, CRLF or
 /// CR.
 ///
@@ -51,11 +54,15 @@
     event_id: Option<u64>,
     /// Whether an event is complete.
     has_event: bool,
+    /// Whether a part of an event that isn't complete has been passed on.
+    has_passed_part: bool,
+    /// Whether the beginning of the current line has been passed on.
+    is_line_cut: bool,
 }
 
 impl EventSplitter {
-    /// Adds received bytes. Returns the events that are complete now, and comments between
-    /// events.
+    /// Adds received bytes. Returns the events that are complete now and comments between
+    /// events, or the beginning of an event that is too large to be held back.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
         self.partial.extend_from_slice(bytes);
         if !self.part.is_mark_read && !self.read_mark() {
@@ -65,8 +72,14 @@
         while self.part.read < self.partial.len() {
             if self.read_byte() {
                 complete = self.part.read;
+                self.part.has_passed_part = false;
             }
         }
+        if complete == 0 && self.partial.len() > MAX_HELD_BYTES {
+            complete = self.partial.len();
+            self.part.has_passed_part = true;
+            self.part.is_line_cut |= self.part.line_start < complete;
+        }
         self.part.read -= complete;
         self.part.line_start = self.part.line_start.saturating_sub(complete);
         self.partial.split_to(complete).freeze()
@@ -78,12 +91,19 @@
         self.last_event
     }
 
+    /// Returns whether another server can continue after the last complete event: nothing that
+    /// follows it has been passed on.
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        !self.part.has_passed_part
+    }
+
     /// Returns whether the stream may end here: between two events, and not before the first
     /// event, or before the rest of one that broke off.
     #[must_use]
     pub fn is_whole(&self) -> bool {
         let part = &self.part;
-        let line_ended = part.line_start == self.partial.len();
+        let line_ended = part.line_start == self.partial.len() && !part.is_line_cut;
         let misses_lf = part.after_cr && part.has_crlf;
         let event_due = self.event_due || !self.resumed;
         line_ended && !part.in_event && !misses_lf && (part.has_event || !event_due)
@@ -141,7 +161,9 @@
         let part = &mut self.part;
         let line = &self.partial[part.line_start..part.read - 1];
         part.line_start = part.read;
-        if line.is_empty() {
+        if std::mem::take(&mut part.is_line_cut) {
+            part.in_event = true;
+        } else if line.is_empty() {
             part.has_event |= part.in_event;
             part.in_event = false;
             self.last_event = part.event_id.take().or(self.last_event);
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -73,6 +73,7 @@
     /// Returns whether another server of the same version can continue the stream.
     fn resumable(&self) -> bool {
         self.has_version
+            && self.splitter.is_resumable()
             && self.call.class.class().kind == (CallKind::Stream { resumable: true })
     }
 
--- a/crates/flaxtide-entry/tests/events.rs
+++ b/crates/flaxtide-entry/tests/events.rs
@@ -63,3 +63,23 @@
         assert_eq!((splitter.last_event(), splitter.is_whole()), (Some(2), true));
     }
 }
+
+#[test]
+fn an_event_that_is_too_large_is_passed_on_in_pieces() {
+    let mut splitter = EventSplitter::default();
+    let piece = vec![b'x'; 100_000];
+    let begin = b"id: 1\n\nid: 2\ndata: ";
+    let mut passed = splitter.push(begin).len();
+    let mut sent = begin.len();
+    for _ in 0..30 {
+        passed += splitter.push(&piece).len();
+        sent += piece.len();
+        assert!(sent - passed <= 1 << 20, "{} bytes are held back", sent - passed);
+    }
+    assert_eq!((splitter.last_event(), splitter.is_whole()), (Some(1), false));
+    assert!(!splitter.is_resumable());
+    passed += splitter.push(b"\n\n").len();
+    assert_eq!(passed, sent + 2);
+    assert_eq!((splitter.last_event(), splitter.is_whole()), (Some(2), true));
+    assert!(splitter.is_resumable());
+}
