Log lines name the age of the server list and the retry budget's counts

A dispatch didn't say how old the list was that it went by, nor a fault what the retry budget held when the retry was granted or refused. The hypotheses about leaving servers and about the budget can't be told apart without.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -94,7 +94,10 @@
             } => {
                 apply_servers(&state, &*feed, batch, is_snapshot, unseen);
             }
-            FeedEvent::ListCovered(until) => state.versions.record_covered(until),
+            FeedEvent::ListCovered(until) => {
+                state.source.list_age().record_covered(until);
+                state.versions.record_covered(until);
+            }
             // An outage lasts until the platform answers again, so both events extend it.
             FeedEvent::Lost | FeedEvent::Regained => {
                 state.directory.borrow_mut().record_outage(now);
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -36,6 +36,7 @@
 mod keepalive;
 mod lag;
 mod lapse;
+mod list_age;
 mod listen;
 mod logging;
 mod memory;
@@ -80,6 +81,7 @@
 pub use self::instance::{EntryInstance, StopHandle};
 pub use self::keepalive::{DEAD_PEER_TIMEOUT, enable_keepalive};
 pub use self::lag::RulesLag;
+pub use self::list_age::ListAge;
 pub use self::logging::init_entry_logging;
 pub use self::reader::ServerListLog;
 pub use self::watch::{EngineRecord, OwnSightings, ReportedParts, WatchCall, WatchPace};
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -271,7 +271,8 @@
             eligible = choice.eligible, left_ms = time_left.as_millis() as u64,
             resume = last_event.unwrap_or_default(),
             version = self.state.server_version(choice.server).unwrap_or_default(),
-            resumes = self.resumes();
+            resumes = self.resumes(),
+            list_age_ms = self.state.list_age_ms();
             "dispatch"
         );
         let reason = format!("{:?}", choice.reason);
@@ -356,6 +357,9 @@
         if let (RouteFault::Silent, Some(server)) = (fault, self.server.get()) {
             self.state.connections.close_idle_of(server);
         }
+        let counts = self
+            .state
+            .with_router(|core, now| core.retry_counts(self.request_id, now));
         let mut decision = RetryDecision::Stop;
         let quarantined = self.state.quarantine.is_quarantined(request);
         self.state.run_router(|core, now| {
@@ -371,7 +375,9 @@
         let server = self.server.get().map(|server| self.state.target_name(server));
         log::info!(
             request = self.attempt_id, server = server.unwrap_or_default(), fault = label, again = decision == RetryDecision::Retry,
-            left_ms = self.time_left().as_millis() as u64;
+            left_ms = self.time_left().as_millis() as u64,
+            arrived = counts.arrived, retries = counts.retries,
+            instances = self.state.live_instances.get();
             "fault"
         );
         decision
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -18,6 +18,7 @@
 use crate::fleet::FleetLink;
 use crate::follow::first_call_window;
 use crate::lag::RulesLag;
+use crate::list_age::ListAge;
 
 /// How long a peer that couldn't answer isn't asked again, as a fraction of
 /// `leave_within`. It doubles each time. The first pause is short, because a standby can
@@ -46,6 +47,8 @@
     leave_within: Duration,
     /// When a new instance stops waiting for a reader.
     startup_until: Duration,
+    /// The age of the list that the traffic thread goes by.
+    list_age: ListAge,
     /// The mutable state behind the lock.
     state: Mutex<SourceState>,
 }
@@ -84,6 +87,7 @@
             startup_until: clock.now() + startup_wait,
             clock,
             leave_within,
+            list_age: ListAge::default(),
             state: Mutex::new(state),
         }
     }
@@ -93,6 +97,11 @@
         &self.clock
     }
 
+    /// Returns the age of the list that the traffic thread goes by, on [`Self::clock`].
+    pub(crate) fn list_age(&self) -> &ListAge {
+        &self.list_age
+    }
+
     /// Sets the peers to ask. Returns whether they have changed.
     pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
         let now = self.clock.now();
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -299,6 +299,13 @@
         self.ids.borrow().server_with_key(key)
     }
 
+    /// Returns for how long changes of the server list may be unknown, in milliseconds, or -1 if
+    /// it hasn't been read.
+    pub(crate) fn list_age_ms(&self) -> i64 {
+        let age = self.source.list_age().get(self.source.clock().now());
+        age.map_or(-1, |age| age.as_millis() as i64)
+    }
+
     /// Returns the version of the rules in force, or 0 if there are none.
     pub(crate) fn rules_version(&self) -> SettingsVersion {
         self.table.borrow().as_ref().map_or(0, |table| table.version)
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -58,9 +58,9 @@
     CallProgress, DEAD_BOUND, EngineShape, ForwardPeer, HealthCause, HealthChange,
     LevelTokens, PartFetch, PartKey, PeerKey, PeerLoad, PoolReach, PrefillRecord,
     PromptPart, PromptShape, PushbackCount, QUEUE_WAIT_DIVISOR, ReachChange,
-    RefusalCause, RegionKey, RetryDecision, RouteAction, RouteCall, RouteChoice,
-    RouteCore, RouteFault, RouteOptions, RouteReason, RoutedServer, ServerLoad,
-    StatementChange, URGENCY_LEVELS, VersionKey,
+    RefusalCause, RegionKey, RetryCounts, RetryDecision, RouteAction, RouteCall,
+    RouteChoice, RouteCore, RouteFault, RouteOptions, RouteReason, RoutedServer,
+    ServerLoad, StatementChange, URGENCY_LEVELS, VersionKey,
 };
 pub use self::rule::{ClassRule, OrganisationRule, RuleSet, ServerRule};
 pub use self::scaling::{
--- a/crates/flaxtide-policy/src/router/budget.rs
+++ b/crates/flaxtide-policy/src/router/budget.rs
@@ -5,6 +5,10 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use flaxtide_core::RequestId;
+
+use super::RouteCore;
+
 /// The length of a window. `RouteOptions::retry_slack` is for this span, so a platform
 /// whose limit uses another window must scale it.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -12,6 +16,15 @@
 /// The number of steps that a window is divided into for counting.
 const STEPS: u64 = 20;
 
+/// What an instance has counted for a pool in the current window.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct RetryCounts {
+    /// Requests that arrived.
+    pub arrived: u32,
+    /// Retries that were granted.
+    pub retries: u32,
+}
+
 /// Counts the requests and retries of one instance for one pool in a sliding window.
 #[derive(Debug, Default)]
 pub(crate) struct RetryWindow {
@@ -41,8 +54,7 @@
     /// exhausted.
     pub(crate) fn try_spend(&mut self, ratio: f64, slack: f64, now: Duration) -> bool {
         self.current(now);
-        let arrived: u32 = self.steps.iter().map(|step| step.arrived).sum();
-        let retries: u32 = self.steps.iter().map(|step| step.retries).sum();
+        let RetryCounts { arrived, retries } = self.counts(now);
         if f64::from(retries + 1) > ratio * f64::from(arrived) + slack {
             return false;
         }
@@ -50,9 +62,19 @@
         true
     }
 
+    /// Returns the counts of the window.
+    pub(crate) fn counts(&self, now: Duration) -> RetryCounts {
+        let first = step_of(now).saturating_sub(STEPS);
+        let steps = self.steps.iter().filter(|step| step.step >= first);
+        steps.fold(RetryCounts::default(), |counts, step| RetryCounts {
+            arrived: counts.arrived + step.arrived,
+            retries: counts.retries + step.retries,
+        })
+    }
+
     /// Returns the current step and drops the steps that have left the window.
     fn current(&mut self, now: Duration) -> &mut StepCount {
-        let step = (now.as_millis() / (WINDOW.as_millis() / u128::from(STEPS))) as u64;
+        let step = step_of(now);
         while self.steps.front().is_some_and(|first| first.step + STEPS < step) {
             self.steps.pop_front();
         }
@@ -63,3 +85,18 @@
         &mut self.steps[last]
     }
 }
+
+impl RouteCore {
+    /// Returns what has been counted for the retry budget of a request's pool.
+    #[must_use]
+    pub fn retry_counts(&self, request: RequestId, now: Duration) -> RetryCounts {
+        let pool = self.calls.get(&request).map(|call| call.details.pool);
+        let state = pool.and_then(|pool| self.pools.get(&pool));
+        state.map(|state| state.budget.counts(now)).unwrap_or_default()
+    }
+}
+
+/// Returns the number of the step at a time.
+fn step_of(now: Duration) -> u64 {
+    (now.as_millis() / (WINDOW.as_millis() / u128::from(STEPS))) as u64
+}
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -38,6 +38,7 @@
 
 use flaxtide_core::{PoolId, RequestId, ServerId};
 
+pub use self::budget::RetryCounts;
 pub use self::call::{
     CallProgress, PartKey, PromptPart, PromptShape, RegionKey, RouteCall, RouteFault,
     VersionKey,
