Test: an instance that has just started hears of leaving servers

Fails on this code: with its only peer killed, an instance reads nothing for 3 s after its start, and a request reaches a server 2.997 s after it said that it leaves (bound 2 s). The same for an instance whose readers were killed after a failed call passes with three instances, as they miss each other within 2 s.

--- a/crates/flaxtide/tests/soak/process.rs
+++ b/crates/flaxtide/tests/soak/process.rs
@@ -41,10 +41,21 @@
         ip: Ipv4Addr,
         store: SocketAddr,
         seeds: &[Ipv4Addr],
+    ) -> Self {
+        Self::with_lines(program, ip, store, seeds, "")
+    }
+
+    /// Writes the instance file of a slot for a program, with more lines.
+    pub(crate) fn with_lines(
+        program: String,
+        ip: Ipv4Addr,
+        store: SocketAddr,
+        seeds: &[Ipv4Addr],
+        more: &str,
     ) -> Self {
         let path =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{ip}.yaml"));
-        std::fs::write(&path, instance_text(ip, store, seeds, "")).unwrap();
+        std::fs::write(&path, instance_text(ip, store, seeds, more)).unwrap();
         // What an earlier run has left.
         let _ = std::fs::remove_file(path.with_extension("log"));
         Self {
@@ -98,12 +109,17 @@
 
     /// Kills it, and starts it again.
     pub(crate) fn kill(&self) {
+        self.end();
+        self.start();
+    }
+
+    /// Kills it.
+    pub(crate) fn end(&self) {
         let incarnation = self.incarnation();
         self.killed.lock().unwrap().insert(incarnation);
         let mut child = self.child.lock().unwrap().take().unwrap();
         child.kill().unwrap();
         child.wait().unwrap();
-        self.start();
     }
 
     /// Stops it as planned, which it must do in time and well, and starts it again.
