An instance that waits for a reader reads the list meanwhile

Callers saw requests go to servers that had left. Cause: an instance that has just started read rules and servers once and then waited up to 3 s to learn a reader. In groups without readers there is never one, so only a peer's push could tell it of leaving servers, and the bound may be 2 s. Now it waits only as long as the changes it doesn't know stay within the pause that reading instances make.

--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -266,6 +266,12 @@
         known.map_or(Duration::ZERO, |at| now.saturating_sub(at))
     }
 
+    /// Returns how long before `now` the known changes end.
+    #[must_use]
+    pub fn unknown_for(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.known_until.unwrap_or_default())
+    }
+
     /// Returns whether changes have been unknown for so long that rows may lapse because
     /// of an outage of the platform. Single failed calls and readers that can't answer
     /// aren't an outage: the platform may reject some instances and serve others. Neither is
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -274,7 +274,9 @@
                 thread::sleep(PEER_CHECK_PERIOD);
                 true
             }
-            None if state.after().is_some() && follower.source.awaits_plan() => {
+            None if state.after().is_some()
+                && follower.source.awaits_plan(state.unknown_for(clock.now())) =>
+            {
                 thread::sleep(PLAN_CHECK_PERIOD);
                 true
             }
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -12,7 +12,7 @@
 
 use crate::backoff::PeerBackoff;
 use crate::budget::{
-    ANSWER_MARGIN_FRACTION, CALL_WINDOW_FRACTION, MAX_AGE_FRACTION,
+    ANSWER_MARGIN_FRACTION, CALL_PAUSE_FRACTION, CALL_WINDOW_FRACTION, MAX_AGE_FRACTION,
     QUESTION_WAIT_FRACTION, REREAD_PAUSE_FRACTION,
 };
 use crate::fleet::FleetLink;
@@ -34,9 +34,9 @@
 /// seconds.
 const RULES_PUSH_TIMEOUT: Duration = Duration::from_millis(1000);
 
-/// How long a new instance that has just read everything waits to learn its reader before
-/// it waits for changes at the platform. Peers find each other within three rounds of
-/// heartbeats. The wait saves the platform two calls for each instance that starts.
+/// How long after its start an instance may still learn its reader. Peers find each other within
+/// three rounds of heartbeats. Until then it reads for itself, but not more often than
+/// [`CALL_PAUSE_FRACTION`] allows, as most of these calls would be in vain.
 const STARTUP_WAIT: Duration = Duration::from_secs(3);
 
 /// Chooses where this instance gets the server list.
@@ -129,9 +129,12 @@
         matches!(self.reader(), ListReader::Peer(_))
     }
 
-    /// Returns whether a new instance should still wait for a reader.
-    pub(crate) fn awaits_plan(&self) -> bool {
-        self.reader() == ListReader::Alone && self.clock.now() < self.startup_until
+    /// Returns whether a new instance that doesn't know the changes of the time `unknown_for`
+    /// should still wait for a reader.
+    pub(crate) fn awaits_plan(&self, unknown_for: Duration) -> bool {
+        self.reader() == ListReader::Alone
+            && self.clock.now() < self.startup_until
+            && unknown_for < self.leave_within.mul_f64(CALL_PAUSE_FRACTION)
     }
 
     /// Returns whether a reader has answered this instance lately.
