A failed call is repeated within the bound if no reader responds

Same class as the deaf start: after a failed call, an instance whose readers don't answer waited 2 to 6 s, up to 12 s after more of them, for a reader to tell it that the platform answers again. A reader that was killed can't. The next call now falls within half of the bound for leaving servers, unless the reader responds.

Read from the code, not reproduced: three instances miss a killed reader within 2 s (readers_killed passes before and after); groups with longer heartbeats take longer.

--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -41,7 +41,7 @@
 /// answer, as a fraction of `leave_within`. The platform is failing then, so the calls to
 /// it are spread. It is much longer than [`CALL_WINDOW_FRACTION`], as the known rows must
 /// not become too old while the platform answers.
-const READERS_FAILING_FRACTION: f64 = 0.5;
+pub(crate) const READERS_FAILING_FRACTION: f64 = 0.5;
 
 /// Returns the window within which an instance that has readers makes its first call to
 /// the platform after they stop answering. `readers_reachable` says whether they still
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -16,7 +16,7 @@
     QUESTION_WAIT_FRACTION, REREAD_PAUSE_FRACTION,
 };
 use crate::fleet::FleetLink;
-use crate::follow::first_call_window;
+use crate::follow::{READERS_FAILING_FRACTION, first_call_window};
 use crate::lag::RulesLag;
 use crate::list_age::ListAge;
 
@@ -188,6 +188,15 @@
         self.lock().suggests_outage(now)
     }
 
+    /// Returns the window of the next call after a failed one if the reader doesn't respond at
+    /// all. Such a reader can't tell that the platform answers again, so the call must not be
+    /// put off as long as behind a reader that responds.
+    pub(crate) fn unreachable_readers_window(&self) -> Option<Duration> {
+        let now = self.clock.now();
+        let unreachable = !self.lock().suggests_outage(now);
+        unreachable.then(|| self.leave_within.mul_f64(READERS_FAILING_FRACTION))
+    }
+
     /// Returns the window within which instances call the platform whose readers have just
     /// read from it and lack some changes.
     pub(crate) fn gap_window(&self) -> Duration {
