No request is written by a server list that is too old

What an instance knows was asked before a request went to the task of its connection, and nothing asked how old it was. Now the first write of each request is checked: the server still takes it, and the list is at most .8 of the bound old by this instance's clock. An older one serves while the platform fails, and while a call waits for changes on a process that is on time; else the request waits, the thread that reads the list is woken from its pause and calls at once, and after the bound the request counts as withheld (not run, chosen again). A rate token is taken once.

--- a/crates/flaxtide-entry/src/budget.rs
+++ b/crates/flaxtide-entry/src/budget.rs
@@ -27,6 +27,11 @@
 /// The pause between two reads of the server list by an instance that reads for itself.
 pub(crate) const CALL_PAUSE_FRACTION: f64 = 0.35;
 
+/// The greatest age of the server list at which a request is still written by it while the
+/// platform answers: a step later than an instance goes without a read, and early enough for the
+/// request to arrive.
+pub(crate) const MAX_WRITE_AGE_FRACTION: f64 = 0.8;
+
 /// How long a server stays in use whose row is found missing at the latest time that the other
 /// steps allow.
 const LEAST_GRACE_FRACTION: f64 = 0.07;
@@ -60,6 +65,12 @@
     CALL_PAUSE_FRACTION + COMMON_STEPS_FRACTION <= LATEST_REMOVAL_FRACTION + ROUNDING
 );
 
+// The age of the list passes this limit only if a step took longer than it should.
+const _: () = assert!(
+    LATEST_REMOVAL_FRACTION - LEAST_GRACE_FRACTION <= MAX_WRITE_AGE_FRACTION + ROUNDING
+        && MAX_WRITE_AGE_FRACTION <= LATEST_REMOVAL_FRACTION
+);
+
 /// The time between the removal of a row and the removal of its server, as divided among the steps
 /// in between.
 ///
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -150,6 +150,7 @@
         }
     };
     let mut outgoing = build_request(state, request, headers, last_event);
+    let max_wait = time_left.min(state.config().leave_within);
     for _ in 0..MAX_STALE_CONNECTIONS {
         let idle = if new_connection {
             None
@@ -162,10 +163,15 @@
                 .await
                 .map_err(|_| RouteFault::Unreachable)?,
         };
-        // The server may have pushed back while the connection was being opened.
-        if !state.with_router(|core, now| core.permit_send(request_id, now)) {
-            state.connections.keep(server, conn, None, state.now());
-            return Err(RouteFault::Withheld.into());
+        if peer.is_none() {
+            // The server may have pushed back while the connection was being opened.
+            if !state.wait_for_list(max_wait).await
+                || !state.with_router(|core, now| core.permit_send(request_id, now))
+            {
+                state.connections.keep(server, conn, None, state.now());
+                return Err(RouteFault::Withheld.into());
+            }
+            conn.gate.arm(state, request_id);
         }
         let sent = state.now();
         let kind = if conn.used { "kept" } else { "new" };
@@ -179,6 +185,7 @@
                 let checked = check_head(state, request, server, sent, conn, resp);
                 return checked.map_err(SendFault::Fault);
             }
+            Err(_) if conn.gate.has_rejected() => return Err(RouteFault::Withheld.into()),
             Err(mut error) => match error.take_message() {
                 // No byte of it was written, so it can be sent again.
                 Some(unsent) => outgoing = unsent,
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -13,6 +13,7 @@
 use crate::feed::FeedEvent;
 use crate::fleet::FleetLink;
 use crate::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until};
+use crate::list_age::ListAge;
 use crate::metrics::EntryMetrics;
 use crate::reader::ServerListLog;
 use crate::source::ServerListSource;
@@ -113,14 +114,42 @@
         after: Option<StoreVersion>,
         wait: Duration,
     ) -> Result<FeedBatch, FeedError> {
+        let list_age = self.list_age();
+        if let Some(list_age) = list_age {
+            list_age.begin_call();
+        }
         let read = match after {
             None => self.feed.read(self.topic),
             Some(version) => self.feed.follow(self.topic, version, wait),
         };
+        if let Some(list_age) = list_age {
+            let failed =
+                read.as_ref().is_err_and(|fault| *fault != FeedError::HistoryGone);
+            list_age.end_call(failed);
+        }
         self.count(if read.is_ok() { "ok" } else { "failed" });
         read
     }
 
+    /// Returns the age of the server list, unless another topic is followed.
+    fn list_age(&self) -> Option<&ListAge> {
+        (self.topic == FeedTopic::Servers).then(|| self.source.list_age())
+    }
+
+    /// Pauses; for the server list, only until a request waits for a newer one.
+    fn pause(&self, span: Duration) {
+        match self.list_age() {
+            Some(list_age) => list_age.pause(span),
+            None => thread::sleep(span),
+        }
+    }
+
+    /// Returns whether a request waits for a newer server list, so that the platform is called
+    /// without asking peers or waiting for changes.
+    fn is_read_wanted(&self) -> bool {
+        self.list_age().is_some_and(ListAge::is_read_wanted)
+    }
+
     /// Returns how long a call waits for changes, and the pause after it.
     fn timing(&self) -> (Duration, Duration) {
         let list = self.log_and_link.as_ref();
@@ -143,7 +172,10 @@
         let called = clock.now();
         let after = state.after();
         // A read of everything doesn't wait for changes.
-        let wait = after.map_or(Duration::ZERO, |_| max_wait.min(state.max_wait(called)));
+        let wait = match after {
+            Some(_) if !self.is_read_wanted() => max_wait.min(state.max_wait(called)),
+            _ => Duration::ZERO,
+        };
         match self.fetch(after, wait) {
             Ok(batch) => {
                 let now = clock.now();
@@ -161,7 +193,7 @@
                 };
                 let delivered = self.handle_batch(state, batch, unseen, was_outage)
                     && self.send_coverage(now.saturating_sub(covered_until));
-                thread::sleep(pause);
+                self.pause(pause);
                 delivered
             }
             Err(fault) => {
@@ -263,6 +295,12 @@
     let mut backoff = CallBackoff::default();
     loop {
         let asked = clock.now();
+        if follower.is_read_wanted() {
+            if !follower.call_platform(&mut state, &mut backoff, &clock) {
+                return;
+            }
+            continue;
+        }
         let delivered = match follower.poll_peers(state.after()) {
             Some(PeerUpdate::Rows(batch)) => {
                 backoff.reset();
@@ -280,7 +318,7 @@
             None if state.after().is_some()
                 && follower.source.awaits_plan(state.unknown_for(clock.now())) =>
             {
-                thread::sleep(PLAN_CHECK_PERIOD);
+                follower.pause(PLAN_CHECK_PERIOD);
                 true
             }
             None => {
@@ -290,7 +328,7 @@
                             state.record_failing_peers();
                         }
                         state.shorten_waits(clock.now());
-                        thread::sleep(delay.min(PEER_RETRY_PERIOD));
+                        follower.pause(delay.min(PEER_RETRY_PERIOD));
                         // During an outage, rows may lapse merely because servers can't renew
                         // them, so the traffic thread must know of it.
                         !state.is_outage(clock.now())
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -27,7 +27,7 @@
 };
 use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
 use crate::forward::{log_reach, probe_paths};
-use crate::jump::JumpDetector;
+use crate::jump::detect_jump;
 use crate::listen::{accept_requests, bind_listener, serve_probes};
 use crate::logging::flush_log;
 use crate::metrics::EntryMetrics;
@@ -328,10 +328,9 @@
     mut watches: Option<EngineWatches>,
 ) {
     let mut ticks = 0u64;
-    let mut jumps = JumpDetector::new(state.now());
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
-        jumps.tick(&state);
+        detect_jump(&state);
         ticks += 1;
         if state.with_router(|core, _| core.has_waiting_requests()) {
             state.run_router(|core, now| core.tick(now));
--- a/crates/flaxtide-entry/src/jump.rs
+++ b/crates/flaxtide-entry/src/jump.rs
@@ -1,6 +1,7 @@
 //! Clock jumps: after the machine was suspended or the process stalled, everything that this
 //! instance knows is older than it seems.
 
+use std::cell::Cell;
 use std::future::Future;
 use std::pin::pin;
 use std::time::Duration;
@@ -22,27 +23,47 @@
 /// How long reading the data that has arrived may take.
 const CATCH_UP_TIME: Duration = Duration::from_millis(200);
 
-/// Detects clock jumps from the time between two ticks.
+/// A tick that follows the one before after this time shows that the process is late: it was
+/// suspended, or gets too little processor time.
+const LATE_TICK: Duration = Duration::from_millis(300);
+
+/// Whether the traffic thread is late, from the time between two ticks.
 #[derive(Debug)]
-pub(crate) struct JumpDetector {
+pub(crate) struct TickLateness {
     /// The time of the last tick.
-    last_tick: Duration,
+    last_tick: Cell<Duration>,
+    /// Whether that tick was late.
+    was_late: Cell<bool>,
 }
 
-impl JumpDetector {
-    /// Creates a detector whose first tick follows `now`.
+impl TickLateness {
+    /// Creates the lateness of a thread whose first tick follows `now`.
     pub(crate) fn new(now: Duration) -> Self {
-        Self { last_tick: now }
+        Self {
+            last_tick: Cell::new(now),
+            was_late: Cell::new(false),
+        }
     }
 
-    /// Handles a tick. After a clock jump, the state is adjusted before more requests are sent.
-    pub(crate) fn tick(&mut self, state: &TrafficState) {
-        let now = state.now();
-        let span = now.saturating_sub(self.last_tick);
-        self.last_tick = now;
-        if span >= MIN_JUMP {
-            handle_jump(state, span, now);
-        }
+    /// Returns whether the thread is late, or was until its last tick.
+    pub(crate) fn is_late(&self, now: Duration) -> bool {
+        self.was_late.get() || now.saturating_sub(self.last_tick.get()) >= LATE_TICK
+    }
+
+    /// Records a tick. Returns the time since the one before.
+    fn record_tick(&self, now: Duration) -> Duration {
+        let span = now.saturating_sub(self.last_tick.replace(now));
+        self.was_late.set(span >= LATE_TICK);
+        span
+    }
+}
+
+/// Handles a tick. After a clock jump, the state is adjusted before more requests are sent.
+pub(crate) fn detect_jump(state: &TrafficState) {
+    let now = state.now();
+    let span = state.lateness.record_tick(now);
+    if span >= MIN_JUMP {
+        handle_jump(state, span, now);
     }
 }
 
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -60,6 +60,7 @@
 mod version_counts;
 mod versions;
 mod watch;
+mod write_gate;
 
 pub use self::backoff::PeerBackoff;
 pub use self::budget::LeaveBudget;
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -87,7 +87,7 @@
             startup_until: clock.now() + startup_wait,
             clock,
             leave_within,
-            list_age: ListAge::default(),
+            list_age: ListAge::new(leave_within),
             state: Mutex::new(state),
         }
     }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -24,6 +24,7 @@
 use crate::evacuation::DataCentreEvacuations;
 use crate::fleet::FleetLink;
 use crate::forward::{CarriedCalls, ForwardPeers};
+use crate::jump::TickLateness;
 use crate::memory::BodyBudget;
 use crate::metrics::{EntryMetrics, GaugeGuard};
 use crate::names::IdTable;
@@ -117,6 +118,8 @@
     pub(crate) not_ready_until: Cell<Duration>,
     /// Wakes timers when the clock has jumped.
     pub(crate) clock_jumped: Notify,
+    /// Whether the traffic thread is late.
+    pub(crate) lateness: TickLateness,
     /// Wakes connections when the phase changes.
     pub(crate) phase_changed: Notify,
     /// The number of requests in progress.
@@ -152,6 +155,7 @@
         let carried = CarriedCalls::new(metrics.carried_calls.clone());
         let quarantine = CallQuarantine::new(!config.seeds.is_empty());
         let versions = StreamVersions::new(source.clock().clone(), leave_within);
+        let lateness = TickLateness::new(clock.now());
         let mut core = RouteCore::new(options);
         core.set_seed(seed);
         Self {
@@ -188,6 +192,7 @@
             phase: Cell::new(ShutdownPhase::Serving),
             not_ready_until: Cell::new(Duration::ZERO),
             clock_jumped: Notify::new(),
+            lateness,
             phase_changed: Notify::new(),
             open_calls: Cell::new(0),
             stop_deadline: Cell::new(None),
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,6 +16,7 @@
 use tokio::task::AbortHandle;
 
 use crate::keepalive::enable_keepalive;
+use crate::write_gate::{GatedStream, WriteGate};
 
 /// The connect time-out while no connect time is known, and its upper bound. A reachable
 /// server accepts within a few milliseconds; one behind a network partition never does.
@@ -70,6 +72,8 @@
     task: AbortHandle,
     /// Whether a request has been sent over it before.
     pub(crate) used: bool,
+    /// Checks each request when it is written.
+    pub(crate) gate: Rc<WriteGate>,
 }
 
 impl Drop for ServerConnection {
@@ -204,11 +208,14 @@
     connections.record_connect_time(start.elapsed());
     stream.set_nodelay(true)?;
     enable_keepalive(&stream)?;
+    let gate = Rc::new(WriteGate::default());
+    let stream = GatedStream::new(stream, gate.clone());
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // The sender reports the error to the task that waits for the response.
         let _ = driver.await;
     });
-    Ok(ServerConnection { sender, task: task.abort_handle(), used: false })
+    let task = task.abort_handle();
+    Ok(ServerConnection { sender, task, used: false, gate })
 }
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -143,10 +143,10 @@
     }
 
     /// Returns whether a request may now be written to its chosen server, and counts it
-    /// against the server's rate unless that was done at dispatch. The server may have
-    /// lowered its rate or asked for a backoff since it was chosen.
+    /// against the server's rate unless that has been done. The server may have lowered its
+    /// rate or asked for a backoff since it was chosen.
     pub fn permit_send(&mut self, request: RequestId, now: Duration) -> bool {
-        let Some(call) = self.calls.get(&request) else { return false };
+        let Some(call) = self.calls.get_mut(&request) else { return false };
         let CallPhase::Running { server, .. } = call.phase else { return false };
         let Some(pool) = self.pools.get_mut(&call.details.pool) else { return false };
         if pool.servers.is_forward_peer(server) {
@@ -157,8 +157,11 @@
         if !server.listing.accepts(&call.details) || server.pushback.is_backing_off(now) {
             return false;
         }
-        let counted = call.rate_counted || !server.pushback.is_limited(now);
-        counted || server.pushback.take(now)
+        if call.rate_counted || !server.pushback.is_limited(now) {
+            return true;
+        }
+        call.rate_counted = server.pushback.take(now);
+        call.rate_counted
     }
 
     /// Returns when the first server that hasn't failed the request accepts one.
