What the fleet has spent of the retry budget outlives the processes

Cause: the window of a process dies with it. The next process had its part of the slack again, assumed that eight instances share it until it had heard more, and in a cut took those it heard for the whole fleet.

Now a process spends .06 of its part in its first window, which several starts in a window can add to what budget_part keeps back, and nothing of it before every data centre has been heard (60 s at most). What arrivals add stays, as each process counts its own.

Tests of one core name the fleet's size, as a core no longer assumes one; the test that counts an eighth of the allowance does so after the first window.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -19,6 +19,10 @@
 use crate::sightings::{record_part_updates, to_sightings};
 use crate::state::TrafficState;
 
+/// How long after the start a data centre without a word keeps the size of the fleet unknown. It may
+/// be cut off and draw on the retry budget; later it is taken to have no instances.
+const MAX_FLEET_WAIT: Duration = Duration::from_secs(60);
+
 /// An event for the traffic thread from a thread that follows the platform or talks to
 /// peers.
 #[derive(Debug)]
@@ -64,6 +68,8 @@
     Fleet {
         /// The number of live instances.
         live: u32,
+        /// The data centres of which an instance has been heard since the start.
+        data_centres: usize,
         /// The newest version of the rules that peers have announced.
         newest_rules: SettingsVersion,
         /// Whether this instance has got the known crashes from a peer.
@@ -137,13 +143,21 @@
             FeedEvent::Evacuations(records) => {
                 state.evacuations.apply_peer_records(&state, &records);
             }
-            FeedEvent::Fleet { live, newest_rules, has_synced_crashes, group } => {
+            FeedEvent::Fleet {
+                live,
+                data_centres,
+                newest_rules,
+                has_synced_crashes,
+                group,
+            } => {
                 state.quarantine.set_synced(has_synced_crashes);
                 state.newest_rules.set(newest_rules);
                 state.live_instances.set(live);
                 state.metrics.instances.set(i64::from(live));
+                let is_whole =
+                    data_centres >= state.config().regions.len() || now >= MAX_FLEET_WAIT;
                 state.with_router(|core, now| {
-                    core.set_instances(live);
+                    core.set_instances(live, is_whole);
                     if let Some(group) = group {
                         core.set_group(group, now);
                     }
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -367,12 +367,14 @@
             duties.set_candidate(node.is_duty_candidate(now));
         }
         let live = node.fleet_size(now);
+        let data_centres = node.heard_data_centres();
         let newest_rules = node.newest_known_version(now);
         let has_synced_crashes = node.has_synced_crashes();
         let group = node.instance_group(now);
         // A dropped event is repeated with the next update.
         let _ = events.try_send(FeedEvent::Fleet {
             live,
+            data_centres,
             newest_rules,
             has_synced_crashes,
             group,
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -158,6 +158,9 @@
         let lateness = TickLateness::new(clock.now());
         let mut core = RouteCore::new(options);
         core.set_seed(seed);
+        if config.seeds.is_empty() {
+            core.set_instances(1, true);
+        }
         Self {
             config: RefCell::new(Rc::new(config)),
             clock,
--- a/crates/flaxtide-entry/tests/list_age.rs
+++ b/crates/flaxtide-entry/tests/list_age.rs
@@ -26,7 +26,7 @@
     for step in steps {
         match step {
             ListStep::Covered(millis) => {
-                age.record_covered(Duration::from_millis(*millis))
+                age.record_covered(Duration::from_millis(*millis));
             }
             ListStep::Calls => age.begin_call(),
             ListStep::Answered => age.end_call(false),
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -137,6 +137,20 @@
         in_group + counted + uncounted.count() as u32
     }
 
+    /// Returns the number of data centres of which an instance has been heard since the start,
+    /// the own one included.
+    #[must_use]
+    pub fn heard_data_centres(&self) -> usize {
+        let peers = self.peers.values().filter(|peer| peer.heard_at.is_some());
+        let mut names: BTreeSet<&str> =
+            peers.map(|peer| peer.info.data_centre.as_str()).collect();
+        let counted = self.group.others.iter();
+        let counted = counted.filter(|(_, other)| other.live_count.is_some());
+        names.extend(counted.map(|(name, _)| name.as_str()));
+        names.insert(&self.own.data_centre);
+        names.len()
+    }
+
     /// Divides a fleet that has grown over the limit into groups, and merges a divided fleet
     /// that has shrunk.
     pub(super) fn regroup(&mut self, now: Duration) {
--- a/crates/flaxtide-lab/src/fleet.rs
+++ b/crates/flaxtide-lab/src/fleet.rs
@@ -231,7 +231,7 @@
         let core = |instance| {
             let mut core = RouteCore::new(RouteOptions::default());
             core.set_seed(seed ^ u64::from(instance));
-            core.set_instances(pattern.instances);
+            core.set_instances(pattern.instances, true);
             core.set_servers(POOL, &servers, Duration::ZERO);
             core
         };
--- a/crates/flaxtide-lab/src/world.rs
+++ b/crates/flaxtide-lab/src/world.rs
@@ -136,7 +136,7 @@
             });
             let servers: Vec<RoutedServer> = servers.collect();
             let mut core = RouteCore::new(RouteOptions::default());
-            core.set_instances(pattern.instances);
+            core.set_instances(pattern.instances, true);
             core.set_seed(u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15));
             core.set_servers(POOL, &servers, Duration::ZERO);
             LabInstance { core, heard: BTreeMap::new() }
--- a/crates/flaxtide-lab/tests/budget.rs
+++ b/crates/flaxtide-lab/tests/budget.rs
@@ -80,7 +80,8 @@
         let own = pattern.instances.div_ceil(pattern.data_centres);
         // The first start was before the cut.
         let cut = pattern.is_cut && !self.started.is_zero();
-        self.core.set_instances(if cut { own } else { pattern.instances });
+        self.core
+            .set_instances(if cut { own } else { pattern.instances }, !cut);
     }
 
     /// Handles a request that every server fails. Returns how often it was sent again.
--- a/crates/flaxtide-lab/tests/cut.rs
+++ b/crates/flaxtide-lab/tests/cut.rs
@@ -106,7 +106,7 @@
         let core = |number: usize| {
             let mut core = RouteCore::new(RouteOptions::default());
             core.set_seed(seed ^ (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-            core.set_instances(pattern.instances as u32);
+            core.set_instances(pattern.instances as u32, true);
             core.set_servers(POOL, &servers, Duration::ZERO);
             core
         };
--- a/crates/flaxtide-lab/tests/refusals.rs
+++ b/crates/flaxtide-lab/tests/refusals.rs
@@ -180,7 +180,7 @@
 fn core(pattern: &BrittlePattern, number: u32) -> RouteCore {
     let mut core = RouteCore::new(RouteOptions::default());
     core.set_seed(u64::from(number).wrapping_mul(0x9e37_79b9_7f4a_7c15));
-    core.set_instances(pattern.instances);
+    core.set_instances(pattern.instances, true);
     let member = |instance| GroupMember { instance, data_centre: 0 };
     let group = InstanceGroup {
         own: member(number),
--- a/crates/flaxtide-lab/tests/shed.rs
+++ b/crates/flaxtide-lab/tests/shed.rs
@@ -203,7 +203,7 @@
 fn core(pattern: &ShedPattern, number: usize) -> RouteCore {
     let mut core = RouteCore::new(RouteOptions::default());
     core.set_seed(number as u64);
-    core.set_instances(pattern.instances as u32);
+    core.set_instances(pattern.instances as u32, true);
     let servers = (0..pattern.servers).map(|server| {
         let rank = u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         plain_server(server, rank, 0, true)
--- a/crates/flaxtide-policy/src/router/budget.rs
+++ b/crates/flaxtide-policy/src/router/budget.rs
@@ -13,8 +13,16 @@
 /// whose limit uses another window must scale it.
 const WINDOW: Duration = Duration::from_secs(10);
 
-/// The number of steps that a window is divided into for counting.
-const STEPS: u64 = 20;
+/// The number of steps in a window.
+const STEPS: u64 = (WINDOW.as_millis() / STEP.as_millis()) as u64;
+
+/// The length of a step. Counts cover a window and up to one step more.
+const STEP: Duration = Duration::from_millis(500);
+
+/// The part of its share of the allowance that a process may spend in its first window. Several
+/// starts in a window stay within what [`RouteOptions::budget_part`](super::RouteOptions) keeps
+/// back.
+const STARTING_FRACTION: f64 = 0.06;
 
 /// What an instance has counted for a pool in the current window.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
@@ -87,6 +95,21 @@
 }
 
 impl RouteCore {
+    /// Returns this instance's share of the fixed allowance. There is little in the first window
+    /// after the start, as the process before may have spent it, and none while the fleet isn't
+    /// known. What arrivals add needs no such care: a process counts only its own.
+    pub(super) fn slack_share(&self, now: Duration) -> f64 {
+        if !self.knows_fleet {
+            return 0.0;
+        }
+        let slack = self.options.retry_slack * self.options.budget_part;
+        let share = slack / f64::from(self.instances.max(1));
+        if now >= WINDOW + STEP {
+            return share;
+        }
+        share * STARTING_FRACTION
+    }
+
     /// Returns what has been counted for the retry budget of a request's pool.
     #[must_use]
     pub fn retry_counts(&self, request: RequestId, now: Duration) -> RetryCounts {
@@ -98,5 +121,5 @@
 
 /// Returns the number of the step at a time.
 fn step_of(now: Duration) -> u64 {
-    (now.as_millis() / (WINDOW.as_millis() / u128::from(STEPS))) as u64
+    (now.as_millis() / STEP.as_millis()) as u64
 }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -163,6 +163,9 @@
     /// How many instances share the retry budget: the largest number that was seen alive
     /// at once.
     instances: u32,
+    /// Whether all data centres have been heard since the start, so that `instances` counts
+    /// the whole fleet.
+    knows_fleet: bool,
     /// The instances that are alive, or `None` until membership is known.
     group: Option<Arc<InstanceGroup>>,
     /// The servers that each peer named in its last report of its load.
@@ -179,13 +182,13 @@
     /// Creates a core that knows no servers.
     #[must_use]
     pub fn new(options: RouteOptions) -> Self {
-        let instances = options.assumed_instances;
         Self {
             options,
             seed: 0,
             pools: BTreeMap::new(),
             calls: HashMap::new(),
-            instances,
+            instances: 0,
+            knows_fleet: false,
             group: None,
             peer_servers: HashMap::new(),
             unlisted: UnlistedPushback::default(),
@@ -245,10 +248,12 @@
     }
 
     /// Records how many instances are alive, for the retry budget. It is divided by the
-    /// largest number seen, so that after a network partition the two sides together
-    /// can't exceed it.
-    pub fn set_instances(&mut self, live: u32) {
+    /// largest number seen, so that after a network partition the two sides together can't
+    /// exceed it. `is_whole` tells whether all data centres have been heard since the start;
+    /// one that hasn't may be cut off and draw on the budget.
+    pub fn set_instances(&mut self, live: u32, is_whole: bool) {
         self.instances = self.instances.max(live);
+        self.knows_fleet |= is_whole;
     }
 
     /// Replaces everything that is known of a peer's load on the servers.
--- a/crates/flaxtide-policy/src/router/options.rs
+++ b/crates/flaxtide-policy/src/router/options.rs
@@ -82,16 +82,8 @@
     /// The fraction of the budget that is used, so that it also holds for windows that
     /// are aligned differently.
     pub budget_part: f64,
-    /// The number of instances that are assumed to share the budget until peers have been
-    /// heard.
+    /// The number of instances that are assumed until peers have been heard.
     pub assumed_instances: u32,
-    /// The time after its start during which an instance may not have heard yet how many
-    /// instances share the budget: twice the longest heartbeat period.
-    #[serde(deserialize_with = "deserialize_span")]
-    pub settling: Duration,
-    /// The maximum of this instance's share of `retry_slack` per window during
-    /// `settling`.
-    pub settling_slack: f64,
     /// A server may be silent for this many times the expected time to the first token.
     pub patience_factor: f64,
     /// The minimum silence of a server before a request is retried elsewhere.
@@ -176,8 +168,6 @@
             retry_slack: 50.0,
             budget_part: 0.7,
             assumed_instances: 8,
-            settling: Duration::from_secs(5),
-            settling_slack: 2.0,
             patience_factor: 3.0,
             shortest_patience: Duration::from_millis(1500),
             silence: Duration::from_millis(500),
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -238,12 +238,7 @@
             // The budget limits the load on servers, and this request reached none.
             return true;
         }
-        let (ratio, slack) = (self.options.retry_ratio, self.options.retry_slack);
-        let mut slack_share =
-            slack * self.options.budget_part / f64::from(self.instances.max(1));
-        if now < self.options.settling {
-            slack_share = slack_share.min(self.options.settling_slack);
-        }
+        let (ratio, slack_share) = (self.options.retry_ratio, self.slack_share(now));
         let Some(state) = self.pools.get_mut(&details.pool) else { return false };
         state
             .budget
--- a/crates/flaxtide-policy/src/router/room.rs
+++ b/crates/flaxtide-policy/src/router/room.rs
@@ -43,7 +43,8 @@
     /// that the refusals of all instances stay below its limit.
     pub(super) fn refusal_pause(&self, server: &ServerState) -> Option<Duration> {
         let limit = f64::from(server.pushback.refusals()?.per_second.max(1));
-        let seconds = f64::from(self.instances.max(1)) / (limit * REFUSAL_FRACTION);
+        let seconds = f64::from(self.instances.max(self.options.assumed_instances))
+            / (limit * REFUSAL_FRACTION);
         let pause = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_PAUSE);
         Some(pause.clamp(self.options.full_pause, LONGEST_PAUSE))
     }
--- a/crates/flaxtide-policy/tests/common/mod.rs
+++ b/crates/flaxtide-policy/tests/common/mod.rs
@@ -44,6 +44,7 @@
 /// Creates a core with `servers` engines and the given options.
 pub fn core_with_options(servers: u32, options: RouteOptions) -> RouteCore {
     let mut core = RouteCore::new(options);
+    core.set_instances(1, true);
     let servers: Vec<RoutedServer> = (0..servers).map(engine).collect();
     core.set_servers(POOL, &servers, ms(0));
     core
--- a/crates/flaxtide-policy/tests/router.rs
+++ b/crates/flaxtide-policy/tests/router.rs
@@ -75,16 +75,17 @@
 #[test]
 fn retries_stay_within_the_budget_of_all_instances() {
     let options = RouteOptions::default();
-    let instances = options.assumed_instances;
+    let instances = 8;
     let mut core = core_with(3);
+    core.set_instances(instances, true);
     let mut retries = 0;
     for request in 0..400 {
-        core.arrive(call(request, 100, true), ms(request));
-        if core.fail(request, RouteFault::Full, false, ms(request)).0
+        core.arrive(call(request, 100, true), ms(11_000 + request));
+        if core.fail(request, RouteFault::Full, false, ms(11_000 + request)).0
             == RetryDecision::Retry
         {
             retries += 1;
-            core.cancel(request, ms(request));
+            core.cancel(request, ms(11_000 + request));
         }
     }
     let allowed =
@@ -99,8 +100,7 @@
     let options = RouteOptions { retry_slack: 208.0, ..RouteOptions::default() };
     let (mut requests, mut retries) = (0, 0);
     for _ in 0..INSTANCES {
-        // No peer has been heard yet, so each instance assumes that 8 share the budget.
-        // If it used an eighth of the allowance, 84 together would exceed it.
+        // No peer has been heard yet, so an instance doesn't know its share of the allowance.
         let mut core = RouteCore::new(options.clone());
         let servers: Vec<RoutedServer> = (0..3).map(engine).collect();
         core.set_servers(POOL, &servers, ms(0));
--- a/crates/flaxtide-policy/tests/router_silence.rs
+++ b/crates/flaxtide-policy/tests/router_silence.rs
@@ -25,17 +25,18 @@
 #[test]
 fn a_granted_retry_is_charged_once() {
     let mut core = core_with(2);
+    core.set_instances(8, true);
     let mut granted = 0;
     for request in 0..200 {
-        core.arrive(call(request, 100, true), ms(3000));
-        if core.may_abort_silent(request, false, ms(6000)) {
+        core.arrive(call(request, 100, true), ms(13_000));
+        if core.may_abort_silent(request, false, ms(16_000)) {
             assert_eq!(
-                core.fail(request, RouteFault::Silent, false, ms(6000)).0,
+                core.fail(request, RouteFault::Silent, false, ms(16_000)).0,
                 RetryDecision::Retry
             );
             granted += 1;
         }
-        core.cancel(request, ms(6000));
+        core.cancel(request, ms(16_000));
     }
     // 0.7 of the budget: a fifth of 200 requests, and an eighth of the allowance of 50.
     // `fail` alone would grant as many.
