Test: connections beyond the memory of an instance

Connections are accepted up to the file descriptors, 2,900 on instances with 160 MB; at 53 KB a stream these are 154 MB beside the rest.

--- a/crates/flaxtide/tests/readers_killed.rs
+++ b/crates/flaxtide/tests/readers_killed.rs
@@ -11,7 +11,7 @@
 
 use common::server::{StandinServer, right};
 use common::store::{StandinStore, StoreFault};
-use common::{config, fresh_ip, wait_until};
+use common::{config, fresh_ip, instance_text, wait_until};
 
 use self::process::ProcessSlot;
 
--- a/crates/flaxtide/tests/soak/process.rs
+++ b/crates/flaxtide/tests/soak/process.rs
@@ -42,20 +42,14 @@
         store: SocketAddr,
         seeds: &[Ipv4Addr],
     ) -> Self {
-        Self::with_lines(program, ip, store, seeds, "")
+        Self::with_text(program, ip, &instance_text(ip, store, seeds, ""))
     }
 
-    /// Writes the instance file of a slot for a program, with more lines.
-    pub(crate) fn with_lines(
-        program: String,
-        ip: Ipv4Addr,
-        store: SocketAddr,
-        seeds: &[Ipv4Addr],
-        more: &str,
-    ) -> Self {
+    /// Writes a text as the instance file of a slot for a program.
+    pub(crate) fn with_text(program: String, ip: Ipv4Addr, text: &str) -> Self {
         let path =
             PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("soak-{ip}.yaml"));
-        std::fs::write(&path, instance_text(ip, store, seeds, more)).unwrap();
+        std::fs::write(&path, text).unwrap();
         // What an earlier run has left.
         let _ = std::fs::remove_file(path.with_extension("log"));
         Self {
@@ -155,6 +149,14 @@
         assert!(status.unwrap().success());
     }
 
+    /// Returns the memory that it uses, in kilobytes.
+    pub(crate) fn memory_kb(&self) -> u64 {
+        let pid = self.child.lock().unwrap().as_ref().unwrap().id();
+        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
+        line.split_whitespace().next().unwrap().parse().unwrap()
+    }
+
     /// Asserts that it hasn't ended by itself.
     pub(crate) fn assert_running(&self) {
         let mut child = self.child.lock().unwrap();
