Connections are accepted as far as there is memory

Processes of small instances ended over their memory limit. Connections were accepted up to the number of file descriptors; at 53 KB each those of an instance with 160 MB may take 154 MB. They may take half of the memory now; those beyond are closed unread, so that callers turn to another instance at once, and are counted.

--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -22,6 +22,7 @@
 
 use crate::call::{RequestSource, serve_request};
 use crate::keepalive::enable_keepalive;
+use crate::memory::connection_limit;
 use crate::reply::{CallerResponse, ResponseBody, full_body};
 use crate::state::{ShutdownPhase, TrafficState};
 
@@ -31,9 +32,6 @@
 /// The pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-/// File descriptors reserved for servers, peers and the platform.
-const RESERVED_DESCRIPTORS: u64 = 1200;
-
 /// A connection is closed after its caller has read nothing of a response for this long.
 /// The response takes memory meanwhile. The system may close it sooner.
 const STALLED_READER_TIMEOUT: Duration = Duration::from_secs(8);
@@ -200,7 +198,9 @@
 }
 
 /// Accepts connections from callers, or from peers that forward requests, until the process
-/// ends. `open_connections` counts those of both, which share the file descriptors.
+/// ends. `open_connections` counts those of both, which share the memory and the file
+/// descriptors. Those beyond the limit are closed unread, so that callers turn to another
+/// instance at once.
 pub(crate) async fn accept_requests(
     state: Rc<TrafficState>,
     listener: TcpListener,
@@ -209,13 +209,11 @@
 ) {
     loop {
         let Some(stream) = accept(&listener).await else { continue };
-        let most = state
-            .config()
-            .descriptors
-            .saturating_sub(RESERVED_DESCRIPTORS)
-            .max(64);
+        let config = state.config();
+        let most = connection_limit(config.memory_mb, config.descriptors);
         if open_connections.get() >= most {
-            log::warn!(open = open_connections.get(), most; "connection rejected: too few file descriptors");
+            state.metrics.rejected_connections.inc();
+            log::warn!(open = open_connections.get(), most; "connection rejected: too many are open");
             continue;
         }
         open_connections.set(open_connections.get() + 1);
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -1,4 +1,4 @@
-//! Bounds the memory that bodies take. A caller or a server that reads slowly, or not at
+//! Bounds the memory that bodies and connections take. A caller or a server that reads slowly, or not at
 //! all, holds a body in memory, so each body is charged to a budget until its last byte is
 //! written. While the budget is used up, no further bodies are read: senders wait.
 
@@ -16,6 +16,28 @@
 /// responses from being read.
 const BUDGET_DIVISOR: u64 = 8;
 
+/// The memory that a connection takes at most, without bodies: its buffers, and the state of its
+/// request and of the server's stream.
+const CONNECTION_BYTES: u64 = 53 * 1024;
+
+/// The part of the memory of the process that connections may take. The bodies take a quarter, and
+/// the rules, the servers and what peers tell the rest.
+const CONNECTIONS_DIVISOR: u64 = 2;
+
+/// File descriptors reserved for servers, peers and the platform.
+const RESERVED_DESCRIPTORS: u64 = 1200;
+
+/// The fewest connections that an instance accepts, however small it is.
+const MIN_CONNECTIONS: u64 = 64;
+
+/// Returns how many connections of callers and peers a process may accept that may use
+/// `memory_mb` megabytes and a number of file descriptors.
+pub(crate) fn connection_limit(memory_mb: u64, descriptors: u64) -> u64 {
+    let by_memory = memory_mb * 1_000_000 / CONNECTIONS_DIVISOR / CONNECTION_BYTES;
+    let by_descriptors = descriptors.saturating_sub(RESERVED_DESCRIPTORS);
+    by_memory.min(by_descriptors).max(MIN_CONNECTIONS)
+}
+
 /// The memory for bodies of one direction.
 #[derive(Debug)]
 pub(crate) struct BodyBudget {
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -73,6 +73,8 @@
     pub(crate) body_bytes: IntGaugeVec,
     /// Connections closed because their callers read nothing.
     pub(crate) stalled_readers: IntCounter,
+    /// Connections that were closed unread because too many were open.
+    pub(crate) rejected_connections: IntCounter,
     /// Engines that this instance watches, by whether they answer.
     pub(crate) watched_engines: IntGaugeVec,
     /// Calls to watched engines, by call and outcome.
@@ -170,6 +172,10 @@
             ),
             instances: gauge("instances", "Instances seen alive."),
             body_bytes: gauges("body_bytes", "Memory reserved for bodies.", &["kind"]),
+            rejected_connections: counter(
+                "rejected_connections",
+                "Connections closed unread because too many were open.",
+            ),
             stalled_readers: counter(
                 "stalled_readers",
                 "Connections of callers that read nothing.",
@@ -195,7 +201,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 35] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 36] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -226,6 +232,7 @@
             Box::new(self.instances.clone()),
             Box::new(self.body_bytes.clone()),
             Box::new(self.stalled_readers.clone()),
+            Box::new(self.rejected_connections.clone()),
             Box::new(self.watched_engines.clone()),
             Box::new(self.watch_calls.clone()),
             Box::new(self.doubtful_paths.clone()),
--- a/crates/flaxtide/tests/many_connections.rs
+++ b/crates/flaxtide/tests/many_connections.rs
@@ -67,5 +67,7 @@
     std::thread::sleep(Duration::from_millis(500));
     most = most.max(slot.memory_kb());
     assert!(most < MEMORY_MB * 1024, "{most} KB");
+    let rejected = slot.metric("flaxtide_entry_rejected_connections_total ");
+    assert!(rejected > Some(0), "{rejected:?} were closed unread");
     slot.assert_running();
 }
