--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -145,6 +145,7 @@
         tier: is_engine.then_some(tier),
         tokens: head.prompt.tokens,
         streams: class.class().kind.streams(),
+        shared_parts: head.prompt.shared_parts().map(|part| part.key).collect(),
         fingerprint: OnceCell::new(),
     };
     // The peer that forwards a request counts it.
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -62,6 +62,8 @@
     pub(crate) tokens: u32,
     /// Whether the response is a stream of events.
     pub(crate) streams: bool,
+    /// The keys of the parts of its prompt that other requests may have too.
+    pub(crate) shared_parts: Vec<u64>,
     /// Identifies repeats of the request. Computed on first use.
     pub(crate) fingerprint: OnceCell<Fingerprint>,
 }
--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -17,6 +17,9 @@
 /// of batches per second.
 const MAX_UNSENT: usize = 256;
 
+/// The most parts of a prompt that a log line names.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// How often entries are removed whose requests haven't been seen for long.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -60,10 +63,13 @@
             self.log.borrow_mut().record(fingerprint, incarnation, progress, now);
         let quarantined = self.log.borrow().is_quarantined(fingerprint);
         state.metrics.crashes.inc();
+        let parts = request.shared_parts.iter().take(MAX_LOGGED_PARTS);
+        let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
         log::info!(
             request = request.attempt_id.clone().unwrap_or_default(),
             server = state.server_name(server).unwrap_or_default(),
-            fingerprint = format!("{fingerprint:032x}"), begun = progress.begun, quarantined;
+            fingerprint = format!("{fingerprint:032x}"), begun = progress.begun,
+            parts = parts.join(","), quarantined;
             "server exited while it ran a request"
         );
         self.publish(state, report.into_iter().collect());
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -66,11 +66,16 @@
         self.tokens > options.long_prompt
     }
 
+    /// Returns the parts that other requests may have too: all but the last one.
+    pub fn shared_parts(&self) -> impl Iterator<Item = &PromptPart> {
+        let shared = self.parts.split_last().map(|(_, shared)| shared);
+        shared.unwrap_or_default().iter()
+    }
+
     /// Returns the total length of the shared parts in tokens.
     #[must_use]
     pub fn shared_tokens(&self) -> u32 {
-        let Some((_, shared)) = self.parts.split_last() else { return 0 };
-        shared.iter().map(|part| part.tokens).sum()
+        self.shared_parts().map(|part| part.tokens).sum()
     }
 
     /// Returns how many tokens the prompt has in common with another from its beginning.
