--- a/crates/flaxtide/tests/readers_killed.rs
+++ b/crates/flaxtide/tests/readers_killed.rs
@@ -46,7 +46,8 @@
         .map(|ip| {
             let program = env!("CARGO_BIN_EXE_flaxtide").into();
             let shared = "read_alone_below: 2\n";
-            let slot = ProcessSlot::with_lines(program, *ip, store.address, &ips, shared);
+            let text = instance_text(*ip, store.address, &ips, shared);
+            let slot = ProcessSlot::with_text(program, *ip, &text);
             slot.start();
             slot
         })
--- a/crates/flaxtide/tests/soak/process.rs
+++ b/crates/flaxtide/tests/soak/process.rs
@@ -14,6 +14,9 @@
 /// How long a planned stop may take, as the instance file says, and a second for its start.
 const STOP_WITHIN: Duration = Duration::from_secs(9);
 
+/// The memory of an instance, as its file says.
+const MEMORY_KB: u64 = 260 * 1024;
+
 /// A place for an entry process, with the same addresses for each of its starts.
 pub(crate) struct ProcessSlot {
     /// Its address.
@@ -149,21 +152,25 @@
         assert!(status.unwrap().success());
     }
 
-    /// Returns the memory that it uses, in kilobytes.
+    /// Returns the memory that it uses, in kilobytes; 0 if there is no process.
     pub(crate) fn memory_kb(&self) -> u64 {
-        let pid = self.child.lock().unwrap().as_ref().unwrap().id();
-        let status = std::fs::read_to_string(format!("/proc/{pid}/status")).unwrap();
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).unwrap();
-        line.split_whitespace().next().unwrap().parse().unwrap()
+        let child = self.child.lock().unwrap();
+        let Some(child) = child.as_ref() else { return 0 };
+        let status = std::fs::read_to_string(format!("/proc/{}/status", child.id()));
+        let status = status.unwrap_or_default();
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.map_or(0, |number| number.parse().unwrap())
     }
 
-    /// Asserts that it hasn't ended by itself.
+    /// Asserts that it hasn't ended by itself, and is within the memory of its instance file.
     pub(crate) fn assert_running(&self) {
-        let mut child = self.child.lock().unwrap();
-        // There is none while it is stopped or killed.
-        let Some(child) = child.as_mut() else { return };
-        let ended = child.try_wait().unwrap();
-        assert!(ended.is_none(), "{} ended by itself: {ended:?}", self.ip);
+        if let Some(child) = self.child.lock().unwrap().as_mut() {
+            let ended = child.try_wait().unwrap();
+            assert!(ended.is_none(), "{} ended by itself: {ended:?}", self.ip);
+        }
+        let memory_kb = self.memory_kb();
+        assert!(memory_kb < MEMORY_KB, "{} uses {memory_kb} KB", self.ip);
     }
 
     /// Opens a connection to one of its ports, if anybody listens.
