Parts of prompts that crash servers are quarantined

Requests that share a part and are no two alike crashed one server after the other, at any instance. Cause: the suspect was the whole request, so none had a second crash, while sound requests that were sent again had three.

Suspects are now the shared parts too, of requests to which the server hadn't responded for long. A response to a later request clears a part; of parts that always came together, a request with one of them may be tried. A request that came again explains the crashes of its parts, a part with more crashes those of requests. Reports have the form that earlier instances know. Clears are told by the first instance that finds out. GET /quarantine and DELETE /quarantine/NAME on the metrics port show and release.

--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -28,9 +28,10 @@
 use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
 use crate::forward::{log_reach, probe_paths};
 use crate::jump::detect_jump;
-use crate::listen::{accept_requests, bind_listener, serve_probes};
+use crate::listen::{accept_requests, bind_listener};
 use crate::logging::flush_log;
 use crate::metrics::EntryMetrics;
+use crate::probe::{ProbeAudience, serve_probes};
 use crate::pushback::update_pushback_metrics;
 use crate::reader::ServerListLog;
 use crate::servers::expire_servers;
@@ -234,8 +235,13 @@
                 accept_requests(state.clone(), listener, source, open_connections);
             tokio::task::spawn_local(accepting);
         }
-        tokio::task::spawn_local(serve_probes(state.clone(), ready));
-        tokio::task::spawn_local(serve_probes(state.clone(), metrics_listener));
+        let probes = [
+            (ready, ProbeAudience::Balancer),
+            (metrics_listener, ProbeAudience::Operators),
+        ];
+        for (listener, audience) in probes {
+            tokio::task::spawn_local(serve_probes(state.clone(), listener, audience));
+        }
         let monitor = RulesDownloadMonitor::new(feed.clone());
         tokio::task::spawn_local(handle_feed_events(
             state.clone(),
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -43,6 +43,8 @@
 mod metrics;
 mod names;
 mod open_call;
+mod probe;
+mod proof;
 mod pushback;
 mod quarantine;
 mod reader;
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -14,7 +14,7 @@
 use hyper::body::{Frame, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper::{Request, Response, StatusCode, Version};
+use hyper::{Request, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
@@ -23,7 +23,7 @@
 use crate::call::{RequestSource, serve_request};
 use crate::keepalive::enable_keepalive;
 use crate::memory::connection_limit;
-use crate::reply::{CallerResponse, ResponseBody, full_body};
+use crate::reply::ResponseBody;
 use crate::state::{ShutdownPhase, TrafficState};
 
 /// How many connections may wait to be accepted.
@@ -226,7 +226,7 @@
 }
 
 /// Accepts one connection. Returns `None` after a pause if that fails.
-async fn accept(listener: &TcpListener) -> Option<TcpStream> {
+pub(crate) async fn accept(listener: &TcpListener) -> Option<TcpStream> {
     match listener.accept().await {
         Ok((stream, _)) => Some(stream),
         Err(cause) => {
@@ -330,41 +330,3 @@
     let unread_ms = activity.unread_for(state.now()).as_millis() as u64;
     log::info!(unread_ms; "connection closed: the caller reads nothing");
 }
-
-/// Serves the load balancer's readiness checks and the metrics.
-pub(crate) async fn serve_probes(state: Rc<TrafficState>, listener: TcpListener) {
-    loop {
-        let Some(stream) = accept(&listener).await else { continue };
-        let state = state.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(move |request: Request<Incoming>| {
-                let response = probe_response(&state, request.uri().path());
-                async move { Ok::<_, std::convert::Infallible>(response) }
-            });
-            let connection =
-                http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            // The client opens another connection if this one fails.
-            let _ = connection.await;
-        });
-    }
-}
-
-/// Responds to a readiness check or a request for the metrics.
-fn probe_response(state: &TrafficState, path: &str) -> CallerResponse {
-    if path == state.config().ready_path {
-        let status = if state.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        let mut response = Response::new(full_body(bytes::Bytes::new()));
-        *response.status_mut() = status;
-        return response;
-    }
-    if path == "/metrics" {
-        return Response::new(full_body(state.metrics.render().into()));
-    }
-    let mut response = Response::new(full_body(bytes::Bytes::new()));
-    *response.status_mut() = StatusCode::NOT_FOUND;
-    response
-}
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -56,6 +56,8 @@
     first_event_after: Cell<Option<Duration>>,
     /// The longest pause between two pieces of the response.
     pub(crate) longest_pause: Cell<Duration>,
+    /// Whether a response has gone on for so long that no part of the prompt crashes servers.
+    pub(crate) parts_proven: Cell<bool>,
     /// Whether [`Self::record_end`] has been called.
     end_recorded: Cell<bool>,
     /// When it was last sent to a server.
@@ -109,6 +111,7 @@
             connection_suspect: Cell::new(false),
             first_event_after: Cell::new(None),
             longest_pause: Cell::new(Duration::ZERO),
+            parts_proven: Cell::new(false),
             end_recorded: Cell::new(false),
             sent_at: Cell::new(received_at),
             usage,
@@ -183,6 +186,11 @@
         usage.begin(if streams { Duration::ZERO } else { ago });
     }
 
+    /// Returns when the request was last sent to a server.
+    pub(crate) fn sent_at(&self) -> Duration {
+        self.sent_at.get()
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.state.now())
@@ -214,10 +222,10 @@
 
     /// Responds to a request that crashes servers.
     pub(crate) fn reply_quarantined(&self, request: &CallerRequest) -> CallerResponse {
-        self.state.quarantine.renew(&self.state, request);
+        let found = self.state.quarantine.renew(&self.state, request);
         log::info!(
             request = self.attempt_id, class = self.class.class().name,
-            fingerprint = format!("{:032x}", request.fingerprint());
+            fingerprint = format!("{found:032x}");
             "quarantined"
         );
         if self.may_have_run.get() {
@@ -336,9 +344,13 @@
         let progress = self.state.with_router(|core, _| core.progress(self.request_id));
         let Some(progress) = progress else { return };
         if server_has_exited(&self.state, server).await {
-            self.state
-                .quarantine
-                .record_crash(&self.state, request, server, progress);
+            self.state.quarantine.record_crash(
+                &self.state,
+                request,
+                server,
+                progress,
+                self.parts_proven.get(),
+            );
         }
     }
 
--- /dev/null
+++ b/crates/flaxtide-entry/src/proof.rs
@@ -0,0 +1,120 @@
+//! Prompt parts that servers have begun to answer, and so don't crash them.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use flaxtide_policy::CrashReport;
+use rand::Rng;
+
+use crate::exchange::CallerRequest;
+use crate::open_call::OpenCall;
+use crate::state::TrafficState;
+
+/// How long a stream must have gone on to prove the parts of its prompt: a server that crashes
+/// as it begins to respond may have written its first events.
+const PROOF_SPAN: Duration = Duration::from_millis(100);
+
+/// A part that was proven this recently isn't suspected when a server crashes: the parts that
+/// most requests have would otherwise be suspected and cleared in each crash.
+const RECENT_PROOF: Duration = Duration::from_millis(500);
+
+/// The most parts whose proof is remembered.
+const MAX_PROVEN: usize = 4096;
+
+/// The longest delay before peers are told that a part is no longer suspected, for each instance
+/// in the fleet. Every instance that serves the part finds this out at about the same time, and
+/// the first one that tells saves the others the message.
+const DELAY_PER_INSTANCE: Duration = Duration::from_millis(1);
+
+/// The parts that were proven, and what is still to be told of suspected ones.
+#[derive(Debug, Default)]
+pub(crate) struct PartProofs {
+    /// When each part was last proven.
+    proven: RefCell<HashMap<u64, Duration>>,
+    /// Reports for peers, and when they are due.
+    delayed: RefCell<Vec<(Duration, Vec<CrashReport>)>>,
+}
+
+impl PartProofs {
+    /// Records that a part was proven.
+    pub(crate) fn record(&self, part: u64, now: Duration) {
+        let mut proven = self.proven.borrow_mut();
+        if proven.len() >= MAX_PROVEN {
+            proven.retain(|_, at| now < *at + RECENT_PROOF);
+        }
+        if proven.len() < MAX_PROVEN {
+            proven.insert(part, now);
+        }
+    }
+
+    /// Returns whether a part was proven just now.
+    pub(crate) fn is_recent(&self, part: u64, now: Duration) -> bool {
+        let proven = self.proven.borrow();
+        proven.get(&part).is_some_and(|at| now < *at + RECENT_PROOF)
+    }
+
+    /// Keeps reports for peers until a moment that differs between instances.
+    pub(crate) fn delay(&self, state: &TrafficState, reports: Vec<CrashReport>) {
+        let longest = DELAY_PER_INSTANCE * state.live_instances.get();
+        let delay = longest.mul_f64(state.rng.borrow_mut().random());
+        self.delayed.borrow_mut().push((state.now() + delay, reports));
+    }
+
+    /// Drops delayed reports of which a peer has told the same.
+    pub(crate) fn drop_told(&self, told: &[CrashReport]) {
+        let is_told = |report: &CrashReport| {
+            let mut told = told.iter().filter(|other| other.cleared);
+            told.any(|other| {
+                other.fingerprint == report.fingerprint && other.server == report.server
+            })
+        };
+        let mut delayed = self.delayed.borrow_mut();
+        for (_, reports) in delayed.iter_mut() {
+            reports.retain(|report| !is_told(report));
+        }
+        delayed.retain(|(_, reports)| !reports.is_empty());
+    }
+
+    /// Removes and returns the delayed reports that are due.
+    pub(crate) fn take_due(&self, now: Duration) -> Vec<CrashReport> {
+        let mut delayed = self.delayed.borrow_mut();
+        let due = delayed.extract_if(.., |(at, _)| now >= *at);
+        due.flat_map(|(_, reports)| reports).collect()
+    }
+
+    /// Removes old proofs.
+    pub(crate) fn expire(&self, now: Duration) {
+        let mut proven = self.proven.borrow_mut();
+        proven.retain(|_, at| now < *at + RECENT_PROOF);
+    }
+}
+
+/// When a stream proves the parts of its prompt.
+#[derive(Debug, Default)]
+pub(crate) struct StreamProof {
+    /// When the current server's first events arrived.
+    began: Option<Duration>,
+}
+
+impl StreamProof {
+    /// Records that another server continues the stream.
+    pub(crate) fn begin_part(&mut self) {
+        self.began = None;
+    }
+
+    /// Records events of the stream that answers a request.
+    pub(crate) fn record_events(&mut self, call: &OpenCall, request: &CallerRequest) {
+        if call.parts_proven.get() || request.shared_parts.is_empty() {
+            return;
+        }
+        let now = call.state.now();
+        let began = *self.began.get_or_insert(now);
+        if now >= began + PROOF_SPAN {
+            call.parts_proven.set(true);
+            call.state
+                .quarantine
+                .prove_parts(&call.state, request, call.sent_at());
+        }
+    }
+}
--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -1,12 +1,16 @@
-//! Requests that crash backend servers, as seen by this instance and its peers.
+//! Requests and prompt parts that crash backend servers, as seen by this instance and its peers.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
-use flaxtide_policy::{CallProgress, CrashLog, CrashReport};
+use flaxtide_policy::{
+    CallProgress, CrashLog, CrashReport, Fingerprint, part_fingerprint, part_of,
+};
+use serde_json::{Value, json};
 
 use crate::exchange::CallerRequest;
+use crate::proof::PartProofs;
 use crate::state::TrafficState;
 
 /// How long a starting instance waits for its peers' crash logs. Reachable peers send them
@@ -23,11 +27,16 @@
 /// How often entries are removed whose requests haven't been seen for long.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
-/// The requests that crash servers, as known to the traffic thread.
+/// The most parts of one request that are suspected when its server crashes.
+const MAX_SUSPECTED_PARTS: usize = 64;
+
+/// The requests and parts that crash servers, as known to the traffic thread.
 #[derive(Debug, Default)]
 pub(crate) struct CallQuarantine {
-    /// Suspected and quarantined requests.
+    /// Suspected and quarantined requests and parts.
     log: RefCell<CrashLog>,
+    /// The parts that servers have begun to answer.
+    proofs: PartProofs,
     /// Reports that the fleet thread hasn't accepted yet, and when they were made.
     unsent: RefCell<Vec<(Duration, Vec<CrashReport>)>>,
     /// Whether a peer has sent its crash log, or there are no peers.
@@ -42,41 +51,102 @@
         Self { synced: Cell::new(!has_peers), ..Self::default() }
     }
 
-    /// Returns whether a request is quarantined, so that it must not be sent to any server.
+    /// Returns whether a request must not be sent to any server, because it or one of its parts
+    /// is quarantined.
     pub(crate) fn is_quarantined(&self, request: &CallerRequest) -> bool {
+        self.find_quarantined(request).is_some()
+    }
+
+    /// Returns what keeps a request from being sent to any server, if anything does.
+    fn find_quarantined(&self, request: &CallerRequest) -> Option<Fingerprint> {
         let log = self.log.borrow();
-        !log.is_empty() && log.is_quarantined(request.fingerprint())
+        if log.is_empty() {
+            return None;
+        }
+        log.find_quarantined(request.fingerprint(), &request.shared_parts)
     }
 
-    /// Records that a server exited while it ran a request.
+    /// Records that a server exited while it ran a request. `proven` tells whether it had
+    /// responded for so long that no part of the prompt is to blame.
     pub(crate) fn record_crash(
         &self,
         state: &TrafficState,
         request: &CallerRequest,
         server: ServerId,
         progress: CallProgress,
+        proven: bool,
     ) {
         let Some(incarnation) = state.server_key(server) else { return };
-        let fingerprint = request.fingerprint();
         let now = state.now();
-        let report =
-            self.log.borrow_mut().record(fingerprint, incarnation, progress, now);
-        let quarantined = self.log.borrow().is_quarantined(fingerprint);
+        let suspects = self.suspects(request, proven, now);
+        let reports = suspects.iter().filter_map(|fingerprint| {
+            let mut log = self.log.borrow_mut();
+            log.record(*fingerprint, incarnation, progress, now)
+        });
+        let reports: Vec<CrashReport> = reports.collect();
+        let parts = suspects.iter().filter_map(|it| part_of(*it));
+        let parts: Vec<String> =
+            parts.take(MAX_LOGGED_PARTS).map(|part| format!("{part:x}")).collect();
         state.metrics.crashes.inc();
-        let parts = request.shared_parts.iter().take(MAX_LOGGED_PARTS);
-        let parts: Vec<String> = parts.map(|part| format!("{part:x}")).collect();
         log::info!(
             request = request.attempt_id.clone().unwrap_or_default(),
             server = state.server_name(server).unwrap_or_default(),
-            fingerprint = format!("{fingerprint:032x}"), begun = progress.begun,
-            parts = parts.join(","), quarantined;
+            fingerprint = format!("{:032x}", request.fingerprint()), begun = progress.begun,
+            parts = parts.join(","), quarantined = self.is_quarantined(request);
             "server exited while it ran a request"
         );
-        self.publish(state, report.into_iter().collect());
+        self.publish(state, reports);
+    }
+
+    /// Returns what may have crashed a server that ran a request: the request, and its parts
+    /// unless they have been proven.
+    fn suspects(
+        &self,
+        request: &CallerRequest,
+        proven: bool,
+        now: Duration,
+    ) -> Vec<Fingerprint> {
+        let parts = request.shared_parts.iter().take(MAX_SUSPECTED_PARTS);
+        let parts = parts
+            .filter(|part| !proven && !self.proofs.is_recent(**part, now))
+            .map(|part| part_fingerprint(*part));
+        [request.fingerprint()].into_iter().chain(parts).collect()
+    }
+
+    /// Records that a server to which a request was sent at `sent` has responded to its parts,
+    /// which clears them of earlier crashes.
+    pub(crate) fn prove_parts(
+        &self,
+        state: &TrafficState,
+        request: &CallerRequest,
+        sent: Duration,
+    ) {
+        let now = state.now();
+        for part in &request.shared_parts {
+            self.proofs.record(*part, now);
+        }
+        if self.log.borrow().is_empty() {
+            return;
+        }
+        let reports = request.shared_parts.iter().flat_map(|part| {
+            let mut log = self.log.borrow_mut();
+            log.clear_part(*part, sent, now)
+        });
+        let reports: Vec<CrashReport> = reports.collect();
+        if !reports.is_empty() {
+            self.proofs.delay(state, reports);
+        }
     }
 
-    /// Records that a server has completed a request, which clears it of suspicion.
-    pub(crate) fn clear(&self, state: &TrafficState, request: &CallerRequest) {
+    /// Records that a server to which a request was sent at `sent` has completed it, which clears
+    /// it and its parts of suspicion.
+    pub(crate) fn clear(
+        &self,
+        state: &TrafficState,
+        request: &CallerRequest,
+        sent: Duration,
+    ) {
+        self.prove_parts(state, request, sent);
         if self.log.borrow().is_empty() {
             return;
         }
@@ -88,11 +158,44 @@
         }
     }
 
-    /// Extends the quarantine of a request that has come again.
-    pub(crate) fn renew(&self, state: &TrafficState, request: &CallerRequest) {
-        let fingerprint = request.fingerprint();
+    /// Extends the quarantine of a request, or of its part, that has come again. Returns what is
+    /// quarantined.
+    pub(crate) fn renew(
+        &self,
+        state: &TrafficState,
+        request: &CallerRequest,
+    ) -> Fingerprint {
+        let found = self.find_quarantined(request);
+        let fingerprint = found.unwrap_or_else(|| request.fingerprint());
         let reports = self.log.borrow_mut().renew(fingerprint, state.now());
         self.publish(state, reports);
+        fingerprint
+    }
+
+    /// Releases what an operator has found to be sound: it is cleared of all crashes so far, here
+    /// and at all peers. Returns whether it was suspected.
+    pub(crate) fn release(&self, state: &TrafficState, fingerprint: Fingerprint) -> bool {
+        let reports = self.log.borrow_mut().clear(fingerprint, state.now());
+        if reports.is_empty() {
+            return false;
+        }
+        log::warn!(suspect = suspect_name(fingerprint); "released by an operator");
+        self.publish(state, reports);
+        true
+    }
+
+    /// Returns what is quarantined, for operators.
+    pub(crate) fn list(&self, now: Duration) -> Value {
+        let log = self.log.borrow();
+        let entries = log.quarantined().into_iter().map(|fingerprint| {
+            let (seen, crashes) = log.evidence(fingerprint).unwrap_or_default();
+            json!({
+                "suspect": suspect_name(fingerprint),
+                "crashes": crashes,
+                "seen_ms_ago": now.saturating_sub(seen).as_millis() as u64,
+            })
+        });
+        Value::Array(entries.collect())
     }
 
     /// Applies reports from peers.
@@ -101,6 +204,7 @@
         for report in reports {
             self.log.borrow_mut().apply(report, now);
         }
+        self.proofs.drop_told(reports);
         self.update_metrics(state);
     }
 
@@ -121,8 +225,10 @@
             self.send(state, at, reports);
         }
         let now = state.now();
+        self.publish(state, self.proofs.take_due(now));
         if now >= self.last_expiry.get() + EXPIRY_INTERVAL {
             self.last_expiry.set(now);
+            self.proofs.expire(now);
             self.log.borrow_mut().expire(now);
             self.update_metrics(state);
         }
@@ -153,3 +259,23 @@
         state.metrics.quarantined.set(log.quarantined().len() as i64);
     }
 }
+
+/// The prefix of the name of a suspected part.
+const PART_PREFIX: &str = "part-";
+
+/// Returns the name of a suspect for operators: `part-` and the key of a part, or the fingerprint
+/// of a request, both in hexadecimal.
+fn suspect_name(fingerprint: Fingerprint) -> String {
+    match part_of(fingerprint) {
+        Some(part) => format!("{PART_PREFIX}{part:x}"),
+        None => format!("{fingerprint:032x}"),
+    }
+}
+
+/// Returns the suspect with a name, or `None` if no suspect can have it.
+pub(crate) fn parse_suspect(name: &str) -> Option<Fingerprint> {
+    match name.strip_prefix(PART_PREFIX) {
+        Some(part) => u64::from_str_radix(part, 16).ok().map(part_fingerprint),
+        None => Fingerprint::from_str_radix(name, 16).ok(),
+    }
+}
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::events::EventSplitter;
 use crate::exchange::CallerRequest;
 use crate::open_call::{AttemptOutcome, OpenCall};
+use crate::proof::StreamProof;
 use crate::reply::ResponseBody;
 
 /// A server that sends nothing for this long in the middle of a resumable stream is
@@ -42,6 +43,8 @@
     patience: Option<Duration>,
     /// Whether the version of the server that began the stream is known.
     has_version: bool,
+    /// When the stream proves the parts of the prompt.
+    proof: StreamProof,
     /// Whether the end of the stream has been recorded, and nothing more follows.
     ended: bool,
 }
@@ -66,6 +69,7 @@
             last_received,
             patience: None,
             has_version,
+            proof: StreamProof::default(),
             ended: false,
         }
     }
@@ -87,6 +91,7 @@
             match bytes {
                 Ok(Some(bytes)) => {
                     self.record_pause();
+                    self.proof.record_events(&self.call, &self.request);
                     let complete = self.splitter.push(&bytes);
                     if !complete.is_empty() {
                         return Ok(Some(complete));
@@ -153,7 +158,11 @@
         self.call
             .state
             .run_router(|core, now| core.finish(self.call.request_id, now));
-        self.call.state.quarantine.clear(&self.call.state, &self.request);
+        let sent = self.call.sent_at();
+        self.call
+            .state
+            .quarantine
+            .clear(&self.call.state, &self.request, sent);
         if let Some(stream) = self.call.stream {
             self.call.state.versions.forget(stream);
         }
@@ -167,6 +176,7 @@
     /// Lets another server continue after the last complete event.
     async fn resume(&mut self, fault: RouteFault) -> io::Result<()> {
         self.source = None;
+        self.proof.begin_part();
         self.splitter.begin_part();
         let state = self.call.state.clone();
         let mut fault = fault;
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -115,7 +115,7 @@
     let state = &call.state;
     state.run_router(|core, now| core.finish(call.request_id, now));
     if start.status.is_success() {
-        state.quarantine.clear(state, request);
+        state.quarantine.clear(state, request, call.sent_at());
     }
     build_response(call, start.status, start.headers, body)
 }
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -51,7 +51,8 @@
     StatedRate,
 };
 pub use self::quarantine::{
-    CrashLog, CrashReport, Fingerprint, IncarnationKey, request_fingerprint,
+    CrashLog, CrashReport, Fingerprint, IncarnationKey, part_fingerprint, part_of,
+    request_fingerprint,
 };
 pub use self::rendezvous::{bounded_owners, rendezvous_order, rendezvous_owner};
 pub use self::router::{
--- a/crates/flaxtide-policy/src/quarantine/log.rs
+++ b/crates/flaxtide-policy/src/quarantine/log.rs
@@ -1,23 +1,23 @@
-//! Which servers crashed while they ran which requests, and which requests are
-//! quarantined for it.
+//! Which servers crashed while they ran which requests and prompt parts, and which of these
+//! are quarantined for it.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::fingerprint::Fingerprint;
+use super::fingerprint::{Fingerprint, part_fingerprint, part_of};
 use super::report::{CrashReport, IncarnationKey};
 use super::suspect::{Suspect, SuspicionScore};
 use crate::router::CallProgress;
 
-/// A request is quarantined once this many independent crashes have no better
+/// A request or part is quarantined once this many independent crashes have no better
 /// explanation. Two may be a coincidence where a server runs dozens of requests at once,
 /// and each further crash costs all requests that run there.
 const CRASH_LIMIT: usize = 3;
 
-/// A request with this many independent crashes is quarantined even if other requests
-/// explain them: an innocent request doesn't meet so many by chance.
+/// A request or part with this many independent crashes is quarantined even if others
+/// explain them: an innocent one doesn't meet so many by chance.
 const UNCONDITIONAL_CRASH_LIMIT: usize = 5;
 
 /// How long a request is remembered after it was last seen. Longer than callers wait
@@ -29,8 +29,8 @@
 /// everywhere.
 const RENEWAL_PERIOD: Duration = Duration::from_secs(60);
 
-/// The most requests that are remembered. They take 0.3 MB, and are more than run on
-/// twenty engines at once.
+/// The most requests and parts that are remembered. They take 0.3 MB, and are more than run
+/// on twenty engines at once.
 const MAX_SUSPECTS: usize = 1024;
 
 /// The crashes of servers and the requests that were running.
@@ -96,8 +96,30 @@
     /// didn't cause the crashes in which it ran. Returns the reports for peers; none if
     /// no crashes were held against it.
     pub fn clear(&mut self, fingerprint: Fingerprint, now: Duration) -> Vec<CrashReport> {
+        self.clear_before(fingerprint, now, now)
+    }
+
+    /// Records that a server has responded to a request with a part that was sent at `sent`,
+    /// so that the part didn't cause the crashes before. One that has become harmful since
+    /// may still be in responses that began earlier. Returns the reports for peers.
+    pub fn clear_part(
+        &mut self,
+        part: u64,
+        sent: Duration,
+        now: Duration,
+    ) -> Vec<CrashReport> {
+        self.clear_before(part_fingerprint(part), sent, now)
+    }
+
+    /// Clears a suspect of the crashes before a time. Returns the reports for peers.
+    fn clear_before(
+        &mut self,
+        fingerprint: Fingerprint,
+        before: Duration,
+        now: Duration,
+    ) -> Vec<CrashReport> {
         let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return vec![] };
-        if !suspect.clear() {
+        if !suspect.clear_before(before) {
             return vec![];
         }
         suspect.reports(fingerprint, now).collect()
@@ -114,7 +136,47 @@
         suspect.reports(fingerprint, now).collect()
     }
 
-    /// Returns whether a request must not be sent to any server.
+    /// Returns what keeps a request with some prompt parts from being sent to any server: its
+    /// own fingerprint or that of a part, or `None` if it may be sent.
+    #[must_use]
+    pub fn find_quarantined(
+        &self,
+        request: Fingerprint,
+        parts: &[u64],
+    ) -> Option<Fingerprint> {
+        if self.is_quarantined(request) {
+            return Some(request);
+        }
+        let parts = || parts.iter().map(|part| part_fingerprint(*part));
+        let mut suspects = parts().filter(|part| self.is_quarantined(*part));
+        suspects.find(|suspect| {
+            !self.has_alternative(*suspect, |other| parts().any(|part| part == other))
+        })
+    }
+
+    /// Returns whether a part that isn't among those of a request explains all crashes of one
+    /// that is. Parts that have always run together can only be told apart by a request that
+    /// has one of them.
+    fn has_alternative(
+        &self,
+        fingerprint: Fingerprint,
+        is_in_request: impl Fn(Fingerprint) -> bool,
+    ) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
+        let Some(first) = suspect.open_servers().next() else { return false };
+        let others = self.suspects_by_server.get(&first).into_iter().flatten();
+        others.copied().any(|other| {
+            other != fingerprint
+                && part_of(other).is_some()
+                && !is_in_request(other)
+                && self.suspects.get(&other).is_some_and(|other| {
+                    suspect.open_servers().all(|server| other.has_open_crash(server))
+                })
+        })
+    }
+
+    /// Returns whether a request or a part has the evidence against it that keeps it from
+    /// being sent to any server.
     #[must_use]
     pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
@@ -125,22 +187,29 @@
         let independent_crashes = |explained: &dyn Fn(IncarnationKey) -> bool| {
             suspect.independent_crashes(explained)
         };
+        let is_part = part_of(fingerprint).is_some();
         independent_crashes(&|_| false) >= UNCONDITIONAL_CRASH_LIMIT
-            || independent_crashes(&|server| self.has_stronger_suspect(server, score))
-                >= CRASH_LIMIT
+            || independent_crashes(&|server| {
+                self.has_stronger_suspect(server, score, is_part)
+            }) >= CRASH_LIMIT
     }
 
-    /// Returns whether another request that ran on the server has a higher score than
-    /// `score`, and so explains the crash. Without this check, a request that ran beside
-    /// three requests that crash servers would be quarantined with them.
+    /// Returns whether another suspect on the server has a higher score than `score`, and so
+    /// explains the crash. Without this check, a request that ran beside three requests that
+    /// crash servers would be quarantined with them. A request that came again and again
+    /// explains the crashes of its parts: a part that is to blame has more than any request.
     fn has_stronger_suspect(
         &self,
         server: IncarnationKey,
         score: SuspicionScore,
+        is_part: bool,
     ) -> bool {
         let fingerprints = self.suspects_by_server.get(&server).into_iter().flatten();
-        let mut suspects = fingerprints.filter_map(|other| self.suspects.get(other));
-        suspects.any(|other| other.score() > score)
+        let mut suspects = fingerprints
+            .filter_map(|other| Some((part_of(*other), self.suspects.get(other)?)));
+        suspects.any(|(part, other)| {
+            other.score() > score || (is_part && part.is_none() && other.score() == score)
+        })
     }
 
     /// Returns whether no requests are remembered.
@@ -149,13 +218,21 @@
         self.suspects.is_empty()
     }
 
-    /// Returns the number of requests that were running when a server crashed.
+    /// Returns when a suspect was last seen, and how many servers crashed under it that it
+    /// isn't cleared of.
+    #[must_use]
+    pub fn evidence(&self, fingerprint: Fingerprint) -> Option<(Duration, usize)> {
+        let suspect = self.suspects.get(&fingerprint)?;
+        Some((suspect.last_seen(), suspect.score().0))
+    }
+
+    /// Returns the number of requests and parts that were running when a server crashed.
     #[must_use]
     pub fn suspect_count(&self) -> usize {
         self.suspects.len()
     }
 
-    /// Returns the quarantined requests.
+    /// Returns the quarantined requests and parts.
     #[must_use]
     pub fn quarantined(&self) -> Vec<Fingerprint> {
         let all = self.suspects.keys().copied();
--- a/crates/flaxtide-policy/src/quarantine/mod.rs
+++ b/crates/flaxtide-policy/src/quarantine/mod.rs
@@ -10,6 +10,8 @@
 mod report;
 mod suspect;
 
-pub use self::fingerprint::{Fingerprint, request_fingerprint};
+pub use self::fingerprint::{
+    Fingerprint, part_fingerprint, part_of, request_fingerprint,
+};
 pub use self::log::CrashLog;
 pub use self::report::{CrashReport, IncarnationKey};
--- a/crates/flaxtide-policy/src/quarantine/suspect.rs
+++ b/crates/flaxtide-policy/src/quarantine/suspect.rs
@@ -1,4 +1,4 @@
-//! The crashes in which one request was running.
+//! The crashes in which one request, or one prompt part, was running.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -41,7 +41,7 @@
 /// does so on each, and mostly before the first token.
 pub(super) type SuspicionScore = (usize, usize);
 
-/// A request that was running when servers crashed.
+/// A request or part that was running when servers crashed.
 #[derive(Debug, Default)]
 pub(super) struct Suspect {
     /// The crash of each server.
@@ -81,15 +81,27 @@
         self.last_seen
     }
 
-    /// Clears the request of all crashes so far. Returns whether any wasn't cleared yet.
-    pub(super) fn clear(&mut self) -> bool {
+    /// Clears the request of all crashes before a time. Returns whether any wasn't cleared
+    /// yet.
+    pub(super) fn clear_before(&mut self, before: Duration) -> bool {
         let mut is_new = false;
-        for crash in self.crashes.values_mut() {
+        for crash in self.crashes.values_mut().filter(|crash| crash.at <= before) {
             is_new |= !std::mem::replace(&mut crash.cleared, true);
         }
         is_new
     }
 
+    /// Returns the servers whose crashes it isn't cleared of.
+    pub(super) fn open_servers(&self) -> impl Iterator<Item = IncarnationKey> + '_ {
+        let open = self.crashes.iter().filter(|(_, crash)| !crash.cleared);
+        open.map(|(server, _)| *server)
+    }
+
+    /// Returns whether it isn't cleared of the crash of a server.
+    pub(super) fn has_open_crash(&self, server: IncarnationKey) -> bool {
+        self.crashes.get(&server).is_some_and(|crash| !crash.cleared)
+    }
+
     /// Returns the servers that crashed while they ran the request.
     pub(super) fn servers(&self) -> impl Iterator<Item = IncarnationKey> + '_ {
         self.crashes.keys().copied()
