An instance reads only what its processor manages

While ticks come late, connections are taken on only up to a limit of open requests that falls with each late tick and rises with the others; those beyond are closed unread, so that callers turn to another instance. At least one a tick is taken on, as long streams may hold the limit.

--- a/crates/flaxtide-entry/src/jump.rs
+++ b/crates/flaxtide-entry/src/jump.rs
@@ -62,6 +62,7 @@
 pub(crate) fn detect_jump(state: &TrafficState) {
     let now = state.now();
     let span = state.lateness.record_tick(now);
+    state.admission.record_tick(span, state.pending_requests());
     if span >= MIN_JUMP {
         handle_jump(state, span, now);
     }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -13,6 +13,7 @@
 //! The crate doesn't know the headers and formats of the platform; an adapter implements
 //! [`WireDialect`] and [`PlatformFeed`].
 
+mod admission;
 mod backoff;
 mod body;
 mod budget;
@@ -64,6 +65,7 @@
 mod watch;
 mod write_gate;
 
+pub use self::admission::AdmissionLimit;
 pub use self::backoff::PeerBackoff;
 pub use self::budget::LeaveBudget;
 pub use self::config::{DutyConfig, EntryConfig};
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -44,7 +44,7 @@
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
 /// The activity on a connection.
-#[derive(Debug, Default)]
+#[derive(Default)]
 struct ConnectionActivity {
     /// When bytes were last read or written.
     last_io_at: Cell<Duration>,
@@ -56,6 +56,8 @@
     unread_since: Cell<Option<Duration>>,
     /// Whether the response in progress ends with the connection.
     open_unframed: Cell<bool>,
+    /// Counts the connection until its first request has begun.
+    unread: Cell<Option<UnreadGuard>>,
 }
 
 impl ConnectionActivity {
@@ -174,6 +176,7 @@
     /// Records that the head of a request is complete.
     fn new(activity: &Rc<ConnectionActivity>) -> Self {
         activity.head_started_at.set(None);
+        activity.unread.set(None);
         activity.open_requests.set(activity.open_requests.get() + 1);
         Self(activity.clone())
     }
@@ -185,6 +188,35 @@
     }
 }
 
+/// Counts a connection as one that has brought no request yet until it is dropped.
+struct UnreadGuard(Rc<TrafficState>);
+
+impl UnreadGuard {
+    /// Counts a connection.
+    fn new(state: &Rc<TrafficState>) -> Self {
+        state.unread_connections.set(state.unread_connections.get() + 1);
+        Self(state.clone())
+    }
+}
+
+impl Drop for UnreadGuard {
+    fn drop(&mut self) {
+        self.0.unread_connections.set(self.0.unread_connections.get() - 1);
+    }
+}
+
+impl TrafficState {
+    /// Returns how many requests are open or about to come.
+    pub(crate) fn pending_requests(&self) -> usize {
+        self.open_calls.get() + self.unread_connections.get()
+    }
+
+    /// Returns whether another connection is taken on.
+    fn admits_connection(&self) -> bool {
+        self.admission.admit(self.pending_requests())
+    }
+}
+
 /// Binds a listener to an address.
 ///
 /// # Errors
@@ -216,6 +248,10 @@
             log::warn!(open = open_connections.get(), most; "connection rejected: too many are open");
             continue;
         }
+        if source == RequestSource::Caller && !state.admits_connection() {
+            state.metrics.rejected_connections.inc();
+            continue;
+        }
         open_connections.set(open_connections.get() + 1);
         let (state, open_connections) = (state.clone(), open_connections.clone());
         tokio::task::spawn_local(async move {
@@ -250,6 +286,7 @@
     }
     let activity = Rc::new(ConnectionActivity::default());
     activity.last_io_at.set(state.now());
+    activity.unread.set(Some(UnreadGuard::new(&state)));
     let tracked = TrackedStream {
         stream,
         activity: activity.clone(),
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::AdmissionLimit;
 use crate::config::EntryConfig;
 use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
@@ -124,6 +125,10 @@
     pub(crate) phase_changed: Notify,
     /// The number of requests in progress.
     pub(crate) open_calls: Cell<usize>,
+    /// The number of connections that have brought no request yet.
+    pub(crate) unread_connections: Cell<usize>,
+    /// Limits new connections while the processor is late.
+    pub(crate) admission: AdmissionLimit,
     /// When the process must end. Set once `LAST_STREAM_START` has passed since a stop began; from
     /// then on, no new streams are accepted.
     pub(crate) stop_deadline: Cell<Option<Duration>>,
@@ -198,6 +203,8 @@
             lateness,
             phase_changed: Notify::new(),
             open_calls: Cell::new(0),
+            unread_connections: Cell::new(0),
+            admission: AdmissionLimit::default(),
             stop_deadline: Cell::new(None),
         }
     }
