The soak has servers that leave while processes restart, and a bad part

Requests with a part that crashes servers come all the while, no two alike, and all others share a part with them.

--- a/crates/flaxtide/tests/soak/main.rs
+++ b/crates/flaxtide/tests/soak/main.rs
@@ -3,8 +3,9 @@
 //!
 //! `FLAXTIDE_SOAK_SEEDS=7,8,9 FLAXTIDE_SOAK_SECONDS=30 cargo test --release -p flaxtide --test
 //! soak` plays others, and longer; `FLAXTIDE_SOAK_OTHER=PATH` has every second process run another
-//! program, such as the last release; five seeds at most in one run, as each takes some forty of the
-//! 255 addresses that a test process has. Logs are in `target/tmp/soak-*.log`.
+//! program, such as the last release. Odd seeds leave the store alone, so that servers leave while
+//! processes restart and the store is calm; each eighth seed has 24 processes. Logs are in
+//! `target/tmp/soak-*.log`.
 
 #[path = "../../../../platform/tests/common/mod.rs"]
 mod common;
@@ -18,7 +19,7 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use common::server::StandinServer;
+use common::server::{Seen, StandinServer};
 use common::store::{StandinStore, StoreCopy, StoreFault};
 use common::{config, fresh_ip, wait_until};
 use rand::rngs::StdRng;
@@ -26,17 +27,30 @@
 
 use self::process::ProcessSlot;
 use self::traffic::{
-    CRASHING, CallRecord, ServerWhim, call_crashing, call_on, server_script, whim,
+    CRASHING, CallRecord, ServerWhim, call_crashing, call_on, call_with_bad_part,
+    has_bad_part, server_script, whim,
 };
 
-/// How many entry processes there are.
-const PROCESSES: usize = 4;
+/// The size of a run: entry processes, servers at a time, and callers.
+#[derive(Debug, Clone, Copy)]
+struct SoakSize {
+    processes: usize,
+    servers: usize,
+    callers: u64,
+}
+
+/// The size of most runs.
+const USUAL_SIZE: SoakSize = SoakSize { processes: 4, servers: 8, callers: 10 };
 
-/// How many servers are there at a time.
-const SERVERS: usize = 8;
+/// The size of each eighth run: as large as a machine bears.
+const LARGE_SIZE: SoakSize = SoakSize { processes: 24, servers: 24, callers: 48 };
 
-/// How many callers there are.
-const CALLERS: u64 = 10;
+/// The time within which a leaving server must stop getting requests, as the instance file says.
+const LEAVE_WITHIN: Duration = Duration::from_secs(2);
+
+/// For how long a process and the store must have been calm for that: a process that has just
+/// started is soon held to it.
+const CALM: Duration = Duration::from_millis(2500);
 
 /// After how many servers that ended under it a request is sent to no other,
 const SERVERS_LOST: usize = 3;
@@ -58,6 +72,12 @@
     store: StandinStore,
     /// All servers that ever were, and whether each is listed.
     servers: Mutex<Vec<(StandinServer, bool)>>,
+    /// When each server that left has said so, by its place among the servers.
+    left: Mutex<HashMap<usize, Instant>>,
+    /// From when until when the store was out or came back from a copy.
+    outages: Mutex<Vec<(Instant, Instant)>>,
+    /// How large the run is.
+    size: SoakSize,
     /// The newest version of the rules.
     version: AtomicU64,
     /// Whether it is over.
@@ -96,8 +116,15 @@
     Rules,
 }
 
+impl Fault {
+    /// Returns whether it is a fault of the store.
+    fn is_of_store(self) -> bool {
+        matches!(self, Self::StoreOut(_) | Self::StoreRestored)
+    }
+}
+
 /// All faults, those that come more often more than once.
-const FAULTS: [Fault; 13] = [
+const FAULTS: [Fault; 15] = [
     Fault::Stop,
     Fault::Stop,
     Fault::Kill,
@@ -106,6 +133,8 @@
     Fault::Reload,
     Fault::ServerEnds,
     Fault::ServerLeaves,
+    Fault::ServerLeaves,
+    Fault::ServerLeaves,
     Fault::StoreOut(StoreFault::Lost),
     Fault::StoreOut(StoreFault::Silent),
     Fault::StoreRestored,
@@ -119,7 +148,8 @@
         let store = StandinStore::start(fresh_ip());
         store.tell_era();
         store.put_config(&config(1));
-        let ips: Vec<Ipv4Addr> = (0..PROCESSES).map(|_| fresh_ip()).collect();
+        let size = if seed.is_multiple_of(8) { LARGE_SIZE } else { USUAL_SIZE };
+        let ips: Vec<Ipv4Addr> = (0..size.processes).map(|_| fresh_ip()).collect();
         let slot = |(place, ip): (usize, &Ipv4Addr)| {
             ProcessSlot::new(program(place), *ip, store.address, &ips)
         };
@@ -129,16 +159,19 @@
             slots,
             store,
             servers: Mutex::default(),
+            left: Mutex::default(),
+            outages: Mutex::default(),
+            size,
             version: AtomicU64::new(1),
             over: AtomicBool::new(false),
         };
-        for _ in 0..SERVERS {
+        for _ in 0..size.servers {
             soak.add_server();
         }
         for slot in &soak.slots {
             slot.start();
         }
-        let together = Some(PROCESSES as u64);
+        let together = Some(size.processes as u64);
         wait_until("ready and together", || {
             soak.slots.iter().all(|slot| {
                 slot.ready() && slot.metric("flaxtide_entry_instances ") == together
@@ -183,8 +216,9 @@
 
     /// Brings a fault about, and returns when it has passed.
     fn strike(&self, fault: Fault, random: &mut StdRng, copy: &Mutex<StoreCopy>) {
-        let slot = &self.slots[random.random_range(0..PROCESSES)];
+        let slot = &self.slots[random.random_range(0..self.slots.len())];
         let span = Duration::from_millis(random.random_range(200..2000));
+        let from = Instant::now();
         match fault {
             Fault::Stop => slot.strike(ProcessSlot::stop),
             Fault::Kill => slot.strike(ProcessSlot::kill),
@@ -200,6 +234,9 @@
             Fault::StoreRestored => self.restore(&copy.lock().unwrap()),
             Fault::Rules => self.change_rules(),
         }
+        if fault.is_of_store() {
+            self.outages.lock().unwrap().push((from, Instant::now()));
+        }
     }
 
     /// Ends a server that is there.
@@ -222,6 +259,7 @@
         let address = servers[place].0.address;
         servers[place].1 = false;
         self.store.put_server(&name(place), "pool", address, "draining");
+        self.left.lock().unwrap().insert(place, Instant::now());
         self.store.drop_server(&name(place));
     }
 
@@ -258,6 +296,8 @@
                     let mut random = StdRng::seed_from_u64(self.seed * 1000 + number);
                     while Instant::now() < end {
                         let kinds = FAULTS.iter().skip(number as usize).step_by(3);
+                        let calm_store = self.seed % 2 == 1;
+                        let kinds = kinds.filter(|it| !(calm_store && it.is_of_store()));
                         let kinds: Vec<&Fault> = kinds.collect();
                         let fault = *kinds[random.random_range(0..kinds.len())];
                         self.strike(fault, &mut random, copy);
@@ -331,15 +371,47 @@
         arrivals
     }
 
-    /// Returns when the crashing request reached servers, in order. Each ended under it.
-    fn crashing_arrivals(&self) -> Vec<Instant> {
+    /// Returns when harmful requests reached servers, in order. Each server ended under one.
+    fn harmful_arrivals(&self, is_harmful: impl Fn(&Seen) -> bool) -> Vec<Instant> {
         let servers = self.servers();
         let seen = servers.iter().flat_map(|(server, _)| server.seen());
-        let crashing = seen.filter(|seen| seen.body == CRASHING.as_bytes());
-        let mut times: Vec<Instant> = crashing.filter_map(|seen| seen.came).collect();
+        let harmful = seen.filter(|seen| is_harmful(seen));
+        let mut times: Vec<Instant> = harmful.filter_map(|seen| seen.came).collect();
         times.sort_unstable();
         times
     }
+
+    /// Returns the calls that reached a server too long after it had said that it leaves, from
+    /// calm processes and while the store was calm.
+    fn late_arrivals(&self, records: &[CallRecord]) -> Vec<String> {
+        let processes: HashMap<&str, usize> = records
+            .iter()
+            .map(|record| (record.attempt.as_str(), record.process.0))
+            .collect();
+        let outages = self.outages.lock().unwrap();
+        let servers = self.servers();
+        let mut late = vec![];
+        for (place, left) in self.left.lock().unwrap().iter() {
+            for seen in servers[*place].0.seen() {
+                let Some(came) = seen.came.filter(|came| *came > *left + LEAVE_WITHIN)
+                else {
+                    continue;
+                };
+                let Some(slot) = processes.get(seen.attempt()) else { continue };
+                let mut outages = outages.iter();
+                let store_calm =
+                    outages.all(|(from, until)| came < *from || *until + CALM < *left);
+                if store_calm && self.slots[*slot].was_calm(came, CALM) {
+                    let after = came - *left;
+                    late.push(format!(
+                        "{} reached a server {after:?} late",
+                        seen.attempt()
+                    ));
+                }
+            }
+        }
+        late
+    }
 }
 
 /// Returns the program of a slot. Every second one may be another, such as the last release.
@@ -398,10 +470,11 @@
         let soak = &soak;
         // Callers end also if anything here panics.
         let _end = EndGuard(soak);
-        let callers: Vec<_> = (0..CALLERS)
+        let callers: Vec<_> = (0..soak.size.callers)
             .map(|number| scope.spawn(move || call_on(soak, number)))
             .collect();
         scope.spawn(move || call_crashing(soak));
+        scope.spawn(move || call_with_bad_part(soak));
         soak.strike_on(seconds);
         soak.recover();
         soak.over.store(true, Ordering::SeqCst);
@@ -412,18 +485,23 @@
     });
     let mut broken = broken(&soak, &records);
     let kills: usize = soak.slots.iter().map(ProcessSlot::kills).sum();
-    let crashes = soak.crashing_arrivals();
-    let lost = crashes.len();
-    if let Some(third) = crashes.get(SERVERS_LOST - 1) {
-        let late = crashes.iter().filter(|at| **at > *third + TOLD_WITHIN).count();
+    broken.extend(soak.late_arrivals(&records));
+    let by_request = soak.harmful_arrivals(|seen| seen.body == CRASHING.as_bytes());
+    let by_part = soak.harmful_arrivals(has_bad_part);
+    for (what, times) in [("request", &by_request), ("part", &by_part)] {
+        let Some(last) = times.get(SERVERS_LOST - 1) else { continue };
+        let late = times.iter().filter(|at| **at > *last + TOLD_WITHIN).count();
         if late > LATE_TRIES {
-            broken.push(format!("{late} late tries of a request that crashes servers"));
+            broken.push(format!("{late} late tries of a {what} that crashes servers"));
         }
     }
     let served = records.iter().filter(|record| record.answer.status == 200).count();
     println!(
-        "seed {seed}: {served} of {} served, {lost} servers lost to one request, {kills} kills, {} broken",
+        "seed {seed}: {served} of {} served, {} and {} servers lost to a request and a part, {} left, {kills} kills, {} broken",
         records.len(),
+        by_request.len(),
+        by_part.len(),
+        soak.left.lock().unwrap().len(),
         broken.len()
     );
     if served * 2 < records.len() {
--- a/crates/flaxtide/tests/soak/process.rs
+++ b/crates/flaxtide/tests/soak/process.rs
@@ -35,6 +35,8 @@
     frozen: AtomicBool,
     /// The starts that were killed.
     killed: Mutex<HashSet<u32>>,
+    /// From when until when something was done to it.
+    struck: Mutex<Vec<(Instant, Instant)>>,
 }
 
 impl ProcessSlot {
@@ -64,6 +66,7 @@
             starts: AtomicU32::new(0),
             frozen: AtomicBool::new(false),
             killed: Mutex::default(),
+            struck: Mutex::default(),
         }
     }
 
@@ -85,10 +88,18 @@
     /// Does something to it, unless something else is being done.
     pub(crate) fn strike(&self, what: impl FnOnce(&Self)) {
         if let Ok(_busy) = self.busy.try_lock() {
+            let from = Instant::now();
             what(self);
+            self.struck.lock().unwrap().push((from, Instant::now()));
         }
     }
 
+    /// Returns whether nothing was done to it for a time before a moment.
+    pub(crate) fn was_calm(&self, at: Instant, span: Duration) -> bool {
+        let struck = self.struck.lock().unwrap();
+        struck.iter().all(|(from, until)| at < *from || *until + span < at)
+    }
+
     /// Returns the number of its present start.
     pub(crate) fn incarnation(&self) -> u32 {
         self.starts.load(Ordering::SeqCst)
--- a/crates/flaxtide/tests/soak/traffic.rs
+++ b/crates/flaxtide/tests/soak/traffic.rs
@@ -16,6 +16,27 @@
 /// The body of a request that crashes whatever runs it.
 pub(crate) const CRASHING: &str = "crash";
 
+/// The part that all prompts have, and one that crashes whatever answers it.
+const COMMON_PART: &str = "5c1e07a2:800";
+const BAD_PART: &str = "91bd3f06:41";
+
+/// Returns whether a request has the part that crashes servers.
+pub(crate) fn has_bad_part(seen: &Seen) -> bool {
+    seen.header("flaxtide-prompt-prefix")
+        .is_some_and(|parts| parts.contains(BAD_PART))
+}
+
+/// Spells a request with a prompt, whose last part is its own.
+fn prompted(path: &str, attempt: &str, body: &str, parts: &str) -> String {
+    let mut hasher = DefaultHasher::new();
+    attempt.hash(&mut hasher);
+    let own = hasher.finish();
+    let prompt = format!(
+        "Flaxtide-Model: m\r\nFlaxtide-Token-Count: 900,10\r\nFlaxtide-Prompt-Prefix: {parts},{own:x}:9"
+    );
+    request("POST", path, attempt, body).replacen("\r\n", &format!("\r\n{prompt}\r\n"), 1)
+}
+
 /// How many events a stream has.
 const EVENTS: u64 = 6;
 
@@ -55,7 +76,7 @@
 /// A server that does as its whims are, and that one body crashes.
 pub(crate) fn server_script() -> Script {
     Arc::new(|seen, _| {
-        if seen.body == CRASHING.as_bytes() {
+        if seen.body == CRASHING.as_bytes() || has_bad_part(seen) {
             return vec![Step::Wait(Duration::from_millis(20)), Step::Crash];
         }
         let streams = seen.line.contains("/draft/") || seen.line.contains("/chat/");
@@ -163,7 +184,8 @@
             let attempt = format!("{}-{number}-{}", soak.seed, records.len());
             let path = format!("/{class}/1");
             let start = Instant::now();
-            let text = request("POST", &path, &attempt, &format!("body of {attempt}"));
+            let body = format!("body of {attempt}");
+            let text = prompted(&path, &attempt, &body, COMMON_PART);
             let answer = caller.send(&text).answer();
             let spent = start.elapsed();
             let goes_on = answer.whole
@@ -193,3 +215,21 @@
         std::thread::sleep(Duration::from_millis(random.random_range(20..300)));
     }
 }
+
+/// Sends requests with the part that crashes servers to any process until the end, no two alike.
+pub(crate) fn call_with_bad_part(soak: &Soak) {
+    let mut random = StdRng::seed_from_u64(soak.seed ^ 0xbad);
+    let parts = format!("{COMMON_PART},{BAD_PART}");
+    let mut number = 0;
+    while !soak.is_over() {
+        number += 1;
+        let slot = random.random_range(0..soak.slots.len());
+        if let Some(mut caller) = soak.slots[slot].open_if_ready() {
+            let attempt = format!("{}-part-{number}", soak.seed);
+            let path = ["/look/1", "/book/1", "/chat/1"][random.random_range(0..3)];
+            let text = prompted(path, &attempt, &format!("body {number}"), &parts);
+            caller.send(&text).answer();
+        }
+        std::thread::sleep(Duration::from_millis(random.random_range(20..300)));
+    }
+}
