--- a/crates/flaxtide-policy/tests/quarantine_parts.rs
+++ b/crates/flaxtide-policy/tests/quarantine_parts.rs
@@ -161,7 +161,7 @@
 /// A request that runs, and when it was sent.
 #[derive(Debug, Clone)]
 struct RunningRequest {
-    print: Fingerprint,
+    fingerprint: Fingerprint,
     parts: [u64; 2],
     tries: u32,
     sent: u64,
@@ -185,7 +185,7 @@
                 // A tenth of them end in 100 ms.
                 let ends = now > request.sent + 100 && random.random_bool(0.005);
                 if ends {
-                    log.clear(request.print, ms(now));
+                    log.clear(request.fingerprint, ms(now));
                     for part in request.parts {
                         log.clear_part(part, ms(request.sent), ms(now));
                     }
@@ -203,7 +203,12 @@
                     refused += 1;
                     continue;
                 }
-                here.push(RunningRequest { print: next, parts, tries: 0, sent: now });
+                here.push(RunningRequest {
+                    fingerprint: next,
+                    parts,
+                    tries: 0,
+                    sent: now,
+                });
             }
         }
         if now < 5000 || now % 150 != 0 {
@@ -222,7 +227,7 @@
         for request in &fallen {
             let begun = now > request.sent + 100;
             let progress = CallProgress { sent: ms(request.sent), begun };
-            log.record(request.print, server, progress, ms(now));
+            log.record(request.fingerprint, server, progress, ms(now));
             for part in request.parts.iter().filter(|_| !begun) {
                 log.record(part_fingerprint(*part), server, progress, ms(now));
             }
@@ -232,7 +237,7 @@
         for mut request in fallen {
             request.tries += 1;
             request.sent = now;
-            if log.find_quarantined(request.print, &request.parts).is_some() {
+            if log.find_quarantined(request.fingerprint, &request.parts).is_some() {
                 refused += 1;
             } else if request.tries < 3 {
                 let target = servers[random.random_range(0..servers.len())];
