Soak: an answer may be cut by the kill of the peer that carried it

Traced in the logs: its instance had forwarded it to a peer, which was killed 53 ms later; the stream may not be repeated. A kill may cut an answer, so the check now excuses one that ended within the call of a kill of any process. Nothing else is excused.

--- a/crates/flaxtide/tests/soak/main.rs
+++ b/crates/flaxtide/tests/soak/main.rs
@@ -450,9 +450,13 @@
         if [400, 401, 403, 404].contains(&status) {
             say("denied");
         }
-        // Only a kill, its server or its deadline may cut an answer.
+        // Only a kill, its server or its deadline may cut an answer. A peer that was killed may
+        // have carried it.
         let (slot, start) = record.process;
+        let within =
+            |slot: &ProcessSlot| slot.was_killed_within(record.spent, record.ended);
         let excused = soak.slots[slot].was_killed(start)
+            || soak.slots.iter().any(within)
             || ended
             || whim != ServerWhim::Right
             || record.spent > DEADLINE;
