A reader that the platform doesn't answer asks its peers

Cause: such an instance goes on reading for its group and asks nobody; its followers turn to the standbys, which don't push what they read. What it doesn't know is only bounded by other data centres' pushes.

Now a reader has the plan of its group, too: once a call has failed it asks the other readers and the standbys, for twice the bound, before it calls the platform again.

--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -125,6 +125,7 @@
         if let Some(list_age) = list_age {
             let failed =
                 read.as_ref().is_err_and(|fault| *fault != FeedError::HistoryGone);
+            self.source.record_call(!failed);
             list_age.end_call(failed);
         }
         self.count(if read.is_ok() { "ok" } else { "failed" });
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -25,6 +25,11 @@
 /// answer as soon as it has called the platform.
 const UNABLE_PAUSE_FRACTION: f64 = 0.1;
 
+/// How long a reader asks its peers after the platform hasn't answered it, before it calls the
+/// platform again, as a multiple of `leave_within`. It is longer than such a call may take, during
+/// which the reader asks nobody.
+const UNANSWERED_READER_FACTOR: f64 = 2.0;
+
 /// How long an answer counts as a sign that readers reach the platform, as a fraction of
 /// `leave_within`: the time of two questions.
 const READER_ALIVE_FRACTION: f64 = 0.5;
@@ -67,6 +72,8 @@
     /// Whether a peer that has just read from the platform lacks the changes after the
     /// version of this instance, and the platform hasn't been called since.
     has_gap: bool,
+    /// When the platform last failed to answer this instance; `None` if it answered since.
+    unanswered_at: Option<Duration>,
 }
 
 impl ServerListSource {
@@ -82,6 +89,7 @@
             last_answer: None,
             lag: RulesLag::default(),
             has_gap: false,
+            unanswered_at: None,
         };
         Self {
             startup_until: clock.now() + startup_wait,
@@ -129,6 +137,12 @@
         matches!(self.reader(), ListReader::Peer(_))
     }
 
+    /// Records whether the platform has answered a call of this instance.
+    pub(crate) fn record_call(&self, answered: bool) {
+        let now = self.clock.now();
+        self.lock().unanswered_at = (!answered).then_some(now);
+    }
+
     /// Returns whether a new instance that doesn't know the changes of the time `unknown_for`
     /// should still wait for a reader.
     pub(crate) fn awaits_plan(&self, unknown_for: Duration) -> bool {
@@ -231,10 +245,16 @@
             .or_else(|| self.ask_peers(link, others, after, Duration::ZERO))
     }
 
-    /// Returns the peers that may be asked now, in order.
+    /// Returns the peers that may be asked now, in order. A reader asks none, but for a while
+    /// after the platform hasn't answered it: others may have read in its place.
     fn available_peers(&self) -> Vec<SocketAddr> {
         let now = self.clock.now();
         let state = self.lock();
+        let span = self.leave_within.mul_f64(UNANSWERED_READER_FACTOR);
+        let unanswered = state.unanswered_at.is_some_and(|at| now < at + span);
+        if state.plan.reader == ListReader::ForPeers && !unanswered {
+            return vec![];
+        }
         let mut peers = peers_of(&state.plan);
         peers.retain(|peer| state.backoff.may_ask(*peer, now));
         peers
@@ -323,6 +343,9 @@
 
 /// Returns the peers of a plan, in the order in which they are asked.
 fn peers_of(plan: &ListPlan) -> Vec<SocketAddr> {
-    let ListReader::Peer(reader) = plan.reader else { return vec![] };
-    [reader].into_iter().chain(plan.others.iter().copied()).collect()
+    let reader = match plan.reader {
+        ListReader::Peer(reader) => Some(reader),
+        ListReader::Alone | ListReader::ForPeers => None,
+    };
+    reader.into_iter().chain(plan.others.iter().copied()).collect()
 }
--- a/crates/flaxtide-fleet/src/node/lists.rs
+++ b/crates/flaxtide-fleet/src/node/lists.rs
@@ -25,21 +25,25 @@
             .map_or(ListReader::Alone, ListReader::Peer)
     }
 
-    /// Returns the reader, and the instances to ask if the reader doesn't answer.
+    /// Returns the reader, and the instances to ask if the reader doesn't answer. A reader has
+    /// them too, in case the platform doesn't answer it.
     #[must_use]
     pub fn list_plan(&self, alone_below: usize) -> ListPlan {
         let reader = self.list_reader(alone_below);
-        let ListReader::Peer(asked_first) = reader else {
-            return ListPlan { reader, ..ListPlan::default() };
+        let asked_first = match reader {
+            ListReader::Alone => return ListPlan { reader, ..ListPlan::default() },
+            ListReader::ForPeers => None,
+            ListReader::Peer(address) => Some(address),
         };
         let count = self.reader_count();
         let end = (count + STANDBYS).min(self.reader_order.len());
         let indices = &self.reader_order[..end];
         let others = indices.iter().filter_map(|index| self.address_at(*index));
+        let others = others.filter(|address| Some(*address) != asked_first);
         let peers = indices.iter().filter_map(|index| self.peers.get(&self.live[*index]));
         ListPlan {
             reader,
-            others: others.filter(|address| *address != asked_first).collect(),
+            others: others.collect(),
             epochs: peers.filter_map(|peer| peer.epoch).collect(),
             standby: self.includes_self(&self.reader_order[count..end]),
         }
