The next call after a failed one falls within the bound

After failed calls an instance whose reader answers that it can't tell waited up to 12 s, trusting the reader to tell of the platform's return; the platform may have turned the readers away too, and served others.

More calls in an outage: at most one in half of the bound for each instance on average.

--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -200,9 +200,8 @@
             Err(fault) => {
                 if fault != FeedError::HistoryGone {
                     backoff.record_failure(rand::random(), clock.now());
-                    if let Some(window) = self.source.unreachable_readers_window() {
-                        backoff.expect_answer(window, rand::random(), clock.now());
-                    }
+                    let window = self.source.retry_window();
+                    backoff.expect_answer(window, rand::random(), clock.now());
                 }
                 self.handle_fault(state, &fault, clock.now())
             }
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -202,13 +202,15 @@
         self.lock().suggests_outage(now)
     }
 
-    /// Returns the window of the next call after a failed one if the reader doesn't respond at
-    /// all. Such a reader can't tell that the platform answers again, so the call must not be
-    /// put off as long as behind a reader that responds.
-    pub(crate) fn unreachable_readers_window(&self) -> Option<Duration> {
+    /// Returns the window of the next call after a failed one. The platform may have answered
+    /// others all the while, so that the readers' word of its return can't be waited for; a
+    /// reader that doesn't respond at all can't even give it.
+    pub(crate) fn retry_window(&self) -> Duration {
         let now = self.clock.now();
-        let unreachable = !self.lock().suggests_outage(now);
-        unreachable.then(|| self.leave_within.mul_f64(READERS_FAILING_FRACTION))
+        match self.lock().suggests_outage(now) {
+            true => self.leave_within,
+            false => self.leave_within.mul_f64(READERS_FAILING_FRACTION),
+        }
     }
 
     /// Returns the window within which instances call the platform whose readers have just
