A failed server is compared with servers of its data centre

A data centre's path is cut by resets from second 24 on; servers there refuse connections, and others elsewhere are reached, so they were taken to have exited, and the parts of the requests that broke there were suspected again and again. The servers that are tried in comparison are now those of the same data centre, if there are any.

The test fails before ([0, 1, 2, 3] in place of [1, 7]).

--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -276,8 +276,9 @@
     }
 
     /// Returns a few other servers of the pool: attempts to reach them show whether the failure
-    /// of `server` is its own. Those without failures come first. There are several, as some
-    /// may have failed too.
+    /// of `server` is its own. They are in its data centre, if any are, as a path that is cut
+    /// may be that to one data centre. Those without failures come first. There are several, as
+    /// some may have failed too.
     #[must_use]
     pub fn control_servers(&self, server: ServerId, now: Duration) -> Vec<ServerId> {
         let mut pools = self.pools.values();
@@ -286,6 +287,12 @@
         let mut others: Vec<&ServerState> = servers
             .filter(|other| other.listing.in_service() && other.listing.server != server)
             .collect();
+        let data_centre = |id| Some(pool?.servers.get(id)?.listing.data_centre);
+        let own = data_centre(server);
+        let is_near = |other: &ServerState| Some(other.listing.data_centre) == own;
+        if others.iter().any(|other| is_near(other)) {
+            others.retain(|other| is_near(other));
+        }
         let failures = |other: &ServerState| {
             let is_failed = other.health.path().is_failed(now);
             other.health.failure_rate() + f64::from(u8::from(is_failed))
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -6,10 +6,10 @@
 use flaxtide_core::ServerId;
 use flaxtide_policy::{
     ForwardPeer, PoolReach, RefusalCause, RetryDecision, RouteAction, RouteCall,
-    RouteCore, RouteFault, RouteReason,
+    RouteCore, RouteFault, RouteReason, RoutedServer,
 };
 
-use self::common::{POOL, call, core_with, ms, server_of};
+use self::common::{POOL, call, core_with, engine, ms, server_of};
 
 /// The peers, by identifier.
 const NEAR: ServerId = 1000;
@@ -276,3 +276,20 @@
     });
     assert!(sent.all(|server| server >= 3));
 }
+
+// Guards against servers of a data centre whose path is cut being taken for servers that have
+// exited, and sound requests for those that crashed them, because servers elsewhere are reached.
+#[test]
+fn a_failed_server_is_compared_with_those_of_its_data_centre() {
+    let mut core = core_with(0);
+    let servers: Vec<RoutedServer> = (0..9)
+        .map(|server| RoutedServer { data_centre: server % 3, ..engine(server) })
+        .collect();
+    core.set_servers(POOL, &servers, ms(0));
+    let mut controls = core.control_servers(4, ms(10));
+    controls.sort_unstable();
+    assert_eq!(controls, [1, 7]);
+    // The last one of its data centre is compared with any.
+    core.set_servers(POOL, &servers[..2], ms(20));
+    assert_eq!(core.control_servers(1, ms(30)), [0]);
+}
