Connections to callers and servers share their wrapper; lateness follows the bounds

Read once more: the wrapper of a caller's connection stood twice; a late tick was 300 ms whatever the bound for leaving servers, now a tenth of it beyond the tick; the gate takes a check instead of the whole state; whether connections are limited is logged.

--- a/crates/flaxtide-entry/src/admission.rs
+++ b/crates/flaxtide-entry/src/admission.rs
@@ -3,9 +3,12 @@
 use std::cell::Cell;
 use std::time::Duration;
 
+use crate::instance::TICK_INTERVAL;
+
 /// A tick that follows the one before after this time shows that there is more to do than the
 /// processor manages.
-const OVERLOADED_TICK: Duration = Duration::from_millis(150);
+const OVERLOADED_TICK: Duration =
+    Duration::from_millis(TICK_INTERVAL.as_millis() as u64 * 3 / 2);
 
 /// The factor by which the limit falls with each such tick.
 const DECREASE: f64 = 0.7;
@@ -28,7 +31,7 @@
 /// use flaxtide_entry::AdmissionLimit;
 /// let limit = AdmissionLimit::default();
 /// assert!(limit.admit(1000));
-/// limit.record_tick(Duration::from_millis(400), 100);
+/// assert_eq!(limit.record_tick(Duration::from_millis(400), 100), Some(true));
 /// assert!(limit.admit(69));
 /// // One more is taken on until the next tick.
 /// assert!(limit.admit(70) && !limit.admit(70));
@@ -52,15 +55,20 @@
 }
 
 impl AdmissionLimit {
-    /// Records a tick that came `span` after the one before, with `open` requests.
-    pub fn record_tick(&self, span: Duration, open: usize) {
+    /// Records a tick that came `span` after the one before, with `open` requests. Returns
+    /// whether connections are limited now, if that has changed.
+    pub fn record_tick(&self, span: Duration, open: usize) -> Option<bool> {
         let limit = self.limit.get();
+        let was_limited = limit < MAX_LIMIT;
         let limit = match span >= OVERLOADED_TICK {
             true => limit.min(open as f64) * DECREASE,
             false => limit * INCREASE.0 + INCREASE.1,
         };
-        self.limit.set(limit.clamp(MIN_LIMIT, MAX_LIMIT));
+        let limit = limit.clamp(MIN_LIMIT, MAX_LIMIT);
+        self.limit.set(limit);
         self.exceeded.set(false);
+        let is_limited = limit < MAX_LIMIT;
+        (is_limited != was_limited).then_some(is_limited)
     }
 
     /// Returns whether another connection is taken on with `open` requests.
--- a/crates/flaxtide-entry/src/budget.rs
+++ b/crates/flaxtide-entry/src/budget.rs
@@ -32,6 +32,9 @@
 /// request to arrive.
 pub(crate) const MAX_WRITE_AGE_FRACTION: f64 = 0.8;
 
+/// How late the traffic thread may be while a call that waits for changes counts as their absence.
+pub(crate) const LATENESS_FRACTION: f64 = 0.1;
+
 /// How long a server stays in use whose row is found missing at the latest time that the other
 /// steps allow.
 const LEAST_GRACE_FRACTION: f64 = 0.07;
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -167,13 +167,16 @@
         };
         if peer.is_none() {
             // The server may have pushed back while the connection was being opened.
-            if !state.wait_for_list(max_wait).await
-                || !state.with_router(|core, now| core.permit_send(request_id, now))
+            let list_age = state.source.list_age();
+            if !list_age.wait_until(|| state.permits_write(), max_wait).await
+                || !state.permits_request(request_id)
             {
                 state.connections.keep(server, conn, None, state.now());
                 return Err(RouteFault::Withheld.into());
             }
-            conn.gate.arm(state, request_id);
+            let state = state.clone();
+            conn.gate
+                .arm(move || state.permits_write() && state.permits_request(request_id));
         }
         let sent = state.now();
         let kind = if conn.used { "kept" } else { "new" };
@@ -198,6 +201,20 @@
     Err(RouteFault::Unreachable.into())
 }
 
+impl TrafficState {
+    /// Returns whether the server list is new enough to write a request by it.
+    fn permits_write(&self) -> bool {
+        let now = self.source.clock().now();
+        let is_late = self.lateness.is_late(self.now());
+        self.source.list_age().permits_write(now, is_late)
+    }
+
+    /// Returns whether the server that was chosen for a request still takes it.
+    fn permits_request(&self, request: RequestId) -> bool {
+        self.with_router(|core, now| core.permit_send(request, now))
+    }
+}
+
 /// Builds the headers of a request as the server gets it.
 fn server_headers(
     state: &TrafficState,
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -19,8 +19,9 @@
 use crate::sightings::{record_part_updates, to_sightings};
 use crate::state::TrafficState;
 
-/// How long after the start a data centre without a word keeps the size of the fleet unknown. It may
-/// be cut off and draw on the retry budget; later it is taken to have no instances.
+/// How long after the start a data centre that hasn't been heard keeps the size of the fleet
+/// unknown. It may be cut off and draw on the retry budget; later it is taken to have no
+/// instances.
 const MAX_FLEET_WAIT: Duration = Duration::from_secs(60);
 
 /// An event for the traffic thread from a thread that follows the platform or talks to
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -27,7 +27,7 @@
 };
 use crate::follower::{POLL_WAIT_FRACTION, TopicFollower, follow_topic};
 use crate::forward::{log_reach, probe_paths};
-use crate::jump::detect_jump;
+use crate::jump::handle_tick;
 use crate::listen::{accept_requests, bind_listener};
 use crate::logging::flush_log;
 use crate::metrics::EntryMetrics;
@@ -50,7 +50,7 @@
 const SIGNAL_QUEUE_LEN: usize = 8;
 
 /// The longest time between two checks of waiting requests and other timed state.
-const TICK_INTERVAL: Duration = Duration::from_millis(100);
+pub(crate) const TICK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// The interval of the less frequent checks in ticks: idle connections, the instance file, duties
 /// and some metrics.
@@ -336,7 +336,7 @@
     let mut ticks = 0u64;
     loop {
         tokio::time::sleep(TICK_INTERVAL).await;
-        detect_jump(&state);
+        handle_tick(&state);
         ticks += 1;
         if state.with_router(|core, _| core.has_waiting_requests()) {
             state.run_router(|core, now| core.tick(now));
--- a/crates/flaxtide-entry/src/jump.rs
+++ b/crates/flaxtide-entry/src/jump.rs
@@ -6,6 +6,7 @@
 use std::pin::pin;
 use std::time::Duration;
 
+use crate::instance::TICK_INTERVAL;
 use crate::state::TrafficState;
 
 /// Two ticks that are this far apart show a clock jump. A busy instance with an eighth of a core
@@ -23,10 +24,6 @@
 /// How long reading the data that has arrived may take.
 const CATCH_UP_TIME: Duration = Duration::from_millis(200);
 
-/// A tick that follows the one before after this time shows that the process is late: it was
-/// suspended, or gets too little processor time.
-const LATE_TICK: Duration = Duration::from_millis(300);
-
 /// Whether the traffic thread is late, from the time between two ticks.
 #[derive(Debug)]
 pub(crate) struct TickLateness {
@@ -34,35 +31,45 @@
     last_tick: Cell<Duration>,
     /// Whether that tick was late.
     was_late: Cell<bool>,
+    /// A tick that follows the one before after this time is late: the process was suspended, or
+    /// gets too little processor time.
+    late_after: Duration,
 }
 
 impl TickLateness {
-    /// Creates the lateness of a thread whose first tick follows `now`.
-    pub(crate) fn new(now: Duration) -> Self {
+    /// Creates the lateness of a thread whose first tick follows `now`. Ticks may be late by
+    /// `tolerance`.
+    pub(crate) fn new(now: Duration, tolerance: Duration) -> Self {
         Self {
             last_tick: Cell::new(now),
             was_late: Cell::new(false),
+            late_after: TICK_INTERVAL + tolerance,
         }
     }
 
     /// Returns whether the thread is late, or was until its last tick.
     pub(crate) fn is_late(&self, now: Duration) -> bool {
-        self.was_late.get() || now.saturating_sub(self.last_tick.get()) >= LATE_TICK
+        self.was_late.get() || now.saturating_sub(self.last_tick.get()) >= self.late_after
     }
 
     /// Records a tick. Returns the time since the one before.
     fn record_tick(&self, now: Duration) -> Duration {
         let span = now.saturating_sub(self.last_tick.replace(now));
-        self.was_late.set(span >= LATE_TICK);
+        self.was_late.set(span >= self.late_after);
         span
     }
 }
 
-/// Handles a tick. After a clock jump, the state is adjusted before more requests are sent.
-pub(crate) fn detect_jump(state: &TrafficState) {
+/// Handles a tick: records whether it is late, and adjusts the state to a clock jump before more
+/// requests are sent.
+pub(crate) fn handle_tick(state: &TrafficState) {
     let now = state.now();
     let span = state.lateness.record_tick(now);
-    state.admission.record_tick(span, state.pending_requests());
+    let open = state.pending_requests();
+    if let Some(limited) = state.admission.record_tick(span, open) {
+        let span_ms = span.as_millis() as u64;
+        log::info!(limited, open, span_ms; "connections limited by the processor");
+    }
     if span >= MIN_JUMP {
         handle_jump(state, span, now);
     }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -32,6 +32,7 @@
 mod follow;
 mod follower;
 mod forward;
+mod hooked;
 mod instance;
 mod jump;
 mod keepalive;
--- a/crates/flaxtide-entry/src/list_age.rs
+++ b/crates/flaxtide-entry/src/list_age.rs
@@ -5,9 +5,14 @@
 use std::time::Duration;
 
 use tokio::sync::Notify;
+use tokio::time::{Instant, timeout};
 
 use crate::budget::MAX_WRITE_AGE_FRACTION;
 
+/// How often a request that waits for a newer server list checks whether this process is on time
+/// again.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// How old the server list is that has been applied, and how its next read goes. All times are on
 /// one clock.
 ///
@@ -105,7 +110,7 @@
     }
 
     /// Asks for a read without delay, as a request waits for it.
-    pub(crate) fn want_read(&self) {
+    fn want_read(&self) {
         self.lock().is_wanted = true;
         self.read_wanted.notify_all();
     }
@@ -124,9 +129,23 @@
         drop(waited.unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Waits until the age or the state of the reads changes.
-    pub(crate) async fn changed(&self) {
-        self.changed.notified().await;
+    /// Waits until `permits` returns `true`, for `max_wait` at most, and has the list read
+    /// meanwhile. Returns whether it did.
+    pub(crate) async fn wait_until(
+        &self,
+        permits: impl Fn() -> bool,
+        max_wait: Duration,
+    ) -> bool {
+        let start = Instant::now();
+        while !permits() {
+            if start.elapsed() >= max_wait {
+                return false;
+            }
+            self.want_read();
+            // Fails if there is no change until then, which is checked anyway.
+            let _ = timeout(RECHECK_INTERVAL, self.changed.notified()).await;
+        }
+        true
     }
 
     /// Locks the state, even if a thread has panicked while it held the lock.
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -3,9 +3,8 @@
 use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::Poll;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,10 +16,10 @@
 use hyper::{Request, Version};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
-use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::call::{RequestSource, serve_request};
+use crate::hooked::{HookedStream, StreamHook};
 use crate::keepalive::enable_keepalive;
 use crate::memory::connection_limit;
 use crate::reply::ResponseBody;
@@ -79,11 +78,9 @@
     }
 }
 
-/// A connection that records its activity.
-struct TrackedStream {
-    /// The connection.
-    stream: TcpStream,
-    /// Its activity.
+/// Records the activity of a caller's connection.
+struct ActivityHook {
+    /// The activity.
     activity: Rc<ConnectionActivity>,
     /// Provides the clock.
     state: Rc<TrafficState>,
@@ -91,81 +88,41 @@
     resets: bool,
 }
 
-impl TrackedStream {
+impl ActivityHook {
     /// Makes the connection be reset when it is closed in the middle of a response that ends
     /// with it, whatever the reason: a close would look like the end of the response.
-    fn reset_if_unfinished(&mut self) -> io::Result<()> {
+    fn reset_if_unfinished(&mut self, stream: &TcpStream) -> io::Result<()> {
         let resets = self.activity.open_unframed.get();
         if resets != self.resets {
             let linger = resets.then_some(Duration::ZERO);
-            SockRef::from(&self.stream).set_linger(linger)?;
+            SockRef::from(stream).set_linger(linger)?;
             self.resets = resets;
         }
         Ok(())
     }
 }
 
-impl AsyncRead for TrackedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        buffer: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        let before = buffer.filled().len();
-        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
-            let now = self.state.now();
-            self.activity.last_io_at.set(now);
-            if self.activity.open_requests.get() == 0
-                && self.activity.head_started_at.get().is_none()
-            {
-                self.activity.head_started_at.set(Some(now));
-            }
-        }
-        polled
+impl StreamHook for ActivityHook {
+    fn before_write(&mut self, stream: &TcpStream) -> io::Result<()> {
+        self.reset_if_unfinished(stream)
     }
-}
 
-impl AsyncWrite for TrackedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        bytes: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        self.reset_if_unfinished()?;
-        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
-        self.activity.record_write(&written, self.state.now());
-        written
+    fn before_shutdown(&mut self, stream: &TcpStream) -> io::Result<()> {
+        self.reset_if_unfinished(stream)
     }
 
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-        parts: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        self.reset_if_unfinished()?;
-        let written = Pin::new(&mut self.stream).poll_write_vectored(context, parts);
-        self.activity.record_write(&written, self.state.now());
-        written
+    fn after_write(&mut self, written: &Poll<io::Result<usize>>) {
+        self.activity.record_write(written, self.state.now());
     }
 
-    fn is_write_vectored(&self) -> bool {
-        self.stream.is_write_vectored()
-    }
-
-    fn poll_flush(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
-    }
-
-    fn poll_shutdown(
-        mut self: Pin<&mut Self>,
-        context: &mut Context<'_>,
-    ) -> Poll<io::Result<()>> {
-        self.reset_if_unfinished()?;
-        Pin::new(&mut self.stream).poll_shutdown(context)
+    fn after_read(&mut self) {
+        let now = self.state.now();
+        self.activity.last_io_at.set(now);
+        if self.activity.open_requests.get() == 0
+            && self.activity.head_started_at.get().is_none()
+        {
+            self.activity.head_started_at.set(Some(now));
+        }
     }
 }
 
@@ -287,12 +244,12 @@
     let activity = Rc::new(ConnectionActivity::default());
     activity.last_io_at.set(state.now());
     activity.unread.set(Some(UnreadGuard::new(&state)));
-    let tracked = TrackedStream {
-        stream,
+    let hook = ActivityHook {
         activity: activity.clone(),
         state: state.clone(),
         resets: false,
     };
+    let hooked = HookedStream::new(stream, hook);
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request: Request<Incoming>| {
@@ -313,7 +270,7 @@
     let connection = http1::Builder::new()
         .keep_alive(true)
         .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
-        .serve_connection(TokioIo::new(tracked), service);
+        .serve_connection(TokioIo::new(hooked), service);
     tokio::pin!(connection);
     loop {
         let timer = tokio::time::sleep(limits.header_timeout);
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -1,6 +1,6 @@
-//! Bounds the memory that bodies and connections take. A caller or a server that reads slowly, or not at
-//! all, holds a body in memory, so each body is charged to a budget until its last byte is
-//! written. While the budget is used up, no further bodies are read: senders wait.
+//! Bounds the memory that bodies and connections take. A caller or a server that reads slowly,
+//! or not at all, holds a body in memory, so each body is charged to a budget until its last byte
+//! is written. While the budget is used up, no further bodies are read: senders wait.
 
 use std::sync::Arc;
 
@@ -16,8 +16,8 @@
 /// responses from being read.
 const BUDGET_DIVISOR: u64 = 8;
 
-/// The memory that a connection takes at most, without bodies: its buffers, and the state of its
-/// request and of the server's stream.
+/// The memory that a connection is reckoned with, without bodies: its buffers, and the state of
+/// its request and of the server's stream.
 const CONNECTION_BYTES: u64 = 53 * 1024;
 
 /// The part of the memory of the process that connections may take. The bodies take a quarter, and
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -73,7 +73,7 @@
     pub(crate) body_bytes: IntGaugeVec,
     /// Connections closed because their callers read nothing.
     pub(crate) stalled_readers: IntCounter,
-    /// Connections that were closed unread because too many were open.
+    /// Connections that were closed unread for lack of memory or processor time.
     pub(crate) rejected_connections: IntCounter,
     /// Engines that this instance watches, by whether they answer.
     pub(crate) watched_engines: IntGaugeVec,
@@ -174,7 +174,7 @@
             body_bytes: gauges("body_bytes", "Memory reserved for bodies.", &["kind"]),
             rejected_connections: counter(
                 "rejected_connections",
-                "Connections closed unread because too many were open.",
+                "Connections closed unread for lack of memory or processor time.",
             ),
             stalled_readers: counter(
                 "stalled_readers",
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -18,6 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::AdmissionLimit;
+use crate::budget::LATENESS_FRACTION;
 use crate::config::EntryConfig;
 use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
@@ -160,7 +161,8 @@
         let carried = CarriedCalls::new(metrics.carried_calls.clone());
         let quarantine = CallQuarantine::new(!config.seeds.is_empty());
         let versions = StreamVersions::new(source.clock().clone(), leave_within);
-        let lateness = TickLateness::new(clock.now());
+        let lateness =
+            TickLateness::new(clock.now(), leave_within.mul_f64(LATENESS_FRACTION));
         let mut core = RouteCore::new(options);
         core.set_seed(seed);
         if config.seeds.is_empty() {
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -15,8 +15,9 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::hooked::HookedStream;
 use crate::keepalive::enable_keepalive;
-use crate::write_gate::{GatedStream, WriteGate};
+use crate::write_gate::WriteGate;
 
 /// The connect time-out while no connect time is known, and its upper bound. A reachable
 /// server accepts within a few milliseconds; one behind a network partition never does.
@@ -209,7 +210,7 @@
     stream.set_nodelay(true)?;
     enable_keepalive(&stream)?;
     let gate = Rc::new(WriteGate::default());
-    let stream = GatedStream::new(stream, gate.clone());
+    let stream = HookedStream::new(stream, gate.clone());
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (sender, driver) = handshake.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
