The pause after a failed call is nearly the bound, in one place

The bound on the pause stood beside CallBackoff, in its caller, so the test of the load in an outage no longer tried what instances do, and would have passed with up to twice its calls. CallBackoff has the rule now: .95 to 1 of the bound for leaving servers after each failed call. The test of the load holds with its bounds unchanged (2 calls an instance in 4 s, 4 in 10 s); the new one fails on the pauses of before (4 s).

--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -41,7 +41,7 @@
 /// answer, as a fraction of `leave_within`. The platform is failing then, so the calls to
 /// it are spread. It is much longer than [`CALL_WINDOW_FRACTION`], as the known rows must
 /// not become too old while the platform answers.
-pub(crate) const READERS_FAILING_FRACTION: f64 = 0.5;
+const READERS_FAILING_FRACTION: f64 = 0.5;
 
 /// Returns the window within which an instance that has readers makes its first call to
 /// the platform after they stop answering. `readers_reachable` says whether they still
@@ -93,39 +93,34 @@
     wait_end.saturating_sub(LONG_POLL_THRESHOLD).max(called)
 }
 
-/// The base of the delay after the first failed call of an instance whose readers don't
-/// answer. It doubles with each further one.
-const FIRST_BACKOFF: Duration = Duration::from_secs(4);
-
-/// The longest base of that delay. A reader usually reports the platform's recovery
-/// earlier.
-const MAX_BACKOFF: Duration = Duration::from_secs(8);
+/// The shortest pause after a failed call of an instance whose readers don't answer, as a
+/// fraction of `leave_within`; the longest one is `leave_within`. The platform may have answered
+/// others all the while, so that a reader's word of its return can't be waited for.
+const FAILED_CALL_FRACTION: f64 = 0.95;
 
 /// Decides when an instance that has readers calls the platform itself, while none of
 /// them answers.
 ///
 /// All instances of a group lose their readers at the same moment and would call a
-/// failing platform all at once. So the delays are random and grow with each failed call.
+/// failing platform all at once. So the first call comes at a random moment, and the next ones
+/// after nearly the whole of `leave_within`.
 ///
 /// ```
 /// use std::time::Duration;
 /// use flaxtide_entry::CallBackoff;
 /// let mut backoff = CallBackoff::default();
-/// let window = Duration::from_secs(3);
+/// let (window, leave_within) = (Duration::from_secs(3), Duration::from_secs(4));
 /// let delay = backoff.delay(window, 0.5, Duration::ZERO);
 /// assert_eq!(delay, Some(Duration::from_millis(1500)));
 /// assert_eq!(backoff.delay(window, 0.5, Duration::from_secs(2)), None);
-/// backoff.record_failure(0.5, Duration::from_secs(2));
+/// backoff.record_failure(leave_within, 0.5, Duration::from_secs(2));
 /// let delay = backoff.delay(window, 0.5, Duration::from_secs(2));
-/// assert_eq!(delay, Some(Duration::from_secs(4)));
+/// assert_eq!(delay, Some(Duration::from_millis(3900)));
 /// ```
 #[derive(Debug, Default)]
 pub struct CallBackoff {
     /// When the next call may be made, or `None` while peers answer.
     next_call: Option<Duration>,
-    /// The base of the random pause after the next failed call, or `None` before the
-    /// first one.
-    pause: Option<Duration>,
 }
 
 impl CallBackoff {
@@ -142,16 +137,15 @@
     }
 
     /// Schedules the next call after a failed one. `random` lies between 0 and 1.
-    pub fn record_failure(&mut self, random: f64, now: Duration) {
-        let pause = self.pause.unwrap_or(FIRST_BACKOFF);
-        self.next_call = Some(now + pause.mul_f64(0.5 + random));
-        self.pause = Some((pause * 2).min(MAX_BACKOFF));
+    pub fn record_failure(&mut self, leave_within: Duration, random: f64, now: Duration) {
+        let fraction = FAILED_CALL_FRACTION + (1.0 - FAILED_CALL_FRACTION) * random;
+        self.next_call = Some(now + leave_within.mul_f64(fraction));
     }
 
     /// Allows calls without delay after the platform has answered, until a peer answers
     /// again.
     pub fn record_success(&mut self, now: Duration) {
-        *self = Self { next_call: Some(now), pause: None };
+        self.next_call = Some(now);
     }
 
     /// Schedules the next call within `window`, however many have failed: the platform
@@ -161,7 +155,7 @@
     /// use std::time::Duration;
     /// use flaxtide_entry::CallBackoff;
     /// let (mut backoff, now) = (CallBackoff::default(), Duration::from_secs(9));
-    /// backoff.record_failure(0.5, now);
+    /// backoff.record_failure(Duration::from_secs(3), 0.5, now);
     /// backoff.expect_answer(Duration::from_millis(200), 0.5, now);
     /// let delay = backoff.delay(Duration::from_secs(3), 0.5, now);
     /// assert_eq!(delay, Some(Duration::from_millis(100)));
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -199,9 +199,8 @@
             }
             Err(fault) => {
                 if fault != FeedError::HistoryGone {
-                    backoff.record_failure(rand::random(), clock.now());
-                    let window = self.source.retry_window();
-                    backoff.expect_answer(window, rand::random(), clock.now());
+                    let leave_within = self.source.leave_within();
+                    backoff.record_failure(leave_within, rand::random(), clock.now());
                 }
                 self.handle_fault(state, &fault, clock.now())
             }
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -16,7 +16,7 @@
     QUESTION_WAIT_FRACTION, REREAD_PAUSE_FRACTION,
 };
 use crate::fleet::FleetLink;
-use crate::follow::{READERS_FAILING_FRACTION, first_call_window};
+use crate::follow::first_call_window;
 use crate::lag::RulesLag;
 use crate::list_age::ListAge;
 
@@ -202,15 +202,9 @@
         self.lock().suggests_outage(now)
     }
 
-    /// Returns the window of the next call after a failed one. The platform may have answered
-    /// others all the while, so that the readers' word of its return can't be waited for; a
-    /// reader that doesn't respond at all can't even give it.
-    pub(crate) fn retry_window(&self) -> Duration {
-        let now = self.clock.now();
-        match self.lock().suggests_outage(now) {
-            true => self.leave_within,
-            false => self.leave_within.mul_f64(READERS_FAILING_FRACTION),
-        }
+    /// Returns the time within which a leaving server must stop getting requests.
+    pub(crate) fn leave_within(&self) -> Duration {
+        self.leave_within
     }
 
     /// Returns the window within which instances call the platform whose readers have just
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -9,6 +9,9 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+/// The time within which a leaving server must stop getting requests.
+const LEAVE_WITHIN: Duration = Duration::from_secs(3);
+
 /// A call that the platform refuses.
 const REFUSED: FeedError = FeedError::Refused { status: 503 };
 
@@ -109,7 +112,7 @@
             Some(delay) => now += delay,
             None => {
                 calls.push(now);
-                backoff.record_failure(random.random(), now);
+                backoff.record_failure(LEAVE_WITHIN, random.random(), now);
             }
         }
     }
@@ -300,3 +303,21 @@
         );
     }
 }
+
+/// Guards against an instance that goes on sending requests to servers that have left, as it waits
+/// after failed calls for readers that the platform refused as well. The platform may answer again
+/// for as long as the bound and a second before the instance is held to it.
+#[test]
+fn a_failed_call_is_repeated_within_the_bound_however_many_have_failed() {
+    for bound in [2, 3, 4, 8].map(Duration::from_secs) {
+        for random in [0.0, 0.5, 1.0] {
+            let mut backoff = CallBackoff::default();
+            for failures in 0..20 {
+                let now = bound * failures;
+                backoff.record_failure(bound, random, now);
+                let delay = backoff.delay(bound / 2, random, now);
+                assert!(delay <= Some(bound), "{delay:?} of {bound:?}");
+            }
+        }
+    }
+}
