--- a/crates/flaxtide/tests/hot_instance.rs
+++ b/crates/flaxtide/tests/hot_instance.rs
@@ -11,7 +11,7 @@
 use std::thread;
 use std::time::Duration;
 
-use common::caller::request;
+use common::caller::request_within;
 use common::server::{StandinServer, right};
 use common::store::StandinStore;
 use common::{config, fresh_ip, wait_until};
@@ -65,10 +65,9 @@
                 while !over.load(Ordering::SeqCst) {
                     sent += 1;
                     let Some(mut connection) = slot.open(7000) else { continue };
+                    let attempt = format!("{caller}-{sent}");
                     let text =
-                        request("POST", "/look/1", &format!("{caller}-{sent}"), "");
-                    let deadline = format!("Deadline-Ms: {DEADLINE_MS}");
-                    let text = text.replace("Deadline-Ms: 4000", &deadline);
+                        request_within(DEADLINE_MS, "POST", "/look/1", &attempt, "");
                     let count = match connection.send(&text).answer().status {
                         200 => served,
                         0 => unread,
--- a/crates/flaxtide/tests/soak/traffic.rs
+++ b/crates/flaxtide/tests/soak/traffic.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 
 use crate::Soak;
-use crate::common::caller::{Answer, request};
+use crate::common::caller::{Answer, prompted_request, request};
 use crate::common::server::{
     NOT_RUN, SEAL, Script, Seen, Step, answer, chunk, event, event_text, stream_head,
 };
@@ -17,24 +17,21 @@
 pub(crate) const CRASHING: &str = "crash";
 
 /// The part that all prompts have, and one that crashes whatever answers it.
-const COMMON_PART: &str = "5c1e07a2:800";
-const BAD_PART: &str = "91bd3f06:41";
+const COMMON_PART: u64 = 0x5c1e_07a2;
+const BAD_PART: u64 = 0x91bd_3f06;
 
 /// Returns whether a request has the part that crashes servers.
 pub(crate) fn has_bad_part(seen: &Seen) -> bool {
-    seen.header("flaxtide-prompt-prefix")
-        .is_some_and(|parts| parts.contains(BAD_PART))
+    seen.shared_parts().contains(&Some(BAD_PART))
 }
 
-/// Spells a request with a prompt, whose last part is its own.
-fn prompted(path: &str, attempt: &str, body: &str, parts: &str) -> String {
+/// Spells a request with shared parts in its prompt, whose last part is its own.
+fn prompted(path: &str, attempt: &str, body: &str, shared: &[u64]) -> String {
     let mut hasher = DefaultHasher::new();
     attempt.hash(&mut hasher);
-    let own = hasher.finish();
-    let prompt = format!(
-        "Flaxtide-Model: m\r\nFlaxtide-Token-Count: 900,10\r\nFlaxtide-Prompt-Prefix: {parts},{own:x}:9"
-    );
-    request("POST", path, attempt, body).replacen("\r\n", &format!("\r\n{prompt}\r\n"), 1)
+    let parts = shared.iter().copied().chain([hasher.finish()]);
+    let parts: Vec<String> = parts.map(|part| format!("{part:x}:200")).collect();
+    prompted_request(path, attempt, body, &parts.join(","))
 }
 
 /// How many events a stream has.
@@ -187,7 +184,7 @@
             let path = format!("/{class}/1");
             let start = Instant::now();
             let body = format!("body of {attempt}");
-            let text = prompted(&path, &attempt, &body, COMMON_PART);
+            let text = prompted(&path, &attempt, &body, &[COMMON_PART]);
             let answer = caller.send(&text).answer();
             let spent = start.elapsed();
             let goes_on = answer.whole
@@ -222,7 +219,6 @@
 /// Sends requests with the part that crashes servers to any process until the end, no two alike.
 pub(crate) fn call_with_bad_part(soak: &Soak) {
     let mut random = StdRng::seed_from_u64(soak.seed ^ 0xbad);
-    let parts = format!("{COMMON_PART},{BAD_PART}");
     let mut number = 0;
     while !soak.is_over() {
         number += 1;
@@ -230,7 +226,8 @@
         if let Some(mut caller) = soak.slots[slot].open_if_ready() {
             let attempt = format!("{}-part-{number}", soak.seed);
             let path = ["/look/1", "/book/1", "/chat/1"][random.random_range(0..3)];
-            let text = prompted(path, &attempt, &format!("body {number}"), &parts);
+            let body = format!("body {number}");
+            let text = prompted(path, &attempt, &body, &[COMMON_PART, BAD_PART]);
             caller.send(&text).answer();
         }
         std::thread::sleep(Duration::from_millis(random.random_range(20..300)));
