Quarantine and budget: no walk or search that grows with another list

Told clears and the parts of a request are looked up in sets; old proofs go once in their span and not at each part; the metrics of suspects are counted at ticks and not at each message; data centres are noted as they are heard and not counted over all peers at each update.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -6,6 +6,8 @@
 use flaxtide_core::ServerId;
 use futures::future::join_all;
 
+use crate::exchange::CallerRequest;
+use crate::open_call::OpenCall;
 use crate::state::TrafficState;
 use crate::upstream::connect;
 
@@ -23,12 +25,29 @@
 /// need it within this time, so that one probe serves most of them.
 const EXIT_VALIDITY: Duration = Duration::from_millis(500);
 
+/// Adds to the crash log if a server has exited whose connection broke while it ran a request.
+pub(crate) async fn record_broken(
+    call: &OpenCall,
+    request: &CallerRequest,
+    server: ServerId,
+) {
+    let state = &call.state;
+    let progress = state.with_router(|core, _| core.progress(call.request_id));
+    let Some(progress) = progress else { return };
+    if server_has_exited(state, server).await {
+        let proven = call.parts_proven.get();
+        state
+            .quarantine
+            .record_crash(state, request, server, progress, proven);
+    }
+}
+
 /// Returns whether a server has exited, after a connection to it broke: its address refuses
 /// connections, no connection to it is left, and another server of its pool is reached. A
 /// server that closes or resets single connections still listens. An unreachable one may seem
 /// to refuse connections if the path of this instance is cut, but then all servers do. If a
 /// probe connects, its connection is kept for the next request.
-pub(crate) async fn server_has_exited(state: &TrafficState, server: ServerId) -> bool {
+async fn server_has_exited(state: &TrafficState, server: ServerId) -> bool {
     let now = state.now();
     if state
         .connections
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -9,7 +9,7 @@
 use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault};
 
 use crate::contract::{RequestHead, ResumedStream};
-use crate::crash::server_has_exited;
+use crate::crash::record_broken;
 use crate::duty::CallUsage;
 use crate::exchange::{
     CallerRequest, ResponseStart, SendFault, ServerAttempt, send_attempt,
@@ -336,24 +336,6 @@
         })
     }
 
-    /// Adds to the crash log if the server exited while it ran this request.
-    async fn record_crash(&self, request: &CallerRequest, fault: RouteFault) {
-        let (RouteFault::Broken, Some(server)) = (fault, self.server.get()) else {
-            return;
-        };
-        let progress = self.state.with_router(|core, _| core.progress(self.request_id));
-        let Some(progress) = progress else { return };
-        if server_has_exited(&self.state, server).await {
-            self.state.quarantine.record_crash(
-                &self.state,
-                request,
-                server,
-                progress,
-                self.parts_proven.get(),
-            );
-        }
-    }
-
     /// Reports a failed attempt to the router. Returns whether the request is retried.
     pub(crate) async fn handle_fault(
         &self,
@@ -361,7 +343,9 @@
         fault: RouteFault,
         resumable: bool,
     ) -> RetryDecision {
-        self.record_crash(request, fault).await;
+        if let (RouteFault::Broken, Some(server)) = (fault, self.server.get()) {
+            record_broken(self, request, server).await;
+        }
         if !fault.not_run() {
             self.may_have_run.set(true);
             self.connection_suspect.set(true);
--- a/crates/flaxtide-entry/src/proof.rs
+++ b/crates/flaxtide-entry/src/proof.rs
@@ -1,15 +1,13 @@
 //! Prompt parts that servers have begun to answer, and so don't crash them.
 
-use std::cell::RefCell;
-use std::collections::HashMap;
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use flaxtide_policy::CrashReport;
-use rand::Rng;
 
 use crate::exchange::CallerRequest;
 use crate::open_call::OpenCall;
-use crate::state::TrafficState;
 
 /// How long a stream must have gone on to prove the parts of its prompt: a server that crashes
 /// as it begins to respond may have written its first events.
@@ -22,16 +20,13 @@
 /// The most parts whose proof is remembered.
 const MAX_PROVEN: usize = 4096;
 
-/// The longest delay before peers are told that a part is no longer suspected, for each instance
-/// in the fleet. Every instance that serves the part finds this out at about the same time, and
-/// the first one that tells saves the others the message.
-const DELAY_PER_INSTANCE: Duration = Duration::from_millis(1);
-
 /// The parts that were proven, and what is still to be told of suspected ones.
 #[derive(Debug, Default)]
 pub(crate) struct PartProofs {
     /// When each part was last proven.
     proven: RefCell<HashMap<u64, Duration>>,
+    /// When old proofs were last removed.
+    last_expiry: Cell<Duration>,
     /// Reports for peers, and when they are due.
     delayed: RefCell<Vec<(Duration, Vec<CrashReport>)>>,
 }
@@ -39,11 +34,13 @@
 impl PartProofs {
     /// Records that a part was proven.
     pub(crate) fn record(&self, part: u64, now: Duration) {
-        let mut proven = self.proven.borrow_mut();
-        if proven.len() >= MAX_PROVEN {
+        if now >= self.last_expiry.get() + RECENT_PROOF {
+            self.last_expiry.set(now);
+            let mut proven = self.proven.borrow_mut();
             proven.retain(|_, at| now < *at + RECENT_PROOF);
         }
-        if proven.len() < MAX_PROVEN {
+        let mut proven = self.proven.borrow_mut();
+        if proven.len() < MAX_PROVEN || proven.contains_key(&part) {
             proven.insert(part, now);
         }
     }
@@ -54,24 +51,22 @@
         proven.get(&part).is_some_and(|at| now < *at + RECENT_PROOF)
     }
 
-    /// Keeps reports for peers until a moment that differs between instances.
-    pub(crate) fn delay(&self, state: &TrafficState, reports: Vec<CrashReport>) {
-        let longest = DELAY_PER_INSTANCE * state.live_instances.get();
-        let delay = longest.mul_f64(state.rng.borrow_mut().random());
-        self.delayed.borrow_mut().push((state.now() + delay, reports));
+    /// Keeps reports for peers until a time, unless a peer tells the same before.
+    pub(crate) fn delay(&self, reports: Vec<CrashReport>, until: Duration) {
+        self.delayed.borrow_mut().push((until, reports));
     }
 
     /// Drops delayed reports of which a peer has told the same.
     pub(crate) fn drop_told(&self, told: &[CrashReport]) {
-        let is_told = |report: &CrashReport| {
-            let mut told = told.iter().filter(|other| other.cleared);
-            told.any(|other| {
-                other.fingerprint == report.fingerprint && other.server == report.server
-            })
-        };
         let mut delayed = self.delayed.borrow_mut();
+        if delayed.is_empty() {
+            return;
+        }
+        let told = told.iter().filter(|report| report.cleared);
+        let told: HashSet<_> =
+            told.map(|report| (report.fingerprint, report.server)).collect();
         for (_, reports) in delayed.iter_mut() {
-            reports.retain(|report| !is_told(report));
+            reports.retain(|report| !told.contains(&(report.fingerprint, report.server)));
         }
         delayed.retain(|(_, reports)| !reports.is_empty());
     }
@@ -82,12 +77,6 @@
         let due = delayed.extract_if(.., |(at, _)| now >= *at);
         due.flat_map(|(_, reports)| reports).collect()
     }
-
-    /// Removes old proofs.
-    pub(crate) fn expire(&self, now: Duration) {
-        let mut proven = self.proven.borrow_mut();
-        proven.retain(|_, at| now < *at + RECENT_PROOF);
-    }
 }
 
 /// When a stream proves the parts of its prompt.
--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -7,6 +7,7 @@
 use flaxtide_policy::{
     CallProgress, CrashLog, CrashReport, Fingerprint, part_fingerprint, part_of,
 };
+use rand::Rng;
 use serde_json::{Value, json};
 
 use crate::exchange::CallerRequest;
@@ -21,6 +22,11 @@
 /// of batches per second.
 const MAX_UNSENT: usize = 256;
 
+/// The longest delay before peers are told that a part is no longer suspected, for each instance
+/// in the fleet. Every instance that serves the part finds this out at about the same time, and
+/// the first one that tells saves the others the message.
+const CLEAR_DELAY_PER_INSTANCE: Duration = Duration::from_millis(1);
+
 /// The most parts of a prompt that a log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 
@@ -43,6 +49,8 @@
     synced: Cell<bool>,
     /// When old entries were last removed.
     last_expiry: Cell<Duration>,
+    /// Whether the log has changed since the metrics were updated.
+    changed: Cell<bool>,
 }
 
 impl CallQuarantine {
@@ -134,7 +142,10 @@
         });
         let reports: Vec<CrashReport> = reports.collect();
         if !reports.is_empty() {
-            self.proofs.delay(state, reports);
+            self.changed.set(true);
+            let longest = CLEAR_DELAY_PER_INSTANCE * state.live_instances.get();
+            let delay = longest.mul_f64(state.rng.borrow_mut().random());
+            self.proofs.delay(reports, now + delay);
         }
     }
 
@@ -205,7 +216,7 @@
             self.log.borrow_mut().apply(report, now);
         }
         self.proofs.drop_told(reports);
-        self.update_metrics(state);
+        self.changed.set(true);
     }
 
     /// Records that a peer has sent its crash log, if `synced`. Once set, it stays set.
@@ -228,8 +239,10 @@
         self.publish(state, self.proofs.take_due(now));
         if now >= self.last_expiry.get() + EXPIRY_INTERVAL {
             self.last_expiry.set(now);
-            self.proofs.expire(now);
             self.log.borrow_mut().expire(now);
+            self.changed.set(true);
+        }
+        if self.changed.take() {
             self.update_metrics(state);
         }
     }
@@ -238,7 +251,7 @@
     fn publish(&self, state: &TrafficState, reports: Vec<CrashReport>) {
         if !reports.is_empty() {
             self.send(state, state.now(), reports);
-            self.update_metrics(state);
+            self.changed.set(true);
         }
     }
 
--- a/crates/flaxtide-fleet/src/node/digest.rs
+++ b/crates/flaxtide-fleet/src/node/digest.rs
@@ -169,6 +169,7 @@
         }
         self.record_duty_holder(hello.duty);
         self.forget_seed(&hello.from);
+        self.record_heard(&hello.from.data_centre);
         self.add_peer(hello.from.clone(), false);
         let timeout = self.contact_liveness_timeout();
         if let Some(peer) = self.peers.get_mut(&hello.from.name) {
--- a/crates/flaxtide-fleet/src/node/group.rs
+++ b/crates/flaxtide-fleet/src/node/group.rs
@@ -46,6 +46,8 @@
     since: Duration,
     /// The state of each other data centre, by name.
     pub(super) others: BTreeMap<DataCentreName, OtherGroup>,
+    /// The data centres of which an instance has been heard since the start, and the own one.
+    heard: BTreeSet<DataCentreName>,
 }
 
 /// What is known of another data centre.
@@ -92,12 +94,14 @@
 }
 
 impl GroupState {
-    /// Creates the state of a single group, or of divided groups if the limit is zero.
-    pub(super) fn new(single_group_limit: u32) -> Self {
+    /// Creates the state of a single group, or of divided groups if the limit is zero. `own` is
+    /// the data centre of this instance.
+    pub(super) fn new(single_group_limit: u32, own: DataCentreName) -> Self {
         Self {
             is_single: single_group_limit > 0,
             since: Duration::ZERO,
             others: BTreeMap::new(),
+            heard: [own].into(),
         }
     }
 }
@@ -141,14 +145,14 @@
     /// the own one included.
     #[must_use]
     pub fn heard_data_centres(&self) -> usize {
-        let peers = self.peers.values().filter(|peer| peer.heard_at.is_some());
-        let mut names: BTreeSet<&str> =
-            peers.map(|peer| peer.info.data_centre.as_str()).collect();
-        let counted = self.group.others.iter();
-        let counted = counted.filter(|(_, other)| other.live_count.is_some());
-        names.extend(counted.map(|(name, _)| name.as_str()));
-        names.insert(&self.own.data_centre);
-        names.len()
+        self.group.heard.len()
+    }
+
+    /// Records that an instance of a data centre has been heard.
+    pub(super) fn record_heard(&mut self, data_centre: &DataCentreName) {
+        if !self.group.heard.contains(data_centre) {
+            self.group.heard.insert(data_centre.clone());
+        }
     }
 
     /// Divides a fleet that has grown over the limit into groups, and merges a divided fleet
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -113,6 +113,7 @@
         // Peers that fall silent are found with the next status: checking all peers at each
         // heartbeat would take most of the processor time in a large group.
         if changed {
+            self.record_heard(&heartbeat.data_centre);
             self.update_live(now);
         }
         let mut events = vec![];
@@ -166,6 +167,9 @@
         let changed = before != peer.is_alive(now, timeout);
         peer.record_liveness_change(changed);
         let info = peer.info.clone();
+        if changed {
+            self.record_heard(&info.data_centre);
+        }
         let shares = reply.shares.iter().map(|share| NodeEvent::Share(*share, until));
         let rate_shares = reply.parts.iter().map(|share| NodeEvent::Rate(*share, until));
         let mut events: Vec<_> = shares.chain(rate_shares).collect();
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -217,9 +217,9 @@
     #[must_use]
     pub fn new(own: PeerInfo, epoch: u32, timing: FleetTiming) -> Self {
         Self {
+            group: GroupState::new(timing.single_group_limit, own.data_centre.clone()),
             own,
             epoch,
-            group: GroupState::new(timing.single_group_limit),
             reads: GroupPrefills::default(),
             engines: EngineNews::default(),
             crashes: CrashState::default(),
--- a/crates/flaxtide-fleet/tests/groups.rs
+++ b/crates/flaxtide-fleet/tests/groups.rs
@@ -163,3 +163,23 @@
         println!("{instances} instances informed after {took:?}");
     }
 }
+
+/// Guards against an instance that takes those it hears for the whole fleet, although the path to
+/// another data centre has been cut since before its start.
+#[test]
+fn a_data_centre_counts_as_heard_once_an_instance_of_it_has_answered() {
+    for (instances, data_centres) in [(9, 3), (300, 6)] {
+        let mut fleet = Fleet::new(instances, data_centres);
+        fleet.run(Duration::from_secs(12));
+        let heard =
+            |fleet: &Fleet, number| fleet.nodes[&address(number)].heard_data_centres();
+        assert_eq!(heard(&fleet, 0), data_centres, "of {instances}");
+        fleet.isolated.insert("dc1".into());
+        fleet.start(instances, 1);
+        fleet.run(Duration::from_secs(10));
+        assert_eq!(heard(&fleet, instances), 1, "of {instances}");
+        fleet.isolated.clear();
+        fleet.run(Duration::from_secs(20));
+        assert_eq!(heard(&fleet, instances), data_centres, "of {instances}");
+    }
+}
--- a/crates/flaxtide-policy/src/quarantine/log.rs
+++ b/crates/flaxtide-policy/src/quarantine/log.rs
@@ -1,7 +1,7 @@
 //! Which servers crashed while they ran which requests and prompt parts, and which of these
 //! are quarantined for it.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -147,11 +147,16 @@
         if self.is_quarantined(request) {
             return Some(request);
         }
-        let parts = || parts.iter().map(|part| part_fingerprint(*part));
-        let mut suspects = parts().filter(|part| self.is_quarantined(*part));
-        suspects.find(|suspect| {
-            !self.has_alternative(*suspect, |other| parts().any(|part| part == other))
-        })
+        let parts = parts.iter().map(|part| part_fingerprint(*part));
+        let suspects = parts.clone().filter(|part| self.is_quarantined(*part));
+        let suspects: Vec<Fingerprint> = suspects.collect();
+        if suspects.is_empty() {
+            return None;
+        }
+        let parts: HashSet<Fingerprint> = parts.collect();
+        suspects
+            .into_iter()
+            .find(|suspect| !self.has_alternative(*suspect, &parts))
     }
 
     /// Returns whether a part that isn't among those of a request explains all crashes of one
@@ -160,15 +165,14 @@
     fn has_alternative(
         &self,
         fingerprint: Fingerprint,
-        is_in_request: impl Fn(Fingerprint) -> bool,
+        parts: &HashSet<Fingerprint>,
     ) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else { return false };
         let Some(first) = suspect.open_servers().next() else { return false };
         let others = self.suspects_by_server.get(&first).into_iter().flatten();
         others.copied().any(|other| {
-            other != fingerprint
-                && part_of(other).is_some()
-                && !is_in_request(other)
+            part_of(other).is_some()
+                && !parts.contains(&other)
                 && self.suspects.get(&other).is_some_and(|other| {
                     suspect.open_servers().all(|server| other.has_open_crash(server))
                 })
--- a/crates/flaxtide-policy/src/router/budget.rs
+++ b/crates/flaxtide-policy/src/router/budget.rs
@@ -95,6 +95,15 @@
 }
 
 impl RouteCore {
+    /// Records how many instances are alive, for the retry budget. It is divided by the
+    /// largest number seen, so that after a network partition the two sides together can't
+    /// exceed it. `is_whole` tells whether all data centres have been heard since the start;
+    /// one that hasn't may be cut off and draw on the budget.
+    pub fn set_instances(&mut self, live: u32, is_whole: bool) {
+        self.instances = self.instances.max(live);
+        self.knows_fleet |= is_whole;
+    }
+
     /// Returns this instance's share of the fixed allowance. There is little in the first window
     /// after the start, as the process before may have spent it, and none while the fleet isn't
     /// known. What arrivals add needs no such care: a process counts only its own.
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -247,15 +247,6 @@
         self.take_actions()
     }
 
-    /// Records how many instances are alive, for the retry budget. It is divided by the
-    /// largest number seen, so that after a network partition the two sides together can't
-    /// exceed it. `is_whole` tells whether all data centres have been heard since the start;
-    /// one that hasn't may be cut off and draw on the budget.
-    pub fn set_instances(&mut self, live: u32, is_whole: bool) {
-        self.instances = self.instances.max(live);
-        self.knows_fleet |= is_whole;
-    }
-
     /// Replaces everything that is known of a peer's load on the servers.
     pub fn set_peer_loads(&mut self, peer: PeerKey, loads: &[PeerLoad], now: Duration) {
         let before = self.peer_servers.remove(&peer).unwrap_or_default();
