A forwarded request is charged for what it spent at a peer

Callers saw nothing; servers got more repeats than the retry budget allows, while paths were cut and servers refused requests.

Cause: a peer that had sent a forwarded request to servers, all of which refused it, answers that it can't serve it. The instance that forwarded it took that for a request that had reached no server, and forwarded it to the next peer free of charge.

Change: a peer states how many servers it has sent a request to. They count as sends of the request, and if there were any, the next send is a retry that the instance charges; the peer has charged those before. A peer of an earlier version, which states nothing, is taken to have sent what it may have sent.

Who pays: each retry is charged once, where it is decided, so all instances together stay within what their windows hold.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -20,7 +20,7 @@
 use crate::contract::{RequestClass, RequestHead};
 use crate::duty::CallUsage;
 use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
-use crate::forward::{CarriedCall, ForwardHead, PeerReply};
+use crate::forward::{CarriedCall, ForwardHead, PeerReply, ServerSends};
 use crate::memory::ChargedBody;
 use crate::open_call::{AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR};
 use crate::reply::{CallerResponse, LocalReply};
@@ -73,7 +73,8 @@
     };
     let own_reply = response.extensions().get::<LocalReply>().copied();
     if let (RequestSource::Peer, Some(reply)) = (source, own_reply) {
-        PeerReply::mark(reply, response.headers_mut());
+        let sends = response.extensions().get::<ServerSends>().copied();
+        PeerReply::mark(reply, sends.unwrap_or_default(), response.headers_mut());
     }
     if chunked || state.phase() >= ShutdownPhase::Closing {
         response
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -184,7 +184,9 @@
         state.metrics.connections.with_label_values(&[kind]).inc();
         match conn.sender.try_send_request(outgoing).await {
             Ok(resp) if peer.is_some() => {
-                return check_forwarded_head(state, request, server, conn, resp);
+                return check_forwarded_head(
+                    state, request, request_id, server, conn, resp,
+                );
             }
             Ok(resp) => {
                 let checked = check_head(state, request, server, sent, conn, resp);
--- a/crates/flaxtide-entry/src/forward/exchange.rs
+++ b/crates/flaxtide-entry/src/forward/exchange.rs
@@ -42,6 +42,7 @@
 pub(crate) fn check_forwarded_head(
     state: &Rc<TrafficState>,
     request: &CallerRequest,
+    request_id: RequestId,
     peer: ServerId,
     connection: ServerConnection,
     response: Response<Incoming>,
@@ -59,7 +60,18 @@
             | LocalReply::ServerFailed
             | LocalReply::TimedOut => SendFault::Refused(refusal),
             // The peer can't serve it, and another one may.
-            _ => SendFault::Fault(RouteFault::Declined),
+            reply => {
+                let server_sends = refusal.server_sends.0;
+                log::info!(
+                    request = request.attempt_id.as_deref().unwrap_or_default(),
+                    peer = state.target_name(peer), cause = reply.name(), server_sends;
+                    "declined by peer"
+                );
+                state.with_router(|core, _| {
+                    core.record_peer_sends(request_id, server_sends);
+                });
+                SendFault::Fault(RouteFault::Declined)
+            }
         });
     }
     let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
--- a/crates/flaxtide-entry/src/forward/head.rs
+++ b/crates/flaxtide-entry/src/forward/head.rs
@@ -17,6 +17,9 @@
 /// The name of the [`LocalReply`] with which the peer itself responds.
 const REPLY: HeaderName = HeaderName::from_static("x-flaxtide-reply");
 
+/// How many servers the peer that responds itself has sent the request to.
+const SERVER_SENDS: HeaderName = HeaderName::from_static("x-flaxtide-sends");
+
 /// The key of the version of the server that responds, in the response to a forwarded request.
 const SERVER_VERSION: HeaderName = HeaderName::from_static("x-flaxtide-version");
 
@@ -72,19 +75,31 @@
     headers.remove(SERVER_VERSION)?.to_str().ok()?.parse().ok()
 }
 
+/// How many servers a request was sent to before this instance responded itself. It is kept in the
+/// extensions of the response; without it, there were none.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub(crate) struct ServerSends(pub(crate) u32);
+
 /// The response of a peer itself to a forwarded request.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) struct PeerReply {
     /// Why the peer responds.
     pub(crate) reply: LocalReply,
+    /// How many servers it has sent the request to.
+    pub(crate) server_sends: ServerSends,
     /// When the caller should come back.
     pub(crate) retry_after: Option<Duration>,
 }
 
 impl PeerReply {
     /// Marks a response as that of this instance itself.
-    pub(crate) fn mark(reply: LocalReply, headers: &mut HeaderMap) {
+    pub(crate) fn mark(
+        reply: LocalReply,
+        server_sends: ServerSends,
+        headers: &mut HeaderMap,
+    ) {
         headers.insert(REPLY, HeaderValue::from_static(reply.name()));
+        headers.insert(SERVER_SENDS, HeaderValue::from(server_sends.0));
     }
 
     /// Decodes the headers of a response; `None` if it is that of a server.
@@ -96,6 +111,12 @@
         });
         // A name of a later version comes without a promise.
         let reply = LocalReply::from_name(name).unwrap_or(LocalReply::ServerFailed);
-        Some(Self { reply, retry_after })
+        let stated = headers
+            .get(SERVER_SENDS)
+            .and_then(|value| value.to_str().ok()?.parse().ok());
+        // A peer of an older version of this program doesn't state it.
+        let assumed = u32::from(reply.may_follow_sends());
+        let server_sends = ServerSends(stated.unwrap_or(assumed));
+        Some(Self { reply, server_sends, retry_after })
     }
 }
--- a/crates/flaxtide-entry/src/forward/mod.rs
+++ b/crates/flaxtide-entry/src/forward/mod.rs
@@ -15,6 +15,6 @@
 
 pub(crate) use self::carried::{CarriedCall, CarriedCalls};
 pub(crate) use self::exchange::{check_forwarded_head, forwarded_headers};
-pub(crate) use self::head::{ForwardHead, PeerReply, write_server_version};
+pub(crate) use self::head::{ForwardHead, PeerReply, ServerSends, write_server_version};
 pub(crate) use self::path::{log_reach, probe_paths};
 pub(crate) use self::peers::{ForwardPeers, offer};
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -14,7 +14,7 @@
 use crate::exchange::{
     CallerRequest, ResponseStart, SendFault, ServerAttempt, send_attempt,
 };
-use crate::forward::{CarriedCall, PeerReply};
+use crate::forward::{CarriedCall, PeerReply, ServerSends};
 use crate::reply::{CallerResponse, LocalReply};
 use crate::routes::ClassMatch;
 use crate::state::TrafficState;
@@ -47,6 +47,8 @@
     pub(crate) deadline: Duration,
     /// Whether any server may have run the request.
     pub(crate) may_have_run: Cell<bool>,
+    /// How many servers it has reached, without the current one.
+    servers_reached: Cell<u32>,
     /// The server that it was last sent to.
     server: Cell<Option<ServerId>>,
     /// Whether a connection used for it went silent or broke. If so, the next attempt opens
@@ -107,6 +109,7 @@
             received_at,
             deadline: received_at + wait,
             may_have_run: Cell::new(false),
+            servers_reached: Cell::new(0),
             server: Cell::new(None),
             connection_suspect: Cell::new(false),
             first_event_after: Cell::new(None),
@@ -202,7 +205,9 @@
         reply: LocalReply,
         retry_after: Option<Duration>,
     ) -> CallerResponse {
-        let response = reply.into_response(retry_after);
+        let mut response = reply.into_response(retry_after);
+        let sends = ServerSends(self.servers_reached.get());
+        response.extensions_mut().insert(sends);
         self.record_end(reply.name(), response.status().as_u16());
         response
     }
@@ -236,7 +241,7 @@
 
     /// Responds as the peer does that the request was forwarded to.
     pub(crate) fn reply_as_peer(&self, refusal: PeerReply) -> CallerResponse {
-        let PeerReply { reply, retry_after } = refusal;
+        let PeerReply { reply, retry_after, .. } = refusal;
         if self.may_have_run.get() && !reply.may_have_run() {
             return self.reply_locally(LocalReply::ServerFailed, None);
         }
@@ -346,6 +351,9 @@
         if let (RouteFault::Broken, Some(server)) = (fault, self.server.get()) {
             record_broken(self, request, server).await;
         }
+        if fault.reached_server() {
+            self.servers_reached.set(self.servers_reached.get() + 1);
+        }
         if !fault.not_run() {
             self.may_have_run.set(true);
             self.connection_suspect.set(true);
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -136,6 +136,18 @@
         matches!(self, Self::ServerFailed | Self::TimedOut)
     }
 
+    /// Returns whether the request may have been sent to servers before, even if none has run it.
+    pub(crate) fn may_follow_sends(self) -> bool {
+        matches!(
+            self,
+            Self::NoServer
+                | Self::TooLate
+                | Self::Quarantined
+                | Self::ServerFailed
+                | Self::TimedOut
+        )
+    }
+
     /// Returns what the caller can do.
     fn remedy(self) -> &'static str {
         match self {
--- a/crates/flaxtide-policy/src/router/call.rs
+++ b/crates/flaxtide-policy/src/router/call.rs
@@ -155,8 +155,10 @@
 
 impl RouteFault {
     /// Returns whether the request reached the server, in which case a retry counts
-    /// against the retry budget.
-    pub(crate) fn reached_server(self) -> bool {
+    /// against the retry budget. A peer that declined the request may have sent it to
+    /// servers before, which [`RouteCore::record_peer_sends`](super::RouteCore) records.
+    #[must_use]
+    pub fn reached_server(self) -> bool {
         !matches!(self, Self::Unreachable | Self::Withheld | Self::Declined)
     }
 
@@ -187,8 +189,10 @@
     pub(crate) server_version: Option<VersionKey>,
     /// The servers that already failed this request.
     pub(crate) excluded: Vec<ServerId>,
-    /// How many times the request has been sent.
+    /// How many times the request has been sent, here and by the peers that declined it.
     pub(crate) sends: u32,
+    /// How many servers the current peer has sent the request to, if it declined it.
+    pub(crate) peer_sends: u32,
     /// The time since the last dispatch during which this instance was stalled.
     pub(crate) stalled_for: Duration,
     /// When data last arrived from the current server, or `None` if none has.
@@ -248,6 +252,7 @@
             server_version: None,
             excluded: vec![],
             sends: 0,
+            peer_sends: 0,
             stalled_for: Duration::ZERO,
             last_data_at: None,
             patience: Duration::ZERO,
--- a/crates/flaxtide-policy/src/router/forward.rs
+++ b/crates/flaxtide-policy/src/router/forward.rs
@@ -4,6 +4,9 @@
 //! To the router, such a peer is one more server of the pool: its faults are recorded, its
 //! requests are counted, and retries are charged to the same budget. It has no place in the
 //! pool's order of servers, and peers aren't told about it.
+//!
+//! Each retry is charged once, where it is decided: the peer charges those that it makes, and the
+//! instance that forwarded the request charges the next attempt if the peer reached a server.
 
 use std::time::Duration;
 
@@ -107,6 +110,16 @@
         self.calls.get(&request).map_or(1, forwarded_run_limit)
     }
 
+    /// Records how many servers a peer has sent a forwarded request to before it declined it. They
+    /// count as sends of the request, and if there are any, the next send is a retry. Must be
+    /// called before [`RouteCore::fail`].
+    pub fn record_peer_sends(&mut self, request: RequestId, server_sends: u32) {
+        let Some(call) = self.calls.get_mut(&request) else { return };
+        call.peer_sends = server_sends;
+        // The forwarding itself has been counted as one.
+        call.sends = call.sends.saturating_add(server_sends.saturating_sub(1));
+    }
+
     /// Records what a server's fault means for the runs of a request.
     pub(super) fn count_runs(&self, call: &RoutedCall) -> u32 {
         let CallPhase::Running { server, .. } = call.phase else { return 1 };
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -502,6 +502,7 @@
         let server = choice.server;
         call.phase = CallPhase::Running { server, since: now, first_data_at: None };
         call.sends += 1;
+        call.peer_sends = 0;
         call.stalled_for = Duration::ZERO;
         call.last_data_at = None;
         call.rate_counted = false;
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -234,7 +234,7 @@
         {
             return false;
         }
-        if !fault.reached_server() {
+        if !fault.reached_server() && call.peer_sends == 0 {
             // The budget limits the load on servers, and this request reached none.
             return true;
         }
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -21,6 +21,9 @@
 /// What a peer that reaches none says.
 const CUT: PoolReach = PoolReach { reached: 0, failed: 6, untried: 0 };
 
+/// The reason for sending a request to a peer.
+const FORWARDED: Option<RouteReason> = Some(RouteReason::Forwarded);
+
 /// Returns a peer in the own data centre.
 fn peer(peer: ServerId, reach: PoolReach) -> ForwardPeer {
     ForwardPeer { peer, local: peer == NEAR, reach }
@@ -166,6 +169,61 @@
     }
 }
 
+/// Has a peer decline requests that it has sent to so many servers, until one isn't forwarded to
+/// the next. Returns how many were.
+fn forwarded_again(server_sends: u32) -> usize {
+    let mut core = cut();
+    core.set_forward_peers(POOL, &[peer(NEAR, SOUND), peer(FAR, SOUND)], ms(1500));
+    let requests = 1..400;
+    let is_retried = |request: &u64| {
+        let actions = core.arrive(call(*request, 100, false), ms(1510));
+        assert_eq!(choice(&actions).map(|(_, reason)| reason), FORWARDED, "{request}");
+        core.record_peer_sends(*request, server_sends);
+        let (decision, actions) =
+            core.fail(*request, RouteFault::Declined, false, ms(1510));
+        let forwarded = choice(&actions).map(|(_, reason)| reason) == FORWARDED;
+        core.cancel(*request, ms(1510));
+        // The peers are offered anew, as those that decline without a send rest.
+        core.set_forward_peers(POOL, &[], ms(1510));
+        core.set_forward_peers(POOL, &[peer(NEAR, SOUND), peer(FAR, SOUND)], ms(1510));
+        decision == RetryDecision::Retry && forwarded
+    };
+    requests.filter(is_retried).count()
+}
+
+// Guards against a request being sent to more servers than the retry budget allows, because a peer
+// that declines it has sent it to some.
+#[test]
+fn a_request_that_servers_refused_at_a_peer_is_charged_when_it_is_forwarded_again() {
+    assert_eq!(forwarded_again(0), 399);
+    let charged = forwarded_again(1);
+    assert!((1..399 / 4).contains(&charged), "{charged} of 399");
+}
+
+// Guards against a request being tried at more servers, by peers together, than are tried for a
+// request whose path is in doubt.
+#[test]
+fn the_servers_that_a_peer_tried_count_against_the_tries_of_a_request() {
+    let peers: Vec<ForwardPeer> = (0..9).map(|place| peer(NEAR + place, SOUND)).collect();
+    let tries = |sends: u32| {
+        let request = 1;
+        let mut core = cut();
+        core.set_forward_peers(POOL, &peers, ms(1500));
+        core.arrive(call(request, 100, false), ms(1510));
+        let mut forwards = 0;
+        loop {
+            forwards += 1;
+            core.record_peer_sends(request, sends);
+            let fault = RouteFault::Declined;
+            if core.fail(request, fault, false, ms(1510)).0 == RetryDecision::Stop {
+                return forwards;
+            }
+        }
+    };
+    assert_eq!(tries(4), 2);
+    assert_eq!(tries(1), 8);
+}
+
 #[test]
 fn the_runs_at_a_peer_count_against_the_limit_of_the_request() {
     let mut core = cut();
