A peer whose servers refuse a request isn't left out

Callers of instances whose paths are cut were served less than others while servers refused requests and one peer was left.

Cause: each declined request lets its peer rest for a moment, also if the peer is sound and it was servers that refused. Change: a peer rests only if it has sent the request to none.

--- a/crates/flaxtide-lab/tests/cut.rs
+++ b/crates/flaxtide-lab/tests/cut.rs
@@ -1,5 +1,6 @@
 //! Instances that lose the path to all servers, on a manual clock: how many of their callers are
-//! served through peers, and what peers carry.
+//! served through peers, what peers carry, and how often requests are sent again if the servers
+//! refuse them.
 
 mod common;
 
@@ -20,18 +21,24 @@
 /// How long a server takes for a request.
 const WORK: Duration = Duration::from_millis(60);
 
+/// How long a server takes to refuse a request.
+const REFUSAL: Duration = Duration::from_millis(2);
+
 /// The time-out of a connection that can't be opened.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(100);
 
 /// How much the clock moves in a step.
 const STEP: Duration = Duration::from_millis(1);
 
-/// How long is played.
-const SPAN: Duration = Duration::from_secs(14);
+/// From when to when is played. Instances have been running for a window of the retry budget.
+const SPAN: (Duration, Duration) = (Duration::from_secs(12), Duration::from_secs(26));
 
 /// From when to when instances are cut, and from when on their callers are judged.
-const CUT: (Duration, Duration) = (Duration::from_secs(3), Duration::from_secs(11));
-const JUDGED_FROM: Duration = Duration::from_secs(6);
+const CUT: (Duration, Duration) = (Duration::from_secs(15), Duration::from_secs(23));
+const JUDGED_FROM: Duration = Duration::from_secs(18);
+
+/// The window of the retry budget.
+const WINDOW: Duration = Duration::from_secs(10);
 
 /// How often an instance asks peers, and how many.
 const ASK_PERIOD: Duration = Duration::from_millis(300);
@@ -53,6 +60,10 @@
     cut: usize,
     servers: u32,
     rate: f64,
+    /// The part of the requests that servers refuse during the cut.
+    refused: f64,
+    /// The retries that the fleet may make in a window beyond those that requests add.
+    slack: f64,
 }
 
 /// What was seen.
@@ -66,6 +77,25 @@
     most_carried: usize,
     /// The time from the end of the cut until all instances send directly again.
     back_after: Duration,
+    /// When requests came from callers, and when they reached a server again.
+    requests: Vec<Duration>,
+    repeats: Vec<Duration>,
+}
+
+impl CutResult {
+    /// Returns by how many the repeats of a window exceed the budget at most.
+    fn worst_excess(&self, slack: f64) -> f64 {
+        let ratio = RouteOptions::default().retry_ratio;
+        let count = |times: &[Duration], from: Duration| {
+            let in_window = |at: &&Duration| **at >= from && **at < from + WINDOW;
+            times.iter().filter(in_window).count() as f64
+        };
+        let excess = self.repeats.iter().map(|from| {
+            let requests = count(&self.requests, *from);
+            count(&self.repeats, *from) - ratio * requests - slack
+        });
+        excess.fold(f64::MIN, f64::max)
+    }
 }
 
 /// Something that happens to a request at an instance.
@@ -73,8 +103,12 @@
 enum Event {
     /// The server has answered.
     Answered,
-    /// The server, or the peer, can't be reached.
+    /// The server can't be reached.
     Failed,
+    /// The server has refused the request.
+    Refused,
+    /// The peer can't serve it, and has sent it to so many servers.
+    Declined(u32),
 }
 
 /// A request at an instance: that of a caller, or one that a peer forwarded, with the instance
@@ -88,6 +122,10 @@
     events: BinaryHeap<Reverse<(Duration, usize, RequestId, Event)>>,
     origins: HashMap<(usize, RequestId), Origin>,
     came_at: HashMap<(usize, RequestId), Duration>,
+    /// The servers that each open request has reached from an instance, and those that a
+    /// caller's request has reached from all instances.
+    reached: HashMap<(usize, RequestId), u32>,
+    reached_in_all: HashMap<(usize, RequestId), u32>,
     carried: Vec<usize>,
     asked_at: Vec<Duration>,
     random: SmallRng,
@@ -104,7 +142,11 @@
         });
         let servers: Vec<RoutedServer> = servers.collect();
         let core = |number: usize| {
-            let mut core = RouteCore::new(RouteOptions::default());
+            let options = RouteOptions {
+                retry_slack: pattern.slack,
+                ..RouteOptions::default()
+            };
+            let mut core = RouteCore::new(options);
             core.set_seed(seed ^ (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
             core.set_instances(pattern.instances as u32, true);
             core.set_servers(POOL, &servers, Duration::ZERO);
@@ -115,18 +157,20 @@
             events: BinaryHeap::new(),
             origins: HashMap::new(),
             came_at: HashMap::new(),
+            reached: HashMap::new(),
+            reached_in_all: HashMap::new(),
             carried: vec![0; pattern.instances],
             asked_at: vec![Duration::ZERO; pattern.instances],
             random: SmallRng::seed_from_u64(seed),
             request: 0,
             result: CutResult::default(),
-            now: Duration::ZERO,
+            now: SPAN.0,
             pattern,
         }
     }
 
     fn run(mut self) -> CutResult {
-        while self.now < SPAN {
+        while self.now < SPAN.1 {
             self.now += STEP;
             self.handle_events();
             if self.now.as_millis().is_multiple_of(100) {
@@ -160,6 +204,7 @@
         let actions = match origin {
             None => {
                 self.came_at.insert((number, request), self.now);
+                self.result.requests.push(self.now);
                 if let Some(count) = self.count(number, self.now) {
                     count.0 += 1;
                 }
@@ -204,11 +249,31 @@
             self.arrive(peer, Some((number, request)));
             return;
         }
-        let event = match self.is_cut(number) {
-            true => (self.now + CONNECT_TIMEOUT, number, request, Event::Failed),
-            false => (self.now + WORK, number, request, Event::Answered),
+        let (after, event) = if self.is_cut(number) {
+            (CONNECT_TIMEOUT, Event::Failed)
+        } else {
+            self.record_reached(number, request);
+            let refuses = self.now >= CUT.0 && self.now < CUT.1;
+            match refuses && self.random.random_bool(self.pattern.refused) {
+                true => (REFUSAL, Event::Refused),
+                false => (WORK, Event::Answered),
+            }
         };
-        self.events.push(Reverse(event));
+        self.events.push(Reverse((self.now + after, number, request, event)));
+    }
+
+    /// Records that a request has reached a server.
+    fn record_reached(&mut self, number: usize, request: RequestId) {
+        *self.reached.entry((number, request)).or_default() += 1;
+        let origin = self.origins.get(&(number, request)).copied().flatten();
+        let all = self
+            .reached_in_all
+            .entry(origin.unwrap_or((number, request)))
+            .or_default();
+        *all += 1;
+        if *all > 1 {
+            self.result.repeats.push(self.now);
+        }
     }
 
     /// Handles what happens now.
@@ -217,31 +282,36 @@
             let Some(Reverse((_, number, request, event))) = self.events.pop() else {
                 return;
             };
-            let core = &mut self.cores[number];
-            match event {
+            let fault = match event {
                 Event::Answered => {
-                    let actions = core.finish(request, self.now);
+                    let actions = self.cores[number].finish(request, self.now);
                     self.end(number, request, true);
                     self.take(number, actions);
+                    continue;
                 }
-                Event::Failed => {
-                    let fault = RouteFault::Unreachable;
-                    let (verdict, actions) = core.fail(request, fault, false, self.now);
-                    if verdict == RetryDecision::Stop {
-                        self.end(number, request, false);
-                    }
-                    self.take(number, actions);
+                Event::Failed => RouteFault::Unreachable,
+                Event::Refused => RouteFault::Full,
+                Event::Declined(sends) => {
+                    self.cores[number].record_peer_sends(request, sends);
+                    RouteFault::Declined
                 }
+            };
+            let (verdict, actions) =
+                self.cores[number].fail(request, fault, false, self.now);
+            if verdict == RetryDecision::Stop {
+                self.end(number, request, false);
             }
+            self.take(number, actions);
         }
     }
 
     /// Ends a request at an instance, and tells the peer that forwarded it.
     fn end(&mut self, number: usize, request: RequestId, served: bool) {
+        let sends = self.reached.remove(&(number, request)).unwrap_or_default();
         match self.origins.remove(&(number, request)).flatten() {
             Some((from, at_origin)) => {
                 self.carried[number] -= 1;
-                let event = if served { Event::Answered } else { Event::Failed };
+                let event = if served { Event::Answered } else { Event::Declined(sends) };
                 let told = (self.now + STEP, from, at_origin, event);
                 self.events.push(Reverse(told));
             }
@@ -301,38 +371,51 @@
     }
 }
 
+/// A small fleet of which some are cut.
+const SMALL: CutPattern = CutPattern {
+    instances: 9,
+    data_centres: 4,
+    cut: 5,
+    servers: 18,
+    rate: 20.0,
+    refused: 0.0,
+    slack: 58.0,
+};
+
+/// A fleet of which a data centre is cut.
+const LARGE: CutPattern = CutPattern {
+    instances: 84,
+    data_centres: 3,
+    cut: 28,
+    servers: 60,
+    rate: 12.0,
+    slack: 200.0,
+    ..SMALL
+};
+
 /// Some of nine instances; most of them; a data centre and most of a second one of six.
 const PATTERNS: [CutPattern; 4] = [
-    CutPattern {
-        instances: 9,
-        data_centres: 4,
-        cut: 5,
-        servers: 18,
-        rate: 20.0,
-    },
-    CutPattern {
-        instances: 9,
-        data_centres: 4,
-        cut: 8,
-        servers: 18,
-        rate: 20.0,
-    },
-    CutPattern {
-        instances: 81,
-        data_centres: 3,
-        cut: 27,
-        servers: 60,
-        rate: 12.0,
-    },
+    SMALL,
+    CutPattern { cut: 8, ..SMALL },
+    LARGE,
     CutPattern {
         instances: 294,
         data_centres: 6,
         cut: 90,
         servers: 160,
         rate: 8.0,
+        ..LARGE
     },
 ];
 
+/// The parts of all requests that servers refuse.
+const REFUSED: [f64; 3] = [0.5, 0.8, 0.95];
+
+/// Returns the part of the requests that were served.
+fn part((came, served): (u32, u32)) -> f64 {
+    f64::from(served) / f64::from(came)
+}
+
 // Guards against callers of instances that reach no server being refused while others are served,
 // and against a few peers getting all the work.
 #[test]
@@ -340,7 +423,6 @@
     println!("instances cut served_cut served_others most_carried back_ms");
     for pattern in PATTERNS {
         let result = CutPlay::new(pattern, 7).run();
-        let part = |(came, served): (u32, u32)| f64::from(served) / f64::from(came);
         println!(
             "{} {} {:.4} {:.4} {} {}",
             pattern.instances,
@@ -357,3 +439,34 @@
         assert!(result.back_after <= Duration::from_secs(2), "{pattern:?}: {result:?}");
     }
 }
+
+// Guards against requests being sent again beyond the retry budget, as an instance that forwards
+// them doesn't know that servers have refused them at a peer. Callers of these instances must not
+// pay for it.
+#[test]
+fn forwarded_requests_that_servers_refuse_are_repeated_within_the_budget() {
+    println!("instances cut refused repeats excess served_cut served_others");
+    let mut broken = vec![];
+    let patterns = [SMALL, CutPattern { cut: 8, ..SMALL }, LARGE];
+    for (fleet, refused) in patterns
+        .iter()
+        .flat_map(|pattern| REFUSED.map(|refused| (pattern, refused)))
+    {
+        let pattern = CutPattern { refused, ..*fleet };
+        let result = CutPlay::new(pattern, 11).run();
+        let excess = result.worst_excess(pattern.slack);
+        let served = (part(result.cut), part(result.others));
+        let repeats = result.repeats.len();
+        let (instances, cut) = (pattern.instances, pattern.cut);
+        println!(
+            "{instances} {cut} {refused} {repeats} {excess:.0} {:.3} {:.3}",
+            served.0, served.1
+        );
+        assert!(repeats > 0, "{pattern:?}: nothing was sent again");
+        // The bound that users set is two thirds of the others' part.
+        if excess > 0.0 || served.0 < served.1 * 2.0 / 3.0 {
+            broken.push((instances, cut, refused, excess, served));
+        }
+    }
+    assert!(broken.is_empty(), "{broken:?}");
+}
--- a/crates/flaxtide-policy/src/router/retry.rs
+++ b/crates/flaxtide-policy/src/router/retry.rs
@@ -255,7 +255,8 @@
     }
 
     /// Records a fault in the state of the server and its pool. The silence of an engine
-    /// that is alive is none, unless the path to it is suspect.
+    /// that is alive is none, unless the path to it is suspect. Neither is that of a peer
+    /// which reached servers that refused the request.
     fn record_fault(&mut self, call: &RoutedCall, fault: RouteFault, now: Duration) {
         let CallPhase::Running { server, .. } = call.phase else { return };
         let known = self.pools.get(&call.details.pool);
@@ -269,6 +270,9 @@
         {
             return;
         }
+        if fault == RouteFault::Declined && call.peer_sends > 0 {
+            return;
+        }
         server.health.record_fault(fault, now, &self.options);
         if fault == RouteFault::Broken && !call.has_data() {
             server.health.record_path_failure(now);
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -224,6 +224,21 @@
     assert_eq!(tries(1), 8);
 }
 
+// Guards against a peer being left out while it reaches servers, because these refused a request.
+#[test]
+fn a_peer_whose_servers_refuse_a_request_gets_the_next_at_once() {
+    for (server_sends, taken) in [(2, true), (0, false)] {
+        let mut core = cut();
+        core.set_forward_peers(POOL, &[peer(NEAR, SOUND)], ms(1500));
+        core.arrive(call(1, 100, false), ms(1510));
+        core.record_peer_sends(1, server_sends);
+        core.fail(1, RouteFault::Declined, false, ms(1520));
+        let actions = core.arrive(call(2, 100, false), ms(1530));
+        let forwarded = choice(&actions).map(|(_, reason)| reason) == FORWARDED;
+        assert_eq!(forwarded, taken, "{server_sends} sends");
+    }
+}
+
 #[test]
 fn the_runs_at_a_peer_count_against_the_limit_of_the_request() {
     let mut core = cut();
