Test: servers' own limits hold while requests are forwarded

Pattern test: servers that state a rate (2 and 8 a second) or how many refusals they bear (8 a second, load 1.5 times the room), 5 and 8 of 9 and 28 of 84 instances cut.

--- a/crates/flaxtide-lab/tests/cut.rs
+++ b/crates/flaxtide-lab/tests/cut.rs
@@ -1,17 +1,18 @@
 //! Instances that lose the path to all servers, on a manual clock: how many of their callers are
-//! served through peers, what peers carry, and how often requests are sent again if the servers
-//! refuse them.
+//! served through peers, what peers carry, how often requests are sent again if the servers
+//! refuse them, and whether servers get what they state that they bear.
 
 mod common;
 
 use std::cmp::Reverse;
-use std::collections::{BTreeSet, BinaryHeap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+use std::sync::Arc;
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
 use flaxtide_policy::{
-    ForwardPeer, RetryDecision, RouteAction, RouteCore, RouteFault, RouteOptions,
-    RoutedServer,
+    ForwardPeer, GroupMember, InstanceGroup, RequestRate, RetryDecision, RouteAction,
+    RouteCore, RouteFault, RouteOptions, RoutedServer, ServerStatement, StatedRate,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -21,6 +22,9 @@
 /// How long a server takes for a request.
 const WORK: Duration = Duration::from_millis(60);
 
+/// The requests that a server queues beyond those that it runs.
+const WAITING: u32 = 2;
+
 /// How long a server takes to refuse a request.
 const REFUSAL: Duration = Duration::from_millis(2);
 
@@ -64,6 +68,38 @@
     refused: f64,
     /// The retries that the fleet may make in a window beyond those that requests add.
     slack: f64,
+    /// What servers state that they bear.
+    limit: ServerLimit,
+    /// How many requests a server runs at a time. It queues [`WAITING`] more and refuses others.
+    slots: u32,
+}
+
+/// What a server bears, over all instances.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum ServerLimit {
+    Anything,
+    /// So many requests a second.
+    Rate(f64),
+    /// So many refusals a second, beyond which it fails.
+    Refusals(u32),
+}
+
+impl ServerLimit {
+    /// Returns what a server states with each response.
+    fn statement(self) -> ServerStatement {
+        let rate = match self {
+            Self::Rate(rate) => RequestRate::from_per_second(rate),
+            Self::Anything | Self::Refusals(_) => None,
+        };
+        ServerStatement {
+            rate: rate.map_or(StatedRate::Unstated, StatedRate::Limited),
+            refusal_limit: match self {
+                Self::Refusals(limit) => Some(limit),
+                Self::Anything | Self::Rate(_) => None,
+            },
+            ..ServerStatement::default()
+        }
+    }
 }
 
 /// What was seen.
@@ -80,6 +116,9 @@
     /// When requests came from callers, and when they reached a server again.
     requests: Vec<Duration>,
     repeats: Vec<Duration>,
+    /// When each server got requests, and when it refused some.
+    arrivals: BTreeMap<ServerId, Vec<Duration>>,
+    refusals: BTreeMap<ServerId, Vec<Duration>>,
 }
 
 impl CutResult {
@@ -102,11 +141,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     /// The server has answered.
-    Answered,
+    Answered(ServerId),
+    /// A peer has answered.
+    Carried,
+    /// The server must not get the request any more.
+    Withheld,
     /// The server can't be reached.
     Failed,
     /// The server has refused the request.
-    Refused,
+    Refused(ServerId),
     /// The peer can't serve it, and has sent it to so many servers.
     Declined(u32),
 }
@@ -127,6 +170,8 @@
     reached: HashMap<(usize, RequestId), u32>,
     reached_in_all: HashMap<(usize, RequestId), u32>,
     carried: Vec<usize>,
+    /// How many requests each server has.
+    running: BTreeMap<ServerId, u32>,
     asked_at: Vec<Duration>,
     random: SmallRng,
     request: RequestId,
@@ -138,7 +183,10 @@
     fn new(pattern: CutPattern, seed: u64) -> Self {
         let servers = (0..pattern.servers).map(|server| {
             let rank = u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-            RoutedServer { slots: 12, ..plain_server(server, rank, 0, true) }
+            RoutedServer {
+                slots: pattern.slots,
+                ..plain_server(server, rank, 0, true)
+            }
         });
         let servers: Vec<RoutedServer> = servers.collect();
         let core = |number: usize| {
@@ -149,7 +197,16 @@
             let mut core = RouteCore::new(options);
             core.set_seed(seed ^ (number as u64).wrapping_mul(0x9e37_79b9_7f4a_7c15));
             core.set_instances(pattern.instances as u32, true);
+            core.set_group(Arc::new(group(&pattern, number)), Duration::ZERO);
             core.set_servers(POOL, &servers, Duration::ZERO);
+            if let ServerLimit::Rate(rate) = pattern.limit {
+                // Peers have told it.
+                let heard = Duration::from_millis(1);
+                for server in 0..pattern.servers {
+                    let rate = RequestRate::from_per_second(rate);
+                    core.record_peer_rate(server, rate, heard, heard);
+                }
+            }
             core
         };
         Self {
@@ -160,6 +217,7 @@
             reached: HashMap::new(),
             reached_in_all: HashMap::new(),
             carried: vec![0; pattern.instances],
+            running: BTreeMap::new(),
             asked_at: vec![Duration::ZERO; pattern.instances],
             random: SmallRng::seed_from_u64(seed),
             request: 0,
@@ -249,14 +307,28 @@
             self.arrive(peer, Some((number, request)));
             return;
         }
+        if !self.cores[number].permit_send(request, self.now) {
+            self.events
+                .push(Reverse((self.now, number, request, Event::Withheld)));
+            return;
+        }
         let (after, event) = if self.is_cut(number) {
             (CONNECT_TIMEOUT, Event::Failed)
         } else {
             self.record_reached(number, request);
-            let refuses = self.now >= CUT.0 && self.now < CUT.1;
-            match refuses && self.random.random_bool(self.pattern.refused) {
-                true => (REFUSAL, Event::Refused),
-                false => (WORK, Event::Answered),
+            self.result.arrivals.entry(target).or_default().push(self.now);
+            let sheds = self.now >= CUT.0 && self.now < CUT.1;
+            let running = self.running.entry(target).or_default();
+            let is_full = *running >= self.pattern.slots + WAITING;
+            match is_full || sheds && self.random.random_bool(self.pattern.refused) {
+                true => {
+                    self.result.refusals.entry(target).or_default().push(self.now);
+                    (REFUSAL, Event::Refused(target))
+                }
+                false => {
+                    *running += 1;
+                    (WORK, Event::Answered(target))
+                }
             }
         };
         self.events.push(Reverse((self.now + after, number, request, event)));
@@ -282,15 +354,24 @@
             let Some(Reverse((_, number, request, event))) = self.events.pop() else {
                 return;
             };
+            if let Event::Answered(server) | Event::Refused(server) = event {
+                let statement = self.pattern.limit.statement();
+                let sent = self.now - REFUSAL;
+                self.cores[number].record_statement(server, statement, sent, self.now);
+            }
+            if let Event::Answered(server) = event {
+                *self.running.entry(server).or_default() -= 1;
+            }
             let fault = match event {
-                Event::Answered => {
+                Event::Answered(_) | Event::Carried => {
                     let actions = self.cores[number].finish(request, self.now);
                     self.end(number, request, true);
                     self.take(number, actions);
                     continue;
                 }
                 Event::Failed => RouteFault::Unreachable,
-                Event::Refused => RouteFault::Full,
+                Event::Withheld => RouteFault::Withheld,
+                Event::Refused(_) => RouteFault::Full,
                 Event::Declined(sends) => {
                     self.cores[number].record_peer_sends(request, sends);
                     RouteFault::Declined
@@ -311,7 +392,7 @@
         match self.origins.remove(&(number, request)).flatten() {
             Some((from, at_origin)) => {
                 self.carried[number] -= 1;
-                let event = if served { Event::Answered } else { Event::Declined(sends) };
+                let event = if served { Event::Carried } else { Event::Declined(sends) };
                 let told = (self.now + STEP, from, at_origin, event);
                 self.events.push(Reverse(told));
             }
@@ -380,6 +461,8 @@
     rate: 20.0,
     refused: 0.0,
     slack: 58.0,
+    limit: ServerLimit::Anything,
+    slots: 64,
 };
 
 /// A fleet of which a data centre is cut.
@@ -393,6 +476,34 @@
     ..SMALL
 };
 
+/// Returns the instances, as one of them sees them.
+fn group(pattern: &CutPattern, own: usize) -> InstanceGroup {
+    let member = |number: usize| GroupMember {
+        instance: number as u32,
+        data_centre: (number * pattern.data_centres / pattern.instances) as u32,
+    };
+    InstanceGroup {
+        own: member(own),
+        members: (0..pattern.instances).map(member).collect(),
+        other_data_centres: vec![],
+    }
+}
+
+/// Returns the most events of a window, and in how many windows that follow each other there were
+/// more than `limit`.
+fn count_beyond(times: &[Duration], window: Duration, limit: f64) -> (usize, usize) {
+    let (mut most, mut beyond, mut next) = (0, 0, Duration::ZERO);
+    for (place, from) in times.iter().enumerate() {
+        let count = times[place..].iter().take_while(|at| **at < *from + window).count();
+        most = most.max(count);
+        if count as f64 > limit && *from >= next {
+            beyond += 1;
+            next = *from + window;
+        }
+    }
+    (most, beyond)
+}
+
 /// Some of nine instances; most of them; a data centre and most of a second one of six.
 const PATTERNS: [CutPattern; 4] = [
     SMALL,
@@ -470,3 +581,62 @@
     }
     assert!(broken.is_empty(), "{broken:?}");
 }
+
+/// The window in which the requests at a server are counted.
+const RATE_WINDOW: Duration = Duration::from_secs(4);
+
+// Guards against servers getting more than they state because instances forward their requests.
+#[test]
+fn servers_get_no_more_than_they_state_while_requests_are_forwarded() {
+    println!("instances limit most_in_window beyond served_cut served_others");
+    for fleet in [SMALL, CutPattern { cut: 8, ..SMALL }, LARGE] {
+        for rate in [2.0, 8.0] {
+            let pattern = CutPattern { limit: ServerLimit::Rate(rate), ..fleet };
+            let result = CutPlay::new(pattern, 5).run();
+            let allowed = rate * RATE_WINDOW.as_secs_f64() * 1.25 + 3.0;
+            let counts = result
+                .arrivals
+                .values()
+                .map(|times| count_beyond(times, RATE_WINDOW, allowed));
+            let (most, beyond) = counts.fold((0, 0), |(most, sum), (count, beyond)| {
+                (most.max(count), sum + beyond)
+            });
+            println!("{} {rate} {most} {beyond}", pattern.instances);
+            assert_eq!(beyond, 0, "{pattern:?}: {most} in a window, {allowed} allowed");
+        }
+    }
+}
+
+// Guards against servers that bear few refusals failing because instances forward requests that
+// servers have refused.
+#[test]
+fn servers_that_bear_few_refusals_do_not_fail_while_requests_are_forwarded() {
+    /// The refusals a second that a server bears.
+    const LIMIT: u32 = 8;
+    // The load is 1.5 times as much as the servers have room for.
+    let small = CutPattern { servers: 4, slots: 6, rate: 66.0, ..SMALL };
+    let large = CutPattern { servers: 30, slots: 6, rate: 54.0, ..LARGE };
+    let mut broken = vec![];
+    for fleet in [small, CutPattern { cut: 8, ..small }, large] {
+        for cut in [0, fleet.cut] {
+            let limit = ServerLimit::Refusals(LIMIT);
+            let pattern = CutPattern { limit, cut, ..fleet };
+            let result = CutPlay::new(pattern, 5).run();
+            let second = Duration::from_secs(1);
+            let counts = result.refusals.values().map(|times| {
+                // Each instance has learnt the limits with its first responses.
+                let told = times.iter().copied().filter(|at| *at >= JUDGED_FROM);
+                count_beyond(&told.collect::<Vec<_>>(), second, f64::from(LIMIT))
+            });
+            let falls: usize = counts.map(|(_, beyond)| beyond).sum();
+            let refusals: usize = result.refusals.values().map(Vec::len).sum();
+            println!("{} {cut} {refusals} {falls}", pattern.instances);
+            // The bound that users set: two falls and a tenth of the servers.
+            let most = 2 + pattern.servers as usize / 10;
+            if falls > most {
+                broken.push((pattern.instances, cut, falls));
+            }
+        }
+    }
+    assert!(broken.is_empty(), "falls: {broken:?}");
+}
