--- a/crates/flaxtide-entry/tests/lag.rs
+++ b/crates/flaxtide-entry/tests/lag.rs
@@ -32,3 +32,17 @@
     }
     assert_eq!(lag.get(ms(1200)), Some(ms(1100)));
 }
+
+// Guards against an instance never being overdue that is always some versions behind: the time
+// within which rules must be in force runs from each version.
+#[test]
+fn lag_counts_from_the_oldest_version_that_is_not_in_force() {
+    let mut lag = RulesLag::default();
+    // There is a version each second, and each is put in force four seconds later.
+    for seconds in 4..40 {
+        let now = Duration::from_secs(seconds);
+        lag.record(seconds - 4, seconds, now);
+        assert!(lag.get(now) >= Some(Duration::from_secs(seconds.min(7) - 4)), "{now:?}");
+    }
+    assert_eq!(lag.get(Duration::from_secs(39)), Some(Duration::from_secs(3)));
+}
