No request is handled by rules that have long been outdated

Callers saw requests run by the old service, or refused, seconds after newer rules were in force elsewhere.

Cause: rules have no age when a request is matched. An instance that knows of newer rules and can get them from neither the platform nor a peer ran requests by the old ones for as long as it liked. Change: live peers' versions tell since when newer rules have been in force. After .7 of the bound, which the instance file states (rules_within), a request waits for a moment and is then refused as not run; the readiness check fails. Without a live peer that has newer rules, the old ones serve on, so cut-off data centres do. What only one peer announces is believed for 15 s.

--- a/crates/flaxtide-entry/src/budget.rs
+++ b/crates/flaxtide-entry/src/budget.rs
@@ -32,6 +32,11 @@
 /// request to arrive.
 pub(crate) const MAX_WRITE_AGE_FRACTION: f64 = 0.8;
 
+/// For how long newer rules may have been in force at peers while requests are still handled by the
+/// old ones, as a fraction of `rules_within`. The rest is for the time until a peer's announcement
+/// arrives, and for requests that are already on their way.
+pub(crate) const MAX_RULES_LAG_FRACTION: f64 = 0.7;
+
 /// How late the traffic thread may be while a call that waits for changes counts as their absence.
 pub(crate) const LATENESS_FRACTION: f64 = 0.1;
 
--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -29,6 +29,17 @@
 use crate::state::{ShutdownPhase, TrafficState};
 use crate::versions::{StreamIdentity, find_version};
 
+/// A request waits for newer rules for its target time divided by this, so that the caller can still
+/// be served in time elsewhere.
+const RULES_WAIT_DIVISOR: u32 = 4;
+
+/// The longest time for which a request waits for newer rules.
+const MAX_RULES_WAIT: Duration = Duration::from_millis(250);
+
+/// When callers come back that were turned away because of outdated rules. Other instances have
+/// the newer ones.
+const RULES_RETRY_AFTER: Duration = Duration::from_millis(200);
+
 /// Stands for the organisation of requests that have none.
 const NO_ORGANISATION: u16 = u16::MAX;
 
@@ -58,13 +69,13 @@
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
             let version = state.route_table().map(|table| table.version);
             log::info!(
-                request = attempt_id, outcome = reply.name(), rules_version = version.unwrap_or_default();
+                request = attempt_id, outcome = reply.name(), rules_version = version.unwrap_or_default(),
+                rules_lag_ms = state.rules_lag_ms();
                 "turned away"
             );
             let retry_after = match reply {
-                LocalReply::NoRules
-                | LocalReply::OutdatedRules
-                | LocalReply::VersionUnknown => Some(MAX_RETRY_AFTER),
+                LocalReply::NoRules | LocalReply::VersionUnknown => Some(MAX_RETRY_AFTER),
+                LocalReply::OutdatedRules => Some(RULES_RETRY_AFTER),
                 LocalReply::Stopping => Some(Duration::ZERO),
                 _ => None,
             };
@@ -118,7 +129,7 @@
     let attempt_id = head.attempt_id.clone().unwrap_or_default();
     let reject = |reply| (reply, attempt_id.clone());
     let carried = take_carried(state, source, &mut parts.headers).map_err(reject)?;
-    let matched = match_rules(state, &parts, &head).map_err(reject)?;
+    let matched = match_current_rules(state, &parts, &head).await.map_err(reject)?;
     let MatchedRules {
         class, caller, tier, urgency_level, max_body_bytes, ..
     } = matched;
@@ -198,6 +209,25 @@
     Ok(Some((head, carried)))
 }
 
+/// Matches a request against the rules in force. If they are overdue, it waits for a moment: the
+/// newer ones are on their way, and a peer has them if they don't come.
+async fn match_current_rules(
+    state: &TrafficState,
+    parts: &Parts,
+    head: &RequestHead,
+) -> Result<MatchedRules, LocalReply> {
+    let matched = match_rules(state, parts, head);
+    if !state.has_overdue_rules() {
+        return matched;
+    }
+    let target = matched.map(|matched| matched.class.class().latency_target);
+    let wait = target.map_or(MAX_RULES_WAIT, |target| target / RULES_WAIT_DIVISOR);
+    if !state.await_rules(wait.min(MAX_RULES_WAIT)).await {
+        return Err(LocalReply::OutdatedRules);
+    }
+    match_rules(state, parts, head)
+}
+
 /// Matches a request against the rules in force. The result keeps no reference to the route
 /// table, which would otherwise stay in memory until the request ends, although newer rules
 /// may have replaced it.
--- a/crates/flaxtide-entry/src/config.rs
+++ b/crates/flaxtide-entry/src/config.rs
@@ -54,6 +54,9 @@
     /// The time within which a leaving server must get no more requests.
     #[serde(deserialize_with = "deserialize_span")]
     pub leave_within: Duration,
+    /// The time within which new rules must be in force.
+    #[serde(deserialize_with = "deserialize_span", default = "usual_rules_within")]
+    pub rules_within: Duration,
     /// How often backend servers renew their rows in the platform's list.
     #[serde(deserialize_with = "deserialize_span", default = "usual_renewal")]
     pub row_renewal: Duration,
@@ -162,6 +165,11 @@
     }
 }
 
+/// Returns the default of `rules_within`.
+fn usual_rules_within() -> Duration {
+    Duration::from_secs(3)
+}
+
 /// Returns the default of `row_renewal`.
 fn usual_renewal() -> Duration {
     Duration::from_millis(1200)
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -73,6 +73,9 @@
         data_centres: usize,
         /// The newest version of the rules that peers have announced.
         newest_rules: SettingsVersion,
+        /// The newest version of the rules that live peers have in force; 0 if none is newer
+        /// than the own one.
+        live_rules: SettingsVersion,
         /// Whether this instance has got the known crashes from a peer.
         has_synced_crashes: bool,
         /// The live instances, or `None` until they are known.
@@ -148,11 +151,13 @@
                 live,
                 data_centres,
                 newest_rules,
+                live_rules,
                 has_synced_crashes,
                 group,
             } => {
                 state.quarantine.set_synced(has_synced_crashes);
                 state.newest_rules.set(newest_rules);
+                state.record_live_rules(live_rules);
                 state.live_instances.set(live);
                 state.metrics.instances.set(i64::from(live));
                 let is_whole =
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -369,6 +369,7 @@
         let live = node.fleet_size(now);
         let data_centres = node.heard_data_centres();
         let newest_rules = node.newest_known_version(now);
+        let live_rules = node.newest_live_version(now);
         let has_synced_crashes = node.has_synced_crashes();
         let group = node.instance_group(now);
         // A dropped event is repeated with the next update.
@@ -376,6 +377,7 @@
             live,
             data_centres,
             newest_rules,
+            live_rules,
             has_synced_crashes,
             group,
         });
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -285,7 +285,9 @@
             resume = last_event.unwrap_or_default(),
             version = self.state.server_version(choice.server).unwrap_or_default(),
             resumes = self.resumes(),
-            list_age_ms = self.state.list_age_ms();
+            list_age_ms = self.state.list_age_ms(),
+            rules_version = self.state.rules_version(),
+            rules_lag_ms = self.state.rules_lag_ms();
             "dispatch"
         );
         let reason = format!("{:?}", choice.reason);
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::AdmissionLimit;
-use crate::budget::LATENESS_FRACTION;
+use crate::budget::{LATENESS_FRACTION, MAX_RULES_LAG_FRACTION};
 use crate::config::EntryConfig;
 use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
@@ -27,6 +27,7 @@
 use crate::fleet::FleetLink;
 use crate::forward::{CarriedCalls, ForwardPeers};
 use crate::jump::TickLateness;
+use crate::lag::RulesLag;
 use crate::memory::BodyBudget;
 use crate::metrics::{EntryMetrics, GaugeGuard};
 use crate::names::IdTable;
@@ -86,6 +87,12 @@
     pub(crate) evacuations: DataCentreEvacuations,
     /// The newest version of the rules that peers have announced.
     pub(crate) newest_rules: Cell<SettingsVersion>,
+    /// The newest version of the rules that live peers have in force; 0 if none is newer.
+    live_rules: Cell<SettingsVersion>,
+    /// For how long live peers have had newer rules in force.
+    rules_lag: RefCell<RulesLag>,
+    /// Wakes requests that wait for newer rules.
+    rules_changed: Notify,
     /// The number of live instances, as last seen.
     pub(crate) live_instances: Cell<u32>,
     /// The peers that take forwarded requests.
@@ -185,6 +192,9 @@
             directory: RefCell::new(ServerDirectory::new(leave_within, renewal_period)),
             evacuations: DataCentreEvacuations::default(),
             newest_rules: Cell::new(0),
+            live_rules: Cell::new(0),
+            rules_lag: RefCell::default(),
+            rules_changed: Notify::new(),
             live_instances: Cell::new(0),
             forward_peers: ForwardPeers::default(),
             carried,
@@ -250,6 +260,7 @@
         self.phase.get() == ShutdownPhase::Serving
             && self.table.borrow().is_some()
             && self.servers_listed.get()
+            && !self.has_overdue_rules()
             && self.now() >= self.not_ready_until.get()
             && self.quarantine.is_synced(self.now())
     }
@@ -333,6 +344,46 @@
         self.newest_rules.get() > self.rules_version()
     }
 
+    /// Records the newest version of the rules that live peers have in force, or 0 if none is newer.
+    pub(crate) fn record_live_rules(&self, version: SettingsVersion) {
+        self.live_rules.set(version);
+        // The lag counts from now on.
+        let _ = self.rules_lag();
+    }
+
+    /// Returns for how long live peers have had newer rules in force, or `None` if none has.
+    pub(crate) fn rules_lag(&self) -> Option<Duration> {
+        let now = self.now();
+        let mut lag = self.rules_lag.borrow_mut();
+        lag.record(self.rules_version(), self.live_rules.get(), now);
+        lag.get(now)
+    }
+
+    /// Returns [`Self::rules_lag`] in milliseconds for log lines, or -1 if there is none.
+    pub(crate) fn rules_lag_ms(&self) -> i64 {
+        self.rules_lag().map_or(-1, |lag| lag.as_millis() as i64)
+    }
+
+    /// Returns whether the rules in force have been outdated for so long that no request may be
+    /// handled by them. Without a live peer that has newer ones, they serve on.
+    pub(crate) fn has_overdue_rules(&self) -> bool {
+        let longest = self.config().rules_within.mul_f64(MAX_RULES_LAG_FRACTION);
+        self.rules_lag().is_some_and(|lag| lag >= longest)
+    }
+
+    /// Waits until the rules aren't overdue any more, for `max_wait` at most. Returns whether
+    /// that is so.
+    pub(crate) async fn await_rules(&self, max_wait: Duration) -> bool {
+        let until = self.now() + max_wait;
+        while self.has_overdue_rules() {
+            let changed = self.rules_changed.notified();
+            if self.wait_until(until, changed).await.is_none() {
+                return !self.has_overdue_rules();
+            }
+        }
+        true
+    }
+
     /// Returns whether rules of a version would be put in force: they are newer than those that
     /// are, or there are none.
     pub(crate) fn would_install(&self, version: SettingsVersion) -> bool {
@@ -348,6 +399,7 @@
         let gauge_guard = GaugeGuard::new(&self.metrics.rules_kept);
         *self.table.borrow_mut() = Some(Rc::new(RouteTable::new(rules, gauge_guard)));
         self.update_router_servers();
+        self.rules_changed.notify_waiters();
         true
     }
 
--- a/crates/flaxtide-fleet/src/node/settings.rs
+++ b/crates/flaxtide-fleet/src/node/settings.rs
@@ -165,6 +165,30 @@
         peers.map(|peer| peer.version).max().unwrap_or_default()
     }
 
+    /// Returns the newest version that live peers have in force; 0 if none has a newer one than this
+    /// instance. What only one peer announces is believed for a while only, as it may be wrong, and
+    /// a version that can't be put in force here doesn't count.
+    #[must_use]
+    pub fn newest_live_version(&self, now: Duration) -> SettingsVersion {
+        let rejected = self.settings.rejected.map(|(version, _)| version);
+        let peers = self.peers.values().filter(|peer| {
+            peer.version > self.version()
+                && Some(peer.version) != rejected
+                && peer.rejected_version != Some(peer.version)
+                && self.is_peer_alive(peer, now)
+        });
+        let (mut newest, mut confirmed) = (0, 0);
+        for peer in peers {
+            confirmed = confirmed.max(newest.min(peer.version));
+            newest = newest.max(peer.version);
+        }
+        let since = self.settings.newer_since;
+        match since.is_some_and(|since| now >= since + MAX_TIME_BEHIND) {
+            true => confirmed,
+            false => newest,
+        }
+    }
+
     /// Returns the live peers that have newer settings, in the order in which they are asked:
     /// the newest version first, then peers of the group. Each instance orders equal peers
     /// differently, so that they don't all ask the same one.
--- a/crates/flaxtide-fleet/tests/settings.rs
+++ b/crates/flaxtide-fleet/tests/settings.rs
@@ -304,6 +304,33 @@
     assert_eq!(sources[0].info.name, "instance-102");
 }
 
+// Guards against an instance that knows newer settings to be in force elsewhere serving by its own
+// for ever, and against one peer that is wrong taking others out of service.
+#[test]
+fn newer_settings_count_while_a_live_peer_has_them_in_force() {
+    let ms = Duration::from_millis;
+    let mut node = node_with_peers(0, &[9, 9, 12], ms(0));
+    node.set_version(7);
+    node.update_newer_since(ms(50));
+    assert_eq!(node.newest_live_version(ms(100)), 12);
+    // They have been heard once only.
+    assert_eq!(node.newest_live_version(ms(60_000)), 0, "no peer is alive");
+    for (versions, later) in [(&[9, 9, 12][..], 9), (&[9, 12], 9), (&[12], 0), (&[], 0)] {
+        let mut node = node_with_peers(0, versions, ms(0));
+        node.set_version(7);
+        node.update_newer_since(ms(0));
+        let now = ms(15_500);
+        for (place, version) in versions.iter().enumerate() {
+            receive_heartbeat(&mut node, 100 + place, *version, now);
+        }
+        assert_eq!(node.newest_live_version(now), later, "{versions:?}");
+    }
+    let mut node = node_with_peers(0, &[9, 9], ms(0));
+    node.record_fetched(&settings(9), "instance-100", ms(10));
+    node.reject_fetched(9);
+    assert_eq!(node.newest_live_version(ms(20)), 0, "it can't be put in force here");
+}
+
 #[test]
 fn the_newest_version_of_the_peers_is_known() {
     let ms = Duration::from_millis;
