Nothing is denied by rules that weren't looked up for long

Cause: an instance whose connection to the store has fallen silent knows of no newer rules, and nothing asked how long ago it had looked. Its call waited for .9 of the bound of leaving servers, and the answer may be a second late: 2.8 s and more with a bound of 2 s. Change: a request is denied (401, 404) only by rules that were looked up within .8 of their bound, or while the platform is out (two calls in a row fail); otherwise it is refused as not run.

--- a/crates/flaxtide-entry/src/budget.rs
+++ b/crates/flaxtide-entry/src/budget.rs
@@ -32,6 +32,17 @@
 /// request to arrive.
 pub(crate) const MAX_WRITE_AGE_FRACTION: f64 = 0.8;
 
+/// How long a call to the platform for the rules waits for changes, as a fraction of `rules_within`.
+/// A connection that has fallen silent is noticed when the answer to its last call is late.
+pub(crate) const RULES_POLL_FRACTION: f64 = 0.6;
+
+/// The greatest age of the rules at which requests are denied by them while the platform answers, as
+/// a fraction of `rules_within`.
+pub(crate) const MAX_RULES_AGE_FRACTION: f64 = 0.8;
+
+// A call that waits for changes doesn't make the rules too old.
+const _: () = assert!(RULES_POLL_FRACTION < MAX_RULES_AGE_FRACTION);
+
 /// For how long newer rules may have been in force at peers while requests are still handled by the
 /// old ones, as a fraction of `rules_within`. The rest is for the time until a peer's announcement
 /// arrives, and for requests that are already on their way.
--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -65,7 +65,7 @@
     let mut response = match handle_request(&state, request, source).await {
         Ok(response) => response,
         Err((reply, attempt_id)) => {
-            let reply = reply.defer_to_newer_rules(state.has_outdated_rules());
+            let reply = reply.defer_to_newer_rules(!state.permits_denial());
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
             let version = state.route_table().map(|table| table.version);
             log::info!(
--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -39,8 +39,8 @@
         /// For how long changes of the topic were unknown before this batch.
         unseen: Duration,
     },
-    /// All changes of the server list up to this time on the source's clock have been sent.
-    ListCovered(Duration),
+    /// All changes of a topic up to this time on the source's clock have been sent.
+    Covered(FeedTopic, Duration),
     /// The platform doesn't answer any more.
     Lost,
     /// The platform answers again.
@@ -104,7 +104,10 @@
             } => {
                 apply_servers(&state, &*feed, batch, is_snapshot, unseen);
             }
-            FeedEvent::ListCovered(until) => {
+            FeedEvent::Covered(FeedTopic::Rules, until) => {
+                state.source.rules_age().record_covered(until);
+            }
+            FeedEvent::Covered(FeedTopic::Servers, until) => {
                 state.source.list_age().record_covered(until);
                 state.versions.record_covered(until);
             }
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -122,11 +122,13 @@
             None => self.feed.read(self.topic),
             Some(version) => self.feed.follow(self.topic, version, wait),
         };
-        if let Some(list_age) = list_age {
-            let failed =
-                read.as_ref().is_err_and(|fault| *fault != FeedError::HistoryGone);
-            self.source.record_call(!failed);
-            list_age.end_call(failed);
+        let failed = read.as_ref().is_err_and(|fault| *fault != FeedError::HistoryGone);
+        match list_age {
+            Some(list_age) => {
+                self.source.record_call(!failed);
+                list_age.end_call(failed);
+            }
+            None => self.source.rules_age().record_call(failed),
         }
         self.count(if read.is_ok() { "ok" } else { "failed" });
         read
@@ -265,11 +267,11 @@
         self.topic != FeedTopic::Servers || self.send_event(event)
     }
 
-    /// Tells the traffic thread that it has been sent all changes of the server list up to so
-    /// long ago. Returns whether it still receives events.
+    /// Tells the traffic thread that it has been sent all changes of the topic up to so long ago.
+    /// Returns whether it still receives events.
     fn send_coverage(&self, age: Duration) -> bool {
         let until = self.source.clock().now().saturating_sub(age);
-        self.topic != FeedTopic::Servers || self.send_event(FeedEvent::ListCovered(until))
+        self.send_event(FeedEvent::Covered(self.topic, until))
     }
 
     /// Sends an event to the traffic thread. Returns whether it still receives events.
@@ -312,7 +314,7 @@
             Some(PeerUpdate::Pushed) => {
                 backoff.reset();
                 thread::sleep(PEER_CHECK_PERIOD);
-                true
+                follower.send_coverage(Duration::ZERO)
             }
             None if state.after().is_some()
                 && follower.source.awaits_plan(state.unknown_for(clock.now())) =>
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -13,7 +13,7 @@
 use tokio::sync::mpsc::{Receiver, Sender, channel};
 use tokio::task::LocalSet;
 
-use crate::budget::CALL_PAUSE_FRACTION;
+use crate::budget::{CALL_PAUSE_FRACTION, RULES_POLL_FRACTION};
 use crate::call::RequestSource;
 use crate::config::EntryConfig;
 use crate::contract::{
@@ -186,19 +186,23 @@
         let list = Arc::new(ServerListLog::new(config.leave_within));
         let source = Arc::new(ServerListSource::new(
             config.leave_within,
+            config.rules_within,
             !config.seeds.is_empty(),
         ));
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
-            let (call_pause, log_and_link) = match topic {
-                FeedTopic::Rules => (Duration::ZERO, None),
+            let (poll_wait, call_pause, log_and_link) = match topic {
+                FeedTopic::Rules => {
+                    let poll_wait = config.rules_within.mul_f64(RULES_POLL_FRACTION);
+                    (poll_wait, Duration::ZERO, None)
+                }
                 FeedTopic::Servers => {
+                    let poll_wait = config.leave_within.mul_f64(POLL_WAIT_FRACTION);
                     let call_pause = config.leave_within.mul_f64(CALL_PAUSE_FRACTION);
-                    (call_pause, Some((list.clone(), link.clone())))
+                    (poll_wait, call_pause, Some((list.clone(), link.clone())))
                 }
             };
             let (feed, events, metrics) = (feed.clone(), events.clone(), metrics.clone());
             let source = source.clone();
-            let poll_wait = config.leave_within.mul_f64(POLL_WAIT_FRACTION);
             spawn_feed(TopicFollower {
                 feed,
                 topic,
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -33,7 +33,7 @@
     UnknownTarget,
     /// The instance has no rules yet.
     NoRules,
-    /// The rules in force don't allow the request, but newer rules, which may allow it, exist.
+    /// The rules in force don't allow the request and may be outdated, or are overdue.
     OutdatedRules,
     /// The instance has too many requests that peers have forwarded.
     TooManyForwarded,
@@ -74,10 +74,10 @@
     ];
 
     /// Replaces a rejection that newer rules might lift by a temporary one, if the rules in
-    /// force are outdated: callers don't retry after a permanent rejection.
-    pub(crate) fn defer_to_newer_rules(self, rules_outdated: bool) -> Self {
+    /// force may be outdated: callers don't retry after a permanent rejection.
+    pub(crate) fn defer_to_newer_rules(self, maybe_outdated: bool) -> Self {
         match self {
-            Self::UnknownKey | Self::UnknownTarget if rules_outdated => {
+            Self::UnknownKey | Self::UnknownTarget if maybe_outdated => {
                 Self::OutdatedRules
             }
             reply => reply,
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -19,6 +19,7 @@
 use crate::follow::first_call_window;
 use crate::lag::RulesLag;
 use crate::list_age::ListAge;
+use crate::rules_age::RulesAge;
 
 /// How long a peer that couldn't answer isn't asked again, as a fraction of
 /// `leave_within`. It doubles each time. The first pause is short, because a standby can
@@ -54,6 +55,8 @@
     startup_until: Duration,
     /// The age of the list that the traffic thread goes by.
     list_age: ListAge,
+    /// The age of the rules that the traffic thread goes by.
+    rules_age: RulesAge,
     /// The mutable state behind the lock.
     state: Mutex<SourceState>,
 }
@@ -78,9 +81,13 @@
 
 impl ServerListSource {
     /// Creates a source with no peer to ask. `leave_within` is the time within which a
-    /// leaving server must stop getting requests, and `has_peers` says whether there may
-    /// be peers.
-    pub(crate) fn new(leave_within: Duration, has_peers: bool) -> Self {
+    /// leaving server must stop getting requests, `rules_within` the one within which new rules
+    /// must be in force, and `has_peers` says whether there may be peers.
+    pub(crate) fn new(
+        leave_within: Duration,
+        rules_within: Duration,
+        has_peers: bool,
+    ) -> Self {
         let clock = MilliClock::real();
         let startup_wait = if has_peers { STARTUP_WAIT } else { Duration::ZERO };
         let state = SourceState {
@@ -96,6 +103,7 @@
             clock,
             leave_within,
             list_age: ListAge::new(leave_within),
+            rules_age: RulesAge::new(rules_within),
             state: Mutex::new(state),
         }
     }
@@ -110,6 +118,11 @@
         &self.list_age
     }
 
+    /// Returns the age of the rules that the traffic thread goes by, on [`Self::clock`].
+    pub(crate) fn rules_age(&self) -> &RulesAge {
+        &self.rules_age
+    }
+
     /// Sets the peers to ask. Returns whether they have changed.
     pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
         let now = self.clock.now();
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -344,6 +344,13 @@
         self.newest_rules.get() > self.rules_version()
     }
 
+    /// Returns whether a request may be denied because the rules in force don't allow it: no newer
+    /// ones are known, and they were looked up lately.
+    pub(crate) fn permits_denial(&self) -> bool {
+        let now = self.source.clock().now();
+        !self.has_outdated_rules() && self.source.rules_age().permits_denial(now)
+    }
+
     /// Records the newest version of the rules that live peers have in force, or 0 if none is newer.
     pub(crate) fn record_live_rules(&self, version: SettingsVersion) {
         self.live_rules.set(version);
--- a/crates/flaxtide-standin/src/relay.rs
+++ b/crates/flaxtide-standin/src/relay.rs
@@ -40,6 +40,8 @@
     stopped: AtomicBool,
     /// How many connections are open.
     open: AtomicUsize,
+    /// How often the open connections have fallen silent.
+    silences: AtomicU64,
 }
 
 /// How often a relay looks at its fault.
@@ -59,6 +61,7 @@
             delay: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
             open: AtomicUsize::new(0),
+            silences: AtomicU64::new(0),
         });
         let accepting = state.clone();
         thread::spawn(move || accept(&listener, target, &accepting));
@@ -77,6 +80,11 @@
         self.state.open.load(Ordering::SeqCst)
     }
 
+    /// Has all open connections swallow what comes, for good. New ones work.
+    pub fn silence_open(&self) {
+        self.state.silences.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Sets the fault in force.
     pub fn set_fault(&self, fault: RelayFault) {
         let (number, delay) = match fault {
@@ -111,6 +119,11 @@
         }
     }
 
+    /// Returns how often the open connections have fallen silent.
+    fn silences(&self) -> u64 {
+        self.silences.load(Ordering::SeqCst)
+    }
+
     /// Tells whether the relay is to stop.
     fn stopped(&self) -> bool {
         self.stopped.load(Ordering::SeqCst)
@@ -147,14 +160,22 @@
     let (Ok(back_from), Ok(back_to)) = (outbound.try_clone(), inbound.try_clone()) else {
         return;
     };
+    let opened = state.silences();
     let back_state = state.clone();
-    let back = thread::spawn(move || pass(back_from, back_to, &back_state, true));
-    pass(inbound, outbound, state, false);
+    let back = thread::spawn(move || pass(back_from, back_to, &back_state, opened, true));
+    pass(inbound, outbound, state, opened, false);
     let _ = back.join();
 }
 
-/// Passes bytes in one direction until either side closes.
-fn pass(mut from: TcpStream, mut to: TcpStream, state: &RelayState, back: bool) {
+/// Passes bytes in one direction until either side closes. `opened` is how often connections had
+/// fallen silent before this one was opened.
+fn pass(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    state: &RelayState,
+    opened: u64,
+    back: bool,
+) {
     let _ = from.set_read_timeout(Some(POLL_PERIOD));
     let mut piece = [0; 16 * 1024];
     loop {
@@ -171,6 +192,7 @@
             Err(_) => break,
         };
         match state.fault() {
+            _ if state.silences() > opened => continue,
             RelayFault::Drop => continue,
             RelayFault::HalfCut if back => continue,
             RelayFault::Delay(delay) => thread::sleep(Duration::from_millis(delay)),
