--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -31,6 +31,8 @@
     pub(crate) open_calls: IntGauge,
     /// The version of the rules in force.
     pub(crate) rules_version: IntGauge,
+    /// Whether requests are refused because the rules are overdue: 1 or 0.
+    pub(crate) rules_overdue: IntGauge,
     /// Versions of the rules in memory.
     pub(crate) rules_kept: IntGauge,
     /// Copies of the rules exchanged with peers, by whether they were received or sent.
@@ -128,6 +130,10 @@
             dependencies: gauges("dependency_up", "1 while it answers.", &["dependency"]),
             open_calls: gauge("open_calls", "Requests in the instance."),
             rules_version: gauge("rules_version", "The version of the rules in force."),
+            rules_overdue: gauge(
+                "rules_overdue",
+                "Whether requests are refused as the rules are outdated: 1 or 0.",
+            ),
             rules_kept: gauge("rules_kept", "Versions of the rules in memory."),
             rules_copies: counters("rules_copies", "Rules from and to peers.", &["side"]),
             peer_bytes: gauges("peer_bytes", "Bytes from and to peers.", &["direction"]),
@@ -201,7 +207,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 36] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 37] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -211,6 +217,7 @@
             Box::new(self.dependencies.clone()),
             Box::new(self.open_calls.clone()),
             Box::new(self.rules_version.clone()),
+            Box::new(self.rules_overdue.clone()),
             Box::new(self.rules_kept.clone()),
             Box::new(self.rules_copies.clone()),
             Box::new(self.peer_bytes.clone()),
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -358,6 +358,11 @@
         let _ = self.rules_lag();
     }
 
+    /// Returns the newest version that live peers have in force; 0 if none is newer than the own one.
+    pub(crate) fn live_rules(&self) -> SettingsVersion {
+        self.live_rules.get()
+    }
+
     /// Returns for how long live peers have had newer rules in force, or `None` if none has.
     pub(crate) fn rules_lag(&self) -> Option<Duration> {
         let now = self.now();
