--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -31,6 +31,7 @@
 use crate::listen::{accept_requests, bind_listener};
 use crate::logging::flush_log;
 use crate::metrics::EntryMetrics;
+use crate::outdated::log_overdue_rules;
 use crate::probe::{ProbeAudience, serve_probes};
 use crate::pushback::update_pushback_metrics;
 use crate::reader::ServerListLog;
@@ -391,24 +392,6 @@
     }
 }
 
-/// Logs and exports changes in whether the rules in force are overdue.
-fn log_overdue_rules(state: &TrafficState) {
-    let is_overdue = i64::from(state.has_overdue_rules());
-    if is_overdue == state.metrics.rules_overdue.get() {
-        return;
-    }
-    state.metrics.rules_overdue.set(is_overdue);
-    let event = match is_overdue {
-        0 => "rules no longer overdue",
-        _ => "rules overdue, requests are refused",
-    };
-    log::warn!(
-        rules_version = state.rules_version(), live_version = state.live_rules(),
-        rules_lag_ms = state.rules_lag_ms();
-        "{event}"
-    );
-}
-
 /// Closes expired idle connections and reloads the instance file if it has changed.
 fn expire_and_reload(state: &TrafficState, path: &Path) {
     let now = state.now();
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -45,6 +45,7 @@
 mod metrics;
 mod names;
 mod open_call;
+mod outdated;
 mod probe;
 mod proof;
 mod pushback;
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -18,7 +18,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::AdmissionLimit;
-use crate::budget::{LATENESS_FRACTION, MAX_RULES_LAG_FRACTION};
+use crate::budget::LATENESS_FRACTION;
 use crate::config::EntryConfig;
 use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
@@ -88,11 +88,11 @@
     /// The newest version of the rules that peers have announced.
     pub(crate) newest_rules: Cell<SettingsVersion>,
     /// The newest version of the rules that live peers have in force; 0 if none is newer.
-    live_rules: Cell<SettingsVersion>,
+    pub(crate) live_rules: Cell<SettingsVersion>,
     /// For how long live peers have had newer rules in force.
-    rules_lag: RefCell<RulesLag>,
+    pub(crate) rules_lag: RefCell<RulesLag>,
     /// Wakes requests that wait for newer rules.
-    rules_changed: Notify,
+    pub(crate) rules_changed: Notify,
     /// The number of live instances, as last seen.
     pub(crate) live_instances: Cell<u32>,
     /// The peers that take forwarded requests.
@@ -339,63 +339,6 @@
         self.table.borrow().as_ref().map_or(0, |table| table.version)
     }
 
-    /// Returns whether newer rules than those in force are known to exist.
-    pub(crate) fn has_outdated_rules(&self) -> bool {
-        self.newest_rules.get() > self.rules_version()
-    }
-
-    /// Returns whether a request may be denied because the rules in force don't allow it: no newer
-    /// ones are known, and they were looked up lately.
-    pub(crate) fn permits_denial(&self) -> bool {
-        let now = self.source.clock().now();
-        !self.has_outdated_rules() && self.source.rules_age().permits_denial(now)
-    }
-
-    /// Records the newest version of the rules that live peers have in force, or 0 if none is newer.
-    pub(crate) fn record_live_rules(&self, version: SettingsVersion) {
-        self.live_rules.set(version);
-        // The lag counts from now on.
-        let _ = self.rules_lag();
-    }
-
-    /// Returns the newest version that live peers have in force; 0 if none is newer than the own one.
-    pub(crate) fn live_rules(&self) -> SettingsVersion {
-        self.live_rules.get()
-    }
-
-    /// Returns for how long live peers have had newer rules in force, or `None` if none has.
-    pub(crate) fn rules_lag(&self) -> Option<Duration> {
-        let now = self.now();
-        let mut lag = self.rules_lag.borrow_mut();
-        lag.record(self.rules_version(), self.live_rules.get(), now);
-        lag.get(now)
-    }
-
-    /// Returns [`Self::rules_lag`] in milliseconds for log lines, or -1 if there is none.
-    pub(crate) fn rules_lag_ms(&self) -> i64 {
-        self.rules_lag().map_or(-1, |lag| lag.as_millis() as i64)
-    }
-
-    /// Returns whether the rules in force have been outdated for so long that no request may be
-    /// handled by them. Without a live peer that has newer ones, they serve on.
-    pub(crate) fn has_overdue_rules(&self) -> bool {
-        let longest = self.config().rules_within.mul_f64(MAX_RULES_LAG_FRACTION);
-        self.rules_lag().is_some_and(|lag| lag >= longest)
-    }
-
-    /// Waits until the rules aren't overdue any more, for `max_wait` at most. Returns whether
-    /// that is so.
-    pub(crate) async fn await_rules(&self, max_wait: Duration) -> bool {
-        let until = self.now() + max_wait;
-        while self.has_overdue_rules() {
-            let changed = self.rules_changed.notified();
-            if self.wait_until(until, changed).await.is_none() {
-                return !self.has_overdue_rules();
-            }
-        }
-        true
-    }
-
     /// Returns whether rules of a version would be put in force: they are newer than those that
     /// are, or there are none.
     pub(crate) fn would_install(&self, version: SettingsVersion) -> bool {
--- a/crates/flaxtide-lab/tests/cut.rs
+++ b/crates/flaxtide-lab/tests/cut/play.rs
@@ -1,8 +1,4 @@
-//! Instances that lose the path to all servers, on a manual clock: how many of their callers are
-//! served through peers, what peers carry, how often requests are sent again if the servers
-//! refuse them, and whether servers get what they state that they bear.
-
-mod common;
+//! The play of instances that lose the path to all servers.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
@@ -17,7 +13,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use self::common::{POOL, call, plain_server};
+use crate::common::{POOL, call, plain_server};
 
 /// How long a server takes for a request.
 const WORK: Duration = Duration::from_millis(60);
@@ -39,7 +35,7 @@
 
 /// From when to when instances are cut, and from when on their callers are judged.
 const CUT: (Duration, Duration) = (Duration::from_secs(15), Duration::from_secs(23));
-const JUDGED_FROM: Duration = Duration::from_secs(18);
+pub(crate) const JUDGED_FROM: Duration = Duration::from_secs(18);
 
 /// The window of the retry budget.
 const WINDOW: Duration = Duration::from_secs(10);
@@ -48,35 +44,31 @@
 const ASK_PERIOD: Duration = Duration::from_millis(300);
 const ASKED_PEERS: usize = 8;
 
-/// The forwarded requests that an instance takes at a time. The play sets no limit, so that
-/// the test shows whether the choice of peers keeps to it.
-const MAX_CARRIED: usize = 256;
-
 /// The identifier of the first peer.
 const FIRST_PEER: ServerId = 1_000_000;
 
 /// What is played: instances, of which the first `cut` lose the path; each gets `rate` requests a
 /// second. The data centres are equally large and follow each other.
 #[derive(Debug, Clone, Copy)]
-struct CutPattern {
-    instances: usize,
-    data_centres: usize,
-    cut: usize,
-    servers: u32,
-    rate: f64,
+pub(crate) struct CutPattern {
+    pub(crate) instances: usize,
+    pub(crate) data_centres: usize,
+    pub(crate) cut: usize,
+    pub(crate) servers: u32,
+    pub(crate) rate: f64,
     /// The part of the requests that servers refuse during the cut.
-    refused: f64,
+    pub(crate) refused: f64,
     /// The retries that the fleet may make in a window beyond those that requests add.
-    slack: f64,
+    pub(crate) slack: f64,
     /// What servers state that they bear.
-    limit: ServerLimit,
+    pub(crate) limit: ServerLimit,
     /// How many requests a server runs at a time. It queues [`WAITING`] more and refuses others.
-    slots: u32,
+    pub(crate) slots: u32,
 }
 
 /// What a server bears, over all instances.
 #[derive(Debug, Clone, Copy, PartialEq)]
-enum ServerLimit {
+pub(crate) enum ServerLimit {
     Anything,
     /// So many requests a second.
     Rate(f64),
@@ -104,26 +96,26 @@
 
 /// What was seen.
 #[derive(Debug, Default)]
-struct CutResult {
+pub(crate) struct CutResult {
     /// Requests at instances that had been cut for a while, and how many were served.
-    cut: (u32, u32),
+    pub(crate) cut: (u32, u32),
     /// The same at the others.
-    others: (u32, u32),
+    pub(crate) others: (u32, u32),
     /// The most forwarded requests that one instance had at a time.
-    most_carried: usize,
+    pub(crate) most_carried: usize,
     /// The time from the end of the cut until all instances send directly again.
-    back_after: Duration,
+    pub(crate) back_after: Duration,
     /// When requests came from callers, and when they reached a server again.
-    requests: Vec<Duration>,
-    repeats: Vec<Duration>,
+    pub(crate) requests: Vec<Duration>,
+    pub(crate) repeats: Vec<Duration>,
     /// When each server got requests, and when it refused some.
-    arrivals: BTreeMap<ServerId, Vec<Duration>>,
-    refusals: BTreeMap<ServerId, Vec<Duration>>,
+    pub(crate) arrivals: BTreeMap<ServerId, Vec<Duration>>,
+    pub(crate) refusals: BTreeMap<ServerId, Vec<Duration>>,
 }
 
 impl CutResult {
     /// Returns by how many the repeats of a window exceed the budget at most.
-    fn worst_excess(&self, slack: f64) -> f64 {
+    pub(crate) fn worst_excess(&self, slack: f64) -> f64 {
         let ratio = RouteOptions::default().retry_ratio;
         let count = |times: &[Duration], from: Duration| {
             let in_window = |at: &&Duration| **at >= from && **at < from + WINDOW;
@@ -159,7 +151,7 @@
 type Origin = Option<(usize, RequestId)>;
 
 /// The play.
-struct CutPlay {
+pub(crate) struct CutPlay {
     pattern: CutPattern,
     cores: Vec<RouteCore>,
     events: BinaryHeap<Reverse<(Duration, usize, RequestId, Event)>>,
@@ -180,7 +172,7 @@
 }
 
 impl CutPlay {
-    fn new(pattern: CutPattern, seed: u64) -> Self {
+    pub(crate) fn new(pattern: CutPattern, seed: u64) -> Self {
         let servers = (0..pattern.servers).map(|server| {
             let rank = u64::from(server).wrapping_mul(0x9e37_79b9_7f4a_7c15);
             RoutedServer {
@@ -227,7 +219,7 @@
         }
     }
 
-    fn run(mut self) -> CutResult {
+    pub(crate) fn run(mut self) -> CutResult {
         while self.now < SPAN.1 {
             self.now += STEP;
             self.handle_events();
@@ -452,30 +444,6 @@
     }
 }
 
-/// A small fleet of which some are cut.
-const SMALL: CutPattern = CutPattern {
-    instances: 9,
-    data_centres: 4,
-    cut: 5,
-    servers: 18,
-    rate: 20.0,
-    refused: 0.0,
-    slack: 58.0,
-    limit: ServerLimit::Anything,
-    slots: 64,
-};
-
-/// A fleet of which a data centre is cut.
-const LARGE: CutPattern = CutPattern {
-    instances: 84,
-    data_centres: 3,
-    cut: 28,
-    servers: 60,
-    rate: 12.0,
-    slack: 200.0,
-    ..SMALL
-};
-
 /// Returns the instances, as one of them sees them.
 fn group(pattern: &CutPattern, own: usize) -> InstanceGroup {
     let member = |number: usize| GroupMember {
@@ -488,155 +456,3 @@
         other_data_centres: vec![],
     }
 }
-
-/// Returns the most events of a window, and in how many windows that follow each other there were
-/// more than `limit`.
-fn count_beyond(times: &[Duration], window: Duration, limit: f64) -> (usize, usize) {
-    let (mut most, mut beyond, mut next) = (0, 0, Duration::ZERO);
-    for (place, from) in times.iter().enumerate() {
-        let count = times[place..].iter().take_while(|at| **at < *from + window).count();
-        most = most.max(count);
-        if count as f64 > limit && *from >= next {
-            beyond += 1;
-            next = *from + window;
-        }
-    }
-    (most, beyond)
-}
-
-/// Some of nine instances; most of them; a data centre and most of a second one of six.
-const PATTERNS: [CutPattern; 4] = [
-    SMALL,
-    CutPattern { cut: 8, ..SMALL },
-    LARGE,
-    CutPattern {
-        instances: 294,
-        data_centres: 6,
-        cut: 90,
-        servers: 160,
-        rate: 8.0,
-        ..LARGE
-    },
-];
-
-/// The parts of all requests that servers refuse.
-const REFUSED: [f64; 3] = [0.5, 0.8, 0.95];
-
-/// Returns the part of the requests that were served.
-fn part((came, served): (u32, u32)) -> f64 {
-    f64::from(served) / f64::from(came)
-}
-
-// Guards against callers of instances that reach no server being refused while others are served,
-// and against a few peers getting all the work.
-#[test]
-fn callers_of_cut_instances_are_served_and_no_peer_is_overrun() {
-    println!("instances cut served_cut served_others most_carried back_ms");
-    for pattern in PATTERNS {
-        let result = CutPlay::new(pattern, 7).run();
-        println!(
-            "{} {} {:.4} {:.4} {} {}",
-            pattern.instances,
-            pattern.cut,
-            part(result.cut),
-            part(result.others),
-            result.most_carried,
-            result.back_after.as_millis()
-        );
-        // The bound that users set is two thirds of the others' part.
-        assert!(part(result.cut) >= 0.98, "{pattern:?}: {result:?}");
-        assert!(part(result.others) >= 0.98, "{pattern:?}: {result:?}");
-        assert!(result.most_carried <= MAX_CARRIED, "{pattern:?}: {result:?}");
-        assert!(result.back_after <= Duration::from_secs(2), "{pattern:?}: {result:?}");
-    }
-}
-
-// Guards against requests being sent again beyond the retry budget, as an instance that forwards
-// them doesn't know that servers have refused them at a peer. Callers of these instances must not
-// pay for it.
-#[test]
-fn forwarded_requests_that_servers_refuse_are_repeated_within_the_budget() {
-    println!("instances cut refused repeats excess served_cut served_others");
-    let mut broken = vec![];
-    let patterns = [SMALL, CutPattern { cut: 8, ..SMALL }, LARGE];
-    for (fleet, refused) in patterns
-        .iter()
-        .flat_map(|pattern| REFUSED.map(|refused| (pattern, refused)))
-    {
-        let pattern = CutPattern { refused, ..*fleet };
-        let result = CutPlay::new(pattern, 11).run();
-        let excess = result.worst_excess(pattern.slack);
-        let served = (part(result.cut), part(result.others));
-        let repeats = result.repeats.len();
-        let (instances, cut) = (pattern.instances, pattern.cut);
-        println!(
-            "{instances} {cut} {refused} {repeats} {excess:.0} {:.3} {:.3}",
-            served.0, served.1
-        );
-        assert!(repeats > 0, "{pattern:?}: nothing was sent again");
-        // The bound that users set is two thirds of the others' part.
-        if excess > 0.0 || served.0 < served.1 * 2.0 / 3.0 {
-            broken.push((instances, cut, refused, excess, served));
-        }
-    }
-    assert!(broken.is_empty(), "{broken:?}");
-}
-
-/// The window in which the requests at a server are counted.
-const RATE_WINDOW: Duration = Duration::from_secs(4);
-
-// Guards against servers getting more than they state because instances forward their requests.
-#[test]
-fn servers_get_no_more_than_they_state_while_requests_are_forwarded() {
-    println!("instances limit most_in_window beyond served_cut served_others");
-    for fleet in [SMALL, CutPattern { cut: 8, ..SMALL }, LARGE] {
-        for rate in [2.0, 8.0] {
-            let pattern = CutPattern { limit: ServerLimit::Rate(rate), ..fleet };
-            let result = CutPlay::new(pattern, 5).run();
-            let allowed = rate * RATE_WINDOW.as_secs_f64() * 1.25 + 3.0;
-            let counts = result
-                .arrivals
-                .values()
-                .map(|times| count_beyond(times, RATE_WINDOW, allowed));
-            let (most, beyond) = counts.fold((0, 0), |(most, sum), (count, beyond)| {
-                (most.max(count), sum + beyond)
-            });
-            println!("{} {rate} {most} {beyond}", pattern.instances);
-            assert_eq!(beyond, 0, "{pattern:?}: {most} in a window, {allowed} allowed");
-        }
-    }
-}
-
-// Guards against servers that bear few refusals failing because instances forward requests that
-// servers have refused.
-#[test]
-fn servers_that_bear_few_refusals_do_not_fail_while_requests_are_forwarded() {
-    /// The refusals a second that a server bears.
-    const LIMIT: u32 = 8;
-    // The load is 1.5 times as much as the servers have room for.
-    let small = CutPattern { servers: 4, slots: 6, rate: 66.0, ..SMALL };
-    let large = CutPattern { servers: 30, slots: 6, rate: 54.0, ..LARGE };
-    let mut broken = vec![];
-    for fleet in [small, CutPattern { cut: 8, ..small }, large] {
-        for cut in [0, fleet.cut] {
-            let limit = ServerLimit::Refusals(LIMIT);
-            let pattern = CutPattern { limit, cut, ..fleet };
-            let result = CutPlay::new(pattern, 5).run();
-            let second = Duration::from_secs(1);
-            let counts = result.refusals.values().map(|times| {
-                // Each instance has learnt the limits with its first responses.
-                let told = times.iter().copied().filter(|at| *at >= JUDGED_FROM);
-                count_beyond(&told.collect::<Vec<_>>(), second, f64::from(LIMIT))
-            });
-            let falls: usize = counts.map(|(_, beyond)| beyond).sum();
-            let refusals: usize = result.refusals.values().map(Vec::len).sum();
-            println!("{} {cut} {refusals} {falls}", pattern.instances);
-            // The bound that users set: two falls and a tenth of the servers.
-            let most = 2 + pattern.servers as usize / 10;
-            if falls > most {
-                broken.push((pattern.instances, cut, falls));
-            }
-        }
-    }
-    assert!(broken.is_empty(), "falls: {broken:?}");
-}
