--- /dev/null
+++ b/crates/flaxtide-lab/tests/refusals/main.rs
@@ -0,0 +1,117 @@
+//! Servers that fail if they have to refuse many requests in a second, under more load than
+//! they have room for, on a manual clock.
+
+#[path = "../common/mod.rs"]
+mod common;
+mod play;
+
+use std::time::Duration;
+
+use self::play::{BrittlePattern, BrittlePlay};
+
+/// Few instances before a few plain servers.
+const PLAIN: BrittlePattern = BrittlePattern {
+    instances: 9,
+    data_centres: 1,
+    servers: 4,
+    engines: false,
+    slots: 6,
+    work: Duration::from_millis(60),
+    waiting: (2, 2),
+    told_every: Duration::from_millis(2300),
+    renews: false,
+    load: 1.0,
+    idle: 0.0,
+    states: true,
+};
+
+/// Few instances before a few engines, at which fewer requests wait once they are brittle.
+const ENGINES: BrittlePattern = BrittlePattern {
+    engines: true,
+    slots: 16,
+    work: Duration::from_millis(900),
+    waiting: (33, 8),
+    ..PLAIN
+};
+
+/// Many instances of one data centre.
+const MANY_ENGINES: BrittlePattern =
+    BrittlePattern { instances: 81, servers: 30, ..ENGINES };
+
+/// Many instances of three data centres.
+const THREE_CENTRES: BrittlePattern = BrittlePattern {
+    instances: 61,
+    data_centres: 3,
+    servers: 90,
+    ..ENGINES
+};
+
+/// The loads as a multiple of what fits.
+const LOADS: [f64; 2] = [1.0, 1.6];
+
+/// Plays a pattern and prints what was seen. Returns what is wrong: more falls than users allow, or
+/// fewer answers than `least_part` of what fits.
+fn judge(pattern: BrittlePattern, seed: u64, least_part: f64) -> Option<String> {
+    let result = BrittlePlay::new(pattern, seed).run();
+    let BrittlePattern { instances, servers, load, .. } = pattern;
+    let fits = pattern.capacity().min(f64::from(result.came));
+    let part = f64::from(result.answered) / fits;
+    println!(
+        "{instances} {servers} {load} {} {} {} {part:.3} {} {} {}",
+        pattern.renews,
+        pattern.idle,
+        pattern.waiting.1,
+        result.falls,
+        result.refused,
+        result.answered
+    );
+    // The bound that users set: two falls and a tenth of the servers.
+    let most = 2 + servers / 10;
+    let fails = result.falls > most || part < least_part;
+    fails.then(|| {
+        format!("{pattern:?}, {seed}: {} falls, {part:.3} answered", result.falls)
+    })
+}
+
+/// Judges patterns at each load, with servers that come back as the same or as new incarnations.
+fn judge_all(patterns: &[BrittlePattern], seeds: u64, least_part: f64) {
+    println!("instances servers load renews idle waiting part falls refused answered");
+    let mut wrong = vec![];
+    for pattern in patterns {
+        for load in LOADS {
+            for renews in [false, true] {
+                let pattern = BrittlePattern { load, renews, ..*pattern };
+                wrong.extend(
+                    (0..seeds).filter_map(|seed| judge(pattern, seed, least_part)),
+                );
+            }
+        }
+    }
+    assert!(wrong.is_empty(), "{wrong:#?}");
+}
+
+// Guards against servers being made to fail by requests that they have to refuse.
+#[test]
+fn servers_that_bear_few_refusals_do_not_fail_under_overload() {
+    let many = BrittlePattern { instances: 81, servers: 30, ..PLAIN };
+    judge_all(&[PLAIN], 3, 0.9);
+    judge_all(&[many], 1, 0.8);
+    judge_all(&[ENGINES], 3, 0.64);
+}
+
+// Guards against servers being made to fail again and again because most of many instances haven't
+// heard how much they bear, or because no request waits there.
+#[test]
+fn servers_with_short_queues_or_many_instances_do_not_fail_under_overload() {
+    let plain = BrittlePattern { waiting: (0, 0), ..PLAIN };
+    let engines = BrittlePattern { waiting: (0, 0), ..ENGINES };
+    judge_all(&[plain, engines], 3, 0.64);
+    let centres = BrittlePattern { instances: 81, servers: 30, ..THREE_CENTRES };
+    // Their requests are told to nobody.
+    let untold = BrittlePattern { engines: false, ..MANY_ENGINES };
+    // Few of the instances have all requests.
+    let idle = BrittlePattern { idle: 0.6, ..THREE_CENTRES };
+    judge_all(&[MANY_ENGINES, THREE_CENTRES, centres, untold], 1, 0.75);
+    judge_all(&[BrittlePattern { idle: 0.6, ..ENGINES }], 1, 0.64);
+    judge_all(&[idle], 1, 0.4);
+}
