Servers that have said nothing yet bear what others of their pool state

Callers saw back ends that kept falling over under the requests that they had to reject (LIMIT), at 61 instances.

The first server that states a number speaks for its pool: those of which nothing has been heard since, new incarnations among them, count as stating it too. One that vouches for none is exempt; it ends with the last server that states it, or after a minute in which nobody hears it.

--- a/crates/flaxtide-policy/src/pushback/mod.rs
+++ b/crates/flaxtide-policy/src/pushback/mod.rs
@@ -5,6 +5,7 @@
 mod cold;
 mod group;
 mod limit;
+mod refusal;
 mod report;
 mod schedule;
 mod server;
--- a/crates/flaxtide-policy/src/pushback/server.rs
+++ b/crates/flaxtide-policy/src/pushback/server.rs
@@ -5,6 +5,7 @@
 
 use super::cold::ColdLimit;
 use super::limit::RateLimit;
+use super::refusal::RefusalState;
 use super::report::ReportEffect;
 use super::statement::{RequestRate, StatedRate};
 
@@ -26,19 +27,8 @@
     backoff_until: Duration,
     /// The limit while the server is cold; `None` if it hasn't been.
     cold: Option<Box<ColdLimit>>,
-    /// How many requests the server can refuse; `None` if it states no number.
-    refusals: Option<RefusalLimit>,
-}
-
-/// How many requests a server can refuse for lack of room before it fails.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) struct RefusalLimit {
-    /// The number of refusals a second, for all instances together.
-    pub(crate) per_second: u32,
-    /// When the server last stated the number.
-    heard_at: Duration,
-    /// This instance's share of the server's slots.
-    pub(crate) slot_share: f64,
+    /// How many requests the server can refuse.
+    pub(crate) refusals: RefusalState,
 }
 
 impl ServerPushback {
@@ -75,37 +65,6 @@
         self.set_rate(rate, share, now)
     }
 
-    /// Applies the refusals that the server states to bear, in the response to a request that
-    /// was sent at `sent`. A response that vouches for the server and states none ends them.
-    /// `share` returns this instance's share of the server's slots.
-    pub(crate) fn apply_refusal_limit(
-        &mut self,
-        per_second: Option<u32>,
-        share: impl FnOnce() -> f64,
-        is_vouched: bool,
-        sent: Duration,
-        now: Duration,
-    ) {
-        match (per_second, &mut self.refusals) {
-            (Some(per_second), Some(limit)) => {
-                *limit = RefusalLimit { per_second, heard_at: now, ..*limit };
-            }
-            (Some(per_second), none) => {
-                *none =
-                    Some(RefusalLimit { per_second, heard_at: now, slot_share: share() });
-            }
-            (None, _) if is_vouched => {
-                self.refusals.take_if(|limit| sent > limit.heard_at);
-            }
-            (None, _) => {}
-        }
-    }
-
-    /// Returns how many requests the server can refuse, if it states a number.
-    pub(crate) fn refusals(&self) -> Option<RefusalLimit> {
-        self.refusals
-    }
-
     /// Applies the report of a peer that heard the server state `rate` at `heard`.
     /// Returns how the report relates to what is known.
     pub(crate) fn apply_report(
@@ -188,9 +147,10 @@
         self.cold.as_ref().is_some_and(|cold| cold.is_active(now))
     }
 
-    /// Returns whether the server limits requests or has asked for a backoff.
+    /// Returns whether the server limits requests or refusals, or has asked for a backoff.
     pub(crate) fn is_restricted(&self, now: Duration) -> bool {
-        self.is_limited(now) || self.is_backing_off(now)
+        let limits_refusals = self.refusals.limit().is_some();
+        limits_refusals || self.is_limited(now) || self.is_backing_off(now)
     }
 
     /// Returns whether requests to the server take tokens.
@@ -204,12 +164,8 @@
         &mut self,
         stated_share: impl FnOnce(RequestRate) -> f64,
         cold_share: impl FnOnce(RequestRate) -> f64,
-        slot_share: impl FnOnce() -> f64,
         now: Duration,
     ) {
-        if let Some(limit) = &mut self.refusals {
-            limit.slot_share = slot_share();
-        }
         if let Some(limit) = &mut self.limit {
             limit.set(limit.rate, stated_share(limit.rate), now);
         }
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -22,6 +22,7 @@
 mod prefill_rate;
 mod pushback;
 mod reach;
+mod refusals;
 mod retry;
 mod room;
 mod server;
@@ -64,6 +65,7 @@
 use self::pace::PoolPace;
 use self::prefill_log::PrefillLog;
 use self::reach::ReachProbes;
+use self::refusals::PoolRefusals;
 use self::server::ServerState;
 use self::shed::ShedProbability;
 use self::table::ServerTable;
@@ -128,6 +130,9 @@
     /// The probability that a server which hasn't responded to this instance recently
     /// refuses a request.
     shed: ShedProbability,
+    /// How many requests the servers can refuse before they fail; `None` if none states a
+    /// number.
+    refusals: Option<PoolRefusals>,
     /// The recent demand for long and short prompts.
     lane_demand: LaneDemand,
     /// The demand for shared prompt parts.
@@ -242,6 +247,7 @@
             if let Some(start) = listing.cold {
                 server.limit_while_cold(start.until, group, self.seed, now);
             }
+            state.inherit_refusals(listing.server, group);
         }
         self.dispatch_queued(pool, now);
         self.take_actions()
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -28,6 +28,11 @@
     pub share: Option<f64>,
     /// Whether the rate differs from the one before.
     pub rate_changed: bool,
+    /// How many requests a second the server can refuse before it fails, or `None` if it
+    /// states no number.
+    pub refusals: Option<u32>,
+    /// Whether that differs from what was known before.
+    pub refusals_changed: bool,
     /// How long the server asks this instance to send nothing, if that extends its
     /// backoff.
     pub new_backoff: Option<Duration>,
@@ -42,6 +47,8 @@
     pub backing_off: usize,
     /// Servers that are taken to be cold.
     pub cold: usize,
+    /// Servers that can refuse only a limited number of requests.
+    pub refusing: usize,
 }
 
 impl RouteCore {
@@ -60,6 +67,7 @@
             });
         }
         self.group = Some(group);
+        self.end_old_refusals(now);
     }
 
     /// Applies the statement in a server's response to a request that was sent at `sent`.
@@ -80,23 +88,27 @@
             |rate| own_share(group, &server.listing, rate, InstanceGroup::rate_share);
         let pushback = &mut server.pushback;
         let is_vouched = statement.rate != StatedRate::Unstated;
-        let slot_share = || slot_share(group, &server.listing);
-        pushback.apply_refusal_limit(
-            statement.refusal_limit,
-            slot_share,
-            is_vouched,
-            sent,
-            now,
-        );
+        let limit = statement.refusal_limit;
+        let refusals_changed =
+            pushback.refusals.apply_statement(limit, is_vouched, sent, now);
+        let refusals = pushback.refusals.stated().0;
         let backoff = statement.backoff.map(|span| span.min(self.options.longest_rest));
         let new_backoff = backoff.filter(|span| pushback.back_off(*span, now));
         let rate_changed =
             pushback.apply_statement(statement.rate, rate_share, sent, now);
         let (rate, share) = (pushback.rate(), pushback.share());
-        (rate_changed || new_backoff.is_some()).then_some(StatementChange {
+        if refusals_changed || limit.is_some() {
+            server.update_slot_share(group);
+            let id = server.listing.server;
+            self.update_pool_refusals(id, now);
+        }
+        let is_change = rate_changed || refusals_changed || new_backoff.is_some();
+        is_change.then_some(StatementChange {
             rate,
             share,
             rate_changed,
+            refusals,
+            refusals_changed,
             new_backoff,
         })
     }
@@ -138,6 +150,8 @@
             count.limited += usize::from(server.pushback.rate().is_some());
             count.backing_off += usize::from(server.pushback.is_backing_off(now));
             count.cold += usize::from(server.pushback.is_cold(now));
+            let limit = server.pushback.refusals.limit();
+            count.refusing += usize::from(limit.is_some());
         }
         count
     }
@@ -244,13 +258,6 @@
 /// and its data centre.
 type ShareRule = fn(&InstanceGroup, u64, DataCentreKey, RequestRate) -> f64;
 
-/// Returns this instance's share of the slots of a server, of which a few instances have all:
-/// there may be more instances than slots. It is 0 until membership is known.
-pub(super) fn slot_share(group: Option<&InstanceGroup>, listing: &RoutedServer) -> f64 {
-    let slots = RequestRate::from_per_second(listing.slots.into());
-    slots.map_or(0.0, |slots| own_share(group, listing, slots, InstanceGroup::rate_share))
-}
-
 /// Returns this instance's share of a rate of a server. It is 0 until membership is known.
 pub(super) fn own_share(
     group: Option<&InstanceGroup>,
--- a/crates/flaxtide-policy/src/router/room.rs
+++ b/crates/flaxtide-policy/src/router/room.rs
@@ -30,19 +30,16 @@
     /// Returns whether a server that states how many refusals it bears has room for one more
     /// request of this instance; `None` if it states nothing.
     fn has_sure_room(&self, server: &ServerState, running: u32) -> Option<bool> {
-        let limit = server.pushback.refusals()?;
+        let limit = server.pushback.refusals.limit()?;
         let is_open = server.listing.engine.is_some()
             && f64::from(running) < f64::from(server.listing.slots) * OPEN_FRACTION;
-        // Before membership is known, one request at a time.
-        let is_owner = limit.slot_share > 0.0 || self.group.is_none();
-        let share = if is_owner { limit.slot_share.max(1.0) } else { 0.0 };
-        Some(is_open || f64::from(server.load.own_running()) + 1.0 <= share)
+        Some(is_open || server.load.own_running() < limit.slot_share)
     }
 
     /// Returns for how long such a server gets nothing from this instance after a refusal, so
     /// that the refusals of all instances stay below its limit.
     pub(super) fn refusal_pause(&self, server: &ServerState) -> Option<Duration> {
-        let limit = f64::from(server.pushback.refusals()?.per_second.max(1));
+        let limit = f64::from(server.pushback.refusals.limit()?.per_second.max(1));
         let seconds = f64::from(self.instances.max(self.options.assumed_instances))
             / (limit * REFUSAL_FRACTION);
         let pause = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_PAUSE);
--- a/crates/flaxtide-policy/src/router/server.rs
+++ b/crates/flaxtide-policy/src/router/server.rs
@@ -10,9 +10,11 @@
 use super::load::LoadTracker;
 use super::parts::{CacheLife, CachedParts};
 use super::prefill_rate::PrefillRate;
-use super::pushback::{own_share, slot_share};
+use super::pushback::own_share;
 use crate::engine::EngineSightings;
-use crate::pushback::{ColdStart, DataCentreKey, InstanceGroup, ServerPushback};
+use crate::pushback::{
+    ColdStart, DataCentreKey, InstanceGroup, RequestRate, ServerPushback,
+};
 use crate::rendezvous::rendezvous_weight;
 
 /// The time over which instances end the limit of a server that has become warm, as a
@@ -135,8 +137,18 @@
             |rate| own_share(group, listing, rate, InstanceGroup::rate_share);
         let cold_share =
             |rate| own_share(group, listing, rate, InstanceGroup::cold_share);
-        let slot_share = || slot_share(group, listing);
-        self.pushback.update_shares(stated_share, cold_share, slot_share, now);
+        self.pushback.update_shares(stated_share, cold_share, now);
+        self.update_slot_share(group);
+    }
+
+    /// Recomputes this instance's share of the slots, which is none until membership is known.
+    pub(super) fn update_slot_share(&mut self, group: Option<&InstanceGroup>) {
+        let slots = RequestRate::from_per_second(self.listing.slots.into());
+        let share = slots.map_or(0.0, |slots| {
+            own_share(group, &self.listing, slots, InstanceGroup::rate_share)
+        });
+        let share = if share > 0.0 { share.max(1.0) } else { 0.0 };
+        self.pushback.refusals.set_share(share as u32);
     }
 
     /// Limits the requests to the server until `until`, if its service has cold starts.
