Instances tell each other how many requests servers can refuse

Rates that a server states are told to all instances, the refusals that it can make weren't: an instance knew them only of servers that it had asked itself, and one without a share of a server, which sends nothing there, would never have heard that the statement has ended.

They go the way of rates now, as reports of the same form under a key of their own: instances of earlier versions store such reports and hand them on.

--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -48,7 +48,7 @@
 pub use self::pushback::{
     ColdStart, DataCentreKey, GroupMember, InstanceGroup, InstanceKey, PushbackLog,
     PushbackReport, ReportEffect, ReportSchedule, RequestRate, ServerStatement,
-    StatedRate,
+    StatedRate, refusal_key,
 };
 pub use self::quarantine::{
     CrashLog, CrashReport, Fingerprint, IncarnationKey, part_fingerprint, part_of,
--- a/crates/flaxtide-policy/src/pushback/mod.rs
+++ b/crates/flaxtide-policy/src/pushback/mod.rs
@@ -15,7 +15,7 @@
 pub use self::cold::ColdStart;
 pub use self::group::{DataCentreKey, GroupMember, InstanceGroup, InstanceKey};
 pub(crate) use self::refusal::{REFUSAL_FRACTION, RefusalLimit};
-pub use self::report::{PushbackLog, PushbackReport, ReportEffect};
+pub use self::report::{PushbackLog, PushbackReport, ReportEffect, refusal_key};
 pub use self::schedule::ReportSchedule;
 pub(crate) use self::server::ServerPushback;
 pub use self::statement::{RequestRate, ServerStatement, StatedRate};
--- a/crates/flaxtide-policy/src/pushback/report.rs
+++ b/crates/flaxtide-policy/src/pushback/report.rs
@@ -155,6 +155,23 @@
     }
 }
 
+/// Set in the key under which the refusals that a server can make are reported.
+const REFUSAL_MASK: IncarnationKey = 0x5245_4655;
+
+/// Returns the key under which the refusals that a server can make are reported, and the
+/// other way round. These reports have the form of those of rates, so that instances of
+/// earlier versions store them and hand them on.
+///
+/// ```
+/// use flaxtide_policy::refusal_key;
+/// assert_ne!(refusal_key(7), 7);
+/// assert_eq!(refusal_key(refusal_key(7)), 7);
+/// ```
+#[must_use]
+pub fn refusal_key(server: IncarnationKey) -> IncarnationKey {
+    server ^ REFUSAL_MASK
+}
+
 impl PushbackReport {
     /// Returns when the statement was heard, for a report received at `now`.
     #[must_use]
