A request that has just been answered isn't accused of a server's crash

Only a whole answer *after* a crash cleared a request.

A harmful request is never answered whole. Parts of prompts had this rule already.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -17,6 +17,7 @@
 };
 use hyper::http::response;
 use hyper::{Method, Request, Response, StatusCode, Uri};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::body::{UpstreamBody, drain_refusal};
 use crate::contract::UpstreamHead;
@@ -78,6 +79,15 @@
             .fingerprint
             .get_or_init(|| request_fingerprint(path, caller, &self.body))
     }
+
+    /// Returns a hash that repeats of the request have too. Unlike a fingerprint, it is cheap
+    /// enough for each request, and means nothing to other instances.
+    pub(crate) fn digest(&self) -> u64 {
+        let path = self.uri.path_and_query().map_or("", |path| path.as_str());
+        let caller = self.organisation.as_deref().unwrap_or_default();
+        let seed = xxh3_64_with_seed(caller.as_bytes(), xxh3_64(path.as_bytes()));
+        xxh3_64_with_seed(&self.body, seed)
+    }
 }
 
 /// The head of an accepted response, and its body still to be read.
--- a/crates/flaxtide-entry/src/proof.rs
+++ b/crates/flaxtide-entry/src/proof.rs
@@ -1,4 +1,5 @@
-//! Prompt parts that servers have begun to answer, and so don't crash them.
+//! Prompt parts that servers have begun to answer, and requests that they have answered, which so
+//! don't crash them.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -20,6 +21,13 @@
 /// The most parts whose proof is remembered.
 const MAX_PROVEN: usize = 4096;
 
+/// A request that a server answered this recently isn't suspected when a server crashes. Requests
+/// that come often run at most crashes of a small service, beside those that cause them.
+const RECENT_ANSWER: Duration = Duration::from_secs(5);
+
+/// The most requests whose answer is remembered.
+const MAX_ANSWERED: usize = 4096;
+
 /// The parts that were proven, and what is still to be told of suspected ones.
 #[derive(Debug, Default)]
 pub(crate) struct PartProofs {
@@ -79,6 +87,37 @@
     }
 }
 
+/// The requests that servers have answered lately, by their digests.
+#[derive(Debug, Default)]
+pub(crate) struct AnsweredRequests {
+    /// When each request was last answered.
+    answered: RefCell<HashMap<u64, Duration>>,
+    /// When old answers were last removed.
+    last_expiry: Cell<Duration>,
+}
+
+impl AnsweredRequests {
+    /// Records that a request got a whole answer.
+    pub(crate) fn record(&self, request: &CallerRequest, now: Duration) {
+        let mut answered = self.answered.borrow_mut();
+        if now >= self.last_expiry.get() + RECENT_ANSWER {
+            self.last_expiry.set(now);
+            answered.retain(|_, at| now < *at + RECENT_ANSWER);
+        }
+        let digest = request.digest();
+        if answered.len() < MAX_ANSWERED || answered.contains_key(&digest) {
+            answered.insert(digest, now);
+        }
+    }
+
+    /// Returns whether a request got a whole answer lately.
+    pub(crate) fn is_recent(&self, request: &CallerRequest, now: Duration) -> bool {
+        let answered = self.answered.borrow();
+        let at = answered.get(&request.digest());
+        at.is_some_and(|at| now < *at + RECENT_ANSWER)
+    }
+}
+
 /// When a stream proves the parts of its prompt.
 #[derive(Debug, Default)]
 pub(crate) struct StreamProof {
--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -11,7 +11,7 @@
 use serde_json::{Value, json};
 
 use crate::exchange::CallerRequest;
-use crate::proof::PartProofs;
+use crate::proof::{AnsweredRequests, PartProofs};
 use crate::state::TrafficState;
 
 /// How long a starting instance waits for its peers' crash logs. Reachable peers send them
@@ -43,6 +43,8 @@
     log: RefCell<CrashLog>,
     /// The parts that servers have begun to answer.
     proofs: PartProofs,
+    /// The requests that servers have answered.
+    answered: AnsweredRequests,
     /// Reports that the fleet thread hasn't accepted yet, and when they were made.
     unsent: RefCell<Vec<(Duration, Vec<CrashReport>)>>,
     /// Whether a peer has sent its crash log, or there are no peers.
@@ -106,8 +108,8 @@
         self.publish(state, reports);
     }
 
-    /// Returns what may have crashed a server that ran a request: the request, and its parts
-    /// unless they have been proven.
+    /// Returns what may have crashed a server that ran a request: the request, unless another
+    /// server has just answered it, and its parts unless they have been proven.
     fn suspects(
         &self,
         request: &CallerRequest,
@@ -118,7 +120,9 @@
         let parts = parts
             .filter(|part| !proven && !self.proofs.is_recent(**part, now))
             .map(|part| part_fingerprint(*part));
-        [request.fingerprint()].into_iter().chain(parts).collect()
+        let is_suspected = !self.answered.is_recent(request, now);
+        let whole = is_suspected.then(|| request.fingerprint());
+        whole.into_iter().chain(parts).collect()
     }
 
     /// Records that a server to which a request was sent at `sent` has responded to its parts,
@@ -158,6 +162,7 @@
         sent: Duration,
     ) {
         self.prove_parts(state, request, sent);
+        self.answered.record(request, state.now());
         if self.log.borrow().is_empty() {
             return;
         }
