The end of a server is told from a cut path by servers of other pools too

Cause: an end counted only if another server of the same pool was reached, and such requests end all servers of a small service: the control shared the fate of what it was to judge.

Controls are of the same data centre now: of the pool, or where it has none there, of other pools; only without any, servers elsewhere. If all controls of the pool are themselves known to have exited, here or by a peer's report, they say nothing of the path, and servers of other pools are tried. Where none is reached the end still counts against nobody. An end that isn't counted is logged with the reason.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -43,10 +43,10 @@
 }
 
 /// Returns whether a server has exited, after a connection to it broke: its address refuses
-/// connections, no connection to it is left, and another server of its pool is reached. A
-/// server that closes or resets single connections still listens. An unreachable one may seem
-/// to refuse connections if the path of this instance is cut, but then all servers do. If a
-/// probe connects, its connection is kept for the next request.
+/// connections, no connection to it is left, and the path to its data centre is open. A server that
+/// closes or resets single connections still listens. An unreachable one may seem to refuse
+/// connections if the path of this instance is cut, but then all servers do. If a probe connects,
+/// its connection is kept for the next request.
 async fn server_has_exited(state: &TrafficState, server: ServerId) -> bool {
     let now = state.now();
     if state
@@ -56,15 +56,30 @@
     {
         return true;
     }
-    if probe(state, server).await != Some(ErrorKind::ConnectionRefused) {
-        return false;
+    let doubt = match probe(state, server).await {
+        Some(ErrorKind::ConnectionRefused) => find_doubt(state, server).await,
+        Some(_) => Some("not refused"),
+        None => Some("accepts connections"),
+    };
+    match doubt {
+        Some(doubt) => log::info!(
+            server = state.server_name(server).unwrap_or_default(), doubt;
+            "server not taken to have exited"
+        ),
+        None => state.connections.record_exit(server, state.now()),
     }
-    let exited =
-        wait_until_closed(state, server).await && reaches_another(state, server).await;
-    if exited {
-        state.connections.record_exit(server, state.now());
+    doubt.is_none()
+}
+
+/// Returns what speaks against the exit of a server that refuses connections, if anything does.
+async fn find_doubt(state: &TrafficState, server: ServerId) -> Option<&'static str> {
+    if !wait_until_closed(state, server).await {
+        Some("a connection is open")
+    } else if !path_is_open(state, server).await {
+        Some("no control is reached")
+    } else {
+        None
     }
-    exited
 }
 
 /// Returns whether a server's address refuses connections, just after the server has closed one.
@@ -95,14 +110,32 @@
     error
 }
 
-/// Returns whether another server of the pool is reached, or there is none.
-async fn reaches_another(state: &TrafficState, server: ServerId) -> bool {
+/// Returns whether another server is reached by which the exit of `server` is told from the failure
+/// of the path to it, or there is none.
+async fn path_is_open(state: &TrafficState, server: ServerId) -> bool {
     let controls = state.with_router(|core, now| core.control_servers(server, now));
     if controls.is_empty() {
         return true;
     }
     tokio::time::sleep(CUT_SPREAD).await;
-    let probes = controls.into_iter().map(|control| probe(state, control));
+    if reaches_any(state, &controls).await {
+        return true;
+    }
+    // If the controls have exited themselves, they say nothing of the path.
+    let has_exited = |control: &ServerId| {
+        state.connections.exited_at(*control).is_some()
+            || state.quarantine.has_crashed(state, *control)
+    };
+    if !controls.iter().all(has_exited) {
+        return false;
+    }
+    let others = state.with_router(|core, now| core.neighbour_servers(server, now));
+    reaches_any(state, &others).await
+}
+
+/// Returns whether any of some servers is reached.
+async fn reaches_any(state: &TrafficState, servers: &[ServerId]) -> bool {
+    let probes = servers.iter().map(|server| probe(state, *server));
     join_all(probes).await.iter().any(Option::is_none)
 }
 
--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -76,6 +76,12 @@
         log.find_quarantined(request.fingerprint(), &request.shared_parts)
     }
 
+    /// Returns whether a server is known to have exited while it ran a request, here or at a peer.
+    pub(crate) fn has_crashed(&self, state: &TrafficState, server: ServerId) -> bool {
+        let key = state.server_key(server);
+        key.is_some_and(|key| self.log.borrow().has_crashed(key))
+    }
+
     /// Records that a server exited while it ran a request. `proven` tells whether it had
     /// responded for so long that no part of the prompt is to blame.
     pub(crate) fn record_crash(
--- a/crates/flaxtide-policy/src/quarantine/log.rs
+++ b/crates/flaxtide-policy/src/quarantine/log.rs
@@ -216,6 +216,12 @@
         })
     }
 
+    /// Returns whether a server is known to have crashed while it ran a request.
+    #[must_use]
+    pub fn has_crashed(&self, server: IncarnationKey) -> bool {
+        self.suspects_by_server.contains_key(&server)
+    }
+
     /// Returns whether no requests are remembered.
     #[must_use]
     pub fn is_empty(&self) -> bool {
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -275,24 +275,50 @@
         due
     }
 
-    /// Returns a few other servers of the pool: attempts to reach them show whether the failure
-    /// of `server` is its own. They are in its data centre, if any are, as a path that is cut
-    /// may be that to one data centre. Those without failures come first. There are several, as
-    /// some may have failed too.
+    /// Returns a few other servers: attempts to reach them show whether the failure of `server`
+    /// is its own or that of the path. A path that is cut may be that to one data centre, so
+    /// they are in that of the server, if any are: of its pool, or else of others, as all
+    /// servers of a pool may have failed by the same cause. Those without failures come first.
+    /// There are several, as some may have failed too.
     #[must_use]
     pub fn control_servers(&self, server: ServerId, now: Duration) -> Vec<ServerId> {
-        let mut pools = self.pools.values();
-        let pool = pools.find(|pool| pool.servers.get(server).is_some());
-        let servers = pool.into_iter().flat_map(|pool| pool.servers.values());
-        let mut others: Vec<&ServerState> = servers
+        let near_pool = self.controls(server, true, true, now);
+        if !near_pool.is_empty() {
+            return near_pool;
+        }
+        let near = self.neighbour_servers(server, now);
+        if near.is_empty() { self.controls(server, true, false, now) } else { near }
+    }
+
+    /// Returns a few servers of other pools in the data centre of a server, in the order of
+    /// [`Self::control_servers`].
+    #[must_use]
+    pub fn neighbour_servers(&self, server: ServerId, now: Duration) -> Vec<ServerId> {
+        self.controls(server, false, true, now)
+    }
+
+    /// Returns a few other servers, of the pool of a server or of others, in its data centre or
+    /// in others, those without failures first.
+    fn controls(
+        &self,
+        server: ServerId,
+        in_pool: bool,
+        is_near: bool,
+        now: Duration,
+    ) -> Vec<ServerId> {
+        let own = self
+            .pools
+            .iter()
+            .find_map(|(id, pool)| Some((id, pool.servers.get(server)?)));
+        let Some((own_pool, own)) = own else { return vec![] };
+        let pools = self.pools.iter().filter(|(id, _)| (*id == own_pool) == in_pool);
+        let others = pools.flat_map(|(_, pool)| pool.servers.values());
+        let mut others: Vec<&ServerState> = others
             .filter(|other| other.listing.in_service() && other.listing.server != server)
+            .filter(|other| {
+                (other.listing.data_centre == own.listing.data_centre) == is_near
+            })
             .collect();
-        let data_centre = |id| Some(pool?.servers.get(id)?.listing.data_centre);
-        let own = data_centre(server);
-        let is_near = |other: &ServerState| Some(other.listing.data_centre) == own;
-        if others.iter().any(|other| is_near(other)) {
-            others.retain(|other| is_near(other));
-        }
         let failures = |other: &ServerState| {
             let is_failed = other.health.path().is_failed(now);
             other.health.failure_rate() + f64::from(u8::from(is_failed))
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -366,3 +366,29 @@
     core.set_servers(POOL, &servers[..2], ms(20));
     assert_eq!(core.control_servers(1, ms(30)), [0]);
 }
+
+// Guards against all servers of a small service failing by one cause, so that no other is left to
+// tell the failure of one from that of the path to it.
+#[test]
+fn a_failed_server_of_a_small_pool_is_compared_with_other_pools() {
+    const OTHER_POOL: u16 = POOL + 1;
+    let mut core = core_with(0);
+    let server = |server, data_centre| RoutedServer { data_centre, ..engine(server) };
+    // Two data centres have a server of the pool, and one of them has two.
+    let small = [server(0, 0), server(1, 1), server(2, 1)];
+    core.set_servers(POOL, &small, ms(0));
+    core.set_servers(OTHER_POOL, &[server(10, 0), server(11, 1)], ms(0));
+    for (failed, controls, neighbours) in
+        [(0, vec![10], vec![10]), (1, vec![2], vec![11]), (2, vec![1], vec![11])]
+    {
+        assert_eq!(core.control_servers(failed, ms(10)), controls, "{failed}");
+        assert_eq!(core.neighbour_servers(failed, ms(10)), neighbours, "{failed}");
+    }
+    // A data centre without any other server.
+    core.set_servers(OTHER_POOL, &[server(11, 1)], ms(20));
+    let mut controls = core.control_servers(0, ms(30));
+    controls.sort_unstable();
+    assert_eq!(controls, [1, 2]);
+    assert_eq!(core.neighbour_servers(0, ms(30)), [0; 0]);
+    assert_eq!(core.control_servers(9, ms(30)), [0; 0], "unknown");
+}
