A server that had failed before a request was sent doesn't show the path to be cut

Where all controls had failed before, and kept connections lived on, nothing is concluded. Pattern test a_server_that_had_failed_before_says_nothing_of_the_path fails before.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -34,7 +34,7 @@
     let state = &call.state;
     let progress = state.with_router(|core, _| core.progress(call.request_id));
     let Some(progress) = progress else { return };
-    if server_has_exited(state, server).await {
+    if server_has_exited(state, server, progress.sent).await {
         let proven = call.parts_proven.get();
         state
             .quarantine
@@ -42,12 +42,17 @@
     }
 }
 
-/// Returns whether a server has exited, after a connection to it broke: its address refuses
+/// Returns whether a server has exited, after a connection broke over which it got a request at
+/// `sent`: its address refuses
 /// connections, no connection to it is left, and the path to its data centre is open. A server that
 /// closes or resets single connections still listens. An unreachable one may seem to refuse
 /// connections if the path of this instance is cut, but then all servers do. If a probe connects,
 /// its connection is kept for the next request.
-async fn server_has_exited(state: &TrafficState, server: ServerId) -> bool {
+async fn server_has_exited(
+    state: &TrafficState,
+    server: ServerId,
+    sent: Duration,
+) -> bool {
     let now = state.now();
     if state
         .connections
@@ -57,7 +62,7 @@
         return true;
     }
     let doubt = match probe(state, server).await {
-        Some(ErrorKind::ConnectionRefused) => find_doubt(state, server).await,
+        Some(ErrorKind::ConnectionRefused) => find_doubt(state, server, sent).await,
         Some(_) => Some("not refused"),
         None => Some("accepts connections"),
     };
@@ -72,10 +77,14 @@
 }
 
 /// Returns what speaks against the exit of a server that refuses connections, if anything does.
-async fn find_doubt(state: &TrafficState, server: ServerId) -> Option<&'static str> {
+async fn find_doubt(
+    state: &TrafficState,
+    server: ServerId,
+    sent: Duration,
+) -> Option<&'static str> {
     if !wait_until_closed(state, server).await {
         Some("a connection is open")
-    } else if !path_is_open(state, server).await {
+    } else if !path_is_open(state, server, sent).await {
         Some("no control is reached")
     } else {
         None
@@ -112,10 +121,13 @@
 
 /// Returns whether another server is reached by which the exit of `server` is told from the failure
 /// of the path to it, or there is none.
-async fn path_is_open(state: &TrafficState, server: ServerId) -> bool {
-    let controls = state.with_router(|core, now| core.control_servers(server, now));
+async fn path_is_open(state: &TrafficState, server: ServerId, sent: Duration) -> bool {
+    let controls = state.with_router(|core, now| core.control_servers(server, sent, now));
     if controls.is_empty() {
-        return true;
+        // All that there are may have failed while kept connections lived on.
+        let any = Duration::ZERO;
+        let all = state.with_router(|core, now| core.control_servers(server, any, now));
+        return all.is_empty();
     }
     tokio::time::sleep(CUT_SPREAD).await;
     if reaches_any(state, &controls).await {
@@ -129,7 +141,7 @@
     if !controls.iter().all(has_exited) {
         return false;
     }
-    let others = state.with_router(|core, now| core.neighbour_servers(server, now));
+    let others = state.with_router(|core, now| core.neighbour_servers(server, sent, now));
     reaches_any(state, &others).await
 }
 
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -80,6 +80,11 @@
         self.failed_at.filter(|at| now < at.saturating_add(FAILURE_VALIDITY))
     }
 
+    /// Returns whether the last attempt failed, before a time.
+    fn failed_before(&self, time: Duration, now: Duration) -> bool {
+        self.failure(now).is_some_and(|at| at < time)
+    }
+
     /// Returns when the last attempt was made.
     fn tried_at(&self) -> Option<Duration> {
         self.failed_at.max(self.succeeded_at)
@@ -275,26 +280,37 @@
         due
     }
 
-    /// Returns a few other servers: attempts to reach them show whether the failure of `server`
-    /// is its own or that of the path. A path that is cut may be that to one data centre, so
+    /// Returns a few other servers: attempts to reach them show whether the failure of `server`,
+    /// which got a request at `sent`, is its own or that of the path. A path that is cut may be that to one data centre, so
     /// they are in that of the server, if any are: of its pool, or else of others, as all
-    /// servers of a pool may have failed by the same cause. Those without failures come first.
+    /// servers of a pool may have failed by the same cause. One that had failed before
+    /// `sent` says nothing of the path, which was open then. Those without failures come first.
     /// There are several, as some may have failed too.
     #[must_use]
-    pub fn control_servers(&self, server: ServerId, now: Duration) -> Vec<ServerId> {
-        let near_pool = self.controls(server, true, true, now);
+    pub fn control_servers(
+        &self,
+        server: ServerId,
+        sent: Duration,
+        now: Duration,
+    ) -> Vec<ServerId> {
+        let near_pool = self.controls(server, true, true, sent, now);
         if !near_pool.is_empty() {
             return near_pool;
         }
-        let near = self.neighbour_servers(server, now);
-        if near.is_empty() { self.controls(server, true, false, now) } else { near }
+        let near = self.neighbour_servers(server, sent, now);
+        if near.is_empty() { self.controls(server, true, false, sent, now) } else { near }
     }
 
     /// Returns a few servers of other pools in the data centre of a server, in the order of
     /// [`Self::control_servers`].
     #[must_use]
-    pub fn neighbour_servers(&self, server: ServerId, now: Duration) -> Vec<ServerId> {
-        self.controls(server, false, true, now)
+    pub fn neighbour_servers(
+        &self,
+        server: ServerId,
+        sent: Duration,
+        now: Duration,
+    ) -> Vec<ServerId> {
+        self.controls(server, false, true, sent, now)
     }
 
     /// Returns a few other servers, of the pool of a server or of others, in its data centre or
@@ -304,6 +320,7 @@
         server: ServerId,
         in_pool: bool,
         is_near: bool,
+        sent: Duration,
         now: Duration,
     ) -> Vec<ServerId> {
         let own = self
@@ -318,6 +335,7 @@
             .filter(|other| {
                 (other.listing.data_centre == own.listing.data_centre) == is_near
             })
+            .filter(|other| !other.health.path().failed_before(sent, now))
             .collect();
         let failures = |other: &ServerState| {
             let is_failed = other.health.path().is_failed(now);
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -318,7 +318,7 @@
 #[test]
 fn several_servers_are_tried_to_tell_a_failed_server_from_a_failed_path() {
     let core = reaching();
-    let controls = core.control_servers(0, ms(1500));
+    let controls = core.control_servers(0, ms(0), ms(1500));
     assert_eq!(controls.len(), 4);
     assert!(!controls.contains(&0));
 }
@@ -359,12 +359,12 @@
         .map(|server| RoutedServer { data_centre: server % 3, ..engine(server) })
         .collect();
     core.set_servers(POOL, &servers, ms(0));
-    let mut controls = core.control_servers(4, ms(10));
+    let mut controls = core.control_servers(4, ms(0), ms(10));
     controls.sort_unstable();
     assert_eq!(controls, [1, 7]);
     // The last one of its data centre is compared with any.
     core.set_servers(POOL, &servers[..2], ms(20));
-    assert_eq!(core.control_servers(1, ms(30)), [0]);
+    assert_eq!(core.control_servers(1, ms(0), ms(30)), [0]);
 }
 
 // Guards against all servers of a small service failing by one cause, so that no other is left to
@@ -381,14 +381,35 @@
     for (failed, controls, neighbours) in
         [(0, vec![10], vec![10]), (1, vec![2], vec![11]), (2, vec![1], vec![11])]
     {
-        assert_eq!(core.control_servers(failed, ms(10)), controls, "{failed}");
-        assert_eq!(core.neighbour_servers(failed, ms(10)), neighbours, "{failed}");
+        assert_eq!(core.control_servers(failed, ms(0), ms(10)), controls, "{failed}");
+        assert_eq!(core.neighbour_servers(failed, ms(0), ms(10)), neighbours, "{failed}");
     }
     // A data centre without any other server.
     core.set_servers(OTHER_POOL, &[server(11, 1)], ms(20));
-    let mut controls = core.control_servers(0, ms(30));
+    let mut controls = core.control_servers(0, ms(0), ms(30));
     controls.sort_unstable();
     assert_eq!(controls, [1, 2]);
-    assert_eq!(core.neighbour_servers(0, ms(30)), [0; 0]);
-    assert_eq!(core.control_servers(9, ms(30)), [0; 0], "unknown");
+    assert_eq!(core.neighbour_servers(0, ms(0), ms(30)), [0; 0]);
+    assert_eq!(core.control_servers(9, ms(0), ms(30)), [0; 0], "unknown");
+}
+
+// Guards against a dead server that is still listed being the only one by which the end of another
+// is judged.
+#[test]
+fn a_server_that_had_failed_before_says_nothing_of_the_path() {
+    const OTHER_POOL: u16 = POOL + 1;
+    let mut core = core_with(0);
+    let server = |server, pool: u16, core: &mut RouteCore| {
+        core.update_servers(pool, &[engine(server)], &[], ms(0));
+    };
+    server(0, POOL, &mut core);
+    server(1, POOL, &mut core);
+    server(10, OTHER_POOL, &mut core);
+    core.record_probe(1, false, ms(10));
+    assert_eq!(core.control_servers(0, ms(5), ms(20)), [1], "both may be cut off");
+    assert_eq!(core.control_servers(0, ms(15), ms(20)), [10]);
+    // The other way round, it isn't known.
+    assert_eq!(core.control_servers(1, ms(15), ms(20)), [0]);
+    // A failure of long ago counts no more.
+    assert_eq!(core.control_servers(0, ms(9_000), ms(9_020)), [1]);
 }
