--- a/crates/flaxtide/tests/soak/traffic.rs
+++ b/crates/flaxtide/tests/soak/traffic.rs
@@ -1,13 +1,15 @@
 //! Servers with small faults of their own, and callers that note what they get.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
 use crate::Soak;
+use crate::common::brittle::{BrittleLoad, LoadLimit};
 use crate::common::caller::{Answer, prompted_request, request};
 use crate::common::server::{
     NOT_RUN, SEAL, Script, Seen, Step, answer, chunk, event, event_text, stream_head,
@@ -70,6 +72,60 @@
     format!("right {attempt}")
 }
 
+/// Servers that fail if they have to refuse many requests in a second, and say so.
+#[derive(Debug)]
+pub(crate) struct BrittleServers {
+    /// From when on they fail.
+    pub(crate) from: Instant,
+    /// How often one has.
+    pub(crate) falls: AtomicUsize,
+}
+
+/// How many requests such a server runs, and how many wait there.
+const BRITTLE_ROOM: LoadLimit = LoadLimit { slots: BRITTLE_SLOTS as usize, waiting: 1 };
+
+/// The slots in its row.
+pub(crate) const BRITTLE_SLOTS: u32 = 2;
+
+/// How many refusals a second it bears.
+const BRITTLE_LIMIT: usize = 4;
+
+/// How long it takes for a request.
+const BRITTLE_WORK: Duration = Duration::from_millis(60);
+
+/// A server that bears few refusals, and that one body crashes.
+pub(crate) fn brittle_script(servers: &Arc<BrittleServers>) -> Script {
+    let (servers, load) = (servers.clone(), Mutex::new(BrittleLoad::default()));
+    Arc::new(move |seen, _| {
+        if seen.body == CRASHING.as_bytes() || has_bad_part(seen) {
+            return vec![Step::Wait(Duration::from_millis(20)), Step::Crash];
+        }
+        let now = Instant::now();
+        let limit = format!("Server-Brittle: {BRITTLE_LIMIT}\r\n");
+        let mut load = load.lock().unwrap();
+        let Some(end) = load.take(BRITTLE_ROOM, BRITTLE_WORK, now) else {
+            if now >= servers.from && load.refused_lately() > BRITTLE_LIMIT {
+                servers.falls.fetch_add(1, Ordering::SeqCst);
+                return vec![Step::Crash];
+            }
+            let refusal = format!("{NOT_RUN}{limit}");
+            return vec![Step::Write(answer(seen, 503, &refusal, "full"))];
+        };
+        let wait = Step::Wait(end - now);
+        if seen.line.contains("/draft/") || seen.line.contains("/chat/") {
+            let mut steps = stream(seen);
+            if let Some(Step::Write(head)) = steps.first_mut() {
+                let text = String::from_utf8_lossy(head);
+                *head = text.replacen("\r\n\r\n", &format!("\r\n{limit}\r\n"), 1).into();
+            }
+            return [wait].into_iter().chain(steps).collect();
+        }
+        let headers = format!("{SEAL}{limit}");
+        let text = right_text(seen.attempt());
+        vec![wait, Step::Write(answer(seen, 200, &headers, &text))]
+    })
+}
+
 /// A server that does as its whims are, and that one body crashes.
 pub(crate) fn server_script() -> Script {
     Arc::new(|seen, _| {
