--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -43,11 +43,10 @@
 }
 
 /// Returns whether a server has exited, after a connection broke over which it got a request at
-/// `sent`: its address refuses
-/// connections, no connection to it is left, and the path to its data centre is open. A server that
-/// closes or resets single connections still listens. An unreachable one may seem to refuse
-/// connections if the path of this instance is cut, but then all servers do. If a probe connects,
-/// its connection is kept for the next request.
+/// `sent`: its address refuses connections, no connection to it is left, and the path to its data
+/// centre is open. A server that closes or resets single connections still listens. An unreachable
+/// one may seem to refuse connections if the path of this instance is cut, but then all servers do.
+/// If a probe connects, its connection is kept for the next request.
 async fn server_has_exited(
     state: &TrafficState,
     server: ServerId,
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -147,7 +147,7 @@
             rows_ignored: counter("rows_ignored", "Rows of servers not understood."),
             pushback: gauges(
                 "servers_pushing_back",
-                "Servers that state a rate, want nothing for a while, are cold, or can refuse few requests.",
+                "Servers that state a rate, want nothing for a while, are cold, or refuse few requests.",
                 &["kind"],
             ),
             evacuated_data_centres: gauge(
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -280,12 +280,13 @@
         due
     }
 
-    /// Returns a few other servers: attempts to reach them show whether the failure of `server`,
-    /// which got a request at `sent`, is its own or that of the path. A path that is cut may be that to one data centre, so
-    /// they are in that of the server, if any are: of its pool, or else of others, as all
-    /// servers of a pool may have failed by the same cause. One that had failed before
-    /// `sent` says nothing of the path, which was open then. Those without failures come first.
-    /// There are several, as some may have failed too.
+    /// Returns a few other servers: attempts to reach them show whether the failure of
+    /// `server`, which got a request at `sent`, is its own or that of the path. They are in
+    /// its data centre, if any are, as a path that is cut may be that to one data centre: of
+    /// its pool, or else of others, as all servers of a pool may have failed by the same
+    /// cause. One that had failed before `sent` says nothing of the path, which was open
+    /// then. Those without failures come first. There are several, as some may have failed
+    /// too.
     #[must_use]
     pub fn control_servers(
         &self,
--- a/crates/flaxtide-policy/src/router/room.rs
+++ b/crates/flaxtide-policy/src/router/room.rs
@@ -27,28 +27,39 @@
     }
 
     /// Returns for how many requests of this instance a server that can refuse few has room:
-    /// this instance's share of the slots, and its part of those of an engine that no instance
-    /// is known to use. Only so many instances use these as the server can refuse requests in
-    /// a second: they don't know yet what the others have sent.
+    /// this instance's share of the slots, and its part of those that nobody uses.
     fn sure_room(
         &self,
         server: &ServerState,
         limit: &RefusalLimit,
         now: Duration,
     ) -> f64 {
-        let mut room = f64::from(limit.usable_share(now));
+        let share = f64::from(limit.usable_share(now));
+        // Instances don't know each other's requests on plain servers.
+        let is_engine = server.listing.engine.is_some();
+        share + if is_engine { self.open_room(server, limit, now) } else { 0.0 }
+    }
+
+    /// Returns this instance's part of the slots of an engine that no instance is known to
+    /// use. About as many instances use these as the engine can refuse requests in a second:
+    /// they don't know yet what the others have sent.
+    fn open_room(
+        &self,
+        server: &ServerState,
+        limit: &RefusalLimit,
+        now: Duration,
+    ) -> f64 {
         let users = limit.per_second.saturating_add(limit.per_second / 4);
         let users = users.min(self.fleet_size());
-        if server.listing.engine.is_some() && self.is_drawn(server, users) {
-            let busy = u32::try_from(self.peer_servers.len()).unwrap_or(u32::MAX);
-            let takers = busy.saturating_add(1).clamp((users / 2).max(1), users.max(1));
-            let unheard = f64::from(takers) / f64::from(users);
-            let open =
-                f64::from(server.listing.slots) * (1.0 - UNHEARD_FRACTION * unheard);
-            let unused = open - f64::from(self.running(server, now));
-            room += (unused / f64::from(takers)).max(0.0);
+        if users == 0 || !self.is_drawn(server, users) {
+            return 0.0;
         }
-        room
+        let busy = u32::try_from(self.peer_servers.len()).unwrap_or(u32::MAX);
+        let takers = busy.saturating_add(1).clamp((users / 2).max(1), users);
+        let unheard = UNHEARD_FRACTION * f64::from(takers) / f64::from(users);
+        let open = f64::from(server.listing.slots) * (1.0 - unheard);
+        let unused = open - f64::from(self.running(server, now));
+        (unused / f64::from(takers)).max(0.0)
     }
 
     /// Returns whether this instance is among the `count` of the fleet, on average, that are
