Soak: a request that a server refused for lack of room hasn't run there

The check counted each arrival as a run; a trace of the records shows the refusals. Refusals by brittle servers are counted off one by one now, so a real second run is still seen.

--- a/crates/flaxtide/tests/soak/traffic.rs
+++ b/crates/flaxtide/tests/soak/traffic.rs
@@ -79,6 +79,8 @@
     pub(crate) from: Instant,
     /// How often one has.
     pub(crate) falls: AtomicUsize,
+    /// The attempts that were refused and not run, once for each time.
+    pub(crate) refused: Mutex<Vec<String>>,
 }
 
 /// How many requests such a server runs, and how many wait there.
@@ -108,6 +110,7 @@
                 servers.falls.fetch_add(1, Ordering::SeqCst);
                 return vec![Step::Crash];
             }
+            servers.refused.lock().unwrap().push(seen.attempt().to_owned());
             let refusal = format!("{NOT_RUN}{limit}");
             return vec![Step::Write(answer(seen, 503, &refusal, "full"))];
         };
