Instances without a share of the slots of a small service forward its requests

What callers saw: while servers state that they bear few refusals, instances that have no part of the slots of a service refused all of its requests, for as long as that lasted.

Cause: instances divide the slots; where a service has fewer slots than a data centre has instances, some get none. They queued requests for servers that they were never going to use.

Change: an instance that has no share of any server that it reaches lets peers carry the requests, as while its path is in doubt, and offers nothing of that pool to peers. The choice needs no message: peers already tell what they reach.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -126,7 +126,7 @@
             }
             FeedEvent::PeerReach(peer, reply) => {
                 state.forward_peers.record(peer, reply, now);
-                for pool in state.with_router(|core, _| core.doubtful_pools()) {
+                for pool in state.with_router(|core, _| core.forwarding_pools()) {
                     state.forward_peers.update_router(&state, pool);
                 }
             }
--- a/crates/flaxtide-entry/src/forward/path.rs
+++ b/crates/flaxtide-entry/src/forward/path.rs
@@ -11,20 +11,26 @@
 /// How long a path may take to reset a connection that it has accepted.
 const RESET_TIME: Duration = Duration::from_millis(50);
 
-/// Logs changes in whether this instance reaches the servers of a service.
+/// Logs changes in whether this instance reaches the servers of a service, and has a share of
+/// their slots.
 pub(crate) fn log_reach(state: &TrafficState) {
     for change in state.with_router(|core, now| core.update_reach(now)) {
         let is_doubtful = change.reach.is_doubtful();
-        let event = match is_doubtful {
-            true => "path to servers in doubt",
-            false => "path to servers restored",
+        let event = match (is_doubtful, change.lacks_share) {
+            (true, _) => "path to servers in doubt",
+            (false, true) => "no share of the slots of servers",
+            (false, false) => "path to servers restored",
         };
         let service = state.pool_name(change.pool).unwrap_or_default();
-        state
-            .metrics
+        let metrics = &state.metrics;
+        metrics
             .doubtful_paths
             .with_label_values(&[&service])
             .set(i64::from(is_doubtful));
+        metrics
+            .lacking_shares
+            .with_label_values(&[&service])
+            .set(i64::from(change.lacks_share));
         log::info!(
             service, reached = change.reach.reached, failed = change.reach.failed;
             "{event}"
--- a/crates/flaxtide-entry/src/forward/peers.rs
+++ b/crates/flaxtide-entry/src/forward/peers.rs
@@ -14,7 +14,7 @@
 use crate::feed::FeedEvent;
 use crate::state::{ShutdownPhase, TrafficState};
 
-/// How often peers are asked while a path is in doubt.
+/// How often peers are asked while they should forward requests.
 const ASK_PERIOD: Duration = Duration::from_millis(300);
 
 /// How long the answer of a peer counts. A peer that is frozen or cut off drops out after it.
@@ -97,14 +97,14 @@
         ServerId::MAX - self.ids_given.get()
     }
 
-    /// Asks peers if a path is in doubt, and tells the router who can be used.
+    /// Asks peers if they should forward requests of a service, and tells the router who can be used.
     pub(crate) fn maintain(
         &self,
         state: &TrafficState,
         events: &mpsc::Sender<FeedEvent>,
     ) {
-        let doubtful = state.with_router(|core, _| core.doubtful_pools());
-        if doubtful.is_empty() {
+        let pools = state.with_router(|core, _| core.forwarding_pools());
+        if pools.is_empty() {
             return;
         }
         let now = state.now();
@@ -116,7 +116,7 @@
                 answer: answer_handler(events),
             });
         }
-        for pool in doubtful {
+        for pool in pools {
             self.update_router(state, pool);
         }
     }
@@ -153,7 +153,7 @@
 pub(crate) fn offer(state: &TrafficState) -> ReachReply {
     let config = state.config();
     let is_open = state.phase() == ShutdownPhase::Serving && state.carried.has_room();
-    let pools = state.with_router(|core, _| core.reached_pools());
+    let pools = state.with_router(|core, _| core.offered_pools());
     let digests = pools.into_iter().filter_map(|(pool, reach)| {
         Some(ReachDigest {
             pool: fleet_key(&state.pool_name(pool)?),
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -83,6 +83,8 @@
     pub(crate) watch_calls: IntCounterVec,
     /// Services whose servers this instance hardly reaches: 1 while its path is in doubt.
     pub(crate) doubtful_paths: IntGaugeVec,
+    /// Services of whose slots this instance has no share: 1 while peers get its requests.
+    pub(crate) lacking_shares: IntGaugeVec,
     /// Requests in progress that peers have forwarded.
     pub(crate) carried_calls: IntGauge,
     /// Seconds to the first event of a stream, or to a whole response.
@@ -197,6 +199,11 @@
                 "1 while most servers of the service can't be reached.",
                 &["service"],
             ),
+            lacking_shares: gauges(
+                "lacking_shares",
+                "1 while other instances have all slots of servers that can refuse few requests.",
+                &["service"],
+            ),
             carried_calls: gauge("carried_calls", "Requests that peers forwarded."),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
@@ -207,7 +214,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 37] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 38] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -243,6 +250,7 @@
             Box::new(self.watched_engines.clone()),
             Box::new(self.watch_calls.clone()),
             Box::new(self.doubtful_paths.clone()),
+            Box::new(self.lacking_shares.clone()),
             Box::new(self.carried_calls.clone()),
             Box::new(self.latency.clone()),
         ];
--- a/crates/flaxtide-lab/tests/refusals/main.rs
+++ b/crates/flaxtide-lab/tests/refusals/main.rs
@@ -57,19 +57,23 @@
     let fits = pattern.capacity().min(f64::from(result.came));
     let part = f64::from(result.answered) / fits;
     println!(
-        "{instances} {servers} {load} {} {} {} {part:.3} {} {} {}",
+        "{instances} {servers} {load} {} {} {} {part:.3} {} {} {} {}",
         pattern.renews,
         pattern.idle,
         pattern.waiting.1,
         result.falls,
         result.refused,
-        result.answered
+        result.answered,
+        result.unserved
     );
     // The bound that users set: two falls and a tenth of the servers.
     let most = 2 + servers / 10;
-    let fails = result.falls > most || part < least_part;
+    let fails = result.falls > most || part < least_part || result.unserved > 0;
     fails.then(|| {
-        format!("{pattern:?}, {seed}: {} falls, {part:.3} answered", result.falls)
+        format!(
+            "{pattern:?}, {seed}: {} falls, {part:.3} answered, {} instances answered none",
+            result.falls, result.unserved
+        )
     })
 }
 
@@ -80,7 +84,9 @@
     seeds: u64,
     least_part: f64,
 ) {
-    println!("instances servers load renews idle waiting part falls refused answered");
+    println!(
+        "instances servers load renews idle waiting part falls refused answered unserved"
+    );
     let mut wrong = vec![];
     for pattern in patterns {
         for (load, renews) in LOADS
@@ -132,3 +138,21 @@
     let idle = BrittlePattern { idle: 0.6, ..THREE_CENTRES };
     judge_all(&[idle], &[true], 1, 0.4);
 }
+
+// Guards against instances that answer none of their requests because a small service has fewer
+// slots than there are instances to divide them.
+#[test]
+fn every_instance_is_served_by_a_small_service_that_bears_few_refusals() {
+    let few = BrittlePattern {
+        instances: 4,
+        servers: 3,
+        slots: 2,
+        waiting: (1, 1),
+        ..PLAIN
+    };
+    let many = BrittlePattern { instances: 61, data_centres: 3, ..PLAIN };
+    let one_centre = BrittlePattern { data_centres: 1, ..many };
+    judge_all(&[few, many, one_centre], &[false, true], 3, 0.9);
+    let engines = BrittlePattern { instances: 61, data_centres: 3, ..ENGINES };
+    judge_all(&[engines], &[false, true], 3, 0.64);
+}
--- a/crates/flaxtide-lab/tests/refusals/play.rs
+++ b/crates/flaxtide-lab/tests/refusals/play.rs
@@ -1,14 +1,14 @@
 //! The play of servers that fail if they have to refuse many requests in a second.
 
 use std::cmp::Reverse;
-use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap, VecDeque};
 use std::sync::Arc;
 use std::time::Duration;
 
 use flaxtide_core::{RequestId, ServerId};
 use flaxtide_policy::{
-    EngineShape, GroupMember, InstanceGroup, RetryDecision, RouteAction, RouteCall,
-    RouteCore, RouteFault, RouteOptions, RoutedServer, ServerStatement,
+    EngineShape, ForwardPeer, GroupMember, InstanceGroup, RetryDecision, RouteAction,
+    RouteCall, RouteCore, RouteFault, RouteOptions, RoutedServer, ServerStatement,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -38,6 +38,13 @@
 /// How long a server that has failed is away.
 const AWAY: Duration = Duration::from_secs(2);
 
+/// How often an instance asks peers what they reach, and how many.
+const ASK_PERIOD: Duration = Duration::from_millis(300);
+const ASKED_PEERS: usize = 8;
+
+/// The identifier of the first peer.
+const FIRST_PEER: ServerId = 1_000_000;
+
 /// The most instances that are all known to each other by name.
 const MAX_KNOWN: u32 = 58;
 
@@ -91,6 +98,8 @@
     pub(crate) answered: u32,
     /// What was refused by servers.
     pub(crate) refused: u32,
+    /// The instances to which requests came and none of them was answered.
+    pub(crate) unserved: u32,
 }
 
 /// A server.
@@ -113,6 +122,9 @@
     Refused,
     Broken,
     Unreachable,
+    /// A peer has had it answered, or hasn't.
+    Carried,
+    Declined(u32),
 }
 
 /// When something happens to a request, at which instance, and at which incarnation.
@@ -125,6 +137,13 @@
     servers: Vec<BrittleServer>,
     events: BinaryHeap<Reverse<PendingEvent>>,
     came_at: HashMap<RequestId, Duration>,
+    /// The instance and the request of it that a peer's request was forwarded from.
+    origins: HashMap<RequestId, (usize, RequestId)>,
+    /// To how many servers each request was sent that was forwarded.
+    sends: HashMap<RequestId, u32>,
+    /// The requests that came to each instance once servers were brittle, and those of them that
+    /// were answered.
+    served: Vec<(u32, u32)>,
     random: SmallRng,
     request: RequestId,
     result: BrittleResult,
@@ -142,6 +161,9 @@
             servers: servers.collect(),
             events: BinaryHeap::new(),
             came_at: HashMap::new(),
+            origins: HashMap::new(),
+            sends: HashMap::new(),
+            served: vec![(0, 0); pattern.instances as usize],
             random: SmallRng::seed_from_u64(seed),
             request: 0,
             result: BrittleResult::default(),
@@ -162,11 +184,18 @@
                 for number in 0..self.cores.len() {
                     let actions = self.cores[number].tick(self.now);
                     self.take(number, actions);
+                    self.cores[number].update_reach(self.now);
+                    self.ask_peers(number);
                 }
             }
             self.tell_loads();
             self.send_requests();
         }
+        let unserved = self
+            .served
+            .iter()
+            .filter(|(came, answered)| *came > 0 && *answered == 0);
+        self.result.unserved = unserved.count() as u32;
         self.result
     }
 
@@ -180,17 +209,19 @@
         for _ in 0..expected as u32 + more {
             self.request += 1;
             self.came_at.insert(self.request, self.now);
-            self.result.came += u32::from(self.now >= BRITTLE_FROM);
             let number = self.random.random_range(first..self.cores.len());
-            let arrival = self.arrival();
+            let counted = u32::from(self.now >= BRITTLE_FROM);
+            self.result.came += counted;
+            self.served[number].0 += counted;
+            let arrival = self.arrival(self.request, self.now);
             let actions = self.cores[number].arrive(arrival, self.now);
             self.take(number, actions);
         }
     }
 
-    /// Returns a request that leaves servers the time that they take.
-    fn arrival(&self) -> RouteCall {
-        let arrival = call(self.request, self.now);
+    /// Returns a request of a caller who came at a time. It leaves servers the time that they take.
+    fn arrival(&self, request: RequestId, came: Duration) -> RouteCall {
+        let arrival = call(request, came);
         RouteCall {
             target: arrival.target + self.pattern.work,
             deadline: arrival.deadline + self.pattern.work * 2,
@@ -219,17 +250,75 @@
         }
     }
 
+    /// Asks some peers what they reach, if they should forward requests.
+    fn ask_peers(&mut self, number: usize) {
+        let is_due = self.now.as_millis().is_multiple_of(ASK_PERIOD.as_millis());
+        if !is_due || self.cores[number].forwarding_pools().is_empty() {
+            return;
+        }
+        let mut asked = BTreeSet::new();
+        while asked.len() < ASKED_PEERS.min(self.cores.len() - 1) {
+            let peer = self.random.random_range(0..self.cores.len());
+            if peer != number {
+                asked.insert(peer);
+            }
+        }
+        let data_centre =
+            |it: usize| self.pattern.data_centre(it as u32, self.pattern.instances);
+        let offers = asked.into_iter().flat_map(|peer| {
+            let offered = self.cores[peer].offered_pools().into_iter();
+            offered.map(move |(_, reach)| (peer, reach))
+        });
+        let peers = offers.map(|(peer, reach)| ForwardPeer {
+            peer: FIRST_PEER + peer as ServerId,
+            local: data_centre(peer) == data_centre(number),
+            reach,
+        });
+        let peers: Vec<ForwardPeer> = peers.collect();
+        let actions = self.cores[number].set_forward_peers(POOL, &peers, self.now);
+        self.take(number, actions);
+    }
+
+    /// Forwards a request to a peer.
+    fn forward(&mut self, number: usize, request: RequestId, peer: usize) {
+        self.request += 1;
+        self.origins.insert(self.request, (number, request));
+        let came = self.came_at.get(&request).copied().unwrap_or(self.now);
+        let arrival = self.arrival(self.request, came);
+        let actions = self.cores[peer].arrive_forwarded(arrival, self.now);
+        self.take(peer, actions);
+    }
+
+    /// Tells an instance that has forwarded a request what has become of it at a peer.
+    fn tell_origin(&mut self, request: RequestId, answered: bool) {
+        let sends = self.sends.remove(&request).unwrap_or_default();
+        if let Some((from, at_origin)) = self.origins.remove(&request) {
+            let event = if answered { Event::Carried } else { Event::Declined(sends) };
+            self.events
+                .push(Reverse((self.now + STEP, from, at_origin, 0, event)));
+        }
+    }
+
     /// Carries out what an instance has decided.
     fn take(&mut self, number: usize, actions: Vec<RouteAction>) {
         for action in actions {
-            if let RouteAction::Dispatch { request, choice, .. } = action {
-                self.send(number, request, choice.server);
+            match action {
+                RouteAction::Dispatch { request, choice, .. } => {
+                    self.send(number, request, choice.server);
+                }
+                RouteAction::Refuse { request, .. } => self.tell_origin(request, false),
             }
         }
     }
 
-    /// Sends a request to a server.
+    /// Sends a request to a server, or to a peer.
     fn send(&mut self, number: usize, request: RequestId, target: ServerId) {
+        if target >= FIRST_PEER {
+            return self.forward(number, request, (target - FIRST_PEER) as usize);
+        }
+        if self.origins.contains_key(&request) {
+            *self.sends.entry(request).or_default() += 1;
+        }
         let place = (target % NEXT_INCARNATION) as usize;
         let most = self.pattern.slots + self.most_waiting();
         let server = &mut self.servers[place];
@@ -355,22 +444,29 @@
 
     /// Tells an instance what has become of its request.
     fn end(&mut self, number: usize, request: RequestId, event: Event) {
-        let core = &mut self.cores[number];
         let fault = match event {
-            Event::Done => {
+            Event::Done | Event::Carried => {
+                self.tell_origin(request, true);
                 let counted =
                     self.came_at.get(&request).is_some_and(|at| *at >= BRITTLE_FROM);
                 self.result.answered += u32::from(counted);
-                let actions = core.finish(request, self.now);
+                self.served[number].1 += u32::from(counted);
+                let actions = self.cores[number].finish(request, self.now);
                 return self.take(number, actions);
             }
             Event::Refused => RouteFault::Full,
             Event::Broken => RouteFault::Broken,
             Event::Unreachable => RouteFault::Unreachable,
+            Event::Declined(sends) => {
+                self.cores[number].record_peer_sends(request, sends);
+                RouteFault::Declined
+            }
         };
+        let core = &mut self.cores[number];
         let (verdict, actions) = core.fail(request, fault, false, self.now);
         if verdict == RetryDecision::Stop {
             core.cancel(request, self.now);
+            self.tell_origin(request, false);
         }
         self.take(number, actions);
     }
--- a/crates/flaxtide-policy/src/router/choose.rs
+++ b/crates/flaxtide-policy/src/router/choose.rs
@@ -73,7 +73,8 @@
     Cheapest,
     /// No healthy server is left.
     LastResort,
-    /// The path to the servers is in doubt: a peer forwards the request.
+    /// The path to the servers is in doubt, or other instances have all their slots: a peer
+    /// forwards the request.
     Forwarded,
 }
 
--- a/crates/flaxtide-policy/src/router/forward.rs
+++ b/crates/flaxtide-policy/src/router/forward.rs
@@ -1,5 +1,6 @@
-//! Forwarding: while the path of this instance to the servers of a pool is in doubt, peers
-//! that reach them get the requests and pass them on.
+//! Forwarding: while the path of this instance to the servers of a pool is in doubt, or it has no
+//! share of the slots of servers that can refuse few requests, peers get the requests and pass
+//! them on.
 //!
 //! To the router, such a peer is one more server of the pool: its faults are recorded, its
 //! requests are counted, and retries are charged to the same budget. It has no place in the
@@ -90,8 +91,8 @@
         call: RouteCall,
         now: Duration,
     ) -> Vec<RouteAction> {
-        let reach = self.reach(call.pool);
-        if reach.is_doubtful() && reach.reached == 0 {
+        let state = self.pools.get(&call.pool);
+        if state.is_some_and(|it| it.needs_peers() && it.offered_reach().reached == 0) {
             // The peer tries another instance.
             return vec![RouteAction::Refuse {
                 request: call.request,
@@ -131,19 +132,19 @@
     }
 
     /// Chooses a peer for a request, or returns `None` if the request should be sent to a
-    /// server: the own path isn't in doubt, or no peer reaches more. While some servers are
-    /// reached, they get as large a fraction of the requests.
+    /// server: peers aren't needed, or none reaches more. While some servers are reached, they get
+    /// as large a fraction of the requests.
     pub(super) fn choose_forward_peer(
         &self,
         state: &RoutePool,
         call: &RoutedCall,
         now: Duration,
     ) -> Option<RouteChoice> {
-        if !state.reach.is_doubtful() {
+        if !state.needs_peers() {
             return None;
         }
         let draw = rendezvous_weight(call.details.request, self.seed) as f64;
-        if draw / (u64::MAX as f64) < state.reach.fraction() {
+        if draw / (u64::MAX as f64) < state.offered_reach().fraction() {
             return None;
         }
         let usable: Vec<&ServerState> = self.forward_peers(state, call, now).collect();
@@ -170,7 +171,7 @@
     /// Returns whether a peer can forward a request.
     pub(super) fn has_forward_peer(&self, call: &RoutedCall, now: Duration) -> bool {
         let state = self.pools.get(&call.details.pool);
-        let state = state.filter(|state| state.reach.is_doubtful());
+        let state = state.filter(|state| state.needs_peers());
         state.is_some_and(|state| self.forward_peers(state, call, now).next().is_some())
     }
 
@@ -182,7 +183,7 @@
         call: &'a RoutedCall,
         now: Duration,
     ) -> impl Iterator<Item = &'a ServerState> {
-        let own = state.reach.fraction();
+        let own = state.offered_reach().fraction();
         let reaches_more = move |reach: PoolReach| {
             let fraction = reach.fraction();
             fraction > own
--- a/crates/flaxtide-policy/src/router/mod.rs
+++ b/crates/flaxtide-policy/src/router/mod.rs
@@ -141,6 +141,8 @@
     pace: PoolPace,
     /// Whether this instance reaches the servers, as of the last update.
     reach: PoolReach,
+    /// Whether other instances have all slots of the servers, as of the last update.
+    lacks_share: bool,
     /// The probes of the servers while the path is in doubt.
     probes: ReachProbes,
     /// The mean time from dispatch to the end of the response, in seconds.
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -1,13 +1,14 @@
 //! Whether this instance reaches the servers of a pool. A single server that can't be reached
 //! may have failed; if most can't, the path of the instance itself is in doubt.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use flaxtide_core::{PoolId, ServerId};
 
 use super::server::ServerState;
 use super::table::ServerTable;
-use super::{RouteCore, find_server};
+use super::{RouteCore, RoutePool, find_server};
 
 /// How long a failed attempt to reach a server counts.
 const FAILURE_VALIDITY: Duration = Duration::from_secs(5);
@@ -200,25 +201,53 @@
     }
 }
 
-/// A change in whether the path to the servers of a pool is in doubt.
+/// A change in whether the path to the servers of a pool is in doubt, or in whether this instance
+/// has a share of their slots.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ReachChange {
     /// The pool.
     pub pool: PoolId,
     /// What is known of its servers.
     pub reach: PoolReach,
+    /// Whether the servers can refuse few requests, and other instances have all their slots.
+    pub lacks_share: bool,
+}
+
+impl RoutePool {
+    /// Returns whether peers should forward the requests of the pool: the path to its servers is
+    /// in doubt, or other instances have all their slots.
+    pub(super) fn needs_peers(&self) -> bool {
+        self.reach.is_doubtful() || self.lacks_share
+    }
+
+    /// Returns what this instance can reach for requests.
+    pub(super) fn offered_reach(&self) -> PoolReach {
+        let PoolReach { reached, failed, untried } = self.reach;
+        match self.lacks_share {
+            true => PoolReach {
+                reached: 0,
+                failed: failed + reached.max(1),
+                untried,
+            },
+            false => self.reach,
+        }
+    }
 }
 
 impl RouteCore {
-    /// Updates what is known of the paths to the servers. Returns the pools whose path has
-    /// come into doubt or is no longer in doubt.
+    /// Updates what is known of the paths to the servers, and whether this instance has a share
+    /// of their slots. Returns the pools of which either has changed.
     pub fn update_reach(&mut self, now: Duration) -> Vec<ReachChange> {
+        let lacking = self.pools.iter().filter(|(_, state)| self.lacks_share(state, now));
+        let lacking: HashSet<PoolId> = lacking.map(|(pool, _)| *pool).collect();
         let mut changes = vec![];
         for (pool, state) in &mut self.pools {
             let reach = PoolReach::count(&state.servers, now);
+            let lacks_share = lacking.contains(pool);
             let before = std::mem::replace(&mut state.reach, reach);
-            if before.is_doubtful() != reach.is_doubtful() {
-                changes.push(ReachChange { pool: *pool, reach });
+            let lacked = std::mem::replace(&mut state.lacks_share, lacks_share);
+            if before.is_doubtful() != reach.is_doubtful() || lacked != lacks_share {
+                changes.push(ReachChange { pool: *pool, reach, lacks_share });
             }
         }
         changes
@@ -232,16 +261,18 @@
             .map_or_else(PoolReach::default, |state| state.reach)
     }
 
-    /// Returns what is known of the paths to the servers of each pool.
+    /// Returns what this instance can reach for peers in each pool: no servers of one whose slots
+    /// are all those of others.
     #[must_use]
-    pub fn reached_pools(&self) -> Vec<(PoolId, PoolReach)> {
-        self.pools.iter().map(|(pool, state)| (*pool, state.reach)).collect()
+    pub fn offered_pools(&self) -> Vec<(PoolId, PoolReach)> {
+        let pools = self.pools.iter();
+        pools.map(|(pool, state)| (*pool, state.offered_reach())).collect()
     }
 
-    /// Returns the pools to whose servers the path is in doubt.
+    /// Returns the pools whose requests peers should forward.
     #[must_use]
-    pub fn doubtful_pools(&self) -> Vec<PoolId> {
-        let pools = self.pools.iter().filter(|(_, state)| state.reach.is_doubtful());
+    pub fn forwarding_pools(&self) -> Vec<PoolId> {
+        let pools = self.pools.iter().filter(|(_, state)| state.needs_peers());
         pools.map(|(pool, _)| *pool).collect()
     }
 
--- a/crates/flaxtide-policy/src/router/room.rs
+++ b/crates/flaxtide-policy/src/router/room.rs
@@ -3,8 +3,8 @@
 
 use std::time::Duration;
 
-use super::RouteCore;
 use super::server::ServerState;
+use super::{RouteCore, RoutePool};
 use crate::pushback::{REFUSAL_FRACTION, RefusalLimit};
 use crate::rendezvous::rendezvous_weight;
 
@@ -40,6 +40,23 @@
         share + if is_engine { self.open_room(server, limit, now) } else { 0.0 }
     }
 
+    /// Returns whether other instances have all slots of the servers of a pool that this instance
+    /// reaches, because the servers can refuse few requests.
+    pub(super) fn lacks_share(&self, pool: &RoutePool, now: Duration) -> bool {
+        if pool.refusals.is_none() {
+            return false;
+        }
+        let reached = pool.servers.values().filter(|server| {
+            server.listing.in_service() && !server.health.path().is_failed(now)
+        });
+        let has_share = |server: &ServerState| {
+            let limit = server.pushback.refusals.limit();
+            limit.is_none_or(|limit| limit.usable_share(now) > 0)
+        };
+        let mut shares = reached.map(has_share).peekable();
+        shares.peek().is_some() && !shares.any(|share| share)
+    }
+
     /// Returns this instance's part of the slots of an engine that no instance is known to
     /// use. About as many instances use these as the engine can refuse requests in a second:
     /// they don't know yet what the others have sent.
