Requests that crashes don't tell apart are tried one by one

What callers saw: sound requests that came often, and that no server had answered before the first ends, were refused as harmful for as long as they came.

Change: a quarantined request each of whose ends may be another's, one with three ends itself, is sent once more by one instance, at the earliest a second after its last end, at a moment that differs from request to request. An answer clears it; an end of its own accuses it alone. Until that is known callers get 503 (`suspected`) with Retry-After in place of 400; the same in the first second after the last end if there are other suspects. A request that others explain doesn't explain their ends.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -307,7 +307,7 @@
     route_call: RouteCall,
 ) -> CallerResponse {
     let state = call.state.clone();
-    if state.quarantine.is_quarantined(&request) {
+    if call.is_held(&request) {
         return call.reply_quarantined(&request);
     }
     let mut decision = state.await_decision(call.request_id);
--- a/crates/flaxtide-entry/src/forward/exchange.rs
+++ b/crates/flaxtide-entry/src/forward/exchange.rs
@@ -57,6 +57,7 @@
         return Err(match refusal.reply {
             LocalReply::TooLate
             | LocalReply::Quarantined
+            | LocalReply::Suspected
             | LocalReply::ServerFailed
             | LocalReply::TimedOut => SendFault::Refused(refusal),
             // The peer can't serve it, and another one may.
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -60,6 +60,8 @@
     pub(crate) longest_pause: Cell<Duration>,
     /// Whether a response has gone on for so long that no part of the prompt crashes servers.
     pub(crate) parts_proven: Cell<bool>,
+    /// Whether it is sent although it is quarantined, to find out whether it crashes servers.
+    is_trial: Cell<bool>,
     /// Whether [`Self::record_end`] has been called.
     end_recorded: Cell<bool>,
     /// When it was last sent to a server.
@@ -115,6 +117,7 @@
             first_event_after: Cell::new(None),
             longest_pause: Cell::new(Duration::ZERO),
             parts_proven: Cell::new(false),
+            is_trial: Cell::new(false),
             end_recorded: Cell::new(false),
             sent_at: Cell::new(received_at),
             usage,
@@ -225,17 +228,35 @@
         self.reply_locally(LocalReply::NoServer, Some(retry_after.min(MAX_RETRY_AFTER)))
     }
 
-    /// Responds to a request that crashes servers.
+    /// Returns whether the request must not be sent to any server, because it is quarantined and
+    /// isn't tried.
+    pub(crate) fn is_held(&self, request: &CallerRequest) -> bool {
+        let quarantine = &self.state.quarantine;
+        if self.is_trial.get() || !quarantine.is_quarantined(request) {
+            return false;
+        }
+        self.is_trial.set(quarantine.begin_trial(&self.state, request));
+        !self.is_trial.get()
+    }
+
+    /// Responds to a request that crashes servers, or that ran beside others which do.
     pub(crate) fn reply_quarantined(&self, request: &CallerRequest) -> CallerResponse {
         let found = self.state.quarantine.renew(&self.state, request);
+        let quarantine = &self.state.quarantine;
+        let is_uncertain = quarantine.is_uncertain(request, self.state.now());
         log::info!(
             request = self.attempt_id, class = self.class.class().name,
-            fingerprint = format!("{found:032x}");
+            fingerprint = format!("{found:032x}"), uncertain = is_uncertain;
             "quarantined"
         );
         if self.may_have_run.get() {
             return self.reply_locally(LocalReply::ServerFailed, None);
         }
+        if is_uncertain {
+            let retry_after = self.time_left() / RETRY_DIVISOR;
+            let retry_after = retry_after.min(MAX_RETRY_AFTER);
+            return self.reply_locally(LocalReply::Suspected, Some(retry_after));
+        }
         self.reply_locally(LocalReply::Quarantined, None)
     }
 
@@ -271,7 +292,7 @@
             return AttemptOutcome::TimedOut;
         }
         // It may have been quarantined while it waited in the queue.
-        if self.state.quarantine.is_quarantined(request) {
+        if self.is_held(request) {
             return AttemptOutcome::Quarantined;
         }
         self.server.set(Some(choice.server));
@@ -357,6 +378,7 @@
             self.servers_reached.set(self.servers_reached.get() + 1);
         }
         if !fault.not_run() {
+            self.is_trial.set(false);
             self.may_have_run.set(true);
             self.connection_suspect.set(true);
         }
@@ -367,7 +389,7 @@
             .state
             .with_router(|core, now| core.retry_counts(self.request_id, now));
         let mut decision = RetryDecision::Stop;
-        let quarantined = self.state.quarantine.is_quarantined(request);
+        let quarantined = self.is_held(request);
         self.state.run_router(|core, now| {
             if quarantined {
                 return core.fail_without_retry(self.request_id, fault, now);
--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -1,6 +1,7 @@
 //! Requests and prompt parts that crash backend servers, as seen by this instance and its peers.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::time::Duration;
 
 use flaxtide_core::ServerId;
@@ -30,6 +31,9 @@
 /// The most parts of a prompt that a log line names.
 const MAX_LOGGED_PARTS: usize = 8;
 
+/// How long a request that is tried is waited for before it may be tried again.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// How often entries are removed whose requests haven't been seen for long.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(10);
 
@@ -47,6 +51,8 @@
     answered: AnsweredRequests,
     /// Reports that the fleet thread hasn't accepted yet, and when they were made.
     unsent: RefCell<Vec<(Duration, Vec<CrashReport>)>>,
+    /// When quarantined requests were last tried.
+    trials: RefCell<HashMap<Fingerprint, Duration>>,
     /// Whether a peer has sent its crash log, or there are no peers.
     synced: Cell<bool>,
     /// When old entries were last removed.
@@ -67,6 +73,52 @@
         self.find_quarantined(request).is_some()
     }
 
+    /// Returns whether a quarantined request may be sent to a server, to find out whether it
+    /// crashes it: it can't be told from others by its crashes, and this instance is the one to
+    /// try it. Records that it is tried.
+    pub(crate) fn begin_trial(
+        &self,
+        state: &TrafficState,
+        request: &CallerRequest,
+    ) -> bool {
+        let fingerprint = request.fingerprint();
+        let now = state.now();
+        let log = self.log.borrow();
+        let is_due = log.trial_due(fingerprint).is_some_and(|due| now >= due);
+        if !is_due
+            || !self.is_held_alone(request)
+            || !state.with_router(|core, _| core.owns(fingerprint as u64))
+        {
+            return false;
+        }
+        let mut trials = self.trials.borrow_mut();
+        trials.retain(|_, began| now < *began + TRIAL_TIMEOUT);
+        let is_first = !trials.contains_key(&fingerprint);
+        if is_first {
+            trials.insert(fingerprint, now);
+            log::info!(
+                request = request.attempt_id.clone().unwrap_or_default(),
+                fingerprint = format!("{fingerprint:032x}");
+                "quarantined request tried"
+            );
+        }
+        is_first
+    }
+
+    /// Returns whether it isn't certain yet that a quarantined request crashes servers: it can't be
+    /// told by its crashes from others that ran there, or more may become known of the last one.
+    pub(crate) fn is_uncertain(&self, request: &CallerRequest, now: Duration) -> bool {
+        let log = self.log.borrow();
+        self.is_held_alone(request) && !log.is_conclusive(request.fingerprint(), now)
+    }
+
+    /// Returns whether a request is quarantined and none of its parts is.
+    fn is_held_alone(&self, request: &CallerRequest) -> bool {
+        let log = self.log.borrow();
+        log.is_quarantined(request.fingerprint())
+            && log.find_quarantined_part(&request.shared_parts).is_none()
+    }
+
     /// Returns what keeps a request from being sent to any server, if anything does.
     fn find_quarantined(&self, request: &CallerRequest) -> Option<Fingerprint> {
         let log = self.log.borrow();
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -47,6 +47,9 @@
     TooLate,
     /// Servers exit when they run the request, so it is sent to none.
     Quarantined,
+    /// Servers exited while they ran the request and others that came as often, so it is sent to
+    /// none until it is known which of these they exit by.
+    Suspected,
     /// A server failed, and may have run the request.
     ServerFailed,
     /// The deadline has passed, and a server may have run the request.
@@ -55,7 +58,7 @@
 
 impl LocalReply {
     /// All replies.
-    const ALL: [Self; 15] = [
+    const ALL: [Self; 16] = [
         Self::Malformed,
         Self::BodyTooLarge,
         Self::BodyTooSlow,
@@ -69,6 +72,7 @@
         Self::NoServer,
         Self::TooLate,
         Self::Quarantined,
+        Self::Suspected,
         Self::ServerFailed,
         Self::TimedOut,
     ];
@@ -99,7 +103,8 @@
             | Self::VersionUnknown
             | Self::Stopping
             | Self::NoServer
-            | Self::TooLate => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TooLate
+            | Self::Suspected => StatusCode::SERVICE_UNAVAILABLE,
             Self::ServerFailed => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
         }
@@ -121,6 +126,7 @@
             Self::NoServer => "no_server",
             Self::TooLate => "too_late",
             Self::Quarantined => "quarantined",
+            Self::Suspected => "suspected",
             Self::ServerFailed => "server_failed",
             Self::TimedOut => "timed_out",
         }
@@ -143,6 +149,7 @@
             Self::NoServer
                 | Self::TooLate
                 | Self::Quarantined
+                | Self::Suspected
                 | Self::ServerFailed
                 | Self::TimedOut
         )
@@ -161,7 +168,8 @@
             | Self::TooManyForwarded
             | Self::Stopping
             | Self::NoServer
-            | Self::TooLate => "it hasn't run; come back after the time in Retry-After",
+            | Self::TooLate
+            | Self::Suspected => "it hasn't run; come back after the time in Retry-After",
             Self::VersionUnknown => {
                 "it hasn't run; come back after the time in Retry-After, or begin the stream \
                  anew"
--- a/crates/flaxtide-policy/src/pushback/group.rs
+++ b/crates/flaxtide-policy/src/pushback/group.rs
@@ -141,6 +141,28 @@
         slots / count + u32::from(preceding < u64::from(slots % count))
     }
 
+    /// Returns whether this instance, of all that are alive, is the one to which a key belongs.
+    ///
+    /// ```
+    /// use flaxtide_policy::{GroupMember, InstanceGroup};
+    /// let member = |instance| GroupMember { instance, data_centre: 1 };
+    /// let group = |own| InstanceGroup {
+    ///     own: member(own),
+    ///     members: (0..9).map(member).collect(),
+    ///     other_data_centres: vec![],
+    /// };
+    /// assert_eq!((0..9).filter(|own| group(*own).owns(7)).count(), 1);
+    /// ```
+    #[must_use]
+    pub fn owns(&self, key: u64) -> bool {
+        let weight = |member: &GroupMember| {
+            (rendezvous_weight(key, u64::from(member.instance)), member.instance)
+        };
+        let own = weight(&self.own);
+        self.is_first_data_centre(key)
+            && self.members.iter().all(|member| weight(member) <= own)
+    }
+
     /// Returns this instance's rank among the watchers of an engine: 0 for the first, 1 for
     /// the second, `None` if it isn't one of them. Two instances watch an engine, as one
     /// may be gone; those in the engine's data centre come first.
@@ -211,11 +233,15 @@
         if has_members || self.other_data_centres.is_empty() {
             return true;
         }
-        if self.other_data_centres.contains(&data_centre) {
-            return false;
-        }
+        !self.other_data_centres.contains(&data_centre)
+            && self.is_first_data_centre(name_hash)
+    }
+
+    /// Returns whether rendezvous hashing ranks the own data centre before the others that have
+    /// instances which aren't members.
+    fn is_first_data_centre(&self, key: u64) -> bool {
         let weight = |candidate: DataCentreKey| {
-            (rendezvous_weight(name_hash, candidate.into()), candidate)
+            (rendezvous_weight(key, candidate.into()), candidate)
         };
         let own = weight(self.own.data_centre);
         self.other_data_centres.iter().all(|other| weight(*other) < own)
--- a/crates/flaxtide-policy/src/quarantine/log.rs
+++ b/crates/flaxtide-policy/src/quarantine/log.rs
@@ -14,7 +14,7 @@
 /// A request or part is quarantined once this many independent crashes have no better
 /// explanation. Two may be a coincidence where a server runs dozens of requests at once,
 /// and each further crash costs all requests that run there.
-const CRASH_LIMIT: usize = 3;
+pub(super) const CRASH_LIMIT: usize = 3;
 
 /// A request or part with this many independent crashes is quarantined even if others
 /// explain them: an innocent one doesn't meet so many by chance.
@@ -144,9 +144,16 @@
         request: Fingerprint,
         parts: &[u64],
     ) -> Option<Fingerprint> {
-        if self.is_quarantined(request) {
-            return Some(request);
+        match self.is_quarantined(request) {
+            true => Some(request),
+            false => self.find_quarantined_part(parts),
         }
+    }
+
+    /// Returns which of some prompt parts keeps requests with all of them from being sent to any
+    /// server, or `None` if none does.
+    #[must_use]
+    pub fn find_quarantined_part(&self, parts: &[u64]) -> Option<Fingerprint> {
         let parts = parts.iter().map(|part| part_fingerprint(*part));
         let suspects = parts.clone().filter(|part| self.is_quarantined(*part));
         let suspects: Vec<Fingerprint> = suspects.collect();
@@ -199,7 +206,7 @@
     }
 
     /// Returns whether another suspect on the server has a higher score than `score`, and so
-    /// explains the crash. Without this check, a request that ran beside three requests that
+    /// explains the crash, unless others explain all crashes of that one. Without this check, a request that ran beside three requests that
     /// crash servers would be quarantined with them. A request that came again and again
     /// explains the crashes of its parts: a part that is to blame has more than any request.
     fn has_stronger_suspect(
@@ -208,14 +215,40 @@
         score: SuspicionScore,
         is_part: bool,
     ) -> bool {
-        let fingerprints = self.suspects_by_server.get(&server).into_iter().flatten();
-        let mut suspects = fingerprints
-            .filter_map(|other| Some((part_of(*other), self.suspects.get(other)?)));
-        suspects.any(|(part, other)| {
-            other.score() > score || (is_part && part.is_none() && other.score() == score)
+        self.suspects_of(server).any(|(fingerprint, other)| {
+            let is_request = part_of(fingerprint).is_none();
+            let is_stronger = other.score() > score
+                || (is_part && is_request && other.score() == score);
+            // One that comes often runs at the crashes of several others.
+            let is_frequent = other.score().0 > score.0 && self.is_ambiguous(fingerprint);
+            is_stronger && !is_frequent
+        })
+    }
+
+    /// Returns a request or part that was running when a server crashed.
+    pub(super) fn suspect(&self, fingerprint: Fingerprint) -> Option<&Suspect> {
+        self.suspects.get(&fingerprint)
+    }
+
+    /// Returns whether any other request isn't cleared of a crash.
+    pub(super) fn has_other_suspects(&self, fingerprint: Fingerprint) -> bool {
+        let mut others = self.suspects.iter();
+        others.any(|(other, suspect)| {
+            *other != fingerprint
+                && part_of(*other).is_none()
+                && suspect.open_servers().next().is_some()
         })
     }
 
+    /// Returns the requests and parts that were running when a server crashed.
+    pub(super) fn suspects_of(
+        &self,
+        server: IncarnationKey,
+    ) -> impl Iterator<Item = (Fingerprint, &Suspect)> {
+        let fingerprints = self.suspects_by_server.get(&server).into_iter().flatten();
+        fingerprints.filter_map(|other| Some((*other, self.suspects.get(other)?)))
+    }
+
     /// Returns whether a server is known to have crashed while it ran a request.
     #[must_use]
     pub fn has_crashed(&self, server: IncarnationKey) -> bool {
--- a/crates/flaxtide-policy/src/quarantine/mod.rs
+++ b/crates/flaxtide-policy/src/quarantine/mod.rs
@@ -9,6 +9,7 @@
 mod log;
 mod report;
 mod suspect;
+mod trial;
 
 pub use self::fingerprint::{
     Fingerprint, part_fingerprint, part_of, request_fingerprint,
--- a/crates/flaxtide-policy/src/quarantine/suspect.rs
+++ b/crates/flaxtide-policy/src/quarantine/suspect.rs
@@ -97,6 +97,13 @@
         open.map(|(server, _)| *server)
     }
 
+    /// Returns the last crash that it isn't cleared of: the server, and when it crashed.
+    pub(super) fn last_crash(&self) -> Option<(IncarnationKey, Duration)> {
+        let open = self.crashes.iter().filter(|(_, crash)| !crash.cleared);
+        let open = open.map(|(server, crash)| (*server, crash.at));
+        open.max_by_key(|(server, at)| (*at, *server))
+    }
+
     /// Returns whether it isn't cleared of the crash of a server.
     pub(super) fn has_open_crash(&self, server: IncarnationKey) -> bool {
         self.crashes.get(&server).is_some_and(|crash| !crash.cleared)
--- a/crates/flaxtide-policy/src/router/pushback.rs
+++ b/crates/flaxtide-policy/src/router/pushback.rs
@@ -70,6 +70,13 @@
         self.end_old_refusals(now);
     }
 
+    /// Returns whether this instance, of all that are alive, is the one to which a key belongs;
+    /// none is until membership is known.
+    #[must_use]
+    pub fn owns(&self, key: u64) -> bool {
+        self.group.as_ref().is_some_and(|group| group.owns(key))
+    }
+
     /// Applies the statement in a server's response to a request that was sent at `sent`.
     /// Returns what changed, if anything.
     pub fn record_statement(
--- a/crates/flaxtide-policy/tests/quarantine.rs
+++ b/crates/flaxtide-policy/tests/quarantine.rs
@@ -314,3 +314,73 @@
         prop_assert_eq!(left.suspect_count(), right.suspect_count());
     }
 }
+
+// Guards against sound requests that came as often as a harmful one being refused for as long as they
+// come: their crashes alone don't tell them apart.
+#[test]
+fn requests_that_crashes_do_not_tell_apart_are_tried_one_by_one() {
+    let together: Vec<Crash> = (0..3)
+        .flat_map(|server: u32| {
+            let sent = u64::from(server) * 1000;
+            [CULPRIT, INNOCENT].map(|it| (it, server, sent, sent + 60, false))
+        })
+        .collect();
+    let mut log = log_of(&together);
+    let last = ms(2060);
+    for request in [CULPRIT, INNOCENT] {
+        assert!(log.is_quarantined(request));
+        let due = log.trial_due(request).expect("a trial");
+        assert!(due >= last + ms(1000) && due <= last + ms(3000), "{due:?}");
+    }
+    // The trial of the innocent one is answered: the crashes accuse the other one alone.
+    log.clear(INNOCENT, ms(4000));
+    assert!(!log.is_quarantined(INNOCENT));
+    assert!(log.is_quarantined(CULPRIT));
+    assert_eq!(log.trial_due(CULPRIT), None);
+}
+
+// Guards against the same for a request that ran at more crashes than each of the harmful ones.
+#[test]
+fn a_request_that_ran_beside_several_harmful_ones_is_tried() {
+    let beside = |culprit: Fingerprint, first: u32| {
+        (first..first + 3).flat_map(move |server| {
+            let sent = u64::from(server) * 1000;
+            [culprit, INNOCENT].map(|it| (it, server, sent, sent + 60, false))
+        })
+    };
+    let log = log_of(&beside(CULPRIT, 0).chain(beside(3, 3)).collect::<Vec<Crash>>());
+    assert!(log.is_quarantined(INNOCENT));
+    assert!(log.trial_due(INNOCENT).is_some());
+    // It doesn't explain their crashes, though it ran at more.
+    assert!(log.is_quarantined(CULPRIT) && log.is_quarantined(3));
+}
+
+// Guards against a request being tried again whose trial has crashed a server.
+#[test]
+fn a_request_whose_trial_crashed_a_server_is_not_tried_again() {
+    let crash = |request, server: u32| {
+        let sent = u64::from(server) * 1000;
+        (request, server, sent, sent + 60, false)
+    };
+    let both = (0..3).flat_map(|server| [CULPRIT, INNOCENT].map(|it| crash(it, server)));
+    let tried = [crash(CULPRIT, 5)];
+    let log = log_of(&both.chain(tried).collect::<Vec<Crash>>());
+    assert!(log.is_quarantined(CULPRIT));
+    assert_eq!(log.trial_due(CULPRIT), None);
+    assert!(!log.is_conclusive(CULPRIT, ms(6000)));
+    assert!(log.is_conclusive(CULPRIT, ms(6060)));
+    // What the other one is accused of is explained now.
+    assert!(!log.is_quarantined(INNOCENT));
+}
+
+#[test]
+fn a_request_that_crashes_accuse_alone_is_not_tried() {
+    let beside = (0..3).map(|server: u32| {
+        let sent = u64::from(server) * 100;
+        (INNOCENT + u128::from(server), server, sent, sent + 60, false)
+    });
+    let log = log_of(&[alone(0..3), beside.collect()].concat());
+    assert!(log.is_quarantined(CULPRIT));
+    assert_eq!(log.trial_due(CULPRIT), None);
+    assert!(log_of(&alone(0..3)).is_conclusive(CULPRIT, ms(260)));
+}
