--- a/crates/flaxtide-policy/src/quarantine/log.rs
+++ b/crates/flaxtide-policy/src/quarantine/log.rs
@@ -206,9 +206,10 @@
     }
 
     /// Returns whether another suspect on the server has a higher score than `score`, and so
-    /// explains the crash, unless others explain all crashes of that one. Without this check, a request that ran beside three requests that
-    /// crash servers would be quarantined with them. A request that came again and again
-    /// explains the crashes of its parts: a part that is to blame has more than any request.
+    /// explains the crash, unless others explain all crashes of that one. Without this check,
+    /// a request that ran beside three requests that crash servers would be quarantined with
+    /// them. A request that came again and again explains the crashes of its parts: a part
+    /// that is to blame has more than any request.
     fn has_stronger_suspect(
         &self,
         server: IncarnationKey,
