Peers' answers tell an outage of the platform from one's own lack of news

Callers: requests reached servers up to 3.7 s after these had left, of 3 s. Cause: an instance without news for 2 s, behind a reader that couldn't answer or after one failed call, took that for an outage of the platform, in which rows of sound servers lapse, and kept servers whose rows it then found missing 2.2 s more, without a cap. The platform had answered its peers all the while. Change: replies to heartbeats tell for how long the platform has been answering the replying instance, itself or through its reader. An instance joins what peers of its own data centre tell (servers of a data centre that is cut off can't renew their rows, whoever else is answered). A row is gone if it was found missing when the platform had been answering for as long as servers take to rewrite their rows, also if that is told later. Gaps are outages by the renewal period of rows instead of a fixed time. Ages are taken so that time on the way only lengthens a gap, and what peers tell isn't told again.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -9,7 +9,9 @@
 use std::time::Duration;
 
 use flaxtide_core::ServerName;
+use flaxtide_fleet::AnswerSpan;
 
+use crate::answers::max_answer_gap;
 use crate::contract::ServerEntry;
 use crate::lapse::{MissingRow, OutageSpan, ServiceLapses, grace_end};
 
@@ -42,8 +44,10 @@
     missing: BTreeSet<ServerName>,
     /// The number of servers of each service.
     service_sizes: HashMap<String, usize>,
-    /// The last outage of the platform.
+    /// The last outage of the platform, as this instance took its own lack of news for one.
     outage: Option<OutageSpan>,
+    /// For how long the platform has been answering instances of the data centre.
+    answers: Option<AnswerSpan>,
     /// The time within which a leaving server must get no more requests.
     leave_within: Duration,
     /// How often servers renew their rows.
@@ -127,6 +131,7 @@
             missing: BTreeSet::new(),
             service_sizes: HashMap::new(),
             outage: None,
+            answers: None,
             leave_within,
             era: 0,
             departed: BTreeMap::new(),
@@ -134,7 +139,13 @@
         }
     }
 
-    /// Records that the platform is unavailable.
+    /// Records for how long the platform has been answering instances of the data centre.
+    pub fn record_answers(&mut self, answers: AnswerSpan) {
+        self.answers = Some(answers);
+    }
+
+    /// Records that this instance has had no news of the platform for long, which is an outage
+    /// unless the platform has been answering other instances.
     pub fn record_outage(&mut self, now: Duration) {
         self.outage = Some(OutageSpan::extend(self.outage, now));
     }
@@ -297,9 +308,12 @@
         let missing: Vec<(&ServerName, &str, MissingRow)> = missing.collect();
         let rows = missing.iter().map(|(_, service, row)| (*service, *row));
         let lapses = ServiceLapses::new(rows, &self.service_sizes);
+        let max_gap = max_answer_gap(self.renewal_period);
         let expired = missing.iter().filter(|(_, service, row)| {
             let extent = lapses.extent(service, *row);
-            now >= grace_end(*row, extent, self.outage, self.leave_within)
+            let gone = |answers| row.is_gone(answers, max_gap, self.leave_within);
+            let outage = self.outage.filter(|_| !self.answers.is_some_and(gone));
+            now >= grace_end(*row, extent, outage, self.leave_within)
         });
         let expired: Vec<ServerName> =
             expired.map(|(name, ..)| (*name).clone()).collect();
--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -10,7 +10,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
-    DutyHolder, EngineDigest, FleetCommand, FleetKey, FleetNode, FleetThread,
+    AnswerSpan, DutyHolder, EngineDigest, FleetCommand, FleetKey, FleetNode, FleetThread,
     FleetTiming, FleetUpdate, LinkBytes, NodeEvent, NodeStatus, OwnLoad, PartRead,
     PartUpdate, PeerInfo, ReachRequest, RowRequest, SettingsCopy, fleet_key,
 };
@@ -20,6 +20,7 @@
 };
 use tokio::sync::mpsc;
 
+use crate::answers::max_answer_gap;
 use crate::config::EntryConfig;
 use crate::contract::{FeedTopic, PlatformFeed};
 use crate::error::EntryError;
@@ -165,7 +166,7 @@
     let shared_rules = shared.clone();
     let received = metrics.rules_copies.with_label_values(&["received"]);
     let given = metrics.rules_copies.with_label_values(&["given"]);
-    let seeds = config.seeds.clone();
+    let (seeds, row_renewal) = (config.seeds.clone(), config.row_renewal);
     let opened = FleetThread::listen(
         config.fleet,
         MilliClock::real(),
@@ -183,6 +184,7 @@
         |_| {
             let timing = FleetTiming {
                 single_group_limit: SINGLE_GROUP_LIMIT,
+                max_answer_gap: max_answer_gap(row_renewal),
                 ..FleetTiming::default()
             };
             let mut node = FleetNode::new(own, rand::random(), timing);
@@ -345,6 +347,13 @@
         let recent = node.period() + PUBLISH_PERIOD * 2;
         let reads = reads.iter().filter(|(age, _)| *age < recent).map(|(_, read)| *read);
         let reads = reads.collect();
+        // The clocks of the node and of the source began at different times.
+        let source_now = source.clock().now();
+        if let Some(span) = node.peer_answers() {
+            source.answers().record_peers(shift(span, now, source_now));
+        }
+        let answers = source.answers().own();
+        let answers = answers.map(|span| shift(span, source_now, now));
         node.set_status(
             NodeStatus {
                 loads,
@@ -353,6 +362,7 @@
                 engines,
                 parts,
                 reach,
+                answers,
                 ..NodeStatus::default()
             },
             now,
@@ -387,6 +397,15 @@
     }
 }
 
+/// Converts a span from one clock to another, given the time on both.
+pub(crate) fn shift(span: AnswerSpan, from: Duration, to: Duration) -> AnswerSpan {
+    let shifted = |at: Duration| to.saturating_sub(from.saturating_sub(at));
+    AnswerSpan {
+        since: shifted(span.since),
+        until: shifted(span.until),
+    }
+}
+
 /// Converts a prefill of a server to the form for peers, with its age.
 fn to_part_read(
     state: &TrafficState,
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -188,6 +188,7 @@
                 }
                 let was_outage = state.is_outage(now);
                 let covered_until = covered_until(called, now, wait);
+                self.record_answer(now.saturating_sub(called));
                 let unseen = state.record_coverage(covered_until, now);
                 // Changes before the call would have been answered without a wait.
                 let unseen = match covered_until > called {
@@ -200,7 +201,9 @@
                 delivered
             }
             Err(fault) => {
-                if fault != FeedError::HistoryGone {
+                if fault == FeedError::HistoryGone {
+                    self.record_answer(clock.now().saturating_sub(called));
+                } else {
                     let leave_within = self.source.leave_within();
                     backoff.record_failure(leave_within, rand::random(), clock.now());
                 }
@@ -267,9 +270,19 @@
         self.topic != FeedTopic::Servers || self.send_event(event)
     }
 
+    /// Records that the platform answered with the server list so long ago, unless another topic is
+    /// followed: it may keep the two in different places.
+    fn record_answer(&self, age: Duration) {
+        if self.topic == FeedTopic::Servers {
+            let at = self.source.clock().now().saturating_sub(age);
+            self.source.answers().record_own(at);
+        }
+    }
+
     /// Tells the traffic thread that it has been sent all changes of the topic up to so long ago.
     /// Returns whether it still receives events.
     fn send_coverage(&self, age: Duration) -> bool {
+        self.record_answer(age);
         let until = self.source.clock().now().saturating_sub(age);
         self.send_event(FeedEvent::Covered(self.topic, until))
     }
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -188,6 +188,7 @@
         let source = Arc::new(ServerListSource::new(
             config.leave_within,
             config.rules_within,
+            config.row_renewal,
             !config.seeds.is_empty(),
         ));
         for topic in [FeedTopic::Rules, FeedTopic::Servers] {
--- a/crates/flaxtide-entry/src/lapse.rs
+++ b/crates/flaxtide-entry/src/lapse.rs
@@ -6,7 +6,9 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::budget::LeaveBudget;
+use flaxtide_fleet::AnswerSpan;
+
+use crate::budget::{LeaveBudget, MAX_AGE_FRACTION};
 
 /// How long a server whose row is missing stays in use if nothing points to an outage, as a
 /// fraction of `leave_within`, the time within which a leaving server must get no more
@@ -67,6 +69,22 @@
     pub(crate) last_seen_at: Duration,
 }
 
+impl MissingRow {
+    /// Returns whether the row was found missing when the platform had been answering instances for
+    /// so long that it would have been back, had it lapsed in an outage. `max_gap` is the longest
+    /// gap between two answers that isn't an outage.
+    pub(crate) fn is_gone(
+        self,
+        answers: AnswerSpan,
+        max_gap: Duration,
+        leave_within: Duration,
+    ) -> bool {
+        let read_age = leave_within.mul_f64(MAX_AGE_FRACTION);
+        answers.since + RECOVERY_GRACE + read_age <= self.noticed_at
+            && self.noticed_at <= answers.until + max_gap
+    }
+}
+
 /// How many rows of a service disappeared together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum LapseExtent {
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -14,6 +14,7 @@
 //! [`WireDialect`] and [`PlatformFeed`].
 
 mod admission;
+mod answers;
 mod backoff;
 mod body;
 mod budget;
@@ -69,6 +70,7 @@
 mod write_gate;
 
 pub use self::admission::AdmissionLimit;
+pub use self::answers::{PlatformAnswers, max_answer_gap};
 pub use self::backoff::PeerBackoff;
 pub use self::budget::LeaveBudget;
 pub use self::config::{DutyConfig, EntryConfig};
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -1,6 +1,7 @@
 //! Passes the servers of the directory to the router.
 
 use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
 
 use flaxtide_core::{PoolId, ServerId, ServerName};
 use flaxtide_fleet::fleet_key;
@@ -9,6 +10,7 @@
 
 use crate::contract::BackendService;
 use crate::directory::DirectoryEntry;
+use crate::fleet::shift;
 use crate::state::TrafficState;
 use crate::version_counts::ListedServices;
 
@@ -220,9 +222,21 @@
     if !state.directory.borrow().has_missing_rows() {
         return;
     }
-    let removed = state.directory.borrow_mut().expire(state.now());
+    let (now, source_now) = (state.now(), state.source.clock().now());
+    let answers = state.source.answers().known();
+    let answers = answers.map(|span| shift(span, source_now, now));
+    if let Some(answers) = answers {
+        state.directory.borrow_mut().record_answers(answers);
+    }
+    let removed = state.directory.borrow_mut().expire(now);
     for server in &removed {
-        log::info!(server; "server removed: the platform has not listed it for too long");
+        let age_ms = |at: Duration| now.saturating_sub(at).as_millis() as u64;
+        let answered_ms = answers.map(|span| age_ms(span.until));
+        let answering_ms = answers.map(|span| age_ms(span.since));
+        log::info!(
+            server, answered_ms:?, answering_ms:?;
+            "server removed: the platform has not listed it for too long"
+        );
     }
     if !removed.is_empty() {
         state.update_router_servers_named(&removed);
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -10,6 +10,7 @@
 use flaxtide_core::{MilliClock, SettingsVersion, StoreVersion};
 use flaxtide_fleet::{ListPlan, ListReader, RowAnswer, RowChanges, RowRequest};
 
+use crate::answers::{PlatformAnswers, max_answer_gap};
 use crate::backoff::PeerBackoff;
 use crate::budget::{
     ANSWER_MARGIN_FRACTION, CALL_PAUSE_FRACTION, CALL_WINDOW_FRACTION, MAX_AGE_FRACTION,
@@ -57,6 +58,8 @@
     list_age: ListAge,
     /// The age of the rules that the traffic thread goes by.
     rules_age: RulesAge,
+    /// For how long the platform has been answering the data centre.
+    answers: PlatformAnswers,
     /// The mutable state behind the lock.
     state: Mutex<SourceState>,
 }
@@ -82,10 +85,12 @@
 impl ServerListSource {
     /// Creates a source with no peer to ask. `leave_within` is the time within which a
     /// leaving server must stop getting requests, `rules_within` the one within which new rules
-    /// must be in force, and `has_peers` says whether there may be peers.
+    /// must be in force, `row_renewal` how often servers renew their rows, and `has_peers` says
+    /// whether there may be peers.
     pub(crate) fn new(
         leave_within: Duration,
         rules_within: Duration,
+        row_renewal: Duration,
         has_peers: bool,
     ) -> Self {
         let clock = MilliClock::real();
@@ -104,6 +109,7 @@
             leave_within,
             list_age: ListAge::new(leave_within),
             rules_age: RulesAge::new(rules_within),
+            answers: PlatformAnswers::new(max_answer_gap(row_renewal)),
             state: Mutex::new(state),
         }
     }
@@ -123,6 +129,11 @@
         &self.rules_age
     }
 
+    /// Returns for how long the platform has been answering the data centre, on [`Self::clock`].
+    pub(crate) fn answers(&self) -> &PlatformAnswers {
+        &self.answers
+    }
+
     /// Sets the peers to ask. Returns whether they have changed.
     pub(crate) fn set_plan(&self, plan: ListPlan) -> bool {
         let now = self.clock.now();
--- a/crates/flaxtide-entry/tests/directory.rs
+++ b/crates/flaxtide-entry/tests/directory.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use flaxtide_entry::{FeedError, FollowState, ServerDirectory, ServerEntry};
+use flaxtide_fleet::AnswerSpan;
 
 /// The time within which a leaving server must get no more requests.
 const LEAVE_WITHIN: Duration = Duration::from_secs(3);
@@ -232,3 +233,49 @@
         assert!(removed_at >= Some(15_300), "gap: {has_gap}, {removed_at:?}");
     }
 }
+
+/// Returns how long after its row was last known a server is removed by an instance that had no news
+/// for `unseen`, behind readers that couldn't answer, while the platform answered as `answers` says.
+/// That is told at `told_at` at the latest.
+fn removed_after_silence(unseen: u64, answers: AnswerSpan, told_after: u64) -> u64 {
+    let (mut directory, noticed_at) = (directory(), 20_000 + unseen);
+    directory.record_outage(ms(noticed_at));
+    directory.mark_missing_within("i-0", ms(unseen), ms(noticed_at));
+    let mut ticks = (noticed_at..noticed_at + 20_000).step_by(100);
+    let removed_at = ticks.find(|now| {
+        if *now >= noticed_at + told_after {
+            directory.record_answers(answers);
+        }
+        !directory.expire(ms(*now)).is_empty()
+    });
+    removed_at.unwrap() - 20_000
+}
+
+/// Guards against an instance that takes its own lack of news for an outage of the platform. Seen:
+/// it kept the server of a vanished row for 2.2 s more, while its peers had been answered.
+#[test]
+fn an_instance_without_news_removes_a_server_in_time_if_peers_had_answers() {
+    for unseen in [2_157, 2_256, 2_279, 2_471, 2_823] {
+        let answers = AnswerSpan { since: ms(0), until: ms(20_000 + unseen) };
+        for told_after in [0, 100] {
+            let removed_after = removed_after_silence(unseen, answers, told_after);
+            assert!(
+                removed_after < 3_000,
+                "unseen for {unseen} ms, removed after {removed_after} ms"
+            );
+        }
+    }
+}
+
+/// Guards against the opposite: answers since the platform's return, or from before its outage, say
+/// nothing of rows that lapsed in between.
+#[test]
+fn answers_before_and_after_an_outage_leave_servers_in_use() {
+    let unseen = 5_000;
+    let before = AnswerSpan { since: ms(0), until: ms(20_500) };
+    let after = AnswerSpan { since: ms(24_900), until: ms(25_000) };
+    for answers in [before, after] {
+        let removed_after = removed_after_silence(unseen, answers, 0);
+        assert!(removed_after >= unseen + 2_000, "{answers:?}: {removed_after}");
+    }
+}
--- a/crates/flaxtide-fleet/src/lib.rs
+++ b/crates/flaxtide-fleet/src/lib.rs
@@ -5,6 +5,7 @@
 //! organisations. All of it is soft state: it is refreshed every few periods, and expires if it
 //! isn't. [`FleetThread`] exchanges the messages over tarpc.
 
+mod answers;
 mod changes;
 mod counted;
 mod duty;
@@ -27,6 +28,7 @@
 mod versions;
 mod wire;
 
+pub use self::answers::{AnswerAges, AnswerSpan};
 pub use self::counted::LinkBytes;
 pub use self::duty::{UnconfirmedUsage, UsageExchange};
 pub use self::info::PeerInfo;
--- a/crates/flaxtide-fleet/src/node/heartbeats.rs
+++ b/crates/flaxtide-fleet/src/node/heartbeats.rs
@@ -253,6 +253,7 @@
                 vec![]
             },
             duty: self.duty,
+            answers: self.status.answers.map(|answers| answers.ages(now)),
         }
     }
 
--- a/crates/flaxtide-fleet/src/node/mod.rs
+++ b/crates/flaxtide-fleet/src/node/mod.rs
@@ -1,6 +1,7 @@
 //! The state of one instance in the fleet, without I/O: its inputs are messages and the time,
 //! its outputs are messages and events.
 
+mod answers;
 mod crashes;
 mod digest;
 mod divide;
@@ -40,6 +41,7 @@
 pub use self::settings::SettingsSource;
 use self::settings::SettingsState;
 pub use self::timing::FleetTiming;
+use crate::answers::AnswerSpan;
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::peer::PeerRecord;
@@ -96,6 +98,9 @@
     pub usage: Vec<UsageCount>,
     /// Which servers the instance reaches, and where it takes forwarded requests.
     pub reach: ReachReply,
+    /// For how long the platform has been answering the instance, itself or through its reader, on
+    /// the clock of the node.
+    pub answers: Option<AnswerSpan>,
 }
 
 /// A heartbeat to be sent to a peer.
@@ -167,6 +172,8 @@
     evacuations: EvacuationLog,
     /// The known holder of the fleet-wide duties.
     duty: Option<DutyHolder>,
+    /// For how long the platform has been answering peers of this data centre.
+    peer_answers: Option<AnswerSpan>,
     /// The number of loads in the last digest from another data centre.
     digest_load_count: usize,
     /// All known peers, by name.
@@ -226,6 +233,7 @@
             pushback: PushbackState::default(),
             evacuations: EvacuationLog::default(),
             duty: None,
+            peer_answers: None,
             digest_load_count: 0,
             timing,
             leaving: false,
--- a/crates/flaxtide-fleet/src/node/timing.rs
+++ b/crates/flaxtide-fleet/src/node/timing.rs
@@ -30,6 +30,8 @@
     pub longest_digest_period: Duration,
     /// The number of silent heartbeat or digest periods after which a peer counts as dead.
     pub missed_heartbeats: u32,
+    /// The longest gap between two answers of the platform that doesn't count as an outage.
+    pub max_answer_gap: Duration,
     /// How long an instance that learns of newer settings waits for its own source, the
     /// platform, before it asks a peer, if no data arrives. A platform store that is ninety
     /// times slower than usual still starts its answer within this time.
@@ -52,6 +54,7 @@
             shortest_digest_period: Duration::from_millis(500),
             longest_digest_period: Duration::from_secs(5),
             missed_heartbeats: 3,
+            max_answer_gap: Duration::from_secs(2),
             settings_source_wait: Duration::from_millis(700),
             settings_source_max_wait: Duration::from_secs(2),
         }
--- a/crates/flaxtide-fleet/src/thread.rs
+++ b/crates/flaxtide-fleet/src/thread.rs
@@ -284,9 +284,13 @@
     let ask = |client: PeerLinkClient, context| async move {
         client.heartbeat(context, heartbeat).await
     };
+    let asked = shared.clock.now();
     let Some(reply) = shared.call_peer(&to, ANSWER_TIMEOUT, ask).await else { return };
     let now = shared.clock.now();
     let events = shared.node().handle_reply(&to.name, &reply, now);
+    if let Some(ages) = reply.answers {
+        shared.node().record_peer_answers(&to.name, ages, asked, now);
+    }
     shared.emit(events);
 }
 
--- a/crates/flaxtide-fleet/src/wire.rs
+++ b/crates/flaxtide-fleet/src/wire.rs
@@ -10,6 +10,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::answers::AnswerAges;
 use crate::info::PeerInfo;
 use crate::key::FleetKey;
 use crate::rows::RowsReply;
@@ -158,6 +159,8 @@
     pub peers: Vec<PeerInfo>,
     /// The known holder of the duties.
     pub duty: Option<DutyHolder>,
+    /// For how long the platform has been answering the replying instance.
+    pub answers: Option<AnswerAges>,
 }
 
 /// The state of an instance and the size of its data centre, sent to a contact in another data
--- a/crates/flaxtide-fleet/tests/size.rs
+++ b/crates/flaxtide-fleet/tests/size.rs
@@ -6,8 +6,8 @@
 
 use bincode::Options;
 use flaxtide_fleet::{
-    FleetNode, FleetServer, FleetTiming, NodeStatus, OwnLoad, PeerInfo, PoolDemand,
-    ReachReply, ServerDigest, UsageCount, fleet_key,
+    AnswerSpan, FleetNode, FleetServer, FleetTiming, NodeStatus, OwnLoad, PeerInfo,
+    PoolDemand, ReachReply, ServerDigest, UsageCount, fleet_key,
 };
 use serde::Serialize;
 
@@ -186,5 +186,6 @@
         parts: vec![],
         usage: usage.collect(),
         reach: ReachReply::default(),
+        answers: Some(AnswerSpan { since: Duration::ZERO, until: Duration::ZERO }),
     }
 }
--- a/crates/flaxtide/src/fleet.rs
+++ b/crates/flaxtide/src/fleet.rs
@@ -169,8 +169,9 @@
         engines: vec![],
         parts: vec![],
         usage: usage.collect(),
-        // Instances of this interface don't forward requests.
+        // Instances of this interface don't forward requests, and have their servers from settings.
         reach: ReachReply::default(),
+        answers: None,
     }
 }
 
