The first call behind readers that can't answer comes while the bound allows it

Callers: the same late requests to servers that had left. Change: the window is what is left until .70 of the bound after the last known change, at most half of the bound and at least a tenth, as the budget asserts. A call that is due isn't held up by asking peers once more. Rules keep half of the bound: peers push them.

--- a/crates/flaxtide-entry/src/budget.rs
+++ b/crates/flaxtide-entry/src/budget.rs
@@ -63,6 +63,21 @@
 /// How much a sum of fractions may differ by rounding.
 const ROUNDING: f64 = 1e-9;
 
+/// The latest time after the last known change at which an instance calls the platform, unless its
+/// calls have failed. It leaves time to read everything and to keep the server in grace.
+pub(crate) const LATEST_CALL_FRACTION: f64 =
+    LATEST_REMOVAL_FRACTION - REREAD_PAUSE_FRACTION - LEAST_GRACE_FRACTION;
+
+// The other readers may be asked for the last time before that.
+const _: () = assert!(
+    MAX_AGE_FRACTION
+        + QUESTION_WAIT_FRACTION
+        + ANSWER_MARGIN_FRACTION
+        + ANSWER_MARGIN_FRACTION
+        + CALL_WINDOW_FRACTION
+        <= LATEST_CALL_FRACTION + ROUNDING
+);
+
 /// The time from the last change that is surely known until a server is removed, without the
 /// first step. An instance asks its reader, asks the others, pauses, reads everything, and keeps
 /// the server in grace.
@@ -94,10 +109,9 @@
 /// in between.
 ///
 /// The steps are those that scale with the bound. Left out are the two calls to the platform after
-/// a gap in its history, which take as long as they take, the pauses of fixed length after failed
-/// calls, and the longer window for calls while a reader answers that it can't read from the
-/// platform. With any of these, a row may be noticed later than [`Self::latest_notice`]; its server
-/// is then removed at [`Self::latest_removal`], or at once if that has passed.
+/// a gap in its history, which take as long as they take, and the pauses of fixed length after
+/// failed calls. With any of these, a row may be noticed later than [`Self::latest_notice`]; its
+/// server is then removed at [`Self::latest_removal`], or at once if that has passed.
 ///
 /// ```
 /// use std::time::Duration;
--- a/crates/flaxtide-entry/src/follow.rs
+++ b/crates/flaxtide-entry/src/follow.rs
@@ -5,7 +5,7 @@
 
 use flaxtide_core::StoreVersion;
 
-use crate::budget::CALL_WINDOW_FRACTION;
+use crate::budget::{CALL_WINDOW_FRACTION, LATEST_CALL_FRACTION};
 use crate::contract::FeedError;
 
 /// How long a call waits for changes. It is the longest wait that such platforms commonly
@@ -37,35 +37,38 @@
 /// of `leave_within`.
 const STANDBY_FRACTION: f64 = 0.05;
 
-/// The window of instances that aren't standbys if readers respond that they can't
-/// answer, as a fraction of `leave_within`. The platform is failing then, so the calls to
-/// it are spread. It is much longer than [`CALL_WINDOW_FRACTION`], as the known rows must
-/// not become too old while the platform answers.
+/// The longest window of instances that aren't standbys if readers respond that they can't
+/// answer, as a fraction of `leave_within`. The platform may be failing then, so the calls to it
+/// are spread over the time that is left until [`LATEST_CALL_FRACTION`].
 const READERS_FAILING_FRACTION: f64 = 0.5;
 
 /// Returns the window within which an instance that has readers makes its first call to
 /// the platform after they stop answering. `readers_reachable` says whether they still
-/// respond, if only that they can't answer. `leave_within` is the time within which a
-/// leaving server must stop getting requests.
+/// respond, if only that they can't answer; `unknown_for` is how long ago the known changes end.
+/// `leave_within` is the time within which a leaving server must stop getting requests.
 ///
 /// ```
 /// use std::time::Duration;
 /// use flaxtide_entry::first_call_window;
-/// let leave_within = Duration::from_secs(4);
-/// let alone = first_call_window(false, false, leave_within);
-/// assert!(first_call_window(true, true, leave_within) < alone);
-/// assert!(alone < first_call_window(false, true, leave_within));
+/// let (leave_within, unknown_for) = (Duration::from_secs(4), Duration::from_secs(1));
+/// let alone = first_call_window(false, false, unknown_for, leave_within);
+/// assert!(first_call_window(true, true, unknown_for, leave_within) < alone);
+/// assert!(alone < first_call_window(false, true, unknown_for, leave_within));
 /// ```
 #[must_use]
 pub fn first_call_window(
     standby: bool,
     readers_reachable: bool,
+    unknown_for: Duration,
     leave_within: Duration,
 ) -> Duration {
+    let span = |fraction| leave_within.mul_f64(fraction);
     match (standby, readers_reachable) {
-        (true, _) => leave_within.mul_f64(STANDBY_FRACTION),
-        (false, false) => leave_within.mul_f64(CALL_WINDOW_FRACTION),
-        (false, true) => leave_within.mul_f64(READERS_FAILING_FRACTION),
+        (true, _) => span(STANDBY_FRACTION),
+        (false, false) => span(CALL_WINDOW_FRACTION),
+        (false, true) => span(LATEST_CALL_FRACTION)
+            .saturating_sub(unknown_for)
+            .clamp(span(CALL_WINDOW_FRACTION), span(READERS_FAILING_FRACTION)),
     }
 }
 
@@ -136,6 +139,22 @@
         (now < next_call).then(|| next_call - now)
     }
 
+    /// Returns the time until the next call, or `None` if none is scheduled or it is due.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flaxtide_entry::CallBackoff;
+    /// let (mut backoff, seconds) = (CallBackoff::default(), Duration::from_secs);
+    /// assert_eq!(backoff.time_left(seconds(1)), None);
+    /// backoff.delay(seconds(4), 0.5, seconds(1));
+    /// assert_eq!(backoff.time_left(seconds(2)), Some(seconds(1)));
+    /// assert_eq!(backoff.time_left(seconds(3)), None);
+    /// ```
+    #[must_use]
+    pub fn time_left(&self, now: Duration) -> Option<Duration> {
+        self.next_call?.checked_sub(now).filter(|left| !left.is_zero())
+    }
+
     /// Schedules the next call after a failed one. `random` lies between 0 and 1.
     pub fn record_failure(&mut self, leave_within: Duration, random: f64, now: Duration) {
         let fraction = FAILED_CALL_FRACTION + (1.0 - FAILED_CALL_FRACTION) * random;
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -66,8 +66,12 @@
 
 impl TopicFollower {
     /// Returns what peers contribute to the topic, or `None` if this instance should call
-    /// the platform.
-    fn poll_peers(&self, after: Option<StoreVersion>) -> Option<PeerUpdate> {
+    /// the platform. Asking them takes at most `max_span`.
+    fn poll_peers(
+        &self,
+        after: Option<StoreVersion>,
+        max_span: Duration,
+    ) -> Option<PeerUpdate> {
         let after = after?;
         let Some((list, link)) = self.log_and_link.as_ref() else {
             // Peers push newer rules by themselves as long as their readers keep reading.
@@ -75,7 +79,7 @@
                 self.source.reader_answered_lately() && !self.source.rules_overdue();
             return pushed.then_some(PeerUpdate::Pushed);
         };
-        let changes = self.source.fetch_changes(link, after)?;
+        let changes = self.source.fetch_changes(link, after, max_span)?;
         self.count("peer");
         let row =
             |row: RowCopy| FeedRow { name: row.name, text: row.text, version: None };
@@ -104,7 +108,13 @@
             state.record_gap(now);
             backoff.expect_answer(self.source.gap_window(), rand::random(), now);
         }
-        backoff.delay(self.source.call_window(), rand::random(), now)
+        // Rules that peers push have no age here, and their calls may be spread widely.
+        let unknown_for = match self.topic {
+            FeedTopic::Servers => state.unknown_for(now),
+            FeedTopic::Rules => Duration::ZERO,
+        };
+        let window = self.source.call_window(unknown_for);
+        backoff.delay(window, rand::random(), now)
     }
 
     /// Reads everything from the platform if `after` is `None`, else the changes after this
@@ -315,7 +325,8 @@
             }
             continue;
         }
-        let delivered = match follower.poll_peers(state.after()) {
+        let max_span = backoff.time_left(asked).unwrap_or(Duration::MAX);
+        let delivered = match follower.poll_peers(state.after(), max_span) {
             Some(PeerUpdate::Rows(batch)) => {
                 backoff.reset();
                 let was_outage = state.is_outage(asked);
@@ -345,8 +356,17 @@
                         follower.pause(delay.min(PEER_RETRY_PERIOD));
                         // During an outage, rows may lapse merely because servers can't renew
                         // them, so the traffic thread must know of it.
-                        !state.is_outage(clock.now())
-                            || follower.send_availability(FeedEvent::Lost)
+                        let known = !state.is_outage(clock.now())
+                            || follower.send_availability(FeedEvent::Lost);
+                        // Peers may take long to answer, so a call that is due comes first.
+                        let is_due = delay <= PEER_RETRY_PERIOD;
+                        known
+                            && (!is_due
+                                || follower.call_platform(
+                                    &mut state,
+                                    &mut backoff,
+                                    &clock,
+                                ))
                     }
                     None => follower.call_platform(&mut state, &mut backoff, &clock),
                 }
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -209,13 +209,14 @@
     }
 
     /// Returns the window within which this instance calls the platform once no peer
-    /// answers.
-    pub(crate) fn call_window(&self) -> Duration {
+    /// answers. `unknown_for` is how long ago the known changes end.
+    pub(crate) fn call_window(&self, unknown_for: Duration) -> Duration {
         let now = self.clock.now();
         let state = self.lock();
         first_call_window(
             state.plan.standby,
             state.suggests_outage(now),
+            unknown_for,
             self.leave_within,
         )
     }
@@ -251,18 +252,20 @@
     }
 
     /// Asks peers for the changes after a version. The first one waits for changes; if it
-    /// can't answer, all others are asked at once, without waiting. Returns `None` if
-    /// nobody answers.
+    /// can't answer, all others are asked at once, without waiting. All of it takes at most
+    /// `max_span`. Returns `None` if nobody answers.
     pub(crate) fn fetch_changes(
         &self,
         link: &FleetLink,
         after: StoreVersion,
+        max_span: Duration,
     ) -> Option<RowChanges> {
         let peers = self.available_peers();
         let (first, others) = peers.split_first()?;
+        let latest = self.clock.now().saturating_add(max_span);
         let wait = self.leave_within.mul_f64(QUESTION_WAIT_FRACTION);
-        self.ask_peers(link, &[*first], after, wait)
-            .or_else(|| self.ask_peers(link, others, after, Duration::ZERO))
+        self.ask_peers(link, &[*first], after, wait, latest)
+            .or_else(|| self.ask_peers(link, others, after, Duration::ZERO, latest))
     }
 
     /// Returns the peers that may be asked now, in order. A reader asks none, but for a while
@@ -281,15 +284,18 @@
     }
 
     /// Asks several peers at once. Returns the first answer with changes, or `None` if
-    /// there is none in time.
+    /// there is none in time, or before `latest`.
     fn ask_peers(
         &self,
         link: &FleetLink,
         peers: &[SocketAddr],
         after: StoreVersion,
         wait: Duration,
+        latest: Duration,
     ) -> Option<RowChanges> {
+        let wait = wait.min(self.time_until(latest));
         let margin = self.leave_within.mul_f64(ANSWER_MARGIN_FRACTION);
+        let margin = margin.min(self.time_until(latest) - wait);
         let (sender, receiver) = bounded(peers.len().max(1));
         for peer in peers.iter().copied() {
             let sender = sender.clone();
--- a/crates/flaxtide-entry/tests/budget.rs
+++ b/crates/flaxtide-entry/tests/budget.rs
@@ -75,7 +75,8 @@
 /// instances follow: a reader's answer is up to a quarter of the bound old, a question takes
 /// another, the question to the others a tenth, and everything is read after at most 0.08.
 fn noticed_through_peers(bound: Duration) -> Duration {
-    bound.mul_f64(0.25 + 0.25 + 0.1 + 0.08) + first_call_window(false, false, bound)
+    bound.mul_f64(0.25 + 0.25 + 0.1 + 0.08)
+        + first_call_window(false, false, bound / 2, bound)
 }
 
 #[test]
@@ -91,6 +92,27 @@
     }
 }
 
+/// Guards against an instance whose readers respond that they can't answer calling the platform so
+/// late that a row is noticed after its server must get no more requests: its window began when the
+/// last question had ended, and was half of the bound however old the known rows were by then.
+#[test]
+fn the_first_call_behind_failing_readers_leaves_time_within_each_bound() {
+    for bound in BOUNDS {
+        let latest_notice = LeaveBudget::new(bound).latest_notice();
+        let oldest = bound.mul_f64(0.25 + 0.15 + 0.1 + 0.1);
+        for tenth in 0..=10 {
+            let unknown_for = oldest * tenth / 10;
+            let window = first_call_window(false, true, unknown_for, bound);
+            let noticed_after = unknown_for + window + bound.mul_f64(0.08);
+            let rounding = Duration::from_micros(1);
+            assert!(
+                noticed_after <= latest_notice + rounding,
+                "{bound:?}: {noticed_after:?} after rows known for {unknown_for:?}"
+            );
+        }
+    }
+}
+
 /// However late a row is found missing, also after a gap in the history, its server is removed
 /// within the bound while the platform answers, and within what the budget says.
 #[test]
--- a/crates/flaxtide-entry/tests/follow.rs
+++ b/crates/flaxtide-entry/tests/follow.rs
@@ -149,8 +149,10 @@
 
 #[test]
 fn a_standby_calls_before_others() {
-    let window =
-        |standby, answers| first_call_window(standby, answers, Duration::from_secs(4));
+    let window = |standby, answers| {
+        let (known, bound) = (Duration::ZERO, Duration::from_secs(4));
+        first_call_window(standby, answers, known, bound)
+    };
     assert_eq!(window(true, true), Duration::from_millis(200));
     // Half of the bound, which a constant of 3 s exceeded where the bound is 3 s.
     assert_eq!(window(false, true), Duration::from_secs(2));
@@ -163,9 +165,9 @@
 #[test]
 fn without_readers_the_first_call_comes_within_a_tenth_of_the_bound() {
     for bound in [2, 3, 4, 8].map(Duration::from_secs) {
-        let window = first_call_window(false, false, bound);
+        let window = first_call_window(false, false, bound / 2, bound);
         assert!(window <= bound / 10, "{window:?} of {bound:?}");
-        assert!(first_call_window(true, false, bound) <= bound / 20);
+        assert!(first_call_window(true, false, bound / 2, bound) <= bound / 20);
     }
 }
 
