After an outage, servers stay in use until their rows could be read again

Callers: for a moment, sound servers were out of use after an outage, and their services had fewer. Cause: rows that lapsed are back within two seconds of the platform's return; servers stayed in use for 2.2 s after the first read, though an instance may read a row later by a quarter of the bound. Change: that quarter is added.

--- a/crates/flaxtide-entry/src/lapse.rs
+++ b/crates/flaxtide-entry/src/lapse.rs
@@ -21,8 +21,9 @@
 /// between calls and of the period in which rows are checked stays below `leave_within`.
 const MAX_GRACE_FRACTION: f64 = 0.55;
 
-/// How long servers have to rewrite their rows after the platform returns. They do so within
-/// two seconds. Records of an outage that are no further apart belong to one outage.
+/// How long servers have to rewrite their rows after the platform returns: they do so within
+/// two seconds. An instance may read them later by [`MAX_AGE_FRACTION`] of `leave_within`.
+/// Records of an outage that are no further apart belong to one outage.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
 
 /// How long servers stay in use if the rows of all servers of their service disappeared
@@ -160,7 +161,7 @@
     let Some(outage) = outage.filter(|outage| noticed_at >= outage.since) else {
         return normal_end;
     };
-    let recovery_end = outage.last + RECOVERY_GRACE;
+    let recovery_end = outage.last + RECOVERY_GRACE + scaled(MAX_AGE_FRACTION);
     if noticed_at <= outage.last + RECOVERY_WINDOW {
         let was_seen_since = row.last_seen_at > outage.last;
         return if was_seen_since { recovery_end.min(latest_end) } else { recovery_end };
