An instance whose calls alone fail denies nothing by rules it can't look up

Callers: 401 or 404 for what newer rules allow, from an instance that the platform alone turns away (read from the code, not seen). Cause, the class of the incident: two failed calls of one's own counted as an outage of the platform, in which old rules deny. Change: not while it answers other instances of the data centre.

--- a/crates/flaxtide-entry/src/answers.rs
+++ b/crates/flaxtide-entry/src/answers.rs
@@ -92,6 +92,13 @@
         self.lock().known
     }
 
+    /// Returns whether the platform answers instances of the data centre: none has told of a gap that
+    /// is an outage.
+    #[must_use]
+    pub fn is_answering(&self, now: Duration) -> bool {
+        self.known().is_some_and(|known| now <= known.until + self.max_gap)
+    }
+
     /// Adds a span to the known one.
     fn join(&self, known: Option<AnswerSpan>, span: AnswerSpan) -> AnswerSpan {
         known.map_or(span, |known| known.merge(span, self.max_gap))
--- a/crates/flaxtide-entry/src/outdated.rs
+++ b/crates/flaxtide-entry/src/outdated.rs
@@ -18,7 +18,9 @@
     /// ones are known, and they were looked up lately.
     pub(crate) fn permits_denial(&self) -> bool {
         let now = self.source.clock().now();
-        !self.has_outdated_rules() && self.source.rules_age().permits_denial(now)
+        let is_answering = self.source.answers().is_answering(now);
+        let rules_age = self.source.rules_age();
+        !self.has_outdated_rules() && rules_age.permits_denial(now, is_answering)
     }
 
     /// Records the newest version of the rules that live peers have in force, or 0 if none is newer.
--- a/crates/flaxtide-entry/src/rules_age.rs
+++ b/crates/flaxtide-entry/src/rules_age.rs
@@ -15,10 +15,10 @@
 /// use std::time::Duration;
 /// use flaxtide_entry::RulesAge;
 /// let age = RulesAge::new(Duration::from_secs(2));
-/// assert!(!age.permits_denial(Duration::from_secs(1)));
+/// assert!(!age.permits_denial(Duration::from_secs(1), true));
 /// age.record_covered(Duration::from_secs(2));
-/// assert!(age.permits_denial(Duration::from_secs(3)));
-/// assert!(!age.permits_denial(Duration::from_secs(5)));
+/// assert!(age.permits_denial(Duration::from_secs(3), true));
+/// assert!(!age.permits_denial(Duration::from_secs(5), true));
 /// ```
 #[derive(Debug)]
 pub struct RulesAge {
@@ -63,12 +63,14 @@
     }
 
     /// Returns whether a request may be denied because the rules don't allow it: they were looked up
-    /// lately, or the platform is out.
+    /// lately, or the platform is out. It isn't if it answers others (`is_answering`), whatever
+    /// happens to the calls of this instance.
     #[must_use]
-    pub fn permits_denial(&self, now: Duration) -> bool {
+    pub fn permits_denial(&self, now: Duration, is_answering: bool) -> bool {
         let state = self.lock();
         let is_recent = |until: Duration| now.saturating_sub(until) <= self.max_age;
-        state.covered_until.is_some_and(is_recent) || state.failed_calls >= OUTAGE_CALLS
+        let is_out = state.failed_calls >= OUTAGE_CALLS && !is_answering;
+        state.covered_until.is_some_and(is_recent) || is_out
     }
 
     /// Locks the state, even if a thread has panicked while it held the lock.
