Reads from a connection yield, and end where a message makes no progress

Callers: one answer with an endless chunk size, or endless interim answers, and nobody was answered. Cause: the HTTP parser reads on in one poll for as long as there are bytes, 417 KB at a time, and nothing ends a message without progress. Change: a connection lets other tasks run after 64 KB; one that has read 1 MB without a byte of a body is broken, so that the request is sent to another server where it may be repeated; a request of a caller ends where no allowed body takes more. Heads of servers' answers take 64 KB at most.

--- a/crates/flaxtide-entry/src/body.rs
+++ b/crates/flaxtide-entry/src/body.rs
@@ -115,6 +115,9 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     if let Ok(bytes) = frame.into_data() {
+                        if let Some(connection) = &self.connection {
+                            connection.limit.record_progress();
+                        }
                         return Ok(Some(bytes));
                     }
                 }
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -191,6 +191,7 @@
         let sent = state.now();
         let kind = if conn.used { "kept" } else { "new" };
         conn.used = true;
+        conn.limit.record_progress();
         state.metrics.connections.with_label_values(&[kind]).inc();
         match conn.sender.try_send_request(outgoing).await {
             Ok(resp) if peer.is_some() => {
--- a/crates/flaxtide-entry/src/hooked.rs
+++ b/crates/flaxtide-entry/src/hooked.rs
@@ -1,12 +1,15 @@
-//! A TCP connection with a hook around its reads and writes.
+//! A TCP connection with a hook around its reads and writes, and a limit on what is read.
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::read_limit::ReadLimit;
+
 /// What is done around the reads and writes of a connection.
 pub(crate) trait StreamHook: Unpin {
     /// Prepares a write. An error ends the connection before anything is written.
@@ -30,12 +33,14 @@
     stream: TcpStream,
     /// Its hook.
     hook: Hook,
+    /// Bounds what is read.
+    limit: Rc<ReadLimit>,
 }
 
 impl<Hook> HookedStream<Hook> {
-    /// Puts a hook around a connection.
-    pub(crate) fn new(stream: TcpStream, hook: Hook) -> Self {
-        Self { stream, hook }
+    /// Puts a hook and a limit around a connection.
+    pub(crate) fn new(stream: TcpStream, hook: Hook, limit: Rc<ReadLimit>) -> Self {
+        Self { stream, hook, limit }
     }
 }
 
@@ -45,10 +50,19 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.limit.must_yield() {
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
-        if buffer.filled().len() > before {
+        if polled.is_pending() {
+            self.limit.record_pause();
+        }
+        let count = buffer.filled().len() - before;
+        if count > 0 {
             self.hook.after_read();
+            self.limit.record_read(count)?;
         }
         polled
     }
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -51,6 +51,7 @@
 mod proof;
 mod pushback;
 mod quarantine;
+mod read_limit;
 mod reader;
 mod relay;
 mod reply;
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -19,9 +19,11 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::call::{RequestSource, serve_request};
+use crate::contract::CallerLimits;
 use crate::hooked::{HookedStream, StreamHook};
 use crate::keepalive::enable_keepalive;
 use crate::memory::connection_limit;
+use crate::read_limit::ReadLimit;
 use crate::reply::ResponseBody;
 use crate::state::{ShutdownPhase, TrafficState};
 
@@ -39,11 +41,13 @@
 /// for this long.
 const MIN_STALL: Duration = Duration::from_secs(2);
 
+/// The most bytes that a byte of a request's body takes: a chunk of one byte takes six.
+const MAX_FRAMING_FACTOR: usize = 8;
+
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
 /// The activity on a connection.
-#[derive(Default)]
 struct ConnectionActivity {
     /// When bytes were last read or written.
     last_io_at: Cell<Duration>,
@@ -57,9 +61,24 @@
     open_unframed: Cell<bool>,
     /// Counts the connection until its first request has begun.
     unread: Cell<Option<UnreadGuard>>,
+    /// Bounds what is read of each request.
+    limit: Rc<ReadLimit>,
 }
 
 impl ConnectionActivity {
+    /// Creates the activity of a connection that was accepted at `now`.
+    fn new(limits: &CallerLimits, now: Duration) -> Self {
+        Self {
+            last_io_at: Cell::new(now),
+            head_started_at: Cell::default(),
+            open_requests: Cell::default(),
+            unread_since: Cell::default(),
+            open_unframed: Cell::default(),
+            unread: Cell::default(),
+            limit: Rc::new(ReadLimit::new(max_request_bytes(limits))),
+        }
+    }
+
     /// Records the outcome of a write.
     fn record_write(&self, written: &Poll<io::Result<usize>>, now: Duration) {
         self.last_io_at.set(now);
@@ -126,14 +145,22 @@
     }
 }
 
+/// Returns the most bytes that a request may take, with the framing of its body and the head of the
+/// next one.
+fn max_request_bytes(limits: &CallerLimits) -> usize {
+    let body = limits.body_bytes.saturating_mul(MAX_FRAMING_FACTOR);
+    body.saturating_add(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
+}
+
 /// Counts a request on a connection as open until it is dropped.
 struct RequestGuard(Rc<ConnectionActivity>);
 
 impl RequestGuard {
     /// Records that the head of a request is complete.
-    fn new(activity: &Rc<ConnectionActivity>) -> Self {
+    fn new(activity: &Rc<ConnectionActivity>, limits: &CallerLimits) -> Self {
         activity.head_started_at.set(None);
         activity.unread.set(None);
+        activity.limit.begin(max_request_bytes(limits));
         activity.open_requests.set(activity.open_requests.get() + 1);
         Self(activity.clone())
     }
@@ -241,19 +268,19 @@
         log::debug!(cause = cause.to_string(); "failed to configure a caller's connection");
         return;
     }
-    let activity = Rc::new(ConnectionActivity::default());
-    activity.last_io_at.set(state.now());
+    let activity = Rc::new(ConnectionActivity::new(&state.limits(), state.now()));
     activity.unread.set(Some(UnreadGuard::new(&state)));
     let hook = ActivityHook {
         activity: activity.clone(),
         state: state.clone(),
         resets: false,
     };
-    let hooked = HookedStream::new(stream, hook);
+    let hooked = HookedStream::new(stream, hook, activity.limit.clone());
     let service = {
         let (state, activity) = (state.clone(), activity.clone());
         service_fn(move |request: Request<Incoming>| {
-            let (state, guard) = (state.clone(), RequestGuard::new(&activity));
+            let (state, guard) =
+                (state.clone(), RequestGuard::new(&activity, &state.limits()));
             let activity = activity.clone();
             async move {
                 let knows_chunks = request.version() > Version::HTTP_10;
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -17,6 +17,7 @@
 
 use crate::hooked::HookedStream;
 use crate::keepalive::enable_keepalive;
+use crate::read_limit::ReadLimit;
 use crate::write_gate::WriteGate;
 
 /// The connect time-out while no connect time is known, and its upper bound. A reachable
@@ -42,6 +43,14 @@
 /// use further.
 const EXIT_RETENTION: Duration = Duration::from_secs(10);
 
+/// The most bytes of a response's head, and of its body that are received at a time.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// The most bytes that are read of a response without any of its body: its head, the framing of its
+/// body, and interim responses before it. It is more than the buffer for a part of the body that
+/// hasn't been passed on yet.
+const MAX_IDLE_READ_BYTES: usize = 16 * MAX_HEAD_BYTES;
+
 /// The maximum number of idle connections to one server.
 const MAX_IDLE_PER_SERVER: usize = 32;
 
@@ -75,6 +84,8 @@
     pub(crate) used: bool,
     /// Checks each request when it is written.
     pub(crate) gate: Rc<WriteGate>,
+    /// Bounds what is read of each response.
+    pub(crate) limit: Rc<ReadLimit>,
 }
 
 impl Drop for ServerConnection {
@@ -210,13 +221,17 @@
     stream.set_nodelay(true)?;
     enable_keepalive(&stream)?;
     let gate = Rc::new(WriteGate::default());
-    let stream = HookedStream::new(stream, gate.clone());
-    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let limit = Rc::new(ReadLimit::new(MAX_IDLE_READ_BYTES));
+    let stream = HookedStream::new(stream, gate.clone(), limit.clone());
+    let handshake = http1::Builder::new()
+        .max_buf_size(MAX_HEAD_BYTES)
+        .handshake(TokioIo::new(stream))
+        .await;
     let (sender, driver) = handshake.map_err(io::Error::other)?;
     let task = tokio::task::spawn_local(async move {
         // The sender reports the error to the task that waits for the response.
         let _ = driver.await;
     });
     let task = task.abort_handle();
-    Ok(ServerConnection { sender, task, used: false, gate })
+    Ok(ServerConnection { sender, task, used: false, gate, limit })
 }
--- a/crates/flaxtide-entry/src/watch/link.rs
+++ b/crates/flaxtide-entry/src/watch/link.rs
@@ -131,6 +131,7 @@
                 return Err(CallFault::Unreachable);
             };
             let request = build_request(head, *address).ok_or(CallFault::Broken)?;
+            connection.limit.record_progress();
             match connection.sender.try_send_request(request).await {
                 Ok(response) => return Ok(Some(response)),
                 Err(error) if error.error().is_parse() => return Ok(None),
