Bodies of responses have a limit

Callers: 504 at their deadline though another server answers at once, and sound requests beside were answered late. Cause: a body without a stated length was received for as long as it came: it took all the memory for responses and grew on; a stated length beyond that memory was received too. Change: a body without a stated length is as long as an eighth of the memory for responses at most (4 MB of 260), one whose length is stated as all of it. A longer one is a broken response: it counts against its server and is sent elsewhere where it may be repeated. Of a refusal, 64 KB are read so that its connection can be reused. Metric long_responses, log line.

--- a/crates/flaxtide-entry/src/body.rs
+++ b/crates/flaxtide-entry/src/body.rs
@@ -17,6 +17,9 @@
 /// How long reading the rest of a refusal may take.
 const REFUSAL_DRAIN_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// The most bytes of a refusal's body that are read so that its connection can be reused.
+const MAX_REFUSAL_BYTES: usize = 64 * 1024;
+
 /// The body of a server's response, read from its connection.
 pub(crate) struct UpstreamBody {
     /// The body, as hyper reads it.
@@ -145,8 +148,16 @@
 pub(crate) fn drain_refusal(state: &Rc<TrafficState>, mut body: UpstreamBody) {
     let state = state.clone();
     tokio::task::spawn_local(async move {
-        let read = async { while let Ok(Some(_)) = body.next(&state).await {} };
-        // If it doesn't end in time, the connection is closed.
+        let read = async {
+            let mut count = 0;
+            while let Ok(Some(bytes)) = body.next(&state).await {
+                count += bytes.len();
+                if count > MAX_REFUSAL_BYTES {
+                    return;
+                }
+            }
+        };
+        // If it doesn't end in time, or is too long, the connection is closed.
         let _ = tokio::time::timeout(REFUSAL_DRAIN_TIMEOUT, read).await;
     });
 }
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -16,6 +16,9 @@
 /// responses from being read.
 const BUDGET_DIVISOR: u64 = 8;
 
+/// The longest body without a stated length, as a part of the budget.
+const UNSTATED_DIVISOR: usize = 8;
+
 /// The memory that a connection is reckoned with, without bodies: its buffers, and the state of
 /// its request and of the server's stream.
 const CONNECTION_BYTES: u64 = 53 * 1024;
@@ -61,6 +64,17 @@
         }
     }
 
+    /// Returns the longest body whose length isn't stated in advance, in bytes. It is a fraction of
+    /// the budget, so that a few such bodies without end leave room for the others.
+    pub(crate) fn max_unstated(&self) -> usize {
+        (self.total / UNSTATED_DIVISOR).max(1) * UNIT_BYTES
+    }
+
+    /// Returns the longest body whose length is stated, in bytes.
+    pub(crate) fn max_stated(&self) -> usize {
+        self.total * UNIT_BYTES
+    }
+
     /// Reserves a number of units, in the order of the calls. Waits until they are free.
     async fn reserve(&self, units: usize) -> Option<BodyReservation> {
         let permit = self.permits.clone().acquire_many_owned(units as u32).await;
@@ -98,6 +112,11 @@
 }
 
 impl ChargedBody {
+    /// Returns the number of bytes received.
+    pub(crate) fn len(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// Reserves memory for a body of `length` bytes, as far as that isn't done yet. A body
     /// that exceeds the budget is charged with all of it.
     pub(crate) async fn reserve(&mut self, length: usize, budget: &BodyBudget) {
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -75,6 +75,8 @@
     pub(crate) body_bytes: IntGaugeVec,
     /// Connections closed because their callers read nothing.
     pub(crate) stalled_readers: IntCounter,
+    /// Responses that were too long.
+    pub(crate) long_responses: IntCounter,
     /// Connections that were closed unread for lack of memory or processor time.
     pub(crate) rejected_connections: IntCounter,
     /// Engines that this instance watches, by whether they answer.
@@ -184,6 +186,10 @@
                 "rejected_connections",
                 "Connections closed unread for lack of memory or processor time.",
             ),
+            long_responses: counter(
+                "long_responses",
+                "Responses that were longer than the memory for them allows.",
+            ),
             stalled_readers: counter(
                 "stalled_readers",
                 "Connections of callers that read nothing.",
@@ -214,7 +220,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 38] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 39] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -246,6 +252,7 @@
             Box::new(self.instances.clone()),
             Box::new(self.body_bytes.clone()),
             Box::new(self.stalled_readers.clone()),
+            Box::new(self.long_responses.clone()),
             Box::new(self.rejected_connections.clone()),
             Box::new(self.watched_engines.clone()),
             Box::new(self.watch_calls.clone()),
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -75,21 +75,28 @@
     })
 }
 
-/// Receives a whole body, charged to the memory for responses.
+/// Receives a whole body, charged to the memory for responses. One that is longer than that allows
+/// is none that a sound server sends.
 async fn receive_body(
     call: &OpenCall,
     body: &mut UpstreamBody,
 ) -> Result<Bytes, AttemptOutcome> {
     let state = &call.state;
     let budget = &state.response_memory;
+    let stated = body.stated_length();
+    let max_bytes = stated.map_or(budget.max_unstated(), |_| budget.max_stated());
     let receive = async {
         let mut collected = ChargedBody::default();
+        if stated > Some(max_bytes) {
+            return Err(reject_long(call, max_bytes));
+        }
         // Reserved before any byte is read, so that bodies that are partly received don't
         // wait for each other.
-        collected
-            .reserve(body.stated_length().unwrap_or_default(), budget)
-            .await;
+        collected.reserve(stated.unwrap_or_default(), budget).await;
         while let Some(bytes) = body.next(state).await? {
+            if collected.len() + bytes.len() > max_bytes {
+                return Err(reject_long(call, max_bytes));
+            }
             collected.push(&bytes, budget).await;
         }
         body.check_end(true, state).await?;
@@ -99,6 +106,14 @@
     received.ok_or_else(|| time_out(call))?.map_err(AttemptOutcome::Fault)
 }
 
+/// Records that a response is longer than any that is passed on.
+fn reject_long(call: &OpenCall, max_bytes: usize) -> RouteFault {
+    let request = call.attempt_id.as_str();
+    log::warn!(request, max_bytes; "response too long, connection closed");
+    call.state.metrics.long_responses.inc();
+    RouteFault::Broken
+}
+
 /// Records that the deadline has passed while a server may be running the request.
 fn time_out(call: &OpenCall) -> AttemptOutcome {
     call.may_have_run.set(true);
