A stream ends by the deadline though bytes are always there

Callers: an event without an end went on past their deadline and the time of the route. Cause: a stream waited for the next bytes or the deadline, and the bytes came first each time; an event of any length was passed on. Change: the deadline is checked before each read. An event that is longer than a body without a stated length may be is a broken response. At most 64 KB of an event are held back (1 MB before), as each stream may hold as much. A resumable stream whose server sends an endless chunk size goes on at another server (no answer in 30 s before).

--- a/crates/flaxtide-entry/src/events.rs
+++ b/crates/flaxtide-entry/src/events.rs
@@ -6,8 +6,9 @@
 /// The byte order mark with which a stream may begin.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
-/// An event that exceeds this is passed on before it is complete.
-const MAX_HELD_BYTES: usize = 1 << 20;
+/// An event that exceeds this is passed on before it is complete. Each stream may hold as much, as
+/// its connection is reckoned with about as many bytes.
+const MAX_HELD_BYTES: usize = 64 * 1024;
 
 /// Separates complete events from the beginning of the next one. Lines may end with LF, CRLF or
 /// CR.
@@ -54,8 +55,8 @@
     event_id: Option<u64>,
     /// Whether an event is complete.
     has_event: bool,
-    /// Whether a part of an event that isn't complete has been passed on.
-    has_passed_part: bool,
+    /// The bytes that have been passed on of an event that isn't complete.
+    passed: usize,
     /// Whether the beginning of the current line has been passed on.
     is_line_cut: bool,
 }
@@ -72,12 +73,12 @@
         while self.part.read < self.partial.len() {
             if self.read_byte() {
                 complete = self.part.read;
-                self.part.has_passed_part = false;
+                self.part.passed = 0;
             }
         }
         if complete == 0 && self.partial.len() > MAX_HELD_BYTES {
             complete = self.partial.len();
-            self.part.has_passed_part = true;
+            self.part.passed += complete;
             self.part.is_line_cut |= self.part.line_start < complete;
         }
         self.part.read -= complete;
@@ -95,7 +96,13 @@
     /// follows it has been passed on.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
-        !self.part.has_passed_part
+        self.part.passed == 0
+    }
+
+    /// Returns the number of bytes received of the event that isn't complete.
+    #[must_use]
+    pub fn event_bytes(&self) -> usize {
+        self.part.passed + self.partial.len()
     }
 
     /// Returns whether the stream may end here: between two events, and not before the first
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -93,6 +93,10 @@
                     self.record_pause();
                     self.proof.record_events(&self.call, &self.request);
                     let complete = self.splitter.push(&bytes);
+                    if self.splitter.event_bytes() > self.max_event_bytes() {
+                        self.resume(RouteFault::Broken).await?;
+                        continue;
+                    }
                     if !complete.is_empty() {
                         return Ok(Some(complete));
                     }
@@ -104,6 +108,11 @@
         }
     }
 
+    /// Returns the longest event that a server may send.
+    fn max_event_bytes(&self) -> usize {
+        self.call.state.response_memory.max_unstated()
+    }
+
     /// Records the pause before the bytes that have just arrived.
     fn record_pause(&mut self) {
         let now = self.call.state.now();
@@ -121,7 +130,11 @@
         };
         let state = self.call.state.clone();
         loop {
+            // Bytes may be there at any time, so that no wait ends.
             let left = self.call.time_left();
+            if left.is_zero() {
+                return Err(AttemptOutcome::TimedOut);
+            }
             let wait = if resumable {
                 let ask = || self.call.stream_patience(STALL_TIMEOUT);
                 left.min(*self.patience.get_or_insert_with(ask))
