Streams that are whole by the deadline are still delivered late

The check of the deadline before each read would cut a stream whose last bytes have arrived while the process was late. 64 KB after the deadline are still passed on.

--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -24,6 +24,10 @@
 /// the other server.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1000);
 
+/// The most bytes that are still passed on after the deadline: a stream that is whole by then is
+/// delivered late, while a server that goes on sending doesn't prolong its stream.
+const MAX_LATE_BYTES: usize = 64 * 1024;
+
 /// A stream of events from a server to a caller.
 pub(crate) struct StreamRelay {
     /// The call that the stream answers.
@@ -45,6 +49,8 @@
     has_version: bool,
     /// When the stream proves the parts of the prompt.
     proof: StreamProof,
+    /// The bytes that were received after the deadline.
+    late_bytes: usize,
     /// Whether the end of the stream has been recorded, and nothing more follows.
     ended: bool,
 }
@@ -70,6 +76,7 @@
             patience: None,
             has_version,
             proof: StreamProof::default(),
+            late_bytes: 0,
             ended: false,
         }
     }
@@ -130,9 +137,8 @@
         };
         let state = self.call.state.clone();
         loop {
-            // Bytes may be there at any time, so that no wait ends.
             let left = self.call.time_left();
-            if left.is_zero() {
+            if left.is_zero() && self.late_bytes > MAX_LATE_BYTES {
                 return Err(AttemptOutcome::TimedOut);
             }
             let wait = if resumable {
@@ -144,6 +150,9 @@
             let until = state.now() + wait;
             match state.wait_until(until, source.next(&state)).await {
                 Some(Ok(Some(bytes))) => {
+                    if left.is_zero() {
+                        self.late_bytes += bytes.len();
+                    }
                     state.run_router(|core, now| {
                         core.record_response_data(self.call.request_id, now);
                         vec![]
