--- a/crates/flaxtide-entry/src/fleet.rs
+++ b/crates/flaxtide-entry/src/fleet.rs
@@ -10,7 +10,7 @@
 use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::{InstanceName, MilliClock, ServerId, SettingsVersion};
 use flaxtide_fleet::{
-    AnswerSpan, DutyHolder, EngineDigest, FleetCommand, FleetKey, FleetNode, FleetThread,
+    DutyHolder, EngineDigest, FleetCommand, FleetKey, FleetNode, FleetThread,
     FleetTiming, FleetUpdate, LinkBytes, NodeEvent, NodeStatus, OwnLoad, PartRead,
     PartUpdate, PeerInfo, ReachRequest, RowRequest, SettingsCopy, fleet_key,
 };
@@ -350,10 +350,10 @@
         // The clocks of the node and of the source began at different times.
         let source_now = source.clock().now();
         if let Some(span) = node.peer_answers() {
-            source.answers().record_peers(shift(span, now, source_now));
+            source.answers().record_peers(span.shifted(now, source_now));
         }
         let answers = source.answers().own();
-        let answers = answers.map(|span| shift(span, source_now, now));
+        let answers = answers.map(|span| span.shifted(source_now, now));
         node.set_status(
             NodeStatus {
                 loads,
@@ -397,15 +397,6 @@
     }
 }
 
-/// Converts a span from one clock to another, given the time on both.
-pub(crate) fn shift(span: AnswerSpan, from: Duration, to: Duration) -> AnswerSpan {
-    let shifted = |at: Duration| to.saturating_sub(from.saturating_sub(at));
-    AnswerSpan {
-        since: shifted(span.since),
-        until: shifted(span.until),
-    }
-}
-
 /// Converts a prefill of a server to the form for peers, with its age.
 fn to_part_read(
     state: &TrafficState,
--- a/crates/flaxtide-entry/src/follower.rs
+++ b/crates/flaxtide-entry/src/follower.rs
@@ -13,6 +13,7 @@
 use crate::feed::FeedEvent;
 use crate::fleet::FleetLink;
 use crate::follow::{CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until};
+use crate::follow_log::{log_dependency, log_fault};
 use crate::list_age::ListAge;
 use crate::metrics::EntryMetrics;
 use crate::reader::ServerListLog;
@@ -144,6 +145,31 @@
         read
     }
 
+    /// Calls the platform if that is due, or waits for it while peers may answer again. Returns
+    /// whether the traffic thread still receives events.
+    fn await_call(
+        &self,
+        state: &mut FollowState,
+        backoff: &mut CallBackoff,
+        clock: &MilliClock,
+    ) -> bool {
+        let Some(delay) = self.platform_delay(state, backoff, clock.now()) else {
+            return self.call_platform(state, backoff, clock);
+        };
+        if self.source.suggests_outage() {
+            state.record_failing_peers();
+        }
+        state.shorten_waits(clock.now());
+        self.pause(delay.min(PEER_RETRY_PERIOD));
+        // During an outage, rows may lapse merely because servers can't renew them, so the traffic
+        // thread must know of it.
+        if state.is_outage(clock.now()) && !self.send_availability(FeedEvent::Lost) {
+            return false;
+        }
+        // Peers may take long to answer, so a call that is due comes first.
+        delay > PEER_RETRY_PERIOD || self.call_platform(state, backoff, clock)
+    }
+
     /// Returns the age of the server list, unless another topic is followed.
     fn list_age(&self) -> Option<&ListAge> {
         (self.topic == FeedTopic::Servers).then(|| self.source.list_age())
@@ -346,61 +372,10 @@
                 follower.pause(PLAN_CHECK_PERIOD);
                 true
             }
-            None => {
-                match follower.platform_delay(&mut state, &mut backoff, clock.now()) {
-                    Some(delay) => {
-                        if follower.source.suggests_outage() {
-                            state.record_failing_peers();
-                        }
-                        state.shorten_waits(clock.now());
-                        follower.pause(delay.min(PEER_RETRY_PERIOD));
-                        // During an outage, rows may lapse merely because servers can't renew
-                        // them, so the traffic thread must know of it.
-                        let known = !state.is_outage(clock.now())
-                            || follower.send_availability(FeedEvent::Lost);
-                        // Peers may take long to answer, so a call that is due comes first.
-                        let is_due = delay <= PEER_RETRY_PERIOD;
-                        known
-                            && (!is_due
-                                || follower.call_platform(
-                                    &mut state,
-                                    &mut backoff,
-                                    &clock,
-                                ))
-                    }
-                    None => follower.call_platform(&mut state, &mut backoff, &clock),
-                }
-            }
+            None => follower.await_call(&mut state, &mut backoff, &clock),
         };
         if !delivered {
             return;
         }
     }
 }
-
-/// Logs a failed call.
-fn log_fault(topic: FeedTopic, fault: &FeedError, pause: Duration) {
-    let (topic, pause_ms) = (topic.to_string(), pause.as_millis() as u64);
-    if *fault == FeedError::HistoryGone {
-        log::info!(topic, pause_ms; "history gone, reading everything");
-        return;
-    }
-    log::info!(topic, cause = fault.to_string(), pause_ms; "platform call failed");
-}
-
-/// Logs whether the platform is reachable, and exports it.
-fn log_dependency(
-    topic: FeedTopic,
-    up: bool,
-    fault: Option<&FeedError>,
-    metrics: &EntryMetrics,
-) {
-    let name = topic.to_string();
-    metrics
-        .dependencies
-        .with_label_values(&[name.as_str()])
-        .set(i64::from(up));
-    let event = if up { "dependency regained" } else { "dependency lost" };
-    let cause = fault.map(ToString::to_string).unwrap_or_default();
-    log::info!(dependency = format!("platform {name}"), cause; "{event}");
-}
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -31,6 +31,7 @@
 mod feed;
 mod fleet;
 mod follow;
+mod follow_log;
 mod follower;
 mod forward;
 mod hooked;
--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -10,7 +10,6 @@
 
 use crate::contract::BackendService;
 use crate::directory::DirectoryEntry;
-use crate::fleet::shift;
 use crate::state::TrafficState;
 use crate::version_counts::ListedServices;
 
@@ -224,7 +223,7 @@
     }
     let (now, source_now) = (state.now(), state.source.clock().now());
     let answers = state.source.answers().known();
-    let answers = answers.map(|span| shift(span, source_now, now));
+    let answers = answers.map(|span| span.shifted(source_now, now));
     if let Some(answers) = answers {
         state.directory.borrow_mut().record_answers(answers);
     }
--- a/crates/flaxtide-fleet/src/answers.rs
+++ b/crates/flaxtide-fleet/src/answers.rs
@@ -42,6 +42,16 @@
         }
     }
 
+    /// Converts the span from a clock that shows `from` to one that shows `to` at the same moment.
+    #[must_use]
+    pub fn shifted(self, from: Duration, to: Duration) -> Self {
+        let shifted = |at: Duration| to.saturating_sub(from.saturating_sub(at));
+        Self {
+            since: shifted(self.since),
+            until: shifted(self.until),
+        }
+    }
+
     /// Returns the ages of both times, for a peer.
     pub(crate) fn ages(self, now: Duration) -> AnswerAges {
         let units = |at: Duration| now.saturating_sub(at).as_millis() / AGE_UNIT_MS;
