Short pieces of a body without a stated length count as 64 bytes

Cause: the limit on bytes allows 250,000 chunks there, each of which takes processor time, and a few such bodies at once took more than callers wait. Change: a piece counts as 64 bytes at least, also of a refusal's body. Bodies with a stated length are as before.

--- a/crates/flaxtide-entry/src/body.rs
+++ b/crates/flaxtide-entry/src/body.rs
@@ -20,6 +20,14 @@
 /// The most bytes of a refusal's body that are read so that its connection can be reused.
 const MAX_REFUSAL_BYTES: usize = 64 * 1024;
 
+/// The least that a piece of a body counts, in bytes. Each takes processor time, however short it is.
+const MIN_PIECE_COST: usize = 64;
+
+/// Returns how much a piece of a body counts towards a limit on its length, in bytes.
+pub(crate) fn piece_cost(piece: &Bytes) -> usize {
+    piece.len().max(MIN_PIECE_COST)
+}
+
 /// The body of a server's response, read from its connection.
 pub(crate) struct UpstreamBody {
     /// The body, as hyper reads it.
@@ -149,10 +157,10 @@
     let state = state.clone();
     tokio::task::spawn_local(async move {
         let read = async {
-            let mut count = 0;
+            let mut cost = 0;
             while let Ok(Some(bytes)) = body.next(&state).await {
-                count += bytes.len();
-                if count > MAX_REFUSAL_BYTES {
+                cost += piece_cost(&bytes);
+                if cost > MAX_REFUSAL_BYTES {
                     return;
                 }
             }
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -112,11 +112,6 @@
 }
 
 impl ChargedBody {
-    /// Returns the number of bytes received.
-    pub(crate) fn len(&self) -> usize {
-        self.bytes.len()
-    }
-
     /// Reserves memory for a body of `length` bytes, as far as that isn't done yet. A body
     /// that exceeds the budget is charged with all of it.
     pub(crate) async fn reserve(&mut self, length: usize, budget: &BodyBudget) {
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -5,7 +5,7 @@
 use hyper::header::{CONTENT_TYPE, HeaderMap};
 use hyper::{Response, StatusCode};
 
-use crate::body::UpstreamBody;
+use crate::body::{UpstreamBody, piece_cost};
 use crate::contract::CallKind;
 use crate::exchange::{CallerRequest, ResponseStart};
 use crate::forward::write_server_version;
@@ -93,8 +93,10 @@
         // Reserved before any byte is read, so that bodies that are partly received don't
         // wait for each other.
         collected.reserve(stated.unwrap_or_default(), budget).await;
+        let mut cost = 0;
         while let Some(bytes) = body.next(state).await? {
-            if collected.len() + bytes.len() > max_bytes {
+            cost += if stated.is_some() { bytes.len() } else { piece_cost(&bytes) };
+            if cost > max_bytes {
                 return Err(reject_long(call, max_bytes));
             }
             collected.push(&bytes, budget).await;
