--- a/review/standins/src/bin/lost.rs
+++ b/review/standins/src/bin/lost.rs
@@ -15,9 +15,9 @@
 };
 
 const SERVICE: &str = "gohu54b";
-const ZONES: [&str; 4] = ["nave-a", "nave-b", "nave-c", "nave-d"];
-const ZONE_REGIONS: &str = "{\"nave-a\":\"chile-central\",\"nave-b\":\"chile-central\",\
-                            \"nave-c\":\"chile-central\",\"nave-d\":\"chile-central\"}";
+const ZONES: [&str; 3] = ["tln-a", "tln-b", "mrd-c"];
+const ZONE_REGIONS: &str =
+    "{\"tln-a\":\"ee-north\",\"tln-b\":\"ee-north\",\"mrd-c\":\"ee-north\"}";
 
 /// The length of an answer, and how many bytes a client reads in a second: 7 s for an answer.
 const ANSWER_BYTES: usize = 14_000_000;
@@ -81,7 +81,7 @@
     let addresses = Addresses::choose();
     let store = Store::start(addresses.at(1, 8223))?;
     let route = Route {
-        name: "r-sala",
+        name: "r-owner",
         prefix: "/cufi504/",
         kind: "idempotent",
         timeout_ms: 15000,
@@ -90,7 +90,7 @@
         more: "",
     };
     store.put("op", "config", Some(&config(7, SERVICE, &[route])));
-    for place in 0..4_u8 {
+    for place in 0..3_u8 {
         let worker = format!("i-{place}a7c1e0{place}");
         let address = addresses.at(10 + place, 8026);
         let listener = TcpListener::bind(address)?;
@@ -112,7 +112,7 @@
             &Place {
                 name: &name,
                 zone: ZONES[usize::from(place)],
-                region: "chile-central",
+                region: "ee-north",
                 zones: ZONE_REGIONS,
                 address: addresses.at(20 + place, 8227),
                 store: store.address,
--- a/review/standins/src/bin/twice.rs
+++ b/review/standins/src/bin/twice.rs
@@ -16,23 +16,24 @@
 };
 
 const SERVICE: &str = "gohu54b";
-const ZONES: [&str; 4] = ["nave-a", "nave-b", "nave-c", "nave-d"];
-const ZONE_REGIONS: &str = "{\"nave-a\":\"chile-central\",\"nave-b\":\"chile-central\",\
-                            \"nave-c\":\"chile-central\",\"nave-d\":\"chile-central\"}";
+const ZONES: [&str; 3] = ["tln-a", "tln-b", "mrd-c"];
+const ZONE_REGIONS: &str =
+    "{\"tln-a\":\"ee-north\",\"tln-b\":\"ee-north\",\"mrd-c\":\"ee-north\"}";
 
 /// How long clients send.
-const LENGTH: Duration = Duration::from_secs(36);
+const LENGTH: Duration = Duration::from_secs(68);
 /// When workers give second answers, in seconds from the start of traffic.
-const WINDOWS: [(f64, f64); 3] = [(4.0, 9.0), (14.0, 19.0), (24.0, 29.0)];
+const WINDOWS: [(f64, f64); 6] =
+    [(4.0, 9.0), (15.0, 20.0), (26.0, 31.0), (37.0, 42.0), (48.0, 53.0), (59.0, 64.0)];
 /// One of so many answers is followed by a second one (0.03 of them).
 const ONE_OF: usize = 34;
-/// How many of the four workers do so (a share of 0.5).
-const FAULTY: usize = 2;
+/// How many of the three workers do so (a share of 0.33).
+const FAULTY: usize = 1;
 /// The time that a worker works on a request.
 const WORK: Duration = Duration::from_millis(60);
-/// How many clients there are, and the pause between two requests of one: 40 requests a second.
+/// How many clients there are, and the time between two requests of one: 21 requests a second.
 const CLIENTS: usize = 24;
-const PAUSE: Duration = Duration::from_millis(540);
+const PAUSE: Duration = Duration::from_millis(1120);
 
 struct Worker {
     id: String,
@@ -116,8 +117,8 @@
     while Instant::now() < until {
         let began = Instant::now();
         let serial = next_number();
-        // Of 40 requests, 29 aren't idempotent.
-        let is_unsafe = serial % 40 < 29;
+        // Of ten requests, seven aren't idempotent.
+        let is_unsafe = serial % 10 < 7;
         let mut tries = 0;
         loop {
             let id = format!("{}{serial:08x}{tries:02x}", if is_unsafe { "a" } else { "b" });
@@ -130,8 +131,8 @@
             }
             let Some(link) = &mut client else { break };
             record.add(format!("client {number} sends {id} ({method} {path})"));
-            let sent = link.send(method, &path, &id, 1500, &[b'x'; 600]);
-            let answer = sent.map(|()| link.receive(Duration::from_millis(1500), |_| {}));
+            let sent = link.send(method, &path, &id, 4000, &[b'x'; 600]);
+            let answer = sent.map(|()| link.receive(Duration::from_millis(4000), |_| {}));
             let status = answer.as_ref().map_or(0, |answer| answer.status);
             record.add(format!("client {number} gets {status} to {id}"));
             let closes = answer.as_ref().is_ok_and(|answer| {
@@ -170,20 +171,20 @@
         name,
         prefix,
         kind,
-        timeout_ms: 800,
+        timeout_ms: 2000,
         target_ms: 300,
         attempts,
         more: "",
     };
     let routes = [
-        route("r-conf", "/puxa403/", "non_idempotent", 1),
-        route("r-sala", "/cufi504/", "idempotent", 2),
+        route("r-plate", "/puxa403/", "non_idempotent", 1),
+        route("r-owner", "/cufi504/", "idempotent", 2),
     ];
     store.put("op", "config", Some(&config(7, SERVICE, &routes)));
     let active = Arc::new(AtomicBool::new(false));
     let runs = Arc::new(Runs::default());
     let extras = Arc::new(AtomicUsize::new(0));
-    for place in 0..4_u8 {
+    for place in 0..3_u8 {
         let worker = Arc::new(Worker {
             id: format!("i-{place}a7c1e0{place}"),
             faulty: usize::from(place) < FAULTY,
@@ -213,7 +214,7 @@
             &Place {
                 name: &name,
                 zone: ZONES[usize::from(place)],
-                region: "chile-central",
+                region: "ee-north",
                 zones: ZONE_REGIONS,
                 address: addresses.at(20 + place, 8227),
                 store: store.address,
