--- a/crates/flaxtide/tests/version_soak/process.rs
+++ b/crates/flaxtide/tests/version_soak/process.rs
@@ -14,6 +14,8 @@
     pub(crate) ip: Ipv4Addr,
     path: PathBuf,
     child: Child,
+    /// When it was last killed or told to stop.
+    down_since: Instant,
     /// From when until when it was disturbed.
     disturbed: Vec<(Instant, Instant)>,
 }
@@ -25,7 +27,13 @@
         std::fs::write(&path, instance_text(ip, store, seeds, "")).unwrap();
         let now = Instant::now();
         let child = spawn(&path, ip);
-        Self { ip, path, child, disturbed: vec![(now, now)] }
+        Self {
+            ip,
+            path,
+            child,
+            down_since: now,
+            disturbed: vec![(now, now)],
+        }
     }
 
     /// Returns where callers reach it.
@@ -50,18 +58,23 @@
         assert!(status.unwrap().success());
     }
 
+    /// Kills it.
+    pub(crate) fn kill(&mut self) {
+        self.down_since = Instant::now();
+        self.child.kill().unwrap();
+    }
+
     /// Kills it, and starts it again.
     pub(crate) fn kill_and_start(&mut self) {
-        let from = Instant::now();
-        self.child.kill().unwrap();
-        self.start_again(from);
+        self.kill();
+        self.start_until_ready();
     }
 
     /// Has it stop, and starts it again when it has.
     pub(crate) fn stop_and_start(&mut self) {
-        let from = Instant::now();
+        self.down_since = Instant::now();
         self.signal("TERM");
-        self.start_again(from);
+        self.start_until_ready();
     }
 
     /// Suspends it for a time.
@@ -74,11 +87,17 @@
     }
 
     /// Starts it again once it has ended.
-    fn start_again(&mut self, from: Instant) {
+    pub(crate) fn start_again(&mut self) {
         self.child.wait().unwrap();
         self.child = spawn(&self.path, self.ip);
+        self.disturbed.push((self.down_since, Instant::now()));
+    }
+
+    /// Starts it again, and waits until it is ready.
+    fn start_until_ready(&mut self) {
+        self.start_again();
         self.wait_ready();
-        self.disturbed.push((from, Instant::now()));
+        self.disturbed.push((self.down_since, Instant::now()));
     }
 
     /// Returns whether it was undisturbed for a time before a moment, and stays so for as long.
