Versions: records and kept notes, their contract and decisions

Cause: a fresh instance can't know which versions have served. Change: VersionRecord (what has served, revised by what is listed), NoteLog (batches of notes), the registry takes a record into account; VersionPlatform is the contract with the platform's table. Nothing writes or reads yet.

--- a/crates/flaxtide-entry/src/contract/mod.rs
+++ b/crates/flaxtide-entry/src/contract/mod.rs
@@ -6,6 +6,7 @@
 mod engine;
 mod feed;
 mod rules;
+mod version;
 
 pub use self::dialect::{
     RequestHead, ResponseHead, ResumedStream, UpstreamHead, WireDialect,
@@ -19,3 +20,4 @@
     BackendService, CallKind, CallerLimits, EntryRules, OrganisationRules, RequestClass,
     ServerEntry, ServiceColdStart, ServiceEngine, TargetService,
 };
+pub use self::version::{NoteOwner, NotesRead, RecordsRead, VersionPlatform};
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -79,10 +79,10 @@
 pub use self::contract::{
     BackendService, CacheBatch, CacheChange, CachePosition, CallKind, CallerLimits,
     DutyAnswer, DutyCredentials, DutyPlatform, DutyRead, DutyRow, EngineDialect,
-    EntryRules, FeedBatch, FeedError, FeedRow, FeedTopic, OrganisationRules,
-    PlatformFeed, RequestClass, RequestHead, ResponseHead, ResumedStream, RulesRow,
-    ServerEntry, ServiceColdStart, ServiceEngine, TargetService, UpstreamHead,
-    UsageReport, WireDialect,
+    EntryRules, FeedBatch, FeedError, FeedRow, FeedTopic, NoteOwner, NotesRead,
+    OrganisationRules, PlatformFeed, RecordsRead, RequestClass, RequestHead,
+    ResponseHead, ResumedStream, RulesRow, ServerEntry, ServiceColdStart, ServiceEngine,
+    TargetService, UpstreamHead, UsageReport, VersionPlatform, WireDialect,
 };
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
--- a/crates/flaxtide-policy/src/lib.rs
+++ b/crates/flaxtide-policy/src/lib.rs
@@ -73,6 +73,7 @@
     WindowNumber, WindowTotal, window_end, window_of,
 };
 pub use self::versions::{
-    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionNote,
-    VersionPoll, VersionRegistry, VersionView,
+    AskedPeers, BatchKey, ListedNow, NoteBatch, NoteChange, NoteLog, RecordedVersion,
+    ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionNote, VersionPoll,
+    VersionRecord, VersionRegistry, VersionView,
 };
--- /dev/null
+++ b/crates/flaxtide-policy/src/versions/record.rs
@@ -0,0 +1,154 @@
+//! What is recorded of the versions of a service outside all instances, so that one that has
+//! just started knows which versions may have begun streams.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::router::VersionKey;
+
+/// The versions at which streams of a service may have begun lately. Times are those of the
+/// store's clock, in milliseconds.
+///
+/// A version is recorded before streams begin at it while another one serves, so a version that
+/// isn't recorded has begun none.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// The era of the store in which the record was written.
+    pub era: u64,
+    /// Since when it isn't known which other versions served: the store lost writes then.
+    pub unsure_since_ms: Option<u64>,
+    /// For how long streams may be taken up, in seconds, as far as the writer knew.
+    pub life_s: u16,
+    /// The versions.
+    pub versions: Vec<RecordedVersion>,
+}
+
+/// A version in a record.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RecordedVersion {
+    /// The version.
+    pub version: VersionKey,
+    /// Since when it has been listed.
+    pub since_ms: u64,
+    /// Since when it hasn't been listed any more; `None` while it is.
+    pub left_ms: Option<u64>,
+}
+
+/// What an instance lists of a service, to compare it with the record.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct ListedNow {
+    /// The versions that it lists.
+    pub listed: BTreeSet<VersionKey>,
+    /// The versions that it hasn't listed for so long that no instance lists them any more.
+    pub gone: BTreeSet<VersionKey>,
+    /// For how long streams may be taken up.
+    pub life: Duration,
+}
+
+impl VersionRecord {
+    /// Returns the record that is to replace this one, or `None` if it says what an instance lists.
+    /// `era` is that of the store, and `now_ms` the time on its clock.
+    ///
+    /// ```
+    /// use flaxtide_policy::{ListedNow, VersionRecord};
+    /// let listed = ListedNow { listed: [7].into(), ..ListedNow::default() };
+    /// let record = VersionRecord::default().revised(&listed, 0, 500).unwrap();
+    /// assert_eq!((record.versions[0].version, record.versions[0].since_ms), (7, 500));
+    /// assert_eq!(record.revised(&listed, 0, 600), None);
+    /// ```
+    #[must_use]
+    pub fn revised(&self, now: &ListedNow, era: u64, now_ms: u64) -> Option<Self> {
+        let mut revised = self.clone();
+        if self.era != era && !self.versions.is_empty() {
+            // The store has come back from a copy, without what was written after it was made.
+            revised.unsure_since_ms = Some(now_ms);
+        }
+        revised.era = era;
+        for recorded in &mut revised.versions {
+            let is_listed = now.listed.contains(&recorded.version);
+            if is_listed && recorded.left_ms.take().is_some() {
+                recorded.since_ms = now_ms;
+            }
+            if now.gone.contains(&recorded.version) && recorded.left_ms.is_none() {
+                recorded.left_ms = Some(now_ms);
+            }
+        }
+        for version in &now.listed {
+            if !revised.versions.iter().any(|recorded| recorded.version == *version) {
+                revised.versions.push(RecordedVersion {
+                    version: *version,
+                    since_ms: now_ms,
+                    left_ms: None,
+                });
+            }
+        }
+        if revised == *self {
+            return None;
+        }
+        let life_s = u16::try_from(now.life.as_secs()).unwrap_or(u16::MAX);
+        revised.life_s = life_s.max(revised.life_s);
+        let life_ms = u64::from(revised.life_s) * 1000;
+        let is_recent = |at_ms: u64| now_ms < at_ms + life_ms;
+        revised
+            .versions
+            .retain(|recorded| recorded.left_ms.is_none_or(is_recent));
+        revised.unsure_since_ms =
+            revised.unsure_since_ms.filter(|at_ms| is_recent(*at_ms));
+        Some(revised)
+    }
+}
+
+/// A record at the time when it was read, on the clock of this instance.
+#[derive(Debug, Clone)]
+pub(super) struct ReadRecord {
+    /// The record.
+    record: VersionRecord,
+    /// The time of the store's clock, in milliseconds.
+    read_ms: u64,
+    /// The same time on the clock of this instance.
+    read_at: Duration,
+}
+
+impl ReadRecord {
+    /// Creates a record that was read at `read_at`, which is `read_ms` on the store's clock.
+    pub(super) fn new(record: VersionRecord, read_ms: u64, read_at: Duration) -> Self {
+        Self { record, read_ms, read_at }
+    }
+
+    /// Returns for how long streams may be taken up, as far as the writer knew.
+    pub(super) fn life(&self) -> Duration {
+        Duration::from_secs(self.record.life_s.into())
+    }
+
+    /// Returns for how long a version has been listed, if it is recorded as listed.
+    pub(super) fn listed_for(
+        &self,
+        version: VersionKey,
+        now: Duration,
+    ) -> Option<Duration> {
+        let mut versions = self.record.versions.iter();
+        let found = versions.find(|recorded| recorded.version == version)?;
+        found.left_ms.is_none().then(|| self.age(found.since_ms, now))
+    }
+
+    /// Returns for how long no stream can have begun at another version than this one:
+    /// zero if another may serve, and `Duration::MAX` if none has.
+    pub(super) fn sole_for(&self, version: VersionKey, now: Duration) -> Duration {
+        let others = self.record.versions.iter();
+        let others = others.filter(|recorded| recorded.version != version);
+        let left_for = others.map(|recorded| match recorded.left_ms {
+            Some(left) => self.age(left, now),
+            None => Duration::ZERO,
+        });
+        let sure_for = self.record.unsure_since_ms.map(|since| self.age(since, now));
+        left_for.chain(sure_for).min().unwrap_or(Duration::MAX)
+    }
+
+    /// Returns for how long a time on the store's clock has passed.
+    fn age(&self, at_ms: u64, now: Duration) -> Duration {
+        let when_read = Duration::from_millis(self.read_ms.saturating_sub(at_ms));
+        when_read + now.saturating_sub(self.read_at)
+    }
+}
--- a/crates/flaxtide-policy/src/versions/registry.rs
+++ b/crates/flaxtide-policy/src/versions/registry.rs
@@ -5,6 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::record::{ReadRecord, VersionRecord};
 use super::{ServiceKey, StreamKey};
 use crate::router::VersionKey;
 
@@ -90,6 +91,8 @@
     sole_since: Duration,
     /// When another version was last listed besides or before.
     mixed_at: Option<Duration>,
+    /// What is recorded of earlier times, once it has been read.
+    record: Option<ReadRecord>,
 }
 
 /// A version of a service that is listed.
@@ -162,13 +165,61 @@
             return VersionView::Several;
         }
         let Some(sole) = known.sole else { return VersionView::Unlisted };
-        let known_for = now.saturating_sub(known.sole_since).as_millis();
-        VersionView::Sole(sole, u32::try_from(known_for).unwrap_or(u32::MAX))
+        let listed_for = now.saturating_sub(known.sole_since);
+        let known_for = match &known.record {
+            None => listed_for,
+            Some(record) => {
+                let sole_for = record.sole_for(sole, now);
+                if sole_for < self.window() {
+                    return VersionView::Several;
+                }
+                // Versions that were listed here but never recorded have begun streams as well.
+                known.mixed_at.map_or(sole_for, |_| sole_for.min(listed_for))
+            }
+        };
+        VersionView::Sole(sole, u32::try_from(known_for.as_millis()).unwrap_or(u32::MAX))
+    }
+
+    /// Records what is recorded of the versions of a service, as read at `now`, which is `read_ms`
+    /// on the store's clock. Returns whether the service has several versions from now on and
+    /// had a single one before.
+    pub fn set_recorded(
+        &mut self,
+        service: ServiceKey,
+        record: VersionRecord,
+        read_ms: u64,
+        now: Duration,
+    ) -> bool {
+        let was_mixed = self.view(service, now) == VersionView::Several;
+        let record = ReadRecord::new(record, read_ms, now);
+        self.longest_life = self.longest_life.max(record.life());
+        self.services.entry(service).or_default().record = Some(record);
+        !was_mixed && self.view(service, now) == VersionView::Several
+    }
+
+    /// Returns the versions of each service that are listed now.
+    pub fn listed(&self) -> impl Iterator<Item = (ServiceKey, BTreeSet<VersionKey>)> {
+        let services = self.services.iter();
+        services
+            .map(|(service, known)| (*service, known.listed.keys().copied().collect()))
+    }
+
+    /// Returns whether each version that is listed has been recorded as such.
+    #[must_use]
+    pub fn is_recorded(&self, now: Duration) -> bool {
+        self.services.values().all(|known| {
+            let is_recorded = |version: &VersionKey| {
+                let record = known.record.as_ref();
+                record.is_some_and(|record| record.listed_for(*version, now).is_some())
+            };
+            known.listed.keys().all(is_recorded)
+        })
     }
 
-    /// Returns the versions of a service that have been listed for less than `grace`, so that
-    /// other instances may not have listed them yet. If all have, such as just after a start,
-    /// the one with the most servers isn't among them.
+    /// Returns the versions of a service at which no streams may begin yet: those that haven't been
+    /// recorded, or listed for less than `grace`, so that other instances may not have listed them
+    /// yet. If no other version has servers in service, the one with the most isn't
+    /// among them.
     #[must_use]
     pub fn settling(
         &self,
@@ -177,10 +228,18 @@
         now: Duration,
     ) -> BTreeSet<VersionKey> {
         let Some(known) = self.services.get(&service) else { return BTreeSet::new() };
+        let is_new = |version: VersionKey, listed: &ListedVersion| {
+            let listed_for = now.saturating_sub(listed.since);
+            let listed_for = match &known.record {
+                Some(record) => record.listed_for(version, now),
+                None => Some(listed_for),
+            };
+            listed_for.is_none_or(|span| span < grace)
+        };
         let (new, old): (Vec<_>, Vec<_>) = known
             .listed
             .iter()
-            .partition(|(_, listed)| now < listed.since + grace);
+            .partition(|(version, listed)| is_new(**version, listed));
         let mut settling: BTreeSet<VersionKey> =
             new.iter().map(|(version, _)| **version).collect();
         if !old.iter().any(|(_, listed)| listed.in_service > 0) {
@@ -253,6 +312,14 @@
         known.expires_at = known.expires_at.max(expires_at);
     }
 
+    /// Returns the note of a stream, with what is left of its life.
+    #[must_use]
+    pub fn note_of(&self, stream: StreamKey, now: Duration) -> Option<VersionNote> {
+        let noted = self.notes.get(&stream).filter(|noted| now < noted.expires_at)?;
+        let life_s = whole_seconds(noted.expires_at.saturating_sub(now));
+        Some(VersionNote { stream, version: noted.version, life_s })
+    }
+
     /// Removes the note of a stream that is complete.
     pub fn forget(&mut self, stream: StreamKey) {
         self.notes.remove(&stream);
