Log of streams taken up: agreement and certainty stand apart

Cause: the source peers meant both that a peer was certain and that nobody knew another version, and the line named neither how many peers had answered nor for how long the version was known, so the hypotheses couldn't be told apart. Change: the decision Agreed; source agreed, answered and known_ms in stream taken up. Result: no decision changes; the cases of stream_versions (policy) name which ones are agreed.

--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions.rs
@@ -63,6 +63,15 @@
     questions: Vec<PendingQuestion>,
 }
 
+/// What an instance decides together with its peers.
+#[derive(Debug, Clone, Copy)]
+struct PeerDecision {
+    /// The decision.
+    decision: VersionDecision,
+    /// How many peers have answered.
+    answered: usize,
+}
+
 /// Identifies a stream that may be continued elsewhere, among its caller's attempts.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct StreamIdentity {
@@ -172,7 +181,7 @@
     fn find(
         &self,
         identity: StreamIdentity,
-    ) -> Result<(VersionKey, &'static str), oneshot::Receiver<VersionDecision>> {
+    ) -> Result<(VersionKey, &'static str), oneshot::Receiver<PeerDecision>> {
         let now = self.clock.now();
         let mut state = self.lock();
         let StreamIdentity { service, stream, .. } = identity;
@@ -189,9 +198,9 @@
                 question: VersionQuestion { service, stream },
                 own,
                 window,
-                decide: Box::new(|decision| {
+                decide: Box::new(|decision, answered| {
                     // The caller may have left.
-                    let _ = sender.send(decision);
+                    let _ = sender.send(PeerDecision { decision, answered });
                 }),
             });
             self.asked.notify_one();
@@ -199,6 +208,15 @@
         Err(receiver)
     }
 
+    /// Returns for how long a service is known to have had a single version, in milliseconds, or -1 if
+    /// it has several or none.
+    fn known_ms(&self, service: ServiceKey) -> i64 {
+        match self.lock().registry.view(service, self.clock.now()) {
+            VersionView::Sole(_, known_ms) => known_ms.into(),
+            VersionView::Unlisted | VersionView::Several => -1,
+        }
+    }
+
     /// Locks the state, even if a thread has panicked while it held the lock.
     fn lock(&self) -> MutexGuard<'_, VersionsState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -304,13 +322,17 @@
         return Ok(None);
     };
     let asked = state.now();
+    let mut answered = 0;
     let (version, source) = match state.versions.find(identity) {
         Ok((version, source)) => (Some(version), source),
         Err(decision) => {
             let decided = state.wait_until(asked + DECISION_TIMEOUT, decision).await;
-            match decided {
-                Some(Ok(VersionDecision::Bound(version))) => (Some(version), "peers"),
-                _ => (None, "unknown"),
+            let decided = decided.and_then(Result::ok);
+            answered = decided.map_or(0, |decided| decided.answered);
+            match decided.map(|decided| decided.decision) {
+                Some(VersionDecision::Bound(version)) => (Some(version), "peers"),
+                Some(VersionDecision::Agreed(version)) => (Some(version), "agreed"),
+                Some(VersionDecision::Unknown) | None => (None, "unknown"),
             }
         }
     };
@@ -318,7 +340,8 @@
     log::info!(
         request = head.attempt_id.as_deref().unwrap_or_default(),
         resumes = resumed.first_attempt.as_deref().unwrap_or_default(),
-        version_key = version.unwrap_or_default(), source,
+        version_key = version.unwrap_or_default(), source, answered,
+        known_ms = state.versions.known_ms(identity.service),
         spent_ms = state.now().saturating_sub(asked).as_millis() as u64;
         "stream taken up"
     );
--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -84,8 +84,8 @@
     pub own: VersionAnswer,
     /// For how long streams are taken up again.
     pub window: Duration,
-    /// Receives the decision.
-    pub decide: Box<dyn FnOnce(VersionDecision) + Send>,
+    /// Receives the decision, and how many peers had answered by then.
+    pub decide: Box<dyn FnOnce(VersionDecision, usize) + Send>,
 }
 
 impl std::fmt::Debug for PendingQuestion {
@@ -200,9 +200,9 @@
             let Some((poll, _)) = slot else { continue };
             poll.add(answer, near);
             if let Some(decision) = poll.certain()
-                && let Some((_, decide)) = slot.take()
+                && let Some((poll, decide)) = slot.take()
             {
-                decide(decision);
+                decide(decision, poll.answered());
             }
         }
         if polls.iter().all(Option::is_none) {
@@ -210,7 +210,7 @@
         }
     }
     for (poll, decide) in polls.into_iter().flatten() {
-        decide(poll.finish());
+        decide(poll.finish(), poll.answered());
     }
 }
 
--- a/crates/flaxtide-lab/src/versions.rs
+++ b/crates/flaxtide-lab/src/versions.rs
@@ -331,13 +331,13 @@
             let index = usable[self.rng.random_range(0..usable.len())];
             self.streams[position].back_at = None;
             self.streams[position].instance = index;
-            match self.decide(index, key) {
-                VersionDecision::Bound(bound) if bound == version => {
+            match self.decide(index, key).version() {
+                Some(bound) if bound == version => {
                     self.outcome.continued += 1;
                     self.note(index, key, version);
                 }
-                VersionDecision::Bound(_) => self.outcome.joined += 1,
-                VersionDecision::Unknown => self.outcome.refused += 1,
+                Some(_) => self.outcome.joined += 1,
+                None => self.outcome.refused += 1,
             }
         }
     }
--- a/crates/flaxtide-policy/src/versions/poll.rs
+++ b/crates/flaxtide-policy/src/versions/poll.rs
@@ -8,12 +8,25 @@
 /// At which version a stream may be continued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum VersionDecision {
-    /// At this version, which began it.
+    /// At this version, which has certainly begun it.
     Bound(VersionKey),
+    /// At this version: nothing is certain, but nobody knows another.
+    Agreed(VersionKey),
     /// At none: it isn't known which version began it.
     Unknown,
 }
 
+impl VersionDecision {
+    /// Returns the version, if there is one.
+    #[must_use]
+    pub fn version(self) -> Option<VersionKey> {
+        match self {
+            Self::Bound(version) | Self::Agreed(version) => Some(version),
+            Self::Unknown => None,
+        }
+    }
+}
+
 /// A number of peers.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct AskedPeers {
@@ -70,6 +83,12 @@
         self.read(answer);
     }
 
+    /// Returns how many peers have answered.
+    #[must_use]
+    pub fn answered(&self) -> usize {
+        self.answered.all
+    }
+
     /// Returns the decision if no further answer can change it.
     #[must_use]
     pub fn certain(&self) -> Option<VersionDecision> {
@@ -88,7 +107,7 @@
         };
         match self.only {
             Some(version) if is_quorum && !self.differs => {
-                VersionDecision::Bound(version)
+                VersionDecision::Agreed(version)
             }
             _ => VersionDecision::Unknown,
         }
--- a/crates/flaxtide-policy/tests/stream_versions.rs
+++ b/crates/flaxtide-policy/tests/stream_versions.rs
@@ -99,6 +99,7 @@
     const LONG: u32 = 15_000;
     const SHORT: u32 = 14_999;
     let bound = VersionDecision::Bound;
+    let agreed = VersionDecision::Agreed;
     let unknown = VersionDecision::Unknown;
     let noted = VersionAnswer {
         noted: Some(8),
@@ -119,16 +120,16 @@
         (unlisted, vec![], vec![sole(7, LONG)], (8, 2), bound(7)),
         (several, vec![several; 2], vec![several; 6], (8, 2), unknown),
         (several, vec![stale(7); 2], vec![stale(7); 6], (8, 2), unknown),
-        (stale(7), vec![stale(7); 2], vec![], (8, 2), bound(7)),
+        (stale(7), vec![stale(7); 2], vec![], (8, 2), agreed(7)),
         (stale(7), vec![stale(7)], vec![stale(7); 6], (8, 2), unknown),
         (stale(7), vec![], vec![], (8, 2), unknown),
         (stale(7), vec![stale(7), stale(8)], vec![], (8, 2), unknown),
         (stale(7), vec![stale(7); 2], vec![several], (8, 2), unknown),
-        (stale(7), vec![], vec![stale(7); 4], (8, 0), bound(7)),
+        (stale(7), vec![], vec![stale(7); 4], (8, 0), agreed(7)),
         (stale(7), vec![], vec![stale(7); 3], (8, 0), unknown),
         (stale(7), vec![], vec![], (8, 0), unknown),
-        (sole(7, SHORT), vec![sole(7, SHORT); 2], vec![], (8, 2), bound(7)),
-        (sole(7, SHORT), vec![], vec![], (0, 0), bound(7)),
+        (sole(7, SHORT), vec![sole(7, SHORT); 2], vec![], (8, 2), agreed(7)),
+        (sole(7, SHORT), vec![], vec![], (0, 0), agreed(7)),
         (unlisted, vec![unlisted; 2], vec![unlisted; 6], (8, 2), unknown),
     ];
     for (case, (own, near, far, (all, asked_near), decision)) in
