Versions: records and notes are read and written by instances

What callers saw: after all instances were killed, streams went on at the version that was listed then, whichever had begun them; while two versions served, all were refused. Cause: all knowledge of versions was in memory, and the agreement of instances that had just started counted as knowledge of the time before. Change: a thread records in the platform's table which versions serve, before streams begin at a new one beside another, and keeps the notes of streams while several serve; an instance reads both before it is ready, and the notes of peers that don't answer when it is asked for their streams. Instances that have known a version for less than the window don't count as informed, which replaces two cases of stream_versions (policy) that had them agree.

--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -162,6 +162,7 @@
                 state.newest_rules.set(newest_rules);
                 state.record_live_rules(live_rules);
                 state.live_instances.set(live);
+                state.versions.set_instances(live);
                 state.metrics.instances.set(i64::from(live));
                 let is_whole =
                     data_centres >= state.config().regions.len() || now >= MAX_FLEET_WAIT;
--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -17,7 +17,8 @@
 use crate::call::RequestSource;
 use crate::config::EntryConfig;
 use crate::contract::{
-    DutyPlatform, EngineDialect, FeedTopic, PlatformFeed, WireDialect,
+    DutyPlatform, EngineDialect, FeedTopic, NoteOwner, PlatformFeed, VersionPlatform,
+    WireDialect,
 };
 use crate::duty::{DutyThread, SharedDuties, update_duty_view};
 use crate::error::EntryError;
@@ -42,6 +43,7 @@
 use crate::stop::{
     SignalEvent, handle_signals, register_signals, reload_config, watch_signals,
 };
+use crate::versions::VersionTable;
 use crate::watch::{EngineWatches, update_watches};
 
 /// The capacity of the queue from the feed threads to the traffic thread.
@@ -74,6 +76,8 @@
     duties: Option<Arc<dyn DutyPlatform>>,
     /// Translates the calls with which engines are watched; `None` if they aren't.
     engines: Option<Arc<dyn EngineDialect>>,
+    /// Keeps the versions of streams; `None` if they are lost with all instances.
+    versions: Option<Arc<dyn VersionPlatform>>,
     /// The clock of the traffic thread.
     clock: MilliClock,
     /// Both ends of the queue of signals.
@@ -111,6 +115,7 @@
             feed,
             duties: None,
             engines: None,
+            versions: None,
             clock: MilliClock::real(),
             signals: channel(SIGNAL_QUEUE_LEN),
         }
@@ -134,6 +139,12 @@
         Self { engines: Some(engines), ..self }
     }
 
+    /// Keeps the versions of streams in the platform's table.
+    #[must_use]
+    pub fn with_versions(self, versions: Arc<dyn VersionPlatform>) -> Self {
+        Self { versions: Some(versions), ..self }
+    }
+
     /// Returns a handle that stops the instance.
     #[must_use]
     pub fn stop_handle(&self) -> StopHandle {
@@ -165,6 +176,7 @@
             feed,
             duties,
             engines,
+            versions,
             clock,
             signals: (_, mut signals),
         } = self;
@@ -218,6 +230,10 @@
         }
         let fleet = open_fleet(&config, &shared_rules, &list, &events, &metrics)?;
         let peer_bytes = fleet.bytes();
+        let owner = NoteOwner {
+            data_centre: config.data_centre.clone(),
+            instance: config.name.clone(),
+        };
         let shared_duties = start_duties(&config, duties, &fleet, &link, &metrics)?;
         let state = TrafficState::new(
             config,
@@ -229,6 +245,11 @@
             shared_duties,
         );
         fleet.set_version_exchange(state.versions.clone());
+        if let Some(platform) = versions {
+            let (versions, metrics) = (state.versions.clone(), state.metrics.clone());
+            let table = VersionTable::new(owner, platform, versions, metrics);
+            spawn("the versions thread", move || table.run())?;
+        }
         spawn("the fleet thread", move || fleet.run(&fleet_requests))?;
         let state = Rc::new(state);
         let open_connections = Rc::new(Cell::new(0));
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -6,6 +6,7 @@
 //! - `traffic`: accepts callers, routes requests and talks to servers ([`EntryInstance`]);
 //! - `rules` and `servers`: follow the rules and the server list ([`PlatformFeed`]);
 //! - `fleet`: communicates with peers;
+//! - `versions`: keeps the versions of streams in the platform's table;
 //! - `duties`: carries out what one instance does for all, if configured;
 //! - `signal`: waits for signals;
 //! - `log`: writes log lines.
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -61,6 +61,8 @@
     pub(crate) resumed_streams: IntCounterVec,
     /// Streams whose version is noted.
     pub(crate) version_notes: IntGauge,
+    /// Notes of streams that aren't in the platform's table yet.
+    pub(crate) unwritten_version_notes: IntGauge,
     /// Servers that exited while they ran a request of this instance.
     pub(crate) crashes: IntCounter,
     /// Requests suspected of crashing servers.
@@ -173,6 +175,10 @@
                 &["source"],
             ),
             version_notes: gauge("version_notes", "Streams whose version is noted."),
+            unwritten_version_notes: gauge(
+                "unwritten_version_notes",
+                "Noted streams that aren't in the platform's table yet.",
+            ),
             crashes: counter("server_crashes", "Servers that ended under a request."),
             suspected: gauge("suspected_requests", "Requests that ran on such servers."),
             quarantined: gauge("quarantined_requests", "Requests sent to no server."),
@@ -220,7 +226,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 39] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 40] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -245,6 +251,7 @@
             Box::new(self.unframed_ends.clone()),
             Box::new(self.resumed_streams.clone()),
             Box::new(self.version_notes.clone()),
+            Box::new(self.unwritten_version_notes.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -167,7 +167,11 @@
         let (request_memory, response_memory) = (budget("request"), budget("response"));
         let carried = CarriedCalls::new(metrics.carried_calls.clone());
         let quarantine = CallQuarantine::new(!config.seeds.is_empty());
-        let versions = StreamVersions::new(source.clock().clone(), leave_within);
+        let versions = StreamVersions::new(
+            source.clock().clone(),
+            leave_within,
+            metrics.unwritten_version_notes.clone(),
+        );
         let lateness =
             TickLateness::new(clock.now(), leave_within.mul_f64(LATENESS_FRACTION));
         let mut core = RouteCore::new(options);
@@ -263,6 +267,7 @@
             && !self.has_overdue_rules()
             && self.now() >= self.not_ready_until.get()
             && self.quarantine.is_synced(self.now())
+            && self.versions.is_table_tried()
     }
 
     /// Returns whether a request that starts now might not end before the process must.
--- /dev/null
+++ b/crates/flaxtide-entry/src/versions/find.rs
@@ -0,0 +1,107 @@
+//! Binds streams to the version that began them, and finds it out for those that callers take up.
+
+use std::time::Duration;
+
+use flaxtide_policy::{VersionDecision, VersionKey};
+
+use super::{PeerDecision, StreamIdentity};
+use crate::contract::RequestHead;
+use crate::open_call::OpenCall;
+use crate::reply::LocalReply;
+use crate::state::TrafficState;
+
+/// How long a caller waits at most for what peers know of its stream.
+const DECISION_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// The pause before peers are asked again.
+const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(100);
+
+impl OpenCall {
+    /// Binds a stream that has begun to the version of its server, and notes it. `stated` is the version that
+    /// a peer has stated. Returns the version, if it is known.
+    pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
+        let version = self
+            .state
+            .with_router(|core, _| core.bind_version(self.request_id, stated));
+        if let (Some(stream), Some(version)) = (self.stream, version) {
+            self.state.versions.note(stream, version);
+        }
+        version
+    }
+
+    /// Returns the id of the attempt whose stream the caller takes up, for log lines.
+    pub(crate) fn resumes(&self) -> &str {
+        let first = self.resumed.as_ref().map(|resumed| &resumed.first_attempt);
+        first.map_or("", |first| first.as_deref().unwrap_or("unnamed"))
+    }
+}
+
+/// At which version a stream is to be continued, and how that was found out.
+struct FoundVersion {
+    /// The version, or `None` if it isn't known.
+    version: Option<VersionKey>,
+    /// How it was found out, as in log lines and metrics.
+    source: &'static str,
+    /// How many peers have answered.
+    answered: usize,
+}
+
+/// Finds out once at which version a stream is to be continued, until `latest`.
+async fn ask_version(
+    state: &TrafficState,
+    identity: StreamIdentity,
+    latest: Duration,
+) -> FoundVersion {
+    let pending = match state.versions.find(identity) {
+        Ok((version, source)) => {
+            return FoundVersion { version: Some(version), source, answered: 0 };
+        }
+        Err(pending) => pending,
+    };
+    let decided = state.wait_until(latest, pending).await.and_then(Result::ok);
+    let Some(PeerDecision { decision, answered }) = decided else {
+        return FoundVersion { version: None, source: "unknown", answered: 0 };
+    };
+    let source = match decision {
+        VersionDecision::Bound(_) => "peers",
+        VersionDecision::Agreed(_) => "agreed",
+        VersionDecision::Unknown => "unknown",
+    };
+    FoundVersion { version: decision.version(), source, answered }
+}
+
+/// Finds out at which version a stream is to be continued that a caller takes up again. Returns
+/// `None` for a request that begins one.
+///
+/// # Errors
+///
+/// Returns the refusal if it can't be found out.
+pub(crate) async fn find_version(
+    state: &TrafficState,
+    identity: Option<StreamIdentity>,
+    head: &RequestHead,
+) -> Result<Option<VersionKey>, LocalReply> {
+    let (Some(identity), Some(resumed)) = (identity, &head.resumed) else {
+        return Ok(None);
+    };
+    let asked = state.now();
+    let found = loop {
+        let found = ask_version(state, identity, asked + DECISION_TIMEOUT).await;
+        let is_late = state.now() + ASK_AGAIN_PAUSE >= asked + DECISION_TIMEOUT;
+        if found.version.is_some() || is_late || !state.versions.is_joining() {
+            break found;
+        }
+        tokio::time::sleep(ASK_AGAIN_PAUSE).await;
+    };
+    let FoundVersion { version, source, answered } = found;
+    state.metrics.resumed_streams.with_label_values(&[source]).inc();
+    log::info!(
+        request = head.attempt_id.as_deref().unwrap_or_default(),
+        resumes = resumed.first_attempt.as_deref().unwrap_or_default(),
+        version_key = version.unwrap_or_default(), source, answered,
+        known_ms = state.versions.known_ms(identity.service),
+        spent_ms = state.now().saturating_sub(asked).as_millis() as u64;
+        "stream taken up"
+    );
+    version.map(Some).ok_or(LocalReply::VersionUnknown)
+}
--- /dev/null
+++ b/crates/flaxtide-entry/src/versions/kept.rs
@@ -0,0 +1,141 @@
+//! What the thread that keeps versions in the platform's table reads and changes of the state that
+//! it shares with the traffic thread and the fleet thread.
+
+use std::collections::BTreeSet;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use flaxtide_policy::{
+    ListedNow, NoteChange, ServiceKey, VersionDecision, VersionRecord,
+};
+
+use super::{PendingLookUp, StreamVersions, VersionsState};
+use crate::contract::NotesRead;
+
+impl StreamVersions {
+    /// Starts keeping versions in the table. Returns what signals that something may be due.
+    pub(super) fn begin_keeping(&self) -> Receiver<()> {
+        self.is_kept.store(true, Ordering::Relaxed);
+        self.wake_table.1.clone()
+    }
+
+    /// Wakes the thread that keeps versions in the table.
+    pub(super) fn wake_table(&self) {
+        // If the queue is full, the thread is about to look.
+        let _ = self.wake_table.0.try_send(());
+    }
+
+    /// Sets the number of live instances.
+    pub(crate) fn set_instances(&self, count: u32) {
+        self.instances.store(count.max(1), Ordering::Relaxed);
+    }
+
+    /// Returns whether the table has been read, or couldn't be.
+    pub(crate) fn is_table_tried(&self) -> bool {
+        !self.is_kept.load(Ordering::Relaxed)
+            || self.is_table_tried.load(Ordering::Relaxed)
+    }
+
+    /// Records that it has been tried to read the table.
+    pub(super) fn set_table_tried(&self) {
+        self.is_table_tried.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the list of servers is current.
+    pub(super) fn is_current(&self, now: Duration) -> bool {
+        self.lock().is_current(self.current_within, now)
+    }
+
+    /// Returns whether all listed versions are recorded, whether a service has several, and the
+    /// number of live instances.
+    pub(super) fn table_needs(&self) -> (bool, bool, u32) {
+        let now = self.clock.now();
+        let state = self.lock();
+        let instances = self.instances.load(Ordering::Relaxed);
+        (state.registry.is_recorded(now), state.registry.has_several(now), instances)
+    }
+
+    /// Returns what is listed of each service.
+    pub(super) fn listed_now(&self) -> Vec<(ServiceKey, ListedNow)> {
+        let state = self.lock();
+        let life = state.registry.window();
+        let listed = state.registry.listed().map(|(service, listed)| {
+            (service, ListedNow { listed, gone: BTreeSet::new(), life })
+        });
+        listed.collect()
+    }
+
+    /// Sets the record of a service, as of `read_ms` on the store's clock, which is now.
+    pub(super) fn set_recorded(
+        &self,
+        service: ServiceKey,
+        record: &VersionRecord,
+        read_ms: u64,
+    ) {
+        let now = self.clock.now();
+        let mut state = self.lock();
+        if state.registry.set_recorded(service, record.clone(), read_ms, now) {
+            let notes = state.registry.own_notes(now);
+            log::info!(service, notes = notes.len(); "several versions recorded");
+            self.queue_notes(&mut state, &notes);
+        }
+    }
+
+    /// Takes over the notes that an earlier process of this instance has kept. Returns how many
+    /// haven't expired.
+    pub(super) fn restore(&self, notes: &NotesRead, now: Duration) -> usize {
+        let mut state = self.lock();
+        for (key, batch) in &notes.batches {
+            state.log.restore(*key, batch);
+        }
+        drop(state);
+        self.note_kept(notes, now)
+    }
+
+    /// Notes what was read from the table. Returns how many notes haven't expired.
+    pub(super) fn note_kept(&self, notes: &NotesRead, now: Duration) -> usize {
+        let mut state = self.lock();
+        let mut count = 0;
+        for (_, batch) in &notes.batches {
+            let left = batch.notes_at(notes.now_ms);
+            count += left.len();
+            state.registry.note_told(&left, now);
+        }
+        count
+    }
+
+    /// Returns the change of the own notes in the table that is due.
+    pub(super) fn note_change(&self, now_ms: u64, now: Duration) -> Option<NoteChange> {
+        let mut state = self.lock();
+        let VersionsState { registry, log, .. } = &mut *state;
+        let change = log.change(registry, now_ms, now);
+        self.unwritten.set(log.waiting() as i64);
+        change
+    }
+
+    /// Records that the own notes in the table have been changed.
+    pub(super) fn record_notes_written(&self, change: &NoteChange) {
+        let mut state = self.lock();
+        state.log.record_done(change);
+        self.unwritten.set(state.log.waiting() as i64);
+    }
+
+    /// Removes and returns the streams that are to be looked up.
+    pub(super) fn take_look_ups(&self) -> Vec<PendingLookUp> {
+        std::mem::take(&mut self.lock().look_ups)
+    }
+
+    /// Decides about streams that were looked up, whose notes have been read if `is_read`.
+    pub(super) fn decide(&self, look_ups: Vec<PendingLookUp>, is_read: bool) {
+        let now = self.clock.now();
+        for look_up in look_ups {
+            let note = self.lock().registry.note_of(look_up.stream, now);
+            let decision = match note.filter(|_| is_read) {
+                Some(note) => VersionDecision::Bound(note.version),
+                None => VersionDecision::Unknown,
+            };
+            (look_up.decide)(decision);
+        }
+    }
+}
--- a/crates/flaxtide-entry/src/versions.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -1,29 +1,38 @@
 //! At which versions of their services streams have begun: notes those of this instance, tells
-//! them to peers, and finds out those of streams that callers take up again.
+//! them to peers, keeps them in the platform's table, and finds out those of streams that callers
+//! take up again.
+
+mod find;
+mod kept;
+mod table;
 
 use std::collections::{BTreeSet, HashMap};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use crossbeam::channel::{Receiver, Sender, bounded};
 use flaxtide_core::MilliClock;
-use flaxtide_fleet::{PendingQuestion, VersionExchange, VersionQuestion, fleet_key};
+use flaxtide_fleet::{
+    PeerInfo, PendingQuestion, VersionExchange, VersionQuestion, fleet_key,
+};
 use flaxtide_policy::{
-    AskedPeers, ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionKey,
-    VersionNote, VersionPoll, VersionRegistry, VersionView,
+    AskedPeers, NoteLog, ServiceKey, StreamKey, VersionAnswer, VersionDecision,
+    VersionKey, VersionNote, VersionPoll, VersionRegistry, VersionView,
 };
+use prometheus::IntGauge;
 use tokio::sync::{Notify, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::contract::{CallKind, RequestClass, RequestHead};
-use crate::open_call::OpenCall;
-use crate::reply::LocalReply;
-use crate::state::TrafficState;
+pub(crate) use self::find::find_version;
+pub(crate) use self::table::VersionTable;
+use crate::contract::{CallKind, NoteOwner, RequestClass, RequestHead};
 use crate::version_counts::ListedServices;
 
-/// How long a caller waits at most for what peers know of its stream.
-const DECISION_TIMEOUT: Duration = Duration::from_millis(500);
+/// For this long after its start, an instance may not have heard all peers, and asks again.
+const JOIN_SPAN: Duration = Duration::from_secs(3);
 
-/// The most notes that wait to be told, and questions that wait to be asked.
+/// The most notes that wait to be told, and questions and look-ups that wait.
 const MAX_QUEUED: usize = 4096;
 
 /// How long no stream begins at a new version, as a multiple of the time in which the list of
@@ -48,10 +57,29 @@
     state: Mutex<VersionsState>,
     /// Wakes the fleet thread for new questions.
     asked: Arc<Notify>,
+    /// Whether versions are kept in the platform's table.
+    is_kept: AtomicBool,
+    /// Whether it has been tried to read the table.
+    is_table_tried: AtomicBool,
+    /// The number of live instances.
+    instances: AtomicU32,
+    /// Wakes the thread that keeps versions in the table.
+    wake_table: (Sender<()>, Receiver<()>),
+    /// Exports how many notes aren't in the table yet.
+    unwritten: IntGauge,
+}
+
+/// A stream that is looked up in the kept notes of peers that haven't answered.
+struct PendingLookUp {
+    /// The stream.
+    stream: StreamKey,
+    /// The peers.
+    owners: Vec<NoteOwner>,
+    /// Receives the decision.
+    decide: Box<dyn FnOnce(VersionDecision) + Send>,
 }
 
 /// The notes and the questions.
-#[derive(Default)]
 struct VersionsState {
     /// The versions of services and streams.
     registry: VersionRegistry,
@@ -61,6 +89,10 @@
     untold: Vec<VersionNote>,
     /// The questions that haven't been asked yet.
     questions: Vec<PendingQuestion>,
+    /// The streams that haven't been looked up yet.
+    look_ups: Vec<PendingLookUp>,
+    /// The notes in the table.
+    log: NoteLog,
 }
 
 /// What an instance decides together with its peers.
@@ -108,12 +140,29 @@
 impl StreamVersions {
     /// Creates the state of an instance that knows nothing. The list of servers is current if
     /// it includes all changes up to `current_within` ago.
-    pub(crate) fn new(clock: MilliClock, current_within: Duration) -> Self {
+    pub(crate) fn new(
+        clock: MilliClock,
+        current_within: Duration,
+        unwritten: IntGauge,
+    ) -> Self {
+        let state = VersionsState {
+            registry: VersionRegistry::default(),
+            covered_until: None,
+            untold: vec![],
+            questions: vec![],
+            look_ups: vec![],
+            log: NoteLog::new(rand::random()),
+        };
         Self {
             clock,
             current_within,
-            state: Mutex::default(),
+            state: Mutex::new(state),
             asked: Arc::default(),
+            is_kept: AtomicBool::new(false),
+            is_table_tried: AtomicBool::new(false),
+            instances: AtomicU32::new(1),
+            wake_table: bounded(1),
+            unwritten,
         }
     }
 
@@ -133,9 +182,14 @@
                 // From now on it has to be known which version began a stream.
                 let notes = state.registry.own_notes(now);
                 log::info!(service, notes = notes.len(); "several versions listed");
-                state.queue_notes(&notes);
+                self.queue_notes(&mut state, &notes);
             }
         }
+        let is_recorded = state.registry.is_recorded(now);
+        drop(state);
+        if !is_recorded {
+            self.wake_table();
+        }
     }
 
     /// Returns the versions that other instances may not have listed yet. They learn of it
@@ -159,7 +213,7 @@
         state.registry.note_own(stream, version, life, now);
         if state.registry.view(service, now) == VersionView::Several {
             let life_s = u16::try_from(life.as_secs() + 1).unwrap_or(u16::MAX);
-            state.queue_notes(&[VersionNote { stream, version, life_s }]);
+            self.queue_notes(&mut state, &[VersionNote { stream, version, life_s }]);
         }
     }
 
@@ -208,6 +262,11 @@
         Err(receiver)
     }
 
+    /// Returns whether this instance has started so lately that it may not have heard all peers.
+    fn is_joining(&self) -> bool {
+        self.clock.now() < JOIN_SPAN
+    }
+
     /// Returns for how long a service is known to have had a single version, in milliseconds, or -1 if
     /// it has several or none.
     fn known_ms(&self, service: ServiceKey) -> i64 {
@@ -217,6 +276,22 @@
         }
     }
 
+    /// Queues notes for the replicas and the table. What doesn't fit is neither told nor kept.
+    fn queue_notes(&self, state: &mut VersionsState, notes: &[VersionNote]) {
+        let room = MAX_QUEUED.saturating_sub(state.untold.len());
+        let fitting = &notes[..notes.len().min(room)];
+        state.untold.extend_from_slice(fitting);
+        let mut dropped = notes.len() - fitting.len();
+        if self.is_kept.load(Ordering::Relaxed) {
+            let streams: Vec<StreamKey> = notes.iter().map(|note| note.stream).collect();
+            dropped += state.log.add(&streams);
+            self.unwritten.set(state.log.waiting() as i64);
+        }
+        if dropped > 0 {
+            log::warn!(dropped; "queue of version notes is full, notes dropped");
+        }
+    }
+
     /// Locks the state, even if a thread has panicked while it held the lock.
     fn lock(&self) -> MutexGuard<'_, VersionsState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -224,6 +299,11 @@
 }
 
 impl VersionsState {
+    /// Returns whether the list of servers is current.
+    fn is_current(&self, current_within: Duration, now: Duration) -> bool {
+        self.covered_until.is_some_and(|until| now <= until + current_within)
+    }
+
     /// Answers which version began a stream.
     fn answer(
         &self,
@@ -232,21 +312,9 @@
         current_within: Duration,
         now: Duration,
     ) -> VersionAnswer {
-        let is_current =
-            self.covered_until.is_some_and(|until| now <= until + current_within);
+        let is_current = self.is_current(current_within, now);
         self.registry.answer(service, stream, is_current, now)
     }
-
-    /// Queues notes for the replicas. What doesn't fit isn't told.
-    fn queue_notes(&mut self, notes: &[VersionNote]) {
-        let room = MAX_QUEUED.saturating_sub(self.untold.len());
-        let fitting = &notes[..notes.len().min(room)];
-        self.untold.extend_from_slice(fitting);
-        if fitting.len() < notes.len() {
-            let dropped = notes.len() - fitting.len();
-            log::warn!(dropped; "queue of version notes is full, notes dropped");
-        }
-    }
 }
 
 impl VersionExchange for StreamVersions {
@@ -264,6 +332,29 @@
         questions.iter().map(answer).collect()
     }
 
+    fn look_up(
+        &self,
+        stream: StreamKey,
+        peers: &[PeerInfo],
+        decide: Box<dyn FnOnce(VersionDecision) + Send>,
+    ) {
+        let mut state = self.lock();
+        let is_full = state.look_ups.len() >= MAX_QUEUED;
+        if is_full || !self.is_kept.load(Ordering::Relaxed) {
+            drop(state);
+            decide(VersionDecision::Unknown);
+            return;
+        }
+        let owners = peers.iter().map(|peer| NoteOwner {
+            data_centre: peer.data_centre.clone(),
+            instance: peer.name.clone(),
+        });
+        let owners = owners.collect();
+        state.look_ups.push(PendingLookUp { stream, owners, decide });
+        drop(state);
+        self.wake_table();
+    }
+
     fn is_telling(&self) -> bool {
         let now = self.clock.now();
         self.lock().registry.has_several(now)
@@ -286,64 +377,3 @@
         self.asked.clone()
     }
 }
-
-impl OpenCall {
-    /// Binds a stream that has begun to the version of its server, and notes it. `stated` is the version that
-    /// a peer has stated. Returns the version, if it is known.
-    pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
-        let version = self
-            .state
-            .with_router(|core, _| core.bind_version(self.request_id, stated));
-        if let (Some(stream), Some(version)) = (self.stream, version) {
-            self.state.versions.note(stream, version);
-        }
-        version
-    }
-
-    /// Returns the id of the attempt whose stream the caller takes up, for log lines.
-    pub(crate) fn resumes(&self) -> &str {
-        let first = self.resumed.as_ref().map(|resumed| &resumed.first_attempt);
-        first.map_or("", |first| first.as_deref().unwrap_or("unnamed"))
-    }
-}
-
-/// Finds out at which version a stream is to be continued that a caller takes up again. Returns
-/// `None` for a request that begins one.
-///
-/// # Errors
-///
-/// Returns the refusal if it can't be found out.
-pub(crate) async fn find_version(
-    state: &TrafficState,
-    identity: Option<StreamIdentity>,
-    head: &RequestHead,
-) -> Result<Option<VersionKey>, LocalReply> {
-    let (Some(identity), Some(resumed)) = (identity, &head.resumed) else {
-        return Ok(None);
-    };
-    let asked = state.now();
-    let mut answered = 0;
-    let (version, source) = match state.versions.find(identity) {
-        Ok((version, source)) => (Some(version), source),
-        Err(decision) => {
-            let decided = state.wait_until(asked + DECISION_TIMEOUT, decision).await;
-            let decided = decided.and_then(Result::ok);
-            answered = decided.map_or(0, |decided| decided.answered);
-            match decided.map(|decided| decided.decision) {
-                Some(VersionDecision::Bound(version)) => (Some(version), "peers"),
-                Some(VersionDecision::Agreed(version)) => (Some(version), "agreed"),
-                Some(VersionDecision::Unknown) | None => (None, "unknown"),
-            }
-        }
-    };
-    state.metrics.resumed_streams.with_label_values(&[source]).inc();
-    log::info!(
-        request = head.attempt_id.as_deref().unwrap_or_default(),
-        resumes = resumed.first_attempt.as_deref().unwrap_or_default(),
-        version_key = version.unwrap_or_default(), source, answered,
-        known_ms = state.versions.known_ms(identity.service),
-        spent_ms = state.now().saturating_sub(asked).as_millis() as u64;
-        "stream taken up"
-    );
-    version.map(Some).ok_or(LocalReply::VersionUnknown)
-}
--- a/crates/flaxtide-fleet/src/node/versions.rs
+++ b/crates/flaxtide-fleet/src/node/versions.rs
@@ -67,6 +67,16 @@
         with_place.collect()
     }
 
+    /// Returns the peers that were heard within `window`, but not lately.
+    #[must_use]
+    pub fn absent_version_peers(&self, window: Duration, now: Duration) -> Vec<PeerInfo> {
+        let peers = self.peers.values();
+        let absent = peers.filter(|peer| {
+            peer.heard_within(now, window) && !self.is_peer_heard(peer, now)
+        });
+        absent.map(|peer| peer.info.clone()).collect()
+    }
+
     /// Returns how many peers would answer if all could be reached that were heard within
     /// `window`. An instance that has just started knows none yet, but has addresses of some.
     #[must_use]
--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -8,6 +8,7 @@
 
 use flaxtide_policy::{
     ServiceKey, StreamKey, VersionAnswer, VersionDecision, VersionNote, VersionPoll,
+    VersionView,
 };
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
@@ -51,6 +52,14 @@
     /// Answers a peer's questions, in their order.
     fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer>;
 
+    /// Looks a stream up in what peers have kept that haven't answered, and decides.
+    fn look_up(
+        &self,
+        stream: StreamKey,
+        peers: &[PeerInfo],
+        decide: Box<dyn FnOnce(VersionDecision) + Send>,
+    );
+
     /// Returns whether replicas are told anything: a service has several versions.
     fn is_telling(&self) -> bool;
 
@@ -176,17 +185,18 @@
     let now = shared.clock.now();
     let windows = pending.iter().map(|pending| pending.window);
     let window = windows.max().unwrap_or_default();
-    let (peers, asked) = {
+    let (peers, mut silent, asked) = {
         let node = shared.node();
-        (node.version_peers(now), node.asked_peers(window, now))
+        let absent = node.absent_version_peers(window, now);
+        (node.version_peers(now), absent, node.asked_peers(window, now))
     };
     let questions: Vec<VersionQuestion> =
         pending.iter().map(|pending| pending.question).collect();
-    let mut polls: Vec<Option<(VersionPoll, _)>> = pending
+    let mut polls: Vec<Option<(VersionPoll, PendingQuestion)>> = pending
         .into_iter()
         .map(|pending| {
             let poll = VersionPoll::new(pending.own, pending.window, asked);
-            Some((poll, pending.decide))
+            Some((poll, pending))
         })
         .collect();
     let usable = peers
@@ -195,37 +205,62 @@
     let mut answers: FuturesUnordered<_> = usable
         .map(|(peer, near)| ask_peer(shared.clone(), peer, near, questions.clone()))
         .collect();
-    while let Some((near, answer)) = answers.next().await {
-        for (slot, answer) in polls.iter_mut().zip(answer.unwrap_or_default()) {
+    while let Some((peer, near, answer)) = answers.next().await {
+        let answer = answer.unwrap_or_default();
+        if answer.iter().all(|answer| answer.view == VersionView::Unlisted) {
+            // It is gone, or has just started and doesn't know its own streams yet.
+            silent.push(peer);
+        }
+        for (slot, answer) in polls.iter_mut().zip(answer) {
             let Some((poll, _)) = slot else { continue };
             poll.add(answer, near);
             if let Some(decision) = poll.certain()
-                && let Some((poll, decide)) = slot.take()
+                && let Some((poll, pending)) = slot.take()
             {
-                decide(decision, poll.answered());
+                (pending.decide)(decision, poll.answered());
             }
         }
         if polls.iter().all(Option::is_none) {
             return;
         }
     }
-    for (poll, decide) in polls.into_iter().flatten() {
-        decide(poll.finish(), poll.answered());
+    for (poll, pending) in polls.into_iter().flatten() {
+        finish(&shared, &poll, pending, &silent);
+    }
+}
+
+/// Decides a question when no further answer comes. If nothing is known, the stream is looked up in
+/// what silent peers have kept.
+fn finish(
+    shared: &FleetShared,
+    poll: &VersionPoll,
+    pending: PendingQuestion,
+    silent: &[PeerInfo],
+) {
+    let PendingQuestion { question, decide, .. } = pending;
+    let (decision, answered) = (poll.finish(), poll.answered());
+    match shared.versions.get() {
+        Some(exchange) if decision == VersionDecision::Unknown && !silent.is_empty() => {
+            let decide = Box::new(move |decision| decide(decision, answered));
+            exchange.look_up(question.stream, silent, decide);
+        }
+        _ => decide(decision, answered),
     }
 }
 
-/// Asks one peer. Returns whether it is in the own data centre, and what it answers.
+/// Asks one peer. Returns it, whether it is in the own data centre, and what it answers.
 async fn ask_peer(
     shared: Arc<FleetShared>,
     peer: PeerInfo,
     near: bool,
     questions: Vec<VersionQuestion>,
-) -> (bool, Option<Vec<VersionAnswer>>) {
+) -> (PeerInfo, bool, Option<Vec<VersionAnswer>>) {
     let call = |client: PeerLinkClient, context| {
         let questions = questions.clone();
         async move { client.ask_versions(context, questions).await }
     };
-    (near, call_peer(&shared, &peer, ANSWER_TIMEOUT, call).await)
+    let answers = call_peer(&shared, &peer, ANSWER_TIMEOUT, call).await;
+    (peer, near, answers)
 }
 
 /// Calls a peer, again if its link can't be opened yet or breaks. A late answer doesn't close
--- a/crates/flaxtide-policy/src/versions/poll.rs
+++ b/crates/flaxtide-policy/src/versions/poll.rs
@@ -40,18 +40,23 @@
 ///
 /// A version is certain if an instance has noted it, or if an instance whose list is current
 /// has listed no other for as long as streams are taken up again. Without certainty, such as
-/// while nobody can read the list or after all instances have restarted, a version counts if
-/// neither this instance nor any peer of its data centre knows another: callers come back to
-/// the data centre where they were before. If one of these peers doesn't answer, it may have
-/// begun streams at a version that this instance can't know of.
+/// while nobody can read the list, a version counts if neither this instance nor any peer of its
+/// data centre knows another: callers come back to the data centre where they were before. If one
+/// of these peers doesn't answer, it may have begun streams at a version that this instance can't
+/// know of. Instances that have known their version for a shorter time, such as after a restart,
+/// count as if they hadn't answered.
 #[derive(Debug)]
 pub struct VersionPoll {
     /// For how long a version must have been the only one to be certain.
     window: Duration,
     /// The peers that would answer if all could be reached.
     asked: AskedPeers,
-    /// The peers that have answered.
-    answered: AskedPeers,
+    /// How many peers have answered.
+    answered: usize,
+    /// The peers that have answered and know enough.
+    informed: AskedPeers,
+    /// Whether this instance or any peer knows enough.
+    is_informed: bool,
     /// The only version that any answer names, or `None` before one.
     only: Option<VersionKey>,
     /// Whether an answer names several versions, or another than the others.
@@ -67,7 +72,9 @@
         let mut poll = Self {
             window,
             asked,
-            answered: AskedPeers::default(),
+            answered: 0,
+            informed: AskedPeers::default(),
+            is_informed: false,
             only: None,
             differs: false,
             certain: None,
@@ -78,15 +85,17 @@
 
     /// Adds the answer of a peer. `is_near` tells whether it is in the own data centre.
     pub fn add(&mut self, answer: VersionAnswer, is_near: bool) {
-        self.answered.all += 1;
-        self.answered.near += usize::from(is_near);
-        self.read(answer);
+        self.answered += 1;
+        if self.read(answer) {
+            self.informed.all += 1;
+            self.informed.near += usize::from(is_near);
+        }
     }
 
     /// Returns how many peers have answered.
     #[must_use]
     pub fn answered(&self) -> usize {
-        self.answered.all
+        self.answered
     }
 
     /// Returns the decision if no further answer can change it.
@@ -102,9 +111,10 @@
             return decision;
         }
         let is_quorum = match self.asked.near {
-            0 => self.answered.all * 2 >= self.asked.all,
-            near => self.answered.near >= near,
+            0 => self.informed.all * 2 >= self.asked.all,
+            near => self.informed.near >= near,
         };
+        let is_quorum = is_quorum && self.is_informed;
         match self.only {
             Some(version) if is_quorum && !self.differs => {
                 VersionDecision::Agreed(version)
@@ -113,15 +123,19 @@
         }
     }
 
-    /// Reads an answer.
-    fn read(&mut self, answer: VersionAnswer) {
+    /// Reads an answer. Returns whether it is based on knowledge of the whole time in which
+    /// streams that are taken up may have begun.
+    fn read(&mut self, answer: VersionAnswer) -> bool {
         if answer.noted.is_some() {
             self.certain = answer.noted;
-            return;
+            return true;
         }
-        match answer.view {
-            VersionView::Unlisted => {}
-            VersionView::Several => self.differs = true,
+        let is_informed = match answer.view {
+            VersionView::Unlisted => false,
+            VersionView::Several => {
+                self.differs = true;
+                true
+            }
             VersionView::Sole(version, known_ms) => {
                 self.differs |= self.only.is_some_and(|only| only != version);
                 self.only = Some(version);
@@ -129,7 +143,10 @@
                 if is_long && answer.is_current {
                     self.certain = self.certain.or(Some(version));
                 }
+                is_long
             }
-        }
+        };
+        self.is_informed |= is_informed;
+        is_informed
     }
 }
--- a/crates/flaxtide-policy/tests/stream_versions.rs
+++ b/crates/flaxtide-policy/tests/stream_versions.rs
@@ -94,6 +94,8 @@
     VersionAnswer { noted: None, view, is_current }
 }
 
+// Guards against the agreement of instances that have just started, none of which can know what
+// served before.
 #[test]
 fn only_what_is_certain_or_agreed_binds_a_stream() {
     const LONG: u32 = 15_000;
@@ -108,6 +110,8 @@
     };
     let sole = |version, known| view(VersionView::Sole(version, known), true);
     let stale = |version| view(VersionView::Sole(version, LONG), false);
+    // It has known the version since its start only.
+    let young = |version| view(VersionView::Sole(version, SHORT), true);
     let several = view(VersionView::Several, true);
     let unlisted = view(VersionView::Unlisted, true);
     // The own answer, those of peers of the own data centre, those of others, how many peers were
@@ -128,8 +132,13 @@
         (stale(7), vec![], vec![stale(7); 4], (8, 0), agreed(7)),
         (stale(7), vec![], vec![stale(7); 3], (8, 0), unknown),
         (stale(7), vec![], vec![], (8, 0), unknown),
-        (sole(7, SHORT), vec![sole(7, SHORT); 2], vec![], (8, 2), agreed(7)),
-        (sole(7, SHORT), vec![], vec![], (0, 0), agreed(7)),
+        (stale(7), vec![], vec![], (0, 0), agreed(7)),
+        (young(7), vec![young(7); 2], vec![], (8, 2), unknown),
+        (young(7), vec![young(7); 2], vec![young(7); 6], (8, 2), unknown),
+        (young(7), vec![], vec![], (0, 0), unknown),
+        (young(7), vec![stale(7), young(7)], vec![], (8, 2), unknown),
+        (young(7), vec![stale(7); 2], vec![], (8, 2), agreed(7)),
+        (young(7), vec![stale(7); 2], vec![young(8)], (8, 2), unknown),
         (unlisted, vec![unlisted; 2], vec![unlisted; 6], (8, 2), unknown),
     ];
     for (case, (own, near, far, (all, asked_near), decision)) in
--- a/crates/flaxtide/src/main.rs
+++ b/crates/flaxtide/src/main.rs
@@ -6,7 +6,9 @@
 
 use clap::{Arg, ArgMatches, Command};
 use flaxtide::{InstanceConfig, init_logging};
-use flaxtide_adapter::{PlatformDialect, PlatformDuties, PlatformEngines, TableFeed};
+use flaxtide_adapter::{
+    PlatformDialect, PlatformDuties, PlatformEngines, PlatformVersions, TableFeed,
+};
 use flaxtide_core::SettingsTree;
 use flaxtide_entry::{EntryConfig, EntryInstance, init_entry_logging};
 use signal_hook::consts::{SIGINT, SIGTERM};
@@ -70,8 +72,11 @@
     let dialect = Arc::new(PlatformDialect);
     let duties = config.duties.as_ref().map(|duties| duties.address);
     let store = config.platform;
+    let versions = PlatformVersions::new(store)
+        .map_err(|cause| format!("no runtime for versions in the store: {cause}"))?;
     let mut instance = EntryInstance::new(file, config, dialect, Arc::new(feed))
-        .with_engines(Arc::new(PlatformEngines));
+        .with_engines(Arc::new(PlatformEngines))
+        .with_versions(Arc::new(versions));
     if let Some(address) = duties {
         let duties = PlatformDuties::new(store, address)
             .map_err(|cause| format!("no runtime for the platform's duties: {cause}"))?;
