Versions: the first events of a stream wait until its note outlasts all instances

Cause: notes were written up to half a second after their streams had begun; whoever had got an event by then could take up a stream that nobody knows. Change: while a service has several versions, the first events wait for the note, for half of the class's target at most and not at all while the table doesn't answer. Notes are written at once if none were in the last 100 ms, and 1 ms for each instance.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -336,7 +336,7 @@
                 match receive_response(&call, &request, start).await {
                     Ok(ReceivedResponse::Whole(response)) => return response,
                     Ok(ReceivedResponse::Stream(start, first)) => {
-                        return start_stream(call, request, start, first);
+                        return start_stream(call, request, start, first).await;
                     }
                     Ok(ReceivedResponse::Retry) => continue,
                     Err(AttemptOutcome::Fault(fault)) => fault,
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -63,6 +63,8 @@
     pub(crate) version_notes: IntGauge,
     /// Notes of streams that aren't in the platform's table yet.
     pub(crate) unwritten_version_notes: IntGauge,
+    /// Streams whose first events waited for their note, by whether it was written in time.
+    pub(crate) awaited_notes: IntCounterVec,
     /// Servers that exited while they ran a request of this instance.
     pub(crate) crashes: IntCounter,
     /// Requests suspected of crashing servers.
@@ -175,6 +177,11 @@
                 &["source"],
             ),
             version_notes: gauge("version_notes", "Streams whose version is noted."),
+            awaited_notes: counters(
+                "awaited_notes",
+                "Streams whose first events waited for their note, by outcome.",
+                &["outcome"],
+            ),
             unwritten_version_notes: gauge(
                 "unwritten_version_notes",
                 "Noted streams that aren't in the platform's table yet.",
@@ -226,7 +233,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 40] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 41] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -252,6 +259,7 @@
             Box::new(self.resumed_streams.clone()),
             Box::new(self.version_notes.clone()),
             Box::new(self.unwritten_version_notes.clone()),
+            Box::new(self.awaited_notes.clone()),
             Box::new(self.crashes.clone()),
             Box::new(self.suspected.clone()),
             Box::new(self.quarantined.clone()),
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -171,16 +171,16 @@
 }
 
 /// Starts to pass a stream on to the caller.
-pub(crate) fn start_stream(
+pub(crate) async fn start_stream(
     call: OpenCall,
     request: CallerRequest,
     start: ResponseStart,
     first: Bytes,
 ) -> CallerResponse {
-    call.record_first_event();
     call.may_have_run.set(true);
+    let version = call.bind_version(start.peer_version).await;
+    call.record_first_event();
     let (status, mut headers) = (start.status, start.headers);
-    let version = call.bind_version(start.peer_version);
     if let Some(version) = version.filter(|_| call.is_carried()) {
         write_server_version(&mut headers, version);
     }
--- a/crates/flaxtide-entry/src/versions/find.rs
+++ b/crates/flaxtide-entry/src/versions/find.rs
@@ -16,15 +16,29 @@
 /// The pause before peers are asked again.
 const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(100);
 
+/// A stream's first events wait for its note for the latency target of its class divided by this
+/// at most.
+const NOTE_WAIT_DIVISOR: u32 = 2;
+
 impl OpenCall {
     /// Binds a stream that has begun to the version of its server, and notes it. `stated` is the version that
-    /// a peer has stated. Returns the version, if it is known.
-    pub(crate) fn bind_version(&self, stated: Option<VersionKey>) -> Option<VersionKey> {
+    /// a peer has stated. While the service has several versions, waits until the note outlasts
+    /// all instances, unless that takes too long. Returns the version, if it is known.
+    pub(crate) async fn bind_version(
+        &self,
+        stated: Option<VersionKey>,
+    ) -> Option<VersionKey> {
         let version = self
             .state
             .with_router(|core, _| core.bind_version(self.request_id, stated));
-        if let (Some(stream), Some(version)) = (self.stream, version) {
-            self.state.versions.note(stream, version);
+        if let (Some(stream), Some(version)) = (self.stream, version)
+            && let Some(written) = self.state.versions.note(stream, version)
+        {
+            let wait = self.class.class().latency_target / NOTE_WAIT_DIVISOR;
+            let latest = self.deadline.min(self.state.now() + wait);
+            let is_written = self.state.wait_until(latest, written).await.is_some();
+            let outcome = if is_written { "written" } else { "late" };
+            self.state.metrics.awaited_notes.with_label_values(&[outcome]).inc();
         }
         version
     }
--- a/crates/flaxtide-entry/src/versions/kept.rs
+++ b/crates/flaxtide-entry/src/versions/kept.rs
@@ -37,9 +37,13 @@
             || self.is_table_tried.load(Ordering::Relaxed)
     }
 
-    /// Records that it has been tried to read the table.
-    pub(super) fn set_table_tried(&self) {
+    /// Records whether a call to the table was answered. While it isn't, no stream waits for it.
+    pub(super) fn set_table_answering(&self, is_answering: bool) {
         self.is_table_tried.store(true, Ordering::Relaxed);
+        self.is_table_answering.store(is_answering, Ordering::Relaxed);
+        if !is_answering {
+            self.lock().unwritten_streams.clear();
+        }
     }
 
     /// Returns whether the list of servers is current.
@@ -47,13 +51,21 @@
         self.lock().is_current(self.current_within, now)
     }
 
-    /// Returns whether all listed versions are recorded, whether a service has several, and the
-    /// number of live instances.
-    pub(super) fn table_needs(&self) -> (bool, bool, u32) {
+    /// Returns whether all listed versions are recorded, and whether a service has several.
+    pub(super) fn table_needs(&self) -> (bool, bool) {
         let now = self.clock.now();
         let state = self.lock();
-        let instances = self.instances.load(Ordering::Relaxed);
-        (state.registry.is_recorded(now), state.registry.has_several(now), instances)
+        (state.registry.is_recorded(now), state.registry.has_several(now))
+    }
+
+    /// Returns the number of live instances.
+    pub(super) fn instances(&self) -> u32 {
+        self.instances.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether streams wait until they are in the table.
+    pub(super) fn has_unwritten_streams(&self) -> bool {
+        !self.lock().unwritten_streams.is_empty()
     }
 
     /// Returns what is listed of each service.
@@ -119,6 +131,13 @@
         let mut state = self.lock();
         state.log.record_done(change);
         self.unwritten.set(state.log.waiting() as i64);
+        for note in change.added.iter().flat_map(|(_, batch)| &batch.notes) {
+            if let Some(written) = state.unwritten_streams.remove(&note.stream) {
+                // The caller may have left.
+                let _ = written.send(());
+            }
+        }
+        state.unwritten_streams.retain(|_, written| !written.is_closed());
     }
 
     /// Removes and returns the streams that are to be looked up.
--- a/crates/flaxtide-entry/src/versions/mod.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -61,6 +61,8 @@
     is_kept: AtomicBool,
     /// Whether it has been tried to read the table.
     is_table_tried: AtomicBool,
+    /// Whether the last call to the table was answered.
+    is_table_answering: AtomicBool,
     /// The number of live instances.
     instances: AtomicU32,
     /// Wakes the thread that keeps versions in the table.
@@ -93,6 +95,8 @@
     look_ups: Vec<PendingLookUp>,
     /// The notes in the table.
     log: NoteLog,
+    /// The streams whose first events wait until they are in the table.
+    unwritten_streams: HashMap<StreamKey, oneshot::Sender<()>>,
 }
 
 /// What an instance decides together with its peers.
@@ -152,6 +156,7 @@
             questions: vec![],
             look_ups: vec![],
             log: NoteLog::new(rand::random()),
+            unwritten_streams: HashMap::new(),
         };
         Self {
             clock,
@@ -160,6 +165,7 @@
             asked: Arc::default(),
             is_kept: AtomicBool::new(false),
             is_table_tried: AtomicBool::new(false),
+            is_table_answering: AtomicBool::new(false),
             instances: AtomicU32::new(1),
             wake_table: bounded(1),
             unwritten,
@@ -205,16 +211,31 @@
         settling.filter(|(_, versions)| !versions.is_empty()).collect()
     }
 
-    /// Notes the version at which a stream runs.
-    pub(crate) fn note(&self, identity: StreamIdentity, version: VersionKey) {
+    /// Notes the version at which a stream runs. Returns a receiver that is signalled once the
+    /// note is in the platform's table, if it isn't yet and can be soon.
+    pub(crate) fn note(
+        &self,
+        identity: StreamIdentity,
+        version: VersionKey,
+    ) -> Option<oneshot::Receiver<()>> {
         let now = self.clock.now();
         let mut state = self.lock();
         let StreamIdentity { service, stream, life } = identity;
+        let is_new = state.registry.note_of(stream, now).is_none();
         state.registry.note_own(stream, version, life, now);
-        if state.registry.view(service, now) == VersionView::Several {
-            let life_s = u16::try_from(life.as_secs() + 1).unwrap_or(u16::MAX);
-            self.queue_notes(&mut state, &[VersionNote { stream, version, life_s }]);
+        if state.registry.view(service, now) != VersionView::Several {
+            return None;
+        }
+        let life_s = u16::try_from(life.as_secs() + 1).unwrap_or(u16::MAX);
+        self.queue_notes(&mut state, &[VersionNote { stream, version, life_s }]);
+        if !is_new || !self.is_table_answering.load(Ordering::Relaxed) {
+            return None;
         }
+        let (sender, receiver) = oneshot::channel();
+        state.unwritten_streams.insert(stream, sender);
+        drop(state);
+        self.wake_table();
+        Some(receiver)
     }
 
     /// Forgets a stream that is complete.
--- a/crates/flaxtide-entry/src/versions/table.rs
+++ b/crates/flaxtide-entry/src/versions/table.rs
@@ -19,8 +19,12 @@
 /// How often it does at most, unless it is woken.
 const MIN_POLL_PERIOD: Duration = Duration::from_millis(5);
 
-/// How long notes wait until they are written together.
-const WRITE_PERIOD: Duration = Duration::from_millis(500);
+/// The least time between two writes of notes. First events of streams wait for them.
+const MIN_WRITE_PERIOD: Duration = Duration::from_millis(100);
+
+/// How much longer it is for each instance of the fleet: the store takes a limited number of writes
+/// from all of them.
+const WRITE_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(1);
 
 /// How often the records are read again while a service has several versions.
 const RECHECK_PERIOD: Duration = Duration::from_secs(5);
@@ -105,10 +109,9 @@
     pub(crate) fn run(mut self) {
         loop {
             self.run_once();
-            let now = self.clock.now();
-            let due = self.records_at.map_or(POLL_PERIOD, |at| at.saturating_sub(now));
+            let pause = self.next_due().saturating_sub(self.clock.now());
             // A signal and the end of the wait mean the same.
-            let _ = self.woken.recv_timeout(due.clamp(MIN_POLL_PERIOD, POLL_PERIOD));
+            let _ = self.woken.recv_timeout(pause.clamp(MIN_POLL_PERIOD, POLL_PERIOD));
         }
     }
 
@@ -123,6 +126,21 @@
         }
     }
 
+    /// Returns when something may be due, at the latest.
+    fn next_due(&self) -> Duration {
+        let records_at = self.records_at.unwrap_or(Duration::MAX);
+        let notes_at = match self.versions.has_unwritten_streams() {
+            true => self.written_at + self.write_period(),
+            false => Duration::MAX,
+        };
+        records_at.min(notes_at).max(self.retry.0)
+    }
+
+    /// Returns the least time between two writes of notes.
+    fn write_period(&self) -> Duration {
+        MIN_WRITE_PERIOD + WRITE_PERIOD_PER_INSTANCE * self.versions.instances()
+    }
+
     /// Reads and writes what is due. Returns whether all calls succeeded.
     fn keep(&mut self, now: Duration) -> bool {
         let kept = self.load().and_then(|()| self.keep_records(now));
@@ -134,11 +152,12 @@
     fn record_outcome(&mut self, outcome: Result<(), FeedError>) -> bool {
         let Err(fault) = outcome else {
             self.retry = (Duration::ZERO, Duration::ZERO);
+            self.versions.set_table_answering(true);
             return true;
         };
         let pause = (self.retry.1 * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
         self.retry = (self.clock.now() + pause, pause);
-        self.versions.set_table_tried();
+        self.versions.set_table_answering(false);
         log::info!(
             cause = fault.to_string(), pause_ms = pause.as_millis() as u64, loaded = self.is_loaded;
             "versions not kept in the table"
@@ -159,7 +178,6 @@
         self.store_time = (notes.now_ms, now);
         let count = self.versions.restore(&notes, now);
         self.is_loaded = true;
-        self.versions.set_table_tried();
         log::info!(
             records = read.records.len() as u64, batches = notes.batches.len() as u64,
             notes = count as u64, era = read.era;
@@ -170,9 +188,9 @@
 
     /// Reads the records and revises them, if that is due.
     fn keep_records(&mut self, now: Duration) -> Result<(), FeedError> {
-        let (is_recorded, is_mixed, instances) = self.versions.table_needs();
+        let (is_recorded, is_mixed) = self.versions.table_needs();
         if !is_recorded {
-            let window = MIN_WINDOW + WINDOW_PER_INSTANCE * instances;
+            let window = MIN_WINDOW + WINDOW_PER_INSTANCE * self.versions.instances();
             let drawn = now + window.mul_f64(rand::random::<f64>());
             let at = self.records_at.unwrap_or(drawn).min(now + window);
             self.records_at = Some(at);
@@ -268,7 +286,7 @@
 
     /// Writes the notes of this instance, if that is due.
     fn write_notes(&mut self, now: Duration) -> Result<(), FeedError> {
-        if now < self.written_at + WRITE_PERIOD {
+        if now < self.written_at + self.write_period() {
             return Ok(());
         }
         let (store_ms, at) = self.store_time;
--- a/crates/flaxtide/tests/version_restarts/fleet.rs
+++ b/crates/flaxtide/tests/version_restarts/fleet.rs
@@ -139,6 +139,11 @@
             values.all(|value| value.trim() == "0")
         };
         wait_until("notes written", || self.instances.iter().all(is_written));
+        self.kill_all_now();
+    }
+
+    /// Kills all instances, and starts them again.
+    pub(crate) fn kill_all_now(&mut self) {
         self.instances.iter_mut().for_each(EntryProcess::kill);
         self.instances.iter_mut().for_each(EntryProcess::start_again);
         self.wait_together();
--- a/crates/flaxtide/tests/version_restarts/main.rs
+++ b/crates/flaxtide/tests/version_restarts/main.rs
@@ -40,6 +40,19 @@
     assert!(continued > refused, "{continued} went on, {refused} were refused");
 }
 
+// Guards against events that reach a caller before the version of their stream outlasts the
+// instances: what began just before a kill of all would be refused.
+#[test]
+fn streams_go_on_that_began_just_before_a_restart_of_all() {
+    let mut fleet = KilledFleet::start(3);
+    fleet.list("v1", 2);
+    fleet.list("v2", 2);
+    fleet.begin_streams(STREAMS);
+    fleet.kill_all_now();
+    let Outcome { continued, joined, refused } = fleet.take_up_streams();
+    assert_eq!((joined, refused), (0, 0), "{continued} went on");
+}
+
 // Guards against taking each restart for a reason to refuse: with a version that has never had
 // another beside it, there is nothing to confuse.
 #[test]
