Versions: the thread of the table wakes twice a second while nothing is due

Cause: it looked ten times a second, and each wake-up is processor time. Result: version_restarts passes. The processor time wasn't measured.

--- a/crates/flaxtide-entry/src/versions/table.rs
+++ b/crates/flaxtide-entry/src/versions/table.rs
@@ -13,10 +13,10 @@
 use crate::contract::{FeedError, NoteOwner, RecordsRead, VersionPlatform};
 use crate::metrics::EntryMetrics;
 
-/// How often the thread checks what is due.
-const POLL_PERIOD: Duration = Duration::from_millis(100);
+/// How often the thread checks what is due, if it isn't woken.
+const POLL_PERIOD: Duration = Duration::from_millis(500);
 
-/// How often it does at most, unless it is woken.
+/// How often it does at most, if it isn't woken.
 const MIN_POLL_PERIOD: Duration = Duration::from_millis(5);
 
 /// The least time between two writes of notes. First events of streams wait for them.
@@ -126,14 +126,17 @@
         }
     }
 
-    /// Returns when something may be due, at the latest.
+    /// Returns when something is next due, as far as that is known.
     fn next_due(&self) -> Duration {
-        let records_at = self.records_at.unwrap_or(Duration::MAX);
-        let notes_at = match self.versions.has_unwritten_streams() {
-            true => self.written_at + self.write_period(),
-            false => Duration::MAX,
-        };
-        records_at.min(notes_at).max(self.retry.0)
+        if !self.retry.1.is_zero() {
+            return self.retry.0;
+        }
+        let notes_at = self
+            .versions
+            .has_unwritten_streams()
+            .then(|| self.written_at + self.write_period());
+        let due = self.records_at.into_iter().chain(notes_at);
+        due.min().unwrap_or(Duration::MAX)
     }
 
     /// Returns the least time between two writes of notes.
