Records of versions: the longest life counts, and no time overflows

Cause: revised() took the life of streams into account only together with another change, and rounded it down, so a version that left could be dropped, and count as gone, while its streams could still be taken up; a time near the largest number overflowed (a panic in builds with checks).

Change: a longer life revises the record by itself, rounded up to seconds; times saturate.

--- a/crates/flaxtide-policy/src/versions/record.rs
+++ b/crates/flaxtide-policy/src/versions/record.rs
@@ -84,13 +84,14 @@
                 });
             }
         }
+        let life_s = now.life.as_millis().div_ceil(1000);
+        let life_s = u16::try_from(life_s).unwrap_or(u16::MAX);
+        revised.life_s = life_s.max(revised.life_s);
         if revised == *self {
             return None;
         }
-        let life_s = u16::try_from(now.life.as_secs()).unwrap_or(u16::MAX);
-        revised.life_s = life_s.max(revised.life_s);
         let life_ms = u64::from(revised.life_s) * 1000;
-        let is_recent = |at_ms: u64| now_ms < at_ms + life_ms;
+        let is_recent = |at_ms: u64| now_ms < at_ms.saturating_add(life_ms);
         revised
             .versions
             .retain(|recorded| recorded.left_ms.is_none_or(is_recent));
