Kept notes: bounds hold while the store doesn't answer, and merges don't stall

Cause: each write without an answer added a batch with all waiting streams to memory and to what counts towards the 64, and none was removed before all of their streams had ended. A merge whose streams didn't fit into a change cleared its removals and wrote the first streams again and again. Ended batches were left while 64 others could be merged; streams that waited already took up room a second time.

Change: only batches whose write is confirmed count. Of others the key is kept, at most 1,024 of them, and their rows are removed after 30 s, when late writes have been done. The half with the fewest streams is merged, as much as fits, and its streams wait until a write is confirmed, since an unconfirmed change may remove their rows late.

--- a/crates/flaxtide-policy/src/versions/log.rs
+++ b/crates/flaxtide-policy/src/versions/log.rs
@@ -18,9 +18,15 @@
 /// The most batches that one change removes. A call takes 100 rows.
 const MAX_REMOVED: usize = 80;
 
-/// The most batches of an instance. With more, the older half is merged.
+/// The most batches of an instance. With more, the half with the fewest streams is merged.
 const MAX_BATCHES: usize = 64;
 
+/// The most batches whose write hasn't been confirmed that are remembered.
+const MAX_TRIED: usize = 1024;
+
+/// For how long after a write without an answer it may still be done.
+const LATE_WITHIN: Duration = Duration::from_secs(30);
+
 /// The most streams that wait to be written. Further ones aren't kept.
 const MAX_WAITING: usize = 1 << 14;
 
@@ -89,8 +95,11 @@
     next_number: u32,
     /// The streams that aren't kept yet.
     waiting: BTreeSet<StreamKey>,
-    /// The streams of each batch that is kept, or may be: a write may be done later than expected.
+    /// The streams of each batch that is kept.
     kept: BTreeMap<BatchKey, Vec<StreamKey>>,
+    /// When the other batches were to be written, which may have been done or be done yet. Their
+    /// streams wait to be written again.
+    tried: BTreeMap<BatchKey, Duration>,
 }
 
 impl NoteLog {
@@ -102,14 +111,21 @@
             next_number: 0,
             waiting: BTreeSet::new(),
             kept: BTreeMap::new(),
+            tried: BTreeMap::new(),
         }
     }
 
     /// Adds streams that are to be kept. Returns how many there is no room for.
     pub fn add(&mut self, streams: &[StreamKey]) -> usize {
-        let room = MAX_WAITING.saturating_sub(self.waiting.len());
-        self.waiting.extend(&streams[..streams.len().min(room)]);
-        streams.len().saturating_sub(room)
+        let mut left_out = 0;
+        for stream in streams {
+            if self.waiting.len() < MAX_WAITING || self.waiting.contains(stream) {
+                self.waiting.insert(*stream);
+            } else {
+                left_out += 1;
+            }
+        }
+        left_out
     }
 
     /// Records a batch that an earlier process has kept.
@@ -134,43 +150,80 @@
         now: Duration,
     ) -> Option<NoteChange> {
         self.waiting.retain(|stream| registry.note_of(*stream, now).is_some());
-        let is_noted = |stream: &StreamKey| registry.note_of(*stream, now).is_some();
-        let ended = self.kept.iter().filter(|(_, streams)| !streams.iter().any(is_noted));
-        let mut removed: Vec<BatchKey> = ended.map(|(key, _)| *key).collect();
-        if self.waiting.is_empty()
-            && (removed.is_empty() || removed.len() < self.kept.len())
-        {
+        let mut removed = self.ended(registry, now);
+        let count = self.kept.len() + self.tried.len();
+        if self.waiting.is_empty() && (removed.is_empty() || removed.len() < count) {
             return None;
         }
+        let ended = removed.iter().filter(|key| self.kept.contains_key(key)).count();
         removed.truncate(MAX_REMOVED);
-        let mut due = self.waiting.clone();
-        if self.kept.len() - removed.len() >= MAX_BATCHES {
-            removed = self.kept.keys().copied().take(MAX_BATCHES / 2).collect();
-            due.extend(removed.iter().flat_map(|key| &self.kept[key]));
+        if self.kept.len() - ended >= MAX_BATCHES {
+            removed = self.merge(registry, now);
         }
-        let notes = due.iter().filter_map(|stream| registry.note_of(*stream, now));
+        let notes = self
+            .waiting
+            .iter()
+            .filter_map(|stream| registry.note_of(*stream, now));
         let notes: Vec<VersionNote> = notes.collect();
-        if notes.len() > MAX_ADDED * MAX_BATCH_NOTES {
-            // What isn't written now must stay in its batch.
-            removed.clear();
-        }
         let mut added = vec![];
-        for notes in notes.chunks(MAX_BATCH_NOTES).take(MAX_ADDED) {
+        for notes in notes.chunks(MAX_BATCH_NOTES) {
             let key = BatchKey { process: self.process, number: self.next_number };
             self.next_number = self.next_number.wrapping_add(1);
-            self.kept.insert(key, notes.iter().map(|note| note.stream).collect());
+            self.tried.insert(key, now);
             added.push((key, NoteBatch { written_ms: now_ms, notes: notes.to_vec() }));
         }
+        while self.tried.len() > MAX_TRIED {
+            self.tried.pop_first();
+        }
         Some(NoteChange { added, removed })
     }
 
+    /// Returns the batches that aren't needed any more: no stream in them is noted, or they have
+    /// been written again.
+    fn ended(&self, registry: &VersionRegistry, now: Duration) -> Vec<BatchKey> {
+        let is_noted = |stream: &StreamKey| registry.note_of(*stream, now).is_some();
+        let kept = self.kept.iter().filter(|(_, streams)| !streams.iter().any(is_noted));
+        let tried = self.tried.iter().filter(|(_, at)| now >= **at + LATE_WITHIN);
+        kept.map(|(key, _)| *key).chain(tried.map(|(key, _)| *key)).collect()
+    }
+
+    /// Lets the streams of those batches with the fewest of them that fit into a change wait, and
+    /// returns these batches. As their removal may be done late, their streams wait until a
+    /// write is confirmed.
+    fn merge(&mut self, registry: &VersionRegistry, now: Duration) -> Vec<BatchKey> {
+        let is_noted = |stream: &&StreamKey| registry.note_of(**stream, now).is_some();
+        let noted = |streams: &[StreamKey]| -> Vec<StreamKey> {
+            streams.iter().filter(is_noted).copied().collect()
+        };
+        let kept = self.kept.iter();
+        let mut batches: Vec<_> =
+            kept.map(|(key, streams)| (*key, noted(streams))).collect();
+        batches.sort_by_key(|(_, streams)| streams.len());
+        let mut merged = vec![];
+        for (key, streams) in batches.into_iter().take(MAX_BATCHES / 2) {
+            if self.waiting.len() + streams.len() > MAX_ADDED * MAX_BATCH_NOTES {
+                break;
+            }
+            self.waiting.extend(streams);
+            merged.push(key);
+        }
+        merged
+    }
+
     /// Records that a change has been done.
     pub fn record_done(&mut self, change: &NoteChange) {
-        for note in change.added.iter().flat_map(|(_, batch)| &batch.notes) {
-            self.waiting.remove(&note.stream);
+        for (key, batch) in &change.added {
+            let streams: Vec<StreamKey> =
+                batch.notes.iter().map(|note| note.stream).collect();
+            for stream in &streams {
+                self.waiting.remove(stream);
+            }
+            self.tried.remove(key);
+            self.kept.insert(*key, streams);
         }
         for key in &change.removed {
             self.kept.remove(key);
+            self.tried.remove(key);
         }
     }
 }
