Lab of versions: kills of all instances, with and without the table

Cause: nothing showed on a manual clock what a kill of all instances does to streams, nor whether records and kept notes mend it.

Change: the lab has a table with a record, notes kept each 500 ms, an era, outages, copies, and instances that use it as the design says; kept notes are looked up for peers that don't answer. Instances without a list or without a try to read the table don't take streams up. A server that leaves finishes its streams in the lab as well (they were dropped before), and a refused stream doesn't come back. Patterns: the cases of the design at 9 and 48 instances.

A data centre that is cut off has kept nothing, so its test asks that the streams of the others go on.

--- a/crates/flaxtide-lab/src/versions.rs
+++ b/crates/flaxtide-lab/src/versions/mod.rs
@@ -1,16 +1,24 @@
 //! Instances that begin streams at several versions of a service and take up those of others,
-//! on a manual clock and without a network: what they tell each other, and how long it takes.
+//! on a manual clock and without a network: what they tell each other and keep in the platform's
+//! table, and how long it takes.
+
+mod asking;
+mod keeping;
+mod table;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use flaxtide_policy::{
-    AskedPeers, ServiceKey, StreamKey, VersionDecision, VersionKey, VersionNote,
-    VersionPoll, VersionRegistry, VersionView,
+    ServiceKey, StreamKey, VersionDecision, VersionKey, VersionNote, VersionRegistry,
+    VersionView,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
+use self::keeping::LabKeeper;
+use self::table::LabStore;
+
 /// The service of all streams.
 const SERVICE: ServiceKey = 1;
 
@@ -45,6 +53,14 @@
     pub kills: Vec<(Duration, f64)>,
     /// From when until when these instances are cut off from all others and from the platform.
     pub cuts: Vec<(Duration, Duration, Vec<usize>)>,
+    /// Whether versions and notes are kept in the platform's table.
+    pub table: bool,
+    /// From when until when the platform's store is away, with the list of servers.
+    pub outages: Vec<(Duration, Duration)>,
+    /// From when until when it doesn't answer for records and notes only.
+    pub table_outages: Vec<(Duration, Duration)>,
+    /// When it comes back from a copy, and how old the copy is.
+    pub copies: Vec<(Duration, Duration)>,
     /// The streams that each instance begins in a second.
     pub streams_per_s: f64,
     /// How long is played.
@@ -60,8 +76,12 @@
     pub joined: u32,
     /// Streams that were refused because nobody knew their version.
     pub refused: u32,
+    /// Streams that didn't go on, as the list has no server of their version any more.
+    pub ended: u32,
     /// Notes that were sent to replicas.
     pub notes_sent: u64,
+    /// Notes that were written to the platform's table.
+    pub notes_kept: u64,
 }
 
 /// An instance.
@@ -76,6 +96,7 @@
     down_until: Duration,
     /// The notes that it hasn't sent yet.
     untold: Vec<VersionNote>,
+    keeper: LabKeeper,
 }
 
 /// A stream whose caller is connected, or comes back.
@@ -108,6 +129,8 @@
     instances: Vec<LabInstance>,
     streams: Vec<LabStream>,
     next_stream: StreamKey,
+    next_process: u32,
+    store: LabStore,
     outcome: VersionOutcome,
 }
 
@@ -122,6 +145,7 @@
             covered_until: Duration::ZERO,
             down_until: Duration::ZERO,
             untold: vec![],
+            keeper: LabKeeper::new(0),
         };
         let lag = |_| instance(rng.random_range(0..1900));
         let instances = (0..pattern.instances).map(lag).collect();
@@ -132,6 +156,8 @@
             instances,
             streams: vec![],
             next_stream: 0,
+            next_process: 1,
+            store: LabStore::new(pattern.instances),
             outcome: VersionOutcome::default(),
         }
     }
@@ -142,16 +168,11 @@
         self.send_notes();
         self.read_lists();
         self.kill();
+        self.use_table();
         self.begin_streams();
         self.take_up_streams();
-        let now = self.now;
-        let mut releases = self.pattern.releases.iter();
-        let listed = releases.rfind(|(at, _)| *at <= now);
         // A server that leaves finishes its streams first.
-        self.streams.retain(|stream| {
-            now < stream.ends_at
-                && listed.is_some_and(|(_, listed)| listed.contains_key(&stream.version))
-        });
+        self.streams.retain(|stream| self.now < stream.ends_at);
     }
 
     /// Returns whether an instance is up.
@@ -184,7 +205,7 @@
     /// Lets instances read the list, each with its lag.
     fn read_lists(&mut self) {
         for index in 0..self.instances.len() {
-            if !self.is_up(index) || self.cut(index).is_some() {
+            if !self.is_up(index) || self.cut(index).is_some() || self.is_store_away() {
                 continue;
             }
             let lag = self.instances[index].lag;
@@ -197,7 +218,11 @@
             instance.covered_until = until;
             instance.listed.clone_from(listed);
             if instance.registry.set_listed(SERVICE, listed, now) {
-                instance.untold.extend(instance.registry.own_notes(now));
+                let notes = instance.registry.own_notes(now);
+                let streams: Vec<StreamKey> =
+                    notes.iter().map(|note| note.stream).collect();
+                instance.keeper.log.add(&streams);
+                instance.untold.extend(notes);
             }
         }
     }
@@ -259,6 +284,8 @@
                 instance.untold.clear();
                 instance.covered_until = Duration::ZERO;
                 instance.down_until = self.now + DOWN;
+                instance.keeper = LabKeeper::new(self.next_process);
+                self.next_process += 1;
             }
         }
     }
@@ -267,7 +294,8 @@
     fn begin_streams(&mut self) {
         let per_step = self.pattern.streams_per_s * STEP.as_secs_f64();
         for index in 0..self.instances.len() {
-            if !self.is_up(index) || !self.rng.random_bool(per_step.min(1.0)) {
+            let is_ready = self.is_up(index) && self.is_ready(index);
+            if !is_ready || !self.rng.random_bool(per_step.min(1.0)) {
                 continue;
             }
             let now = self.now;
@@ -304,6 +332,7 @@
         if instance.registry.view(SERVICE, now) == VersionView::Several {
             let life_s = LIFE.as_secs() as u16;
             instance.untold.push(VersionNote { stream, version, life_s });
+            instance.keeper.log.add(&[stream]);
         }
     }
 
@@ -318,6 +347,7 @@
             let (key, version, place) = (stream.key, stream.version, stream.place);
             let is_reached = |index: &usize| {
                 self.is_up(*index)
+                    && self.is_ready(*index)
                     && (self.place(*index) == place || self.cut(*index).is_none())
             };
             let up: Vec<usize> = (0..self.instances.len()).filter(is_reached).collect();
@@ -331,34 +361,21 @@
             let index = usable[self.rng.random_range(0..usable.len())];
             self.streams[position].back_at = None;
             self.streams[position].instance = index;
+            let is_served = self.instances[index].listed.contains_key(&version);
             match self.decide(index, key) {
-                VersionDecision::Bound(bound) if bound == version => {
+                VersionDecision::Bound(bound) if bound != version => {
+                    self.outcome.joined += 1;
+                }
+                _ if !is_served => self.outcome.ended += 1,
+                VersionDecision::Bound(_) => {
                     self.outcome.continued += 1;
                     self.note(index, key, version);
                 }
-                VersionDecision::Bound(_) => self.outcome.joined += 1,
-                VersionDecision::Unknown => self.outcome.refused += 1,
+                VersionDecision::Unknown => {
+                    self.outcome.refused += 1;
+                    self.streams[position].ends_at = self.now;
+                }
             }
         }
     }
-
-    /// Finds out at which version an instance continues a stream.
-    fn decide(&self, index: usize, stream: StreamKey) -> VersionDecision {
-        let answer = |index: usize| {
-            let instance = &self.instances[index];
-            let is_current = self.now <= instance.covered_until + CURRENT_WITHIN;
-            instance.registry.answer(SERVICE, stream, is_current, self.now)
-        };
-        let others = (0..self.instances.len()).filter(|other| *other != index);
-        let near = others.clone().filter(|other| self.place(*other) == self.place(index));
-        // Peers that are down aren't expected to answer once they were silent for a while.
-        let near = near.filter(|other| self.is_up(*other)).count();
-        let asked = AskedPeers { all: self.instances.len() - 1, near };
-        let window = self.instances[index].registry.window();
-        let mut poll = VersionPoll::new(answer(index), window, asked);
-        for other in others.filter(|other| self.reaches(index, *other)) {
-            poll.add(answer(other), self.place(other) == self.place(index));
-        }
-        poll.finish()
-    }
 }
