Failing test: own interface, a refusal that names another request

Cause: the status and X-Refused are read before the id. Change: the stand-in service can answer with the refusal of another call; a test in whole_answer.

--- a/crates/flaxtide-standin/src/listen.rs
+++ b/crates/flaxtide-standin/src/listen.rs
@@ -1,6 +1,6 @@
 //! The HTTP listener that all stand-ins share.
 
-use std::io;
+use std::io::{self, Cursor};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -113,11 +113,25 @@
 
 /// Refuses a request, with the promise that it hasn't been run.
 pub(crate) fn respond_leaving(request: Request) {
+    let _ = request.respond(leaving_response());
+}
+
+/// Answers a request with the refusal of another one.
+pub(crate) fn respond_leaving_to(request: Request, request_id: &str) {
+    let mut response = leaving_response();
+    if let Ok(header) = Header::from_bytes("X-Request-Id", request_id) {
+        response.add_header(header);
+    }
+    let _ = request.respond(response);
+}
+
+/// Builds the refusal of a server that is leaving.
+fn leaving_response() -> Response<Cursor<Vec<u8>>> {
     let mut response = Response::from_string("leaving").with_status_code(503);
     if let Ok(header) = Header::from_bytes("X-Refused", "leaving") {
         response.add_header(header);
     }
-    let _ = request.respond(response);
+    response
 }
 
 /// Returns a header's value.
--- a/crates/flaxtide-standin/src/service.rs
+++ b/crates/flaxtide-standin/src/service.rs
@@ -10,7 +10,9 @@
 use serde_json::json;
 use tiny_http::{Method, Request};
 
-use crate::listen::{StandinListener, header, read_json, respond_json, respond_leaving};
+use crate::listen::{
+    StandinListener, header, read_json, respond_json, respond_leaving, respond_leaving_to,
+};
 
 /// A plain service that runs until it is dropped.
 pub struct ServiceStandin {
@@ -30,6 +32,8 @@
     pub lose_answers: u64,
     /// Run this many calls more, and hang up in the middle of the answer.
     pub cut_answers: u64,
+    /// Run this many calls more, and answer with the refusal of another one.
+    pub cross_refusals: u64,
     /// Refuse every call, as a server that is leaving does.
     pub leaving: bool,
 }
@@ -135,6 +139,10 @@
             drop(request.into_writer());
             return;
         }
+        if faults.cross_refusals > 0 {
+            lock(&self.faults).cross_refusals -= 1;
+            return respond_leaving_to(request, "another");
+        }
         if faults.cut_answers > 0 {
             lock(&self.faults).cut_answers -= 1;
             let mut writer = request.into_writer();
--- a/crates/flaxtide/tests/whole_answer.rs
+++ b/crates/flaxtide/tests/whole_answer.rs
@@ -115,3 +115,18 @@
     let failure = answer.failure.expect("an explicit error");
     assert_eq!(failure.ran, RanState::Unknown);
 }
+
+// Guards against an untrue "not run": a refusal that named another request was taken for that of
+// the request at hand.
+#[test]
+fn a_refusal_that_names_another_request_refuses_none() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    let faults = ServiceFaults { cross_refusals: 1000, ..ServiceFaults::default() };
+    for service in &fleet.services {
+        service.set_faults(faults.clone());
+    }
+    let answer = fleet.instances[0].file("crossed", "a");
+    assert_eq!(fleet.runs_of("crossed"), 1);
+    let failure = answer.failure.expect("an explicit error");
+    assert_eq!(failure.ran, RanState::Unknown);
+}
