Own interface: ids are compared before a refusal is believed

Cause: refusal_fault came before the comparison of ids for plain services, and completions weren't compared until their first event, so that the refusal of another request was taken for that of the one at hand. Change: mismatch_fault comes first in both. A server that names no id is believed, as each attempt has a connection of its own.

--- a/crates/flaxtide/src/exchange/completion.rs
+++ b/crates/flaxtide/src/exchange/completion.rs
@@ -9,7 +9,7 @@
 use super::event::{CompletionChunk, EventReader, ServerSentEvent};
 use super::{
     AttemptOutcome, ServerAttempt, classify_read_error, classify_send_error,
-    refusal_fault,
+    mismatch_fault, refusal_fault,
 };
 use crate::explain::StepKind;
 use crate::link::{CallerLink, CompleteResponse, REQUEST_ID_HEADER, StreamLink};
@@ -204,16 +204,18 @@
     body["priority"] = json!(attempt.priority);
     let url = format!("http://{}{}", attempt.address, payload.path);
     let text = serde_json::to_vec(&body).unwrap_or_default();
+    let id = format_request_id(attempt.request_id);
     let request = attohttpc::post(url)
         .header("Content-Type", "application/json")
-        .header(REQUEST_ID_HEADER, format_request_id(attempt.request_id));
+        .header(REQUEST_ID_HEADER, &id);
     let request = match received.checked_sub(1) {
         Some(last) => request.header("Last-Event-ID", last.to_string()),
         None => request,
     };
     let request = attempt.prepare(request.bytes(text));
     let response = request.send().map_err(|cause| classify_send_error(&cause))?;
-    if let Some(fault) = refusal_fault(&response) {
+    let fault = mismatch_fault(&response, &id).or_else(|| refusal_fault(&response));
+    if let Some(fault) = fault {
         return Err(fault);
     }
     if !response.is_success() {
--- a/crates/flaxtide/src/exchange/mod.rs
+++ b/crates/flaxtide/src/exchange/mod.rs
@@ -14,7 +14,7 @@
 
 pub(crate) use self::completion::{ResponseProgress, exchange_completion};
 pub(crate) use self::plain::exchange_plain;
-use crate::link::CompleteResponse;
+use crate::link::{CompleteResponse, REQUEST_ID_HEADER};
 use crate::shared::SharedState;
 
 /// The timeout for opening a connection to a backend server.
@@ -93,6 +93,13 @@
     }
 }
 
+/// Returns the fault of a response that names another request, which may be running. A server may
+/// omit the request's ID: each attempt has a connection of its own, so nothing came before.
+fn mismatch_fault(response: &Response, id: &str) -> Option<ServerFault> {
+    let stated = response.headers().get(REQUEST_ID_HEADER)?;
+    (stated.as_bytes() != id.as_bytes()).then_some(ServerFault::Broken)
+}
+
 /// Returns the fault of a response by which the server refused the request without
 /// running it; `None` for any other response.
 fn refusal_fault(response: &Response) -> Option<ServerFault> {
--- a/crates/flaxtide/src/exchange/plain.rs
+++ b/crates/flaxtide/src/exchange/plain.rs
@@ -8,7 +8,7 @@
 
 use super::{
     AttemptOutcome, ServerAttempt, classify_read_error, classify_send_error,
-    refusal_fault,
+    mismatch_fault, refusal_fault,
 };
 use crate::link::{CompleteResponse, REQUEST_ID_HEADER};
 use crate::request::{KEY_HEADER, PlainPayload};
@@ -37,19 +37,14 @@
         Ok(response) => response,
         Err(cause) => return AttemptOutcome::Fault(classify_send_error(&cause)),
     };
-    if let Some(fault) = refusal_fault(&response) {
+    let fault = mismatch_fault(&response, &id).or_else(|| refusal_fault(&response));
+    if let Some(fault) = fault {
         return AttemptOutcome::Fault(fault);
     }
     let status = response.status().as_u16();
     let content_type = response.headers().get(CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
-    // A server may omit the request's ID from the response, but a different ID shows that
-    // the response belongs to another request.
-    let response_id = response.headers().get(REQUEST_ID_HEADER);
-    if response_id.is_some_and(|response_id| response_id.as_bytes() != id.as_bytes()) {
-        return AttemptOutcome::Fault(ServerFault::Broken);
-    }
     let body = match is_head {
         true => response.bytes(),
         false => read_whole_body(response),
