An answer that doesn't name the request at hand decides nothing about it

Cause: check_head looked at status 421 before it compared the ids, and believed a refusal without an id on any connection, also for what it says of its server. So a second answer to an earlier request had the next one sent to another server while the first ran it (TWICE).

Change: ids are compared first, for every status. Without an id, a refusal is believed only on a connection that has brought no other request: nothing came before it that it could answer. Requests that have no id get a new connection each, as nothing could tell their answers apart on a kept one.

--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -20,7 +20,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::body::{UpstreamBody, drain_refusal};
-use crate::contract::UpstreamHead;
+use crate::contract::{ResponseHead, UpstreamHead};
 use crate::forward::{PeerReply, check_forwarded_head, forwarded_headers};
 use crate::state::TrafficState;
 use crate::upstream::{ServerConnection, connect};
@@ -164,7 +164,9 @@
     let mut outgoing = build_request(state, request, headers, last_event);
     let max_wait = time_left.min(state.config().leave_within);
     for _ in 0..MAX_STALE_CONNECTIONS {
-        let idle = if new_connection {
+        // Without an id, a late answer to an earlier request can't be told apart.
+        let is_nameless = peer.is_none() && request.attempt_id.is_none();
+        let idle = if new_connection || is_nameless {
             None
         } else {
             state.connections.take(server, state.now())
@@ -189,7 +191,8 @@
                 .arm(move || state.permits_write() && state.permits_request(request_id));
         }
         let sent = state.now();
-        let kind = if conn.used { "kept" } else { "new" };
+        let is_kept = conn.used;
+        let kind = if is_kept { "kept" } else { "new" };
         conn.used = true;
         conn.limit.record_progress();
         state.metrics.connections.with_label_values(&[kind]).inc();
@@ -200,7 +203,8 @@
                 );
             }
             Ok(resp) => {
-                let checked = check_head(state, request, server, sent, conn, resp);
+                let sent = SentRequest { request, server, sent_at: sent, is_kept };
+                let checked = check_head(state, sent, conn, resp);
                 return checked.map_err(SendFault::Fault);
             }
             Err(_) if conn.gate.has_rejected() => return Err(RouteFault::Withheld.into()),
@@ -269,41 +273,58 @@
     outgoing
 }
 
+/// A request that has been sent to a server.
+#[derive(Clone, Copy)]
+struct SentRequest<'a> {
+    /// The caller's request.
+    request: &'a CallerRequest,
+    /// The server.
+    server: ServerId,
+    /// When it was sent.
+    sent_at: Duration,
+    /// Whether the connection had brought an earlier request.
+    is_kept: bool,
+}
+
+impl SentRequest<'_> {
+    /// Returns whether a response is the one to this request: it repeats the id, or it refuses a
+    /// request without naming one on a connection that has brought no other. On a kept connection,
+    /// a response without an id may be a second one to an earlier request.
+    fn is_answered_by(&self, head: &ResponseHead) -> bool {
+        let is_refusal = head.replaced || head.not_run;
+        head.attempt_id == self.request.attempt_id
+            || (head.attempt_id.is_none() && is_refusal && !self.is_kept)
+    }
+}
+
 /// Checks the head of a response.
 fn check_head(
     state: &Rc<TrafficState>,
-    request: &CallerRequest,
-    server: ServerId,
-    sent_at: Duration,
+    sent: SentRequest<'_>,
     connection: ServerConnection,
     response: Response<Incoming>,
 ) -> Result<ResponseStart, RouteFault> {
+    let server = sent.server;
     let (parts, body) = response.into_parts();
     let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
+    // A response to another request decides nothing about this one, which may be running, and
+    // shows that the connection's requests and responses no longer correspond, so the connection
+    // isn't reused.
+    if !sent.is_answered_by(&head) {
+        return Err(RouteFault::Broken);
+    }
     // Another server has taken over the address.
     if head.replaced {
         return Err(RouteFault::Replaced);
     }
-    let matches_request = head.attempt_id == request.attempt_id;
-    if matches_request || (head.not_run && head.attempt_id.is_none()) {
-        let mut statement = head.statement;
-        // A response without a rate limit lifts an earlier limit only if it is a success whose seal
-        // header shows that the server vouches for it.
-        let is_sealed_success = parts.status.is_success() && head.sealed;
-        if statement.rate == StatedRate::Unlimited && !is_sealed_success {
-            statement.rate = StatedRate::Unstated;
-        }
-        state.pushback.apply_statement(state, server, statement, sent_at);
-    }
-    if head.not_run && (matches_request || head.attempt_id.is_none()) {
+    apply_statement(state, sent, &parts, &head);
+    if head.not_run {
         let body =
             UpstreamBody::new(&parts.headers, body, connection, server, head.keep_alive);
         drain_refusal(state, body);
         return Err(RouteFault::Full);
     }
-    // A response to another request shows that the connection's requests and responses no longer
-    // correspond, so the connection isn't reused.
-    if !matches_request || (parts.status.is_success() && !head.sealed) {
+    if parts.status.is_success() && !head.sealed {
         return Err(RouteFault::Broken);
     }
     if claims_not_run(parts.status) || parts.status.is_redirection() {
@@ -316,6 +337,25 @@
     Ok(start_response(parts, body))
 }
 
+/// Applies what the response to a request states about its server.
+fn apply_statement(
+    state: &TrafficState,
+    sent: SentRequest<'_>,
+    parts: &response::Parts,
+    head: &ResponseHead,
+) {
+    let mut statement = head.statement;
+    // A response without a rate limit lifts an earlier limit only if it is a success whose seal
+    // header shows that the server vouches for it.
+    let is_sealed_success = parts.status.is_success() && head.sealed;
+    if statement.rate == StatedRate::Unlimited && !is_sealed_success {
+        statement.rate = StatedRate::Unstated;
+    }
+    state
+        .pushback
+        .apply_statement(state, sent.server, statement, sent.sent_at);
+}
+
 /// Returns whether a status usually means that a request hasn't run.
 pub(crate) fn claims_not_run(status: StatusCode) -> bool {
     [429, 503, 408, 421].contains(&status.as_u16())
