The time left for a question to peers is read once

Cause: ask_peers took the wait from the time left, then read the clock again for the margin. If a millisecond passed in between, the subtraction overflowed, and the thread that follows the server list ended by a panic. Change: question_times divides one reading among both, and the deadline goes by the same one.

--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -97,4 +97,5 @@
 pub use self::logging::init_entry_logging;
 pub use self::reader::ServerListLog;
 pub use self::rules_age::RulesAge;
+pub use self::source::question_times;
 pub use self::watch::{EngineRecord, OwnSightings, ReportedParts, WatchCall, WatchPace};
--- a/crates/flaxtide-entry/src/source.rs
+++ b/crates/flaxtide-entry/src/source.rs
@@ -293,9 +293,10 @@
         wait: Duration,
         latest: Duration,
     ) -> Option<RowChanges> {
-        let wait = wait.min(self.time_until(latest));
+        // Read once: both times come out of the same rest.
+        let now = self.clock.now();
         let margin = self.leave_within.mul_f64(ANSWER_MARGIN_FRACTION);
-        let margin = margin.min(self.time_until(latest) - wait);
+        let (wait, margin) = question_times(wait, margin, latest.saturating_sub(now));
         let (sender, receiver) = bounded(peers.len().max(1));
         for peer in peers.iter().copied() {
             let sender = sender.clone();
@@ -306,7 +307,7 @@
             link.ask_rows(RowRequest { peer, after, wait, margin, answer });
         }
         drop(sender);
-        let deadline = self.clock.now() + wait + margin;
+        let deadline = now + wait + margin;
         let mut unanswered = peers.to_vec();
         while let Ok((peer, answer)) = receiver.recv_timeout(self.time_until(deadline)) {
             unanswered.retain(|other| *other != peer);
@@ -367,6 +368,18 @@
     }
 }
 
+/// Returns how long a question to peers waits for changes, and how long the answer may take beyond
+/// that, if `left` is left for both.
+#[must_use]
+pub fn question_times(
+    wait: Duration,
+    margin: Duration,
+    left: Duration,
+) -> (Duration, Duration) {
+    let wait = wait.min(left);
+    (wait, margin.min(left.saturating_sub(wait)))
+}
+
 /// Returns the peers of a plan, in the order in which they are asked.
 fn peers_of(plan: &ListPlan) -> Vec<SocketAddr> {
     let reader = match plan.reader {
