An instance one of whose threads has ended isn't ready

Cause: nothing noted the end of a thread, so that an instance whose follower of the platform had ended by a panic went on to say that it is ready. Change: each thread of an entry instance, and the tasks of the traffic thread that accept connections, handle what is read and do the periodic work, run under a watch (threads.rs). A thread's end, or a task's panic, is logged, exported as ended_threads, and takes readiness away for good; the three tasks are included as the runtime catches their panics.

--- a/crates/flaxtide-entry/src/instance.rs
+++ b/crates/flaxtide-entry/src/instance.rs
@@ -150,14 +150,15 @@
             .enable_all()
             .build()
             .map_err(|cause| EntryError::Spawn { component: "the runtime", cause })?;
-        spawn_signals(self.signals.0.clone())?;
-        let served = LocalSet::new().block_on(&runtime, self.serve());
+        let metrics = Arc::new(EntryMetrics::new());
+        spawn_signals(self.signals.0.clone(), &metrics)?;
+        let served = LocalSet::new().block_on(&runtime, self.serve(metrics));
         flush_log();
         served
     }
 
     /// Starts the threads and serves callers until a signal has stopped the instance.
-    async fn serve(self) -> Result<(), EntryError> {
+    async fn serve(self, metrics: Arc<EntryMetrics>) -> Result<(), EntryError> {
         let Self {
             path,
             config,
@@ -180,7 +181,6 @@
             callers = config.callers.to_string(), version = env!("CARGO_PKG_VERSION");
             "started"
         );
-        let metrics = Arc::new(EntryMetrics::new());
         let shared_rules = Arc::new(SharedRules::default());
         let (events, feed_events) = channel(FEED_QUEUE_LEN);
         let (link, fleet_requests) = FleetLink::new();
@@ -229,7 +229,8 @@
             shared_duties,
         );
         fleet.set_version_exchange(state.versions.clone());
-        spawn("the fleet thread", move || fleet.run(&fleet_requests))?;
+        let metrics = state.metrics.clone();
+        spawn("the fleet thread", &metrics, move || fleet.run(&fleet_requests))?;
         let state = Rc::new(state);
         let open_connections = Rc::new(Cell::new(0));
         let listeners =
@@ -239,7 +240,7 @@
             let open_connections = open_connections.clone();
             let accepting =
                 accept_requests(state.clone(), listener, source, open_connections);
-            tokio::task::spawn_local(accepting);
+            spawn_task("accept", &metrics, accepting);
         }
         let probes = [
             (ready, ProbeAudience::Balancer),
@@ -249,12 +250,8 @@
             tokio::task::spawn_local(serve_probes(state.clone(), listener, audience));
         }
         let monitor = RulesDownloadMonitor::new(feed.clone());
-        tokio::task::spawn_local(handle_feed_events(
-            state.clone(),
-            feed,
-            shared_rules,
-            feed_events,
-        ));
+        let feeding = handle_feed_events(state.clone(), feed, shared_rules, feed_events);
+        spawn_task("feed", &metrics, feeding);
         let watches = engines.map(EngineWatches::new);
         let maintenance = run_maintenance(
             state.clone(),
@@ -264,7 +261,7 @@
             peer_bytes,
             watches,
         );
-        tokio::task::spawn_local(maintenance);
+        spawn_task("maintenance", &metrics, maintenance);
         handle_signals(&state, &path, &mut signals).await;
         Ok(())
     }
@@ -281,18 +278,30 @@
 /// Starts the thread that `component` names, such as "the log thread".
 fn spawn(
     component: &'static str,
+    metrics: &Arc<EntryMetrics>,
     run: impl FnOnce() + Send + 'static,
 ) -> Result<(), EntryError> {
     let name = component.trim_start_matches("the ").trim_end_matches(" thread");
     let thread = thread::Builder::new()
         .name(name.into())
         .stack_size(WORKER_STACK_BYTES);
-    let spawned = thread.spawn(run);
+    let metrics = metrics.clone();
+    let spawned = thread.spawn(move || metrics.threads.run(name, run));
     spawned
         .map(drop)
         .map_err(|cause| EntryError::Spawn { component, cause })
 }
 
+/// Starts a task on the traffic thread.
+fn spawn_task(
+    name: &'static str,
+    metrics: &Arc<EntryMetrics>,
+    task: impl Future<Output = ()> + 'static,
+) {
+    let metrics = metrics.clone();
+    tokio::task::spawn_local(async move { metrics.threads.run_task(name, task).await });
+}
+
 /// Starts the duties thread, if the instance has duties.
 fn start_duties(
     config: &EntryConfig,
@@ -306,19 +315,27 @@
     };
     let shared_duties = Arc::new(SharedDuties::new(duties.usage_window));
     fleet.set_usage_exchange(shared_duties.clone());
-    let (link, metrics) = (link.clone(), metrics.clone());
-    let thread =
-        DutyThread::new(config, duties, platform, shared_duties.clone(), link, metrics);
-    spawn("the duties thread", move || thread.run())?;
+    let thread = DutyThread::new(
+        config,
+        duties,
+        platform,
+        shared_duties.clone(),
+        link.clone(),
+        metrics.clone(),
+    );
+    spawn("the duties thread", metrics, move || thread.run())?;
     Ok(Some(shared_duties))
 }
 
 /// Starts the thread that waits for signals.
-fn spawn_signals(events: Sender<SignalEvent>) -> Result<(), EntryError> {
+fn spawn_signals(
+    events: Sender<SignalEvent>,
+    metrics: &Arc<EntryMetrics>,
+) -> Result<(), EntryError> {
     let component = "the signal thread";
     let signals =
         register_signals().map_err(|cause| EntryError::Spawn { component, cause })?;
-    spawn(component, move || watch_signals(signals, &events))
+    spawn(component, metrics, move || watch_signals(signals, &events))
 }
 
 /// Starts the thread that follows a topic.
@@ -327,7 +344,8 @@
         FeedTopic::Rules => "the rules thread",
         FeedTopic::Servers => "the servers thread",
     };
-    spawn(component, move || follow_topic(&follower))
+    let metrics = follower.metrics.clone();
+    spawn(component, &metrics, move || follow_topic(&follower))
 }
 
 /// Runs the periodic tasks: timed decisions, expiry, retries and metrics.
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -5,6 +5,8 @@
     Opts, Registry, TextEncoder,
 };
 
+use crate::threads::EndedThreads;
+
 /// The upper bounds of the latency buckets in seconds, dense around the targets of classes.
 const LATENCY_BUCKETS: [f64; 11] =
     [0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.0, 4.0, 8.0, 16.0];
@@ -89,6 +91,8 @@
     pub(crate) lacking_shares: IntGaugeVec,
     /// Requests in progress that peers have forwarded.
     pub(crate) carried_calls: IntGauge,
+    /// Threads and tasks that have ended.
+    pub(crate) threads: EndedThreads,
     /// Seconds to the first event of a stream, or to a whole response.
     pub(crate) latency: Histogram,
 }
@@ -211,6 +215,11 @@
                 &["service"],
             ),
             carried_calls: gauge("carried_calls", "Requests that peers forwarded."),
+            threads: EndedThreads::new(gauges(
+                "ended_threads",
+                "1 for threads that have ended. The instance isn't ready then.",
+                &["thread"],
+            )),
             latency: Histogram::with_opts(latency)
                 .expect("the name of a metric is valid"),
         };
@@ -220,7 +229,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 39] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 40] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -259,6 +268,7 @@
             Box::new(self.doubtful_paths.clone()),
             Box::new(self.lacking_shares.clone()),
             Box::new(self.carried_calls.clone()),
+            Box::new(self.threads.gauge().clone()),
             Box::new(self.latency.clone()),
         ];
         for collector in collectors {
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -261,6 +261,7 @@
             && self.table.borrow().is_some()
             && self.servers_listed.get()
             && !self.has_overdue_rules()
+            && !self.metrics.threads.has_any()
             && self.now() >= self.not_ready_until.get()
             && self.quarantine.is_synced(self.now())
     }
