--- a/crates/flaxtide-lab/src/versions/mod.rs
+++ b/crates/flaxtide-lab/src/versions/mod.rs
@@ -10,8 +10,7 @@
 use std::time::Duration;
 
 use flaxtide_policy::{
-    ServiceKey, StreamKey, VersionDecision, VersionKey, VersionNote, VersionRegistry,
-    VersionView,
+    ServiceKey, StreamKey, VersionKey, VersionNote, VersionRegistry, VersionView,
 };
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
