Planned stops wait until the last byte of each answer is written

Cause: a call with a whole response counted as ended when the response was handed to hyper, before any byte of it had been written. A stop waited for open calls only, so what hyper still held was dropped with the process, and wasn't in "cut" either.

Change: an answer counts from when it is handed to hyper (a stream: from when its last part is) until hyper has flushed everything, or its connection ends. A stop waits for these answers too, up to its deadline, and "cut" counts them.

--- a/crates/flaxtide-entry/src/hooked.rs
+++ b/crates/flaxtide-entry/src/hooked.rs
@@ -23,6 +23,9 @@
     /// Records the outcome of a write.
     fn after_write(&mut self, _written: &Poll<io::Result<usize>>) {}
 
+    /// Records that everything that was to be written has been.
+    fn after_flush(&mut self) {}
+
     /// Records that bytes were read.
     fn after_read(&mut self) {}
 }
@@ -101,7 +104,11 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if let Poll::Ready(Ok(())) = flushed {
+            self.hook.after_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -26,6 +26,7 @@
 use crate::read_limit::ReadLimit;
 use crate::reply::ResponseBody;
 use crate::state::{ShutdownPhase, TrafficState};
+use crate::unwritten::{ConnectionAnswer, TrackedBody};
 
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -55,6 +56,8 @@
     head_started_at: Cell<Option<Duration>>,
     /// The number of requests in progress.
     open_requests: Cell<u32>,
+    /// The answer that is being written.
+    answer: Rc<ConnectionAnswer>,
     /// Since when the caller hasn't read, while bytes wait to be written.
     unread_since: Cell<Option<Duration>>,
     /// Whether the response in progress ends with the connection.
@@ -67,15 +70,16 @@
 
 impl ConnectionActivity {
     /// Creates the activity of a connection that was accepted at `now`.
-    fn new(limits: &CallerLimits, now: Duration) -> Self {
+    fn new(state: &TrafficState, now: Duration) -> Self {
         Self {
             last_io_at: Cell::new(now),
             head_started_at: Cell::default(),
             open_requests: Cell::default(),
+            answer: Rc::new(ConnectionAnswer::new(&state.unwritten_answers)),
             unread_since: Cell::default(),
             open_unframed: Cell::default(),
             unread: Cell::default(),
-            limit: Rc::new(ReadLimit::new(max_request_bytes(limits))),
+            limit: Rc::new(ReadLimit::new(max_request_bytes(&state.limits()))),
         }
     }
 
@@ -134,6 +138,10 @@
         self.activity.record_write(written, self.state.now());
     }
 
+    fn after_flush(&mut self) {
+        self.activity.answer.record_flush();
+    }
+
     fn after_read(&mut self) {
         let now = self.state.now();
         self.activity.last_io_at.set(now);
@@ -268,7 +276,7 @@
         log::debug!(cause = cause.to_string(); "failed to configure a caller's connection");
         return;
     }
-    let activity = Rc::new(ConnectionActivity::new(&state.limits(), state.now()));
+    let activity = Rc::new(ConnectionActivity::new(&state, state.now()));
     activity.unread.set(Some(UnreadGuard::new(&state)));
     let hook = ActivityHook {
         activity: activity.clone(),
@@ -285,10 +293,12 @@
             async move {
                 let knows_chunks = request.version() > Version::HTTP_10;
                 let mut response = serve_request(state, request, source).await;
+                let answer = activity.answer.clone();
                 if !knows_chunks {
                     response = response.map(|body| mark_unfinished(body, activity));
                 }
                 drop(guard);
+                let response = response.map(|body| TrackedBody::new(body, answer));
                 Ok::<_, std::convert::Infallible>(response)
             }
         })
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -37,6 +37,7 @@
 use crate::servers::RoutedPlaces;
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
+use crate::unwritten::UnwrittenAnswers;
 use crate::upstream::ServerConnections;
 use crate::version_counts::VersionCounts;
 use crate::versions::{SettlingVersions, StreamVersions};
@@ -133,6 +134,8 @@
     pub(crate) phase_changed: Notify,
     /// The number of requests in progress.
     pub(crate) open_calls: Cell<usize>,
+    /// The answers that are being written.
+    pub(crate) unwritten_answers: UnwrittenAnswers,
     /// The number of connections that have brought no request yet.
     pub(crate) unread_connections: Cell<usize>,
     /// Limits new connections while the processor is late.
@@ -215,6 +218,7 @@
             lateness,
             phase_changed: Notify::new(),
             open_calls: Cell::new(0),
+            unwritten_answers: UnwrittenAnswers::default(),
             unread_connections: Cell::new(0),
             admission: AdmissionLimit::default(),
             stop_deadline: Cell::new(None),
--- a/crates/flaxtide-entry/src/stop.rs
+++ b/crates/flaxtide-entry/src/stop.rs
@@ -25,7 +25,7 @@
 /// The last requests are cut off this long before the end of the time allowed for a stop.
 const STOP_MARGIN: Duration = Duration::from_millis(350);
 
-/// How often a stopping instance checks whether all requests have ended.
+/// How often a stopping instance checks whether all answers are written.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The action that a signal requests.
@@ -84,7 +84,8 @@
     }
 }
 
-/// Stops gracefully: reports not ready, closes idle connections, then waits for open requests.
+/// Stops gracefully: reports not ready, closes idle connections, then waits until the answers to
+/// open requests have been written.
 async fn stop(state: &Rc<TrafficState>) {
     let start = state.now();
     let deadline = start + state.config().stop_within.saturating_sub(STOP_MARGIN);
@@ -99,17 +100,21 @@
     tokio::time::sleep(LAST_STREAM_START - BALANCER_REACTION_TIME).await;
     state.stop_deadline.set(Some(deadline));
     loop {
-        while state.open_calls.get() > 0 && state.now() < deadline {
+        while unfinished_answers(state) > 0 && state.now() < deadline {
             tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
         }
-        // Gives sockets time to send the last responses. Requests that arrive meanwhile are
-        // refused, so none is cut off.
+        // Lets requests come that callers have already sent. They are refused, so none is cut off.
         state.stop_deadline.set(Some(state.now()));
         tokio::time::sleep(DRAIN_POLL_INTERVAL).await;
-        if state.open_calls.get() == 0 || state.now() >= deadline {
+        if unfinished_answers(state) == 0 || state.now() >= deadline {
             break;
         }
     }
     let spent = state.now().saturating_sub(start).as_millis() as u64;
-    log::info!(cut = state.open_calls.get() as u64, spent_ms = spent; "stopped");
+    log::info!(cut = unfinished_answers(state) as u64, spent_ms = spent; "stopped");
+}
+
+/// Returns how many calls wait for their answers, or for the rest of them to be written.
+fn unfinished_answers(state: &TrafficState) -> usize {
+    state.open_calls.get() + state.unwritten_answers.count()
 }
