A request that arrives during a stream doesn't end it

Cause: a request counted as in progress until the head of its response only. Bytes that came while its stream was being sent counted as the beginning of a head that was overdue after header_timeout_ms, and pauses of the stream as idleness.

Change: a head is awaited from when the answer before it is written; a connection is idle only when none is being written.

--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -52,9 +52,12 @@
 struct ConnectionActivity {
     /// When bytes were last read or written.
     last_io_at: Cell<Duration>,
-    /// When the first bytes of an incomplete head arrived.
+    /// Since when an incomplete head has been awaited: its first bytes have arrived, and the answer
+    /// before it is written.
     head_started_at: Cell<Option<Duration>>,
-    /// The number of requests in progress.
+    /// Whether bytes of the next request have arrived while an answer is being written.
+    read_ahead: Cell<bool>,
+    /// The number of requests in progress, without those whose answer is being written.
     open_requests: Cell<u32>,
     /// The answer that is being written.
     answer: Rc<ConnectionAnswer>,
@@ -74,6 +77,7 @@
         Self {
             last_io_at: Cell::new(now),
             head_started_at: Cell::default(),
+            read_ahead: Cell::default(),
             open_requests: Cell::default(),
             answer: Rc::new(ConnectionAnswer::new(&state.unwritten_answers)),
             unread_since: Cell::default(),
@@ -94,6 +98,31 @@
         self.unread_since.set(unread_since);
     }
 
+    /// Records that bytes were read.
+    fn record_read(&self, now: Duration) {
+        self.last_io_at.set(now);
+        if self.answer.is_open() {
+            self.read_ahead.set(true);
+        } else if self.open_requests.get() == 0 && self.head_started_at.get().is_none() {
+            self.head_started_at.set(Some(now));
+        }
+    }
+
+    /// Records that everything that hyper was given has been written.
+    fn record_flush(&self, now: Duration) {
+        self.answer.record_flush();
+        if !self.answer.is_open() && self.read_ahead.replace(false) {
+            self.head_started_at.set(Some(now));
+        }
+    }
+
+    /// Returns whether the connection waits for a request.
+    fn is_idle(&self) -> bool {
+        self.open_requests.get() == 0
+            && !self.answer.is_open()
+            && self.head_started_at.get().is_none()
+    }
+
     /// Returns for how long the caller hasn't read, while bytes wait to be written.
     fn unread_for(&self, now: Duration) -> Duration {
         let since = self.unread_since.get();
@@ -139,17 +168,11 @@
     }
 
     fn after_flush(&mut self) {
-        self.activity.answer.record_flush();
+        self.activity.record_flush(self.state.now());
     }
 
     fn after_read(&mut self) {
-        let now = self.state.now();
-        self.activity.last_io_at.set(now);
-        if self.activity.open_requests.get() == 0
-            && self.activity.head_started_at.get().is_none()
-        {
-            self.activity.head_started_at.set(Some(now));
-        }
+        self.activity.record_read(self.state.now());
     }
 }
 
@@ -335,9 +358,7 @@
             record_stalled_reader(&state, &activity);
             return;
         }
-        let idle =
-            activity.open_requests.get() == 0 && activity.head_started_at.get().is_none();
-        if idle && now >= activity.last_io_at.get() + limits.idle_timeout {
+        if activity.is_idle() && now >= activity.last_io_at.get() + limits.idle_timeout {
             connection.as_mut().graceful_shutdown();
         }
     }
--- a/crates/flaxtide-entry/src/unwritten.rs
+++ b/crates/flaxtide-entry/src/unwritten.rs
@@ -45,6 +45,11 @@
         }
     }
 
+    /// Returns whether an answer is being written.
+    pub(crate) fn is_open(&self) -> bool {
+        self.has_body.get() || self.counted.get()
+    }
+
     /// Records that nothing is left of what hyper has taken.
     pub(crate) fn record_flush(&self) {
         if !self.has_body.get() && self.counted.replace(false) {
