More than 100 headers are served within the limit of a head

Cause: hyper takes 100 headers unless told otherwise, and answers 431 itself beyond, however short the head is.

Change: as many as fit into the head's limit, at most 16,384: a header map panics when it is asked to hold over 24,576.

Memory of heads with very many headers wasn't measured.

--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -48,6 +48,12 @@
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
+/// The length of the shortest header line: a name of one letter, a colon and the end of the line.
+const MIN_HEADER_LINE_BYTES: usize = 4;
+
+/// The most headers of a request. A header map panics when it is asked to hold over 24,576.
+const MAX_HEADERS: usize = 16 * 1024;
+
 /// The activity on a connection.
 struct ConnectionActivity {
     /// When bytes were last read or written.
@@ -327,9 +333,11 @@
         })
     };
     let limits = state.limits();
+    let head_bytes = limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES);
     let connection = http1::Builder::new()
         .keep_alive(true)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .max_buf_size(head_bytes)
+        .max_headers((head_bytes / MIN_HEADER_LINE_BYTES).min(MAX_HEADERS))
         .serve_connection(TokioIo::new(hooked), service);
     tokio::pin!(connection);
     loop {
