--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -67,6 +67,7 @@
 mod state;
 mod stop;
 mod threads;
+mod unwritten;
 mod upstream;
 mod version_counts;
 mod versions;
--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -26,6 +26,7 @@
 use crate::read_limit::ReadLimit;
 use crate::reply::ResponseBody;
 use crate::state::{ShutdownPhase, TrafficState};
+use crate::unwritten::{ConnectionAnswer, TrackedBody};
 
 /// How many connections may wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -47,14 +48,25 @@
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
+/// The length of the shortest header line: a name of one letter, a colon and the end of the line.
+const MIN_HEADER_LINE_BYTES: usize = 4;
+
+/// The most headers of a request. A header map panics when it is asked to hold over 24,576.
+const MAX_HEADERS: usize = 16 * 1024;
+
 /// The activity on a connection.
 struct ConnectionActivity {
     /// When bytes were last read or written.
     last_io_at: Cell<Duration>,
-    /// When the first bytes of an incomplete head arrived.
+    /// Since when an incomplete head has been awaited: its first bytes have arrived, and the answer
+    /// before it is written.
     head_started_at: Cell<Option<Duration>>,
-    /// The number of requests in progress.
+    /// Whether bytes of the next request have arrived while an answer is being written.
+    read_ahead: Cell<bool>,
+    /// The number of requests in progress, without those whose answer is being written.
     open_requests: Cell<u32>,
+    /// The answer that is being written.
+    answer: Rc<ConnectionAnswer>,
     /// Since when the caller hasn't read, while bytes wait to be written.
     unread_since: Cell<Option<Duration>>,
     /// Whether the response in progress ends with the connection.
@@ -67,15 +79,17 @@
 
 impl ConnectionActivity {
     /// Creates the activity of a connection that was accepted at `now`.
-    fn new(limits: &CallerLimits, now: Duration) -> Self {
+    fn new(state: &TrafficState, now: Duration) -> Self {
         Self {
             last_io_at: Cell::new(now),
             head_started_at: Cell::default(),
+            read_ahead: Cell::default(),
             open_requests: Cell::default(),
+            answer: Rc::new(ConnectionAnswer::new(&state.unwritten_answers)),
             unread_since: Cell::default(),
             open_unframed: Cell::default(),
             unread: Cell::default(),
-            limit: Rc::new(ReadLimit::new(max_request_bytes(limits))),
+            limit: Rc::new(ReadLimit::new(max_request_bytes(&state.limits()))),
         }
     }
 
@@ -90,6 +104,31 @@
         self.unread_since.set(unread_since);
     }
 
+    /// Records that bytes were read.
+    fn record_read(&self, now: Duration) {
+        self.last_io_at.set(now);
+        if self.answer.is_open() {
+            self.read_ahead.set(true);
+        } else if self.open_requests.get() == 0 && self.head_started_at.get().is_none() {
+            self.head_started_at.set(Some(now));
+        }
+    }
+
+    /// Records that everything that hyper was given has been written.
+    fn record_flush(&self, now: Duration) {
+        self.answer.record_flush();
+        if !self.answer.is_open() && self.read_ahead.replace(false) {
+            self.head_started_at.set(Some(now));
+        }
+    }
+
+    /// Returns whether the connection waits for a request.
+    fn is_idle(&self) -> bool {
+        self.open_requests.get() == 0
+            && !self.answer.is_open()
+            && self.head_started_at.get().is_none()
+    }
+
     /// Returns for how long the caller hasn't read, while bytes wait to be written.
     fn unread_for(&self, now: Duration) -> Duration {
         let since = self.unread_since.get();
@@ -134,14 +173,12 @@
         self.activity.record_write(written, self.state.now());
     }
 
+    fn after_flush(&mut self) {
+        self.activity.record_flush(self.state.now());
+    }
+
     fn after_read(&mut self) {
-        let now = self.state.now();
-        self.activity.last_io_at.set(now);
-        if self.activity.open_requests.get() == 0
-            && self.activity.head_started_at.get().is_none()
-        {
-            self.activity.head_started_at.set(Some(now));
-        }
+        self.activity.record_read(self.state.now());
     }
 }
 
@@ -268,7 +305,7 @@
         log::debug!(cause = cause.to_string(); "failed to configure a caller's connection");
         return;
     }
-    let activity = Rc::new(ConnectionActivity::new(&state.limits(), state.now()));
+    let activity = Rc::new(ConnectionActivity::new(&state, state.now()));
     activity.unread.set(Some(UnreadGuard::new(&state)));
     let hook = ActivityHook {
         activity: activity.clone(),
@@ -285,18 +322,22 @@
             async move {
                 let knows_chunks = request.version() > Version::HTTP_10;
                 let mut response = serve_request(state, request, source).await;
+                let answer = activity.answer.clone();
                 if !knows_chunks {
                     response = response.map(|body| mark_unfinished(body, activity));
                 }
                 drop(guard);
+                let response = response.map(|body| TrackedBody::new(body, answer));
                 Ok::<_, std::convert::Infallible>(response)
             }
         })
     };
     let limits = state.limits();
+    let head_bytes = limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES);
     let connection = http1::Builder::new()
         .keep_alive(true)
-        .max_buf_size(limits.header_bytes.max(MIN_HEAD_BUFFER_BYTES))
+        .max_buf_size(head_bytes)
+        .max_headers((head_bytes / MIN_HEADER_LINE_BYTES).min(MAX_HEADERS))
         .serve_connection(TokioIo::new(hooked), service);
     tokio::pin!(connection);
     loop {
@@ -325,9 +366,7 @@
             record_stalled_reader(&state, &activity);
             return;
         }
-        let idle =
-            activity.open_requests.get() == 0 && activity.head_started_at.get().is_none();
-        if idle && now >= activity.last_io_at.get() + limits.idle_timeout {
+        if activity.is_idle() && now >= activity.last_io_at.get() + limits.idle_timeout {
             connection.as_mut().graceful_shutdown();
         }
     }
