Uploads at the same time don't wait for each other

Cause: the body of a request was charged to the memory for bodies piece by piece (`ChargedBody::push` in `read_body`). Uploads that advance together used it up and waited for each other, small bodies behind them, until the callers' deadline; an earlier time-out of the route wasn't looked at.

Change: `uploads.rs` admits a body before it is read, for all that it may have. A stated length is reserved at once; a body without one begins as a short one, and is admitted once more, for the longest allowed, before it gets longer. Who isn't admitted within a quarter of the class's target is refused with 503 (`no_room`), a `Retry-After` from the time for which bodies hold their memory, and the end of the connection. The time-out of the route ends an upload.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -5,13 +5,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bytes::Bytes;
 use flaxtide_core::TierRank;
 use flaxtide_fleet::fleet_key;
 use flaxtide_policy::{
     QUEUE_WAIT_DIVISOR, RefusalCause, RegionKey, RetryDecision, RouteAction, RouteCall,
 };
-use http_body_util::{BodyExt, Limited};
 use hyper::Request;
 use hyper::body::Incoming;
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
@@ -21,18 +19,22 @@
 use crate::duty::CallUsage;
 use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
 use crate::forward::{CarriedCall, ForwardHead, PeerReply, ServerSends};
-use crate::memory::ChargedBody;
 use crate::open_call::{AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR};
 use crate::reply::{CallerResponse, LocalReply};
 use crate::response::{ReceivedResponse, receive_response, start_stream};
 use crate::routes::{CallerIdentity, ClassMatch};
 use crate::state::{ShutdownPhase, TrafficState};
+use crate::uploads::receive_upload;
 use crate::versions::{StreamIdentity, find_version};
 
 /// A request waits for newer rules for its target time divided by this, so that the caller can still
 /// be served in time elsewhere.
 const RULES_WAIT_DIVISOR: u32 = 4;
 
+/// A body waits for memory for the target time of its class divided by this, so that the caller can
+/// still be served in time elsewhere.
+const ROOM_WAIT_DIVISOR: u32 = 4;
+
 /// The longest time for which a request waits for newer rules.
 const MAX_RULES_WAIT: Duration = Duration::from_millis(250);
 
@@ -64,7 +66,7 @@
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
     let mut response = match handle_request(&state, request, source).await {
         Ok(response) => response,
-        Err((reply, attempt_id)) => {
+        Err(Rejection { reply, attempt_id, retry_after }) => {
             let reply = reply.defer_to_newer_rules(!state.permits_denial());
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
             let version = state.route_table().map(|table| table.version);
@@ -73,12 +75,12 @@
                 rules_lag_ms = state.rules_lag_ms();
                 "turned away"
             );
-            let retry_after = match reply {
+            let retry_after = retry_after.or(match reply {
                 LocalReply::NoRules | LocalReply::VersionUnknown => Some(MAX_RETRY_AFTER),
                 LocalReply::OutdatedRules => Some(RULES_RETRY_AFTER),
                 LocalReply::Stopping => Some(Duration::ZERO),
                 _ => None,
-            };
+            });
             reply.into_response(retry_after)
         }
     };
@@ -95,8 +97,15 @@
     response
 }
 
-/// Why a request is rejected before it is passed to the router, and the caller's attempt ID.
-type Rejection = (LocalReply, String);
+/// Why a request is rejected before it is passed to the router.
+struct Rejection {
+    /// The reply.
+    reply: LocalReply,
+    /// The caller's attempt ID.
+    attempt_id: String,
+    /// When the caller should come back, if that doesn't follow from the reply.
+    retry_after: Option<Duration>,
+}
 
 /// What the rules in force say about a request.
 struct MatchedRules {
@@ -127,17 +136,30 @@
     let (mut parts, body) = request.into_parts();
     let head = state.dialect.read_request(&parts.headers);
     let attempt_id = head.attempt_id.clone().unwrap_or_default();
-    let reject = |reply| (reply, attempt_id.clone());
+    let reject = |reply| Rejection {
+        reply,
+        attempt_id: attempt_id.clone(),
+        retry_after: None,
+    };
     let carried = take_carried(state, source, &mut parts.headers).map_err(reject)?;
     let matched = match_current_rules(state, &parts, &head).await.map_err(reject)?;
     let MatchedRules {
         class, caller, tier, urgency_level, max_body_bytes, ..
     } = matched;
-    let wait = head.deadline.unwrap_or(class.class().timeout);
+    let timeout = class.class().timeout;
+    let caller_waits = head.deadline.unwrap_or(timeout);
+    let patience = class.class().latency_target / ROOM_WAIT_DIVISOR;
+    let receive = receive_upload(state, body, max_body_bytes, patience);
     let body = state
-        .wait_until(received_at + wait, read_body(state, body, max_body_bytes))
+        .wait_until(received_at + caller_waits.min(timeout), receive)
         .await;
-    let body = body.unwrap_or(Err(LocalReply::BodyTooSlow)).map_err(reject)?;
+    let body = body.unwrap_or(Err((LocalReply::BodyTooSlow, None)));
+    let body = body.map_err(|(reply, free_after)| {
+        let longest = (received_at + caller_waits).saturating_sub(state.now());
+        let longest = MAX_RETRY_AFTER.min(longest / RETRY_DIVISOR);
+        let retry_after = free_after.map(|span| span.min(longest));
+        Rejection { retry_after, ..reject(reply) }
+    })?;
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     let (service, is_engine) =
@@ -278,28 +300,6 @@
     Some(allowed.map(|region| fleet_key(region)).collect())
 }
 
-/// Reads a whole body, as far as there is memory for it.
-async fn read_body(
-    state: &TrafficState,
-    body: Incoming,
-    max_bytes: usize,
-) -> Result<Bytes, LocalReply> {
-    let mut body = Limited::new(body, max_bytes);
-    let mut read = ChargedBody::default();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|error| {
-            match error.is::<http_body_util::LengthLimitError>() {
-                true => LocalReply::BodyTooLarge,
-                false => LocalReply::Malformed,
-            }
-        })?;
-        if let Some(bytes) = frame.data_ref() {
-            read.push(bytes, &state.request_memory).await;
-        }
-    }
-    Ok(read.into_bytes())
-}
-
 /// Runs the attempts of a call until a response starts or the request is given up.
 async fn run_attempts(
     call: OpenCall,
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -65,6 +65,7 @@
 mod source;
 mod state;
 mod stop;
+mod uploads;
 mod upstream;
 mod version_counts;
 mod versions;
--- a/crates/flaxtide-entry/src/memory.rs
+++ b/crates/flaxtide-entry/src/memory.rs
@@ -1,6 +1,7 @@
 //! Bounds the memory that bodies and connections take. A caller or a server that reads slowly,
 //! or not at all, holds a body in memory, so each body is charged to a budget until its last byte
-//! is written. While the budget is used up, no further bodies are read: senders wait.
+//! is written. While the budget is used up, no further bodies are read. How requests are admitted
+//! is in `uploads.rs`.
 
 use std::sync::Arc;
 
@@ -55,8 +56,11 @@
 impl BodyBudget {
     /// Creates the budget of a process that may use `memory_mb` megabytes.
     pub(crate) fn new(memory_mb: u64, used: IntGauge) -> Self {
-        let units = memory_mb * 1_000_000 / BUDGET_DIVISOR / UNIT_BYTES as u64;
-        let total = u32::try_from(units).unwrap_or(u32::MAX).max(1) as usize;
+        Self::with_units(budget_units(memory_mb), used)
+    }
+
+    /// Creates a budget of so many units.
+    pub(crate) fn with_units(total: usize, used: IntGauge) -> Self {
         Self {
             permits: Arc::new(Semaphore::new(total)),
             total,
@@ -75,25 +79,71 @@
         self.total * UNIT_BYTES
     }
 
+    /// Returns the number of all units.
+    pub(crate) fn total(&self) -> usize {
+        self.total
+    }
+
+    /// Returns how many units are free.
+    pub(crate) fn available(&self) -> usize {
+        self.permits.available_permits()
+    }
+
     /// Reserves a number of units, in the order of the calls. Waits until they are free.
-    async fn reserve(&self, units: usize) -> Option<BodyReservation> {
+    pub(crate) async fn reserve(&self, units: usize) -> Option<BodyReservation> {
         let permit = self.permits.clone().acquire_many_owned(units as u32).await;
         // The semaphore is never closed.
-        let permit = permit.ok()?;
-        self.used.add((units * UNIT_BYTES) as i64);
-        Some(BodyReservation { permit, used: self.used.clone() })
+        Some(self.charge(permit.ok()?))
+    }
+
+    /// Reserves a number of units if they are free.
+    pub(crate) fn try_reserve(&self, units: usize) -> Option<BodyReservation> {
+        let permit = self.permits.clone().try_acquire_many_owned(units as u32);
+        Some(self.charge(permit.ok()?))
+    }
+
+    /// Counts units as used.
+    fn charge(&self, permit: OwnedSemaphorePermit) -> BodyReservation {
+        self.used.add((permit.num_permits() * UNIT_BYTES) as i64);
+        BodyReservation { permit, used: self.used.clone() }
     }
 }
 
+/// Returns the units of the budget of a process that may use `memory_mb` megabytes.
+pub(crate) fn budget_units(memory_mb: u64) -> usize {
+    let units = memory_mb * 1_000_000 / BUDGET_DIVISOR / UNIT_BYTES as u64;
+    u32::try_from(units).unwrap_or(u32::MAX).max(1) as usize
+}
+
+/// Returns how many units a number of bytes takes.
+pub(crate) fn units_for(bytes: usize) -> usize {
+    bytes.div_ceil(UNIT_BYTES)
+}
+
+/// Returns how many bytes a number of units has room for.
+pub(crate) fn unit_bytes(units: usize) -> usize {
+    units * UNIT_BYTES
+}
+
 /// Memory that is reserved for a body until this is dropped.
 #[derive(Debug)]
-struct BodyReservation {
+pub(crate) struct BodyReservation {
     /// Returns the memory to the budget.
     permit: OwnedSemaphorePermit,
     /// Exports the bytes in use.
     used: IntGauge,
 }
 
+impl BodyReservation {
+    /// Returns all units but the first `units` to the budget.
+    pub(crate) fn shrink(&mut self, units: usize) {
+        let excess = self.permit.num_permits().saturating_sub(units);
+        if let Some(permit) = self.permit.split(excess) {
+            drop(Self { permit, used: self.used.clone() });
+        }
+    }
+}
+
 impl Drop for BodyReservation {
     fn drop(&mut self) {
         self.used.sub((self.permit.num_permits() * UNIT_BYTES) as i64);
@@ -115,7 +165,7 @@
     /// Reserves memory for a body of `length` bytes, as far as that isn't done yet. A body
     /// that exceeds the budget is charged with all of it.
     pub(crate) async fn reserve(&mut self, length: usize, budget: &BodyBudget) {
-        let due = length.div_ceil(UNIT_BYTES).min(budget.total);
+        let due = units_for(length).min(budget.total);
         let Some(missing) = due.checked_sub(self.reserved).filter(|units| *units > 0)
         else {
             return;
--- a/crates/flaxtide-entry/src/reply.rs
+++ b/crates/flaxtide-entry/src/reply.rs
@@ -27,6 +27,8 @@
     BodyTooLarge,
     /// The body didn't arrive before the deadline.
     BodyTooSlow,
+    /// There is no memory for the body.
+    NoRoom,
     /// No organisation has the caller's key.
     UnknownKey,
     /// No class matches the host and path.
@@ -58,10 +60,11 @@
 
 impl LocalReply {
     /// All replies.
-    const ALL: [Self; 16] = [
+    const ALL: [Self; 17] = [
         Self::Malformed,
         Self::BodyTooLarge,
         Self::BodyTooSlow,
+        Self::NoRoom,
         Self::UnknownKey,
         Self::UnknownTarget,
         Self::NoRules,
@@ -97,7 +100,8 @@
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::UnknownKey => StatusCode::UNAUTHORIZED,
             Self::UnknownTarget => StatusCode::NOT_FOUND,
-            Self::NoRules
+            Self::NoRoom
+            | Self::NoRules
             | Self::OutdatedRules
             | Self::TooManyForwarded
             | Self::VersionUnknown
@@ -116,6 +120,7 @@
             Self::Malformed => "malformed",
             Self::BodyTooLarge => "body_too_large",
             Self::BodyTooSlow => "body_too_slow",
+            Self::NoRoom => "no_room",
             Self::UnknownKey => "unknown_key",
             Self::UnknownTarget => "unknown_target",
             Self::NoRules => "no_rules",
@@ -163,7 +168,8 @@
             Self::BodyTooSlow => "it hasn't run; send the whole body in time",
             Self::UnknownKey => "send a key that is in force",
             Self::UnknownTarget => "check the host and the path",
-            Self::NoRules
+            Self::NoRoom
+            | Self::NoRules
             | Self::OutdatedRules
             | Self::TooManyForwarded
             | Self::Stopping
@@ -202,7 +208,10 @@
         {
             headers.insert(RETRY_AFTER, value);
         }
-        if matches!(self, Self::Malformed | Self::BodyTooLarge | Self::BodyTooSlow) {
+        if matches!(
+            self,
+            Self::Malformed | Self::BodyTooLarge | Self::BodyTooSlow | Self::NoRoom
+        ) {
             // The rest of the request isn't read.
             headers.insert(CONNECTION, HeaderValue::from_static("close"));
         }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -37,6 +37,7 @@
 use crate::servers::RoutedPlaces;
 use crate::source::ServerListSource;
 use crate::stop::MIN_REQUEST_TIME;
+use crate::uploads::UploadBudget;
 use crate::upstream::ServerConnections;
 use crate::version_counts::VersionCounts;
 use crate::versions::{SettlingVersions, StreamVersions};
@@ -64,7 +65,7 @@
     /// The metrics of the instance.
     pub(crate) metrics: Arc<EntryMetrics>,
     /// The memory for bodies of requests.
-    pub(crate) request_memory: BodyBudget,
+    pub(crate) request_memory: UploadBudget,
     /// The memory for bodies of responses.
     pub(crate) response_memory: BodyBudget,
     /// The idle connections to servers.
@@ -160,11 +161,10 @@
         };
         let seed = xxh3_64(config.name.as_bytes());
         let (leave_within, renewal_period) = (config.leave_within, config.row_renewal);
-        let budget = |kind| {
-            let used = metrics.body_bytes.with_label_values(&[kind]);
-            BodyBudget::new(config.memory_mb, used)
-        };
-        let (request_memory, response_memory) = (budget("request"), budget("response"));
+        let body_bytes = |kind| metrics.body_bytes.with_label_values(&[kind]);
+        let request_memory =
+            UploadBudget::new(config.memory_mb, &body_bytes("request"), clock.clone());
+        let response_memory = BodyBudget::new(config.memory_mb, body_bytes("response"));
         let carried = CarriedCalls::new(metrics.carried_calls.clone());
         let quarantine = CallQuarantine::new(!config.seeds.is_empty());
         let versions = StreamVersions::new(source.clock().clone(), leave_within);
