--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -68,6 +68,7 @@
 mod stop;
 mod threads;
 mod unwritten;
+mod uploads;
 mod upstream;
 mod version_counts;
 mod versions;
