Versions: a note counts before a single version that a peer lists

Cause: found in review, by reading. An instance that lists several versions and asks took the first certain answer, also that of a peer whose list lacks a version at which streams began without a wait, as the older one had no servers in service. Peers that are paused, as they may run an earlier version of this program, were neither asked nor looked up. Change: while anybody lists several, the answers of all are awaited, and a note decides before a single version does; paused peers are looked up in the table.

--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -199,10 +199,12 @@
             Some((poll, pending))
         })
         .collect();
-    let usable = peers
+    let (usable, paused): (Vec<_>, Vec<_>) = peers
         .into_iter()
-        .filter(|(peer, _)| shared.version_state.may_send(peer.address, now));
+        .partition(|(peer, _)| shared.version_state.may_send(peer.address, now));
+    silent.extend(paused.into_iter().map(|(peer, _)| peer));
     let mut answers: FuturesUnordered<_> = usable
+        .into_iter()
         .map(|(peer, near)| ask_peer(shared.clone(), peer, near, questions.clone()))
         .collect();
     while let Some((peer, near, answer)) = answers.next().await {
--- a/crates/flaxtide-policy/src/versions/poll.rs
+++ b/crates/flaxtide-policy/src/versions/poll.rs
@@ -61,8 +61,11 @@
     only: Option<VersionKey>,
     /// Whether an answer names several versions, or another than the others.
     differs: bool,
-    /// What is certain.
-    certain: Option<VersionKey>,
+    /// The version that an instance has noted.
+    noted: Option<VersionKey>,
+    /// The only version that an instance with a current list has listed for as long as streams are
+    /// taken up again. If others list several, a note may say otherwise.
+    sole: Option<VersionKey>,
 }
 
 impl VersionPoll {
@@ -77,7 +80,8 @@
             is_informed: false,
             only: None,
             differs: false,
-            certain: None,
+            noted: None,
+            sole: None,
         };
         poll.read(own);
         poll
@@ -101,14 +105,15 @@
     /// Returns the decision if no further answer can change it.
     #[must_use]
     pub fn certain(&self) -> Option<VersionDecision> {
-        self.certain.map(VersionDecision::Bound)
+        let sole = self.sole.filter(|_| !self.differs);
+        self.noted.or(sole).map(VersionDecision::Bound)
     }
 
     /// Returns the decision if no further answer comes.
     #[must_use]
     pub fn finish(&self) -> VersionDecision {
-        if let Some(decision) = self.certain() {
-            return decision;
+        if let Some(version) = self.noted.or(self.sole) {
+            return VersionDecision::Bound(version);
         }
         let is_quorum = match self.asked.near {
             0 => self.informed.all * 2 >= self.asked.all,
@@ -127,7 +132,7 @@
     /// streams that are taken up may have begun.
     fn read(&mut self, answer: VersionAnswer) -> bool {
         if answer.noted.is_some() {
-            self.certain = answer.noted;
+            self.noted = answer.noted;
             return true;
         }
         let is_informed = match answer.view {
@@ -141,7 +146,7 @@
                 self.only = Some(version);
                 let is_long = Duration::from_millis(known_ms.into()) >= self.window;
                 if is_long && answer.is_current {
-                    self.certain = self.certain.or(Some(version));
+                    self.sole = self.sole.or(Some(version));
                 }
                 is_long
             }
