--- a/crates/flaxtide-entry/src/feed.rs
+++ b/crates/flaxtide-entry/src/feed.rs
@@ -260,6 +260,7 @@
     let now = state.now();
     let mut changed = vec![];
     state.directory.borrow_mut().enter_era(store_era(batch.version));
+    state.versions.enter_era(store_era(batch.version));
     let listed: Option<HashSet<ServerName>> =
         is_snapshot.then(|| batch.rows.iter().map(|row| row.name.clone()).collect());
     let mut departing = vec![];
--- a/crates/flaxtide-entry/src/versions/find.rs
+++ b/crates/flaxtide-entry/src/versions/find.rs
@@ -4,7 +4,7 @@
 
 use flaxtide_policy::{VersionDecision, VersionKey};
 
-use super::{PeerDecision, StreamIdentity};
+use super::{MAX_NOTE_WAIT, PeerDecision, StreamIdentity};
 use crate::contract::RequestHead;
 use crate::open_call::OpenCall;
 use crate::reply::LocalReply;
@@ -34,9 +34,11 @@
         if let (Some(stream), Some(version)) = (self.stream, version)
             && let Some(written) = self.state.versions.note(stream, version)
         {
-            let wait = self.class.class().latency_target / NOTE_WAIT_DIVISOR;
+            let target = self.class.class().latency_target;
+            let wait = MAX_NOTE_WAIT.min(target / NOTE_WAIT_DIVISOR);
             let latest = self.deadline.min(self.state.now() + wait);
-            let is_written = self.state.wait_until(latest, written).await.is_some();
+            let waited = self.state.wait_until(latest, written).await;
+            let is_written = matches!(waited, Some(Ok(())));
             let outcome = if is_written { "written" } else { "late" };
             self.state.metrics.awaited_notes.with_label_values(&[outcome]).inc();
         }
@@ -76,12 +78,15 @@
     let Some(PeerDecision { decision, answered }) = decided else {
         return FoundVersion { version: None, source: "unknown", answered: 0 };
     };
-    let source = match decision {
-        VersionDecision::Bound(_) => "peers",
-        VersionDecision::Agreed(_) => "agreed",
-        VersionDecision::Unknown => "unknown",
+    let (version, source) = match decision {
+        VersionDecision::Bound(version) => (Some(version), "peers"),
+        VersionDecision::Agreed(version) => (Some(version), "agreed"),
+        VersionDecision::Unknown => {
+            let only = state.versions.only_begun(identity.service);
+            (only, if only.is_some() { "recorded" } else { "unknown" })
+        }
     };
-    FoundVersion { version: decision.version(), source, answered }
+    FoundVersion { version, source, answered }
 }
 
 /// Finds out at which version a stream is to be continued that a caller takes up again. Returns
--- a/crates/flaxtide-entry/src/versions/kept.rs
+++ b/crates/flaxtide-entry/src/versions/kept.rs
@@ -13,6 +13,13 @@
 use super::{PendingLookUp, StreamVersions, VersionsState};
 use crate::contract::NotesRead;
 
+/// The least time between two writes of notes. First events of streams wait for them.
+const MIN_WRITE_PERIOD: Duration = Duration::from_millis(50);
+
+/// How much longer it is for each instance of the fleet: the store takes a limited number of writes
+/// from all of them.
+const WRITE_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(1);
+
 impl StreamVersions {
     /// Starts keeping versions in the table. Returns what signals that something may be due.
     pub(super) fn begin_keeping(&self) -> Receiver<()> {
@@ -63,6 +70,21 @@
         self.instances.load(Ordering::Relaxed)
     }
 
+    /// Returns the least time between two writes of notes.
+    pub(super) fn write_period(&self) -> Duration {
+        MIN_WRITE_PERIOD + WRITE_PERIOD_PER_INSTANCE * self.instances()
+    }
+
+    /// Returns whether the store is known to have come back from a copy since a read in `era`.
+    pub(super) fn has_new_era(&self, era: u64) -> bool {
+        self.store_era.load(Ordering::Relaxed) > era
+    }
+
+    /// Records that the table has been read.
+    pub(super) fn set_loaded(&self) {
+        self.is_loaded.store(true, Ordering::Relaxed);
+    }
+
     /// Returns whether streams wait until they are in the table.
     pub(super) fn has_unwritten_streams(&self) -> bool {
         !self.lock().unwritten_streams.is_empty()
@@ -78,16 +100,21 @@
         listed.collect()
     }
 
-    /// Sets the record of a service, as of `read_ms` on the store's clock, which is now.
+    /// Sets the record of a service, as of `read_ms` on the store's clock. It was asked for at
+    /// `asked_at`.
     pub(super) fn set_recorded(
         &self,
         service: ServiceKey,
         record: &VersionRecord,
         read_ms: u64,
+        asked_at: Duration,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state.registry.set_recorded(service, record.clone(), read_ms, now) {
+        if state
+            .registry
+            .set_recorded(service, record.clone(), read_ms, asked_at, now)
+        {
             let notes = state.registry.own_notes(now);
             log::info!(service, notes = notes.len(); "several versions recorded");
             self.queue_notes(&mut state, &notes);
@@ -145,12 +172,12 @@
         std::mem::take(&mut self.lock().look_ups)
     }
 
-    /// Decides about streams that were looked up, whose notes have been read if `is_read`.
-    pub(super) fn decide(&self, look_ups: Vec<PendingLookUp>, is_read: bool) {
+    /// Decides about streams that were looked up.
+    pub(super) fn decide(&self, look_ups: Vec<PendingLookUp>) {
         let now = self.clock.now();
         for look_up in look_ups {
             let note = self.lock().registry.note_of(look_up.stream, now);
-            let decision = match note.filter(|_| is_read) {
+            let decision = match note {
                 Some(note) => VersionDecision::Bound(note.version),
                 None => VersionDecision::Unknown,
             };
--- a/crates/flaxtide-entry/src/versions/mod.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -7,7 +7,7 @@
 mod table;
 
 use std::collections::{BTreeSet, HashMap};
-use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
@@ -29,6 +29,9 @@
 use crate::contract::{CallKind, NoteOwner, RequestClass, RequestHead};
 use crate::version_counts::ListedServices;
 
+/// The longest time for which the first events of a stream wait for its note.
+const MAX_NOTE_WAIT: Duration = Duration::from_millis(110);
+
 /// For this long after its start, an instance may not have heard all peers, and asks again.
 const JOIN_SPAN: Duration = Duration::from_secs(3);
 
@@ -63,6 +66,10 @@
     is_table_tried: AtomicBool,
     /// Whether the last call to the table was answered.
     is_table_answering: AtomicBool,
+    /// Whether the table has been read.
+    is_loaded: AtomicBool,
+    /// The newest known era of the store.
+    store_era: AtomicU64,
     /// The number of live instances.
     instances: AtomicU32,
     /// Wakes the thread that keeps versions in the table.
@@ -166,6 +173,8 @@
             is_kept: AtomicBool::new(false),
             is_table_tried: AtomicBool::new(false),
             is_table_answering: AtomicBool::new(false),
+            is_loaded: AtomicBool::new(false),
+            store_era: AtomicU64::new(0),
             instances: AtomicU32::new(1),
             wake_table: bounded(1),
             unwritten,
@@ -179,6 +188,13 @@
         state.covered_until = state.covered_until.max(Some(until));
     }
 
+    /// Records the era of the store. In a new one, records may lack what was written last.
+    pub(crate) fn enter_era(&self, era: u64) {
+        if self.store_era.fetch_max(era, Ordering::Relaxed) < era {
+            self.wake_table();
+        }
+    }
+
     /// Sets the versions of all services, each with the number of its servers in service.
     pub(crate) fn set_listed(&self, services: &ListedServices) {
         let now = self.clock.now();
@@ -202,7 +218,7 @@
     /// within the time in which the list is current.
     pub(crate) fn settling(&self, services: &ListedServices) -> SettlingVersions {
         let now = self.clock.now();
-        let grace = self.current_within.mul_f64(SETTLING_FACTOR);
+        let grace = self.grace();
         let state = self.lock();
         let settling = |service: &ServiceKey| {
             (*service, state.registry.settling(*service, grace, now))
@@ -227,8 +243,12 @@
             return None;
         }
         let life_s = u16::try_from(life.as_secs() + 1).unwrap_or(u16::MAX);
-        self.queue_notes(&mut state, &[VersionNote { stream, version, life_s }]);
-        if !is_new || !self.is_table_answering.load(Ordering::Relaxed) {
+        let is_queued =
+            self.queue_notes(&mut state, &[VersionNote { stream, version, life_s }]);
+        let is_soon = self.is_table_answering.load(Ordering::Relaxed)
+            && self.write_period() <= MAX_NOTE_WAIT
+            && state.unwritten_streams.len() < MAX_QUEUED;
+        if !is_new || !is_queued || !is_soon {
             return None;
         }
         let (sender, receiver) = oneshot::channel();
@@ -243,6 +263,20 @@
         self.lock().registry.forget(identity.stream);
     }
 
+    /// Returns for how long no stream begins at a new version while another one serves.
+    fn grace(&self) -> Duration {
+        self.current_within.mul_f64(SETTLING_FACTOR)
+    }
+
+    /// Returns the version that began a stream of which nobody has a note, if the record shows it.
+    fn only_begun(&self, service: ServiceKey) -> Option<VersionKey> {
+        let now = self.clock.now();
+        let state = self.lock();
+        let is_current = state.is_current(self.current_within, now);
+        let only = state.registry.only_begun(service, self.grace(), now);
+        only.filter(|_| is_current)
+    }
+
     /// Removes expired notes. Returns how many are left.
     pub(crate) fn expire(&self) -> usize {
         let now = self.clock.now();
@@ -297,8 +331,9 @@
         }
     }
 
-    /// Queues notes for the replicas and the table. What doesn't fit is neither told nor kept.
-    fn queue_notes(&self, state: &mut VersionsState, notes: &[VersionNote]) {
+    /// Queues notes for the replicas and the table. What doesn't fit is neither told nor kept. Returns
+    /// whether all fitted.
+    fn queue_notes(&self, state: &mut VersionsState, notes: &[VersionNote]) -> bool {
         let room = MAX_QUEUED.saturating_sub(state.untold.len());
         let fitting = &notes[..notes.len().min(room)];
         state.untold.extend_from_slice(fitting);
@@ -311,6 +346,7 @@
         if dropped > 0 {
             log::warn!(dropped; "queue of version notes is full, notes dropped");
         }
+        dropped == 0
     }
 
     /// Locks the state, even if a thread has panicked while it held the lock.
@@ -347,8 +383,16 @@
     fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer> {
         let now = self.clock.now();
         let state = self.lock();
+        let is_loading = self.is_kept.load(Ordering::Relaxed)
+            && !self.is_loaded.load(Ordering::Relaxed);
         let answer = |question: &VersionQuestion| {
-            state.answer(question.service, question.stream, self.current_within, now)
+            let VersionQuestion { service, stream } = *question;
+            let mut answer = state.answer(service, stream, self.current_within, now);
+            if is_loading && answer.noted.is_none() {
+                // The peer looks in the table for streams that this instance doesn't know yet.
+                answer.view = VersionView::Unlisted;
+            }
+            answer
         };
         questions.iter().map(answer).collect()
     }
--- a/crates/flaxtide-entry/src/versions/table.rs
+++ b/crates/flaxtide-entry/src/versions/table.rs
@@ -1,6 +1,7 @@
 //! The thread that keeps versions in the platform's table: it records which versions serve, writes
 //! the notes of this instance, and reads those of peers that don't answer.
 
+use std::cell::Cell;
 use std::collections::{BTreeSet, HashMap, HashSet};
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,13 +20,6 @@
 /// How often it does at most, if it isn't woken.
 const MIN_POLL_PERIOD: Duration = Duration::from_millis(5);
 
-/// The least time between two writes of notes. First events of streams wait for them.
-const MIN_WRITE_PERIOD: Duration = Duration::from_millis(100);
-
-/// How much longer it is for each instance of the fleet: the store takes a limited number of writes
-/// from all of them.
-const WRITE_PERIOD_PER_INSTANCE: Duration = Duration::from_millis(1);
-
 /// How often the records are read again while a service has several versions.
 const RECHECK_PERIOD: Duration = Duration::from_secs(5);
 
@@ -44,6 +38,9 @@
 /// The longest pause after a failed call.
 const MAX_PAUSE: Duration = Duration::from_secs(3);
 
+/// The longest pause while nothing has been read yet: callers come back to their streams.
+const MAX_LOAD_PAUSE: Duration = Duration::from_millis(400);
+
 /// A version that a current list hasn't had for this many times the age at which a list is current
 /// is listed by no instance.
 const GONE_FACTOR: u32 = 2;
@@ -65,6 +62,10 @@
     /// The time on the store's clock in milliseconds, and on that of this instance, at the last
     /// answer.
     store_time: (u64, Duration),
+    /// When the records were last asked for.
+    asked_at: Duration,
+    /// The era of the store when the records were last read.
+    era: u64,
     /// Whether the records and the own notes have been read.
     is_loaded: bool,
     /// When the records are to be read next.
@@ -77,6 +78,8 @@
     looked_up: HashMap<NoteOwner, Duration>,
     /// When calls may be made again, and the last pause after a failed one.
     retry: (Duration, Duration),
+    /// Whether a call has been answered since the last outcome.
+    is_answered: Cell<bool>,
 }
 
 impl VersionTable {
@@ -96,12 +99,15 @@
             clock: versions.clock.clone(),
             versions,
             store_time: (0, Duration::ZERO),
+            asked_at: Duration::ZERO,
+            era: 0,
             is_loaded: false,
             records_at: None,
             written_at: Duration::ZERO,
             absent_since: HashMap::new(),
             looked_up: HashMap::new(),
             retry: (Duration::ZERO, Duration::ZERO),
+            is_answered: Cell::new(false),
         }
     }
 
@@ -119,11 +125,13 @@
     fn run_once(&mut self) {
         let look_ups = self.versions.take_look_ups();
         let now = self.clock.now();
-        let mut is_done = now >= self.retry.0 && self.keep(now);
-        if !look_ups.is_empty() {
-            is_done = is_done && self.look_up(&look_ups);
-            self.versions.decide(look_ups, is_done);
+        if now >= self.retry.0 {
+            // Callers wait for look-ups.
+            let looked_up = self.look_up(&look_ups);
+            let kept = self.keep(now);
+            self.record_outcome(looked_up.and(kept));
         }
+        self.versions.decide(look_ups);
     }
 
     /// Returns when something is next due, as far as that is known.
@@ -134,38 +142,37 @@
         let notes_at = self
             .versions
             .has_unwritten_streams()
-            .then(|| self.written_at + self.write_period());
+            .then(|| self.written_at + self.versions.write_period());
         let due = self.records_at.into_iter().chain(notes_at);
         due.min().unwrap_or(Duration::MAX)
     }
 
-    /// Returns the least time between two writes of notes.
-    fn write_period(&self) -> Duration {
-        MIN_WRITE_PERIOD + WRITE_PERIOD_PER_INSTANCE * self.versions.instances()
-    }
-
-    /// Reads and writes what is due. Returns whether all calls succeeded.
-    fn keep(&mut self, now: Duration) -> bool {
-        let kept = self.load().and_then(|()| self.keep_records(now));
-        let kept = kept.and_then(|()| self.write_notes(now));
-        self.record_outcome(kept)
+    /// Reads and writes what is due. Records and notes are in different parts of the table, of which
+    /// one may be away.
+    fn keep(&mut self, now: Duration) -> Result<(), FeedError> {
+        self.load()?;
+        let records = self.keep_records(now);
+        self.write_notes(now).and(records)
     }
 
-    /// Records the outcome of calls. Returns whether they succeeded.
-    fn record_outcome(&mut self, outcome: Result<(), FeedError>) -> bool {
+    /// Records the outcome of calls, if any were made.
+    fn record_outcome(&mut self, outcome: Result<(), FeedError>) {
         let Err(fault) = outcome else {
-            self.retry = (Duration::ZERO, Duration::ZERO);
-            self.versions.set_table_answering(true);
-            return true;
+            if self.is_answered.replace(false) {
+                self.retry = (Duration::ZERO, Duration::ZERO);
+                self.versions.set_table_answering(true);
+            }
+            return;
         };
-        let pause = (self.retry.1 * 2).clamp(FIRST_PAUSE, MAX_PAUSE);
+        self.is_answered.set(false);
+        let longest = if self.is_loaded { MAX_PAUSE } else { MAX_LOAD_PAUSE };
+        let pause = (self.retry.1 * 2).clamp(FIRST_PAUSE, longest);
         self.retry = (self.clock.now() + pause, pause);
         self.versions.set_table_answering(false);
         log::info!(
             cause = fault.to_string(), pause_ms = pause.as_millis() as u64, loaded = self.is_loaded;
             "versions not kept in the table"
         );
-        false
     }
 
     /// Reads the records and the notes that an earlier process of this instance has kept.
@@ -181,6 +188,7 @@
         self.store_time = (notes.now_ms, now);
         let count = self.versions.restore(&notes, now);
         self.is_loaded = true;
+        self.versions.set_loaded();
         log::info!(
             records = read.records.len() as u64, batches = notes.batches.len() as u64,
             notes = count as u64, era = read.era;
@@ -192,7 +200,9 @@
     /// Reads the records and revises them, if that is due.
     fn keep_records(&mut self, now: Duration) -> Result<(), FeedError> {
         let (is_recorded, is_mixed) = self.versions.table_needs();
-        if !is_recorded {
+        if self.versions.has_new_era(self.era) {
+            self.records_at = Some(now);
+        } else if !is_recorded {
             let window = MIN_WINDOW + WINDOW_PER_INSTANCE * self.versions.instances();
             let drawn = now + window.mul_f64(rand::random::<f64>());
             let at = self.records_at.unwrap_or(drawn).min(now + window);
@@ -211,8 +221,10 @@
 
     /// Reads the records of all services.
     fn read_records(&mut self) -> Result<RecordsRead, FeedError> {
+        self.asked_at = self.clock.now();
         let read = self.counted("read_records", |platform, _| platform.read_records())?;
         self.store_time = (read.now_ms, self.clock.now());
+        self.era = read.era;
         Ok(read)
     }
 
@@ -221,7 +233,8 @@
         for (service, (record, _)) in &read.records {
             if let Some(record) = record.as_ref().filter(|record| record.era == read.era)
             {
-                self.versions.set_recorded(*service, record, read.now_ms);
+                self.versions
+                    .set_recorded(*service, record, read.now_ms, self.asked_at);
             }
         }
     }
@@ -229,6 +242,7 @@
     /// Writes the records that don't say what this instance lists.
     fn revise_records(&mut self, read: &RecordsRead) -> Result<(), FeedError> {
         let now = self.clock.now();
+        let mut outcome = Ok(());
         for (service, mut listed) in self.versions.listed_now() {
             let row = read.records.get(&service);
             let unreadable = VersionRecord {
@@ -247,19 +261,31 @@
             let expected = row.map(|(_, version)| *version);
             let written = self.counted("write_record", |platform, _| {
                 platform.write_record(service, expected, &revised)
-            })?;
+            });
+            let written = match written {
+                Ok(written) => written,
+                Err(fault) => {
+                    outcome = Err(fault);
+                    continue;
+                }
+            };
             log::info!(
                 service, written, versions:? = revised.versions,
                 unsure = revised.unsure_since_ms.is_some();
                 "versions recorded"
             );
             match written {
-                true => self.versions.set_recorded(service, &revised, read.now_ms),
+                true => self.versions.set_recorded(
+                    service,
+                    &revised,
+                    read.now_ms,
+                    self.asked_at,
+                ),
                 // Another instance was first. Its record is read.
                 false => self.records_at = Some(now),
             }
         }
-        Ok(())
+        outcome
     }
 
     /// Returns the recorded versions that no instance lists any more.
@@ -289,7 +315,7 @@
 
     /// Writes the notes of this instance, if that is due.
     fn write_notes(&mut self, now: Duration) -> Result<(), FeedError> {
-        if now < self.written_at + self.write_period() {
+        if now < self.written_at + self.versions.write_period() {
             return Ok(());
         }
         let (store_ms, at) = self.store_time;
@@ -303,27 +329,27 @@
         Ok(())
     }
 
-    /// Reads the notes of peers in which streams are looked up. Returns whether that succeeded.
-    fn look_up(&mut self, look_ups: &[PendingLookUp]) -> bool {
+    /// Reads the notes of peers in which streams are looked up. Returns the last failure.
+    fn look_up(&mut self, look_ups: &[PendingLookUp]) -> Result<(), FeedError> {
         let now = self.clock.now();
         self.looked_up.retain(|_, at| now < *at + LOOK_UP_PERIOD);
         let owners: HashSet<&NoteOwner> =
             look_ups.iter().flat_map(|look_up| &look_up.owners).collect();
+        let mut outcome = Ok(());
         for owner in owners {
             if self.looked_up.contains_key(owner) {
                 continue;
             }
-            let read =
-                self.counted("read_notes", |platform, _| platform.read_notes(owner));
-            let notes = match read {
-                Ok(notes) => notes,
-                Err(fault) => return self.record_outcome(Err(fault)),
-            };
-            let count = self.versions.note_kept(&notes, self.clock.now());
-            self.looked_up.insert(owner.clone(), now);
-            log::info!(instance = owner.instance, notes = count as u64; "kept notes of a peer read");
+            match self.counted("read_notes", |platform, _| platform.read_notes(owner)) {
+                Ok(notes) => {
+                    let count = self.versions.note_kept(&notes, self.clock.now());
+                    self.looked_up.insert(owner.clone(), now);
+                    log::info!(instance = owner.instance, notes = count as u64; "kept notes of a peer read");
+                }
+                Err(fault) => outcome = Err(fault),
+            }
         }
-        true
+        outcome
     }
 
     /// Makes a call and counts it.
@@ -334,6 +360,7 @@
     ) -> Result<Answer, FeedError> {
         let answer = call(&*self.platform, &self.owner);
         let result = if answer.is_ok() { "ok" } else { "failed" };
+        self.is_answered.set(self.is_answered.get() || answer.is_ok());
         self.metrics.platform_calls.with_label_values(&[topic, result]).inc();
         answer
     }
