Versions: the thread of the table doesn't spin after a pause in which no call is due

After a failed call whose pause is over, the thread looked each 5 ms until a call was answered; with a single version none is due for hours. Change: the next look is when something is due, after the pause at the earliest.

--- a/crates/flaxtide-entry/src/versions/table.rs
+++ b/crates/flaxtide-entry/src/versions/table.rs
@@ -136,15 +136,12 @@
 
     /// Returns when something is next due, as far as that is known.
     fn next_due(&self) -> Duration {
-        if !self.retry.1.is_zero() {
-            return self.retry.0;
-        }
         let notes_at = self
             .versions
             .has_unwritten_streams()
             .then(|| self.written_at + self.versions.write_period());
-        let due = self.records_at.into_iter().chain(notes_at);
-        due.min().unwrap_or(Duration::MAX)
+        let due = self.records_at.into_iter().chain(notes_at).min();
+        due.map_or(Duration::MAX, |at| at.max(self.retry.0))
     }
 
     /// Reads and writes what is due. Records and notes are in different parts of the table, of which
