--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -48,7 +48,7 @@
 /// The smallest head buffer that hyper accepts.
 const MIN_HEAD_BUFFER_BYTES: usize = 8192;
 
-/// The length of the shortest header line: a name of one letter, a colon and the end of the line.
+/// The length of the shortest header line: one byte of name, a colon and the line break.
 const MIN_HEADER_LINE_BYTES: usize = 4;
 
 /// The most headers of a request. A header map panics when it is asked to hold over 24,576.
--- a/crates/flaxtide/tests/version_restarts/fleet.rs
+++ b/crates/flaxtide/tests/version_restarts/fleet.rs
@@ -167,7 +167,7 @@
         let is_written = |one: &EntryProcess| {
             let metrics = instance_metrics(one.ip).unwrap_or_default();
             let mut values = metrics.lines().filter_map(|line| line.strip_prefix(name));
-            values.all(|value| value.trim() == "0")
+            values.next().is_some_and(|value| value.trim() == "0")
         };
         wait_until("notes written", || self.instances.iter().all(is_written));
     }
