--- a/crates/flaxtide-entry/src/versions/mod.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -31,6 +31,10 @@
 /// The longest time for which the first events of a stream wait for its note.
 const MAX_NOTE_WAIT: Duration = Duration::from_millis(110);
 
+/// First events don't wait if notes are written less often than once in so many of these times: most
+/// would wait in vain.
+const MAX_WAITS_PER_PERIOD: u32 = 2;
+
 /// For this long after its start, an instance may not have heard all peers, and asks again.
 const JOIN_SPAN: Duration = Duration::from_secs(3);
 
@@ -245,7 +249,7 @@
         let is_queued =
             self.queue_notes(&mut state, &[VersionNote { stream, version, life_s }]);
         let is_soon = self.is_table_answering.load(Ordering::Relaxed)
-            && self.write_period() <= MAX_NOTE_WAIT
+            && self.write_period() <= MAX_NOTE_WAIT * MAX_WAITS_PER_PERIOD
             && state.unwritten_streams.len() < MAX_QUEUED;
         if !is_new || !is_queued || !is_soon {
             return None;
