Versions: the record alone decides about no stream

Cause: where neither notes nor peers knew a stream, the first recorded version counted while all others were younger than 2.5 s. But v1.1 had no server in service for a moment, so v1.2 began streams at once; v1.1 came back within a second, and the instance, which had just started, had heard no peer yet (log: source recorded, answered 0). Change: that rule is taken out again.

--- a/crates/flaxtide-entry/src/versions/find.rs
+++ b/crates/flaxtide-entry/src/versions/find.rs
@@ -78,15 +78,12 @@
     let Some(PeerDecision { decision, answered }) = decided else {
         return FoundVersion { version: None, source: "unknown", answered: 0 };
     };
-    let (version, source) = match decision {
-        VersionDecision::Bound(version) => (Some(version), "peers"),
-        VersionDecision::Agreed(version) => (Some(version), "agreed"),
-        VersionDecision::Unknown => {
-            let only = state.versions.only_begun(identity.service);
-            (only, if only.is_some() { "recorded" } else { "unknown" })
-        }
+    let source = match decision {
+        VersionDecision::Bound(_) => "peers",
+        VersionDecision::Agreed(_) => "agreed",
+        VersionDecision::Unknown => "unknown",
     };
-    FoundVersion { version, source, answered }
+    FoundVersion { version: decision.version(), source, answered }
 }
 
 /// Finds out at which version a stream is to be continued that a caller takes up again. Returns
--- a/crates/flaxtide-entry/src/versions/kept.rs
+++ b/crates/flaxtide-entry/src/versions/kept.rs
@@ -100,21 +100,16 @@
         listed.collect()
     }
 
-    /// Sets the record of a service, as of `read_ms` on the store's clock. It was asked for at
-    /// `asked_at`.
+    /// Sets the record of a service, as of `read_ms` on the store's clock, which is now.
     pub(super) fn set_recorded(
         &self,
         service: ServiceKey,
         record: &VersionRecord,
         read_ms: u64,
-        asked_at: Duration,
     ) {
         let now = self.clock.now();
         let mut state = self.lock();
-        if state
-            .registry
-            .set_recorded(service, record.clone(), read_ms, asked_at, now)
-        {
+        if state.registry.set_recorded(service, record.clone(), read_ms, now) {
             let notes = state.registry.own_notes(now);
             log::info!(service, notes = notes.len(); "several versions recorded");
             self.queue_notes(&mut state, &notes);
--- a/crates/flaxtide-entry/src/versions/mod.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -221,7 +221,7 @@
     /// within the time in which the list is current.
     pub(crate) fn settling(&self, services: &ListedServices) -> SettlingVersions {
         let now = self.clock.now();
-        let grace = self.grace();
+        let grace = self.current_within.mul_f64(SETTLING_FACTOR);
         let state = self.lock();
         let settling = |service: &ServiceKey| {
             (*service, state.registry.settling(*service, grace, now))
@@ -266,20 +266,6 @@
         self.lock().registry.forget(identity.stream);
     }
 
-    /// Returns for how long no stream begins at a new version while another one serves.
-    fn grace(&self) -> Duration {
-        self.current_within.mul_f64(SETTLING_FACTOR)
-    }
-
-    /// Returns the version that began a stream of which nobody has a note, if the record shows it.
-    fn only_begun(&self, service: ServiceKey) -> Option<VersionKey> {
-        let now = self.clock.now();
-        let state = self.lock();
-        let is_current = state.is_current(self.current_within, now);
-        let only = state.registry.only_begun(service, self.grace(), now);
-        only.filter(|_| is_current)
-    }
-
     /// Removes expired notes. Returns how many are left.
     pub(crate) fn expire(&self) -> usize {
         let now = self.clock.now();
--- a/crates/flaxtide-entry/src/versions/table.rs
+++ b/crates/flaxtide-entry/src/versions/table.rs
@@ -62,8 +62,6 @@
     /// The time on the store's clock in milliseconds, and on that of this instance, at the last
     /// answer.
     store_time: (u64, Duration),
-    /// When the records were last asked for.
-    asked_at: Duration,
     /// The era of the store when the records were last read.
     era: u64,
     /// Whether the records and the own notes have been read.
@@ -99,7 +97,6 @@
             clock: versions.clock.clone(),
             versions,
             store_time: (0, Duration::ZERO),
-            asked_at: Duration::ZERO,
             era: 0,
             is_loaded: false,
             records_at: None,
@@ -218,7 +215,6 @@
 
     /// Reads the records of all services.
     fn read_records(&mut self) -> Result<RecordsRead, FeedError> {
-        self.asked_at = self.clock.now();
         let read = self.counted("read_records", |platform, _| platform.read_records())?;
         self.store_time = (read.now_ms, self.clock.now());
         self.era = read.era;
@@ -230,8 +226,7 @@
         for (service, (record, _)) in &read.records {
             if let Some(record) = record.as_ref().filter(|record| record.era == read.era)
             {
-                self.versions
-                    .set_recorded(*service, record, read.now_ms, self.asked_at);
+                self.versions.set_recorded(*service, record, read.now_ms);
             }
         }
     }
@@ -272,12 +267,7 @@
                 "versions recorded"
             );
             match written {
-                true => self.versions.set_recorded(
-                    service,
-                    &revised,
-                    read.now_ms,
-                    self.asked_at,
-                ),
+                true => self.versions.set_recorded(service, &revised, read.now_ms),
                 // Another instance was first. Its record is read.
                 false => self.records_at = Some(now),
             }
--- a/crates/flaxtide-policy/src/versions/record.rs
+++ b/crates/flaxtide-policy/src/versions/record.rs
@@ -112,22 +112,14 @@
     record: VersionRecord,
     /// The time of the store's clock, in milliseconds.
     read_ms: u64,
-    /// The time on the clock of this instance when the answer arrived.
+    /// The same time on the clock of this instance.
     read_at: Duration,
-    /// That when it was asked for.
-    asked_at: Duration,
 }
 
 impl ReadRecord {
-    /// Creates a record that was asked for at `asked_at` and arrived at `read_at`. In between, it was
-    /// `read_ms` on the store's clock.
-    pub(super) fn new(
-        record: VersionRecord,
-        read_ms: u64,
-        asked_at: Duration,
-        read_at: Duration,
-    ) -> Self {
-        Self { record, read_ms, read_at, asked_at }
+    /// Creates a record that was read at `read_at`, which is `read_ms` on the store's clock.
+    pub(super) fn new(record: VersionRecord, read_ms: u64, read_at: Duration) -> Self {
+        Self { record, read_ms, read_at }
     }
 
     /// Returns for how long streams may be taken up, as far as the writer knew.
@@ -159,60 +151,6 @@
         left_for.chain(sure_for).min().unwrap_or(Duration::MAX)
     }
 
-    /// Returns the only version at which streams may have begun within `window`, if it is
-    /// listed. A version that was recorded less than `grace` ago has begun none while another served,
-    /// which was recorded before.
-    pub(super) fn only_begun(
-        &self,
-        window: Duration,
-        grace: Duration,
-        now: Duration,
-    ) -> Option<VersionKey> {
-        let is_recent = |at_ms: u64| self.age(at_ms, now) < window;
-        if self.record.unsure_since_ms.is_some_and(is_recent) {
-            return None;
-        }
-        let versions = self.record.versions.iter();
-        let first_ms = versions.clone().map(|recorded| recorded.since_ms).min()?;
-        let begun = versions.filter(|recorded| match recorded.left_ms {
-            Some(left_ms) => is_recent(left_ms),
-            None => {
-                recorded.since_ms == first_ms
-                    || self.may_have_begun(Some(recorded.since_ms), grace, now)
-            }
-        });
-        let begun: Vec<&RecordedVersion> = begun.collect();
-        match begun.as_slice() {
-            [only] if only.left_ms.is_none() => Some(only.version),
-            _ => None,
-        }
-    }
-
-    /// Returns whether streams may have begun at a version beside another, by the time since when
-    /// it has been recorded as listed; `None` if it isn't recorded, so that it was recorded
-    /// after this record was read at the earliest.
-    fn may_have_begun(
-        &self,
-        since_ms: Option<u64>,
-        grace: Duration,
-        now: Duration,
-    ) -> bool {
-        let age = self.age(since_ms.unwrap_or(self.read_ms), now);
-        age + self.read_at.saturating_sub(self.asked_at) >= grace
-    }
-
-    /// Returns whether streams may have begun at a version that is listed beside another.
-    pub(super) fn may_have_begun_at(
-        &self,
-        version: VersionKey,
-        grace: Duration,
-        now: Duration,
-    ) -> bool {
-        let mut versions = self.record.versions.iter();
-        let found = versions.find(|recorded| recorded.version == version);
-        self.may_have_begun(found.map(|recorded| recorded.since_ms), grace, now)
-    }
-
     /// Returns for how long a time on the store's clock has passed.
     fn age(&self, at_ms: u64, now: Duration) -> Duration {
         let when_read = Duration::from_millis(self.read_ms.saturating_sub(at_ms));
--- a/crates/flaxtide-policy/src/versions/registry.rs
+++ b/crates/flaxtide-policy/src/versions/registry.rs
@@ -180,19 +180,18 @@
         VersionView::Sole(sole, u32::try_from(known_for.as_millis()).unwrap_or(u32::MAX))
     }
 
-    /// Records what is recorded of the versions of a service. It was asked for at `asked_at`; when it was
-    /// read, it was `read_ms` on the store's clock. Returns whether the service has several versions from now on and
+    /// Records what is recorded of the versions of a service, as read at `now`, which is `read_ms`
+    /// on the store's clock. Returns whether the service has several versions from now on and
     /// had a single one before.
     pub fn set_recorded(
         &mut self,
         service: ServiceKey,
         record: VersionRecord,
         read_ms: u64,
-        asked_at: Duration,
         now: Duration,
     ) -> bool {
         let was_mixed = self.view(service, now) == VersionView::Several;
-        let record = ReadRecord::new(record, read_ms, asked_at, now);
+        let record = ReadRecord::new(record, read_ms, now);
         self.longest_life = self.longest_life.max(record.life());
         self.services.entry(service).or_default().record = Some(record);
         !was_mixed && self.view(service, now) == VersionView::Several
@@ -252,25 +251,6 @@
         settling
     }
 
-    /// Returns the version that began a stream of which no note is found, if the record shows it: it has
-    /// servers in service, and no stream can have begun at another one yet that is listed.
-    #[must_use]
-    pub fn only_begun(
-        &self,
-        service: ServiceKey,
-        grace: Duration,
-        now: Duration,
-    ) -> Option<VersionKey> {
-        let known = self.services.get(&service)?;
-        let record = known.record.as_ref()?;
-        let only = record.only_begun(self.window(), grace, now)?;
-        known.listed.get(&only).filter(|listed| listed.in_service > 0)?;
-        let mut others = known.listed.keys().filter(|version| **version != only);
-        let is_only =
-            !others.any(|version| record.may_have_begun_at(*version, grace, now));
-        is_only.then_some(only)
-    }
-
     /// Returns whether any service has several versions.
     #[must_use]
     pub fn has_several(&self, now: Duration) -> bool {
