Streams that can't be continued aren't sent to another server

Callers saw a complete response in which half an event of one server was joined to the events of another. A stream is resumable only if the version that began it is known and nothing of an incomplete event has been passed on, but that was told to the router as a mere permission, which it has anyway for all classes that may be resumed; and it was asked after the next part had begun, when nothing of the part before was remembered. So such a stream was sent on, also to a server of any version where its own wasn't known. The request is now told how it may be sent again: from the beginning, to go on, or not at all.

a_stream_that_breaks_off_inside_an_event_that_was_passed_on_is_broken fails before (200, whole, joined) and passes now.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -19,7 +19,9 @@
 use crate::duty::CallUsage;
 use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
 use crate::forward::{CarriedCall, ForwardHead, PeerReply, ServerSends};
-use crate::open_call::{AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR};
+use crate::open_call::{
+    AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR, RetryMode,
+};
 use crate::reply::{CallerResponse, LocalReply};
 use crate::response::{ReceivedResponse, receive_response, start_stream};
 use crate::routes::{CallerIdentity, ClassMatch};
@@ -348,7 +350,8 @@
             AttemptOutcome::Refused(refusal) => return call.reply_as_peer(refusal),
             AttemptOutcome::Quarantined => return call.reply_quarantined(&request),
         };
-        if call.handle_fault(&request, fault, false).await == RetryDecision::Stop {
+        let retry = call.handle_fault(&request, fault, RetryMode::Repeat).await;
+        if retry == RetryDecision::Stop {
             return call.reply_failed(fault);
         }
     }
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -86,6 +86,17 @@
     Refused(PeerReply),
 }
 
+/// How a request may be sent to another server after a failed attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum RetryMode {
+    /// From the beginning, if its class allows it: nothing of the response has been passed on.
+    Repeat,
+    /// To continue the stream after the last event that was passed on.
+    Resume,
+    /// Not at all.
+    Never,
+}
+
 impl OpenCall {
     /// Opens a call and counts it as open.
     pub(crate) fn new(
@@ -369,7 +380,7 @@
         &self,
         request: &CallerRequest,
         fault: RouteFault,
-        resumable: bool,
+        mode: RetryMode,
     ) -> RetryDecision {
         if let (RouteFault::Broken, Some(server)) = (fault, self.server.get()) {
             record_broken(self, request, server).await;
@@ -391,10 +402,11 @@
         let mut decision = RetryDecision::Stop;
         let quarantined = self.is_held(request);
         self.state.run_router(|core, now| {
-            if quarantined {
+            if quarantined || mode == RetryMode::Never {
                 return core.fail_without_retry(self.request_id, fault, now);
             }
-            let (decided, actions) = core.fail(self.request_id, fault, resumable, now);
+            let resumes = mode == RetryMode::Resume;
+            let (decided, actions) = core.fail(self.request_id, fault, resumes, now);
             decision = decided;
             actions
         });
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -15,7 +15,7 @@
 use crate::contract::CallKind;
 use crate::events::EventSplitter;
 use crate::exchange::CallerRequest;
-use crate::open_call::{AttemptOutcome, OpenCall};
+use crate::open_call::{AttemptOutcome, OpenCall, RetryMode};
 use crate::proof::StreamProof;
 use crate::reply::ResponseBody;
 
@@ -88,6 +88,14 @@
             && self.call.class.class().kind == (CallKind::Stream { resumable: true })
     }
 
+    /// Returns how the request may be sent to another server now.
+    fn retry_mode(&self) -> RetryMode {
+        match self.resumable() {
+            true => RetryMode::Resume,
+            false => RetryMode::Never,
+        }
+    }
+
     /// Returns the next complete events, or `None` at the end.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
@@ -198,14 +206,15 @@
     /// Lets another server continue after the last complete event.
     async fn resume(&mut self, fault: RouteFault) -> io::Result<()> {
         self.source = None;
+        // Asked before the next part begins, as what the last one passed on decides.
+        let mode = self.retry_mode();
         self.proof.begin_part();
         self.splitter.begin_part();
         let state = self.call.state.clone();
         let mut fault = fault;
         loop {
             let decision = state.await_decision(self.call.request_id);
-            let resumable = self.resumable();
-            let retry = self.call.handle_fault(&self.request, fault, resumable).await;
+            let retry = self.call.handle_fault(&self.request, fault, mode).await;
             if retry == RetryDecision::Stop {
                 return Err(self.abort("stream_broken"));
             }
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -10,7 +10,7 @@
 use crate::exchange::{CallerRequest, ResponseStart};
 use crate::forward::write_server_version;
 use crate::memory::ChargedBody;
-use crate::open_call::{AttemptOutcome, OpenCall};
+use crate::open_call::{AttemptOutcome, OpenCall, RetryMode};
 use crate::relay::{StreamRelay, relay_body};
 use crate::reply::{CallerResponse, full_body};
 
@@ -145,8 +145,9 @@
     mut start: ResponseStart,
 ) -> Result<ReceivedResponse, AttemptOutcome> {
     let body = receive_body(call, &mut start.body).await?;
-    if call.handle_fault(request, RouteFault::Failed, false).await == RetryDecision::Retry
-    {
+    let fault = RouteFault::Failed;
+    let retry = call.handle_fault(request, fault, RetryMode::Repeat).await;
+    if retry == RetryDecision::Retry {
         return Ok(ReceivedResponse::Retry);
     }
     let response = build_response(call, start.status, start.headers, body);
