Streams are passed on only as far as event ids prove their order

Callers saw complete streams in which events came twice, went back or were missing: where a server continued a stream at another place than it was asked to, where one's own stream did so, where a stream without ids was begun anew after events had been passed on, and where a caller took a stream up. Ids were read to ask for the rest and compared with nothing: what didn't contradict the framing was trusted.

Each id must now be greater than the last one, also across servers and after a caller's Last-Event-Id; where ids have counted by one, none may be left out, unless a second server confirms the gap. What follows is held until an id proves its place. A part that fails is replaced by another server's (retry budget and limit as for any retry), else the stream ends like a broken connection. A stream whose last event has no id isn't continued. An empty framed part ends no stream of which an event was broken off, and an answer of another type continues none. Logs name the first and last id of each part that breaks off and of the answer; flaxtide_entry_order_faults_total counts by kind.

The case of tests/events.rs that called an empty later part whole is replaced: without framing nothing states that end, and check_end asks for the content only then; the framed end is its own test now, with more cases.

--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -46,6 +46,8 @@
 pub struct ResumedStream {
     /// The id of the attempt that brought the stream's first event, if the caller names it.
     pub first_attempt: Option<String>,
+    /// The id of the last event that the caller has, if it is a number.
+    pub last_event: Option<u64>,
 }
 
 /// The values of the headers that are added for a server.
--- /dev/null
+++ b/crates/flaxtide-entry/src/event_order.rs
@@ -0,0 +1,139 @@
+//! The order of a stream's events, proved by their ids. The contract gives events increasing
+//! ids; they may count by one, count otherwise, or be missing.
+
+use derive_more::Display;
+
+/// Why an event can't follow the events before it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum OrderFault {
+    /// Its id isn't greater than the last one.
+    #[display("event {id} repeats or precedes event {last}")]
+    Repeated {
+        /// The last id before it.
+        last: u64,
+        /// Its id.
+        id: u64,
+    },
+    /// The ids have counted by one, and its id leaves some out.
+    #[display("events between {last} and {id} are missing")]
+    Missing {
+        /// The last id before it.
+        last: u64,
+        /// Its id.
+        id: u64,
+    },
+    /// What a server adds to a stream with ids has none for too long.
+    #[display("no id tells where the events belong that follow event {last}")]
+    Unplaced {
+        /// The last id before it.
+        last: u64,
+    },
+}
+
+impl OrderFault {
+    /// Returns the kind of fault, as in metrics.
+    pub(crate) fn name(&self) -> &'static str {
+        match self {
+            Self::Repeated { .. } => "repeated",
+            Self::Missing { .. } => "missing",
+            Self::Unplaced { .. } => "unplaced",
+        }
+    }
+}
+
+/// How the ids of a stream count.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+enum EventStep {
+    /// Not known, as fewer than two ids are.
+    #[default]
+    Unknown,
+    /// By one so far.
+    One,
+    /// By other steps too.
+    Other,
+}
+
+/// The ids of the events of a stream that were passed on.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct EventOrder {
+    /// The last numeric id.
+    last: Option<u64>,
+    /// Whether an event without a numeric id has followed it.
+    has_unnumbered: bool,
+    /// How the ids count.
+    step: EventStep,
+    /// The ids before and after the gap at which the part before was broken off.
+    gap: Option<(u64, u64)>,
+}
+
+impl EventOrder {
+    /// Creates the order of a stream of which the caller has the events up to `last`.
+    pub(crate) fn after(last: Option<u64>) -> Self {
+        Self { last, ..Self::default() }
+    }
+
+    /// Returns the last numeric id.
+    pub(crate) fn last(&self) -> Option<u64> {
+        self.last
+    }
+
+    /// Returns whether the last id tells a server after which event to continue.
+    pub(crate) fn is_placed(&self) -> bool {
+        !self.has_unnumbered
+    }
+
+    /// Records an event without a numeric id.
+    pub(crate) fn record_unnumbered(&mut self) {
+        self.has_unnumbered = true;
+    }
+
+    /// Records the id of the next event. `begins_part` tells whether it is the first id that
+    /// the current server sends.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`OrderFault`] if the event can't follow the ones before. A gap is a fault once:
+    /// if another server goes on behind the same gap, the ids don't count by one.
+    pub(crate) fn record(
+        &mut self,
+        id: u64,
+        begins_part: bool,
+    ) -> Result<(), OrderFault> {
+        let step = match self.last {
+            Some(last) if id <= last => return Err(OrderFault::Repeated { last, id }),
+            Some(last) if id - last > 1 => {
+                self.check_gap(last, id, begins_part)?;
+                EventStep::Other
+            }
+            Some(_) if self.step == EventStep::Unknown => EventStep::One,
+            _ => self.step,
+        };
+        *self = Self {
+            last: Some(id),
+            has_unnumbered: false,
+            step,
+            gap: None,
+        };
+        Ok(())
+    }
+
+    /// Checks a gap between two ids.
+    fn check_gap(
+        &mut self,
+        last: u64,
+        id: u64,
+        begins_part: bool,
+    ) -> Result<(), OrderFault> {
+        let counts_by_one = match self.step {
+            EventStep::Unknown => begins_part,
+            EventStep::One => true,
+            EventStep::Other => false,
+        };
+        let is_confirmed = begins_part && self.gap == Some((last, id));
+        if !counts_by_one || is_confirmed {
+            return Ok(());
+        }
+        self.gap = Some((last, id));
+        Err(OrderFault::Missing { last, id })
+    }
+}
--- a/crates/flaxtide-entry/src/events.rs
+++ b/crates/flaxtide-entry/src/events.rs
@@ -1,8 +1,10 @@
 //! Splits a stream of server-sent events (HTML Living Standard, section 9.2) into complete
-//! events.
+//! events, and checks their order.
 
 use bytes::{Buf, Bytes, BytesMut};
 
+use crate::event_order::{EventOrder, OrderFault};
+
 /// The byte order mark with which a stream may begin.
 const BYTE_ORDER_MARK: &[u8] = b"\xef\xbb\xbf";
 
@@ -11,7 +13,7 @@
 const MAX_HELD_BYTES: usize = 64 * 1024;
 
 /// Separates complete events from the beginning of the next one. Lines may end with LF, CRLF or
-/// CR.
+/// CR. Events that can't follow the ones before are held back.
 ///
 /// ```
 /// use flaxtide_entry::EventSplitter;
@@ -21,16 +23,18 @@
 /// assert!(!splitter.is_whole());
 /// assert_eq!(splitter.push(b"\r\ndata: b\r\n\r\n"), "id: 2\r\ndata: b\r\n\r\n");
 /// assert!(splitter.is_whole());
+/// assert_eq!(splitter.push(b"id: 2\r\ndata: b\r\n\r\n"), "");
+/// assert!(splitter.order_fault().is_some());
 /// ```
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     /// What follows the last complete event.
     partial: BytesMut,
-    /// The last numeric id among the complete events. It stays if newer events have none.
-    last_event: Option<u64>,
+    /// The ids of the complete events.
+    order: EventOrder,
     /// The progress in the current part, which is all that one server sends.
     part: PartProgress,
-    /// Whether an earlier part broke off inside an event, so that another event is due.
+    /// Whether an event was due when an earlier part broke off, and none has come since.
     event_due: bool,
     /// Whether this is a later part than the first.
     resumed: bool,
@@ -51,10 +55,18 @@
     has_crlf: bool,
     /// Whether a line of an event that isn't complete has been read.
     in_event: bool,
+    /// Whether a line of it has data.
+    has_data: bool,
     /// The id of the event that is being read, if it is a number.
     event_id: Option<u64>,
     /// Whether an event is complete.
     has_event: bool,
+    /// The first numeric id.
+    first_id: Option<u64>,
+    /// Whether events are held back until an id tells where they belong.
+    is_unplaced: bool,
+    /// Why what follows isn't passed on.
+    fault: Option<OrderFault>,
     /// The bytes that have been passed on of an event that isn't complete.
     passed: usize,
     /// Whether the beginning of the current line has been passed on.
@@ -62,41 +74,63 @@
 }
 
 impl EventSplitter {
+    /// Creates the splitter of a stream of which the caller has the events up to the one with the
+    /// id `last`.
+    #[must_use]
+    pub fn after(last: Option<u64>) -> Self {
+        Self { order: EventOrder::after(last), ..Self::default() }
+    }
+
     /// Adds received bytes. Returns the events that are complete now and comments between
-    /// events, or the beginning of an event that is too large to be held back.
+    /// events, or the beginning of an event that is too large to be held back. Returns nothing
+    /// more of a part after an event that can't follow the ones before.
     pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+        if self.part.fault.is_some() {
+            return Bytes::new();
+        }
         self.partial.extend_from_slice(bytes);
         if !self.part.is_mark_read && !self.read_mark() {
             return Bytes::new();
         }
         let mut complete = 0;
-        while self.part.read < self.partial.len() {
-            if self.read_byte() {
+        while self.part.read < self.partial.len() && self.part.fault.is_none() {
+            if self.read_byte() && !self.part.is_unplaced {
                 complete = self.part.read;
                 self.part.passed = 0;
             }
         }
-        if complete == 0 && self.partial.len() > MAX_HELD_BYTES {
-            complete = self.partial.len();
-            self.part.passed += complete;
-            self.part.is_line_cut |= self.part.line_start < complete;
+        let is_large = complete == 0 && self.partial.len() > MAX_HELD_BYTES;
+        if is_large && self.part.fault.is_none() {
+            complete = self.pass_large();
         }
         self.part.read -= complete;
         self.part.line_start = self.part.line_start.saturating_sub(complete);
         self.partial.split_to(complete).freeze()
     }
 
-    /// Returns the last numeric id among the complete events.
+    /// Returns the last numeric id among the complete events, or that the caller has.
     #[must_use]
     pub fn last_event(&self) -> Option<u64> {
-        self.last_event
+        self.order.last()
+    }
+
+    /// Returns the first numeric id in the current part.
+    #[must_use]
+    pub fn first_event(&self) -> Option<u64> {
+        self.part.first_id
     }
 
-    /// Returns whether another server can continue after the last complete event: nothing that
-    /// follows it has been passed on.
+    /// Returns why the current part isn't passed on any further.
+    #[must_use]
+    pub fn order_fault(&self) -> Option<OrderFault> {
+        self.part.fault
+    }
+
+    /// Returns whether another server can continue after the last complete event: its id tells
+    /// where, and nothing that follows it has been passed on.
     #[must_use]
     pub fn is_resumable(&self) -> bool {
-        self.part.passed == 0
+        self.part.passed == 0 && self.order.is_placed()
     }
 
     /// Returns the number of bytes received of the event that isn't complete.
@@ -105,31 +139,49 @@
         self.part.passed + self.partial.len()
     }
 
-    /// Returns whether the stream may end here: between two events, and not before the first
-    /// event, or before the rest of one that broke off.
+    /// Returns whether the content of the current part may end here: between two events, of which
+    /// at least one is in this part.
     #[must_use]
     pub fn is_whole(&self) -> bool {
         let part = &self.part;
         let line_ended = part.line_start == self.partial.len() && !part.is_line_cut;
         let misses_lf = part.after_cr && part.has_crlf;
-        let event_due = self.event_due || !self.resumed;
-        line_ended && !part.in_event && !misses_lf && (part.has_event || !event_due)
+        let is_held = part.is_unplaced || part.fault.is_some();
+        line_ended && !part.in_event && !misses_lf && part.has_event && !is_held
+    }
+
+    /// Returns whether an event must still come, whatever the framing of the current part says: an
+    /// earlier part broke off inside it, or left it out.
+    #[must_use]
+    pub fn is_event_due(&self) -> bool {
+        self.event_due && !self.part.has_event
     }
 
-    /// Drops the incomplete event. The next bytes are those of another server, which continues
-    /// after the last complete event.
+    /// Drops what hasn't been passed on. The next bytes are those of another server, which
+    /// continues after the last complete event.
     pub fn begin_part(&mut self) {
-        self.event_due = !self.is_whole();
+        self.event_due = match self.part.fault {
+            Some(OrderFault::Missing { .. }) => true,
+            Some(_) => self.is_event_due(),
+            None => self.is_event_due() || self.is_inside_event(),
+        };
         self.resumed = true;
         self.partial.clear();
         self.part = PartProgress::default();
     }
 
-    /// Removes and returns what follows the last complete event.
+    /// Removes and returns what follows the last event that was passed on.
     pub fn take_partial(&mut self) -> Bytes {
         std::mem::take(&mut self.partial).freeze()
     }
 
+    /// Returns whether a part of an event has been received.
+    fn is_inside_event(&self) -> bool {
+        let part = &self.part;
+        let line = &self.partial[part.line_start.min(self.partial.len())..];
+        part.in_event || part.is_line_cut || !(line.is_empty() || line.starts_with(b":"))
+    }
+
     /// Reads the byte order mark at the beginning of a part, if it has one. In later parts, it
     /// would be read as part of a field's name, so it is dropped. Returns whether enough bytes
     /// have been received.
@@ -148,6 +200,26 @@
         true
     }
 
+    /// Passes on the beginning of an event that is too large to be held back, if it may follow the
+    /// ones before. Returns how many bytes are passed on.
+    fn pass_large(&mut self) -> usize {
+        let begins_part = self.part.first_id.is_none();
+        let mut order = self.order;
+        let placed = match (self.part.event_id, self.order.last()) {
+            (Some(id), _) => order.record(id, begins_part),
+            (None, Some(last)) if begins_part => Err(OrderFault::Unplaced { last }),
+            (None, _) => Ok(()),
+        };
+        if let Err(fault) = placed {
+            self.order = order;
+            self.part.fault = Some(fault);
+            return 0;
+        }
+        self.part.passed += self.partial.len();
+        self.part.is_line_cut |= self.part.line_start < self.partial.len();
+        self.partial.len()
+    }
+
     /// Reads the next byte. Returns whether it ends an event, or a comment between events.
     fn read_byte(&mut self) -> bool {
         let byte = self.partial[self.part.read];
@@ -171,17 +243,42 @@
         if std::mem::take(&mut part.is_line_cut) {
             part.in_event = true;
         } else if line.is_empty() {
-            part.has_event |= part.in_event;
-            part.in_event = false;
-            self.last_event = part.event_id.take().or(self.last_event);
+            return self.end_event();
         } else if !line.starts_with(b":") {
             part.in_event = true;
+            part.has_data |= line == b"data" || line.starts_with(b"data:");
             if let Some(id) = line.strip_prefix(b"id:") {
                 part.event_id = parse_id(id);
             }
         }
         !part.in_event
     }
+
+    /// Ends the event before a blank line, if there is one. Returns whether it may follow the
+    /// ones before.
+    fn end_event(&mut self) -> bool {
+        let part = &mut self.part;
+        let is_event = std::mem::take(&mut part.in_event);
+        let has_data = std::mem::take(&mut part.has_data);
+        match part.event_id.take() {
+            Some(id) => {
+                if let Err(fault) = self.order.record(id, part.first_id.is_none()) {
+                    part.fault = Some(fault);
+                    return false;
+                }
+                part.first_id = part.first_id.or(Some(id));
+                part.is_unplaced = false;
+            }
+            // Without data, it only sets the caller's time to reconnect.
+            None if !has_data => {}
+            None if part.first_id.is_none() && self.order.last().is_some() => {
+                part.is_unplaced = true;
+            }
+            None => self.order.record_unnumbered(),
+        }
+        part.has_event |= is_event;
+        true
+    }
 }
 
 /// Returns the value of an `id` field if it is a number.
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -27,6 +27,7 @@
 mod duty;
 mod error;
 mod evacuation;
+mod event_order;
 mod events;
 mod exchange;
 mod feed;
@@ -90,6 +91,7 @@
 };
 pub use self::directory::ServerDirectory;
 pub use self::error::EntryError;
+pub use self::event_order::OrderFault;
 pub use self::events::EventSplitter;
 pub use self::follow::{
     CallBackoff, FollowAnswer, FollowFault, FollowState, covered_until, first_call_window,
--- a/crates/flaxtide-entry/src/metrics.rs
+++ b/crates/flaxtide-entry/src/metrics.rs
@@ -59,6 +59,8 @@
     pub(crate) statements_ignored: IntCounter,
     /// Response bodies that ended with their connection, by whether they were whole.
     pub(crate) unframed_ends: IntCounterVec,
+    /// Parts of streams whose events can't follow the ones before, by kind of fault.
+    pub(crate) order_faults: IntCounterVec,
     /// Streams that callers took up again, by how their version was found.
     pub(crate) resumed_streams: IntCounterVec,
     /// Streams whose version is noted.
@@ -175,6 +177,11 @@
                 "Bodies of servers that ended with their connection.",
                 &["outcome"],
             ),
+            order_faults: counters(
+                "order_faults",
+                "Parts of streams whose events can't follow the ones before.",
+                &["kind"],
+            ),
             resumed_streams: counters(
                 "resumed_streams",
                 "Streams that callers took up again, by how their version was found.",
@@ -242,7 +249,7 @@
 
     /// Adds every metric to the registry.
     fn register(&self) {
-        let collectors: [Box<dyn prometheus::core::Collector>; 42] = [
+        let collectors: [Box<dyn prometheus::core::Collector>; 43] = [
             Box::new(self.ends.clone()),
             Box::new(self.late.clone()),
             Box::new(self.dispatches.clone()),
@@ -265,6 +272,7 @@
             Box::new(self.evacuated_data_centres.clone()),
             Box::new(self.statements_ignored.clone()),
             Box::new(self.unframed_ends.clone()),
+            Box::new(self.order_faults.clone()),
             Box::new(self.resumed_streams.clone()),
             Box::new(self.version_notes.clone()),
             Box::new(self.unwritten_version_notes.clone()),
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -5,10 +5,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flaxtide_core::{RequestId, ServerId};
+use flaxtide_core::{RequestId, ServerId, ServerName};
 use flaxtide_policy::{RetryDecision, RouteChoice, RouteFault};
 
-use crate::contract::{RequestHead, ResumedStream};
+use crate::contract::{CallKind, RequestHead, ResumedStream};
 use crate::crash::record_broken;
 use crate::duty::CallUsage;
 use crate::exchange::{
@@ -56,6 +56,8 @@
     connection_suspect: Cell<bool>,
     /// The time from receipt to the first event of the response, or to the whole response.
     first_event_after: Cell<Option<Duration>>,
+    /// The ids of the first and the last event that were passed on, of those with a numeric id.
+    pub(crate) events: Cell<Option<(u64, u64)>>,
     /// The longest pause between two pieces of the response.
     pub(crate) longest_pause: Cell<Duration>,
     /// Whether a response has gone on for so long that no part of the prompt crashes servers.
@@ -126,6 +128,7 @@
             server: Cell::new(None),
             connection_suspect: Cell::new(false),
             first_event_after: Cell::new(None),
+            events: Cell::default(),
             longest_pause: Cell::new(Duration::ZERO),
             parts_proven: Cell::new(false),
             is_trial: Cell::new(false),
@@ -136,6 +139,17 @@
         }
     }
 
+    /// Returns whether another server may continue the stream.
+    pub(crate) fn is_resumable(&self) -> bool {
+        self.class.class().kind == (CallKind::Stream { resumable: true })
+    }
+
+    /// Returns the id of the last event that the caller has of the stream that it takes up.
+    pub(crate) fn taken_up_after(&self) -> Option<u64> {
+        let resumed = self.resumed.as_ref().filter(|_| self.is_resumable());
+        resumed.and_then(|stream| stream.last_event)
+    }
+
     /// Returns whether a peer has forwarded the request.
     pub(crate) fn is_carried(&self) -> bool {
         self.carried.is_some()
@@ -154,9 +168,10 @@
             .first_event_after
             .get()
             .map_or(-1, |first| first.as_millis() as i64);
+        let (first_event, last_event) = self.events.get().unzip();
         log::info!(
             request = self.attempt_id, class = self.class.class().name, outcome = end,
-            status, late = self.late_cause().unwrap_or_default(),
+            status, first_event:?, last_event:?, late = self.late_cause().unwrap_or_default(),
             target_ms = self.class.class().latency_target.as_millis() as u64, first_ms = first, pause_ms = self.longest_pause.get().as_millis() as u64, spent_ms = spent, may_have_run = self.may_have_run.get();
             "end"
         );
@@ -208,6 +223,12 @@
         self.sent_at.get()
     }
 
+    /// Returns the name of the server, or the peer, that it was last sent to.
+    pub(crate) fn server_name(&self) -> ServerName {
+        let server = self.server.get().map(|server| self.state.target_name(server));
+        server.unwrap_or_default()
+    }
+
     /// Returns the time left until the deadline.
     pub(crate) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.state.now())
@@ -412,9 +433,8 @@
         });
         let label = format!("{fault:?}");
         self.state.metrics.faults.with_label_values(&[&label]).inc();
-        let server = self.server.get().map(|server| self.state.target_name(server));
         log::info!(
-            request = self.attempt_id, server = server.unwrap_or_default(), fault = label, again = decision == RetryDecision::Retry,
+            request = self.attempt_id, server = self.server_name(), fault = label, again = decision == RetryDecision::Retry,
             left_ms = self.time_left().as_millis() as u64,
             arrived = counts.arrived, retries = counts.retries,
             instances = self.state.live_instances.get();
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -12,12 +12,13 @@
 use hyper::body::Frame;
 
 use crate::body::UpstreamBody;
-use crate::contract::CallKind;
+use crate::event_order::OrderFault;
 use crate::events::EventSplitter;
-use crate::exchange::CallerRequest;
+use crate::exchange::{CallerRequest, ResponseStart};
 use crate::open_call::{AttemptOutcome, OpenCall, RetryMode};
 use crate::proof::StreamProof;
 use crate::reply::ResponseBody;
+use crate::response::may_be_event_stream;
 
 /// A server that sends nothing for this long in the middle of a resumable stream is
 /// replaced by another. Callers wait for at least two seconds, so this leaves time for
@@ -66,11 +67,12 @@
         has_version: bool,
     ) -> Self {
         let last_received = call.state.now();
+        let splitter = EventSplitter::after(call.taken_up_after());
         Self {
             call,
             request,
             source: Some(source),
-            splitter: EventSplitter::default(),
+            splitter,
             first_bytes: Some(first_bytes),
             last_received,
             patience: None,
@@ -83,9 +85,7 @@
 
     /// Returns whether another server of the same version can continue the stream.
     fn resumable(&self) -> bool {
-        self.has_version
-            && self.splitter.is_resumable()
-            && self.call.class.class().kind == (CallKind::Stream { resumable: true })
+        self.has_version && self.splitter.is_resumable() && self.call.is_resumable()
     }
 
     /// Returns how the request may be sent to another server now.
@@ -99,6 +99,11 @@
     /// Returns the next complete events, or `None` at the end.
     async fn next(&mut self) -> io::Result<Option<Bytes>> {
         loop {
+            if let Some(fault) = self.splitter.order_fault() {
+                self.record_order_fault(fault);
+                self.resume(RouteFault::Failed).await?;
+                continue;
+            }
             let bytes = match self.first_bytes.take() {
                 Some(bytes) => Ok(Some(bytes)),
                 None => self.receive().await,
@@ -108,6 +113,7 @@
                     self.record_pause();
                     self.proof.record_events(&self.call, &self.request);
                     let complete = self.splitter.push(&bytes);
+                    self.record_events();
                     if self.splitter.event_bytes() > self.max_event_bytes() {
                         self.resume(RouteFault::Broken).await?;
                         continue;
@@ -128,6 +134,34 @@
         self.call.state.response_memory.max_unstated()
     }
 
+    /// Records which events have been passed on.
+    fn record_events(&self) {
+        let first = self.call.events.get().map(|(first, _)| first);
+        let first = first.or(self.splitter.first_event());
+        self.call.events.set(first.zip(self.splitter.last_event()));
+    }
+
+    /// Records that the server sends events that can't follow the ones before.
+    fn record_order_fault(&self, fault: OrderFault) {
+        let state = &self.call.state;
+        state.metrics.order_faults.with_label_values(&[fault.name()]).inc();
+        log::warn!(
+            request = self.call.attempt_id.as_str(), server = self.call.server_name(),
+            cause = fault.to_string();
+            "events out of order"
+        );
+    }
+
+    /// Records what the current server has sent, when its part of the stream breaks off.
+    fn record_broken_part(&self, fault: RouteFault) {
+        log::info!(
+            request = self.call.attempt_id.as_str(), server = self.call.server_name(),
+            fault:?, first_event:? = self.splitter.first_event(),
+            last_event:? = self.splitter.last_event();
+            "part of a stream broken off"
+        );
+    }
+
     /// Records the pause before the bytes that have just arrived.
     fn record_pause(&mut self) {
         let now = self.call.state.now();
@@ -168,7 +202,11 @@
                     return Ok(Some(bytes));
                 }
                 Some(Ok(None)) => {
-                    let ended = source.check_end(self.splitter.is_whole(), &state).await;
+                    if self.splitter.is_event_due() {
+                        return Err(AttemptOutcome::Fault(RouteFault::Broken));
+                    }
+                    let is_whole = self.splitter.is_whole();
+                    let ended = source.check_end(is_whole, &state).await;
                     return ended.map(|()| None).map_err(AttemptOutcome::Fault);
                 }
                 Some(Err(fault)) => return Err(AttemptOutcome::Fault(fault)),
@@ -206,6 +244,7 @@
     /// Lets another server continue after the last complete event.
     async fn resume(&mut self, fault: RouteFault) -> io::Result<()> {
         self.source = None;
+        self.record_broken_part(fault);
         // Asked before the next part begins, as what the last one passed on decides.
         let mode = self.retry_mode();
         self.proof.begin_part();
@@ -229,7 +268,7 @@
                 .try_server(&self.request, &choice, silence_timeout, last)
                 .await
             {
-                AttemptOutcome::Started(start) if start.status.is_success() => {
+                AttemptOutcome::Started(start) if continues_stream(&start) => {
                     self.source = Some(start.body);
                     self.patience = None;
                     return Ok(());
@@ -253,6 +292,11 @@
     }
 }
 
+/// Returns whether a response may continue a stream of events.
+fn continues_stream(start: &ResponseStart) -> bool {
+    start.status.is_success() && may_be_event_stream(&start.headers)
+}
+
 /// Turns a relay into the body of a response.
 pub(crate) fn relay_body(relay: StreamRelay) -> ResponseBody {
     let pieces = stream::unfold(relay, |mut relay| async move {
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -67,7 +67,7 @@
 }
 
 /// Returns whether a response may be a stream of events: its type is that of one, or isn't stated.
-fn may_be_event_stream(headers: &HeaderMap) -> bool {
+pub(crate) fn may_be_event_stream(headers: &HeaderMap) -> bool {
     let stated = headers.get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
     stated.is_none_or(|text| {
         let kind = text.split(';').next().unwrap_or_default();
--- a/crates/flaxtide-entry/tests/events.rs
+++ b/crates/flaxtide-entry/tests/events.rs
@@ -1,6 +1,6 @@
 //! How received bytes are split into events, and where a stream may end.
 
-use flaxtide_entry::EventSplitter;
+use flaxtide_entry::{EventSplitter, OrderFault};
 
 /// A stream, how many of its bytes belong to complete events, its last id, and whether it may
 /// end there.
@@ -49,18 +49,91 @@
     }
 }
 
+// Guards against a later part without events being taken for an end that nothing states, and, if it
+// is framed, for that of a stream of which an event was broken off.
 #[test]
-fn a_later_part_may_be_empty_only_if_no_event_was_broken_off() {
-    // The first part, and whether a later part without an event is whole.
-    let cases = [("id: 1\n\n", true), ("id: 1\n\nid: 2\nda", false), ("", false)];
-    for (first, is_whole) in cases {
+fn a_later_part_without_events_is_no_end_by_itself() {
+    // The first part, and whether an event is due after it.
+    let cases = [
+        ("id: 1\n\n", false),
+        ("id: 1\n\n: bye", false),
+        ("id: 1\n\nid: 2\nda", true),
+        ("id: 1\n\nid: 2\n", true),
+        ("id: 1\n\ni", true),
+        ("", false),
+    ];
+    for (first, is_due) in cases {
         let mut splitter = EventSplitter::default();
         splitter.push(first.as_bytes());
         splitter.begin_part();
-        assert_eq!(splitter.is_whole(), is_whole, "{first:?}");
+        assert!(!splitter.is_whole(), "{first:?}");
+        assert_eq!(splitter.is_event_due(), is_due, "{first:?}");
+        // It stays due in further parts.
+        splitter.begin_part();
+        assert_eq!(splitter.is_event_due(), is_due, "{first:?}");
         let rest = splitter.push("\u{feff}id: 2\n\n".as_bytes());
         assert_eq!(rest, "id: 2\n\n", "{first:?}");
         assert_eq!((splitter.last_event(), splitter.is_whole()), (Some(2), true));
+        assert!(!splitter.is_event_due());
+    }
+}
+
+// Guards against events out of order being passed on, however the bytes arrive.
+#[test]
+fn events_are_passed_on_as_far_as_their_ids_prove_their_order() {
+    // What the caller has, what a server sends, how many of its bytes are passed on, the fault.
+    let cases: [(Option<u64>, &str, usize, Option<OrderFault>); 12] = [
+        (None, "id: 1\n\nid: 2\n\n", 14, None),
+        (None, "id: 2\n\nid: 2\n\n", 7, Some(repeated(2, 2))),
+        (None, "id: 0\n\nid: 1\n\nid: 0\n\n", 14, Some(repeated(1, 0))),
+        (None, "id: 1\n\nid: 2\n\nid: 4\n\n", 14, Some(missing(2, 4))),
+        (None, "id: 1\n\nid: 3\n\nid: 4\n\nid: 9\n\n", 28, None),
+        (None, "data: x\n\nid: 1\n\ndata: y\n\n", 25, None),
+        (Some(3), "id: 4\n\n", 7, None),
+        (Some(3), ": hi\n\nretry: 1\n\nid: 3\n\n", 16, Some(repeated(3, 3))),
+        (Some(3), "id: 5\n\n", 0, Some(missing(3, 5))),
+        (Some(3), "data: x\n\nid: 4\n\n", 16, None),
+        (Some(3), "data: x\n\ndata: y\n\n", 0, None),
+        (Some(3), "data: x\n\nid: 1\n\n", 0, Some(repeated(3, 1))),
+    ];
+    for (last, text, passed, fault) in cases {
+        for size in 1..=text.len() {
+            let mut splitter = EventSplitter::after(last);
+            let mut got = vec![];
+            for piece in text.as_bytes().chunks(size) {
+                got.extend_from_slice(&splitter.push(piece));
+            }
+            let case = format!("{last:?}, {text:?} in pieces of {size}");
+            assert_eq!(got, &text.as_bytes()[..passed], "{case}");
+            assert_eq!(splitter.order_fault(), fault, "{case}");
+            assert_eq!(splitter.is_whole(), fault.is_none() && passed > 0, "{case}");
+            let next = splitter.push(b"id: 100\n\n");
+            assert!(fault.is_none() || next.is_empty(), "{case}");
+        }
+    }
+}
+
+/// An event that repeats or precedes the last one.
+fn repeated(last: u64, id: u64) -> OrderFault {
+    OrderFault::Repeated { last, id }
+}
+
+/// An event that leaves some out.
+fn missing(last: u64, id: u64) -> OrderFault {
+    OrderFault::Missing { last, id }
+}
+
+// Guards against a large event being passed on in pieces before its place is known.
+#[test]
+fn a_large_event_is_only_passed_on_where_it_may_follow() {
+    let large = format!("data: {}", "x".repeat(100_000));
+    // What precedes the data of the event, and whether it may follow event 3.
+    let cases = [("id: 4\n", true), ("id: 3\n", false), ("id: 5\n", false), ("", false)];
+    for (id, follows) in cases {
+        let mut splitter = EventSplitter::after(Some(3));
+        let passed = splitter.push(format!("{id}{large}").as_bytes());
+        assert_eq!(passed.is_empty(), !follows, "{id:?}");
+        assert_eq!(splitter.order_fault().is_none(), follows, "{id:?}");
     }
 }
 
