The end of a connection ends an answer only if the server process outlives it

Callers saw complete answers that weren't: streams of servers that were ended while they left, that another process replaced at their address within milliseconds, that froze, or that were no longer listed; plain bodies likewise. An answer without framing ends with its connection, and a process that is killed closes its connections as one does that has finished. The end was believed if the server was known to leave, or if its address didn't refuse connections: the absence of a contradiction was taken for a proof.

Now the server has to answer a health check that names its incarnation and is sent after the end was seen. One check serves all ends at a server that were seen before it. Framed answers cost none. Without the proof a stream goes on at another server where it may, and else ends like a broken connection.

Whole answers of servers that are leaving, no longer listed, or too busy for health checks stay whole; a server that ends within the round trip of the check has its last answer called broken.

--- a/crates/flaxtide-entry/src/body.rs
+++ b/crates/flaxtide-entry/src/body.rs
@@ -1,5 +1,6 @@
 //! The body of a server's response, and where it ends.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,7 +11,8 @@
 use hyper::body::{Body, Incoming};
 use hyper::header::{HeaderMap, TRANSFER_ENCODING};
 
-use crate::crash::refuses_connections;
+use crate::end_check::{CheckTarget, has_outlived_end};
+use crate::open_call::OpenCall;
 use crate::state::TrafficState;
 use crate::upstream::ServerConnection;
 
@@ -37,6 +39,8 @@
     pub(crate) connection: Option<ServerConnection>,
     /// The server at the other end.
     pub(crate) server: ServerId,
+    /// The address of the server.
+    address: SocketAddr,
     /// For how long the server keeps an idle connection open, if it said so.
     pub(crate) keep_alive: Option<Duration>,
     /// How the end of the body is marked.
@@ -52,6 +56,28 @@
     Close,
 }
 
+/// What is known of a body whose end only the end of the connection marks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UnframedEnd {
+    /// The content may end there, and the server has outlived the connection.
+    Whole,
+    /// The content may end there, but the server hasn't proved that it lives.
+    Unproven,
+    /// The content may not end there.
+    Broken,
+}
+
+impl UnframedEnd {
+    /// Returns its name in log lines and metrics.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "whole",
+            Self::Unproven => "unproven",
+            Self::Broken => "broken",
+        }
+    }
+}
+
 impl BodyFraming {
     /// Determines the framing from the headers and the body of a response.
     fn read(headers: &HeaderMap, body: &Incoming) -> Self {
@@ -78,6 +104,7 @@
         let framing = BodyFraming::read(headers, &body);
         Self {
             body,
+            address: connection.address,
             connection: Some(connection),
             server,
             keep_alive,
@@ -85,27 +112,48 @@
         }
     }
 
+    /// Returns whether the end of the body is stated, by a length or by chunks.
+    pub(crate) fn is_framed(&self) -> bool {
+        self.framing == BodyFraming::Explicit
+    }
+
     /// Checks the end of the body. `is_whole` tells whether its content may end here.
     ///
     /// # Errors
     ///
     /// Returns [`RouteFault::Broken`] if only the end of the connection marks that of the
-    /// body, and its content isn't whole or the server has exited: its address refuses
-    /// connections. A server that is leaving may have exited after this response.
+    /// body, and its content isn't whole or the server doesn't prove that it has outlived it.
     pub(crate) async fn check_end(
         &self,
         is_whole: bool,
-        state: &TrafficState,
+        call: &OpenCall,
     ) -> Result<(), RouteFault> {
-        if self.framing == BodyFraming::Explicit {
+        if self.is_framed() {
             return Ok(());
         }
-        let is_whole = is_whole
-            && (state.is_leaving(self.server)
-                || !refuses_connections(state, self.server).await);
-        let outcome = if is_whole { "whole" } else { "broken" };
-        state.metrics.unframed_ends.with_label_values(&[outcome]).inc();
-        if is_whole { Ok(()) } else { Err(RouteFault::Broken) }
+        let state = &call.state;
+        let end = match self.check_target(call) {
+            _ if !is_whole => UnframedEnd::Broken,
+            Some(target) => match has_outlived_end(state, target).await {
+                true => UnframedEnd::Whole,
+                false => UnframedEnd::Unproven,
+            },
+            None => UnframedEnd::Unproven,
+        };
+        state.metrics.unframed_ends.with_label_values(&[end.name()]).inc();
+        log::info!(
+            request = call.attempt_id.as_str(), server = state.target_name(self.server),
+            outcome = end.name();
+            "end without framing"
+        );
+        if end == UnframedEnd::Whole { Ok(()) } else { Err(RouteFault::Broken) }
+    }
+
+    /// Returns how the server can be checked, or `None` if its service has no health check.
+    fn check_target(&self, call: &OpenCall) -> Option<CheckTarget> {
+        let table = call.state.route_table()?;
+        let path = table.service(&call.service)?.health_path.clone()?;
+        Some(CheckTarget { server: self.server, address: self.address, path })
     }
 
     /// Returns the length that the server has stated for what is left of the body.
--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -191,11 +191,12 @@
     let (forward, carried) = carried.unzip();
     let mut call =
         OpenCall::new(state, class, attempt_id, &head, received_at, usage, carried);
+    call.service = service;
     call.stream = stream.filter(|_| !call.is_carried());
     let run_limit = call.class.class().attempt_limit;
     let route_call = RouteCall {
         request: call.request_id,
-        pool: state.pool_id(&service),
+        pool: state.pool_id(&call.service),
         class: call.class.id,
         organisation: caller.organisation.unwrap_or(NO_ORGANISATION),
         tier,
--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -22,6 +22,10 @@
     /// Reads the status and the headers of a server's response.
     fn read_response(&self, status: u16, headers: &HeaderMap) -> ResponseHead;
 
+    /// Writes the headers of a health check that only the server with the name `server` may answer
+    /// as if it were healthy.
+    fn write_check(&self, headers: &mut HeaderMap, server: &str);
+
     /// Asks a server to continue a stream after the event with the id `last_event`.
     fn write_resume(&self, headers: &mut HeaderMap, last_event: u64);
 }
@@ -71,6 +75,8 @@
 pub struct ResponseHead {
     /// The id of the request that it responds to.
     pub attempt_id: Option<String>,
+    /// The name of the server that responds, if it is stated.
+    pub server: Option<String>,
     /// Whether the response has the server's seal, by which the server confirms that it
     /// wrote the response.
     pub sealed: bool,
--- a/crates/flaxtide-entry/src/contract/rules.rs
+++ b/crates/flaxtide-entry/src/contract/rules.rs
@@ -100,6 +100,8 @@
 pub struct BackendService {
     /// The name of the service.
     pub name: String,
+    /// The path and query of a health check of its servers, or `None` if they have none.
+    pub health_path: Option<String>,
     /// The most connections that one of its servers accepts, from all clients together.
     pub connection_limit: Option<u32>,
     /// The properties of its engines, or `None` for a service of plain servers.
--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -90,12 +90,6 @@
     }
 }
 
-/// Returns whether a server's address refuses connections, just after the server has closed one.
-/// The path of this instance isn't in question then, so no other server is tried.
-pub(crate) async fn refuses_connections(state: &TrafficState, server: ServerId) -> bool {
-    probe(state, server).await == Some(ErrorKind::ConnectionRefused)
-}
-
 /// Opens a connection to a server, and keeps it for requests. Returns the error if it can't be
 /// opened in time.
 async fn probe(state: &TrafficState, server: ServerId) -> Option<ErrorKind> {
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -25,6 +25,7 @@
 mod crash;
 mod directory;
 mod duty;
+mod end_check;
 mod error;
 mod evacuation;
 mod event_order;
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -41,6 +41,8 @@
     pub(crate) stream: Option<StreamIdentity>,
     /// The request class that it matched.
     pub(crate) class: ClassMatch,
+    /// The name of the service whose servers it is sent to.
+    pub(crate) service: String,
     /// When its head was received.
     pub(crate) received_at: Duration,
     /// When the caller gives up, or the time-out of the class ends, whichever is earlier.
@@ -121,6 +123,7 @@
             resumed: head.resumed.clone(),
             stream: None,
             class,
+            service: String::new(),
             received_at,
             deadline: received_at + wait,
             may_have_run: Cell::new(false),
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -206,7 +206,7 @@
                         return Err(AttemptOutcome::Fault(RouteFault::Broken));
                     }
                     let is_whole = self.splitter.is_whole();
-                    let ended = source.check_end(is_whole, &state).await;
+                    let ended = source.check_end(is_whole, &self.call).await;
                     return ended.map(|()| None).map_err(AttemptOutcome::Fault);
                 }
                 Some(Err(fault)) => return Err(AttemptOutcome::Fault(fault)),
--- a/crates/flaxtide-entry/src/response.rs
+++ b/crates/flaxtide-entry/src/response.rs
@@ -50,7 +50,7 @@
             None => {
                 start
                     .body
-                    .check_end(false, state)
+                    .check_end(false, call)
                     .await
                     .map_err(AttemptOutcome::Fault)?;
                 return Ok(ReceivedResponse::Whole(finish(
@@ -101,7 +101,7 @@
             }
             collected.push(&bytes, budget).await;
         }
-        body.check_end(true, state).await?;
+        body.check_end(true, call).await?;
         Ok(collected.into_bytes())
     };
     let received = state.wait_until(call.deadline, receive).await;
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -23,6 +23,7 @@
 use crate::contract::{CallerLimits, EntryRules, ServerEntry, WireDialect};
 use crate::directory::ServerDirectory;
 use crate::duty::SharedDuties;
+use crate::end_check::EndChecks;
 use crate::evacuation::DataCentreEvacuations;
 use crate::fleet::FleetLink;
 use crate::forward::{CarriedCalls, ForwardPeers};
@@ -71,6 +72,8 @@
     pub(crate) response_memory: BodyBudget,
     /// The idle connections to servers.
     pub(crate) connections: ServerConnections,
+    /// The ends of connections whose servers are being checked.
+    pub(crate) end_checks: EndChecks,
     /// The queue to the fleet thread.
     pub(crate) fleet: FleetLink,
     /// Chooses the peer or the platform from which the server list is read.
@@ -190,6 +193,7 @@
             request_memory,
             response_memory,
             connections: ServerConnections::default(),
+            end_checks: EndChecks::default(),
             fleet,
             source,
             quarantine,
--- a/crates/flaxtide-entry/src/upstream.rs
+++ b/crates/flaxtide-entry/src/upstream.rs
@@ -76,6 +76,8 @@
 /// A connection to a server. Dropping it closes the connection at once, which cancels the request
 /// that the server runs for it.
 pub(crate) struct ServerConnection {
+    /// The address at the other end.
+    pub(crate) address: SocketAddr,
     /// Sends requests over the connection.
     pub(crate) sender: SendRequest<Full<Bytes>>,
     /// The task that drives the connection.
@@ -233,5 +235,5 @@
         let _ = driver.await;
     });
     let task = task.abort_handle();
-    Ok(ServerConnection { sender, task, used: false, gate, limit })
+    Ok(ServerConnection { address, sender, task, used: false, gate, limit })
 }
