--- a/crates/flaxtide-entry/src/end_check.rs
+++ b/crates/flaxtide-entry/src/end_check.rs
@@ -20,9 +20,10 @@
 use crate::state::TrafficState;
 use crate::upstream::connect;
 
-/// How long a server may take to answer a check. The caller has the whole response by then, but not
-/// its end.
-const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long a server may take to answer a check. An end that is seen during one waits for the next.
+/// Callers wait for at least two seconds for the end of what they have, so this leaves time for another
+/// server.
+const CHECK_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// How many kept connections are tried that turn out to be closed, before one is opened.
 const MAX_KEPT_CONNECTIONS: usize = 2;
