Checks of ends are repeated on another connection, and aren't queued

Callers saw whole answers without framing broken off: of servers at their connection limit, which reset the connection of the health check; where the check took a kept connection that brought a late second answer to an earlier request; and of servers without a free slot, where health checks wait like any other request, for longer than the check's second. Each of these tells nothing of the server's life, but was taken for its end.

Now a connection that brings no answer to the check is replaced by another, every 50 ms at most within the check's second; a refused connection and the answer of another server end it at once. The check carries a deadline of 100 ms: by the contract a server rejects what is still queued at its deadline and says that it hasn't run it, which is an answer. A check still counts only if the same incarnation answers it after the end was seen.

--- a/crates/flaxtide-entry/src/contract/dialect.rs
+++ b/crates/flaxtide-entry/src/contract/dialect.rs
@@ -23,8 +23,8 @@
     fn read_response(&self, status: u16, headers: &HeaderMap) -> ResponseHead;
 
     /// Writes the headers of a health check that only the server with the name `server` may answer
-    /// as if it were healthy.
-    fn write_check(&self, headers: &mut HeaderMap, server: &str);
+    /// as if it were healthy, and that it rejects if it has queued it for `queue_timeout`.
+    fn write_check(&self, headers: &mut HeaderMap, server: &str, queue_timeout: Duration);
 
     /// Asks a server to continue a stream after the event with the id `last_event`.
     fn write_resume(&self, headers: &mut HeaderMap, last_event: u64);
--- a/crates/flaxtide-entry/src/end_check.rs
+++ b/crates/flaxtide-entry/src/end_check.rs
@@ -4,6 +4,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,12 +19,19 @@
 use crate::body::{UpstreamBody, drain_refusal};
 use crate::contract::ResponseHead;
 use crate::state::TrafficState;
-use crate::upstream::connect;
+use crate::upstream::{ServerConnection, connect};
 
 /// How long a server may take to answer a check. The caller has the whole response by then, but not
 /// its end.
 const CHECK_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The time after which a server stops to queue a check. It is shorter than the time-out, so that a
+/// server without a free slot still answers in time.
+const QUEUE_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How long to wait before another connection is opened after one was reset.
+const CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// How many kept connections are tried that turn out to be closed, before one is opened.
 const MAX_KEPT_CONNECTIONS: usize = 2;
 
@@ -38,6 +46,17 @@
     pub(crate) path: String,
 }
 
+/// What a check has shown.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum CheckOutcome {
+    /// The incarnation lives.
+    Answered,
+    /// Another one answers at its address, or none.
+    Gone,
+    /// The connection has brought no answer to the check.
+    Unknown,
+}
+
 /// The ends of connections that wait for a check, by server. A server without an entry isn't being
 /// checked.
 #[derive(Default)]
@@ -89,43 +108,71 @@
     }
 }
 
-/// Sends a check, and returns whether the same incarnation answers it.
+/// Checks a server until it is told whether the same incarnation answers.
 async fn is_answered(state: &Rc<TrafficState>, target: &CheckTarget) -> bool {
     let Some(name) = state.server_name(target.server) else { return false };
-    for tried in 0..=MAX_KEPT_CONNECTIONS {
-        let kept = match tried {
-            MAX_KEPT_CONNECTIONS => None,
+    let mut kept_left = MAX_KEPT_CONNECTIONS;
+    loop {
+        let kept = match kept_left {
+            0 => None,
             _ => state.connections.take(target.server, state.now()),
         };
+        kept_left = if kept.is_some() { kept_left - 1 } else { 0 };
         let is_kept = kept.is_some();
-        let connected = match kept {
-            Some(connection) => Ok(connection),
-            None => connect(&state.connections, target.address).await,
-        };
-        let Ok(mut connection) = connected else { return false };
-        let Some(request) = build_check(state, target, &name) else { return false };
-        connection.used = true;
-        connection.limit.record_progress();
-        match connection.sender.try_send_request(request).await {
-            Ok(response) => {
-                let (parts, body) = response.into_parts();
-                let status = parts.status.as_u16();
-                let head = state.dialect.read_response(status, &parts.headers);
-                let body = UpstreamBody::new(
-                    &parts.headers,
-                    body,
-                    connection,
-                    target.server,
-                    head.keep_alive,
-                );
-                drain_refusal(state, body);
-                return is_from(&head, &name);
-            }
-            Err(_) if is_kept => {}
-            Err(_) => return false,
+        match send_check(state, target, &name, kept).await {
+            CheckOutcome::Answered => return true,
+            CheckOutcome::Gone => return false,
+            CheckOutcome::Unknown if is_kept => {}
+            // A server resets connections beyond its limit.
+            CheckOutcome::Unknown => tokio::time::sleep(CHECK_INTERVAL).await,
         }
     }
-    false
+}
+
+/// Sends a check over a kept connection, or a new one.
+async fn send_check(
+    state: &Rc<TrafficState>,
+    target: &CheckTarget,
+    name: &str,
+    kept: Option<ServerConnection>,
+) -> CheckOutcome {
+    let connected = match kept {
+        Some(connection) => Ok(connection),
+        None => connect(&state.connections, target.address).await,
+    };
+    let mut connection = match connected {
+        Ok(connection) => connection,
+        Err(error) if error.kind() == ErrorKind::ConnectionRefused => {
+            return CheckOutcome::Gone;
+        }
+        Err(_) => return CheckOutcome::Unknown,
+    };
+    let Some(request) = build_check(state, target, name) else {
+        return CheckOutcome::Gone;
+    };
+    connection.used = true;
+    connection.limit.record_progress();
+    let Ok(response) = connection.sender.try_send_request(request).await else {
+        return CheckOutcome::Unknown;
+    };
+    let (parts, body) = response.into_parts();
+    let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
+    // Its requests and responses no longer correspond, so it is closed.
+    if head.attempt_id.is_some() {
+        return CheckOutcome::Unknown;
+    }
+    let body = UpstreamBody::new(
+        &parts.headers,
+        body,
+        connection,
+        target.server,
+        head.keep_alive,
+    );
+    drain_refusal(state, body);
+    match is_from(&head, name) {
+        true => CheckOutcome::Answered,
+        false => CheckOutcome::Gone,
+    }
 }
 
 /// Builds a check. Returns `None` if the path of the service's health check isn't one.
@@ -138,13 +185,13 @@
     *request.uri_mut() = target.path.parse().ok()?;
     let host = HeaderValue::from_str(&target.address.to_string()).ok()?;
     request.headers_mut().insert(HOST, host);
-    state.dialect.write_check(request.headers_mut(), name);
+    state.dialect.write_check(request.headers_mut(), name, QUEUE_TIMEOUT);
     Some(request)
 }
 
 /// Returns whether a response to a check is one of the server with a name: it says so, or it refuses
-/// what is meant for that server only. A response with the id of a request answers an earlier one.
+/// what is meant for that server only.
 fn is_from(head: &ResponseHead, name: &str) -> bool {
     let is_named = head.server.as_deref().map_or(head.not_run, |server| server == name);
-    is_named && !head.replaced && head.attempt_id.is_none()
+    is_named && !head.replaced
 }
