The check of a stream's end keeps to the deadline

Callers of streams without framing whose server froze at the end waited for up to two seconds past their deadline: one check that was under way, and their own. The end of a stream is now checked until the deadline, or for 250 ms if that is later, as a stream that is whole at its deadline is still passed on.

the_check_of_an_end_keeps_to_the_deadline fails before (1.41 s for a deadline of 0.5 s; bound 1 s) and passes now.

--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -29,6 +29,10 @@
 /// delivered late, while a server that goes on sending doesn't prolong its stream.
 const MAX_LATE_BYTES: usize = 64 * 1024;
 
+/// How long the end of a stream may be checked after the deadline. A server that lives answers within
+/// milliseconds.
+const LATE_CHECK_WAIT: Duration = Duration::from_millis(250);
+
 /// A stream of events from a server to a caller.
 pub(crate) struct StreamRelay {
     /// The call that the stream answers.
@@ -201,14 +205,7 @@
                     });
                     return Ok(Some(bytes));
                 }
-                Some(Ok(None)) => {
-                    if self.splitter.is_event_due() {
-                        return Err(AttemptOutcome::Fault(RouteFault::Broken));
-                    }
-                    let is_whole = self.splitter.is_whole();
-                    let ended = source.check_end(is_whole, &self.call).await;
-                    return ended.map(|()| None).map_err(AttemptOutcome::Fault);
-                }
+                Some(Ok(None)) => return self.end_part().await.map(|()| None),
                 Some(Err(fault)) => return Err(AttemptOutcome::Fault(fault)),
                 None if wait < left && !self.call.time_left().is_zero() => {
                     self.patience = None;
@@ -221,6 +218,21 @@
         }
     }
 
+    /// Checks the end of what the current server sends.
+    async fn end_part(&self) -> Result<(), AttemptOutcome> {
+        let Some(source) = self.source.as_ref().filter(|_| !self.splitter.is_event_due())
+        else {
+            return Err(AttemptOutcome::Fault(RouteFault::Broken));
+        };
+        let state = &self.call.state;
+        let until = self.call.deadline.max(state.now() + LATE_CHECK_WAIT);
+        let check = source.check_end(self.splitter.is_whole(), &self.call);
+        let checked = state.wait_until(until, check).await;
+        checked
+            .ok_or(AttemptOutcome::TimedOut)?
+            .map_err(AttemptOutcome::Fault)
+    }
+
     /// Finishes a complete stream. Returns the bytes that are left, if any.
     fn finish(&mut self) -> Option<Bytes> {
         self.call
