--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -336,7 +336,7 @@
         let fault = match call.try_server(&request, &choice, silence_timeout, None).await
         {
             AttemptOutcome::Started(start) => {
-                match receive_response(&call, &request, start).await {
+                match receive_response(&call, &request, *start).await {
                     Ok(ReceivedResponse::Whole(response)) => return response,
                     Ok(ReceivedResponse::Stream(start, first)) => {
                         return start_stream(call, request, start, first).await;
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -79,7 +79,7 @@
 /// The outcome of one attempt at a server.
 pub(crate) enum AttemptOutcome {
     /// The server has begun to respond.
-    Started(ResponseStart),
+    Started(Box<ResponseStart>),
     /// The attempt failed.
     Fault(RouteFault),
     /// The deadline of the call has passed.
@@ -365,7 +365,7 @@
                 silence_timeout.map_or(time_left, |timeout| timeout.min(time_left));
             let until = self.state.now() + wait;
             match self.state.wait_until(until, &mut sent).await {
-                Some(Ok(start)) => return AttemptOutcome::Started(start),
+                Some(Ok(start)) => return AttemptOutcome::Started(Box::new(start)),
                 Some(Err(SendFault::Fault(fault))) => {
                     return AttemptOutcome::Fault(fault);
                 }
