Only events that callers see end a stream or come for one that broke off

Callers saw complete streams of which events were missing, came twice or were joined. Any field made a block an event: a part with only the time to reconnect ended a stream without framing, and came for event 4 that had broken off; so did an event without an id. And only a line 'data' that wasn't cut made an event without an id one: after a large one (over 64 KiB, in one line), and after blocks of other fields, as in a compressed stream, the stream was continued after the last id, or begun anew. The id of a large event was lost if it was cut there.

Now a block is an event unless it has only 'event' or 'retry'; one with an id that broke off is due until an id comes; large events are cut between lines where there are any.

--- a/crates/flaxtide-entry/src/events.rs
+++ b/crates/flaxtide-entry/src/events.rs
@@ -34,12 +34,21 @@
     order: EventOrder,
     /// The progress in the current part, which is all that one server sends.
     part: PartProgress,
-    /// Whether an event was due when an earlier part broke off, and none has come since.
-    event_due: bool,
+    /// The event that was due when an earlier part broke off, unless it has come since.
+    due: Option<DueEvent>,
     /// Whether this is a later part than the first.
     resumed: bool,
 }
 
+/// An event that must still come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum DueEvent {
+    /// One of which no numeric id has been read.
+    Any,
+    /// One with a numeric id.
+    Numbered,
+}
+
 /// The progress of reading what one server sends.
 #[derive(Debug, Default)]
 struct PartProgress {
@@ -55,8 +64,8 @@
     has_crlf: bool,
     /// Whether a line of an event that isn't complete has been read.
     in_event: bool,
-    /// Whether a line of it has data.
-    has_data: bool,
+    /// Whether a line of it is more than the type of the event or the time to reconnect.
+    has_content: bool,
     /// The id of the event that is being read, if it is a number.
     event_id: Option<u64>,
     /// Whether an event is complete.
@@ -154,16 +163,19 @@
     /// earlier part broke off inside it, or left it out.
     #[must_use]
     pub fn is_event_due(&self) -> bool {
-        self.event_due && !self.part.has_event
+        self.missing_event().is_some()
     }
 
     /// Drops what hasn't been passed on. The next bytes are those of another server, which
     /// continues after the last complete event.
     pub fn begin_part(&mut self) {
-        self.event_due = match self.part.fault {
-            Some(OrderFault::Missing { .. }) => true,
-            Some(_) => self.is_event_due(),
-            None => self.is_event_due() || self.is_inside_event(),
+        self.due = match self.part.fault {
+            Some(OrderFault::Missing { .. }) => Some(DueEvent::Numbered),
+            None if self.part.event_id.is_some() => Some(DueEvent::Numbered),
+            None if self.is_inside_event() => {
+                self.missing_event().or(Some(DueEvent::Any))
+            }
+            _ => self.missing_event(),
         };
         self.resumed = true;
         self.partial.clear();
@@ -175,6 +187,14 @@
         std::mem::take(&mut self.partial).freeze()
     }
 
+    /// Returns the event that was due when an earlier part broke off, if it hasn't come.
+    fn missing_event(&self) -> Option<DueEvent> {
+        self.due.filter(|due| match due {
+            DueEvent::Any => !self.part.has_event,
+            DueEvent::Numbered => self.part.first_id.is_none(),
+        })
+    }
+
     /// Returns whether a part of an event has been received.
     fn is_inside_event(&self) -> bool {
         let part = &self.part;
@@ -201,7 +221,8 @@
     }
 
     /// Passes on the beginning of an event that is too large to be held back, if it may follow the
-    /// ones before. Returns how many bytes are passed on.
+    /// ones before. Returns how many bytes are passed on: whole lines if there are any, so that
+    /// none but a large line is cut.
     fn pass_large(&mut self) -> usize {
         let begins_part = self.part.first_id.is_none();
         let mut order = self.order;
@@ -215,9 +236,16 @@
             self.part.fault = Some(fault);
             return 0;
         }
-        self.part.passed += self.partial.len();
-        self.part.is_line_cut |= self.part.line_start < self.partial.len();
-        self.partial.len()
+        let passed = match self.part.line_start {
+            0 => self.partial.len(),
+            lines => lines,
+        };
+        self.part.passed += passed;
+        if self.part.line_start == 0 {
+            self.part.has_content = true;
+            self.part.is_line_cut = true;
+        }
+        passed
     }
 
     /// Reads the next byte. Returns whether it ends an event, or a comment between events.
@@ -246,7 +274,7 @@
             return self.end_event();
         } else if !line.starts_with(b":") {
             part.in_event = true;
-            part.has_data |= line == b"data" || line.starts_with(b"data:");
+            part.has_content |= !matches!(field_name(line), b"event" | b"retry");
             if let Some(id) = line.strip_prefix(b"id:") {
                 part.event_id = parse_id(id);
             }
@@ -258,8 +286,8 @@
     /// ones before.
     fn end_event(&mut self) -> bool {
         let part = &mut self.part;
-        let is_event = std::mem::take(&mut part.in_event);
-        let has_data = std::mem::take(&mut part.has_data);
+        part.in_event = false;
+        let has_content = std::mem::take(&mut part.has_content);
         match part.event_id.take() {
             Some(id) => {
                 if let Err(fault) = self.order.record(id, part.first_id.is_none()) {
@@ -269,18 +297,24 @@
                 part.first_id = part.first_id.or(Some(id));
                 part.is_unplaced = false;
             }
-            // Without data, it only sets the caller's time to reconnect.
-            None if !has_data => {}
+            // Callers see no event.
+            None if !has_content => {}
             None if part.first_id.is_none() && self.order.last().is_some() => {
                 part.is_unplaced = true;
             }
             None => self.order.record_unnumbered(),
         }
-        part.has_event |= is_event;
+        part.has_event |= has_content;
         true
     }
 }
 
+/// Returns the name of the field of a line.
+fn field_name(line: &[u8]) -> &[u8] {
+    let end = line.iter().position(|byte| *byte == b':');
+    &line[..end.unwrap_or(line.len())]
+}
+
 /// Returns the value of an `id` field if it is a number.
 fn parse_id(value: &[u8]) -> Option<u64> {
     std::str::from_utf8(value).ok()?.trim().parse().ok()
--- a/crates/flaxtide-entry/tests/events.rs
+++ b/crates/flaxtide-entry/tests/events.rs
@@ -156,3 +156,60 @@
     assert_eq!((splitter.last_event(), splitter.is_whole()), (Some(2), true));
     assert!(splitter.is_resumable());
 }
+
+// Guards against a large event in one line, of which no id is read, being taken for none, so that the
+// stream goes on after the one before it.
+#[test]
+fn a_large_event_without_an_id_has_no_place_to_continue_after() {
+    let large = format!("data: {}", "x".repeat(100_000));
+    for begin in ["", "id: 1\n\n"] {
+        let mut splitter = EventSplitter::default();
+        splitter.push(begin.as_bytes());
+        splitter.push(large.as_bytes());
+        assert!(!splitter.is_resumable(), "{begin:?}");
+        splitter.push(b"\n\n");
+        assert!(!splitter.is_resumable(), "{begin:?}");
+        assert!(splitter.is_whole(), "{begin:?}");
+        splitter.push(b"id: 2\n\n");
+        assert!(splitter.is_resumable(), "{begin:?}");
+    }
+}
+
+// Guards against an id being lost where a large event is cut.
+#[test]
+fn a_large_event_is_cut_between_lines() {
+    let data = format!("data: {}\n", "x".repeat(65_527));
+    for cut in 1.."id: 1\n".len() {
+        let mut splitter = EventSplitter::after(Some(1));
+        splitter.push(b"id: 2\n\n");
+        splitter.push(data.as_bytes());
+        splitter.push(&b"id: 1\n"[..cut]);
+        splitter.push(&b"id: 1\n"[cut..]);
+        splitter.push(b"\n");
+        assert_eq!(splitter.order_fault(), Some(repeated(2, 1)), "{cut}");
+    }
+}
+
+// Guards against fields that make no event being taken for the event that is due.
+#[test]
+fn only_an_event_with_an_id_comes_for_one_with_an_id() {
+    // What broke off, what the next part has, and whether the event has come.
+    let cases = [
+        ("id: 2\nda", "retry: 1\n\n", false),
+        ("id: 2\nda", "event: x\n\n", false),
+        ("id: 2\nda", "data: x\n\n", false),
+        ("id: 2\nda", "id: 2\n\n", true),
+        ("data: x", "retry: 1\n\n", false),
+        ("data: x", "data: x\n\n", true),
+        ("data: x", "id: 2\n\n", true),
+        ("id: 4\n\n", "data: x\n\n", false),
+    ];
+    for (begun, part, has_come) in cases {
+        let mut splitter = EventSplitter::default();
+        splitter.push(format!("id: 0\n\nid: 1\n\n{begun}").as_bytes());
+        splitter.begin_part();
+        assert!(splitter.is_event_due(), "{begun:?}");
+        splitter.push(part.as_bytes());
+        assert_eq!(splitter.is_event_due(), !has_come, "{begun:?}, {part:?}");
+    }
+}
