Sound requests are deferred, not denied, until answers can clear a common part

Cause: a part that most prompts have is suspected at each crash of a server unless the instance has seen it proven within 0.5 s, as an instance that has just started, or is late, hasn't. Three crashes of different causes within that time quarantine it. The answer to a request that was sent after the first of them clears it again, but requests that came before that answer were denied for good: whether a verdict is final was asked only for requests held by their own crashes, never for those held by a part.

Why it works: a part's verdict is now final, as that of a request, a second after the last crash, by when answers that were under way have cleared a sound part. Nothing more is sent to servers meanwhile; the refusal says that the request hasn't run and may come again. A request of which one suspect is conclusive is denied at once, as before.

--- a/crates/flaxtide-entry/src/quarantine.rs
+++ b/crates/flaxtide-entry/src/quarantine.rs
@@ -105,11 +105,16 @@
         is_first
     }
 
-    /// Returns whether it isn't certain yet that a quarantined request crashes servers: it can't be
-    /// told by its crashes from others that ran there, or more may become known of the last one.
+    /// Returns whether it isn't certain yet that a quarantined request, or a part of it, crashes
+    /// servers: the request can't be told by its crashes from others that ran there, or more may
+    /// become known of the last one, such as an answer that clears the part.
     pub(crate) fn is_uncertain(&self, request: &CallerRequest, now: Duration) -> bool {
         let log = self.log.borrow();
-        self.is_held_alone(request) && !log.is_conclusive(request.fingerprint(), now)
+        let fingerprint = request.fingerprint();
+        let own = log.is_quarantined(fingerprint).then_some(fingerprint);
+        let part = log.find_quarantined_part(&request.shared_parts);
+        let mut held = own.into_iter().chain(part);
+        held.all(|suspect| !log.is_conclusive(suspect, now))
     }
 
     /// Returns whether a request is quarantined and none of its parts is.
