What a framed end leaves open is compared before it is passed on

Callers saw complete streams with events of another run: the last event of a framed part was passed on unread when no blank line ended it, and events without ids were joined to a stream with ids at a framed end, also when they were the whole stream once more. A framed end shows that nothing follows, and was taken to show where the part belongs.

Now an event that the framing ends is compared like any other. A part without ids is passed on at its end only if it has fewer events than were passed on before, so that it can't be the stream from its beginning; a single one, such as a mark of the end, may always follow.

--- a/crates/flaxtide-entry/src/event_order.rs
+++ b/crates/flaxtide-entry/src/event_order.rs
@@ -22,7 +22,8 @@
         /// Its id.
         id: u64,
     },
-    /// What a server adds to a stream with ids has none for too long.
+    /// What a server adds to a stream with ids has none for too long, or may be all of the stream
+    /// once more.
     #[display("no id tells where the events belong that follow event {last}")]
     Unplaced {
         /// The last id before it.
@@ -60,6 +61,8 @@
     last: Option<u64>,
     /// Whether an event without a numeric id has followed it.
     has_unnumbered: bool,
+    /// The number of events.
+    count: usize,
     /// How the ids count.
     step: EventStep,
     /// The ids before and after the gap at which the part before was broken off.
@@ -82,9 +85,15 @@
         !self.has_unnumbered
     }
 
+    /// Returns the number of events.
+    pub(crate) fn count(&self) -> usize {
+        self.count
+    }
+
     /// Records an event without a numeric id.
     pub(crate) fn record_unnumbered(&mut self) {
         self.has_unnumbered = true;
+        self.count += 1;
     }
 
     /// Records the id of the next event. `begins_part` tells whether it is the first id that
@@ -111,6 +120,7 @@
         *self = Self {
             last: Some(id),
             has_unnumbered: false,
+            count: self.count + 1,
             step,
             gap: None,
         };
--- a/crates/flaxtide-entry/src/events.rs
+++ b/crates/flaxtide-entry/src/events.rs
@@ -26,7 +26,7 @@
 /// assert_eq!(splitter.push(b"id: 2\r\ndata: b\r\n\r\n"), "");
 /// assert!(splitter.order_fault().is_some());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 pub struct EventSplitter {
     /// What follows the last complete event.
     partial: BytesMut,
@@ -50,7 +50,7 @@
 }
 
 /// The progress of reading what one server sends.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct PartProgress {
     /// Whether it is known if the part begins with a byte order mark.
     is_mark_read: bool,
@@ -72,8 +72,8 @@
     has_event: bool,
     /// The first numeric id.
     first_id: Option<u64>,
-    /// Whether events are held back until an id tells where they belong.
-    is_unplaced: bool,
+    /// The number of events that are held back until an id tells where they belong.
+    unplaced: usize,
     /// Why what follows isn't passed on.
     fault: Option<OrderFault>,
     /// The bytes that have been passed on of an event that isn't complete.
@@ -103,7 +103,7 @@
         }
         let mut complete = 0;
         while self.part.read < self.partial.len() && self.part.fault.is_none() {
-            if self.read_byte() && !self.part.is_unplaced {
+            if self.read_byte() && self.part.unplaced == 0 {
                 complete = self.part.read;
                 self.part.passed = 0;
             }
@@ -155,7 +155,7 @@
         let part = &self.part;
         let line_ended = part.line_start == self.partial.len() && !part.is_line_cut;
         let misses_lf = part.after_cr && part.has_crlf;
-        let is_held = part.is_unplaced || part.fault.is_some();
+        let is_held = part.unplaced > 0 || part.fault.is_some();
         line_ended && !part.in_event && !misses_lf && part.has_event && !is_held
     }
 
@@ -166,6 +166,23 @@
         self.missing_event().is_some()
     }
 
+    /// Ends a part whose framing states its end. An event that no blank line ends is compared with
+    /// the ones before, as callers may read it.
+    pub fn end_part(&mut self) {
+        if self.part.fault.is_some() {
+            return;
+        }
+        let mut ended = self.clone();
+        if self.is_inside_event() {
+            ended.push(b"\n\n");
+        }
+        let fault = ended.part.fault.or(ended.replay_fault());
+        if fault.is_some() {
+            self.part.fault = fault;
+            self.order = ended.order;
+        }
+    }
+
     /// Drops what hasn't been passed on. The next bytes are those of another server, which
     /// continues after the last complete event.
     pub fn begin_part(&mut self) {
@@ -195,6 +212,14 @@
         })
     }
 
+    /// Returns a fault if a later part without ids may be the whole stream from its beginning: it
+    /// has as many events as were passed on. A single one may be the mark at the end of a stream.
+    fn replay_fault(&self) -> Option<OrderFault> {
+        let may_replay = self.part.unplaced >= self.order.count().max(2);
+        let last = self.order.last().filter(|_| may_replay)?;
+        Some(OrderFault::Unplaced { last })
+    }
+
     /// Returns whether a part of an event has been received.
     fn is_inside_event(&self) -> bool {
         let part = &self.part;
@@ -295,12 +320,12 @@
                     return false;
                 }
                 part.first_id = part.first_id.or(Some(id));
-                part.is_unplaced = false;
+                part.unplaced = 0;
             }
             // Callers see no event.
             None if !has_content => {}
             None if part.first_id.is_none() && self.order.last().is_some() => {
-                part.is_unplaced = true;
+                part.unplaced += 1;
             }
             None => self.order.record_unnumbered(),
         }
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -219,7 +219,12 @@
     }
 
     /// Checks the end of what the current server sends.
-    async fn end_part(&self) -> Result<(), AttemptOutcome> {
+    async fn end_part(&mut self) -> Result<(), AttemptOutcome> {
+        self.splitter.end_part();
+        if let Some(fault) = self.splitter.order_fault() {
+            self.record_order_fault(fault);
+            return Err(AttemptOutcome::Fault(RouteFault::Failed));
+        }
         let Some(source) = self.source.as_ref().filter(|_| !self.splitter.is_event_due())
         else {
             return Err(AttemptOutcome::Fault(RouteFault::Broken));
--- a/crates/flaxtide-entry/tests/events.rs
+++ b/crates/flaxtide-entry/tests/events.rs
@@ -213,3 +213,48 @@
         assert_eq!(splitter.is_event_due(), !has_come, "{begun:?}, {part:?}");
     }
 }
+
+// Guards against an event being passed on unread because the framing ends before its blank line.
+#[test]
+fn the_last_event_of_a_framed_part_is_compared_without_a_blank_line() {
+    // What a server sends after event 3, and the fault.
+    let cases = [
+        ("id: 4\ndata: x", None),
+        ("id: 4\ndata: x\n", None),
+        ("id: 1\ndata: x\n", Some(repeated(3, 1))),
+        ("id: 1", Some(repeated(3, 1))),
+        ("id: 4\n\nid: 4\ndata: x\r", Some(repeated(4, 4))),
+        ("id: 4\n\nid: 6\n", Some(missing(4, 6))),
+        ("data: x", None),
+        (": bye", None),
+        ("", None),
+    ];
+    for (text, fault) in cases {
+        let mut splitter = EventSplitter::after(Some(3));
+        let passed = splitter.push(text.as_bytes()).len();
+        splitter.end_part();
+        assert_eq!(splitter.order_fault(), fault, "{text:?}");
+        assert_eq!(splitter.take_partial(), &text[passed..], "{text:?}");
+    }
+}
+
+// Guards against a part without ids that is the whole stream once more being joined to it.
+#[test]
+fn a_framed_part_without_ids_is_shorter_than_what_it_continues() {
+    // The numbers of events before and in the part, and whether it may follow.
+    let cases = [(1, 1, true), (1, 2, false), (3, 2, true), (3, 3, false), (3, 6, false)];
+    for (before, added, follows) in cases {
+        for end in ["\n\n", "\n", ""] {
+            let mut splitter = EventSplitter::default();
+            for id in 1..=before {
+                splitter.push(format!("id: {id}\ndata: x\n\n").as_bytes());
+            }
+            splitter.begin_part();
+            let part = vec!["data: x"; added].join("\n\n") + end;
+            assert_eq!(splitter.push(part.as_bytes()), "");
+            splitter.end_part();
+            let case = format!("{added} after {before}, {end:?}");
+            assert_eq!(splitter.order_fault().is_none(), follows, "{case}");
+        }
+    }
+}
