Streams that count by a regular step are continued by that step

Callers saw complete streams with a piece missing where ids count by tens, say, and another server left a part out: only ids that count by one were compared with their step. Now the first id of another server's part must follow by the step of all ids so far, or a second server must confirm the gap. Within what one server sends nothing changes.

a_part_that_leaves_a_regular_step_out_is_replaced fails before and passes now; a_server_doesnt_confirm_its_own_gap passes before and now.

--- a/crates/flaxtide-entry/src/event_order.rs
+++ b/crates/flaxtide-entry/src/event_order.rs
@@ -14,7 +14,8 @@
         /// Its id.
         id: u64,
     },
-    /// The ids have counted by one, and its id leaves some out.
+    /// The ids have counted by one, or by the same step before another server, and its id leaves
+    /// some out.
     #[display("events between {last} and {id} are missing")]
     Missing {
         /// The last id before it.
@@ -48,9 +49,9 @@
     /// Not known, as fewer than two ids are.
     #[default]
     Unknown,
-    /// By one so far.
-    One,
-    /// By other steps too.
+    /// By the same step so far.
+    Regular(u64),
+    /// By several steps.
     Other,
 }
 
@@ -110,12 +111,8 @@
     ) -> Result<(), OrderFault> {
         let step = match self.last {
             Some(last) if id <= last => return Err(OrderFault::Repeated { last, id }),
-            Some(last) if id - last > 1 => {
-                self.check_gap(last, id, begins_part)?;
-                EventStep::Other
-            }
-            Some(_) if self.step == EventStep::Unknown => EventStep::One,
-            _ => self.step,
+            Some(last) => self.next_step(last, id, begins_part)?,
+            None => self.step,
         };
         *self = Self {
             last: Some(id),
@@ -127,23 +124,29 @@
         Ok(())
     }
 
-    /// Checks a gap between two ids.
-    fn check_gap(
+    /// Returns how the ids count with the next one, which is greater than the last one.
+    fn next_step(
         &mut self,
         last: u64,
         id: u64,
         begins_part: bool,
-    ) -> Result<(), OrderFault> {
-        let counts_by_one = match self.step {
-            EventStep::Unknown => begins_part,
-            EventStep::One => true,
+    ) -> Result<EventStep, OrderFault> {
+        let distance = id - last;
+        let leaves_out = match self.step {
+            EventStep::Unknown if begins_part => distance > 1,
+            EventStep::Unknown => return Ok(EventStep::Regular(distance)),
+            // Only ids that count by one are known to do so within what one server sends.
+            EventStep::Regular(step) => distance > step && (begins_part || step == 1),
             EventStep::Other => false,
         };
-        let is_confirmed = begins_part && self.gap == Some((last, id));
-        if !counts_by_one || is_confirmed {
-            return Ok(());
+        if leaves_out && !(begins_part && self.gap == Some((last, id))) {
+            self.gap = Some((last, id));
+            return Err(OrderFault::Missing { last, id });
         }
-        self.gap = Some((last, id));
-        Err(OrderFault::Missing { last, id })
+        Ok(match self.step {
+            EventStep::Unknown => EventStep::Regular(distance),
+            EventStep::Regular(step) if step == distance => self.step,
+            _ => EventStep::Other,
+        })
     }
 }
