Versions: a version is marked in the record before streams begin at it

Cause: streams of a version that serves alone are noted nowhere, and the record said which versions were listed, not which had begun streams. Change: each version in a record has a mark. While the record has a marked version, streams begin only at versions whose mark the instance has read or written itself: 2.5 s after the version was recorded, or at once if no marked one has servers. The first record marks all. A take-up that neither notes nor peers decide reads the records after it has come in; a single marked version whose streams can still be taken up has begun the stream. A read made earlier or of another era decides nothing. Records without marks count as marked. Reads are a write period apart and serve all streams that wait. Records are kept although the own notes can't be read. Why it works: writes state the row's version, which comes from one counter of the store, and its answers are linearizable. So a mark is never lost to a late write, and who reads after a stream began sees the mark of its version. What it costs: where a marked version has no servers, streams at a new one wait for its mark instead of beginning at once; if none can be written, for 15 s. An instance that lists several versions and can't read the records begins none for as long. What was begun without a mark is in the design's windows.

--- a/crates/flaxtide-entry/src/versions/exchange.rs
+++ b/crates/flaxtide-entry/src/versions/exchange.rs
@@ -4,9 +4,7 @@
 use std::sync::atomic::Ordering;
 
 use flaxtide_fleet::{PeerInfo, PendingQuestion, VersionExchange, VersionQuestion};
-use flaxtide_policy::{
-    StreamKey, VersionAnswer, VersionDecision, VersionNote, VersionView,
-};
+use flaxtide_policy::{VersionAnswer, VersionDecision, VersionNote, VersionView};
 use tokio::sync::Notify;
 
 use super::{MAX_QUEUED, PendingLookUp, StreamVersions};
@@ -37,7 +35,7 @@
 
     fn look_up(
         &self,
-        stream: StreamKey,
+        question: VersionQuestion,
         peers: &[PeerInfo],
         decide: Box<dyn FnOnce(VersionDecision) + Send>,
     ) {
@@ -53,7 +51,7 @@
             instance: peer.name.clone(),
         });
         let owners = owners.collect();
-        state.look_ups.push(PendingLookUp { stream, owners, decide });
+        state.look_ups.push(PendingLookUp { question, owners, decide });
         drop(state);
         self.wake_table();
     }
--- a/crates/flaxtide-entry/src/versions/kept.rs
+++ b/crates/flaxtide-entry/src/versions/kept.rs
@@ -6,12 +6,13 @@
 use std::time::Duration;
 
 use crossbeam::channel::Receiver;
+use flaxtide_fleet::VersionQuestion;
 use flaxtide_policy::{
     ListedNow, NoteChange, ServiceKey, VersionDecision, VersionRecord,
 };
 
 use super::{PendingLookUp, StreamVersions, VersionsState};
-use crate::contract::NotesRead;
+use crate::contract::{NotesRead, RecordsRead};
 
 /// The least time between two writes of notes. First events of streams wait for them.
 const MIN_WRITE_PERIOD: Duration = Duration::from_millis(50);
@@ -58,11 +59,14 @@
         self.lock().is_current(self.current_within, now)
     }
 
-    /// Returns whether all listed versions are recorded, and whether a service has several.
+    /// Returns whether all listed versions are recorded and marked as far as is due, and whether a
+    /// service has several.
     pub(super) fn table_needs(&self) -> (bool, bool) {
         let now = self.clock.now();
         let state = self.lock();
-        (state.registry.is_recorded(now), state.registry.has_several(now))
+        let is_recorded = state.registry.is_recorded(now)
+            && !state.registry.has_to_begin(self.grace(), now);
+        (is_recorded, state.registry.has_several(now))
     }
 
     /// Returns the number of live instances.
@@ -80,6 +84,16 @@
         self.store_era.load(Ordering::Relaxed) > era
     }
 
+    /// Records that the records in the table have been read.
+    pub(super) fn set_records_read(&self) {
+        self.are_records_read.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the records in the table have been read.
+    pub(super) fn are_records_read(&self) -> bool {
+        self.are_records_read.load(Ordering::Relaxed)
+    }
+
     /// Records that the table has been read.
     pub(super) fn set_loaded(&self) {
         self.is_loaded.store(true, Ordering::Relaxed);
@@ -92,10 +106,12 @@
 
     /// Returns what is listed of each service.
     pub(super) fn listed_now(&self) -> Vec<(ServiceKey, ListedNow)> {
+        let now = self.clock.now();
         let state = self.lock();
         let life = state.registry.window();
         let listed = state.registry.listed().map(|(service, listed)| {
-            (service, ListedNow { listed, gone: BTreeSet::new(), life })
+            let to_begin = state.registry.to_begin(service, self.grace(), now);
+            (service, ListedNow { listed, gone: BTreeSet::new(), to_begin, life })
         });
         listed.collect()
     }
@@ -167,16 +183,41 @@
         std::mem::take(&mut self.lock().look_ups)
     }
 
-    /// Decides about streams that were looked up.
-    pub(super) fn decide(&self, look_ups: Vec<PendingLookUp>) {
+    /// Decides about streams that were looked up, if they are noted or `read` shows the only version
+    /// that can have begun them. The records have to be read after the streams were looked up:
+    /// any version that had begun a stream was marked then.
+    pub(super) fn decide(
+        &self,
+        look_ups: Vec<PendingLookUp>,
+        read: Option<&RecordsRead>,
+    ) {
         let now = self.clock.now();
+        let life = self.lock().registry.window();
         for look_up in look_ups {
-            let note = self.lock().registry.note_of(look_up.stream, now);
-            let decision = match note {
-                Some(note) => VersionDecision::Bound(note.version),
-                None => VersionDecision::Unknown,
-            };
-            (look_up.decide)(decision);
+            let VersionQuestion { service, stream } = look_up.question;
+            let noted = self.lock().registry.note_of(stream, now);
+            let version = noted.map(|note| note.version).or_else(|| {
+                let read = read?;
+                let (record, _) = read.records.get(&service)?;
+                record.as_ref()?.only_begun(read.era, read.now_ms, life)
+            });
+            (look_up.decide)(
+                version.map_or(VersionDecision::Unknown, VersionDecision::Bound),
+            );
         }
     }
+
+    /// Splits off those of the streams that aren't noted and whose version a record may tell.
+    pub(super) fn split_recordable(
+        &self,
+        look_ups: Vec<PendingLookUp>,
+    ) -> (Vec<PendingLookUp>, Vec<PendingLookUp>) {
+        let now = self.clock.now();
+        let state = self.lock();
+        look_ups.into_iter().partition(|look_up| {
+            let VersionQuestion { service, stream } = look_up.question;
+            state.registry.note_of(stream, now).is_none()
+                && !state.registry.is_begun_ambiguous(service, now)
+        })
+    }
 }
--- a/crates/flaxtide-entry/src/versions/mod.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -69,7 +69,9 @@
     is_table_tried: AtomicBool,
     /// Whether the last call to the table was answered.
     is_table_answering: AtomicBool,
-    /// Whether the table has been read.
+    /// Whether the records in the table have been read.
+    are_records_read: AtomicBool,
+    /// Whether the records and the own notes have been read.
     is_loaded: AtomicBool,
     /// The newest known era of the store.
     store_era: AtomicU64,
@@ -81,10 +83,11 @@
     unwritten: IntGauge,
 }
 
-/// A stream that is looked up in the kept notes of peers that haven't answered.
+/// A stream that is looked up in the kept notes of peers that haven't answered, and whose version
+/// the record may tell.
 struct PendingLookUp {
-    /// The stream.
-    stream: StreamKey,
+    /// The stream and its service.
+    question: VersionQuestion,
     /// The peers.
     owners: Vec<NoteOwner>,
     /// Receives the decision.
@@ -176,6 +179,7 @@
             is_kept: AtomicBool::new(false),
             is_table_tried: AtomicBool::new(false),
             is_table_answering: AtomicBool::new(false),
+            are_records_read: AtomicBool::new(false),
             is_loaded: AtomicBool::new(false),
             store_era: AtomicU64::new(0),
             instances: AtomicU32::new(1),
@@ -210,21 +214,34 @@
                 self.queue_notes(&mut state, &notes);
             }
         }
-        let is_recorded = state.registry.is_recorded(now);
+        let is_recorded = state.registry.is_recorded(now)
+            && !state.registry.has_to_begin(self.grace(), now);
         drop(state);
         if !is_recorded {
             self.wake_table();
         }
     }
 
+    /// Returns for how long no stream begins at a new version while another one serves.
+    fn grace(&self) -> Duration {
+        self.current_within.mul_f64(SETTLING_FACTOR)
+    }
+
     /// Returns the versions that other instances may not have listed yet. They learn of it
     /// within the time in which the list is current.
     pub(crate) fn settling(&self, services: &ListedServices) -> SettlingVersions {
         let now = self.clock.now();
-        let grace = self.current_within.mul_f64(SETTLING_FACTOR);
+        let grace = self.grace();
         let state = self.lock();
-        let settling = |service: &ServiceKey| {
-            (*service, state.registry.settling(*service, grace, now))
+        // Which of several versions are marked as begun isn't known before the records are read.
+        let is_unread = self.is_kept.load(Ordering::Relaxed)
+            && !self.are_records_read.load(Ordering::Relaxed)
+            && now < state.registry.window();
+        let settling = |service: &ServiceKey| match services.get(service) {
+            Some(listed) if is_unread && listed.len() > 1 => {
+                (*service, listed.keys().copied().collect())
+            }
+            _ => (*service, state.registry.settling(*service, grace, now)),
         };
         let settling = services.keys().map(settling);
         settling.filter(|(_, versions)| !versions.is_empty()).collect()
--- a/crates/flaxtide-entry/src/versions/table.rs
+++ b/crates/flaxtide-entry/src/versions/table.rs
@@ -74,6 +74,10 @@
     absent_since: HashMap<(ServiceKey, VersionKey), Duration>,
     /// When the notes of peers were last read.
     looked_up: HashMap<NoteOwner, Duration>,
+    /// The streams whose version the records may tell, once they are read again.
+    undecided: Vec<PendingLookUp>,
+    /// When the records were last read for them.
+    decided_at: Duration,
     /// When calls may be made again, and the last pause after a failed one.
     retry: (Duration, Duration),
     /// Whether a call has been answered since the last outcome.
@@ -103,6 +107,8 @@
             written_at: Duration::ZERO,
             absent_since: HashMap::new(),
             looked_up: HashMap::new(),
+            undecided: vec![],
+            decided_at: Duration::ZERO,
             retry: (Duration::ZERO, Duration::ZERO),
             is_answered: Cell::new(false),
         }
@@ -122,13 +128,40 @@
     fn run_once(&mut self) {
         let look_ups = self.versions.take_look_ups();
         let now = self.clock.now();
-        if now >= self.retry.0 {
-            // Callers wait for look-ups.
-            let looked_up = self.look_up(&look_ups);
-            let kept = self.keep(now);
-            self.record_outcome(looked_up.and(kept));
+        if now < self.retry.0 {
+            self.undecided.extend(look_ups);
+            return self.versions.decide(std::mem::take(&mut self.undecided), None);
         }
-        self.versions.decide(look_ups);
+        // Callers wait for look-ups.
+        let looked_up = self.look_up(&look_ups);
+        let (undecided, decided) = self.versions.split_recordable(look_ups);
+        self.versions.decide(decided, None);
+        self.undecided.extend(undecided);
+        let decided = self.decide_by_records(now);
+        let kept = self.keep(now);
+        self.record_outcome(looked_up.and(decided).and(kept));
+    }
+
+    /// Reads the records for streams whose version they may tell, if that is due, and decides about
+    /// these streams.
+    fn decide_by_records(&mut self, now: Duration) -> Result<(), FeedError> {
+        if self.undecided.is_empty() || now < self.decide_at() {
+            return Ok(());
+        }
+        self.decided_at = now;
+        let look_ups = std::mem::take(&mut self.undecided);
+        let read = self.counted("read_records", |platform, _| platform.read_records());
+        log::info!(
+            streams = look_ups.len() as u64, read = read.is_ok();
+            "records read for streams that nobody has noted"
+        );
+        self.versions.decide(look_ups, read.as_ref().ok());
+        read.map(|_| ())
+    }
+
+    /// Returns when the records may be read again for streams that are looked up.
+    fn decide_at(&self) -> Duration {
+        self.decided_at + self.versions.write_period()
     }
 
     /// Returns when something is next due, as far as that is known.
@@ -137,16 +170,20 @@
             .versions
             .has_unwritten_streams()
             .then(|| self.written_at + self.versions.write_period());
-        let due = self.records_at.into_iter().chain(notes_at).min();
+        let decide_at = (!self.undecided.is_empty()).then(|| self.decide_at());
+        let due = self.records_at.into_iter().chain(notes_at).chain(decide_at).min();
         due.map_or(Duration::MAX, |at| at.max(self.retry.0))
     }
 
     /// Reads and writes what is due. Records and notes are in different parts of the table, of which
     /// one may be away.
     fn keep(&mut self, now: Duration) -> Result<(), FeedError> {
-        self.load()?;
+        let loaded = self.load();
+        if !self.versions.are_records_read() {
+            return loaded;
+        }
         let records = self.keep_records(now);
-        self.write_notes(now).and(records)
+        loaded.and_then(|()| self.write_notes(now)).and(records)
     }
 
     /// Records the outcome of calls, if any were made.
@@ -176,6 +213,7 @@
         }
         let read = self.read_records()?;
         self.apply_records(&read);
+        self.versions.set_records_read();
         let notes =
             self.counted("read_notes", |platform, owner| platform.read_notes(owner))?;
         let now = self.clock.now();
--- a/crates/flaxtide-fleet/src/versions.rs
+++ b/crates/flaxtide-fleet/src/versions.rs
@@ -52,10 +52,11 @@
     /// Answers a peer's questions, in their order.
     fn answer(&self, questions: &[VersionQuestion]) -> Vec<VersionAnswer>;
 
-    /// Looks a stream up in what peers have kept that haven't answered, and decides.
+    /// Looks a stream up in what peers have kept that haven't answered and in what is recorded of the
+    /// versions of its service, and decides.
     fn look_up(
         &self,
-        stream: StreamKey,
+        question: VersionQuestion,
         peers: &[PeerInfo],
         decide: Box<dyn FnOnce(VersionDecision) + Send>,
     );
@@ -242,9 +243,9 @@
     let PendingQuestion { question, decide, .. } = pending;
     let (decision, answered) = (poll.finish(), poll.answered());
     match shared.versions.get() {
-        Some(exchange) if decision == VersionDecision::Unknown && !silent.is_empty() => {
+        Some(exchange) if decision == VersionDecision::Unknown => {
             let decide = Box::new(move |decision| decide(decision, answered));
-            exchange.look_up(question.stream, silent, decide);
+            exchange.look_up(question, silent, decide);
         }
         _ => decide(decision, answered),
     }
--- a/crates/flaxtide-lab/src/versions/asking.rs
+++ b/crates/flaxtide-lab/src/versions/asking.rs
@@ -4,6 +4,7 @@
     AskedPeers, StreamKey, VersionAnswer, VersionDecision, VersionPoll, VersionView,
 };
 
+use super::table::clock_ms;
 use super::{CURRENT_WITHIN, SERVICE, VersionLab};
 
 impl VersionLab<'_> {
@@ -42,7 +43,8 @@
         }
     }
 
-    /// Looks for a stream in the kept notes of instances that didn't answer.
+    /// Looks for a stream in the kept notes of instances that didn't answer, and then for the only
+    /// version that has begun streams.
     fn decide_by_table(&self, index: usize, stream: StreamKey) -> VersionDecision {
         if !self.pattern.table || !self.reaches_table(index) {
             return VersionDecision::Unknown;
@@ -51,6 +53,12 @@
             (0..self.instances.len()).filter(|other| !self.answers(index, *other));
         let noted =
             silent.find_map(|other| self.store.table.noted(other, stream, self.now));
-        noted.map_or(VersionDecision::Unknown, VersionDecision::Bound)
+        let only = || {
+            let life = self.instances[index].registry.window();
+            let record = &self.store.table.record;
+            record.only_begun(self.store.era, clock_ms(self.now), life)
+        };
+        let version = noted.or_else(only);
+        version.map_or(VersionDecision::Unknown, VersionDecision::Bound)
     }
 }
--- a/crates/flaxtide-lab/src/versions/keeping.rs
+++ b/crates/flaxtide-lab/src/versions/keeping.rs
@@ -9,7 +9,7 @@
 use rand::Rng;
 
 use super::table::clock_ms;
-use super::{CURRENT_WITHIN, SERVICE, STEP, VersionLab};
+use super::{CURRENT_WITHIN, GRACE, SERVICE, STEP, VersionLab};
 
 /// How often notes are kept.
 const FLUSH_PERIOD: Duration = Duration::from_millis(500);
@@ -74,6 +74,16 @@
         !instance.listed.is_empty() && (!self.pattern.table || instance.keeper.has_tried)
     }
 
+    /// Returns whether an instance lists several versions and hasn't read yet which are marked as
+    /// begun.
+    pub(super) fn is_unread(&self, index: usize) -> bool {
+        let instance = &self.instances[index];
+        self.pattern.table
+            && !instance.keeper.is_restored
+            && instance.listed.len() > 1
+            && self.now < instance.down_until + instance.registry.window()
+    }
+
     /// Lets instances read the table, and write to it what is due.
     pub(super) fn use_table(&mut self) {
         self.store.step(&self.pattern.copies, self.now, STEP);
@@ -107,7 +117,8 @@
             keeper.seen.insert(*version, now);
         }
         let listed: BTreeSet<VersionKey> = instance.listed.keys().copied().collect();
-        if keeper.recorded != listed {
+        let is_due = instance.registry.has_to_begin(GRACE, now);
+        if keeper.recorded != listed || is_due {
             keeper.recorded = listed;
             keeper.record_at = keeper.record_at.min(now + wait);
         }
@@ -149,7 +160,8 @@
         let recorded = record.versions.iter().map(|recorded| recorded.version);
         let gone = recorded.filter(gone).collect();
         let life = instance.registry.window();
-        let listed = ListedNow { listed, gone, life };
+        let to_begin = instance.registry.to_begin(SERVICE, GRACE, now);
+        let listed = ListedNow { listed, gone, to_begin, life };
         if let Some(revised) = record.revised(&listed, self.store.era, clock_ms(now)) {
             *record = revised;
         }
--- a/crates/flaxtide-lab/src/versions/mod.rs
+++ b/crates/flaxtide-lab/src/versions/mod.rs
@@ -294,7 +294,10 @@
         let per_step = self.pattern.streams_per_s * STEP.as_secs_f64();
         for index in 0..self.instances.len() {
             let is_ready = self.is_up(index) && self.is_ready(index);
-            if !is_ready || !self.rng.random_bool(per_step.min(1.0)) {
+            if !is_ready
+                || self.is_unread(index)
+                || !self.rng.random_bool(per_step.min(1.0))
+            {
                 continue;
             }
             let now = self.now;
--- a/crates/flaxtide-lab/tests/versions.rs
+++ b/crates/flaxtide-lab/tests/versions.rs
@@ -215,3 +215,30 @@
     }
     assert!(lost.is_empty(), "{lost:#?}");
 }
+
+// Guards against streams joined from two versions: while the older has no server for a moment, streams
+// begin at the new one, which passes for one that has begun nothing once all instances were killed.
+#[test]
+fn kills_join_no_stream_of_a_version_that_stood_in_for_another() {
+    let releases = vec![
+        (s(0.0), BTreeMap::from([(1, 18)])),
+        (s(20.0), BTreeMap::from([(1, 0), (2, 6)])),
+        (s(23.0), BTreeMap::from([(1, 18), (2, 6)])),
+    ];
+    let mut continued = 0;
+    for instances in [9, 48] {
+        for at in [20.1, 20.4, 21.0, 22.0, 22.5, 23.1] {
+            let kills = vec![all_at(at), all_at(at + 1.3)];
+            let pattern = VersionPattern {
+                releases: releases.clone(),
+                kills,
+                ..fleet(instances)
+            };
+            let outcome = play(&pattern);
+            let case = format!("killed at {at}, {instances}: {outcome:?}");
+            assert_eq!(outcome.joined, 0, "{case}");
+            continued += outcome.continued;
+        }
+    }
+    assert!(continued > 0);
+}
--- a/crates/flaxtide-policy/src/versions/record.rs
+++ b/crates/flaxtide-policy/src/versions/record.rs
@@ -11,8 +11,8 @@
 /// The versions at which streams of a service may have begun lately. Times are those of the
 /// store's clock, in milliseconds.
 ///
-/// A version is recorded before streams begin at it while another one serves, so a version that
-/// isn't recorded has begun none.
+/// A version is recorded, and later marked as begun, before streams begin at it while another one is
+/// marked. So a version that isn't recorded, or not marked, has begun none.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct VersionRecord {
     /// The era of the store in which the record was written.
@@ -34,6 +34,14 @@
     pub since_ms: u64,
     /// Since when it hasn't been listed any more; `None` while it is.
     pub left_ms: Option<u64>,
+    /// Whether streams may have begun at it. Records without marks say nothing of it.
+    #[serde(default = "may_have_begun")]
+    pub begun: bool,
+}
+
+/// Returns whether streams may have begun at a version whose record doesn't say so.
+fn may_have_begun() -> bool {
+    true
 }
 
 /// What an instance lists of a service, to compare it with the record.
@@ -43,6 +51,9 @@
     pub listed: BTreeSet<VersionKey>,
     /// The versions that it hasn't listed for so long that no instance lists them any more.
     pub gone: BTreeSet<VersionKey>,
+    /// The versions at which streams are to begin, as from
+    /// [`VersionRegistry::to_begin`](super::VersionRegistry::to_begin).
+    pub to_begin: BTreeSet<VersionKey>,
     /// For how long streams may be taken up.
     pub life: Duration,
 }
@@ -81,9 +92,17 @@
                     version: *version,
                     since_ms: now_ms,
                     left_ms: None,
+                    begun: false,
                 });
             }
         }
+        for recorded in &mut revised.versions {
+            recorded.begun |= now.to_begin.contains(&recorded.version);
+        }
+        if !revised.has_begun() {
+            // Nothing held streams back from any of them.
+            revised.mark_all();
+        }
         let life_s = now.life.as_millis().div_ceil(1000);
         let life_s = u16::try_from(life_s).unwrap_or(u16::MAX);
         revised.life_s = life_s.max(revised.life_s);
@@ -101,8 +120,60 @@
             // No stream of another version can be taken up any more.
             revised.life_s = life_s;
         }
+        if !revised.has_begun() {
+            revised.mark_all();
+        }
         Some(revised)
     }
+
+    /// Returns the only version at which streams may have begun that can still be taken up, if there
+    /// is one. `era` is that of the store and `now_ms` the time on its clock when the record was
+    /// read, which has to be after the stream in question was begun. `life` is for how long
+    /// streams may be taken up.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use flaxtide_policy::{ListedNow, VersionRecord};
+    /// let lists = |listed: &[u32]| ListedNow {
+    ///     listed: listed.iter().copied().collect(),
+    ///     ..ListedNow::default()
+    /// };
+    /// let record = VersionRecord::default().revised(&lists(&[7]), 0, 500).unwrap();
+    /// let record = record.revised(&lists(&[7, 8]), 0, 600).unwrap();
+    /// assert_eq!(record.only_begun(0, 700, Duration::from_secs(15)), Some(7));
+    /// ```
+    #[must_use]
+    pub fn only_begun(
+        &self,
+        era: u64,
+        now_ms: u64,
+        life: Duration,
+    ) -> Option<VersionKey> {
+        let life = life.max(Duration::from_secs(self.life_s.into()));
+        let life_ms = u64::try_from(life.as_millis()).unwrap_or(u64::MAX);
+        let is_recent = |at_ms: u64| now_ms < at_ms.saturating_add(life_ms);
+        if self.era != era || self.unsure_since_ms.is_some_and(is_recent) {
+            return None;
+        }
+        let begun = self
+            .versions
+            .iter()
+            .filter(|recorded| recorded.begun && recorded.left_ms.is_none_or(is_recent));
+        let mut begun = begun.map(|recorded| recorded.version);
+        begun.next().filter(|_| begun.next().is_none())
+    }
+
+    /// Returns whether any version is marked as begun.
+    fn has_begun(&self) -> bool {
+        self.versions.iter().any(|recorded| recorded.begun)
+    }
+
+    /// Marks all versions as begun.
+    fn mark_all(&mut self) {
+        for recorded in &mut self.versions {
+            recorded.begun = true;
+        }
+    }
 }
 
 /// A record at the time when it was read, on the clock of this instance.
@@ -138,6 +209,21 @@
         found.left_ms.is_none().then(|| self.age(found.since_ms, now))
     }
 
+    /// Returns whether streams may begin at a version, as it is marked as begun or no version is.
+    pub(super) fn allows(&self, version: VersionKey) -> bool {
+        let mut versions = self.record.versions.iter();
+        let is_marked = versions.any(|one| one.version == version && one.begun);
+        is_marked || !self.record.has_begun()
+    }
+
+    /// Returns the only version at which streams may have begun, as of `now`.
+    pub(super) fn only_begun(&self, life: Duration, now: Duration) -> Option<VersionKey> {
+        let passed = now.saturating_sub(self.read_at).as_millis();
+        let now_ms =
+            self.read_ms.saturating_add(u64::try_from(passed).unwrap_or(u64::MAX));
+        self.record.only_begun(self.record.era, now_ms, life)
+    }
+
     /// Returns for how long no stream can have begun at another version than this one:
     /// zero if another may serve, and `Duration::MAX` if none has.
     pub(super) fn sole_for(&self, version: VersionKey, now: Duration) -> Duration {
--- a/crates/flaxtide-policy/src/versions/registry.rs
+++ b/crates/flaxtide-policy/src/versions/registry.rs
@@ -115,6 +115,50 @@
     own: bool,
 }
 
+impl ListedVersions {
+    /// Returns for how long this instance has listed a version.
+    fn listed_for(&self, version: VersionKey, now: Duration) -> Duration {
+        let listed = self.listed.get(&version);
+        listed.map_or(Duration::ZERO, |listed| now.saturating_sub(listed.since))
+    }
+
+    /// Returns whether all instances have listed a version: it has been recorded as listed for
+    /// `grace`, or listed here for so long without any record.
+    fn is_settled(&self, version: VersionKey, grace: Duration, now: Duration) -> bool {
+        let listed_for = match &self.record {
+            Some(record) => record.listed_for(version, now),
+            None => Some(self.listed_for(version, now)),
+        };
+        listed_for.is_some_and(|span| span >= grace)
+    }
+
+    /// Returns whether the record allows that streams begin at a version.
+    fn allows(&self, version: VersionKey) -> bool {
+        self.record.as_ref().is_none_or(|record| record.allows(version))
+    }
+
+    /// Returns whether streams may begin at a version beside others.
+    fn is_usable(&self, version: VersionKey, grace: Duration, now: Duration) -> bool {
+        self.is_settled(version, grace, now) && self.allows(version)
+    }
+
+    /// Returns whether streams may begin beside others at a version with servers in service.
+    fn has_usable_server(&self, grace: Duration, now: Duration) -> bool {
+        let mut listed = self.listed.iter();
+        listed.any(|(version, listed)| {
+            listed.in_service > 0 && self.is_usable(*version, grace, now)
+        })
+    }
+
+    /// Returns that of some versions which has the most servers in service.
+    fn largest(&self, versions: impl Iterator<Item = VersionKey>) -> Option<VersionKey> {
+        let in_service = |version: &VersionKey| {
+            self.listed.get(version).map(|listed| listed.in_service)
+        };
+        versions.max_by_key(in_service)
+    }
+}
+
 impl VersionRegistry {
     /// Sets the versions of the servers of a service that are listed, each with the number of
     /// its servers in service. Returns whether the service has several versions from now on and
@@ -218,8 +262,9 @@
 
     /// Returns the versions of a service at which no streams may begin yet: those that haven't been
     /// recorded, or listed for less than `grace`, so that other instances may not have listed them
-    /// yet. If no other version has servers in service, the one with the most isn't
-    /// among them.
+    /// yet, and those that aren't marked as begun while another one is. If no other version has
+    /// servers in service, the one with the most isn't among them, unless it has to be marked
+    /// first.
     #[must_use]
     pub fn settling(
         &self,
@@ -228,27 +273,67 @@
         now: Duration,
     ) -> BTreeSet<VersionKey> {
         let Some(known) = self.services.get(&service) else { return BTreeSet::new() };
-        let is_new = |version: VersionKey, listed: &ListedVersion| {
-            let listed_for = now.saturating_sub(listed.since);
-            let listed_for = match &known.record {
-                Some(record) => record.listed_for(version, now),
-                None => Some(listed_for),
-            };
-            listed_for.is_none_or(|span| span < grace)
+        let mut settling: BTreeSet<VersionKey> = known.listed.keys().copied().collect();
+        settling.retain(|version| !known.is_usable(*version, grace, now));
+        if known.has_usable_server(grace, now) {
+            return settling;
+        }
+        let window = self.window();
+        let is_allowed = |version: &VersionKey| {
+            known.allows(*version) || known.listed_for(*version, now) >= window
         };
-        let (new, old): (Vec<_>, Vec<_>) = known
+        let allowed = settling.iter().copied().filter(is_allowed);
+        if let Some(version) = known.largest(allowed) {
+            settling.remove(&version);
+        }
+        settling
+    }
+
+    /// Returns the versions of a service that are to be marked as begun: those that have been
+    /// recorded as listed for `grace`, and the one with the most servers in service if streams
+    /// can begin at no other.
+    #[must_use]
+    pub fn to_begin(
+        &self,
+        service: ServiceKey,
+        grace: Duration,
+        now: Duration,
+    ) -> BTreeSet<VersionKey> {
+        let Some(known) = self.services.get(&service) else { return BTreeSet::new() };
+        let unmarked = known.listed.keys().copied();
+        let unmarked = unmarked.filter(|version| !known.allows(*version));
+        let settled = unmarked
+            .clone()
+            .filter(|version| known.is_settled(*version, grace, now));
+        let mut to_begin: BTreeSet<VersionKey> = settled.collect();
+        let is_marked_in_service = known
             .listed
             .iter()
-            .partition(|(version, listed)| is_new(**version, listed));
-        let mut settling: BTreeSet<VersionKey> =
-            new.iter().map(|(version, _)| **version).collect();
-        if !old.iter().any(|(_, listed)| listed.in_service > 0) {
-            let largest = new.iter().max_by_key(|(_, listed)| listed.in_service);
-            if let Some((version, _)) = largest {
-                settling.remove(version);
-            }
+            .any(|(version, listed)| listed.in_service > 0 && known.allows(*version));
+        if !is_marked_in_service {
+            let is_in_service = |version: &VersionKey| {
+                let listed = known.listed.get(version);
+                listed.is_some_and(|listed| listed.in_service > 0)
+            };
+            to_begin.extend(known.largest(unmarked.filter(is_in_service)));
         }
-        settling
+        to_begin
+    }
+
+    /// Returns whether any version is to be marked as begun.
+    #[must_use]
+    pub fn has_to_begin(&self, grace: Duration, now: Duration) -> bool {
+        let mut services = self.services.keys();
+        services.any(|service| !self.to_begin(*service, grace, now).is_empty())
+    }
+
+    /// Returns whether the record that was read last doesn't tell a single version at which streams
+    /// may have begun.
+    #[must_use]
+    pub fn is_begun_ambiguous(&self, service: ServiceKey, now: Duration) -> bool {
+        let known = self.services.get(&service);
+        let record = known.and_then(|known| known.record.as_ref());
+        record.is_some_and(|record| record.only_begun(self.window(), now).is_none())
     }
 
     /// Returns whether any service has several versions.
