--- a/crates/flaxtide-entry/src/event_order.rs
+++ b/crates/flaxtide-entry/src/event_order.rs
@@ -68,6 +68,8 @@
     step: EventStep,
     /// The ids before and after the gap at which the part before was broken off.
     gap: Option<(u64, u64)>,
+    /// Whether another server has confirmed a gap.
+    has_confirmed_gap: bool,
 }
 
 impl EventOrder {
@@ -86,6 +88,16 @@
         !self.has_unnumbered
     }
 
+    /// Has ids leave out others, as those of other streams of the service do.
+    pub(crate) fn accept_gaps(&mut self) {
+        self.step = EventStep::Other;
+    }
+
+    /// Returns whether two servers have left out the same ids.
+    pub(crate) fn has_confirmed_gap(&self) -> bool {
+        self.has_confirmed_gap
+    }
+
     /// Returns the number of events.
     pub(crate) fn count(&self) -> usize {
         self.count
@@ -120,6 +132,7 @@
             count: self.count + 1,
             step,
             gap: None,
+            has_confirmed_gap: self.has_confirmed_gap,
         };
         Ok(())
     }
@@ -143,6 +156,7 @@
             self.gap = Some((last, id));
             return Err(OrderFault::Missing { last, id });
         }
+        self.has_confirmed_gap |= leaves_out;
         Ok(match self.step {
             EventStep::Unknown => EventStep::Regular(distance),
             EventStep::Regular(step) if step == distance => self.step,
--- a/crates/flaxtide-entry/src/events.rs
+++ b/crates/flaxtide-entry/src/events.rs
@@ -90,6 +90,17 @@
         Self { order: EventOrder::after(last), ..Self::default() }
     }
 
+    /// Has ids leave out others without a fault, as those of other streams of the service do.
+    pub(crate) fn accept_gaps(&mut self) {
+        self.order.accept_gaps();
+    }
+
+    /// Returns whether two servers have left out the same ids, so that those of the service don't
+    /// count by one.
+    pub(crate) fn has_confirmed_gap(&self) -> bool {
+        self.order.has_confirmed_gap()
+    }
+
     /// Adds received bytes. Returns the events that are complete now and comments between
     /// events, or the beginning of an event that is too large to be held back. Returns nothing
     /// more of a part after an event that can't follow the ones before.
--- a/crates/flaxtide-entry/src/relay.rs
+++ b/crates/flaxtide-entry/src/relay.rs
@@ -71,7 +71,10 @@
         has_version: bool,
     ) -> Self {
         let last_received = call.state.now();
-        let splitter = EventSplitter::after(call.taken_up_after());
+        let mut splitter = EventSplitter::after(call.taken_up_after());
+        if call.state.gapped_services.borrow().contains(&call.service) {
+            splitter.accept_gaps();
+        }
         Self {
             call,
             request,
@@ -118,6 +121,7 @@
                     self.proof.record_events(&self.call, &self.request);
                     let complete = self.splitter.push(&bytes);
                     self.record_events();
+                    self.record_numbering();
                     if self.splitter.event_bytes() > self.max_event_bytes() {
                         self.resume(RouteFault::Broken).await?;
                         continue;
@@ -145,6 +149,17 @@
         self.call.events.set(first.zip(self.splitter.last_event()));
     }
 
+    /// Records that the ids of the service leave out others, once two servers have confirmed it. Its
+    /// next streams then cost no confirmation.
+    fn record_numbering(&self) {
+        if self.splitter.has_confirmed_gap() {
+            let mut services = self.call.state.gapped_services.borrow_mut();
+            if services.insert(self.call.service.clone()) {
+                log::info!(service = self.call.service.as_str(); "event ids don't count by one");
+            }
+        }
+    }
+
     /// Records that the server sends events that can't follow the ones before.
     fn record_order_fault(&self, fault: OrderFault) {
         let state = &self.call.state;
@@ -223,7 +238,7 @@
         self.splitter.end_part();
         if let Some(fault) = self.splitter.order_fault() {
             self.record_order_fault(fault);
-            return Err(AttemptOutcome::Fault(RouteFault::Failed));
+            return Err(AttemptOutcome::Fault(RouteFault::Broken));
         }
         let Some(source) = self.source.as_ref().filter(|_| !self.splitter.is_event_due())
         else {
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -1,7 +1,7 @@
 //! The state of the traffic thread, including the router.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -74,6 +74,8 @@
     pub(crate) connections: ServerConnections,
     /// The ends of connections whose servers are being checked.
     pub(crate) end_checks: EndChecks,
+    /// The services whose event ids leave out others, as two servers have confirmed.
+    pub(crate) gapped_services: RefCell<HashSet<String>>,
     /// The queue to the fleet thread.
     pub(crate) fleet: FleetLink,
     /// Chooses the peer or the platform from which the server list is read.
@@ -194,6 +196,7 @@
             response_memory,
             connections: ServerConnections::default(),
             end_checks: EndChecks::default(),
+            gapped_services: RefCell::default(),
             fleet,
             source,
             quarantine,
