A stream to a caller of HTTP/1.0 is unfinished until its last bytes are written

What callers saw: a stream of HTTP/1.0 that an instance had taken whole from its server, and whose caller read slowly, ended by FIN without its last bytes when the instance ended: 2,805,720 of 2,815,983 bytes looked like a whole answer.

Cause: the connection is set to be reset when it is closed before the end of the response, and the end was when hyper had taken the last part of the body. Up to 16 KB of it are then still to be written.

The response now counts as unfinished until hyper has flushed what it holds. Whole responses still end by FIN: the flush comes before the shutdown, and the kernel delivers what is written.

Evidence: `a_stream_whose_last_bytes_are_unwritten_is_reset_when_its_instance_ends` (a process, killed while 16 callers of streams of graded lengths haven't read) fails before (1 of 1), passes after (1 of 1). The other three tests of `old_callers` passed before: a break before the first event, between two and inside one, an abort at the deadline, SIGKILL, and a stop whose grace ends are all seen as a reset or an error, and a whole stream ends by FIN with all bytes.

The test harness tells whether a connection was reset.

--- a/crates/flaxtide-entry/src/listen.rs
+++ b/crates/flaxtide-entry/src/listen.rs
@@ -54,6 +54,18 @@
 /// The most headers of a request. A header map panics when it is asked to hold over 24,576.
 const MAX_HEADERS: usize = 16 * 1024;
 
+/// How far a response has come whose end is that of its connection.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+enum UnframedResponse {
+    /// There is none, or all of it is written.
+    #[default]
+    None,
+    /// Its body hasn't ended.
+    Open,
+    /// Its body has ended, and hyper may still hold the last bytes.
+    Unwritten,
+}
+
 /// The activity on a connection.
 struct ConnectionActivity {
     /// When bytes were last read or written.
@@ -69,8 +81,8 @@
     answer: Rc<ConnectionAnswer>,
     /// Since when the caller hasn't read, while bytes wait to be written.
     unread_since: Cell<Option<Duration>>,
-    /// Whether the response in progress ends with the connection.
-    open_unframed: Cell<bool>,
+    /// The response in progress that ends with the connection.
+    unframed: Cell<UnframedResponse>,
     /// Counts the connection until its first request has begun.
     unread: Cell<Option<UnreadGuard>>,
     /// Bounds what is read of each request.
@@ -87,7 +99,7 @@
             open_requests: Cell::default(),
             answer: Rc::new(ConnectionAnswer::new(&state.unwritten_answers)),
             unread_since: Cell::default(),
-            open_unframed: Cell::default(),
+            unframed: Cell::default(),
             unread: Cell::default(),
             limit: Rc::new(ReadLimit::new(max_request_bytes(&state.limits()))),
         }
@@ -117,6 +129,9 @@
     /// Records that everything that hyper was given has been written.
     fn record_flush(&self, now: Duration) {
         self.answer.record_flush();
+        if self.unframed.get() == UnframedResponse::Unwritten {
+            self.unframed.set(UnframedResponse::None);
+        }
         if !self.answer.is_open() && self.read_ahead.replace(false) {
             self.head_started_at.set(Some(now));
         }
@@ -150,7 +165,7 @@
     /// Makes the connection be reset when it is closed in the middle of a response that ends
     /// with it, whatever the reason: a close would look like the end of the response.
     fn reset_if_unfinished(&mut self, stream: &TcpStream) -> io::Result<()> {
-        let resets = self.activity.open_unframed.get();
+        let resets = self.activity.unframed.get() != UnframedResponse::None;
         if resets != self.resets {
             let linger = resets.then_some(Duration::ZERO);
             SockRef::from(stream).set_linger(linger)?;
@@ -372,12 +387,12 @@
     }
 }
 
-/// Marks a response without a length as unfinished until its body has ended.
+/// Marks a response without a length as unfinished until its body has ended and is written.
 fn mark_unfinished(body: ResponseBody, activity: Rc<ConnectionActivity>) -> ResponseBody {
     let Either::Right(stream) = body else { return body };
-    activity.open_unframed.set(true);
+    activity.unframed.set(UnframedResponse::Open);
     let end = stream::once(async move {
-        activity.open_unframed.set(false);
+        activity.unframed.set(UnframedResponse::Unwritten);
         Ok(Frame::data(Bytes::new()))
     });
     // A stream that is aborted ends with an error, after which nothing more is read.
