Versions: streams wait until the version of the only servers is marked

Cause: the router refuses a stream at once that no server accepts, and didn't wait for the mark. Change: a stream that begins waits for up to 500 ms while all servers in service are of versions that aren't marked yet.

--- a/crates/flaxtide-entry/src/servers.rs
+++ b/crates/flaxtide-entry/src/servers.rs
@@ -5,7 +5,7 @@
 
 use flaxtide_core::{PoolId, ServerId, ServerName};
 use flaxtide_fleet::fleet_key;
-use flaxtide_policy::{ColdStart, DataCentreKey, EngineShape, RoutedServer};
+use flaxtide_policy::{ColdStart, DataCentreKey, EngineShape, RoutedServer, ServiceKey};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::contract::BackendService;
@@ -115,6 +115,18 @@
         before != *self.settling.borrow()
     }
 
+    /// Returns whether a service has servers in service, but streams may begin at none of them
+    /// yet.
+    pub(crate) fn begins_nowhere(&self, service: ServiceKey) -> bool {
+        let settling = self.settling.borrow();
+        let Some(settling) = settling.get(&service) else { return false };
+        let counts = self.version_counts.borrow();
+        let Some(listed) = counts.services().get(&service) else { return false };
+        let mut in_service = listed.iter().filter(|(_, count)| **count > 0).peekable();
+        in_service.peek().is_some()
+            && in_service.all(|(version, _)| settling.contains(version))
+    }
+
     /// Lets streams begin at versions that all instances know by now.
     pub(crate) fn update_settling(&self) {
         if !self.settling.borrow().is_empty() && self.update_versions_named(&[]) {
--- a/crates/flaxtide-entry/src/versions/find.rs
+++ b/crates/flaxtide-entry/src/versions/find.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use flaxtide_policy::{VersionDecision, VersionKey};
+use flaxtide_policy::{ServiceKey, VersionDecision, VersionKey};
 
 use super::{MAX_NOTE_WAIT, PeerDecision, StreamIdentity};
 use crate::contract::RequestHead;
@@ -13,6 +13,13 @@
 /// How long a caller waits at most for what peers know of its stream.
 const DECISION_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// How long a caller waits at most until the version of the only servers in service is marked, so that
+/// its stream may begin.
+const MARK_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// How often it is checked whether it is.
+const MARK_PERIOD: Duration = Duration::from_millis(5);
+
 /// The pause before peers are asked again.
 const ASK_AGAIN_PAUSE: Duration = Duration::from_millis(100);
 
@@ -86,8 +93,17 @@
     FoundVersion { version: decision.version(), source, answered }
 }
 
+/// Waits while streams may begin at none of the servers in service, as their versions aren't marked in
+/// the record yet.
+async fn wait_to_begin(state: &TrafficState, service: ServiceKey) {
+    let latest = state.now() + MARK_TIMEOUT;
+    while state.begins_nowhere(service) && state.now() < latest {
+        tokio::time::sleep(MARK_PERIOD).await;
+    }
+}
+
 /// Finds out at which version a stream is to be continued that a caller takes up again. Returns
-/// `None` for a request that begins one.
+/// `None` for a request that begins one, once it may begin.
 ///
 /// # Errors
 ///
@@ -97,7 +113,9 @@
     identity: Option<StreamIdentity>,
     head: &RequestHead,
 ) -> Result<Option<VersionKey>, LocalReply> {
-    let (Some(identity), Some(resumed)) = (identity, &head.resumed) else {
+    let Some(identity) = identity else { return Ok(None) };
+    let Some(resumed) = &head.resumed else {
+        wait_to_begin(state, identity.service).await;
         return Ok(None);
     };
     let asked = state.now();
