A service whose servers all leave loses them in time

Callers: if all servers of a service left without having announced it, requests went to them for up to 8 s, and those that may not be repeated were cut off when the servers exited. Cause: `grace_end` kept servers for 8 s if the rows of their whole service disappeared together, before it looked at whether the rows could have lapsed. The evidence that tells the two apart, for how long the platform has been answering, was used for few and for many rows only. Change: the extent no longer decides. Rows that were found missing while the platform had been answering are gone, however many they are. If that isn't known (the platform has answered since lately only, or nothing is known), the rows of a whole service are held as after an outage, for as long as servers take to write them again.

--- a/crates/flaxtide-entry/src/directory.rs
+++ b/crates/flaxtide-entry/src/directory.rs
@@ -13,7 +13,7 @@
 
 use crate::answers::max_answer_gap;
 use crate::contract::ServerEntry;
-use crate::lapse::{MissingRow, OutageSpan, ServiceLapses, grace_end};
+use crate::lapse::{LapseExtent, MissingRow, OutageSpan, ServiceLapses, grace_end};
 
 /// How long a departed server isn't used after a store restored from a backup lists it again, in
 /// renewal periods. If the server doesn't renew its row, the row expires after three.
@@ -308,11 +308,9 @@
         let missing: Vec<(&ServerName, &str, MissingRow)> = missing.collect();
         let rows = missing.iter().map(|(_, service, row)| (*service, *row));
         let lapses = ServiceLapses::new(rows, &self.service_sizes);
-        let max_gap = max_answer_gap(self.renewal_period);
         let expired = missing.iter().filter(|(_, service, row)| {
             let extent = lapses.extent(service, *row);
-            let gone = |answers| row.is_gone(answers, max_gap, self.leave_within);
-            let outage = self.outage.filter(|_| !self.answers.is_some_and(gone));
+            let outage = self.possible_outage(*row, extent);
             now >= grace_end(*row, extent, outage, self.leave_within)
         });
         let expired: Vec<ServerName> =
@@ -325,6 +323,25 @@
         expired
     }
 
+    /// Returns the outage in which a row may have disappeared. That of a whole service may be one
+    /// that this instance hasn't noticed: it would leave the service without servers.
+    fn possible_outage(
+        &self,
+        row: MissingRow,
+        extent: LapseExtent,
+    ) -> Option<OutageSpan> {
+        let max_gap = max_answer_gap(self.renewal_period);
+        let is_gone =
+            |answers: AnswerSpan| row.is_gone(answers, max_gap, self.leave_within);
+        if self.answers.is_some_and(is_gone) {
+            return None;
+        }
+        if extent != LapseExtent::All {
+            return self.outage;
+        }
+        Some(OutageSpan::unnoticed(self.answers, row).latest(self.outage))
+    }
+
     /// Adds or replaces a server.
     fn insert(&mut self, name: ServerName, server: DirectoryEntry) {
         self.take(&name);
--- a/crates/flaxtide-entry/src/lapse.rs
+++ b/crates/flaxtide-entry/src/lapse.rs
@@ -26,10 +26,6 @@
 /// Records of an outage that are no further apart belong to one outage.
 const RECOVERY_GRACE: Duration = Duration::from_millis(2200);
 
-/// How long servers stay in use if the rows of all servers of their service disappeared
-/// together. Without them the service would have none.
-const TOTAL_LAPSE_GRACE: Duration = Duration::from_secs(8);
-
 /// Rows found missing this soon after the platform returns disappeared during the outage.
 const RECOVERY_WINDOW: Duration = Duration::from_millis(500);
 
@@ -59,6 +55,18 @@
             last: now,
         }
     }
+
+    /// Returns an outage that may have ended when the platform began to answer; it may not have been
+    /// noticed. Without answers, it may have ended just before the row was found missing.
+    pub(crate) fn unnoticed(answers: Option<AnswerSpan>, row: MissingRow) -> Self {
+        let last = answers.map_or(row.noticed_at, |answers| answers.since);
+        Self { since: Duration::ZERO, last }
+    }
+
+    /// Returns the outage that was recorded last.
+    pub(crate) fn latest(self, other: Option<Self>) -> Self {
+        other.filter(|other| other.last > self.last).unwrap_or(self)
+    }
 }
 
 /// The times that are known about a missing row.
@@ -140,8 +148,7 @@
 
 /// Returns until when a server stays in use whose row has disappeared. `leave_within` is the
 /// time within which a leaving server must get no more requests. Only rows that may have
-/// disappeared in an outage, and a service that has lost all rows, may keep servers for longer
-/// than [`LeaveBudget`] allows.
+/// disappeared in an outage may keep servers for longer than [`LeaveBudget`] allows.
 pub(crate) fn grace_end(
     row: MissingRow,
     extent: LapseExtent,
@@ -152,8 +159,7 @@
     let scaled = |fraction| leave_within.mul_f64(fraction);
     let latest_end = row.last_seen_at + LeaveBudget::new(leave_within).latest_removal();
     let normal_end = match extent {
-        LapseExtent::All => return noticed_at + TOTAL_LAPSE_GRACE,
-        LapseExtent::Many => latest_end,
+        LapseExtent::Many | LapseExtent::All => latest_end,
         LapseExtent::Few => (noticed_at + scaled(REMOVAL_GRACE_FRACTION)).min(latest_end),
     };
     // A row that disappeared while the platform answered means that the server has left, even
