A planned stop begins nothing that may outlast it, and answers what is left

Callers: requests that reached a stopping instance over 3 s after SIGTERM were passed on to servers until 5.65 s, and their connections ended without an answer at 7.65 s. Among them were some that may not be repeated. Requests whose body was still coming ended with their connection as soon as nothing else was open, 2.85 s after the signal. Cause: `is_too_late_to_start` compared what was left with a constant of 2 s, whatever the time-out of the class and the caller's deadline; it was asked once, at the head. A request counted as open only once its body was complete. Change: a stop has a schedule. From 2.8 s after the signal on, a request is begun only if it is answered by the end whatever comes, that is if the earlier of its deadline and its time-out is before it. That is asked at the head, when the body is complete, and before each attempt at a server. Streams are refused from then on as before. Requests that are being received count as open. What is still open 200 ms before the process ends is answered: 503 if no server can have run it, else 504. Requests with short time-outs are now taken for longer than before. A resumable stream that has waited for a slot is still begun late, as it can be taken up elsewhere.

--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use flaxtide_core::TierRank;
 use flaxtide_fleet::fleet_key;
 use flaxtide_policy::{
@@ -17,7 +18,7 @@
 
 use crate::contract::{RequestClass, RequestHead};
 use crate::duty::CallUsage;
-use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
+use crate::exchange::{CallerRequest, ResponseStart, strip_hop_by_hop_headers};
 use crate::forward::{CarriedCall, ForwardHead, PeerReply, ServerSends};
 use crate::open_call::{
     AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR, RetryMode,
@@ -26,6 +27,7 @@
 use crate::response::{ReceivedResponse, receive_response, start_stream};
 use crate::routes::{CallerIdentity, ClassMatch};
 use crate::state::{ShutdownPhase, TrafficState};
+use crate::stop::ReceivingGuard;
 use crate::uploads::receive_upload;
 use crate::versions::{StreamIdentity, find_version};
 
@@ -135,6 +137,7 @@
     source: RequestSource,
 ) -> Result<CallerResponse, Rejection> {
     let received_at = state.now();
+    let receiving = ReceivingGuard::new(state);
     let (mut parts, body) = request.into_parts();
     let head = state.dialect.read_request(&parts.headers);
     let attempt_id = head.attempt_id.clone().unwrap_or_default();
@@ -150,11 +153,20 @@
     } = matched;
     let timeout = class.class().timeout;
     let caller_waits = head.deadline.unwrap_or(timeout);
+    let deadline = received_at + caller_waits.min(timeout);
+    let streams = class.class().kind.streams();
+    if state.is_too_late_to_start(deadline, streams) {
+        return Err(reject(LocalReply::Stopping));
+    }
     let patience = class.class().latency_target / ROOM_WAIT_DIVISOR;
-    let receive = receive_upload(state, body, max_body_bytes, patience);
-    let body = state
-        .wait_until(received_at + caller_waits.min(timeout), receive)
-        .await;
+    let receive = async {
+        tokio::select! {
+            biased;
+            body = receive_upload(state, body, max_body_bytes, patience) => body,
+            () = state.wait_until_ending() => Err((LocalReply::Stopping, None)),
+        }
+    };
+    let body = state.wait_until(deadline, receive).await;
     let body = body.unwrap_or(Err((LocalReply::BodyTooSlow, None)));
     let body = body.map_err(|(reply, free_after)| {
         let longest = (received_at + caller_waits).saturating_sub(state.now());
@@ -162,6 +174,10 @@
         let retry_after = free_after.map(|span| span.min(longest));
         Rejection { retry_after, ..reject(reply) }
     })?;
+    // The body may have come slowly.
+    if state.is_too_late_to_start(deadline, streams) {
+        return Err(reject(LocalReply::Stopping));
+    }
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     let (service, is_engine) =
@@ -180,7 +196,7 @@
         organisation: caller.name.clone(),
         tier: is_engine.then_some(tier),
         tokens: head.prompt.tokens,
-        streams: class.class().kind.streams(),
+        streams,
         shared_parts: head.prompt.shared_parts().map(|part| part.key).collect(),
         fingerprint: OnceCell::new(),
     };
@@ -191,6 +207,7 @@
     let (forward, carried) = carried.unzip();
     let mut call =
         OpenCall::new(state, class, attempt_id, &head, received_at, usage, carried);
+    drop(receiving);
     call.service = service;
     call.stream = stream.filter(|_| !call.is_carried());
     let run_limit = call.class.class().attempt_limit;
@@ -269,9 +286,6 @@
         .ok_or(LocalReply::UnknownTarget)?;
     let caller = table.authenticate(class.class(), head.key.as_deref());
     let caller = caller.ok_or(LocalReply::UnknownKey)?;
-    if state.is_too_late_to_start(class.class().kind.streams()) {
-        return Err(LocalReply::Stopping);
-    }
     let service = class.draw_service(&mut *state.rng.borrow_mut()).map(str::to_owned);
     Ok(MatchedRules {
         tier: table.request_tier(&caller, class.class()),
@@ -303,15 +317,45 @@
     Some(allowed.map(|region| fleet_key(region)).collect())
 }
 
-/// Runs the attempts of a call until a response starts or the request is given up.
+/// Runs the attempts of a call until a response starts, the request is given up, or the process
+/// ends.
 async fn run_attempts(
     call: OpenCall,
     request: CallerRequest,
     route_call: RouteCall,
 ) -> CallerResponse {
     let state = call.state.clone();
-    if call.is_held(&request) {
-        return call.reply_quarantined(&request);
+    let received = tokio::select! {
+        biased;
+        received = await_answer(&call, &request, route_call) => received,
+        () = state.wait_until_ending() => CallAnswer::Whole(call.reply_cut_off()),
+    };
+    match received {
+        CallAnswer::Whole(response) => response,
+        CallAnswer::Stream(start, first) => {
+            start_stream(call, request, *start, first).await
+        }
+    }
+}
+
+/// The answer to a call.
+enum CallAnswer {
+    /// The whole response, ready for the caller.
+    Whole(CallerResponse),
+    /// The head and the first bytes of a stream.
+    Stream(Box<ResponseStart>, Bytes),
+}
+
+/// Runs the attempts of a call until a response starts or the request is given up.
+async fn await_answer(
+    call: &OpenCall,
+    request: &CallerRequest,
+    route_call: RouteCall,
+) -> CallAnswer {
+    let whole = CallAnswer::Whole;
+    let state = call.state.clone();
+    if call.is_held(request) {
+        return whole(call.reply_quarantined(request));
     }
     let mut decision = state.await_decision(call.request_id);
     state.run_router(|core, now| match call.is_carried() {
@@ -325,35 +369,40 @@
                 (choice, silence_timeout)
             }
             Some(Ok(RouteAction::Refuse { reason, retry_after, expected, .. })) => {
-                return reply_refused(&call, reason, retry_after, expected);
+                return whole(reply_refused(call, reason, retry_after, expected));
             }
             // The deadline has passed without a decision. The router never drops the sender first;
             // if it did, the caller would still get a response.
-            Some(Err(_)) | None => return call.reply_timed_out(),
+            Some(Err(_)) | None => return whole(call.reply_timed_out()),
         };
+        // It may have waited for long. A stream that is cut off can be resumed elsewhere.
+        if !call.is_resumable() && state.is_too_late_to_start(call.deadline, false) {
+            return whole(call.reply_stopping());
+        }
         // Registered before the attempt, so that a decision to retry can't be missed.
         decision = state.await_decision(call.request_id);
-        let fault = match call.try_server(&request, &choice, silence_timeout, None).await
-        {
+        let fault = match call.try_server(request, &choice, silence_timeout, None).await {
             AttemptOutcome::Started(start) => {
-                match receive_response(&call, &request, *start).await {
-                    Ok(ReceivedResponse::Whole(response)) => return response,
+                match receive_response(call, request, *start).await {
+                    Ok(ReceivedResponse::Whole(response)) => return whole(response),
                     Ok(ReceivedResponse::Stream(start, first)) => {
-                        return start_stream(call, request, start, first).await;
+                        return CallAnswer::Stream(Box::new(start), first);
                     }
                     Ok(ReceivedResponse::Retry) => continue,
                     Err(AttemptOutcome::Fault(fault)) => fault,
-                    Err(_) => return call.reply_timed_out(),
+                    Err(_) => return whole(call.reply_timed_out()),
                 }
             }
             AttemptOutcome::Fault(fault) => fault,
-            AttemptOutcome::TimedOut => return call.reply_timed_out(),
-            AttemptOutcome::Refused(refusal) => return call.reply_as_peer(refusal),
-            AttemptOutcome::Quarantined => return call.reply_quarantined(&request),
+            AttemptOutcome::TimedOut => return whole(call.reply_timed_out()),
+            AttemptOutcome::Refused(refusal) => {
+                return whole(call.reply_as_peer(refusal));
+            }
+            AttemptOutcome::Quarantined => return whole(call.reply_quarantined(request)),
         };
-        let retry = call.handle_fault(&request, fault, RetryMode::Repeat).await;
+        let retry = call.handle_fault(request, fault, RetryMode::Repeat).await;
         if retry == RetryDecision::Stop {
-            return call.reply_failed(fault);
+            return whole(call.reply_failed(fault));
         }
     }
 }
--- a/crates/flaxtide-entry/src/open_call.rs
+++ b/crates/flaxtide-entry/src/open_call.rs
@@ -47,8 +47,10 @@
     pub(crate) received_at: Duration,
     /// When the caller gives up, or the time-out of the class ends, whichever is earlier.
     pub(crate) deadline: Duration,
-    /// Whether any server may have run the request.
+    /// Whether any server may have run the request, without the current attempt.
     pub(crate) may_have_run: Cell<bool>,
+    /// Whether an attempt is in progress.
+    at_server: Cell<bool>,
     /// How many servers it has reached, without the current one.
     servers_reached: Cell<u32>,
     /// The server that it was last sent to.
@@ -127,6 +129,7 @@
             received_at,
             deadline: received_at + wait,
             may_have_run: Cell::new(false),
+            at_server: Cell::new(false),
             servers_reached: Cell::new(0),
             server: Cell::new(None),
             connection_suspect: Cell::new(false),
@@ -313,6 +316,23 @@
         self.reply_locally(LocalReply::TooLate, Some(MAX_RETRY_AFTER))
     }
 
+    /// Responds to a request that isn't sent to a server because the instance is stopping.
+    pub(crate) fn reply_stopping(&self) -> CallerResponse {
+        if self.may_have_run.get() {
+            return self.reply_locally(LocalReply::ServerFailed, None);
+        }
+        self.reply_locally(LocalReply::Stopping, Some(Duration::ZERO))
+    }
+
+    /// Responds to a request that is still open as the process ends.
+    pub(crate) fn reply_cut_off(&self) -> CallerResponse {
+        if self.at_server.get() {
+            self.may_have_run.set(true);
+            return self.reply_locally(LocalReply::TimedOut, None);
+        }
+        self.reply_stopping()
+    }
+
     /// Sends the request to a server and waits for the start of the response. After
     /// each `silence_timeout`, the router decides whether to abort the attempt.
     pub(crate) async fn try_server(
@@ -331,6 +351,7 @@
             return AttemptOutcome::Quarantined;
         }
         self.server.set(Some(choice.server));
+        self.at_server.set(true);
         self.sent_at.set(self.state.now());
         log::info!(
             request = self.attempt_id, class = self.class.class().name,
@@ -409,6 +430,7 @@
         if let (RouteFault::Broken, Some(server)) = (fault, self.server.get()) {
             record_broken(self, request, server).await;
         }
+        self.at_server.set(false);
         if fault.reached_server() {
             self.servers_reached.set(self.servers_reached.get() + 1);
         }
--- a/crates/flaxtide-entry/src/state.rs
+++ b/crates/flaxtide-entry/src/state.rs
@@ -37,7 +37,7 @@
 use crate::routes::RouteTable;
 use crate::servers::RoutedPlaces;
 use crate::source::ServerListSource;
-use crate::stop::MIN_REQUEST_TIME;
+use crate::stop::StopSchedule;
 use crate::unwritten::UnwrittenAnswers;
 use crate::uploads::UploadBudget;
 use crate::upstream::ServerConnections;
@@ -54,6 +54,8 @@
     Leaving,
     /// The instance closes each connection after its current request.
     Closing,
+    /// The instance answers what is still open, as the process ends.
+    Ending,
 }
 
 /// The state shared by all tasks of the traffic thread.
@@ -138,6 +140,8 @@
     pub(crate) lateness: TickLateness,
     /// Wakes connections when the phase changes.
     pub(crate) phase_changed: Notify,
+    /// The number of requests whose rules or body are awaited.
+    pub(crate) receiving_calls: Cell<usize>,
     /// The number of requests in progress.
     pub(crate) open_calls: Cell<usize>,
     /// The answers that are being written.
@@ -146,9 +150,8 @@
     pub(crate) unread_connections: Cell<usize>,
     /// Limits new connections while the processor is late.
     pub(crate) admission: AdmissionLimit,
-    /// When the process must end. Set once `LAST_STREAM_START` has passed since a stop began; from
-    /// then on, no new streams are accepted.
-    pub(crate) stop_deadline: Cell<Option<Duration>>,
+    /// When the steps of a stop are due; `None` before one.
+    pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
 }
 
 impl TrafficState {
@@ -228,11 +231,12 @@
             clock_jumped: Notify::new(),
             lateness,
             phase_changed: Notify::new(),
+            receiving_calls: Cell::new(0),
             open_calls: Cell::new(0),
             unwritten_answers: UnwrittenAnswers::default(),
             unread_connections: Cell::new(0),
             admission: AdmissionLimit::default(),
-            stop_deadline: Cell::new(None),
+            stop_schedule: Cell::new(None),
         }
     }
 
@@ -282,12 +286,6 @@
             && self.versions.is_table_tried()
     }
 
-    /// Returns whether a request that starts now might not end before the process must.
-    pub(crate) fn is_too_late_to_start(&self, streams: bool) -> bool {
-        let Some(end) = self.stop_deadline.get() else { return false };
-        streams || self.now() + MIN_REQUEST_TIME > end
-    }
-
     /// Returns the ID for a new request.
     pub(crate) fn next_request_id(&self) -> RequestId {
         let request = self.next_request.get();
--- a/crates/flaxtide/tests/version_soak/process.rs
+++ b/crates/flaxtide/tests/version_soak/process.rs
@@ -158,7 +158,7 @@
     }
 
     /// Returns whether it neither is down nor stops nor is suspended.
-    fn is_up(&self) -> bool {
+    pub(crate) fn is_up(&self) -> bool {
         self.start_at.is_none() && self.resume_at.is_none() && !self.is_stopping
     }
 
