--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -12,7 +12,7 @@
     QUEUE_WAIT_DIVISOR, RefusalCause, RegionKey, RetryDecision, RouteAction, RouteCall,
 };
 use hyper::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 
@@ -68,14 +68,18 @@
     // after such a request as part of its body, so they must not be read as another request
     // (request smuggling): the connection is closed.
     let chunked = request.headers().contains_key(TRANSFER_ENCODING);
+    let received_at = state.now();
+    let stated_bytes = request.body().size_hint().exact();
     let mut response = match handle_request(&state, request, source).await {
         Ok(response) => response,
         Err(Rejection { reply, attempt_id, retry_after }) => {
             let reply = reply.defer_to_newer_rules(!state.permits_denial());
             state.metrics.ends.with_label_values(&[reply.name()]).inc();
             let version = state.route_table().map(|table| table.version);
+            let spent = state.now().saturating_sub(received_at);
             log::info!(
-                request = attempt_id, outcome = reply.name(), rules_version = version.unwrap_or_default(),
+                request = attempt_id, outcome = reply.name(),
+                spent_ms = spent.as_millis() as u64, stated_bytes:?, rules_version = version.unwrap_or_default(),
                 rules_lag_ms = state.rules_lag_ms();
                 "turned away"
             );
