A response with the status of no final response is none

Callers: a server's 101, 600, 700 or 999 was passed on as an answer, with the header by which servers vouch for theirs. Through a peer and through the own interface as well. Cause: the head of a response was checked for its id, its seal and what its status claims, not for whether the status is that of a final response. What the HTTP library doesn't refuse itself went through. Change: `is_final_status` (200 to 599) is asked where servers, peers and, in the own interface, plain services answer. Such a response is a broken one: 502, or another server if the request may be repeated.

--- a/crates/flaxtide-core/src/lib.rs
+++ b/crates/flaxtide-core/src/lib.rs
@@ -11,6 +11,7 @@
 mod refusal;
 mod settings;
 mod span;
+mod status;
 mod store_version;
 mod wall_clock;
 
@@ -32,5 +33,6 @@
     SettingsError, SettingsTree, TargetNode, TierNode,
 };
 pub use self::span::{deserialize_span, format_span, message_line, parse_span};
+pub use self::status::is_final_status;
 pub use self::store_version::{StoreVersion, store_era, store_version, version_in_era};
 pub use self::wall_clock::WallClock;
--- a/crates/flaxtide-entry/src/exchange.rs
+++ b/crates/flaxtide-entry/src/exchange.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use flaxtide_core::{RequestId, ServerId, TierRank};
+use flaxtide_core::{RequestId, ServerId, TierRank, is_final_status};
 use flaxtide_policy::{
     Fingerprint, RouteChoice, RouteFault, StatedRate, VersionKey, request_fingerprint,
 };
@@ -306,6 +306,9 @@
 ) -> Result<ResponseStart, RouteFault> {
     let server = sent.server;
     let (parts, body) = response.into_parts();
+    if !is_final_status(parts.status.as_u16()) {
+        return Err(RouteFault::Broken);
+    }
     let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
     // A response to another request decides nothing about this one, which may be running, and
     // shows that the connection's requests and responses no longer correspond, so the connection
--- a/crates/flaxtide-entry/src/forward/exchange.rs
+++ b/crates/flaxtide-entry/src/forward/exchange.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use flaxtide_core::{RequestId, ServerId};
+use flaxtide_core::{RequestId, ServerId, is_final_status};
 use flaxtide_policy::RouteFault;
 use hyper::Response;
 use hyper::body::Incoming;
@@ -76,7 +76,9 @@
         });
     }
     let head = state.dialect.read_response(parts.status.as_u16(), &parts.headers);
-    if head.attempt_id != request.attempt_id || claims_not_run(parts.status) {
+    let is_answer = is_final_status(parts.status.as_u16());
+    if !is_answer || head.attempt_id != request.attempt_id || claims_not_run(parts.status)
+    {
         return Err(RouteFault::Broken.into());
     }
     Ok(ResponseStart { peer_version, ..start_response(parts, body) })
--- a/crates/flaxtide-standin/src/service.rs
+++ b/crates/flaxtide-standin/src/service.rs
@@ -34,6 +34,8 @@
     pub cut_answers: u64,
     /// Run this many calls more, and answer with the refusal of another one.
     pub cross_refusals: u64,
+    /// Run every call, and answer with this status; 0 for the usual answers.
+    pub odd_status: u16,
     /// Refuse every call, as a server that is leaving does.
     pub leaving: bool,
 }
@@ -150,6 +152,16 @@
             let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{}");
             return;
         }
+        if faults.odd_status > 0 {
+            let head = format!(
+                "HTTP/1.1 {:03} X\r\nX-Request-Id: {request_id}\r\n",
+                faults.odd_status
+            );
+            let _ = request
+                .into_writer()
+                .write_all(format!("{head}Content-Length: 2\r\n\r\n{{}}").as_bytes());
+            return;
+        }
         let answer = json!({ "request_id": request_id, "echo": body, "run": number });
         respond_json(request, 200, &answer);
     }
--- a/crates/flaxtide/src/exchange/mod.rs
+++ b/crates/flaxtide/src/exchange/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response};
-use flaxtide_core::RequestId;
+use flaxtide_core::{RequestId, is_final_status};
 use flaxtide_policy::ServerFault;
 
 pub(crate) use self::completion::{ResponseProgress, exchange_completion};
@@ -100,6 +100,11 @@
     (stated.as_bytes() != id.as_bytes()).then_some(ServerFault::Broken)
 }
 
+/// Returns the fault of a response whose status is that of no final response.
+fn status_fault(response: &Response) -> Option<ServerFault> {
+    (!is_final_status(response.status().as_u16())).then_some(ServerFault::Broken)
+}
+
 /// Returns the fault of a response by which the server refused the request without
 /// running it; `None` for any other response.
 fn refusal_fault(response: &Response) -> Option<ServerFault> {
--- a/crates/flaxtide/src/exchange/plain.rs
+++ b/crates/flaxtide/src/exchange/plain.rs
@@ -8,7 +8,7 @@
 
 use super::{
     AttemptOutcome, ServerAttempt, classify_read_error, classify_send_error,
-    mismatch_fault, refusal_fault,
+    mismatch_fault, refusal_fault, status_fault,
 };
 use crate::link::{CompleteResponse, REQUEST_ID_HEADER};
 use crate::request::{KEY_HEADER, PlainPayload};
@@ -37,7 +37,9 @@
         Ok(response) => response,
         Err(cause) => return AttemptOutcome::Fault(classify_send_error(&cause)),
     };
-    let fault = mismatch_fault(&response, &id).or_else(|| refusal_fault(&response));
+    let fault = status_fault(&response)
+        .or_else(|| mismatch_fault(&response, &id))
+        .or_else(|| refusal_fault(&response));
     if let Some(fault) = fault {
         return AttemptOutcome::Fault(fault);
     }
--- a/crates/flaxtide/tests/whole_answer.rs
+++ b/crates/flaxtide/tests/whole_answer.rs
@@ -130,3 +130,19 @@
     let failure = answer.failure.expect("an explicit error");
     assert_eq!(failure.ran, RanState::Unknown);
 }
+
+// Guards against a response whose status is that of no final response being taken for an answer.
+#[test]
+fn a_plain_answer_with_an_odd_status_is_a_failure() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    for odd_status in [1, 99, 101, 199, 600, 700, 999] {
+        for service in &fleet.services {
+            service.set_faults(ServiceFaults { odd_status, ..ServiceFaults::default() });
+        }
+        let key = format!("odd-{odd_status}");
+        let answer = fleet.instances[0].file(&key, "a");
+        assert_eq!(fleet.runs_of(&key), 1, "{odd_status}");
+        let failure = answer.failure.unwrap_or_else(|| panic!("{odd_status}: an error"));
+        assert_eq!(failure.ran, RanState::Unknown, "{odd_status}");
+    }
+}
