An instance whose peers know another version takes its own for certain no longer

Report: during a release one instance was out of step while servers of a new version joined; streams that began on these through other instances went on at another version there. Cause: a version that a current list has shown alone is certain without asking, and a list is current if the store has answered. An instance that is behind in what the store says can't see that by itself. An instance that is told of a version which none of its listed servers has doesn't take its list for current: it asks peers, and refuses what these don't know. The messages are those of before, so that instances of earlier versions keep the notes and never ask for them. Window: an instance that is the replica of none (of 58 instances in a group about one in twenty, by calculation) isn't told.

--- a/crates/flaxtide-entry/src/versions/mod.rs
+++ b/crates/flaxtide-entry/src/versions/mod.rs
@@ -209,6 +209,7 @@
         for (service, listed) in services {
             if state.registry.set_listed(*service, listed, now) {
                 // From now on it has to be known which version began a stream.
+                state.registry.note_listed(*service, now);
                 let notes = state.registry.own_notes(now);
                 log::info!(service, notes = notes.len(); "several versions listed");
                 self.queue_notes(&mut state, &notes);
@@ -375,7 +376,8 @@
         current_within: Duration,
         now: Duration,
     ) -> VersionAnswer {
-        let is_current = self.is_current(current_within, now);
+        let is_current =
+            self.is_current(current_within, now) && !self.registry.is_behind_peers(now);
         self.registry.answer(service, stream, is_current, now)
     }
 }
--- a/crates/flaxtide-policy/src/versions/registry.rs
+++ b/crates/flaxtide-policy/src/versions/registry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::record::{ReadRecord, VersionRecord};
 use super::{ServiceKey, StreamKey};
@@ -18,6 +19,9 @@
 /// The most streams that are noted. Further ones are neither noted nor told.
 const MAX_NOTES: usize = 1 << 16;
 
+/// The most versions of which peers have told that are remembered.
+const MAX_TOLD_VERSIONS: usize = 64;
+
 /// While there is no room for notes, expired ones are removed at most this often.
 const EXPIRY_PERIOD: Duration = Duration::from_secs(1);
 
@@ -74,6 +78,8 @@
     services: HashMap<ServiceKey, ListedVersions>,
     /// The versions of streams.
     notes: HashMap<StreamKey, NotedStream>,
+    /// Until when streams may be taken up that peers have told of, by version.
+    told_versions: HashMap<VersionKey, Duration>,
     /// When expired notes were last removed.
     expired_at: Duration,
     /// The longest time for which a stream that was noted may be taken up again.
@@ -367,6 +373,41 @@
         for note in notes {
             let life = Duration::from_secs(note.life_s.into());
             self.note(note.stream, note.version, life, false, now);
+            self.record_told(note.version, now + life.min(MAX_WINDOW), now);
+        }
+    }
+
+    /// Records that a peer knows a version, at which streams may be taken up until a time.
+    fn record_told(&mut self, version: VersionKey, until: Duration, now: Duration) {
+        let told = &mut self.told_versions;
+        if told.len() >= MAX_TOLD_VERSIONS && !told.contains_key(&version) {
+            told.retain(|_, until| now < *until);
+        }
+        if told.len() < MAX_TOLD_VERSIONS || told.contains_key(&version) {
+            let known = told.entry(version).or_default();
+            *known = until.max(*known);
+        }
+    }
+
+    /// Returns whether peers know a version that no server listed here has: the list of this instance
+    /// is behind theirs, whatever the platform has answered.
+    #[must_use]
+    pub fn is_behind_peers(&self, now: Duration) -> bool {
+        let mut told = self.told_versions.iter();
+        told.any(|(version, until)| {
+            let mut services = self.services.values();
+            now < *until && !services.any(|known| known.listed.contains_key(version))
+        })
+    }
+
+    /// Notes the listed versions of a service, for peers: those that list another one only learn
+    /// that they are behind.
+    pub fn note_listed(&mut self, service: ServiceKey, now: Duration) {
+        let Some(known) = self.services.get(&service) else { return };
+        let versions: Vec<VersionKey> = known.listed.keys().copied().collect();
+        let life = self.window();
+        for version in versions {
+            self.note(listing_key(service, version), version, life, true, now);
         }
     }
 
@@ -453,6 +494,11 @@
     }
 }
 
+/// Returns the key under which the listing of a version is noted. It is that of no stream.
+fn listing_key(service: ServiceKey, version: VersionKey) -> StreamKey {
+    xxh3_64_with_seed(&version.to_le_bytes(), service.into())
+}
+
 /// Converts a time span to seconds, rounded up.
 fn whole_seconds(span: Duration) -> u16 {
     let seconds = span.as_millis().div_ceil(1000);
--- a/crates/flaxtide-policy/tests/stream_versions.rs
+++ b/crates/flaxtide-policy/tests/stream_versions.rs
@@ -151,3 +151,29 @@
         assert_eq!(poll.finish(), decision, "case {case}");
     }
 }
+
+/// Guards against an instance whose list doesn't change any more taking its only version for certain:
+/// peers have told it of another one.
+#[test]
+fn an_instance_that_is_told_of_an_unlisted_version_is_behind() {
+    let ms = Duration::from_millis;
+    let (mut behind, mut peer) = (VersionRegistry::default(), VersionRegistry::default());
+    for registry in [&mut behind, &mut peer] {
+        registry.set_listed(1, &[(7, 3)].into(), ms(0));
+    }
+    // What both list means nothing.
+    peer.note_listed(1, ms(20_000));
+    behind.note_told(&peer.own_notes(ms(20_000)), ms(20_000));
+    assert!(!behind.is_behind_peers(ms(20_000)));
+    assert!(peer.set_listed(1, &[(7, 3), (8, 1)].into(), ms(30_000)));
+    peer.note_listed(1, ms(30_000));
+    let notes = peer.own_notes(ms(30_000));
+    behind.note_told(&notes, ms(30_100));
+    assert!(behind.is_behind_peers(ms(30_100)));
+    // Streams that began at it can't be taken up any more.
+    assert!(!behind.is_behind_peers(ms(60_000)));
+    behind.note_told(&notes, ms(60_000));
+    assert!(behind.is_behind_peers(ms(60_000)));
+    behind.set_listed(1, &[(7, 3), (8, 1)].into(), ms(60_500));
+    assert!(!behind.is_behind_peers(ms(60_500)));
+}
