Responses of the own interface's servers have a longest length

Report: a faulty worker sent bytes without end, and the machine that had called it ran out of memory. Cause: the body of a plain response, and the lines of an event, were kept until their end. Reports of load, answers to orders and the platform's were read the same way. Change: `read_whole_body` takes the longest length (16 MiB for a response that is passed on, 64 KiB for reports, 64 MiB for the platform's answers); from the end of one event to that of the next a server may send 1 MiB.

--- a/crates/flaxtide-platform/src/client.rs
+++ b/crates/flaxtide-platform/src/client.rs
@@ -14,6 +14,12 @@
 };
 use crate::error::PlatformError;
 
+/// The longest response that is read.
+const MAX_RESPONSE_BYTES: usize = 64 << 20;
+
+/// The longest text of an error that is read.
+const MAX_ERROR_BYTES: usize = 64 << 10;
+
 /// A client of the platform's table service, object store and instance list.
 #[derive(Debug, Clone)]
 pub struct PlatformClient {
@@ -64,7 +70,7 @@
         let request = self.configure(attohttpc::get(self.url(path)).params(params));
         let response =
             check_status(request.send().map_err(|cause| classify_error(&cause))?)?;
-        response.json().map_err(|cause| classify_error(&cause))
+        read_json(response)
     }
 }
 
@@ -80,7 +86,7 @@
             .map_err(|cause| classify_error(&cause))?;
         let response =
             check_status(request.send().map_err(|cause| classify_error(&cause))?)?;
-        response.json().map_err(|cause| classify_error(&cause))
+        read_json(response)
     }
 
     fn read(&self, key: &str) -> Result<Option<TableRow>, PlatformError> {
@@ -117,7 +123,7 @@
             return Ok(None);
         }
         let response = check_status(response)?;
-        read_whole_body(response)
+        read_whole_body(response, MAX_RESPONSE_BYTES)
             .map(Some)
             .map_err(|cause| classify_error(&cause))
     }
@@ -129,6 +135,14 @@
     }
 }
 
+/// Reads a response as JSON.
+fn read_json<T: DeserializeOwned>(response: Response) -> Result<T, PlatformError> {
+    let body = read_whole_body(response, MAX_RESPONSE_BYTES)
+        .map_err(|cause| classify_error(&cause))?;
+    serde_json::from_slice(&body)
+        .map_err(|cause| PlatformError::BadAnswer { message: cause.to_string() })
+}
+
 /// Turns a response with an error status into an error that tells whether the request may have
 /// taken effect. Only 429 and 503 guarantee that it hasn't.
 fn check_status(response: Response) -> Result<Response, PlatformError> {
@@ -139,7 +153,8 @@
             Err(PlatformError::NotDone { message: format!("it answered {status}") })
         }
         400..=499 => {
-            let text = response.text().unwrap_or_default();
+            let text = read_whole_body(response, MAX_ERROR_BYTES).unwrap_or_default();
+            let text = String::from_utf8_lossy(&text);
             Err(PlatformError::BadAnswer { message: format!("{status}: {text}") })
         }
         _ => Err(PlatformError::NoAnswer { message: format!("it answered {status}") }),
--- a/crates/flaxtide-platform/tests/body.rs
+++ b/crates/flaxtide-platform/tests/body.rs
@@ -24,7 +24,8 @@
         }
         stream.write_all(&response).unwrap();
     });
-    let body = attohttpc::get(url).send().and_then(read_whole_body).ok();
+    let body = attohttpc::get(url).send();
+    let body = body.and_then(|response| read_whole_body(response, BODY.len())).ok();
     server.join().unwrap();
     body
 }
@@ -67,3 +68,16 @@
         }
     }
 }
+
+// Guards against a faulty server whose response takes all memory.
+#[test]
+fn a_body_that_is_too_long_is_an_error() {
+    let cases: [&[u8]; 3] = [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nright!",
+        b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nright!\r\n0\r\n\r\n",
+        b"HTTP/1.1 200 OK\r\n\r\nright!",
+    ];
+    for long in cases {
+        assert_eq!(read(long), None, "{:?}", String::from_utf8_lossy(long));
+    }
+}
--- a/crates/flaxtide-standin/src/engine/mod.rs
+++ b/crates/flaxtide-standin/src/engine/mod.rs
@@ -16,6 +16,7 @@
 use tiny_http::{Method, Request};
 
 use self::stream::EventStream;
+use crate::endless::{EndlessKind, write_endlessly};
 use crate::listen::{StandinListener, header, read_json, respond_json, respond_leaving};
 use crate::text::answer_length;
 
@@ -66,6 +67,8 @@
     pub crossings: u32,
     /// Send the first token twice in this many streams more.
     pub repeats: u32,
+    /// Answer without end.
+    pub endless: Option<EndlessKind>,
     /// After how many tokens streams break.
     pub break_after: u32,
     /// Refuse requests and report that the engine is leaving.
@@ -333,6 +336,9 @@
         let length = answer_length(&prompt, most).max(next);
         let tokens = self.enqueue(&request_id, &body, next, length);
         let faults = self.take_faults();
+        if let Some(kind) = faults.endless {
+            return write_endlessly(request.into_writer(), kind);
+        }
         let mut stream = EventStream {
             id: if faults.crossings > 0 { "another".into() } else { request_id },
             prompt,
--- a/crates/flaxtide-standin/src/lib.rs
+++ b/crates/flaxtide-standin/src/lib.rs
@@ -4,6 +4,7 @@
 //! Each listens on an address, runs on threads of its own until it is dropped, and has
 //! faults that can be turned on while it runs, in the process or over HTTP under `/faults`.
 
+mod endless;
 mod engine;
 mod listen;
 mod platform;
@@ -11,6 +12,7 @@
 mod service;
 mod text;
 
+pub use self::endless::EndlessKind;
 pub use self::engine::{
     EngineFaults, EngineOptions, EngineOrder, EngineStandin, RunRecord,
 };
--- a/crates/flaxtide-standin/src/service.rs
+++ b/crates/flaxtide-standin/src/service.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 use tiny_http::{Method, Request};
 
+use crate::endless::{EndlessKind, write_endlessly};
 use crate::listen::{
     StandinListener, header, read_json, respond_json, respond_leaving, respond_leaving_to,
 };
@@ -36,6 +37,10 @@
     pub cross_refusals: u64,
     /// Run every call, and answer with this status; 0 for the usual answers.
     pub odd_status: u16,
+    /// Run every call, and answer without end.
+    pub endless: Option<EndlessKind>,
+    /// Answer questions for the load without end.
+    pub endless_load: Option<EndlessKind>,
     /// Refuse every call, as a server that is leaving does.
     pub leaving: bool,
 }
@@ -107,7 +112,11 @@
                 return respond_json(request, 200, &runs);
             }
             (Method::Get, "/load") => {
-                let leaving = lock(&self.faults).leaving;
+                let faults = lock(&self.faults).clone();
+                if let Some(kind) = faults.endless_load {
+                    return write_endlessly(request.into_writer(), kind);
+                }
+                let leaving = faults.leaving;
                 let load = json!({ "running": 0, "waiting": 0, "step_us": 0, "leaving": leaving });
                 return respond_json(request, 200, &load);
             }
@@ -152,6 +161,9 @@
             let _ = writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\n{}");
             return;
         }
+        if let Some(kind) = faults.endless {
+            return write_endlessly(request.into_writer(), kind);
+        }
         if faults.odd_status > 0 {
             let head = format!(
                 "HTTP/1.1 {:03} X\r\nX-Request-Id: {request_id}\r\n",
--- a/crates/flaxtide/src/exchange/event.rs
+++ b/crates/flaxtide/src/exchange/event.rs
@@ -7,6 +7,9 @@
 /// The number of bytes after which a line is cut; the rest is read as another line.
 const MAX_LINE_BYTES: u64 = 1 << 20;
 
+/// The most bytes from the end of one event to that of the next.
+const MAX_EVENT_BYTES: usize = 1 << 20;
+
 /// Reads server-sent events from a response body.
 pub(crate) struct EventReader<R> {
     /// The response body.
@@ -74,14 +77,26 @@
 
     /// Reads the next event that has data. Returns `None` at the end of the body, also if
     /// it ends within an event.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection breaks, or if the event doesn't end.
     pub(crate) fn next(&mut self) -> io::Result<Option<ServerSentEvent>> {
-        let mut event = ServerSentEvent::default();
+        let (mut event, mut received) = (ServerSentEvent::default(), 0);
         loop {
             self.line.clear();
             let mut limited = self.body.by_ref().take(MAX_LINE_BYTES);
-            if limited.read_line(&mut self.line)? == 0 {
+            let length = limited.read_line(&mut self.line)?;
+            if length == 0 {
                 return Ok(None);
             }
+            received += length;
+            if received > MAX_EVENT_BYTES {
+                return Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    format!("an event is longer than {MAX_EVENT_BYTES} bytes"),
+                ));
+            }
             let line = self.line.trim_end_matches(['\r', '\n']);
             if line.is_empty() {
                 if event.data.is_empty() {
--- a/crates/flaxtide/src/exchange/plain.rs
+++ b/crates/flaxtide/src/exchange/plain.rs
@@ -13,6 +13,9 @@
 use crate::link::{CompleteResponse, REQUEST_ID_HEADER};
 use crate::request::{KEY_HEADER, PlainPayload};
 
+/// The longest body of a response that is passed on.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
 /// Sends a request to a server and reads the complete response.
 pub(crate) fn exchange_plain(
     attempt: &ServerAttempt<'_>,
@@ -49,7 +52,7 @@
     let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
     let body = match is_head {
         true => response.bytes(),
-        false => read_whole_body(response),
+        false => read_whole_body(response, MAX_BODY_BYTES),
     };
     match body {
         Ok(body) => {
--- a/crates/flaxtide/src/orders.rs
+++ b/crates/flaxtide/src/orders.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use attohttpc::ProxySettings;
+use flaxtide_platform::read_whole_body;
 use flaxtide_policy::{LeaseStep, LeaseTiming, LeaseWatch};
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +18,9 @@
 /// How often the thread looks at its lease.
 const POLL_PERIOD: Duration = Duration::from_millis(200);
 
+/// The longest answer to that question.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
 /// How often engines are asked what they have loaded.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
 
@@ -105,8 +109,11 @@
     let request = attohttpc::get(&url)
         .timeout(ORDER_TIMEOUT)
         .proxy_settings(ProxySettings::builder().build());
-    let loaded = request.send().and_then(attohttpc::Response::json::<EngineOrder>);
-    let Ok(loaded) = loaded else { return };
+    let body = request
+        .send()
+        .and_then(|response| read_whole_body(response, MAX_ANSWER_BYTES));
+    let loaded = body.ok().and_then(|body| serde_json::from_slice(&body).ok());
+    let Some(loaded): Option<EngineOrder> = loaded else { return };
     if loaded.models == engine.models {
         return;
     }
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -9,7 +9,9 @@
 use attohttpc::ProxySettings;
 use flaxtide_core::ServerId;
 use flaxtide_fleet::PeerInfo;
-use flaxtide_platform::{InstanceList, InstanceRole, InstanceState, ListedInstance};
+use flaxtide_platform::{
+    InstanceList, InstanceRole, InstanceState, ListedInstance, read_whole_body,
+};
 use flaxtide_policy::{LoadReport, PolicyEvent};
 use serde::Deserialize;
 
@@ -115,13 +117,17 @@
     news.changed
 }
 
+/// The longest report of a server.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
 /// Asks a server for its load.
 fn ask_load(address: SocketAddr) -> Option<ServerReport> {
     let request = attohttpc::get(format!("http://{address}/load"))
         .connect_timeout(REPORT_TIMEOUT)
         .read_timeout(REPORT_TIMEOUT)
         .proxy_settings(ProxySettings::builder().build());
-    request.send().ok()?.json().ok()
+    let body = read_whole_body(request.send().ok()?, MAX_REPORT_BYTES).ok()?;
+    serde_json::from_slice(&body).ok()
 }
 
 /// Reads the platform's list. Returns how many entry instances it has.
