Servers whose whole pool can't be reached aren't taken to have exited

All nine engines counted as exited, 50 times, while all instances had the path to them in doubt. Change: up to three servers of the same pool and data centre are tried first, also those that have failed, unless they are known to have exited. If there are at least two and none is reached, the paths are cut.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -18,6 +18,13 @@
 /// The time within which a path that is cut fails for all servers.
 const CUT_SPREAD: Duration = Duration::from_millis(20);
 
+/// The most servers of its pool that are probed when a server refuses connections.
+const MAX_PROBED_NEIGHBOURS: usize = 3;
+
+/// If at least this many of them can't be reached, the paths to the pool are taken to be cut. A single
+/// one may be dead and still listed.
+const MIN_CUT_NEIGHBOURS: usize = 2;
+
 /// How often idle connections are checked for having closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(2);
 
@@ -123,21 +130,36 @@
         return all.is_empty();
     }
     tokio::time::sleep(CUT_SPREAD).await;
+    if is_pool_cut(state, server).await {
+        return false;
+    }
     if reaches_any(state, &controls).await {
         return true;
     }
     // If the controls have exited themselves, they say nothing of the path.
-    let has_exited = |control: &ServerId| {
-        state.connections.exited_at(*control).is_some()
-            || state.quarantine.has_crashed(state, *control)
-    };
-    if !controls.iter().all(has_exited) {
+    if !controls.iter().all(|control| has_exited(state, *control)) {
         return false;
     }
     let others = state.with_router(|core, now| core.neighbour_servers(server, sent, now));
     reaches_any(state, &others).await
 }
 
+/// Returns whether none of the servers of the pool in a server's data centre is reached, although they
+/// aren't known to have exited. Then the paths to the pool have failed, even if those to other pools are
+/// open.
+async fn is_pool_cut(state: &TrafficState, server: ServerId) -> bool {
+    let mut others = state.with_router(|core, _| core.pool_neighbours(server));
+    others.retain(|other| !has_exited(state, *other));
+    others.truncate(MAX_PROBED_NEIGHBOURS);
+    others.len() >= MIN_CUT_NEIGHBOURS && !reaches_any(state, &others).await
+}
+
+/// Returns whether a server is known to have exited, here or at a peer.
+fn has_exited(state: &TrafficState, server: ServerId) -> bool {
+    state.connections.exited_at(server).is_some()
+        || state.quarantine.has_crashed(state, server)
+}
+
 /// Returns whether any of some servers is reached.
 async fn reaches_any(state: &TrafficState, servers: &[ServerId]) -> bool {
     let probes = servers.iter().map(|server| probe(state, *server));
--- a/crates/flaxtide-policy/src/router/reach.rs
+++ b/crates/flaxtide-policy/src/router/reach.rs
@@ -333,6 +333,22 @@
         if near.is_empty() { self.controls(server, true, false, sent, now) } else { near }
     }
 
+    /// Returns the other servers of the pool of a server in its data centre, also those that have
+    /// failed.
+    #[must_use]
+    pub fn pool_neighbours(&self, server: ServerId) -> Vec<ServerId> {
+        let pools = self.pools.values();
+        let found = pools.filter_map(|pool| Some((pool, pool.servers.get(server)?)));
+        let others = found.flat_map(|(pool, own)| {
+            let data_centre = own.listing.data_centre;
+            let near = pool.servers.values().filter(move |other| {
+                other.listing.in_service() && other.listing.data_centre == data_centre
+            });
+            near.map(|other| other.listing.server)
+        });
+        others.filter(|other| *other != server).collect()
+    }
+
     /// Returns a few servers of other pools in the data centre of a server, in the order of
     /// [`Self::control_servers`].
     #[must_use]
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -413,3 +413,23 @@
     // A failure of long ago counts no more.
     assert_eq!(core.control_servers(0, ms(9_000), ms(9_020)), [1]);
 }
+
+// Guards against a cut pool being judged by another one: the servers of its own that have failed before
+// count as well.
+#[test]
+fn the_neighbours_of_a_server_are_those_of_its_pool_also_if_they_failed() {
+    const OTHER_POOL: u16 = POOL + 1;
+    let mut core = core_with(0);
+    for server in 0..3 {
+        core.update_servers(POOL, &[engine(server)], &[], ms(0));
+    }
+    let far = RoutedServer { data_centre: 7, ..engine(3) };
+    core.update_servers(POOL, &[far], &[], ms(0));
+    core.update_servers(OTHER_POOL, &[engine(10)], &[], ms(0));
+    core.record_probe(1, false, ms(10));
+    let mut neighbours = core.pool_neighbours(0);
+    neighbours.sort_unstable();
+    assert_eq!(neighbours, [1, 2]);
+    assert_eq!(core.pool_neighbours(10), [0; 0]);
+    assert_eq!(core.pool_neighbours(99), [0; 0], "unknown");
+}
