Slow reports and answers to HEAD hold neither threads nor memory; long ones are logged

Found by reading the change again. A report of load that comes slowly without end held the thread that asks all servers and reads the list, and a stop, which waits for that thread, didn't end. The body of a response to HEAD was read without a limit, although it has none. That a response was too long was logged nowhere. Change: a report has 300 ms in all; no body is read after HEAD; the log names the request, the server and the limit.

--- a/crates/flaxtide-platform/src/client.rs
+++ b/crates/flaxtide-platform/src/client.rs
@@ -14,10 +14,10 @@
 };
 use crate::error::PlatformError;
 
-/// The longest response that is read.
+/// The longest response that is read, in bytes.
 const MAX_RESPONSE_BYTES: usize = 64 << 20;
 
-/// The longest text of an error that is read.
+/// The longest text of an error that is read, in bytes.
 const MAX_ERROR_BYTES: usize = 64 << 10;
 
 /// A client of the platform's table service, object store and instance list.
--- a/crates/flaxtide/src/exchange/completion.rs
+++ b/crates/flaxtide/src/exchange/completion.rs
@@ -179,7 +179,9 @@
         let event = match events.next() {
             Ok(Some(event)) => event,
             Ok(None) => return AttemptOutcome::Fault(ServerFault::Broken),
-            Err(cause) => return AttemptOutcome::Fault(classify_read_error(&cause)),
+            Err(cause) => {
+                return AttemptOutcome::Fault(classify_read_error(attempt, &cause));
+            }
         };
         if event.data == DONE {
             return finish_response(attempt, payload, progress, last_chunk.as_deref());
--- a/crates/flaxtide/src/exchange/mod.rs
+++ b/crates/flaxtide/src/exchange/mod.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use attohttpc::{ErrorKind, ProxySettings, RequestBuilder, Response};
-use flaxtide_core::{RequestId, is_final_status};
+use flaxtide_core::{RequestId, format_request_id, is_final_status};
 use flaxtide_policy::ServerFault;
 
 pub(crate) use self::completion::{ResponseProgress, exchange_completion};
@@ -85,10 +85,21 @@
     }
 }
 
-/// Classifies an error that occurred while the response was read.
-fn classify_read_error(cause: &std::io::Error) -> ServerFault {
+/// Classifies an error that occurred while the response was read. Logs that the response was too long.
+fn classify_read_error(
+    attempt: &ServerAttempt<'_>,
+    cause: &std::io::Error,
+) -> ServerFault {
     match cause.kind() {
         IoKind::WouldBlock | IoKind::TimedOut => ServerFault::Stalled,
+        IoKind::InvalidData => {
+            log::warn!(
+                request_id = format_request_id(attempt.request_id),
+                server = attempt.address.to_string();
+                "response given up: {cause}"
+            );
+            ServerFault::Broken
+        }
         _ => ServerFault::Broken,
     }
 }
--- a/crates/flaxtide/src/exchange/plain.rs
+++ b/crates/flaxtide/src/exchange/plain.rs
@@ -13,7 +13,7 @@
 use crate::link::{CompleteResponse, REQUEST_ID_HEADER};
 use crate::request::{KEY_HEADER, PlainPayload};
 
-/// The longest body of a response that is passed on.
+/// The longest body of a response that is passed on, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
 
 /// Sends a request to a server and reads the complete response.
@@ -51,21 +51,25 @@
     let content_type = content_type.and_then(|value| value.to_str().ok());
     let content_type = content_type.unwrap_or("application/octet-stream").to_owned();
     let body = match is_head {
-        true => response.bytes(),
+        // It has no body, and states the length that another one would have.
+        true => Ok(vec![]),
         false => read_whole_body(response, MAX_BODY_BYTES),
     };
     match body {
         Ok(body) => {
             AttemptOutcome::Complete(CompleteResponse { status, content_type, body })
         }
-        Err(cause) => AttemptOutcome::Fault(classify_body_error(&cause)),
+        Err(cause) => AttemptOutcome::Fault(classify_body_error(attempt, &cause)),
     }
 }
 
 /// Classifies an error in the body of a response, whose request has already run.
-fn classify_body_error(cause: &attohttpc::Error) -> ServerFault {
+fn classify_body_error(
+    attempt: &ServerAttempt<'_>,
+    cause: &attohttpc::Error,
+) -> ServerFault {
     match cause.kind() {
-        attohttpc::ErrorKind::Io(error) => classify_read_error(error),
+        attohttpc::ErrorKind::Io(error) => classify_read_error(attempt, error),
         _ => ServerFault::Broken,
     }
 }
--- a/crates/flaxtide/src/orders.rs
+++ b/crates/flaxtide/src/orders.rs
@@ -18,12 +18,12 @@
 /// How often the thread looks at its lease.
 const POLL_PERIOD: Duration = Duration::from_millis(200);
 
-/// The longest answer to that question.
-const MAX_ANSWER_BYTES: usize = 64 << 10;
-
 /// How often engines are asked what they have loaded.
 const CHECK_PERIOD: Duration = Duration::from_secs(5);
 
+/// The longest answer to that question, in bytes.
+const MAX_ANSWER_BYTES: usize = 64 << 10;
+
 /// An order reaches its engine within this time, or not at all. Less than what the lease
 /// allows for a delivery.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(800);
--- a/crates/flaxtide/src/watch.rs
+++ b/crates/flaxtide/src/watch.rs
@@ -20,6 +20,9 @@
 /// How long a server may take to report.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// The longest report of a server, in bytes.
+const MAX_REPORT_BYTES: usize = 64 << 10;
+
 /// How often the platform's list is read while few instances share the platform.
 const LIST_PERIOD: Duration = Duration::from_secs(2);
 
@@ -117,14 +120,12 @@
     news.changed
 }
 
-/// The longest report of a server.
-const MAX_REPORT_BYTES: usize = 64 << 10;
-
 /// Asks a server for its load.
 fn ask_load(address: SocketAddr) -> Option<ServerReport> {
     let request = attohttpc::get(format!("http://{address}/load"))
         .connect_timeout(REPORT_TIMEOUT)
         .read_timeout(REPORT_TIMEOUT)
+        .timeout(REPORT_TIMEOUT)
         .proxy_settings(ProxySettings::builder().build());
     let body = read_whole_body(request.send().ok()?, MAX_REPORT_BYTES).ok()?;
     serde_json::from_slice(&body).ok()
--- a/crates/flaxtide/tests/common/instance.rs
+++ b/crates/flaxtide/tests/common/instance.rs
@@ -170,6 +170,14 @@
         answer
     }
 
+    /// Asks a plain service by `HEAD`. Returns the status, or 0 without an answer.
+    pub fn look_up(&self, key: &str) -> u16 {
+        let url = format!("http://{}/services/registry/filings", self.addresses.listen);
+        let request = prepare(attohttpc::head(url), ORGANISATION_KEYS[0], "filing");
+        let sent = request.header("Idempotency-Key", key).send();
+        sent.map_or(0, |response| response.status().as_u16())
+    }
+
     /// Files a request that may not be repeated.
     pub fn file(&self, key: &str, body: &str) -> TestAnswer {
         let start = Instant::now();
--- a/crates/flaxtide/tests/endless_servers.rs
+++ b/crates/flaxtide/tests/endless_servers.rs
@@ -123,3 +123,42 @@
         check(&format!("{kind:?}"), &fleet, ask);
     }
 }
+
+// Guards against a thread that reads a report for as long as bytes of it come: it asks other servers too,
+// and a stop waits for it.
+#[test]
+fn a_report_that_comes_slowly_without_end_stops_nothing() {
+    let mut fleet = TestFleet::start(&FleetShape::default());
+    let faults = ServiceFaults {
+        endless_load: Some(EndlessKind::Slow),
+        ..ServiceFaults::default()
+    };
+    fleet
+        .services
+        .iter()
+        .for_each(|service| service.set_faults(faults.clone()));
+    std::thread::sleep(Duration::from_secs(3));
+    for instance in &mut fleet.instances {
+        instance.signal("TERM");
+    }
+    for instance in &mut fleet.instances {
+        assert!(instance.wait_exit().success());
+    }
+}
+
+// Guards against the body of a response that has none being read for as long as it comes.
+#[test]
+fn answers_to_head_without_end_cost_no_memory() {
+    let fleet = TestFleet::start(&FleetShape::default());
+    let faults = ServiceFaults {
+        endless: Some(EndlessKind::Body),
+        ..ServiceFaults::default()
+    };
+    fleet
+        .services
+        .iter()
+        .for_each(|service| service.set_faults(faults.clone()));
+    check("HEAD", &fleet, |number| {
+        fleet.instances[0].look_up(&format!("key-{number}")) == 200
+    });
+}
