Controls of a server's exit are chosen in one place

The servers of the own pool were probed twice at each broken connection, first to see whether the pool is cut and then as controls, the first of them by their number, and the filter stood twice. Now they are the controls, whether they have failed before or not, those without failures first, unless fewer than two aren't known to have exited.

--- a/crates/flaxtide-entry/src/crash.rs
+++ b/crates/flaxtide-entry/src/crash.rs
@@ -18,12 +18,12 @@
 /// The time within which a path that is cut fails for all servers.
 const CUT_SPREAD: Duration = Duration::from_millis(20);
 
-/// The most servers of its pool that are probed when a server refuses connections.
-const MAX_PROBED_NEIGHBOURS: usize = 3;
+/// The most servers of the same pool that are probed to tell the exit of a server from a cut path.
+const MAX_PROBED_NEIGHBOURS: usize = 4;
 
-/// If at least this many of them can't be reached, the paths to the pool are taken to be cut. A single
-/// one may be dead and still listed.
-const MIN_CUT_NEIGHBOURS: usize = 2;
+/// At least this many servers of the same pool speak for the path to it, whether they have failed before
+/// or not. A single one may be dead and still listed.
+const MIN_NEIGHBOURS: usize = 2;
 
 /// How often idle connections are checked for having closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(2);
@@ -122,7 +122,7 @@
 /// Returns whether another server is reached by which the exit of `server` is told from the failure
 /// of the path to it, or there is none.
 async fn path_is_open(state: &TrafficState, server: ServerId, sent: Duration) -> bool {
-    let controls = state.with_router(|core, now| core.control_servers(server, sent, now));
+    let controls = find_controls(state, server, sent);
     if controls.is_empty() {
         // All that there are may have failed while kept connections lived on.
         let any = Duration::ZERO;
@@ -130,9 +130,6 @@
         return all.is_empty();
     }
     tokio::time::sleep(CUT_SPREAD).await;
-    if is_pool_cut(state, server).await {
-        return false;
-    }
     if reaches_any(state, &controls).await {
         return true;
     }
@@ -144,14 +141,21 @@
     reaches_any(state, &others).await
 }
 
-/// Returns whether none of the servers of the pool in a server's data centre is reached, although they
-/// aren't known to have exited. Then the paths to the pool have failed, even if those to other pools are
-/// open.
-async fn is_pool_cut(state: &TrafficState, server: ServerId) -> bool {
-    let mut others = state.with_router(|core, _| core.pool_neighbours(server));
-    others.retain(|other| !has_exited(state, *other));
-    others.truncate(MAX_PROBED_NEIGHBOURS);
-    others.len() >= MIN_CUT_NEIGHBOURS && !reaches_any(state, &others).await
+/// Returns a few servers by which the exit of `server` is told from the failure of the path to it: those
+/// of its pool in its data centre that aren't known to have exited, also if they have failed. If the
+/// paths to all of them are cut, those to other pools may be open.
+fn find_controls(
+    state: &TrafficState,
+    server: ServerId,
+    sent: Duration,
+) -> Vec<ServerId> {
+    let neighbours = state.with_router(|core, now| core.pool_neighbours(server, now));
+    let alive = neighbours.into_iter().filter(|other| !has_exited(state, *other));
+    let alive: Vec<ServerId> = alive.take(MAX_PROBED_NEIGHBOURS).collect();
+    if alive.len() >= MIN_NEIGHBOURS {
+        return alive;
+    }
+    state.with_router(|core, now| core.control_servers(server, sent, now))
 }
 
 /// Returns whether a server is known to have exited, here or at a peer.
--- a/crates/flaxtide-policy/tests/router_reach.rs
+++ b/crates/flaxtide-policy/tests/router_reach.rs
@@ -427,9 +427,7 @@
     core.update_servers(POOL, &[far], &[], ms(0));
     core.update_servers(OTHER_POOL, &[engine(10)], &[], ms(0));
     core.record_probe(1, false, ms(10));
-    let mut neighbours = core.pool_neighbours(0);
-    neighbours.sort_unstable();
-    assert_eq!(neighbours, [1, 2]);
-    assert_eq!(core.pool_neighbours(10), [0; 0]);
-    assert_eq!(core.pool_neighbours(99), [0; 0], "unknown");
+    assert_eq!(core.pool_neighbours(0, ms(20)), [2, 1], "the one that failed comes last");
+    assert_eq!(core.pool_neighbours(10, ms(20)), [0; 0]);
+    assert_eq!(core.pool_neighbours(99, ms(20)), [0; 0], "unknown");
 }
