--- a/crates/flaxtide-entry/src/call.rs
+++ b/crates/flaxtide-entry/src/call.rs
@@ -8,27 +8,23 @@
 use bytes::Bytes;
 use flaxtide_core::TierRank;
 use flaxtide_fleet::fleet_key;
-use flaxtide_policy::{
-    QUEUE_WAIT_DIVISOR, RefusalCause, RegionKey, RetryDecision, RouteAction, RouteCall,
-};
+use flaxtide_policy::{QUEUE_WAIT_DIVISOR, RegionKey, RouteCall};
 use hyper::Request;
 use hyper::body::{Body, Incoming};
 use hyper::header::{CONNECTION, HOST, HeaderMap, HeaderValue, TRANSFER_ENCODING};
 use hyper::http::request::Parts;
 
+use crate::attempts::run_attempts;
 use crate::contract::{RequestClass, RequestHead};
 use crate::duty::CallUsage;
-use crate::exchange::{CallerRequest, ResponseStart, strip_hop_by_hop_headers};
+use crate::exchange::{CallerRequest, strip_hop_by_hop_headers};
 use crate::forward::{CarriedCall, ForwardHead, PeerReply, ServerSends};
-use crate::open_call::{
-    AttemptOutcome, MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR, RetryMode,
-};
+use crate::open_call::{MAX_RETRY_AFTER, OpenCall, RETRY_DIVISOR};
 use crate::reply::{CallerResponse, LocalReply};
-use crate::response::{ReceivedResponse, receive_response, start_stream};
 use crate::routes::{CallerIdentity, ClassMatch};
 use crate::state::{ShutdownPhase, TrafficState};
 use crate::stop::ReceivingGuard;
-use crate::uploads::receive_upload;
+use crate::uploads::{UploadFault, receive_upload};
 use crate::versions::{StreamIdentity, find_version};
 
 /// A request waits for newer rules for its target time divided by this, so that the caller can still
@@ -152,36 +148,17 @@
     };
     let carried = take_carried(state, source, &mut parts.headers).map_err(reject)?;
     let matched = match_current_rules(state, &parts, &head).await.map_err(reject)?;
-    let MatchedRules {
-        class, caller, tier, urgency_level, max_body_bytes, ..
-    } = matched;
-    let timeout = class.class().timeout;
+    let timeout = matched.class.class().timeout;
     let caller_waits = head.deadline.unwrap_or(timeout);
     let deadline = received_at + caller_waits.min(timeout);
-    let streams = class.class().kind.streams();
-    if state.is_too_late_to_start(deadline, streams) {
-        return Err(reject(LocalReply::Stopping));
-    }
-    let patience = class.class().latency_target / ROOM_WAIT_DIVISOR;
-    let receive = async {
-        tokio::select! {
-            biased;
-            body = receive_upload(state, body, max_body_bytes, patience) => body,
-            () = state.wait_until_ending() => Err((LocalReply::Stopping, None)),
-        }
-    };
-    let body = state.wait_until(deadline, receive).await;
-    let body = body.unwrap_or(Err((LocalReply::BodyTooSlow, None)));
+    let body = receive_body(state, body, &matched, deadline).await;
     let body = body.map_err(|(reply, free_after)| {
         let longest = (received_at + caller_waits).saturating_sub(state.now());
         let longest = MAX_RETRY_AFTER.min(longest / RETRY_DIVISOR);
         let retry_after = free_after.map(|span| span.min(longest));
         Rejection { retry_after, ..reject(reply) }
     })?;
-    // The body may have come slowly.
-    if state.is_too_late_to_start(deadline, streams) {
-        return Err(reject(LocalReply::Stopping));
-    }
+    let MatchedRules { class, caller, tier, urgency_level, .. } = matched;
     let mut headers = parts.headers;
     strip_hop_by_hop_headers(&mut headers);
     let (service, is_engine) =
@@ -200,7 +177,7 @@
         organisation: caller.name.clone(),
         tier: is_engine.then_some(tier),
         tokens: head.prompt.tokens,
-        streams,
+        streams: class.class().kind.streams(),
         shared_parts: head.prompt.shared_parts().map(|part| part.key).collect(),
         fingerprint: OnceCell::new(),
     };
@@ -237,6 +214,40 @@
     Ok(run_attempts(call, request, route_call).await)
 }
 
+/// Receives the body of a request that is answered by `deadline` at the latest.
+///
+/// # Errors
+///
+/// Returns an error if the body can't be received in time, or if the instance is stopping and the request
+/// might not end before the process does.
+async fn receive_body(
+    state: &TrafficState,
+    body: Incoming,
+    matched: &MatchedRules,
+    deadline: Duration,
+) -> Result<Bytes, UploadFault> {
+    let class = matched.class.class();
+    let streams = class.kind.streams();
+    if state.is_too_late_to_start(deadline, streams) {
+        return Err((LocalReply::Stopping, None));
+    }
+    let patience = class.latency_target / ROOM_WAIT_DIVISOR;
+    let receive = async {
+        tokio::select! {
+            biased;
+            body = receive_upload(state, body, matched.max_body_bytes, patience) => body,
+            () = state.wait_until_ending() => Err((LocalReply::Stopping, None)),
+        }
+    };
+    let body = state.wait_until(deadline, receive).await;
+    let body = body.unwrap_or(Err((LocalReply::BodyTooSlow, None)))?;
+    // The body may have come slowly.
+    if state.is_too_late_to_start(deadline, streams) {
+        return Err((LocalReply::Stopping, None));
+    }
+    Ok(body)
+}
+
 /// Counts a forwarded request and removes the header with which it came. Returns `None` for a
 /// request of a caller.
 fn take_carried(
@@ -320,120 +331,3 @@
         .filter(|region| second.is_none_or(|regions| regions.contains(region)));
     Some(allowed.map(|region| fleet_key(region)).collect())
 }
-
-/// Runs the attempts of a call until a response starts, the request is given up, or the process
-/// ends.
-async fn run_attempts(
-    call: OpenCall,
-    request: CallerRequest,
-    route_call: RouteCall,
-) -> CallerResponse {
-    let state = call.state.clone();
-    let received = tokio::select! {
-        biased;
-        received = await_answer(&call, &request, route_call) => received,
-        () = state.wait_until_ending() => CallAnswer::Whole(call.reply_cut_off()),
-    };
-    match received {
-        CallAnswer::Whole(response) => response,
-        CallAnswer::Stream(start, first) => {
-            start_stream(call, request, *start, first).await
-        }
-    }
-}
-
-/// The answer to a call.
-enum CallAnswer {
-    /// The whole response, ready for the caller.
-    Whole(CallerResponse),
-    /// The head and the first bytes of a stream.
-    Stream(Box<ResponseStart>, Bytes),
-}
-
-/// Runs the attempts of a call until a response starts or the request is given up.
-async fn await_answer(
-    call: &OpenCall,
-    request: &CallerRequest,
-    route_call: RouteCall,
-) -> CallAnswer {
-    let whole = CallAnswer::Whole;
-    let state = call.state.clone();
-    if call.is_held(request) {
-        return whole(call.reply_quarantined(request));
-    }
-    let mut decision = state.await_decision(call.request_id);
-    state.run_router(|core, now| match call.is_carried() {
-        true => core.arrive_forwarded(route_call, now),
-        false => core.arrive(route_call, now),
-    });
-    loop {
-        let decided = state.wait_until(call.deadline, decision).await;
-        let (choice, silence_timeout) = match decided {
-            Some(Ok(RouteAction::Dispatch { choice, silence_timeout, .. })) => {
-                (choice, silence_timeout)
-            }
-            Some(Ok(RouteAction::Refuse { reason, retry_after, expected, .. })) => {
-                return whole(reply_refused(call, reason, retry_after, expected));
-            }
-            // The deadline has passed without a decision. The router never drops the sender first;
-            // if it did, the caller would still get a response.
-            Some(Err(_)) | None => return whole(call.reply_timed_out()),
-        };
-        // It may have waited for long. A stream that is cut off can be resumed elsewhere.
-        if !call.is_resumable() && state.is_too_late_to_start(call.deadline, false) {
-            return whole(call.reply_stopping());
-        }
-        // Registered before the attempt, so that a decision to retry can't be missed.
-        decision = state.await_decision(call.request_id);
-        let fault = match call.try_server(request, &choice, silence_timeout, None).await {
-            AttemptOutcome::Started(start) => {
-                match receive_response(call, request, *start).await {
-                    Ok(ReceivedResponse::Whole(response)) => return whole(response),
-                    Ok(ReceivedResponse::Stream(start, first)) => {
-                        return CallAnswer::Stream(Box::new(start), first);
-                    }
-                    Ok(ReceivedResponse::Retry) => continue,
-                    Err(AttemptOutcome::Fault(fault)) => fault,
-                    Err(_) => return whole(call.reply_timed_out()),
-                }
-            }
-            AttemptOutcome::Fault(fault) => fault,
-            AttemptOutcome::TimedOut => return whole(call.reply_timed_out()),
-            AttemptOutcome::Refused(refusal) => {
-                return whole(call.reply_as_peer(refusal));
-            }
-            AttemptOutcome::Quarantined => return whole(call.reply_quarantined(request)),
-        };
-        let retry = call.handle_fault(request, fault, RetryMode::Repeat).await;
-        if retry == RetryDecision::Stop {
-            return whole(call.reply_failed(fault));
-        }
-    }
-}
-
-/// Responds to a request that the router refuses.
-fn reply_refused(
-    call: &OpenCall,
-    cause: RefusalCause,
-    retry_after: Duration,
-    expected: Option<Duration>,
-) -> CallerResponse {
-    let class = call.class.class();
-    log::info!(
-        request = call.attempt_id, class = class.name, cause:? = cause,
-        expected_ms = expected.map_or(-1, |span| span.as_millis() as i64),
-        target_ms = class.latency_target.as_millis() as u64,
-        retry_after_ms = retry_after.as_millis() as u64;
-        "refusal"
-    );
-    if call.may_have_run.get() {
-        return call.reply_locally(LocalReply::ServerFailed, None);
-    }
-    let reply = match cause {
-        RefusalCause::NoServer
-        | RefusalCause::NoServerInRegion
-        | RefusalCause::NoServerOfVersion => LocalReply::NoServer,
-        RefusalCause::TooLate => LocalReply::TooLate,
-    };
-    call.reply_locally(reply, Some(retry_after.min(call.time_left() / RETRY_DIVISOR)))
-}
--- a/crates/flaxtide-entry/src/lib.rs
+++ b/crates/flaxtide-entry/src/lib.rs
@@ -16,6 +16,7 @@
 
 mod admission;
 mod answers;
+mod attempts;
 mod backoff;
 mod body;
 mod budget;
