Stand-ins outside the platform's folder spell none of its headers

The soaks of `flaxtide` spelled headers and rows of the platform's store themselves; they now ask the stand-ins beside the adapter's tests.

--- a/crates/flaxtide/tests/soak/main.rs
+++ b/crates/flaxtide/tests/soak/main.rs
@@ -226,12 +226,8 @@
     /// Lists a server.
     fn list_server(&self, place: usize, server: &StandinServer) {
         let slots = if self.brittle.is_some() { BRITTLE_SLOTS } else { 8 };
-        let row = json!({
-            "service": "pool", "address": server.address.to_string(), "zone": "nave-a",
-            "version": "v1", "slots": slots, "state": "ready", "cold_left_ms": 0,
-            "sequence": 1,
-        });
-        self.store.put("servers", &name(place), Some(&row));
+        self.store
+            .put_slots(&name(place), "pool", server.address, "ready", slots);
     }
 
     /// Replaces servers that have ended, as those who run them do.
--- a/crates/flaxtide/tests/stream_soak/backends.rs
+++ b/crates/flaxtide/tests/stream_soak/backends.rs
@@ -8,8 +8,8 @@
 
 use rand::Rng;
 use rand::rngs::StdRng;
-use serde_json::json;
 
+use super::common::wire::target_header;
 use super::common::{StandinStore, fresh_ip, wait_until};
 use super::{SERVER_SETTINGS, SERVER_TEST};
 
@@ -91,7 +91,7 @@
             .unwrap();
         let commands = child.stdin.take().unwrap();
         wait_until("a server that serves", || is_served(address, &name));
-        put_row(store, &name, address, "ready");
+        store.put_slots(&name, "pool", address, "ready", SLOTS);
         let troubled = vec![(Instant::now(), Some(Instant::now()))];
         let (due, has_ended) = (vec![], false);
         self.servers.push(Backend {
@@ -193,7 +193,7 @@
 
     /// Has it say that it leaves.
     fn leave(&mut self, store: &StandinStore) {
-        put_row(store, &self.name, self.address, "draining");
+        store.put_slots(&self.name, "pool", self.address, "draining", SLOTS);
         writeln!(self.commands, "leave").unwrap();
     }
 
@@ -239,21 +239,11 @@
     }
 }
 
-/// Writes a server's row.
-fn put_row(store: &StandinStore, name: &str, address: SocketAddr, state: &str) {
-    let row = json!({
-        "service": "pool", "address": address.to_string(), "zone": "nave-a",
-        "version": "v1", "slots": SLOTS, "state": state, "cold_left_ms": 0, "sequence": 1,
-    });
-    store.put("servers", name, Some(&row));
-}
-
 /// Returns whether a server answers at an address, where the one before may accept connections too,
 /// and be frozen.
 fn is_served(address: SocketAddr, name: &str) -> bool {
-    let check = format!(
-        "GET /health HTTP/1.1\r\nHost: x\r\nFlaxtide-Target-Instance: {name}\r\n\r\n"
-    );
+    let target = target_header(name);
+    let check = format!("GET /health HTTP/1.1\r\nHost: x\r\n{target}\r\n");
     let mut status = [0; STATUS_LINE.len()];
     let asked = TcpStream::connect(address).and_then(|mut stream| {
         stream.set_read_timeout(Some(LONGEST_CHECK))?;
--- a/crates/flaxtide/tests/stream_soak/server.rs
+++ b/crates/flaxtide/tests/stream_soak/server.rs
@@ -12,6 +12,7 @@
 
 use super::common::Seen;
 use super::common::server::{NOT_RUN, chunk, is_stream, read_request};
+use super::common::wire::{attempt_header, seal_header, server_header};
 use super::content::{Content, Framing};
 
 /// How many connections may wait to be accepted.
@@ -81,8 +82,7 @@
         stream.set_nodelay(true).unwrap();
         let mut rest = vec![];
         while let Some(request) = read_request(&mut stream, &mut rest) {
-            let target = request.header("flaxtide-target-instance");
-            let is_other = target.is_some_and(|name| name != self.name);
+            let is_other = request.target().is_some_and(|name| name != self.name);
             let is_open = if is_other || request.line.starts_with("GET /health ") {
                 self.answer_briefly(&mut stream, &request, is_other)
             } else {
@@ -112,12 +112,11 @@
         };
         let attempt = match request.attempt() {
             "" => String::new(),
-            attempt => format!("Flaxtide-Attempt-Id: {attempt}\r\n"),
+            attempt => attempt_header(attempt),
         };
-        let name = &self.name;
+        let name = server_header(&self.name);
         let head = format!(
-            "HTTP/1.1 {status} X\r\nFlaxtide-Instance-Id: {name}\r\n{attempt}{not_run}\
-             Content-Length: 0\r\n\r\n"
+            "HTTP/1.1 {status} X\r\n{name}{attempt}{not_run}Content-Length: 0\r\n\r\n"
         );
         stream.write_all(head.as_bytes()).ok().map(|()| true)
     }
@@ -143,10 +142,11 @@
         };
         let kind = if is_stream(path) { "text/event-stream" } else { "text/plain" };
         let close = if is_leaving { "Connection: close\r\n" } else { "" };
-        let (attempt, name) = (request.attempt(), &self.name);
+        let (attempt, seal) =
+            (attempt_header(request.attempt()), seal_header(&self.name));
         let head = format!(
-            "HTTP/{version} 200 OK\r\nFlaxtide-Attempt-Id: {attempt}\r\n\
-             Flaxtide-Response-Seal: {name}\r\nContent-Type: {kind}\r\n{framed}{close}\r\n"
+            "HTTP/{version} 200 OK\r\n{attempt}{seal}Content-Type: {kind}\r\n\
+             {framed}{close}\r\n"
         );
         stream.write_all(head.as_bytes()).ok()?;
         for piece in pieces {
--- a/crates/flaxtide/tests/stream_soak/verdict.rs
+++ b/crates/flaxtide/tests/stream_soak/verdict.rs
@@ -115,7 +115,7 @@
 
 /// Returns the name of the server that began an answer.
 fn server_of(attempt: &Attempt) -> &str {
-    attempt.answer.header("flaxtide-response-seal").unwrap_or_default()
+    attempt.answer.seal().unwrap_or_default()
 }
 
 /// Returns what is wrong with an answer, whatever happened.
